feat: workspace, messages and the interfaces of every part

This lays the packages, their doors and the interfaces that the parts meet at: clock, outcomes with a hand-over ticket, peer messages, admin calls, policy, platform. Nothing is served yet.

--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,1 @@
+export * from './policy.js';
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './platform.js';
--- /dev/null
+++ b/packages/protocol/src/message.ts
@@ -0,0 +1,140 @@
+/**
+ * Every message between two nodes. One WebSocket message carries one message,
+ * encoded by msgpackr. A sender may add fields that a receiver doesn't know;
+ * a changed meaning takes a new protocol version.
+ */
+import {z} from 'zod';
+import {loadReportSchema} from './load-report.js';
+import {memberSchema} from './member.js';
+import {requestClassSchema} from './request-class.js';
+
+/** Nodes of different versions refuse each other with a typed error. */
+export const protocolVersion = 1;
+
+const identifier = z.string().min(1).max(200);
+const bytes = z.instanceof(Uint8Array);
+const headers = z.record(z.string(), z.string());
+
+/** The first message of either side. */
+export const helloSchema = z.object({
+	type: z.literal('hello'),
+	version: z.number().int(),
+	node: identifier,
+	incarnation: z.number().int().nonnegative(),
+	dataCentre: z.string(),
+	/** Random bytes that the other side must sign, in hexadecimal. */
+	challenge: z.string(),
+});
+
+/** The answer to the other side's challenge: HMAC-SHA-256 with the shared secret. */
+export const proofSchema = z.object({
+	type: z.literal('proof'),
+	signature: z.string(),
+});
+
+/** A request as it travels from the entry node to the target's node. */
+export const callRequestSchema = z.object({
+	/** The request's id along the whole chain. */
+	id: identifier,
+	service: identifier,
+	method: z.string(),
+	path: z.string(),
+	headers,
+	body: bytes,
+	requestClass: requestClassSchema,
+	caller: z.string(),
+	/** Milliseconds left when it was sent. */
+	timeLeft: z.number(),
+	/** Attempts left for the chain at and below this call, this one included. */
+	attempts: z.number().int().nonnegative(),
+	idempotent: z.boolean(),
+	key: z.string().optional(),
+	/** When the key expires, in milliseconds since 1970. */
+	keyExpiry: z.number().optional(),
+});
+
+export const callSchema = z.object({
+	type: z.literal('call'),
+	exchange: z.number().int().nonnegative(),
+	request: callRequestSchema,
+	/** `pass` goes to the home's ledger, `run` to the admission of the target. */
+	role: z.enum(['run', 'pass']),
+	home: z.string().optional(),
+});
+
+const refusalSchema = z.object({
+	code: z.number().int(),
+	detail: z.string(),
+	retryAfter: z.number().optional(),
+});
+
+/** The end of an exchange. `length` guards against a body cut short. */
+export const answerSchema = z.object({
+	type: z.literal('answer'),
+	exchange: z.number().int().nonnegative(),
+	kind: z.enum(['answered', 'notRun', 'unknown']),
+	status: z.number().int().optional(),
+	headers: headers.optional(),
+	body: bytes.optional(),
+	length: z.number().int().nonnegative(),
+	repeated: z.boolean().optional(),
+	refusal: refusalSchema.optional(),
+	load: loadReportSchema.optional(),
+});
+
+/** The caller of an exchange no longer wants its answer. */
+export const cancelSchema = z.object({
+	type: z.literal('cancel'),
+	exchange: z.number().int().nonnegative(),
+});
+
+/** A probe that carries members and the version in force; answered by an acknowledgement. */
+export const probeSchema = z.object({
+	type: z.literal('probe'),
+	sequence: z.number().int().nonnegative(),
+	members: z.array(memberSchema),
+	configurationVersion: z.number().int().nonnegative(),
+	/** Asks the receiver to send all the members it knows. */
+	whole: z.boolean().optional(),
+});
+
+export const acknowledgementSchema = z.object({
+	type: z.literal('acknowledgement'),
+	sequence: z.number().int().nonnegative(),
+	members: z.array(memberSchema),
+	configurationVersion: z.number().int().nonnegative(),
+});
+
+/** Asks for the accepted configuration when the other side's version is higher. */
+export const configurationRequestSchema = z.object({
+	type: z.literal('configurationRequest'),
+});
+
+/** The accepted configuration as the exact text whose checksum the head row holds. */
+export const configurationBodySchema = z.object({
+	type: z.literal('configurationBody'),
+	version: z.number().int().nonnegative(),
+	checksum: z.string(),
+	text: z.string(),
+});
+
+/** Every message that may follow the handshake. */
+export const messageSchema = z.discriminatedUnion('type', [
+	helloSchema,
+	proofSchema,
+	callSchema,
+	answerSchema,
+	cancelSchema,
+	probeSchema,
+	acknowledgementSchema,
+	configurationRequestSchema,
+	configurationBodySchema,
+]);
+
+export type CallRequest = z.infer<typeof callRequestSchema>;
+export type CallMessage = z.infer<typeof callSchema>;
+export type AnswerMessage = z.infer<typeof answerSchema>;
+export type ProbeMessage = z.infer<typeof probeSchema>;
+export type AcknowledgementMessage = z.infer<typeof acknowledgementSchema>;
+export type ConfigurationBodyMessage = z.infer<typeof configurationBodySchema>;
+export type Message = z.infer<typeof messageSchema>;
--- /dev/null
+++ b/packages/shared/src/virtual-clock.ts
@@ -0,0 +1,142 @@
+/**
+ * A clock that moves only when told to, for tests, fault schedules and the
+ * experiment. Timers that are due at the same instant fire in the order in
+ * which they were set, so a run is a function of its seed.
+ */
+import type {Clock, Timer} from './clock.js';
+
+type Entry = {at: number; order: number; callback: (() => void) | undefined};
+
+/** A clock under the caller's control. */
+export type VirtualClock = Clock & {
+	/** Fires the next timer and moves to its instant; false when none is set. */
+	step(): boolean;
+	/** Fires everything due up to and including the instant, then stands there. */
+	advanceTo(instant: number): void;
+	/** The same, letting promise callbacks run between timers. */
+	runTo(instant: number): Promise<void>;
+	/** How many timers are set. */
+	pending(): number;
+};
+
+/** Creates a virtual clock at instant 0. */
+export function createVirtualClock(
+	origin = new Date('2026-01-01T00:00:00Z'),
+): VirtualClock {
+	const heap: Entry[] = [];
+	let instant = 0;
+	let order = 0;
+	let live = 0;
+
+	const step = (limit: number): boolean => {
+		for (let entry = heap[0]; entry && entry.at <= limit; entry = heap[0]) {
+			removeFirst(heap);
+			const {callback} = entry;
+			if (callback) {
+				entry.callback = undefined;
+				live--;
+				instant = Math.max(instant, entry.at);
+				callback();
+				return true;
+			}
+		}
+
+		return false;
+	};
+
+	return {
+		now: () => instant,
+		date: () => new Date(origin.getTime() + instant),
+		setTimer(delay, callback): Timer {
+			const entry: Entry = {
+				at: instant + Math.max(0, delay),
+				order: order++,
+				callback,
+			};
+			insert(heap, entry);
+			live++;
+			return {
+				cancel() {
+					if (entry.callback) {
+						entry.callback = undefined;
+						live--;
+					}
+				},
+			};
+		},
+		step: () => step(Number.POSITIVE_INFINITY),
+		advanceTo(target) {
+			while (step(target)) {
+				// Everything due fires before the clock stands still.
+			}
+
+			instant = Math.max(instant, target);
+		},
+		async runTo(target) {
+			await settle();
+			while (step(target)) {
+				// eslint-disable-next-line no-await-in-loop -- timers fire one after another, and what they woke runs first.
+				await settle();
+			}
+
+			instant = Math.max(instant, target);
+		},
+		pending: () => live,
+	};
+}
+
+/** Lets every promise callback that is ready run. */
+async function settle(): Promise<void> {
+	await new Promise<void>((resolve) => {
+		setImmediate(resolve);
+	});
+}
+
+function isBefore(left: Entry, right: Entry): boolean {
+	return (
+		left.at < right.at || (left.at === right.at && left.order < right.order)
+	);
+}
+
+function insert(heap: Entry[], entry: Entry): void {
+	let index = heap.push(entry) - 1;
+	while (index > 0) {
+		const parent = Math.floor((index - 1) / 2);
+		const above = heap[parent]!;
+		if (!isBefore(entry, above)) {
+			break;
+		}
+
+		heap[index] = above;
+		heap[parent] = entry;
+		index = parent;
+	}
+}
+
+function removeFirst(heap: Entry[]): void {
+	const last = heap.pop()!;
+	if (heap.length === 0) {
+		return;
+	}
+
+	let index = 0;
+	for (;;) {
+		let child = 2 * index + 1;
+		if (child >= heap.length) {
+			break;
+		}
+
+		if (child + 1 < heap.length && isBefore(heap[child + 1]!, heap[child]!)) {
+			child++;
+		}
+
+		if (!isBefore(heap[child]!, last)) {
+			break;
+		}
+
+		heap[index] = heap[child]!;
+		index = child;
+	}
+
+	heap[index] = last;
+}
