feat(platform): client over HTTP and a stand-in that can fail

Cause: configuration and membership need the table and the object store, and every result must say no more than is known. Ruled out: fetch (no way to tell a refused connection from a lost answer) and judging by error codes alone (a reset before and after the hand-over has the same code). Change: an exchange notes when its open connection draws the body; a write that fails before is `unavailable`, after it `unknown`. The stand-in keeps the table in memory and can be down, slow or lose an answer after the effect, in the process or over HTTP.

--- /dev/null
+++ b/packages/platform/src/http-protocol.ts
@@ -0,0 +1,53 @@
+/**
+ * The wire form of the platform's HTTP interface, shared by the client and by
+ * the stand-in that answers it.
+ *
+ * | call | answers |
+ * | --- | --- |
+ * | `GET /table/rows/<key>` | 200 `Row`, 404 |
+ * | `GET /table/rows?prefix=<prefix>` | 200 `{rows: Row[]}` in key order |
+ * | `POST /table/transactions` with `{writes: TableWrite[]}` | 200 `{rows: Row[]}`, 409 `{detail}` |
+ * | `GET /objects/<name>` | 200 the body as text, 404 |
+ * | `PUT /objects/<name>` with the body as text | 204 |
+ *
+ * Keys and names are percent-encoded. A credential goes as a bearer token.
+ * An answer 503 with the header `platform-effect: none` says that the call
+ * certainly had no effect; any other failure leaves a write's effect open.
+ */
+import {z} from 'zod';
+
+/** The header by which the platform certifies that a failed call did nothing. */
+export const effectHeader = 'platform-effect';
+
+/** The one value of the effect header. */
+export const noEffect = 'none';
+
+export const rowSchema = z.object({
+	key: z.string(),
+	version: z.number().int().positive(),
+	value: z.string(),
+});
+
+export const rowsAnswerSchema = z.object({rows: z.array(rowSchema)});
+
+export const conflictAnswerSchema = z.object({detail: z.string()});
+
+const condition = z.number().int().nonnegative().optional();
+
+export const transactionSchema = z.object({
+	writes: z.array(
+		z.discriminatedUnion('kind', [
+			z.object({
+				kind: z.literal('put'),
+				key: z.string().min(1),
+				value: z.string(),
+				ifVersion: condition,
+			}),
+			z.object({
+				kind: z.literal('delete'),
+				key: z.string().min(1),
+				ifVersion: condition,
+			}),
+		]),
+	),
+});
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,3 @@
 export type * from './platform.js';
+export * from './http-platform.js';
+export * from './http-protocol.js';
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export * from './memory-platform.js';
+export * from './platform-stand-in.js';
