feat(control): intents, plans, configuration and membership

Cause: every node needs the accepted configuration and a view of the others without a coordinator, and operators need to plan and confirm. Ruled out: a full mesh of heartbeats (its bytes grow with the square of the nodes), refutation by incarnation (an incarnation stands for a ledger of keys, which a false suspicion must not void). Change: the intent's schema and its findings; plans kept in the table; confirm as one transaction on condition of the head row; the watch that takes a version only if higher, whole and fitting; SWIM-like membership with seed rows; the operators' functions; `createControl` wires them for a node. Conclusion: five nodes on the virtual clock learn of each other and put a confirmed version in force within 4 s.

--- /dev/null
+++ b/packages/control/__tests__/control-network.ts
@@ -0,0 +1,186 @@
+/** Nodes with control only, on one virtual clock and a network that can be cut. */
+import type {Member, ProbeMessage} from '@egretspoke/protocol';
+import {
+	createRandom,
+	sleep,
+	type Clock,
+	type VirtualClock,
+} from '@egretspoke/shared';
+import type {MemoryPlatform} from '@egretspoke/stand-ins';
+import {
+	createControl,
+	type Control,
+	type ControlOptions,
+} from '../src/index.js';
+
+/** One node of the network. */
+export type NetworkNode = {
+	/** Versions in the order in which they came into force. */
+	versions: number[];
+	name: string;
+	control: Control;
+	dataCentre: string;
+	address: string;
+	/** Ends the process without a farewell. */
+	kill(): void;
+	freeze(): void;
+	/** Lets the held timers run, as after SIGCONT. */
+	thaw(): void;
+};
+
+/** The network and its faults. */
+export type Network = {
+	messages: number;
+	nodes: NetworkNode[];
+	add(name: string, options?: Partial<ControlOptions>): Promise<NetworkNode>;
+	/** Cuts links for which this holds; a data centre's name or `platform` at either end. */
+	cut(isCut: (from: string, to: string) => boolean): void;
+};
+
+const oneWay = 1;
+
+/** Creates a network without nodes; a node's name starts with its data centre. */
+export function createNetwork(options: {
+	clock: VirtualClock;
+	platform: MemoryPlatform;
+	seed?: number;
+	defaults?: Partial<ControlOptions>;
+}): Network {
+	const {clock, platform, seed = 1, defaults = {}} = options;
+	const random = createRandom(seed);
+	const byAddress = new Map<string, NetworkNode & {isUp: () => boolean}>();
+	let isCut: (from: string, to: string) => boolean = () => false;
+	const network: Network = {
+		nodes: [],
+		messages: 0,
+		cut(rule) {
+			isCut = rule;
+		},
+		async add(name, overrides = {}) {
+			const [dataCentre = ''] = name.split('-');
+			const address = `${name}:${byAddress.size}`;
+			const stop = new AbortController();
+			const gate = createGate(clock);
+			let isAlive = true;
+			const reach = async (to: string) => {
+				network.messages++;
+				await sleep(clock, oneWay);
+				const peer = byAddress.get(to);
+				const isReachable =
+					peer?.isUp() === true &&
+					isAlive &&
+					!isCut(dataCentre, peer.dataCentre);
+				return isReachable ? peer : undefined;
+			};
+
+			const control = createControl({
+				self: createMember(name, {
+					dataCentre,
+					peerAddress: address,
+					incarnation: clock.date().getTime(),
+				}),
+				platform: platform.seenFrom(() => isCut(dataCentre, 'platform')),
+				clock: gate.clock,
+				random: random.fork(),
+				async send(to, probe: ProbeMessage) {
+					const peer = await reach(to);
+					const answer = peer?.control.receiveProbe(probe);
+					await sleep(clock, oneWay);
+					const isBack = peer && !isCut(peer.dataCentre, dataCentre);
+					return isBack && answer ? answer : undefined;
+				},
+				async requestBody(to) {
+					const peer = await reach(to);
+					await sleep(clock, oneWay);
+					return peer?.control.configuration.body();
+				},
+				...defaults,
+				...overrides,
+			});
+			const node = {
+				name,
+				control,
+				dataCentre,
+				address,
+				versions: [] as number[],
+				isUp: () => isAlive && !gate.isClosed(),
+				kill() {
+					isAlive = false;
+					stop.abort();
+				},
+				freeze: gate.close,
+				thaw: gate.open,
+			};
+			byAddress.set(address, node);
+			network.nodes.push(node);
+			void control.configuration.accepted.observe(({version}) => {
+				node.versions.push(version);
+			});
+			const starting = control.start(stop.signal);
+			await Promise.race([starting, clock.runTo(clock.now() + 10)]);
+			return node;
+		},
+	};
+	return network;
+}
+
+/** A member's record for tests. */
+export function createMember(
+	node: string,
+	fields: Partial<Member> = {},
+): Member {
+	return {
+		node,
+		incarnation: 1,
+		heartbeat: 0,
+		region: 'gh-coast',
+		dataCentre: 'dc1',
+		peerAddress: `${node}:1`,
+		callerAddress: `${node}:2`,
+		state: 'joining',
+		configurationVersion: 0,
+		...fields,
+	};
+}
+
+/** A clock whose timers are held back while a process is frozen. */
+function createGate(clock: Clock) {
+	let isClosed = false;
+	let held: Array<() => void> = [];
+	const gated: Clock = {
+		...clock,
+		setTimer(delay, callback) {
+			let isCancelled = false;
+			const run = () => {
+				if (isClosed) {
+					held.push(run);
+				} else if (!isCancelled) {
+					callback();
+				}
+			};
+
+			const timer = clock.setTimer(delay, run);
+			return {
+				cancel() {
+					isCancelled = true;
+					timer.cancel();
+				},
+			};
+		},
+	};
+	return {
+		clock: gated,
+		isClosed: () => isClosed,
+		close() {
+			isClosed = true;
+		},
+		open() {
+			isClosed = false;
+			const due = held;
+			held = [];
+			for (const run of due) {
+				run();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/packages/control/__tests__/control.spec.ts
@@ -0,0 +1,55 @@
+import {createVirtualClock} from '@egretspoke/shared';
+import {createMemoryPlatform} from '@egretspoke/stand-ins';
+import {expect} from 'chai';
+import {createNetwork} from './control-network.js';
+
+const document = `
+service: orders-and-payments
+deadline: 4s
+attempts: 3
+requests:
+  - match: {method: POST, path: /payments}
+    class: essential
+    idempotent: false
+calls: [loft-queues]
+`;
+
+describe('control', () => {
+	it('plans, confirms and puts a configuration in force on every node', async () => {
+		const clock = createVirtualClock();
+		const platform = createMemoryPlatform({clock});
+		const network = createNetwork({clock, platform});
+		for (const name of ['dc1-a', 'dc1-b', 'dc2-a', 'dc2-b', 'dc3-a']) {
+			// eslint-disable-next-line no-await-in-loop -- the nodes start one after another.
+			await network.add(name);
+		}
+
+		await clock.runTo(10_000);
+		const [first] = network.nodes;
+		const plan = await first!.control.plan({
+			author: 'esi',
+			file: 'orders.yaml',
+			document,
+		});
+		const {id, baseVersion} = plan._unsafeUnwrap();
+		expect(baseVersion).to.equal(0);
+		const answer = await network.nodes[3]!.control.confirm(id);
+		expect(answer).to.deep.equal({
+			result: 'accepted',
+			plan: id,
+			version: 1,
+			repeated: false,
+		});
+		await clock.runTo(14_000);
+		for (const {control} of network.nodes) {
+			expect(control.configuration.current().version).to.equal(1);
+			expect(control.membership.self().state).to.equal('active');
+			expect(control.membership.members()).to.have.length(5);
+		}
+
+		await clock.runTo(24_000);
+		const {inForce, platform: state} = first!.control.status();
+		expect(inForce.map(({version}) => version)).to.deep.equal([1, 1, 1, 1, 1]);
+		expect(state).to.equal('reachable');
+	});
+});
--- /dev/null
+++ b/packages/control/src/configuration.ts
@@ -0,0 +1,196 @@
+/**
+ * The accepted configuration: every service's intent, whole, under one version
+ * number. Its canonical text is what the checksum covers, what the platform
+ * keeps and what peers pass on. The version stands within the text, so that a
+ * body can't be taken for another version's.
+ */
+import {createHash} from 'node:crypto';
+import {requestClassSchema} from '@egretspoke/protocol';
+import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {compileClassifiers, type Classifier} from './classification.js';
+import type {ServiceIntent} from './intent.js';
+
+const requestRuleSchema = z.object({
+	method: z.string().optional(),
+	path: z.string(),
+	class: requestClassSchema.optional(),
+	idempotent: z.boolean().optional(),
+});
+
+const serviceConfigurationSchema = z.object({
+	service: z.string(),
+	/** Milliseconds. */
+	deadline: z.number().positive().optional(),
+	attempts: z.number().int().positive().optional(),
+	requests: z.array(requestRuleSchema),
+	calls: z.array(z.string()),
+	targets: z.array(
+		z.object({node: z.string(), intent: z.enum(['join', 'leave'])}),
+	),
+});
+
+const configurationTextSchema = z.object({
+	format: z.literal(1),
+	version: z.number().int().positive(),
+	services: z.array(serviceConfigurationSchema),
+});
+
+export type RequestRule = z.infer<typeof requestRuleSchema>;
+
+/** One service's part, in canonical order. */
+export type ServiceConfiguration = z.infer<typeof serviceConfigurationSchema>;
+
+/** A configuration that is ready for use. */
+export type Configuration = {
+	/** 0 for the built-in defaults, which were never accepted by anybody. */
+	version: number;
+	/** SHA-256 of the text, in hexadecimal. */
+	checksum: string;
+	text: string;
+	services: ServiceConfiguration[];
+	classifiers: Map<string, Classifier>;
+};
+
+/** A configuration as it is kept and passed on. */
+export type ConfigurationBody = {
+	version: number;
+	checksum: string;
+	text: string;
+};
+
+/** Why a body was not taken. */
+export type BodyFault = 'checksum' | 'malformed' | 'version';
+
+/** The built-in defaults: every request normal, only GET and HEAD idempotent. */
+export const defaultConfiguration: Configuration = {
+	version: 0,
+	checksum: '',
+	text: '',
+	services: [],
+	classifiers: new Map(),
+};
+
+/** Writes the canonical text: the same services give the same bytes. */
+export function writeConfiguration(
+	version: number,
+	services: ServiceConfiguration[],
+): ConfigurationBody {
+	const sorted = services.toSorted(by(({service}) => service));
+	const text = JSON.stringify({
+		format: 1,
+		version,
+		services: sorted.map((service) => canonicalize(service)),
+	});
+	return {version, checksum: checksumOf(text), text};
+}
+
+/** Reads a body; refuses one that is damaged, malformed or of another version. */
+export function readConfiguration(
+	body: ConfigurationBody,
+): Result<Configuration, BodyFault> {
+	if (checksumOf(body.text) !== body.checksum) {
+		return err('checksum');
+	}
+
+	const parsed = configurationTextSchema.safeParse(parseJson(body.text));
+	if (!parsed.success) {
+		return err('malformed');
+	}
+
+	const {version, services} = parsed.data;
+	return version === body.version
+		? ok({...body, services, classifiers: compileClassifiers(services)})
+		: err('version');
+}
+
+/** The services after the intents have replaced, added or removed their parts. */
+export function applyIntents(
+	services: ServiceConfiguration[],
+	intents: ServiceIntent[],
+): ServiceConfiguration[] {
+	const merged = new Map(services.map((each) => [each.service, each]));
+	for (const intent of intents) {
+		if (intent.removed) {
+			merged.delete(intent.service);
+		} else {
+			merged.set(intent.service, fromIntent(intent));
+		}
+	}
+
+	return [...merged.values()].toSorted(by(({service}) => service));
+}
+
+/** What the configuration wants of a node's target; undefined when it says nothing. */
+export function targetIntentOf(
+	configuration: Configuration,
+	node: string,
+): 'join' | 'leave' | undefined {
+	for (const {targets} of configuration.services) {
+		const target = targets.find((each) => each.node === node);
+		if (target) {
+			return target.intent;
+		}
+	}
+
+	return undefined;
+}
+
+/** SHA-256 in hexadecimal. */
+export function checksumOf(text: string): string {
+	return createHash('sha256').update(text).digest('hex');
+}
+
+function fromIntent(intent: ServiceIntent): ServiceConfiguration {
+	const {service, deadline, attempts, requests, calls, targets} = intent;
+	return canonicalize({
+		service,
+		deadline,
+		attempts,
+		requests: (requests ?? []).map(({match, ...rest}) => ({...match, ...rest})),
+		calls: calls ?? [],
+		targets: targets ?? [],
+	});
+}
+
+/** Puts keys and lists into one order; absent keys stay absent in the text. */
+function canonicalize(part: ServiceConfiguration): ServiceConfiguration {
+	const {service, deadline, attempts, requests, calls, targets} = part;
+	return {
+		service,
+		deadline,
+		attempts,
+		requests: requests
+			.map(({method, path, class: requestClass, idempotent}) => ({
+				method,
+				path,
+				class: requestClass,
+				idempotent,
+			}))
+			.sort(by((rule) => describeMatch(rule))),
+		calls: calls.toSorted(),
+		targets: targets
+			.map(({node, intent}) => ({node, intent}))
+			.sort(by(({node}) => node)),
+	};
+}
+
+/** `POST /payments`, or the path alone for a rule of every method. */
+export function describeMatch({method, path}: RequestRule): string {
+	return method === undefined ? path : `${method} ${path}`;
+}
+
+function by<T>(keyOf: (value: T) => string) {
+	return (left: T, right: T) => {
+		const [first, second] = [keyOf(left), keyOf(right)];
+		return first === second ? 0 : first < second ? -1 : 1;
+	};
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text);
+	} catch {
+		return undefined;
+	}
+}
--- /dev/null
+++ b/packages/control/src/member-view.ts
@@ -0,0 +1,152 @@
+/**
+ * One node's view of the members together with the news it has to pass on:
+ * the part of membership that sends nothing and waits for nothing.
+ */
+import type {Member} from '@egretspoke/protocol';
+import {createSubject, type Clock} from '@egretspoke/shared';
+import type {Stream} from 'most';
+import {createGossipQueue} from './gossip-queue.js';
+import {
+	createMembershipState,
+	expireMembers,
+	hearMember,
+	isPresent,
+	mergeMember,
+	mergeRules,
+	suspectMember,
+	type MemberChange,
+	type MemberEntry,
+	type MergeRule,
+} from './membership.js';
+import {newsLimit, type MembershipTiming} from './membership-timing.js';
+import {refute} from './own-record.js';
+
+/** The view and what changes it. */
+export type MemberView = {
+	changes: Stream<MemberChange>;
+	self(): Member;
+	entry(node: string): MemberEntry | undefined;
+	entries(): MemberEntry[];
+	/** Every member but this node that is not gone. */
+	present(): Member[];
+	gone(): Member[];
+	/** Replaces the node's own record and tells it first. */
+	setSelf(member: Member, isUrgent: boolean): void;
+	/** Takes in records; the first one is the sender's own. Returns what changed. */
+	take(records: Member[]): MemberChange[];
+	suspect(node: string): MemberChange | undefined;
+	expire(): void;
+	/** The own record, the addressee's where it should defend itself, and news. */
+	news(addressee: string | undefined): Member[];
+	/** All members that are not gone, the own record first. */
+	whole(): Member[];
+};
+
+/** Creates the view of a node that knows only itself. */
+export function createMemberView(options: {
+	self: Member;
+	clock: Clock;
+	timing: MembershipTiming;
+	isNewer?: MergeRule;
+}): MemberView {
+	const {clock, timing, isNewer = mergeRules.newerRecord} = options;
+	const state = createMembershipState(options.self, clock.now());
+	const queue = createGossipQueue();
+	const changes = createSubject<MemberChange>();
+	const selfEntry = state.entries.get(state.self)!;
+	const self = () => selfEntry.member;
+
+	const note = (change: MemberChange) => {
+		queue.add(change.member.node, isUrgentChange(change));
+		changes.push(change);
+	};
+
+	const setSelf = (member: Member, isUrgent: boolean) => {
+		const before = selfEntry.member;
+		selfEntry.member = member;
+		selfEntry.changedAt = clock.now();
+		queue.add(state.self, isUrgent);
+		changes.push({member, before});
+	};
+
+	const others = () =>
+		[...state.entries.values()]
+			.map(({member}) => member)
+			.filter(({node}) => node !== state.self);
+
+	return {
+		self,
+		entry: (node) => state.entries.get(node),
+		entries: () => [...state.entries.values()],
+		present: () => others().filter((member) => isPresent(member)),
+		gone: () => others().filter((member) => !isPresent(member)),
+		changes: changes.stream,
+		setSelf,
+		take(records) {
+			const now = clock.now();
+			const found: MemberChange[] = [];
+			for (const record of records) {
+				if (record.node === state.self) {
+					const answer = refute(self(), record);
+					if (answer) {
+						setSelf(answer, true);
+					}
+
+					continue;
+				}
+
+				const change = mergeMember(state, record, now, isNewer);
+				if (change) {
+					note(change);
+					found.push(change);
+				}
+			}
+
+			const sender = records[0];
+			if (sender) {
+				hearMember(state, sender.node, now);
+			}
+
+			return found;
+		},
+		suspect(node) {
+			const change = suspectMember(state, node, clock.now());
+			if (change) {
+				note(change);
+			}
+
+			return change;
+		},
+		expire() {
+			for (const change of expireMembers(state, clock.now(), timing)) {
+				note(change);
+			}
+		},
+		news(addressee) {
+			const nodes = new Set(queue.take(newsLimit, state.entries.size));
+			const known = addressee ? state.entries.get(addressee) : undefined;
+			if (known && mustDefend(known.member)) {
+				nodes.add(known.member.node);
+			}
+
+			nodes.delete(state.self);
+			const records = [...nodes].map((node) => state.entries.get(node)?.member);
+			return [self(), ...records.filter((record) => record !== undefined)];
+		},
+		whole: () => [self(), ...others().filter((member) => isPresent(member))],
+	};
+}
+
+/** A member under suspicion learns of it at the first contact (Dadgar et al., Lifeguard, 2018). */
+function mustDefend({state}: Member): boolean {
+	return state === 'suspect' || state === 'gone';
+}
+
+/** A change of the version in force can wait behind changes of who is there. */
+function isUrgentChange({member, before}: MemberChange): boolean {
+	return (
+		before?.state !== member.state ||
+		before.incarnation !== member.incarnation ||
+		before.target?.service !== member.target?.service
+	);
+}
--- /dev/null
+++ b/packages/control/src/membership-service.ts
@@ -0,0 +1,309 @@
+/**
+ * Probes members and passes on news, on the clock. The messages go through
+ * `send`; what comes in goes through `receive`.
+ *
+ * Conventions of the messages: the first record of a probe and of an
+ * acknowledgement is the sender's own, and the numbers of both carry the
+ * sender's configuration version.
+ */
+import type {
+	AcknowledgementMessage,
+	Member,
+	ProbeMessage,
+} from '@egretspoke/protocol';
+import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import type {Stream} from 'most';
+import {createLease} from './lease.js';
+import {createMemberView} from './member-view.js';
+import {
+	isPresent,
+	type MemberChange,
+	type MemberEntry,
+	type MergeRule,
+} from './membership.js';
+import {
+	defaultTiming,
+	spreadPause,
+	spreadWidth,
+	type MembershipTiming,
+} from './membership-timing.js';
+import {announceChange, reincarnate, type OwnChange} from './own-record.js';
+import {createProbeOrder, sample} from './probe-order.js';
+
+/** Sends a probe to a peer listener; undefined when no acknowledgement came. */
+export type SendProbe = (
+	address: string,
+	probe: ProbeMessage,
+	signal: AbortSignal,
+) => Promise<AcknowledgementMessage | undefined>;
+
+/** What membership needs. */
+export type MembershipOptions = {
+	/** The node's record as it starts, usually `joining`. */
+	self: Member;
+	clock: Clock;
+	random: Random;
+	send: SendProbe;
+	/** Told of the version at the peer with each message that came in. */
+	hearVersion: (version: number, peerAddress: string) => void;
+	/** Addresses from the settings, tried as long as nobody known has them. */
+	peers?: string[];
+	timing?: Partial<MembershipTiming>;
+	/** Only tests take another than the default. */
+	isNewer?: MergeRule;
+};
+
+/** Membership as the rest of the node uses it. */
+export type MembershipService = {
+	/** Every change of a record, the node's own included. */
+	changes: Stream<MemberChange>;
+	/** The node's own record; its incarnation changes after a pause. */
+	self(): Member;
+	/** All known members, gone ones included, this node first. */
+	members(): Member[];
+	entries(): MemberEntry[];
+	/** True from a pause longer than the lease until the node has announced itself again. */
+	isSuspended(): boolean;
+	/** Changes the own record and tells it; changes of state are told at once. */
+	announce(change: OwnChange): void;
+	/** Answers a probe. */
+	receive(probe: ProbeMessage): AcknowledgementMessage;
+	/** Asks some of these addresses for all members; the number that answered. */
+	join(addresses: string[]): Promise<number>;
+	/** Tells some members the news now. */
+	spread(): Promise<void>;
+	/** Probes until the signal aborts. */
+	run(signal: AbortSignal): Promise<void>;
+};
+
+/** Addresses asked for all members by one `join`. */
+const joinWidth = 3;
+
+/** Creates membership; nothing is sent before `run`, `join` or `announce`. */
+export function createMembership(
+	options: MembershipOptions,
+): MembershipService {
+	const {clock, random, send, hearVersion, peers = []} = options;
+	const timing = {...defaultTiming, ...options.timing};
+	const view = createMemberView({...options, timing});
+	const order = createProbeOrder(random.fork());
+	const lease = createLease(clock, timing.lease);
+	let isAnnouncing = false;
+	let sequence = 0;
+	let spreadDue: Promise<void> | undefined;
+	let lastSpread = Number.NEGATIVE_INFINITY;
+	let lastWhole = Number.NEGATIVE_INFINITY;
+	let returnedAt: string | undefined;
+
+	const takeIn = (message: ProbeMessage | AcknowledgementMessage) => {
+		const changes = view.take(message.members);
+		for (const change of changes) {
+			followUp(change);
+		}
+
+		const [sender] = message.members;
+		if (sender) {
+			hearVersion(message.configurationVersion, sender.peerAddress);
+		}
+	};
+
+	const followUp = ({member, before}: MemberChange) => {
+		if (member.state === 'suspect') {
+			const chance = spreadWidth / Math.max(1, view.present().length);
+			if (random.fraction() < chance) {
+				order.prefer(member.node);
+			}
+		}
+
+		if (member.state === 'leaving' && before?.state !== 'leaving') {
+			void spread();
+		}
+
+		if (before && !isPresent(before) && isPresent(member)) {
+			returnedAt = member.peerAddress;
+		}
+	};
+
+	const exchange = async (
+		address: string,
+		addressee?: string,
+		whole?: boolean,
+	): Promise<AcknowledgementMessage | undefined> => {
+		const abort = new AbortController();
+		const timer = clock.setTimer(timing.probeTimeout, () => {
+			abort.abort();
+		});
+		const probe: ProbeMessage = {
+			type: 'probe',
+			sequence: sequence++,
+			members: view.news(addressee),
+			configurationVersion: view.self().configurationVersion,
+			...(whole && {whole}),
+		};
+		const answer = await Promise.race([
+			send(address, probe, abort.signal),
+			waitForAbort(abort.signal),
+		]);
+		timer.cancel();
+		if (answer) {
+			takeIn(answer);
+		}
+
+		return answer;
+	};
+
+	const spreadNow = async () => {
+		lastSpread = clock.now();
+		const chosen = sample(view.present(), spreadWidth, random);
+		await Promise.all(
+			chosen.map(async ({peerAddress, node}) => exchange(peerAddress, node)),
+		);
+	};
+
+	const spread = async (): Promise<void> => {
+		spreadDue ??= (async () => {
+			const wait = Math.max(0, lastSpread + spreadPause - clock.now());
+			await sleep(clock, wait);
+			spreadDue = undefined;
+			await spreadNow();
+		})();
+		return spreadDue;
+	};
+
+	const join = async (addresses: string[]): Promise<number> => {
+		const own = view.self().peerAddress;
+		const others = [...new Set(addresses)].filter((each) => each !== own);
+		const chosen = sample(others, joinWidth, random);
+		lastWhole = clock.now();
+		const answers = await Promise.all(
+			chosen.map(async (address) => exchange(address, undefined, true)),
+		);
+		return answers.filter(Boolean).length;
+	};
+
+	const probeNext = async () => {
+		const node = order.next(() => view.present().map((each) => each.node));
+		const entry = node === undefined ? undefined : view.entry(node);
+		if (!entry || !isPresent(entry.member)) {
+			return;
+		}
+
+		const {member} = entry;
+		const startedAt = clock.now();
+		const answer = await exchange(member.peerAddress, member.node);
+		const isSelf = answer?.members[0]?.node === member.node;
+		const wasHeard = entry.heardAt > startedAt;
+		if (!isSelf && !wasHeard && !lease.hasLapsed()) {
+			view.suspect(member.node);
+		}
+	};
+
+	const reachLost = async () => {
+		const known = new Set(view.present().map(({peerAddress}) => peerAddress));
+		known.add(view.self().peerAddress);
+		const seeds = peers
+			.filter((address) => !known.has(address))
+			.map((peerAddress) => ({peerAddress, node: undefined}));
+		const [lost] = sample([...view.gone(), ...seeds], 1, random);
+		if (!lost) {
+			return;
+		}
+
+		const isAlone = known.size === 1;
+		const answer = await exchange(lost.peerAddress, lost.node, isAlone);
+		if (answer && !isAlone) {
+			returnedAt = lost.peerAddress;
+		}
+	};
+
+	/** After a return, the members on the other side are many: ask for all at once. */
+	const catchUp = async () => {
+		const due = lastWhole + timing.returnPause * (0.5 + random.fraction());
+		if (returnedAt !== undefined && clock.now() >= due) {
+			const address = returnedAt;
+			returnedAt = undefined;
+			await join([address]);
+		}
+	};
+
+	const exchangeWhole = async () => {
+		const [member] = sample(view.present(), 1, random);
+		if (member) {
+			await join([member.peerAddress]);
+		}
+	};
+
+	const returnFromPause = async () => {
+		isAnnouncing = true;
+		view.setSelf(reincarnate(view.self(), clock.date()), true);
+		await spreadNow();
+		isAnnouncing = false;
+		await exchangeWhole();
+	};
+
+	const repeat = async (
+		period: number,
+		action: () => Promise<void> | void,
+		signal: AbortSignal,
+	) => {
+		await sleep(clock, period * random.fraction(), signal);
+		while (!signal.aborted) {
+			// eslint-disable-next-line no-await-in-loop -- one round after another.
+			await action();
+			// eslint-disable-next-line no-await-in-loop -- one round after another.
+			await sleep(clock, period * (0.9 + 0.2 * random.fraction()), signal);
+		}
+	};
+
+	return {
+		self: view.self,
+		members: () => view.entries().map(({member}) => member),
+		entries: view.entries,
+		changes: view.changes,
+		isSuspended: () => isAnnouncing || lease.hasLapsed(),
+		announce(change) {
+			const own = view.self();
+			const isUrgent = change.state !== undefined || 'target' in change;
+			view.setSelf(announceChange(own, change), isUrgent);
+			void spread();
+		},
+		receive(probe) {
+			takeIn(probe);
+			const [sender] = probe.members;
+			return {
+				type: 'acknowledgement',
+				sequence: probe.sequence,
+				members: probe.whole ? view.whole() : view.news(sender?.node),
+				configurationVersion: view.self().configurationVersion,
+			};
+		},
+		join,
+		spread,
+		async run(signal) {
+			await Promise.all([
+				lease.run(signal, () => {
+					void returnFromPause();
+				}),
+				repeat(timing.probePeriod, probeNext, signal),
+				repeat(
+					timing.probePeriod / 2,
+					async () => {
+						view.expire();
+						await catchUp();
+					},
+					signal,
+				),
+				repeat(timing.lostPeriod, reachLost, signal),
+				repeat(timing.wholePeriod, exchangeWhole, signal),
+			]);
+		},
+	};
+}
+
+async function waitForAbort(signal: AbortSignal): Promise<undefined> {
+	return new Promise((resolve) => {
+		signal.addEventListener('abort', () => {
+			resolve(undefined);
+		});
+	});
+}
--- /dev/null
+++ b/packages/control/src/operator-service.ts
@@ -0,0 +1,196 @@
+/** What the admin listener offers to operators: plan, confirm and status. */
+import type {
+	ConfirmAnswer,
+	NodeStatus,
+	Plan,
+	PlanRequest,
+	TargetRow,
+} from '@egretspoke/protocol';
+import type {Platform, PlatformError} from '@egretspoke/platform';
+import type {Clock, Finding, Random} from '@egretspoke/shared';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	keepPlan,
+	readHead,
+	readPlan,
+	readVersion,
+} from './configuration-store.js';
+import type {ConfigurationWatch} from './configuration-watch.js';
+import {
+	defaultConfiguration,
+	readConfiguration,
+	type Configuration,
+} from './configuration.js';
+import {confirmPlan, type HeadWrite} from './confirm.js';
+import {readIntents} from './intent.js';
+import type {MembershipService} from './membership-service.js';
+import {isPresent} from './membership.js';
+import {preparePlan} from './plan.js';
+
+/** Why there is no plan. */
+export type PlanFailure =
+	| {kind: 'findings'; findings: Finding[]}
+	/** The platform can't be reached; nothing was planned. */
+	| {kind: 'unavailable'; detail: string};
+
+/** The operators' functions; the admin listener mounts them over HTTP. */
+export type OperatorService = {
+	plan(request: PlanRequest): Promise<Result<Plan, PlanFailure>>;
+	confirm(id: string): Promise<ConfirmAnswer | 'notFound'>;
+	/** All but the load, which the node adds. */
+	status(): NodeStatus;
+	targets(): TargetRow[];
+};
+
+/** What the operators' functions need. */
+export type OperatorOptions = {
+	platform: Platform;
+	clock: Clock;
+	random: Random;
+	configuration: ConfigurationWatch;
+	membership: MembershipService;
+	headWrite?: HeadWrite;
+};
+
+/** Creates the functions of one node. */
+export function createOperatorService(
+	options: OperatorOptions,
+): OperatorService {
+	const {platform, clock, random, configuration, membership} = options;
+	const startedAt = clock.now();
+	const secondsSince = (instant: number) =>
+		Math.max(0, Math.round(clock.now() - instant)) / 1000;
+
+	const heardSecondsAgo = (node: string, heardAt: number) =>
+		node === membership.self().node ? 0 : secondsSince(heardAt);
+
+	return {
+		async plan({author, file, document}) {
+			const intents = readIntents({text: document, file});
+			if (intents.isErr()) {
+				return err({kind: 'findings', findings: intents.error});
+			}
+
+			const base = await readBase(platform);
+			if (base.isErr()) {
+				return err({kind: 'unavailable', detail: base.error.detail});
+			}
+
+			const createdAt = clock.date();
+			const {plan, body} = preparePlan({
+				id: createPlanId(createdAt, random),
+				author,
+				createdAt,
+				intents: intents.value,
+				base: base.value,
+				targets: listKnownTargets(membership),
+			});
+			const kept = await keepPlan(platform, plan, body);
+			if (kept.isOk() || (await isKept(platform, plan.id))) {
+				return ok(plan);
+			}
+
+			return err({kind: 'unavailable', detail: kept.error.detail});
+		},
+		async confirm(id) {
+			const answer = await confirmPlan(id, options);
+			if (answer !== 'notFound' && answer.result === 'accepted') {
+				await configuration.readPlatform();
+			}
+
+			return answer;
+		},
+		status() {
+			const self = membership.self();
+			const {version, checksum} = configuration.current();
+			return {
+				node: self.node,
+				incarnation: self.incarnation,
+				dataCentre: self.dataCentre,
+				state: self.state,
+				uptimeSeconds: secondsSince(startedAt),
+				configuration: {version, checksum, source: configuration.source()},
+				platform: configuration.platformState(),
+				inForce: membership.entries().map(({member, heardAt}) => ({
+					node: member.node,
+					dataCentre: member.dataCentre,
+					version: member.configurationVersion,
+					state: member.state,
+					heardSecondsAgo: heardSecondsAgo(member.node, heardAt),
+				})),
+			};
+		},
+		targets: () =>
+			membership.entries().flatMap(({member, heardAt}) =>
+				member.target
+					? [
+							{
+								...member.target,
+								node: member.node,
+								dataCentre: member.dataCentre,
+								state: member.state,
+								callerAddress: member.callerAddress,
+								configurationVersion: member.configurationVersion,
+								heardSecondsAgo: heardSecondsAgo(member.node, heardAt),
+							},
+						]
+					: [],
+			),
+	};
+}
+
+/** The accepted configuration as the platform has it now, which may be newer than the node's. */
+async function readBase(
+	platform: Platform,
+): Promise<Result<Configuration, PlatformError>> {
+	const head = await readHead(platform);
+	if (head.isErr()) {
+		return err(head.error);
+	}
+
+	const version = head.value.value?.version;
+	if (version === undefined) {
+		return ok(defaultConfiguration);
+	}
+
+	const body = await readVersion(platform, version);
+	return body.andThen((found) =>
+		found
+			? readConfiguration(found).mapErr((fault) =>
+					describeDamage(version, fault),
+				)
+			: err(describeDamage(version, 'missing')),
+	);
+}
+
+function describeDamage(version: number, fault: string): PlatformError {
+	return {
+		kind: 'unavailable',
+		detail: `the body of version ${version} can't be used: ${fault}`,
+	};
+}
+
+/** A plan whose write lost its answer may have been kept; it has no effect before a confirmation. */
+async function isKept(platform: Platform, id: string): Promise<boolean> {
+	const plan = await readPlan(platform, id);
+	return plan.isOk() && plan.value.value !== undefined;
+}
+
+function listKnownTargets(membership: MembershipService) {
+	return membership
+		.members()
+		.filter((member) => isPresent(member))
+		.flatMap(({node, target}) =>
+			target ? [{node, service: target.service}] : [],
+		);
+}
+
+/** Sorts by time; the random part tells plans of one instant apart. */
+function createPlanId(createdAt: Date, random: Random): string {
+	const stamp = createdAt.toISOString().replaceAll(/[-:]|\.\d+/gu, '');
+	const suffix = random
+		.below(2 ** 31 - 1)
+		.toString(36)
+		.padStart(6, '0');
+	return `${stamp}-${suffix}`;
+}
--- /dev/null
+++ b/packages/control/src/probe-order.ts
@@ -0,0 +1,54 @@
+/**
+ * Whom to probe next: every member once in a shuffled order, then anew, which
+ * bounds the time until a dead member is probed (SWIM, section 4.3). Members
+ * under suspicion elsewhere go first, which is the indirect check.
+ */
+import type {Random} from '@egretspoke/shared';
+
+/** Gives the next node to probe. */
+export type ProbeOrder = {
+	/** Undefined when there is nobody. */
+	next(candidates: () => string[]): string | undefined;
+	/** Puts a node first. */
+	prefer(node: string): void;
+};
+
+/** Creates an order that shuffles by the given source. */
+export function createProbeOrder(random: Random): ProbeOrder {
+	let order: string[] = [];
+	const preferred = new Set<string>();
+	return {
+		next(candidates) {
+			const [first] = preferred;
+			if (first !== undefined) {
+				preferred.delete(first);
+				return first;
+			}
+
+			if (order.length === 0) {
+				order = shuffle(candidates(), random);
+			}
+
+			return order.pop();
+		},
+		prefer(node) {
+			preferred.add(node);
+		},
+	};
+}
+
+/** So many of the values, each equally likely. */
+export function sample<T>(values: T[], count: number, random: Random): T[] {
+	return shuffle(values, random).slice(0, count);
+}
+
+/** A shuffled copy (Fisher and Yates). */
+function shuffle<T>(values: T[], random: Random): T[] {
+	const copy = [...values];
+	for (let index = copy.length - 1; index > 0; index--) {
+		const other = random.below(index + 1);
+		[copy[index], copy[other]] = [copy[other]!, copy[index]!];
+	}
+
+	return copy;
+}
