--- a/packages/control/src/configuration-watch.ts
+++ b/packages/control/src/configuration-watch.ts
@@ -86,7 +86,7 @@
 /** Each wait is drawn from 0.8 to 1.2 periods, so that nodes don't read in step. */
 const jitter = 0.2;
 
-/** Bodies asked of peers at once; a change is told by many of them together. */
+/** Bodies asked of peers at once, unless a still higher version is told. */
 const mostFetches = 2;
 
 /** Creates the watch with the built-in defaults in force. */
@@ -100,7 +100,7 @@
 	let current = defaultConfiguration;
 	let source: ConfigurationSource = 'defaults';
 	let platformState: PlatformState = 'unknown';
-	let fetches = 0;
+	const fetching: number[] = [];
 
 	const offer: ConfigurationWatch['offer'] = (body, from) => {
 		const result = acceptance.accept(current, body);
@@ -143,18 +143,19 @@
 		offer,
 		async hear(version, fetch) {
 			const isWanted = acceptance.isWanted(current, version);
-			if (!isWanted || fetches >= mostFetches) {
+			const isSpare = fetching.length < mostFetches;
+			if (!isWanted || !(isSpare || version > Math.max(...fetching))) {
 				return;
 			}
 
-			fetches++;
+			fetching.push(version);
 			try {
 				const body = await fetch();
 				if (body) {
 					offer(body, 'peer');
 				}
 			} finally {
-				fetches--;
+				fetching.splice(fetching.indexOf(version), 1);
 			}
 		},
 		readPlatform,
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -90,7 +90,10 @@
 		...options,
 		send,
 		hearVersion(version, address) {
-			void configuration.hear(version, async () => requestBody(address));
+			const hearing = configuration.hear(version, async () =>
+				requestBody(address),
+			);
+			void track(hearing);
 		},
 	});
 	const seeds = createSeedRows({
@@ -99,8 +102,15 @@
 		random,
 		self: membership.self,
 	});
+	const hearings = new Set<Promise<void>>();
 	let isLeavingByIntent = false;
 
+	const track = async (hearing: Promise<void>) => {
+		hearings.add(hearing);
+		await hearing;
+		hearings.delete(hearing);
+	};
+
 	const follow = (accepted: Configuration) => {
 		const {node, state} = membership.self();
 		const intent = targetIntentOf(accepted, node);
@@ -125,10 +135,22 @@
 		return membership.join([...rows, ...peers]);
 	};
 
+	/** What a start waits for, so that no older version than can be had is in force. */
+	const learn = async () => {
+		await Promise.all([
+			configuration.readPlatform(),
+			membership.join(peers),
+			findMembers(),
+		]);
+		await Promise.all(hearings);
+	};
+
 	const isAlone = () =>
-		membership.members().every(({state, node}) => {
-			return node === membership.self().node || state === 'gone';
-		});
+		membership
+			.members()
+			.every(
+				({state, node}) => node === membership.self().node || state === 'gone',
+			);
 
 	const keepFinding = async (signal: AbortSignal) => {
 		while (!signal.aborted) {
@@ -157,14 +179,7 @@
 			void configuration.run(signal);
 			void seeds.run(signal);
 			void keepFinding(signal);
-			await Promise.race([
-				Promise.all([
-					configuration.readPlatform(),
-					membership.join(peers),
-					findMembers(),
-				]),
-				sleep(clock, startPatience, signal),
-			]);
+			await Promise.race([learn(), sleep(clock, startPatience, signal)]);
 			if (membership.self().state === 'joining') {
 				membership.announce({state: 'active'});
 			}
--- a/packages/control/src/member-view.ts
+++ b/packages/control/src/member-view.ts
@@ -32,8 +32,12 @@
 	gone(): Member[];
 	/** Replaces the node's own record and tells it first. */
 	setSelf(member: Member, isUrgent: boolean): void;
-	/** Takes in records; the first one is the sender's own. Returns what changed. */
-	take(records: Member[]): MemberChange[];
+	/**
+	 * Takes in records; the first one is the sender's own. Returns what changed.
+	 * What came with all members is not passed on: its sender's neighbours know
+	 * it, and a node that has just joined would have nothing but old news to tell.
+	 */
+	take(records: Member[], isWhole?: boolean): MemberChange[];
 	suspect(node: string): MemberChange | undefined;
 	expire(): void;
 	/** The own record, the addressee's where it should defend itself, and news. */
@@ -56,8 +60,11 @@
 	const selfEntry = state.entries.get(state.self)!;
 	const self = () => selfEntry.member;
 
-	const note = (change: MemberChange) => {
-		queue.add(change.member.node, isUrgentChange(change));
+	const note = (change: MemberChange, isNews = true) => {
+		if (isNews) {
+			queue.add(change.member.node, isUrgentChange(change));
+		}
+
 		changes.push(change);
 	};
 
@@ -82,7 +89,7 @@
 		gone: () => others().filter((member) => !isPresent(member)),
 		changes: changes.stream,
 		setSelf,
-		take(records) {
+		take(records, isWhole = false) {
 			const now = clock.now();
 			const found: MemberChange[] = [];
 			for (const record of records) {
@@ -97,7 +104,7 @@
 
 				const change = mergeMember(state, record, now, isNewer);
 				if (change) {
-					note(change);
+					note(change, !isWhole);
 					found.push(change);
 				}
 			}
--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -95,8 +95,11 @@
 	let lastWhole = Number.NEGATIVE_INFINITY;
 	let returnedAt: string | undefined;
 
-	const takeIn = (message: ProbeMessage | AcknowledgementMessage) => {
-		const changes = view.take(message.members);
+	const takeIn = (
+		message: ProbeMessage | AcknowledgementMessage,
+		isWhole = false,
+	) => {
+		const changes = view.take(message.members, isWhole);
 		for (const change of changes) {
 			followUp(change);
 		}
@@ -146,7 +149,7 @@
 		]);
 		timer.cancel();
 		if (answer) {
-			takeIn(answer);
+			takeIn(answer, whole);
 		}
 
 		return answer;
