--- /dev/null
+++ b/packages/control/__tests__/configuration-watch.spec.ts
@@ -0,0 +1,180 @@
+import {createRandom, createVirtualClock} from '@egretspoke/shared';
+import {createMemoryPlatform} from '@egretspoke/stand-ins';
+import {expect} from 'chai';
+import fastCheck from 'fast-check';
+import {
+	acceptanceRules,
+	createConfigurationWatch,
+	headKey,
+	versionKey,
+	writeConfiguration,
+	type AcceptanceRule,
+	type ConfigurationBody,
+	type RejectedBody,
+} from '../src/index.js';
+
+const bodyOf = (version: number): ConfigurationBody =>
+	writeConfiguration(version, [
+		{service: `s${version}`, requests: [], calls: [], targets: []},
+	]);
+
+const damage = (body: ConfigurationBody): ConfigurationBody => ({
+	...body,
+	text: body.text.replace('service', 'serv1ce'),
+});
+
+const createWatch = (acceptance?: AcceptanceRule) => {
+	const clock = createVirtualClock();
+	const platform = createMemoryPlatform({clock});
+	const watch = createConfigurationWatch({
+		platform,
+		clock,
+		random: createRandom(3),
+		...(acceptance && {acceptance}),
+	});
+	const publish = async (body: ConfigurationBody) => {
+		const {version, checksum} = body;
+		const head = {version, checksum, plan: 'p', author: 'a'};
+		await platform.table.transact([
+			{kind: 'put', key: headKey, value: JSON.stringify(head)},
+			{kind: 'put', key: versionKey(version), value: JSON.stringify(body)},
+		]);
+	};
+
+	return {clock, platform, watch, publish};
+};
+
+describe('configuration watch', () => {
+	it('starts with the defaults and takes what the platform has', async () => {
+		const {clock, watch, publish} = createWatch();
+		const stop = new AbortController();
+		expect(watch.source()).to.equal('defaults');
+		expect(watch.body()).to.equal(undefined);
+		void watch.run(stop.signal);
+		await publish(bodyOf(1));
+		await clock.runTo(2400);
+		expect(watch.current().version).to.equal(1);
+		expect(watch.source()).to.equal('platform');
+		stop.abort();
+	});
+
+	it('keeps the last accepted version through an outage', async () => {
+		// The table is away for an hour. Falling back to the defaults would make
+		// payments ordinary requests just when the enterprise is in trouble.
+		const {clock, platform, watch, publish} = createWatch();
+		const stop = new AbortController();
+		await publish(bodyOf(3));
+		await watch.readPlatform();
+		platform.faults.down = true;
+		void watch.run(stop.signal);
+		await clock.runTo(3_600_000);
+		expect(watch.current().version).to.equal(3);
+		expect(watch.platformState()).to.equal('unreachable');
+		stop.abort();
+	});
+
+	it('asks the peer that tells of a higher version', async () => {
+		const {watch} = createWatch();
+		await watch.hear(4, async () => bodyOf(4));
+		await watch.hear(2, async () => expect.fail('nobody asks for an old body'));
+		await watch.hear(9, async () => undefined);
+		expect(watch.current().version).to.equal(4);
+		expect(watch.source()).to.equal('peer');
+	});
+
+	it('refuses a damaged body, says so, and takes the whole one later', async () => {
+		// A body is damaged on the way from a peer or in the store. It could lack
+		// the rule that protects payments and nobody would see it.
+		const {watch, publish} = createWatch();
+		const rejected: RejectedBody[] = [];
+		void watch.rejected.observe((each) => rejected.push(each));
+		await watch.hear(4, async () => damage(bodyOf(4)));
+		await publish(damage(bodyOf(5)));
+		await watch.readPlatform();
+		expect(watch.current().version).to.equal(0);
+		expect(rejected).to.deep.equal([
+			{version: 4, source: 'peer', reason: 'checksum'},
+			{version: 5, source: 'platform', reason: 'checksum'},
+		]);
+		await publish(bodyOf(5));
+		await watch.readPlatform();
+		expect(watch.current().version).to.equal(5);
+	});
+
+	describe('over any schedule of tellings, damage and outages', () => {
+		const step = fastCheck.record({
+			way: fastCheck.constantFrom(
+				'hear',
+				'offer',
+				'read',
+				'damaged',
+				'down',
+				'up',
+			),
+			version: fastCheck.integer({min: 1, max: 12}),
+		});
+
+		/** The versions that were in force, and whether each was whole. */
+		const play = async (
+			steps: Array<{way: string; version: number}>,
+			acceptance: AcceptanceRule,
+		) => {
+			const {platform, watch, publish} = createWatch(acceptance);
+			const inForce: Array<{version: number; isWhole: boolean}> = [];
+			void watch.accepted.observe(({version, text}) => {
+				inForce.push({version, isWhole: text === bodyOf(version).text});
+			});
+			const ways: Record<string, (version: number) => Promise<unknown>> = {
+				hear: async (version) =>
+					watch.hear(version, async () => bodyOf(version)),
+				offer: async (version) => watch.offer(bodyOf(version), 'peer'),
+				async read(version) {
+					await publish(bodyOf(version));
+					await watch.readPlatform();
+				},
+				damaged: async (version) =>
+					watch.hear(version, async () => damage(bodyOf(version))),
+				async down() {
+					platform.faults.down = true;
+				},
+				async up() {
+					platform.faults.down = false;
+				},
+			};
+			for (const {way, version} of steps) {
+				// eslint-disable-next-line no-await-in-loop -- a schedule is a sequence.
+				await ways[way]!(version);
+			}
+
+			return inForce;
+		};
+
+		const isSound = (inForce: Array<{version: number; isWhole: boolean}>) =>
+			inForce.every(
+				({version, isWhole}, index) =>
+					isWhole && version > (inForce[index - 1]?.version ?? 0),
+			);
+
+		it('never goes down and never has a damaged body in force', async () => {
+			// A data centre comes back with an older version and passes it on, a store
+			// serves a stale row, bodies are cut. Whatever the order, an accepted
+			// configuration must not revert.
+			await fastCheck.assert(
+				fastCheck.asyncProperty(fastCheck.array(step), async (steps) =>
+					isSound(await play(steps, acceptanceRules.higherAndWhole)),
+				),
+				{seed: 41, numRuns: 500},
+			);
+		});
+
+		it('is seen to go down where the latest heard is taken', async () => {
+			const result = await fastCheck.check(
+				fastCheck.asyncProperty(fastCheck.array(step), async (steps) =>
+					isSound(await play(steps, acceptanceRules.latestHeard)),
+				),
+				{seed: 41, numRuns: 500},
+			);
+			expect(result.failed).to.equal(true);
+		});
+	});
+});
