--- /dev/null
+++ b/packages/control/__tests__/membership-network.spec.ts
@@ -0,0 +1,306 @@
+import {createVirtualClock} from '@egretspoke/shared';
+import {createMemoryPlatform} from '@egretspoke/stand-ins';
+import {expect} from 'chai';
+import {
+	mergeRules,
+	writeConfiguration,
+	type ControlOptions,
+} from '../src/index.js';
+import {
+	createNetwork,
+	type Network,
+	type NetworkNode,
+} from './control-network.js';
+
+/** Three data centres of three nodes each, known to each other. */
+const startNetwork = async (defaults: Partial<ControlOptions> = {}) => {
+	const clock = createVirtualClock();
+	const platform = createMemoryPlatform({clock});
+	const network = createNetwork({clock, platform, defaults});
+	for (const dataCentre of ['dc1', 'dc2', 'dc3']) {
+		for (const letter of ['a', 'b', 'c']) {
+			// eslint-disable-next-line no-await-in-loop -- the nodes start one after another.
+			await network.add(`${dataCentre}-${letter}`);
+		}
+	}
+
+	await clock.runTo(10_000);
+	return {clock, platform, network};
+};
+
+/** Who takes work in the view of a node. */
+const listActive = ({control}: NetworkNode): string[] =>
+	control.membership
+		.members()
+		.filter(({state}) => state === 'active')
+		.map(({node}) => node)
+		.sort();
+
+const stateOf = ({control}: NetworkNode, node: string) =>
+	control.membership.members().find((member) => member.node === node)?.state;
+
+const find = (network: Network, name: string): NetworkNode =>
+	network.nodes.find((node) => node.name === name)!;
+
+const namesOf = (network: Network, dataCentre?: string): string[] =>
+	network.nodes
+		.filter((node) => !dataCentre || node.dataCentre === dataCentre)
+		.map(({name}) => name)
+		.sort();
+
+describe('membership on a network', () => {
+	it('is the same everywhere, a node that starts later included', async () => {
+		const {clock, network} = await startNetwork();
+		await network.add('dc2-d');
+		await clock.runTo(20_000);
+		for (const node of network.nodes) {
+			expect(listActive(node)).to.deep.equal(namesOf(network));
+		}
+	});
+
+	it('gives up a node that was killed', async () => {
+		const {clock, network} = await startNetwork();
+		find(network, 'dc2-b').kill();
+		await clock.runTo(20_000);
+		for (const node of network.nodes.filter(({name}) => name !== 'dc2-b')) {
+			expect(stateOf(node, 'dc2-b')).to.equal('gone');
+			expect(listActive(node)).to.have.length(8);
+		}
+	});
+
+	it('tells everybody at once that a target leaves, and that it ended', async () => {
+		const {clock, network} = await startNetwork();
+		const leaver = find(network, 'dc1-b');
+		leaver.control.leave();
+		await clock.runTo(clock.now() + 1000);
+		for (const node of network.nodes) {
+			expect(stateOf(node, 'dc1-b')).to.equal('leaving');
+		}
+
+		const ending = leaver.control.end();
+		await clock.runTo(clock.now() + 1000);
+		await ending;
+		leaver.kill();
+		await clock.runTo(clock.now() + 10_000);
+		for (const node of network.nodes) {
+			expect(stateOf(node, 'dc1-b')).to.equal('gone');
+		}
+	});
+
+	it('leaves and rejoins by the accepted configuration', async () => {
+		const {clock, network} = await startNetwork();
+		const operator = find(network, 'dc3-a').control;
+		const decide = async (intent: string) => {
+			const plan = await operator.plan({
+				author: 'kofi',
+				file: 'leave.yaml',
+				document: `{service: orders, targets: [{node: dc1-a, intent: ${intent}}]}`,
+			});
+			await operator.confirm(plan._unsafeUnwrap().id);
+			await clock.runTo(clock.now() + 4000);
+		};
+
+		await decide('leave');
+		for (const node of network.nodes) {
+			expect(stateOf(node, 'dc1-a')).to.equal('leaving');
+		}
+
+		await decide('join');
+		for (const node of network.nodes) {
+			expect(stateOf(node, 'dc1-a')).to.equal('active');
+		}
+	});
+
+	describe('data centres that are cut off from one another', () => {
+		it('leave each with its own members, and join again', async () => {
+			// The links between data centres break, and those to the platform too.
+			// Each data centre must go on with its own targets and stop sending to the
+			// others', and come together by itself when the links are back.
+			const {clock, network} = await startNetwork();
+			network.cut((from, to) => from !== to);
+			await clock.runTo(clock.now() + 15_000);
+			for (const node of network.nodes) {
+				expect(listActive(node)).to.deep.equal(
+					namesOf(network, node.dataCentre),
+				);
+			}
+
+			network.cut(() => false);
+			await clock.runTo(clock.now() + 20_000);
+			for (const node of network.nodes) {
+				expect(listActive(node)).to.deep.equal(namesOf(network));
+				expect(node.control.membership.self().incarnation).to.equal(
+					findIncarnation(network, node),
+				);
+			}
+		});
+
+		it('bring back nobody that left meanwhile', async () => {
+			// While one data centre was cut off, a target elsewhere left. The returning
+			// nodes still have it as active; if they were believed, new work would go
+			// to it again.
+			const {clock, network} = await startNetwork({
+				timing: {wholePeriod: 500},
+			});
+			network.cut((from, to) => from !== to && [from, to].includes('dc3'));
+			find(network, 'dc1-b').control.leave();
+			await clock.runTo(clock.now() + 500);
+			expect(stateOf(find(network, 'dc3-a'), 'dc1-b')).to.equal('active');
+			network.cut(() => false);
+			await clock.runTo(clock.now() + 20_000);
+			for (const node of network.nodes) {
+				expect(stateOf(node, 'dc1-b')).to.equal('leaving');
+			}
+		});
+
+		/** A probe with the record from before the leave, held up on its way by the cut. */
+		const deliverLateProbe = async (defaults: Partial<ControlOptions>) => {
+			const {clock, network} = await startNetwork(defaults);
+			const leaver = find(network, 'dc1-b').control;
+			const sender = find(network, 'dc3-a').control.membership.self();
+			const members = [sender, leaver.membership.self()];
+			leaver.leave();
+			await clock.runTo(clock.now() + 2000);
+			const receiver = find(network, 'dc1-a');
+			receiver.control.receiveProbe({
+				type: 'probe',
+				sequence: 0,
+				members,
+				configurationVersion: 0,
+			});
+			return stateOf(receiver, 'dc1-b');
+		};
+
+		it('do not undo a leave by a probe that comes late', async () => {
+			// A probe was under way when the links broke, and arrives when they are
+			// back. It says of a target that left since then that it is active.
+			expect(await deliverLateProbe({})).to.equal('leaving');
+		});
+
+		it('undo it where the latest heard is taken', async () => {
+			const {latestHeard} = mergeRules;
+			const state = await deliverLateProbe({isNewer: latestHeard});
+			expect(state).to.equal('active');
+		});
+	});
+
+	describe('a node that is frozen past its lease', () => {
+		it('takes no new work until it has announced itself anew', async () => {
+			// The hypervisor pauses a VM for ten seconds. The others have given it up;
+			// it wakes in the middle of an instruction and would go on as if nothing
+			// had happened, with keys and members from before.
+			const {clock, network} = await startNetwork();
+			const node = find(network, 'dc1-a');
+			const {incarnation} = node.control.membership.self();
+			node.freeze();
+			await clock.runTo(clock.now() + 10_000);
+			expect(stateOf(find(network, 'dc2-a'), 'dc1-a')).to.equal('gone');
+			expect(node.control.membership.isSuspended()).to.equal(true);
+			node.thaw();
+			expect(node.control.membership.isSuspended()).to.equal(true);
+			await clock.runTo(clock.now() + 5000);
+			expect(node.control.membership.isSuspended()).to.equal(false);
+			const {incarnation: next} = node.control.membership.self();
+			expect(next).to.be.above(incarnation);
+			for (const each of network.nodes) {
+				expect(stateOf(each, 'dc1-a')).to.equal('active');
+			}
+		});
+
+		it('goes on with its old incarnation where there is no lease', async () => {
+			const {clock, network} = await startNetwork({
+				timing: {lease: Number.MAX_SAFE_INTEGER},
+			});
+			const node = find(network, 'dc1-a');
+			const {incarnation} = node.control.membership.self();
+			node.freeze();
+			await clock.runTo(clock.now() + 10_000);
+			node.thaw();
+			expect(node.control.membership.isSuspended()).to.equal(false);
+			await clock.runTo(clock.now() + 5000);
+			expect(node.control.membership.self().incarnation).to.equal(incarnation);
+		});
+
+		it('comes back when nobody is there to announce itself to', async () => {
+			const {clock, network} = await startNetwork();
+			const node = find(network, 'dc1-a');
+			network.cut(() => true);
+			node.freeze();
+			await clock.runTo(clock.now() + 10_000);
+			node.thaw();
+			await clock.runTo(clock.now() + 5000);
+			expect(node.control.membership.isSuspended()).to.equal(false);
+		});
+	});
+
+	describe('a cold start with the platform away', () => {
+		const startCold = async (peers: string[]) => {
+			const clock = createVirtualClock();
+			const platform = createMemoryPlatform({clock});
+			platform.faults.down = true;
+			const network = createNetwork({clock, platform, defaults: {peers}});
+			for (const name of ['dc1-a', 'dc1-b', 'dc2-a', 'dc2-b']) {
+				// eslint-disable-next-line no-await-in-loop -- the nodes start one after another.
+				await network.add(name);
+			}
+
+			await clock.runTo(30_000);
+			return network;
+		};
+
+		it('finds the others by one address from the settings', async () => {
+			// Everything starts anew after a power cut while the platform is still
+			// down. Nodes that waited for it would serve nobody until it is back.
+			const network = await startCold(['dc1-a:0']);
+			for (const node of network.nodes) {
+				expect(listActive(node)).to.deep.equal(namesOf(network));
+				expect(node.control.status().platform).to.equal('unreachable');
+				expect(node.control.status().configuration.source).to.equal('defaults');
+			}
+		});
+
+		it('leaves each alone, serving its own target, without an address', async () => {
+			const network = await startCold([]);
+			for (const node of network.nodes) {
+				expect(listActive(node)).to.deep.equal([node.name]);
+			}
+		});
+	});
+
+	describe('a start during an outage', () => {
+		it('takes the highest version that its peers have before it is active', async () => {
+			// A node is replaced while the platform is away, and one data centre still
+			// has an older version. It must not serve by that one when a higher one can
+			// be had.
+			const {clock, network, platform} = await startNetwork();
+			const services = [{service: 'a', requests: [], calls: [], targets: []}];
+			platform.faults.down = true;
+			network.cut((from, to) => from !== to);
+			find(network, 'dc1-a').control.configuration.offer(
+				writeConfiguration(5, services),
+				'platform',
+			);
+			find(network, 'dc2-a').control.configuration.offer(
+				writeConfiguration(4, services),
+				'platform',
+			);
+			await clock.runTo(clock.now() + 12_000);
+			network.cut(() => false);
+			const node = await network.add('dc3-d', {
+				peers: ['dc1-b:1', 'dc2-b:4', 'dc3-b:7'],
+			});
+			await clock.runTo(clock.now() + 20);
+			expect(node.control.membership.self().state).to.equal('active');
+			expect(node.control.configuration.current().version).to.equal(5);
+			expect(node.control.configuration.source()).to.equal('peer');
+		});
+	});
+});
+
+function findIncarnation(network: Network, node: NetworkNode): number {
+	const other = network.nodes.find(({name}) => name !== node.name);
+	const known = other?.control.membership
+		.members()
+		.find((member) => member.node === node.name);
+	return known?.incarnation ?? -1;
+}
--- a/packages/stand-ins/__tests__/platform-stand-in.spec.ts
+++ b/packages/stand-ins/__tests__/platform-stand-in.spec.ts
@@ -17,7 +17,10 @@
 	let platform: HttpPlatform;
 
 	beforeEach(async () => {
-		server = await startPlatformServer({clock, credential: 'secret'});
+		server = await startPlatformServer({
+			clock: createSystemClock(),
+			credential: 'secret',
+		});
 		platform = connect(server.address);
 	});
 
