feat(shared): read YAML documents against a schema with every finding placed

Cause: settings and intents are written by people, and one run must show all there is to mend. Ruled out: stopping at zod's own issue list, which knows neither lines nor the known keys. Change: a generic reader over a zod schema, durations and sizes with units, the nearest known key, and a hook for faults between keys.

--- /dev/null
+++ b/packages/shared/src/duration.ts
@@ -0,0 +1,66 @@
+/** Durations as people write them: a number with a unit, `250ms`, `4s`, `2m`. */
+import {z} from 'zod';
+import {readQuantity, formatQuantity, type Unit} from './quantity.js';
+
+const durationUnits: readonly Unit[] = [
+	{suffix: 'ms', factor: 1},
+	{suffix: 's', factor: 1000},
+	{suffix: 'm', factor: 60_000},
+	{suffix: 'h', factor: 3_600_000},
+];
+
+const expected = 'expected a number with ms, s, m or h, such as 250ms or 4s';
+
+/** The milliseconds in a text such as `4s`; undefined when it isn't a duration. */
+export function parseDuration(text: string): number | undefined {
+	return readQuantity(text, durationUnits);
+}
+
+/** The shortest exact text for a number of milliseconds, such as `4s`. */
+export function formatDuration(milliseconds: number): string {
+	return formatQuantity(milliseconds, durationUnits);
+}
+
+/** A duration in a document; its output is in milliseconds. */
+export const durationSchema = createDurationSchema();
+
+/** A duration within bounds, both given as text and both allowed. */
+export function createDurationSchema(
+	bounds: {least?: string; most?: string} = {},
+) {
+	const least = parseDuration(bounds.least ?? '0ms') ?? 0;
+	const most = parseDuration(bounds.most ?? '') ?? Number.POSITIVE_INFINITY;
+	return z.unknown().transform((value, context) => {
+		const parsed = typeof value === 'string' ? parseDuration(value) : undefined;
+		if (parsed !== undefined && parsed >= least && parsed <= most) {
+			return parsed;
+		}
+
+		context.addIssue({
+			code: 'custom',
+			message: describeFault(value, parsed),
+			params: {expected: describeExpected(bounds)},
+		});
+		return z.NEVER;
+	});
+}
+
+function describeFault(value: unknown, parsed: number | undefined): string {
+	if (value === undefined) {
+		return 'is missing';
+	}
+
+	if (parsed !== undefined) {
+		return `${formatDuration(parsed)} is out of range`;
+	}
+
+	return typeof value === 'number'
+		? `${value} has no unit`
+		: `${JSON.stringify(value)} is not a duration`;
+}
+
+function describeExpected(bounds: {least?: string; most?: string}): string {
+	const least = bounds.least ? `, at least ${bounds.least}` : '';
+	const most = bounds.most ? `, at most ${bounds.most}` : '';
+	return `${expected}${least}${most}`;
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,11 @@
 export * from './clock.js';
+export type {DocumentIssue} from './document-issue.js';
+export type {DocumentPath} from './document-place.js';
+export * from './duration.js';
 export * from './finding.js';
+export * from './nearest-key.js';
 export * from './random.js';
+export * from './settings-reader.js';
+export * from './size.js';
 export * from './stream.js';
 export * from './virtual-clock.js';
--- /dev/null
+++ b/packages/shared/src/size.ts
@@ -0,0 +1,52 @@
+/** Sizes as people write them: `512B`, `16KB`, `32MB`, powers of 1024. */
+import {z} from 'zod';
+import {readQuantity, formatQuantity, type Unit} from './quantity.js';
+
+const sizeUnits: readonly Unit[] = [
+	{suffix: 'B', factor: 1},
+	{suffix: 'KB', factor: 1024},
+	{suffix: 'MB', factor: 1024 ** 2},
+	{suffix: 'GB', factor: 1024 ** 3},
+];
+
+const expected = 'expected a number with B, KB, MB or GB, such as 32MB';
+
+/** The bytes in a text such as `32MB`; undefined when it isn't a size. */
+export function parseSize(text: string): number | undefined {
+	const bytes = readQuantity(text, sizeUnits);
+	return bytes === undefined ? undefined : Math.round(bytes);
+}
+
+/** The shortest exact text for a number of bytes, such as `32MB`. */
+export function formatSize(bytes: number): string {
+	return formatQuantity(bytes, sizeUnits);
+}
+
+/** A size in a document, above zero; its output is in bytes. */
+export const sizeSchema = z.unknown().transform((value, context) => {
+	const parsed = typeof value === 'string' ? parseSize(value) : undefined;
+	if (parsed !== undefined && parsed > 0) {
+		return parsed;
+	}
+
+	context.addIssue({
+		code: 'custom',
+		message: describeFault(value, parsed),
+		params: {expected},
+	});
+	return z.NEVER;
+});
+
+function describeFault(value: unknown, parsed: number | undefined): string {
+	if (value === undefined) {
+		return 'is missing';
+	}
+
+	if (parsed !== undefined) {
+		return `${formatSize(parsed)} is too small`;
+	}
+
+	return typeof value === 'number'
+		? `${value} has no unit`
+		: `${JSON.stringify(value)} is not a size`;
+}
