feat(node): settings in YAML by one schema

Cause: a node learns its addresses and data centre from its settings. Change: the schema with defaults for all but the node, its data centre and the platform; checks between keys for clashing ports, listeners that are open without a secret, wildcard addresses that nobody can be told, and a lease too short for its probe. They run on the raw document, so that one run reports them beside the schema's findings.

--- /dev/null
+++ b/packages/node/__tests__/settings.spec.ts
@@ -0,0 +1,125 @@
+import {formatFinding} from '@egretspoke/shared';
+import {expect} from 'chai';
+import {parseNodeSettings, readNodeSettings} from '../src/index.js';
+
+const least = [
+	'node: orders-1',
+	'dataCentre: accra-a',
+	'platform: {address: "http://127.0.0.1:7500"}',
+];
+
+const findingsOf = (...lines: string[]) =>
+	parseNodeSettings(lines.join('\n'), 'node.yaml').match(
+		() => [],
+		(findings) => findings.map((finding) => formatFinding(finding)),
+	);
+
+describe('node settings', () => {
+	it('have defaults for all but the node, its data centre and the platform', () => {
+		const settings = parseNodeSettings(least.join('\n'), 'node.yaml');
+		const value = settings._unsafeUnwrap();
+		expect(value.listeners.caller).to.equal('127.0.0.1:7400');
+		expect(value.platform.timeout).to.equal(2000);
+		expect(value.limits.body).to.equal(8 * 1024 * 1024);
+		expect(value.peers).to.deep.equal([]);
+		expect(value.logs).to.deep.equal({
+			level: 'info',
+			format: 'text',
+			sample: 1,
+		});
+	});
+
+	it('take a target with its announcement', () => {
+		const settings = parseNodeSettings(
+			[
+				...least,
+				'target:',
+				'  address: 127.0.0.1:8080',
+				'  announcement: {service: orders, slots: 100, connections: 680}',
+			].join('\n'),
+			'node.yaml',
+		);
+		expect(settings._unsafeUnwrap().target?.announcement?.slots).to.equal(100);
+	});
+
+	it('report what is missing from an empty document', () => {
+		expect(findingsOf('{}')).to.deep.equal([
+			'node.yaml:1:1 node: is missing (expected text)',
+			'node.yaml:1:1 dataCentre: is missing (expected text)',
+			'node.yaml:1:1 platform: is missing (expected a map of keys)',
+		]);
+	});
+
+	it('report an unknown key, a wrong unit, a bad address and clashing ports together', () => {
+		expect(
+			findingsOf(
+				...least,
+				'listeners:',
+				'  caller: 127.0.0.1:7401',
+				'  admin: localhost:7402',
+				'limits:',
+				'  requestTime: 30',
+				'  bodies: 1MB',
+			),
+		).to.deep.equal([
+			'node.yaml:4:1 listeners.peer: port 7401 is taken by listeners.caller (expected a port of its own for each listener and the target)',
+			'node.yaml:6:10 listeners.admin: "localhost:7402" is not an address (expected an IP number and a port, such as 10.0.0.1:7400)',
+			'node.yaml:8:16 limits.requestTime: 30 has no unit (expected a number with ms, s, m or h, such as 250ms or 4s, at least 1ms, at most 24h)',
+			'node.yaml:9:3 limits.bodies: unknown key (nearest known key: body)',
+		]);
+	});
+
+	it('refuse a peer or admin listener that is open without a secret', () => {
+		// Somebody binds the admin listener to the VM's address and forgets the
+		// secret. Every caller in the network could then drain the node.
+		const lines = [
+			...least,
+			'listeners: {peer: "10.0.0.1:7401", admin: "10.0.0.1:7402"}',
+		];
+		expect(findingsOf(...lines)).to.have.length(2);
+		expect(
+			findingsOf(
+				...lines,
+				'secrets: {peer: 0123456789abcdef, operator: fedcba9876543210}',
+			),
+		).to.deep.equal([]);
+	});
+
+	it('ask what to tell others about a wildcard address', () => {
+		expect(
+			findingsOf(...least, 'listeners: {caller: "0.0.0.0:7400"}')[0],
+		).to.contain("0.0.0.0 can't be told to others");
+		expect(
+			findingsOf(
+				...least,
+				'listeners: {caller: "0.0.0.0:7400"}',
+				'advertise: {caller: "10.0.0.1:7400"}',
+			),
+		).to.deep.equal([]);
+	});
+
+	it('refuse a lease that no probe can keep', () => {
+		expect(
+			findingsOf(...least, 'timings: {probe: 2s, lease: 3s}')[0],
+		).to.contain('at least twice timings.probe');
+	});
+
+	it('let every listener take a free port', () => {
+		expect(
+			findingsOf(
+				...least,
+				'listeners: {caller: "127.0.0.1:0", peer: "127.0.0.1:0", admin: "127.0.0.1:0"}',
+			),
+		).to.deep.equal([]);
+	});
+
+	it('say which file cannot be read', () => {
+		expect(
+			readNodeSettings('nowhere.yaml')
+				._unsafeUnwrapErr()
+				.map((finding) => formatFinding(finding)),
+		).to.deep.equal([
+			'nowhere.yaml:1:1 cannot read the file: ENOENT (expected a YAML file that this user may read)',
+		]);
+	});
+});
--- /dev/null
+++ b/packages/node/src/settings-address.ts
@@ -0,0 +1,43 @@
+/** Addresses in settings: an IP number and a port. */
+import {isIP} from 'node:net';
+import {z} from 'zod';
+
+/** An address in its parts; port 0 lets the system choose a free one. */
+export type Address = {host: string; port: number};
+
+const highestPort = 65_535;
+const addressPattern =
+	/^(?:\[(?<bracketed>[^\]]+)\]|(?<plain>[^:]+)):(?<port>\d{1,5})$/u;
+
+/** Reads `10.0.0.1:7400` or `[::1]:7400`; undefined when it isn't one. */
+export function parseAddress(text: string): Address | undefined {
+	const groups = addressPattern.exec(text)?.groups;
+	if (!groups) {
+		return undefined;
+	}
+
+	const host = groups.bracketed ?? groups.plain ?? '';
+	const family = groups.bracketed ? 6 : 4;
+	const port = Number(groups.port);
+	return isIP(host) === family && port <= highestPort
+		? {host, port}
+		: undefined;
+}
+
+/** The text that `parseAddress` reads. */
+export function formatAddress({host, port}: Address): string {
+	return host.includes(':') ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
+/** An address in a document; it stays text. */
+export const addressSchema = z.string().superRefine((text, context) => {
+	if (!parseAddress(text)) {
+		context.addIssue({
+			code: 'custom',
+			message: `${JSON.stringify(text)} is not an address`,
+			params: {
+				expected: 'expected an IP number and a port, such as 10.0.0.1:7400',
+			},
+		});
+	}
+});
--- /dev/null
+++ b/packages/node/src/settings-check.ts
@@ -0,0 +1,144 @@
+/**
+ * Faults between several keys of the settings. They are looked for in the raw
+ * document, so that they are reported together with what the schema finds.
+ */
+import {parseDuration, type DocumentIssue} from '@egretspoke/shared';
+import {parseAddress, type Address} from './settings-address.js';
+
+type Listener = 'caller' | 'peer' | 'admin';
+type Placed = {path: string[]; address: Address};
+
+const wildcardHosts = new Set(['0.0.0.0', '::']);
+
+/** Every fault between keys; an absent listener counts with its default. */
+export function checkNodeSettings(
+	value: unknown,
+	defaults: Record<Listener, string>,
+): DocumentIssue[] {
+	const listeners = listAddresses(value, defaults);
+	return [
+		...checkClashes([...listeners, ...listTarget(value)]),
+		...checkAdvertised(value, listeners),
+		...checkSecrets(value, listeners),
+		...checkTimings(value),
+	];
+}
+
+/**
+ * Two listeners on one port: the node would fail at its start with the second
+ * one's address in use. A target on a listener's port would make the node send
+ * its requests to itself.
+ */
+function checkClashes(placed: Placed[]): DocumentIssue[] {
+	return placed.flatMap((each, index) => {
+		const other = placed
+			.slice(0, index)
+			.find(({address}) => isClash(address, each.address));
+		return other
+			? [
+					{
+						path: each.path,
+						message: `port ${each.address.port} is taken by ${other.path.join('.')}`,
+						advice:
+							'expected a port of its own for each listener and the target',
+					},
+				]
+			: [];
+	});
+}
+
+/** Peers that are told 0.0.0.0 would connect to themselves. */
+function checkAdvertised(value: unknown, listeners: Placed[]): DocumentIssue[] {
+	return listeners
+		.filter(
+			({path, address}) =>
+				path[1] !== 'admin' &&
+				wildcardHosts.has(address.host) &&
+				textAt(value, ['advertise', path[1]!]) === undefined,
+		)
+		.map(({path, address}) => ({
+			path,
+			message: `${address.host} can't be told to others`,
+			advice: `expected advertise.${path[1]!} with this VM's own IP number`,
+		}));
+}
+
+/** Without a secret, whoever reaches the listener could act as peer or operator. */
+function checkSecrets(value: unknown, listeners: Placed[]): DocumentIssue[] {
+	const owners: Partial<Record<string, string>> = {
+		peer: 'peer',
+		admin: 'operator',
+	};
+	return listeners.flatMap(({path, address}) => {
+		const owner = owners[path[1]!];
+		return owner &&
+			!isLoopback(address.host) &&
+			textAt(value, ['secrets', owner]) === undefined
+			? [
+					{
+						path,
+						message: 'is open to other VMs without a secret',
+						advice: `expected secrets.${owner}, or a loopback address`,
+					},
+				]
+			: [];
+	});
+}
+
+/** A lease that ends before the next probe would make every node suspect. */
+function checkTimings(value: unknown): DocumentIssue[] {
+	const probe = durationAt(value, ['timings', 'probe']);
+	const lease = durationAt(value, ['timings', 'lease']);
+	return probe !== undefined && lease !== undefined && lease < 2 * probe
+		? [
+				{
+					path: ['timings', 'lease'],
+					message: 'is too short for the probe',
+					advice: 'expected at least twice timings.probe',
+				},
+			]
+		: [];
+}
+
+function listAddresses(
+	value: unknown,
+	defaults: Record<Listener, string>,
+): Placed[] {
+	return Object.entries(defaults).flatMap(([listener, fallback]) => {
+		const path = ['listeners', listener];
+		const address = parseAddress(textAt(value, path) ?? fallback);
+		return address ? [{path, address}] : [];
+	});
+}
+
+function listTarget(value: unknown): Placed[] {
+	const path = ['target', 'address'];
+	const address = parseAddress(textAt(value, path) ?? '');
+	return address ? [{path, address}] : [];
+}
+
+function isClash(left: Address, right: Address): boolean {
+	const isSameHost =
+		left.host === right.host ||
+		wildcardHosts.has(left.host) ||
+		wildcardHosts.has(right.host);
+	return left.port !== 0 && left.port === right.port && isSameHost;
+}
+
+function isLoopback(host: string): boolean {
+	return host.startsWith('127.') || host === '::1';
+}
+
+function durationAt(value: unknown, path: string[]): number | undefined {
+	const text = textAt(value, path);
+	return text === undefined ? undefined : parseDuration(text);
+}
+
+function textAt(value: unknown, path: string[]): string | undefined {
+	let current = value;
+	for (const step of path) {
+		current = (current as Record<string, unknown> | undefined)?.[step];
+	}
+
+	return typeof current === 'string' ? current : undefined;
+}
--- /dev/null
+++ b/packages/node/src/settings.ts
@@ -0,0 +1,170 @@
+/**
+ * The settings of a node, written in YAML. This schema is the only place that
+ * knows a key; the types, the findings and docs/SETTINGS.md follow from it.
+ */
+import {
+	createDurationSchema,
+	readDocument,
+	readTextFile,
+	sizeSchema,
+	type Finding,
+} from '@egretspoke/shared';
+import type {Result} from 'neverthrow';
+import {z} from 'zod';
+import {addressSchema} from './settings-address.js';
+import {checkNodeSettings} from './settings-check.js';
+
+const second = 1000;
+const minute = 60 * second;
+const kilobyte = 1024;
+const megabyte = 1024 * kilobyte;
+const shortestSecret = 16;
+
+/** The listeners of a node that names none: loopback, three ports in a row. */
+export const defaultListeners = {
+	caller: '127.0.0.1:7400',
+	peer: '127.0.0.1:7401',
+	admin: '127.0.0.1:7402',
+} as const;
+
+const name = z
+	.string()
+	.regex(
+		/^[A-Za-z\d][A-Za-z\d._-]{0,99}$/u,
+		'expected letters, digits, dots, hyphens or underscores, 100 at most, a letter or digit first',
+	);
+const secret = z.string().min(shortestSecret);
+const count = z.int().min(1);
+const duration = createDurationSchema({least: '1ms', most: '24h'});
+const webAddress = z.url({
+	protocol: /^https?$/u,
+	error: 'an http or https address, such as http://10.0.0.5:7500',
+});
+
+const listenersSchema = z.strictObject({
+	/** Requests of callers and of the target beside the node. */
+	caller: addressSchema.default(defaultListeners.caller),
+	/** Other nodes. */
+	peer: addressSchema.default(defaultListeners.peer),
+	/** The operator program and the collector of metrics. */
+	admin: addressSchema.default(defaultListeners.admin),
+});
+
+const advertiseSchema = z.strictObject({
+	/** What callers are told, when it isn't the listener's own address. */
+	caller: addressSchema.optional(),
+	/** What other nodes are told, when it isn't the listener's own address. */
+	peer: addressSchema.optional(),
+});
+
+const platformSchema = z.strictObject({
+	address: webAddress,
+	/** After this long a call to the platform has no known result. */
+	timeout: duration.default(2 * second),
+	/** Sent to the platform as bearer token. */
+	credential: z.string().optional(),
+});
+
+const announcementSchema = z.strictObject({
+	service: name,
+	/** Requests that the target runs at once. */
+	slots: count,
+	/** Connections that the target accepts. */
+	connections: count,
+});
+
+const targetSchema = z.strictObject({
+	/** Where the target beside the node listens. */
+	address: addressSchema,
+	/** For a target that can't announce itself; the node announces it then. */
+	announcement: announcementSchema.optional(),
+});
+
+const secretsSchema = z.strictObject({
+	/** Signs the handshake between nodes; the same on every node. */
+	peer: secret.optional(),
+	/** The bearer token of the admin listener. */
+	operator: secret.optional(),
+});
+
+const limitsSchema = z.strictObject({
+	/** The largest body of a request or an answer. */
+	body: sizeSchema.default(8 * megabyte),
+	/** All headers of one request together. */
+	headers: sizeSchema.default(16 * kilobyte),
+	/** All bodies that the node holds at once. */
+	bufferedBodies: sizeSchema.default(128 * megabyte),
+	/** Connections that the caller listener holds open. */
+	connections: count.default(4096),
+	/** The longest that a request may take, and its time when it states none. */
+	requestTime: duration.default(30 * second),
+	/** A caller that takes longer to send its request is cut off. */
+	slowSender: duration.default(10 * second),
+	/** Idempotency keys that the node remembers at once. */
+	ledgerKeys: count.default(65_536),
+	/** Recorded answers of those keys together. */
+	ledgerBytes: sizeSchema.default(16 * megabyte),
+	/** How long a key is remembered when the request states no expiry. */
+	keyLifetime: duration.default(2 * minute),
+});
+
+const logsSchema = z.strictObject({
+	level: z
+		.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent'])
+		.default('info'),
+	format: z.enum(['text', 'json']).default('text'),
+	/** The share of requests whose decisions are logged, from 0 to 1. */
+	sample: z.number().min(0).max(1).default(1),
+});
+
+const timingsSchema = z.strictObject({
+	/** A node that was paused longer announces itself afresh. */
+	lease: duration.default(3 * second),
+	/** Between two probes of a peer. */
+	probe: duration.default(second),
+	/** Between two reads of the accepted version, spread by a jitter. */
+	configurationRead: duration.default(2 * second),
+	/** The longest that a planned stop waits for requests in flight. */
+	drain: duration.default(30 * second),
+});
+
+/** The whole document. */
+export const nodeSettingsSchema = z.strictObject({
+	/** The node's name; unique among all nodes. */
+	node: name,
+	region: name.default('default'),
+	dataCentre: name,
+	listeners: listenersSchema.prefault({}),
+	advertise: advertiseSchema.prefault({}),
+	platform: platformSchema,
+	target: targetSchema.optional(),
+	/** Peer listeners to try first; the table knows the others. */
+	peers: z.array(addressSchema).default([]),
+	secrets: secretsSchema.prefault({}),
+	limits: limitsSchema.prefault({}),
+	logs: logsSchema.prefault({}),
+	timings: timingsSchema.prefault({}),
+});
+
+/** Durations in milliseconds, sizes in bytes, addresses as `ip:port`. */
+export type NodeSettings = z.output<typeof nodeSettingsSchema>;
+
+/** Reads the settings from a file, with every finding in the order of the file. */
+export function readNodeSettings(
+	file: string,
+): Result<NodeSettings, Finding[]> {
+	return readTextFile(file).andThen((text) => parseNodeSettings(text, file));
+}
+
+/** Reads the settings from a text; findings name the given file. */
+export function parseNodeSettings(
+	text: string,
+	file: string,
+): Result<NodeSettings, Finding[]> {
+	return readDocument({
+		text,
+		file,
+		schema: nodeSettingsSchema,
+		check: (value) => checkNodeSettings(value, defaultListeners),
+	});
+}
