feat(observability): numbered events, log off the path, decision memory, metrics

Cause: whoever is on call has to see why a request went where it went, without the line costing the request. Ruled out: formatting on the path, and one ring for all decisions, in which a refusal is pushed out within seconds. Change: one event table from which lines, explain and the page come; a buffer that is bounded and counts what it drops; two rings of decisions; metrics with a registry a node and bounded labels; the pages are generated, and a spec fails when one is stale.

--- /dev/null
+++ b/packages/observability/__tests__/catalogue-pages.spec.ts
@@ -0,0 +1,37 @@
+import {readFileSync} from 'node:fs';
+import {expect} from 'chai';
+import {
+	listEvents,
+	metricDefinitions,
+	renderCataloguePages,
+} from '../src/index.js';
+
+const readPage = (file: string) =>
+	readFileSync(new URL(`../../../docs/${file}`, import.meta.url), 'utf8');
+
+describe('catalogue pages', () => {
+	it('list every event with its number', () => {
+		const page = readPage('EVENTS.md');
+		for (const {code, name} of listEvents()) {
+			expect(page).to.contain(`| ${code} | \`${name}\` |`);
+		}
+	});
+
+	it('list every metric', () => {
+		const page = readPage('METRICS.md');
+		for (const {name} of Object.values(metricDefinitions)) {
+			expect(page).to.contain(`| \`${name}\` |`);
+		}
+	});
+
+	it('are what the tables give; run `npm run --silent docs` when this fails', () => {
+		for (const {file, text} of renderCataloguePages()) {
+			expect(readPage(file)).to.equal(text);
+		}
+	});
+
+	it('give no number twice', () => {
+		const codes = listEvents().map(({code}) => code);
+		expect(new Set(codes).size).to.equal(codes.length);
+	});
+});
--- /dev/null
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -0,0 +1,86 @@
+import {expect} from 'chai';
+import {
+	createMetrics,
+	metricDefinitions,
+	type NodeReadings,
+} from '../src/index.js';
+
+const readings: NodeReadings = {
+	configurationVersion: 7,
+	isPlatformReachable: true,
+	isLeaving: false,
+	openRequests: 3,
+	peersConnected: 2,
+	members: {active: 3},
+	ledgerKeys: 1,
+	ledgerBytes: 10,
+	logLinesDropped: 4,
+	target: {service: 'orders', inFlight: 5, waiting: 6, limit: 100, level: 383},
+};
+
+describe('metrics', () => {
+	it('shows what was recorded and what is read', async () => {
+		const metrics = createMetrics(() => readings);
+		metrics.requestEnded({
+			role: 'entry',
+			service: 'orders',
+			requestClass: 'essential',
+			outcome: 'notRun',
+			error: 'Overloaded',
+			duration: 12,
+		});
+		metrics.waited('orders', 3);
+		metrics.retried('orders');
+		metrics.retryRefused('orders');
+		metrics.malformedInput('caller', 'tooLarge');
+		metrics.lateAnswer();
+		metrics.childRestarted('peers');
+		metrics.suspended();
+		const text = await metrics.render();
+		const lines = text.split('\n');
+		for (const line of [
+			'egretspoke_requests_total{role="entry",service="orders",class="essential",outcome="not_run",error="Overloaded"} 1',
+			'egretspoke_request_duration_seconds_bucket{le="0.025",role="entry",service="orders"} 1',
+			'egretspoke_queue_time_seconds_sum{service="orders"} 0.003',
+			'egretspoke_retries_total{service="orders"} 1',
+			'egretspoke_malformed_input_total{listener="caller",kind="tooLarge"} 1',
+			'egretspoke_configuration_version 7',
+			'egretspoke_members{state="active"} 3',
+			'egretspoke_admission_level{service="orders"} 383',
+			'egretspoke_log_lines_dropped_total 4',
+		]) {
+			expect(lines).to.include(line);
+		}
+	});
+
+	it('has every metric of the table, under the names of Prometheus', async () => {
+		const text = await createMetrics(() => readings).render();
+		for (const {name, type} of Object.values(metricDefinitions)) {
+			expect(text).to.contain(`# TYPE ${name} ${type}\n`);
+			expect(name).to.match(/^(?:egretspoke|process)(?:_[a-z]+)+$/u);
+			expect(name.endsWith('_total')).to.equal(type === 'counter');
+		}
+	});
+
+	it('keeps two nodes of one process apart', async () => {
+		const first = createMetrics(() => readings);
+		const second = createMetrics(() => readings);
+		first.lateAnswer();
+		expect(await second.render()).to.contain('late_answers_total 0');
+	});
+
+	it('bounds the series that a varying label can make', async () => {
+		// A caller sends a new kind of nonsense with each request. Without a
+		// bound each becomes a series that is never freed, and the node's
+		// memory grows until it dies.
+		const metrics = createMetrics(() => readings);
+		for (let index = 0; index < 1000; index++) {
+			metrics.malformedInput('caller', `kind-${index}`);
+		}
+
+		const text = await metrics.render();
+		const series = text.match(/^egretspoke_malformed_input_total\{/gmu);
+		expect(series).to.have.length(101);
+		expect(text).to.contain('kind="other"} 900');
+	});
+});
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+export * from './catalogue-pages.js';
+export * from './decision-memory.js';
+export * from './event-catalogue.js';
+export * from './event-definition.js';
+export * from './event-log.js';
+export * from './log-line.js';
+export * from './log-sink.js';
+export * from './metric-catalogue.js';
+export * from './metrics.js';
--- /dev/null
+++ b/packages/observability/src/metric-catalogue.ts
@@ -0,0 +1,199 @@
+/**
+ * Every metric of a node, in Prometheus' naming rules: base units, `_total`
+ * for counters. The registry and docs/METRICS.md are made from this table.
+ */
+
+/** One metric. */
+export type MetricDefinition = {
+	/** The name that Prometheus sees. */
+	name: string;
+	type: 'counter' | 'gauge' | 'histogram';
+	labels: readonly string[];
+	/** What it counts or shows. */
+	help: string;
+	/** How it is read. */
+	reading: string;
+};
+
+/** Seconds; finest where the added time of a hop lies. */
+export const timeBuckets = [
+	0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5,
+	10, 30,
+] as const;
+
+/** The table. */
+export const metricDefinitions = {
+	requests: {
+		name: 'egretspoke_requests_total',
+		type: 'counter',
+		labels: ['role', 'service', 'class', 'outcome', 'error'],
+		help: 'Requests that ended, by role of this node, service, class, outcome and error.',
+		reading:
+			'Goodput is `outcome="answered"` with `role="entry"`; `not_run` is a truthful refusal; `unknown` is neither.',
+	},
+	requestDuration: {
+		name: 'egretspoke_request_duration_seconds',
+		type: 'histogram',
+		labels: ['role', 'service'],
+		help: 'Time from the arrival of a request to its answer.',
+		reading: 'All outcomes together; refusals are fast and pull it down.',
+	},
+	queueTime: {
+		name: 'egretspoke_queue_time_seconds',
+		type: 'histogram',
+		labels: ['service'],
+		help: "Time that dispatched requests waited at the target's node.",
+		reading: 'Above the target time of the queue for long: an overload.',
+	},
+	inFlight: {
+		name: 'egretspoke_requests_in_flight',
+		type: 'gauge',
+		labels: ['service'],
+		help: 'Requests running at the target beside this node.',
+		reading: 'At most egretspoke_concurrency_limit.',
+	},
+	waiting: {
+		name: 'egretspoke_requests_waiting',
+		type: 'gauge',
+		labels: ['service'],
+		help: 'Requests waiting for a slot of the target beside this node.',
+		reading: 'A standing queue with a falling level is an overload.',
+	},
+	concurrencyLimit: {
+		name: 'egretspoke_concurrency_limit',
+		type: 'gauge',
+		labels: ['service'],
+		help: 'The learnt limit of requests running at the target.',
+		reading: 'Far below the announced slots: the target has become slow.',
+	},
+	admissionLevel: {
+		name: 'egretspoke_admission_level',
+		type: 'gauge',
+		labels: ['service'],
+		help: 'The admission level; requests whose priority number is above it are refused.',
+		reading:
+			'383 lets everything in; below 256 all deferrable requests are refused, below 128 all normal ones too.',
+	},
+	openRequests: {
+		name: 'egretspoke_open_requests',
+		type: 'gauge',
+		labels: [],
+		help: 'Requests that entered here and have not been answered yet.',
+		reading: 'Falls to 0 in a drain.',
+	},
+	retries: {
+		name: 'egretspoke_retries_total',
+		type: 'counter',
+		labels: ['service'],
+		help: 'Attempts beyond the first that this node made.',
+		reading: 'Its rate over that of requests is the share of retries.',
+	},
+	retriesRefused: {
+		name: 'egretspoke_retries_refused_total',
+		type: 'counter',
+		labels: ['service'],
+		help: 'Attempts that the chain, the budget or the deadline forbade.',
+		reading: 'Rises in an overload; that is the bound at work.',
+	},
+	configurationVersion: {
+		name: 'egretspoke_configuration_version',
+		type: 'gauge',
+		labels: [],
+		help: 'The configuration version in force; 0 for the safe defaults.',
+		reading: 'The same on every node within seconds of a confirm.',
+	},
+	members: {
+		name: 'egretspoke_members',
+		type: 'gauge',
+		labels: ['state'],
+		help: 'Members as this node sees them, by state.',
+		reading: 'Compare between nodes: different counts mean a partition.',
+	},
+	peersConnected: {
+		name: 'egretspoke_peers_connected',
+		type: 'gauge',
+		labels: [],
+		help: 'Peers with an open, authenticated connection.',
+		reading: 'Below the active members for long: a link is cut.',
+	},
+	leaving: {
+		name: 'egretspoke_leaving',
+		type: 'gauge',
+		labels: [],
+		help: '1 while this node takes no new work.',
+		reading: 'Expected in a planned stop only.',
+	},
+	suspensions: {
+		name: 'egretspoke_suspensions_total',
+		type: 'counter',
+		labels: [],
+		help: 'Pauses of this process that were longer than its lease.',
+		reading: 'Above 0: the VM stands still at times.',
+	},
+	platformReachable: {
+		name: 'egretspoke_platform_reachable',
+		type: 'gauge',
+		labels: [],
+		help: '1 when the last call to the platform was answered.',
+		reading: 'At 0 the last accepted configuration stays in force.',
+	},
+	malformedInput: {
+		name: 'egretspoke_malformed_input_total',
+		type: 'counter',
+		labels: ['listener', 'kind'],
+		help: 'Input refused before it became a request or a message.',
+		reading: 'One caller at fault, an attack, or two protocol versions.',
+	},
+	lateAnswers: {
+		name: 'egretspoke_late_answers_total',
+		type: 'counter',
+		labels: [],
+		help: 'Answers dropped because their exchange had been given up.',
+		reading: 'Work spent for nobody.',
+	},
+	ledgerKeys: {
+		name: 'egretspoke_ledger_keys',
+		type: 'gauge',
+		labels: [],
+		help: 'Idempotency keys that this node remembers.',
+		reading: 'At limits.ledgerKeys new keys are refused here.',
+	},
+	ledgerBytes: {
+		name: 'egretspoke_ledger_bytes',
+		type: 'gauge',
+		labels: [],
+		help: 'Bytes of recorded answers in the ledger.',
+		reading: 'At limits.ledgerBytes new keys are refused here.',
+	},
+	childRestarts: {
+		name: 'egretspoke_child_restarts_total',
+		type: 'counter',
+		labels: ['child'],
+		help: 'Restarts of a part of this node after it failed.',
+		reading: 'Above 0: a fault of ours; see event 2006.',
+	},
+	logLinesDropped: {
+		name: 'egretspoke_log_lines_dropped_total',
+		type: 'counter',
+		labels: [],
+		help: 'Log lines dropped because they came faster than they were written.',
+		reading: 'Lower logs.sample.',
+	},
+	processorTime: {
+		name: 'process_cpu_seconds_total',
+		type: 'counter',
+		labels: [],
+		help: 'Processor time of the process, user and system.',
+		reading: 'Its rate is the share of a core.',
+	},
+	residentMemory: {
+		name: 'process_resident_memory_bytes',
+		type: 'gauge',
+		labels: [],
+		help: 'Resident memory of the process.',
+		reading: 'Flat under a steady load.',
+	},
+} as const satisfies Record<string, MetricDefinition>;
+
+/** A metric's key in the table. */
+export type MetricKey = keyof typeof metricDefinitions;
--- /dev/null
+++ b/packages/observability/src/metrics.ts
@@ -0,0 +1,232 @@
+/** The metrics of one node: a registry of its own, and typed recorders. */
+import process from 'node:process';
+import type {RequestClass} from '@egretspoke/protocol';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {
+	metricDefinitions,
+	timeBuckets,
+	type MetricKey,
+} from './metric-catalogue.js';
+
+/** A request that ended. */
+export type EndedRequest = {
+	role: 'entry' | 'target';
+	service: string;
+	requestClass: RequestClass;
+	outcome: 'answered' | 'notRun' | 'unknown';
+	/** The name of the error code; absent for an answer. */
+	error?: string;
+	/** Milliseconds from arrival to answer. */
+	duration: number;
+};
+
+/** What the node shows at the moment when it is asked. */
+export type NodeReadings = {
+	configurationVersion: number;
+	isPlatformReachable: boolean;
+	isLeaving: boolean;
+	openRequests: number;
+	peersConnected: number;
+	/** Members by state. */
+	members: Readonly<Record<string, number>>;
+	ledgerKeys: number;
+	ledgerBytes: number;
+	logLinesDropped: number;
+	/** Absent on a node without a target. */
+	target?: {
+		service: string;
+		inFlight: number;
+		waiting: number;
+		limit: number;
+		level: number;
+	};
+};
+
+/** Where malformed input came in. */
+export type ListenerName = 'caller' | 'peer' | 'admin';
+
+/** The recorders of a node; none of them blocks or throws. */
+export type Metrics = {
+	registry: Registry;
+	requestEnded(request: EndedRequest): void;
+	/** Milliseconds that a dispatched request had waited. */
+	waited(service: string, delay: number): void;
+	retried(service: string): void;
+	retryRefused(service: string): void;
+	malformedInput(listener: ListenerName, kind: string): void;
+	lateAnswer(): void;
+	childRestarted(child: string): void;
+	suspended(): void;
+	/** The text that Prometheus collects. */
+	render(): Promise<string>;
+};
+
+/** How the text is announced over HTTP. */
+export const metricsContentType = Registry.PROMETHEUS_CONTENT_TYPE;
+
+/**
+ * The most values that one label takes. Without a bound a caller who varies
+ * what ends up in a label would grow the registry until the node runs out of
+ * memory; one would notice pages of series that each count 1.
+ */
+const labelValueLimit = 100;
+const otherValue = 'other';
+
+const outcomeLabels: Record<EndedRequest['outcome'], string> = {
+	answered: 'answered',
+	notRun: 'not_run',
+	unknown: 'unknown',
+};
+
+/** Creates the metrics; `read` is asked once for each collection. */
+export function createMetrics(read: () => NodeReadings): Metrics {
+	const registry = new Registry();
+	const requests = createCounter(registry, 'requests');
+	const duration = createHistogram(registry, 'requestDuration');
+	const queueTime = createHistogram(registry, 'queueTime');
+	const retries = createCounter(registry, 'retries');
+	const retriesRefused = createCounter(registry, 'retriesRefused');
+	const malformedInput = createCounter(registry, 'malformedInput');
+	const lateAnswers = createCounter(registry, 'lateAnswers');
+	const childRestarts = createCounter(registry, 'childRestarts');
+	const suspensions = createCounter(registry, 'suspensions');
+	const update = createReadingGauges(registry);
+	const boundService = createLabelBound();
+	const boundKind = createLabelBound();
+	const boundChild = createLabelBound();
+
+	return {
+		registry,
+		requestEnded({role, service, requestClass, outcome, error, ...rest}) {
+			const bounded = boundService(service);
+			requests.inc({
+				role,
+				service: bounded,
+				class: requestClass,
+				outcome: outcomeLabels[outcome],
+				error: error ?? '',
+			});
+			duration.observe({role, service: bounded}, rest.duration / 1000);
+		},
+		waited(service, delay) {
+			queueTime.observe({service: boundService(service)}, delay / 1000);
+		},
+		retried(service) {
+			retries.inc({service: boundService(service)});
+		},
+		retryRefused(service) {
+			retriesRefused.inc({service: boundService(service)});
+		},
+		malformedInput(listener, kind) {
+			malformedInput.inc({listener, kind: boundKind(kind)});
+		},
+		lateAnswer() {
+			lateAnswers.inc();
+		},
+		childRestarted(child) {
+			childRestarts.inc({child: boundChild(child)});
+		},
+		suspended() {
+			suspensions.inc();
+		},
+		async render() {
+			update(read());
+			return registry.metrics();
+		},
+	};
+}
+
+/** Sets every gauge, and the counters that are kept elsewhere, from one reading. */
+function createReadingGauges(registry: Registry) {
+	const gauge = (key: MetricKey) => createGauge(registry, key);
+	const configurationVersion = gauge('configurationVersion');
+	const platformReachable = gauge('platformReachable');
+	const leaving = gauge('leaving');
+	const openRequests = gauge('openRequests');
+	const peersConnected = gauge('peersConnected');
+	const members = gauge('members');
+	const ledgerKeys = gauge('ledgerKeys');
+	const ledgerBytes = gauge('ledgerBytes');
+	const residentMemory = gauge('residentMemory');
+	const inFlight = gauge('inFlight');
+	const waiting = gauge('waiting');
+	const limit = gauge('concurrencyLimit');
+	const level = gauge('admissionLevel');
+	const setDropped = createOutsideCounter(registry, 'logLinesDropped');
+	const setProcessorTime = createOutsideCounter(registry, 'processorTime');
+
+	return (readings: NodeReadings) => {
+		configurationVersion.set(readings.configurationVersion);
+		platformReachable.set(readings.isPlatformReachable ? 1 : 0);
+		leaving.set(readings.isLeaving ? 1 : 0);
+		openRequests.set(readings.openRequests);
+		peersConnected.set(readings.peersConnected);
+		ledgerKeys.set(readings.ledgerKeys);
+		ledgerBytes.set(readings.ledgerBytes);
+		members.reset();
+		for (const [state, count] of Object.entries(readings.members)) {
+			members.set({state}, count);
+		}
+
+		const {target} = readings;
+		if (target) {
+			const {service} = target;
+			inFlight.set({service}, target.inFlight);
+			waiting.set({service}, target.waiting);
+			limit.set({service}, target.limit);
+			level.set({service}, target.level);
+		}
+
+		setDropped(readings.logLinesDropped);
+		const {user, system} = process.cpuUsage();
+		setProcessorTime((user + system) / 1e6);
+		residentMemory.set(process.memoryUsage.rss());
+	};
+}
+
+function createCounter(registry: Registry, key: MetricKey): Counter {
+	return new Counter({...describe(key), registers: [registry]});
+}
+
+function createGauge(registry: Registry, key: MetricKey): Gauge {
+	return new Gauge({...describe(key), registers: [registry]});
+}
+
+function createHistogram(registry: Registry, key: MetricKey): Histogram {
+	return new Histogram({
+		...describe(key),
+		buckets: [...timeBuckets],
+		registers: [registry],
+	});
+}
+
+/** A counter whose total is kept elsewhere. */
+function createOutsideCounter(registry: Registry, key: MetricKey) {
+	const counter = createCounter(registry, key);
+	let last = 0;
+	return (total: number) => {
+		counter.inc(Math.max(0, total - last));
+		last = total;
+	};
+}
+
+function describe(key: MetricKey) {
+	const {name, help, labels} = metricDefinitions[key];
+	return {name, help, labelNames: [...labels]};
+}
+
+function createLabelBound(): (value: string) => string {
+	const known = new Set<string>();
+	return (value) => {
+		if (known.has(value)) {
+			return value;
+		}
+
+		if (known.size >= labelValueLimit) {
+			return otherValue;
+		}
+
+		known.add(value);
+		return value;
+	};
+}
