--- /dev/null
+++ b/packages/decisions/src/egretspoke-policy.ts
@@ -0,0 +1,30 @@
+/** The policy that the node runs, as one entry of the table of policies. */
+import {createAdmission} from './admission.js';
+import type {Mechanism, Policy} from './policy.js';
+import {createRouting} from './routing.js';
+
+/** Creates the policy, with mechanisms switched off besides those of the context. */
+export function createEgretspokePolicy(
+	without: ReadonlySet<Mechanism> = new Set(),
+): Policy {
+	return {
+		name: 'egretspoke',
+		createAdmission: (context) =>
+			createAdmission({
+				...context,
+				without: union(without, context.without),
+			}),
+		createRouting: (context) =>
+			createRouting({...context, without: union(without, context.without)}),
+	};
+}
+
+function union(
+	first: ReadonlySet<Mechanism>,
+	second: ReadonlySet<Mechanism> | undefined,
+): ReadonlySet<Mechanism> {
+	return second === undefined ? first : new Set([...first, ...second]);
+}
+
+/** The policy with every mechanism on. */
+export const egretspokePolicy = createEgretspokePolicy();
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -1,1 +1,2 @@
+export * from './egretspoke-policy.js';
 export * from './policy.js';
