feat(ledger): ledger of a home and the rule of one run a key

Cause: a caller that loses an answer repeats its request, and nothing but a memory at one place can tell the repeat from a new request. Ruled out: forgetting by the wall clock alone, since a clock set back would let a forgotten key in again; a default lifetime for keys without an expiry as the only way, since a repeat after it can't be told from a new key. Keys without an expiry are refused unless a default lifetime is set. Change: createLedger, attemptAtMostOnce with tickets that read the clock at the hand-over, two new error codes (KeyExpiryRequired, KeyExpiryTooFar).

--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+export * from './attempt-at-most-once.js';
+export * from './attempt-ticket.js';
+export * from './fingerprint.js';
+export * from './ledger.js';
+export type * from './ledger-decision.js';
--- /dev/null
+++ b/packages/ledger/src/ledger.ts
@@ -0,0 +1,271 @@
+/**
+ * The ledger of a home: for each key, whether its request was started here and
+ * how it ended. What goes wrong without it: a boat owner's phone loses the
+ * answer to a payment and sends it again, and the payment runs twice. One
+ * notices two rows for one order. All attempts at a key reach the same home,
+ * and its ledger lets exactly one of them dispatch.
+ *
+ * An entry leaves only by a proof that nothing ran, or when its key has
+ * expired on both clocks. From then on the key is refused, so that forgetting
+ * it can't allow a second run.
+ */
+import {
+	createHandOverTicket,
+	createRefusal,
+	admitUnknown,
+	ErrorCode,
+	refuseNotRun,
+	type Answer,
+	type Outcome,
+	type Refusal,
+} from '@egretspoke/protocol';
+import type {Clock} from '@egretspoke/shared';
+import {createAnswerStore} from './answer-store.js';
+import {createExpiryIndex, type Expiring} from './expiry-index.js';
+import type {
+	Ledger,
+	LedgerDecision,
+	LedgerRequest,
+	LedgerRun,
+} from './ledger-decision.js';
+
+/** Bounds and lifetimes; durations in milliseconds. */
+export type LedgerOptions = {
+	clock: Clock;
+	/** The most keys held at once. */
+	capacity: number;
+	/** The most bytes of recorded answers. */
+	bytesCapacity: number;
+	/** A key whose expiry lies further ahead is refused. */
+	maximumLifetime: number;
+	/**
+	 * The lifetime of a key that states no expiry, counted from its first
+	 * attempt. The promise then ends with it, because a later repeat can't be
+	 * told from a new key. When absent, such keys are refused.
+	 */
+	defaultLifetime?: number;
+	/** Repeats that may wait for one running request; 32 when absent. */
+	waitersCapacity?: number;
+};
+
+type Settlement =
+	| {kind: 'running'}
+	| {kind: 'freed'}
+	| {kind: 'answered'}
+	| {kind: 'unknown'; refusal: Refusal};
+
+type Entry = Expiring & {
+	id: string;
+	fingerprint: string;
+	settlement: Settlement;
+	waiters: Array<(outcome: Outcome) => void>;
+};
+
+const defaultWaitersCapacity = 32;
+/** How long a caller is asked to wait before it asks again, in milliseconds. */
+const stillRunningRetryAfter = 1000;
+
+/** Creates an empty ledger. */
+export function createLedger(options: LedgerOptions): Ledger {
+	const {clock, capacity, waitersCapacity = defaultWaitersCapacity} = options;
+	const entries = new Map<string, Entry>();
+	const answers = createAnswerStore(options.bytesCapacity);
+	const expiries = createExpiryIndex<Entry>(clock, (entry) => {
+		entries.delete(entry.id);
+		answers.remove(entry.id);
+		running -= entry.settlement.kind === 'running' ? 1 : 0;
+	});
+	let running = 0;
+
+	const settle = (entry: Entry, settlement: Settlement, outcome: Outcome) => {
+		running -= entry.settlement.kind === 'running' ? 1 : 0;
+		entry.settlement = settlement;
+		notify(entry, outcome);
+	};
+
+	const createRun = (entry: Entry): LedgerRun => ({
+		expiry: entry.expiry,
+		isExpired: () => expiries.isExpired(entry),
+		notRun(proof, refusal) {
+			if (entry.settlement.kind === 'answered' || !isCurrent(entries, entry)) {
+				return;
+			}
+
+			entries.delete(entry.id);
+			expiries.remove(entry);
+			settle(entry, {kind: 'freed'}, refuseNotRun(proof, refusal));
+		},
+		answered(answer) {
+			if (entry.settlement.kind === 'answered' || !isCurrent(entries, entry)) {
+				return;
+			}
+
+			answers.add(entry.id, answer);
+			settle(entry, {kind: 'answered'}, repeatAnswer(answer));
+		},
+		unknown(refusal) {
+			if (entry.settlement.kind === 'running' && isCurrent(entries, entry)) {
+				settle(entry, {kind: 'unknown', refusal}, admitUnknown(refusal));
+			}
+		},
+	});
+
+	const start = (id: string, request: LedgerRequest): LedgerDecision => {
+		const refused = refuseNewKey(request, expiries.wallTime(), options);
+		if (refused) {
+			return {kind: 'settled', outcome: refused};
+		}
+
+		const expiry =
+			request.expiry ?? expiries.wallTime() + options.defaultLifetime!;
+		if (expiries.hasPassed(expiry)) {
+			return {kind: 'settled', outcome: expired()};
+		}
+
+		if (entries.size >= capacity) {
+			return {kind: 'settled', outcome: full(expiries.untilNextExpiry())};
+		}
+
+		const entry: Entry = {
+			id,
+			fingerprint: request.fingerprint,
+			expiry,
+			expiresAt: clock.now() + (expiry - expiries.wallTime()),
+			settlement: {kind: 'running'},
+			waiters: [],
+		};
+		entries.set(id, entry);
+		expiries.add(entry);
+		running++;
+		return {kind: 'run', run: createRun(entry)};
+	};
+
+	const repeat = (entry: Entry): LedgerDecision => {
+		const {settlement} = entry;
+		if (settlement.kind === 'unknown') {
+			return {kind: 'settled', outcome: admitUnknown(settlement.refusal)};
+		}
+
+		if (settlement.kind === 'answered') {
+			const answer = answers.get(entry.id);
+			return {
+				kind: 'settled',
+				outcome: answer
+					? repeatAnswer(answer)
+					: admitUnknown(createRefusal(ErrorCode.OutcomeForgotten)),
+			};
+		}
+
+		if (entry.waiters.length >= waitersCapacity) {
+			return {kind: 'settled', outcome: stillRunning()};
+		}
+
+		return {
+			kind: 'stillRunning',
+			settled: new Promise((resolve) => {
+				entry.waiters.push(resolve);
+			}),
+		};
+	};
+
+	return {
+		begin(request) {
+			expiries.sweep();
+			const id = JSON.stringify([request.service, request.key]);
+			const entry = entries.get(id);
+			if (!entry) {
+				return start(id, request);
+			}
+
+			const mismatch = refuseMismatch(entry, request);
+			if (mismatch) {
+				return {kind: 'settled', outcome: mismatch};
+			}
+
+			return expiries.isExpired(entry)
+				? {kind: 'settled', outcome: expired()}
+				: repeat(entry);
+		},
+		size: () => ({
+			keys: entries.size,
+			running,
+			answerBytes: answers.bytes(),
+		}),
+	};
+}
+
+/** The end of a repeat that can't wait any longer for the first attempt. */
+export function stillRunning(): Outcome {
+	return admitUnknown(
+		createRefusal(ErrorCode.StillRunning, {retryAfter: stillRunningRetryAfter}),
+	);
+}
+
+/** The end of an attempt that never left this process. */
+export function refuseHere(refusal: Refusal): Outcome {
+	const proof = createHandOverTicket().surrender();
+	return proof.isOk()
+		? refuseNotRun(proof.value, refusal)
+		: admitUnknown(refusal);
+}
+
+function refuseNewKey(
+	request: LedgerRequest,
+	wallTime: number,
+	options: LedgerOptions,
+): Outcome | undefined {
+	if (request.expiry === undefined) {
+		return options.defaultLifetime === undefined
+			? refuseHere(createRefusal(ErrorCode.KeyExpiryRequired))
+			: undefined;
+	}
+
+	return request.expiry - wallTime > options.maximumLifetime
+		? refuseHere(createRefusal(ErrorCode.KeyExpiryTooFar))
+		: undefined;
+}
+
+/**
+ * A key that stands for another request is refused. The same request under
+ * another expiry is refused too, because its first entry could be forgotten
+ * while the later expiry still lets a repeat in; nobody says here that it did
+ * not run.
+ */
+function refuseMismatch(
+	entry: Entry,
+	request: LedgerRequest,
+): Outcome | undefined {
+	if (request.fingerprint !== entry.fingerprint) {
+		return refuseHere(createRefusal(ErrorCode.KeyReused));
+	}
+
+	return request.expiry === undefined || request.expiry === entry.expiry
+		? undefined
+		: admitUnknown(
+				createRefusal(ErrorCode.KeyReused, {
+					detail: 'the idempotency key was first sent with another expiry',
+				}),
+			);
+}
+
+function expired(): Outcome {
+	return admitUnknown(createRefusal(ErrorCode.KeyExpired));
+}
+
+function full(retryAfter: number): Outcome {
+	return refuseHere(createRefusal(ErrorCode.LedgerFull, {retryAfter}));
+}
+
+function repeatAnswer(answer: Answer): Outcome {
+	return {kind: 'answered', answer, repeated: true};
+}
+
+function isCurrent(entries: Map<string, Entry>, entry: Entry): boolean {
+	return entries.get(entry.id) === entry;
+}
+
+function notify(entry: Entry, outcome: Outcome): void {
+	for (const resolve of entry.waiters.splice(0)) {
+		resolve(outcome);
+	}
+}
--- a/packages/protocol/src/error-code.ts
+++ b/packages/protocol/src/error-code.ts
@@ -13,6 +13,8 @@
 	HomeRequired = 104,
 	KeyExpired = 105,
 	KeyReused = 106,
+	KeyExpiryRequired = 107,
+	KeyExpiryTooFar = 108,
 	Overloaded = 200,
 	QueueTimeout = 201,
 	DeadlineInfeasible = 202,
@@ -84,6 +86,17 @@
 		advice: 'use one key for one request',
 		status: 422,
 	},
+	[ErrorCode.KeyExpiryRequired]: {
+		message: 'an idempotency key needs an expiry',
+		advice:
+			'state when you stop repeating the request in Egretspoke-Key-Expiry, in milliseconds since 1970',
+		status: 428,
+	},
+	[ErrorCode.KeyExpiryTooFar]: {
+		message: 'the idempotency key expires later than its home can remember',
+		advice: 'state an earlier expiry, and check the clock of the caller',
+		status: 400,
+	},
 	[ErrorCode.Overloaded]: {
 		message: 'the service is overloaded',
 		advice: 'come back after Retry-After',
