--- /dev/null
+++ b/packages/node/src/attempt-sender.ts
@@ -0,0 +1,149 @@
+/**
+ * One attempt at one target: the routing decision, the way to the target's
+ * node, and what the router learns from its end.
+ */
+import {
+	createRefusal,
+	ErrorCode,
+	refuseNotRun,
+	type CallRequest,
+	type LoadReport,
+	type NotRunProof,
+	type Outcome,
+} from '@egretspoke/protocol';
+import type {
+	AttemptResult,
+	CallFacts,
+	RoutingPolicy,
+} from '@egretspoke/decisions';
+import type {Clock} from '@egretspoke/shared';
+import type {ExchangeResult} from './exchange-table.js';
+import type {NodeReporter} from './node-reporter.js';
+
+/** Reaches the ingress of a node, be it this one or a peer. */
+export type TargetPath = (
+	node: string,
+	request: CallRequest,
+	signal: AbortSignal,
+) => Promise<ExchangeResult>;
+
+/** The right to send, from a hand-over ticket. */
+export type SendTicket = {
+	handOver(): boolean;
+	surrender(): {match<T>(ok: (proof: NotRunProof) => T, error: () => T): T};
+};
+
+/** How an attempt ended and where it went. */
+export type SentAttempt = {
+	outcome: Outcome;
+	/** Absent when the router refused. */
+	result?: AttemptResult;
+	/** Attempts given to the chain below. */
+	given: number;
+};
+
+/** What the sender is built from. */
+export type AttemptSenderContext = {
+	clock: Clock;
+	routing: RoutingPolicy;
+	reporter: NodeReporter;
+	path: TargetPath;
+};
+
+/** Sends one attempt; resolves always. */
+export type AttemptSender = (
+	request: CallRequest,
+	facts: CallFacts,
+	options: {exclude: string[]; ticket: SendTicket; signal: AbortSignal},
+) => Promise<SentAttempt>;
+
+/** Creates the sender of an entry node. */
+export function createAttemptSender(
+	context: AttemptSenderContext,
+): AttemptSender {
+	const {clock, routing, reporter} = context;
+
+	const observe = (service: string, node: string, load?: LoadReport) => {
+		if (load) {
+			routing.observe(service, node, load, clock.now());
+		}
+	};
+
+	return async (request, facts, {exclude, ticket, signal}) => {
+		const decision = routing.choose(facts, exclude, clock.now());
+		if (decision.kind === 'refuse') {
+			const {code, reason, retryAfter} = decision;
+			reporter.decide({name: 'routingRefused', request: request.id, reason});
+			return {
+				outcome: endTicket(ticket, code, reason, retryAfter),
+				given: 0,
+			};
+		}
+
+		const {node, reason} = decision;
+		reporter.decide({
+			name: 'routed',
+			request: request.id,
+			reason,
+			details: {node},
+		});
+		if (!ticket.handOver()) {
+			return {
+				outcome: endTicket(ticket, ErrorCode.DeadlinePassed, reason, 0),
+				given: 0,
+			};
+		}
+
+		const startedAt = clock.now();
+		const given = Math.max(1, routing.attemptsBelow(facts));
+		routing.started(facts, node, startedAt);
+		const {outcome, load} = await context.path(
+			node,
+			{...request, attempts: given, timeLeft: facts.deadline - startedAt},
+			signal,
+		);
+		const now = clock.now();
+		observe(request.service, node, load);
+		const result = readResult(node, outcome, now - startedAt, signal);
+		routing.finished(facts, result, now);
+		return {outcome, result, given};
+	};
+}
+
+function endTicket(
+	ticket: SendTicket,
+	code: ErrorCode,
+	detail: string,
+	retryAfter: number,
+): Outcome {
+	const refusal = createRefusal(code, {detail, retryAfter});
+	return ticket.surrender().match<Outcome>(
+		(proof) => refuseNotRun(proof, refusal),
+		() => ({kind: 'unknown', refusal}),
+	);
+}
+
+function readResult(
+	node: string,
+	outcome: Outcome,
+	duration: number,
+	signal: AbortSignal,
+): AttemptResult {
+	if (outcome.kind === 'answered') {
+		return {node, duration, result: 'ok'};
+	}
+
+	const {code, retryAfter} = outcome.refusal;
+	const details = {
+		node,
+		duration,
+		code,
+		...(retryAfter !== undefined && {retryAfter}),
+	};
+	if (outcome.kind === 'notRun') {
+		const isUnreachable = code === ErrorCode.TargetUnreachable;
+		return {...details, result: isUnreachable ? 'unreachable' : 'notRun'};
+	}
+
+	return {...details, result: signal.aborted ? 'cancelled' : 'unknown'};
+}
--- /dev/null
+++ b/packages/node/src/attempts.ts
@@ -0,0 +1,97 @@
+/** The attempts of one request at its entry node: what was tried, and what may be tried yet. */
+import {
+	createRefusal,
+	ErrorCode,
+	type Outcome,
+	type Refusal,
+} from '@egretspoke/protocol';
+import type {
+	AttemptResult,
+	CallFacts,
+	RoutingPolicy,
+} from '@egretspoke/decisions';
+import {sleep, type Clock} from '@egretspoke/shared';
+import type {AttemptSender, SendTicket} from './attempt-sender.js';
+import type {NodeReporter} from './node-reporter.js';
+import type {EntryCall} from './request-chain.js';
+
+/** The attempts of one request. */
+export type Attempts = {
+	send(ticket: SendTicket, signal: AbortSignal): Promise<Outcome>;
+	/** Resolves with nothing once another attempt may be made, or with the refusal to give. */
+	retry(refusal: Refusal, signal: AbortSignal): Promise<Refusal | undefined>;
+	/** Gives what was not used back to the chain. */
+	finish(): void;
+};
+
+/** What the attempts are made with. */
+export type AttemptsContext = {
+	clock: Clock;
+	routing: RoutingPolicy;
+	send: AttemptSender;
+	reporter: NodeReporter;
+};
+
+/** Creates the attempts of a request that has made none. */
+export function createAttempts(
+	context: AttemptsContext,
+	call: EntryCall,
+): Attempts {
+	const {clock, routing, reporter} = context;
+	const {request} = call;
+	let left = request.attempts;
+	let exclude: string[] = [];
+	let last: AttemptResult | undefined;
+
+	const facts = (): CallFacts => ({
+		id: request.id,
+		service: request.service,
+		requestClass: request.requestClass,
+		caller: request.caller,
+		operation: call.operation,
+		deadline: call.deadline,
+		attempts: left,
+		idempotent: request.idempotent,
+	});
+
+	return {
+		async send(ticket, signal) {
+			const options = {exclude, ticket, signal};
+			const sent = await context.send(request, facts(), options);
+			last = sent.result;
+			// A definite refusal used nothing below; anything else may have used all it was given.
+			left -= sent.outcome.kind === 'notRun' ? 0 : sent.given;
+			return sent.outcome;
+		},
+		async retry(refusal, signal) {
+			if (last === undefined) {
+				return refusal;
+			}
+
+			if (last.result === 'unknown') {
+				// Its attempt is already deducted; the decision expects it included.
+				left += 1;
+			}
+
+			const decision = routing.retry(facts(), last, clock.now());
+			left -= 1;
+			reporter.decide({
+				name: decision.kind === 'retry' ? 'retried' : 'retryRefused',
+				request: request.id,
+				reason: decision.reason,
+			});
+			if (decision.kind === 'refuse') {
+				const {code, reason, retryAfter} = decision;
+				return createRefusal(code, {detail: reason, retryAfter});
+			}
+
+			exclude = decision.exclude;
+			await sleep(clock, decision.delay, signal);
+			return signal.aborted ? createRefusal(ErrorCode.CallerGone) : undefined;
+		},
+		finish() {
+			const spare = Math.min(left, request.attempts - 1);
+			call.allotment?.giveBack(Math.max(0, spare));
+		},
+	};
+}
--- /dev/null
+++ b/packages/node/src/caller-answer.ts
@@ -0,0 +1,108 @@
+/** Writes an outcome as an HTTP answer. */
+import type {ServerResponse} from 'node:http';
+import {
+	ErrorCode,
+	errorMessages,
+	formatHome,
+	headerNames,
+	type Answer,
+	type Outcome,
+	type Refusal,
+} from '@egretspoke/protocol';
+import type {CallerOutcome} from './caller-request.js';
+
+/** Writes the whole answer; a caller that has gone is no error. */
+export function writeOutcome(
+	response: ServerResponse,
+	{request, outcome, home}: CallerOutcome,
+): void {
+	response.setHeader(headerNames.request, request);
+	if (home) {
+		response.setHeader(headerNames.home, formatHome(home));
+	}
+
+	const write = writers[outcome.kind] as (
+		response: ServerResponse,
+		outcome: Outcome,
+		request: string,
+	) => void;
+	write(response, outcome, request);
+}
+
+type Writers = {
+	[Kind in Outcome['kind']]: (
+		response: ServerResponse,
+		outcome: Extract<Outcome, {kind: Kind}>,
+		request: string,
+	) => void;
+};
+
+const writers: Writers = {
+	answered(response, {answer, repeated}) {
+		writeAnswer(response, answer, repeated ? 'answered; repeated' : 'answered');
+	},
+	notRun(response, {refusal}, request) {
+		writeRefusal(response, refusal, 'not-run', request);
+	},
+	unknown(response, {refusal}, request) {
+		writeRefusal(response, refusal, 'unknown', request);
+	},
+};
+
+function writeAnswer(
+	response: ServerResponse,
+	{status, headers, body}: Answer,
+	outcome: string,
+): void {
+	response.writeHead(status, {
+		...headers,
+		[headerNames.outcome]: outcome,
+		'content-length': body.length,
+	});
+	response.end(body);
+}
+
+/** What a program reads of a refusal; the sentences are for people. */
+type RefusalBody = {
+	outcome: string;
+	code: number;
+	error: string;
+	message: string;
+	advice: string;
+	request: string;
+	retryAfterMilliseconds?: number;
+};
+
+function writeRefusal(
+	response: ServerResponse,
+	{code, detail, retryAfter}: Refusal,
+	outcome: string,
+	request: string,
+): void {
+	const {status, advice} = errorMessages[code];
+	const content: RefusalBody = {
+		outcome,
+		code,
+		error: ErrorCode[code],
+		message: detail,
+		advice,
+		request,
+	};
+	if (retryAfter !== undefined) {
+		content.retryAfterMilliseconds = Math.ceil(retryAfter);
+		response.setHeader(headerNames.retryAfter, Math.ceil(retryAfter));
+		response.setHeader(
+			headerNames.standardRetryAfter,
+			Math.ceil(retryAfter / 1000),
+		);
+	}
+
+	const body = Buffer.from(JSON.stringify(content));
+	response.writeHead(status, {
+		'content-type': 'application/json',
+		'content-length': body.length,
+		[headerNames.outcome]: outcome,
+		[headerNames.error]: `${code} ${ErrorCode[code]}`,
+	});
+	response.end(body);
+}
--- /dev/null
+++ b/packages/node/src/caller-listener.ts
@@ -0,0 +1,177 @@
+/**
+ * The HTTP listener for callers: one task a connection, each request read
+ * whole within its limits, answered once.
+ */
+import {once} from 'node:events';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {ErrorCode} from '@egretspoke/protocol';
+import {writeOutcome} from './caller-answer.js';
+import type {CallerEntry, CallerOutcome} from './caller-request.js';
+import {readBody} from './request-body.js';
+import {readCallerRequest} from './caller-request-reader.js';
+import {refuseHere} from './entry-refusal.js';
+import type {NodeReporter} from './node-reporter.js';
+import {listen} from './web-socket-transport.js';
+
+/** Bounds of the listener; times in milliseconds, sizes in bytes. */
+export type CallerListenerOptions = {
+	entry: CallerEntry;
+	reporter: NodeReporter;
+	/** The name of callers that give none, from their address. */
+	bodyLimit: number;
+	headerLimit: number;
+	connectionLimit: number;
+	/** For a whole request to arrive; a slow sender is cut off after it. */
+	requestTime: number;
+};
+
+/** The listener. */
+export type CallerListener = {
+	listen(host: string, port: number): Promise<number>;
+	/** Takes no new connections, and closes each open one after its answer. */
+	drain(): void;
+	close(): Promise<void>;
+};
+
+/** Milliseconds an idle connection is kept: longer than a client's own, so that the client closes first and no request meets a closing socket. */
+const keepAliveTime = 65_000;
+
+/** Creates the listener; nothing listens until `listen`. */
+export function createCallerListener(
+	options: CallerListenerOptions,
+): CallerListener {
+	let isDraining = false;
+	const server = createServer(
+		{
+			maxHeaderSize: options.headerLimit,
+			requestTimeout: options.requestTime,
+			headersTimeout: options.requestTime,
+			connectionsCheckingInterval: Math.max(100, options.requestTime / 4),
+			keepAliveTimeout: keepAliveTime,
+		},
+		(request, response) => {
+			if (isDraining) {
+				response.setHeader('connection', 'close');
+			}
+
+			void serve(request, response, options);
+		},
+	);
+	server.maxConnections = options.connectionLimit;
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		options.reporter.notice({
+			name: 'malformedRequest',
+			fault: error.code ?? 'unknown',
+		});
+		if (socket.writable) {
+			socket.end(clientErrorAnswers[error.code ?? ''] ?? malformedAnswer);
+		}
+	});
+
+	return {
+		async listen(host, port) {
+			return listen(server, host, port);
+		},
+		drain() {
+			isDraining = true;
+			server.close();
+			server.closeIdleConnections();
+		},
+		async close() {
+			await closeServer(server);
+		},
+	};
+}
+
+/** Closes a server and every connection to it. */
+export async function closeServer(server: Server): Promise<void> {
+	const closed = server.listening ? once(server, 'close') : undefined;
+	server.close();
+	server.closeAllConnections();
+	await closed;
+}
+
+const malformedAnswer = rawAnswer(
+	'400 Bad Request',
+	ErrorCode.MalformedRequest,
+);
+
+/** Faults that Node's parser finds, before there is a request to answer. */
+const clientErrorAnswers: Record<string, string> = {
+	// eslint-disable-next-line @typescript-eslint/naming-convention -- Node's error codes.
+	HPE_HEADER_OVERFLOW: rawAnswer(
+		'431 Request Header Fields Too Large',
+		ErrorCode.TooLarge,
+	),
+	// eslint-disable-next-line @typescript-eslint/naming-convention -- Node's error codes.
+	ERR_HTTP_REQUEST_TIMEOUT: rawAnswer(
+		'408 Request Timeout',
+		ErrorCode.MalformedRequest,
+	),
+};
+
+function rawAnswer(status: string, code: ErrorCode): string {
+	return (
+		`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n` +
+		`egretspoke-outcome: not-run\r\negretspoke-error: ${code} ${ErrorCode[code]}\r\n\r\n`
+	);
+}
+
+async function serve(
+	request: IncomingMessage,
+	response: ServerResponse,
+	options: CallerListenerOptions,
+): Promise<void> {
+	const gone = new AbortController();
+	response.once('close', () => {
+		if (!response.writableFinished) {
+			gone.abort();
+		}
+	});
+	const outcome = await answer(request, options, gone.signal);
+	writeOutcome(response, outcome);
+}
+
+async function answer(
+	request: IncomingMessage,
+	options: CallerListenerOptions,
+	signal: AbortSignal,
+): Promise<CallerOutcome> {
+	const body = await readBody(request, options.bodyLimit);
+	if (body.isErr()) {
+		options.reporter.notice({name: 'malformedRequest', fault: body.error});
+		const code =
+			body.error === 'tooLarge'
+				? ErrorCode.TooLarge
+				: ErrorCode.MalformedRequest;
+		return {request: 'none', outcome: refuseHere(code)};
+	}
+
+	const read = readCallerRequest(request, body.value);
+	if (read.isErr()) {
+		options.reporter.notice({name: 'malformedRequest', fault: 'header'});
+		const detail = read.error.join('; ');
+		return {
+			request: 'none',
+			outcome: refuseHere(ErrorCode.MalformedRequest, undefined, detail),
+		};
+	}
+
+	try {
+		return await options.entry.handle(read.value, signal);
+	} catch (error) {
+		// The request may have been handed over before the fault.
+		return {
+			request: read.value.id ?? 'none',
+			outcome: {
+				kind: 'unknown',
+				refusal: {code: ErrorCode.Internal, detail: String(error)},
+			},
+		};
+	}
+}
--- /dev/null
+++ b/packages/node/src/entry.ts
@@ -0,0 +1,260 @@
+/**
+ * The entry node's side: a caller's request from its arrival to its one final
+ * answer, over as many attempts as its chain, its deadline and the retry
+ * budget allow.
+ */
+import {
+	attemptAtMostOnce,
+	createAttemptTicket,
+	fingerprintRequest,
+	type Ledger,
+} from '@egretspoke/ledger';
+import {
+	ErrorCode,
+	formatHome,
+	type CallRequest,
+	type Home,
+	type Outcome,
+} from '@egretspoke/protocol';
+import type {RoutingPolicy} from '@egretspoke/decisions';
+import type {Clock} from '@egretspoke/shared';
+import type {AttemptSender} from './attempt-sender.js';
+import {createAttempts} from './attempts.js';
+import type {
+	CallerEntry,
+	CallerOutcome,
+	CallerRequest,
+} from './caller-request.js';
+import {refuseHere} from './entry-refusal.js';
+import type {ExchangeResult} from './exchange-table.js';
+import {createLinkedAbort} from './linked-abort.js';
+import type {NodeReporter} from './node-reporter.js';
+import {
+	createEntryCall,
+	type Classification,
+	type EntryCall,
+} from './request-chain.js';
+import type {RunningRequests} from './running-requests.js';
+
+/** What the entry is built from. */
+export type EntryContext = {
+	clock: Clock;
+	self: Home;
+	routing: RoutingPolicy;
+	send: AttemptSender;
+	ledger: Ledger;
+	running: RunningRequests;
+	reporter: NodeReporter;
+	/** Undefined for a service that nobody configured or announced. */
+	classify(
+		service: string,
+		method: string,
+		path: string,
+	): Classification | undefined;
+	/** Passes a request to the home of its key. */
+	passToHome(
+		home: Home,
+		request: CallRequest,
+		signal: AbortSignal,
+	): Promise<ExchangeResult>;
+	/** A reason for which no new request may enter here. */
+	refusalOf(): ErrorCode | undefined;
+};
+
+/** The entry, for callers and for peers that pass a request to its home. */
+export type Entry = CallerEntry & {
+	/** Handles a request whose key has its home here. */
+	handleAtHome(request: CallRequest, signal: AbortSignal): Promise<Outcome>;
+	/** Requests that have not been answered yet. */
+	open(): number;
+};
+
+/** Creates the entry of one node. */
+export function createEntry(context: EntryContext): Entry {
+	const {clock, reporter, running, self} = context;
+	let open = 0;
+
+	const handle = async (
+		incoming: CallerRequest,
+		signal: AbortSignal,
+	): Promise<CallerOutcome> => {
+		const {service, method, path} = incoming;
+		const rules = context.classify(service, method, path);
+		if (!rules) {
+			return end(incoming, refuseHere(ErrorCode.UnknownService));
+		}
+
+		const barred = context.refusalOf();
+		if (barred !== undefined && !isDeeper(incoming)) {
+			return end(incoming, refuseHere(barred, 0));
+		}
+
+		const call = createEntryCall(incoming, rules, running, clock.now());
+		if (call.isErr()) {
+			return end(incoming, refuseHere(call.error.code, call.error.retryAfter));
+		}
+
+		const startedAt = clock.now();
+		const {request, allotment} = call.value;
+		const linked = createLinkedAbort(signal, allotment?.signal);
+		const outcome = await chooseHandler(incoming, call.value)(
+			call.value,
+			linked.signal,
+		);
+		linked.release();
+		reporter.ended({
+			request: request.id,
+			service,
+			requestClass: request.requestClass,
+			outcome,
+			duration: clock.now() - startedAt,
+			role: 'entry',
+		});
+		return {request: request.id, outcome, home: incoming.home ?? self};
+	};
+
+	/** A target's own calls go on while its node is leaving: they belong to requests in flight. */
+	const isDeeper = ({id}: CallerRequest) => id !== undefined && running.has(id);
+
+	const chooseHandler = (
+		{home, key}: CallerRequest,
+		{request}: EntryCall,
+	): ((call: EntryCall, signal: AbortSignal) => Promise<Outcome>) => {
+		if (request.idempotent) {
+			return handleIdempotent;
+		}
+
+		if (key === undefined) {
+			return async () => refuseHere(ErrorCode.KeyRequired);
+		}
+
+		if (home === undefined) {
+			return async () => refuseHere(ErrorCode.HomeRequired);
+		}
+
+		return formatHome(home) === formatHome(self)
+			? handleKey
+			: async (call, signal) => pass(home, call, signal);
+	};
+
+	const handleIdempotent = async (
+		call: EntryCall,
+		signal: AbortSignal,
+	): Promise<Outcome> => {
+		const linked = createLinkedAbort(signal);
+		const timer = clock.setTimer(call.deadline - clock.now(), linked.abort);
+		const outcome = await attemptIdempotent(call, linked.signal);
+		timer.cancel();
+		linked.release();
+		return outcome;
+	};
+
+	const attemptIdempotent = async (
+		call: EntryCall,
+		signal: AbortSignal,
+	): Promise<Outcome> => {
+		const attempts = createAttempts(context, call);
+		for (;;) {
+			const ticket = createAttemptTicket({
+				clock,
+				deadline: call.deadline,
+				signal,
+			});
+			// eslint-disable-next-line no-await-in-loop -- one attempt after another.
+			const outcome = await attempts.send(ticket, signal);
+			if (outcome.kind === 'answered' || signal.aborted) {
+				attempts.finish();
+				return outcome;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- the back-off comes before the next attempt.
+			const refusal = await attempts.retry(outcome.refusal, signal);
+			if (refusal) {
+				attempts.finish();
+				return {...outcome, refusal};
+			}
+		}
+	};
+
+	const handleKey = async (
+		call: EntryCall,
+		signal: AbortSignal,
+	): Promise<Outcome> => {
+		const {request} = call;
+		const attempts = createAttempts(context, call);
+		const outcome = await attemptAtMostOnce({
+			clock,
+			ledger: context.ledger,
+			request: {
+				service: request.service,
+				key: request.key!,
+				fingerprint: fingerprintRequest(request),
+				...(request.keyExpiry !== undefined && {expiry: request.keyExpiry}),
+			},
+			deadline: call.deadline,
+			signal,
+			dispatch: async (attempt) =>
+				attempts.send(attempt.ticket, attempt.signal),
+			retry: async (refusal) => attempts.retry(refusal, signal),
+		});
+		attempts.finish();
+		return outcome;
+	};
+
+	const pass = async (
+		home: Home,
+		call: EntryCall,
+		signal: AbortSignal,
+	): Promise<Outcome> => {
+		reporter.decide({
+			name: 'homePassed',
+			request: call.request.id,
+			reason: 'the key has its home elsewhere',
+			details: {home: formatHome(home)},
+		});
+		const linked = createLinkedAbort(signal);
+		const timer = clock.setTimer(call.deadline - clock.now(), linked.abort);
+		const {outcome} = await context.passToHome(
+			home,
+			call.request,
+			linked.signal,
+		);
+		timer.cancel();
+		linked.release();
+		return outcome;
+	};
+
+	const end = (incoming: CallerRequest, outcome: Outcome): CallerOutcome => {
+		const request = incoming.id ?? 'none';
+		if (outcome.kind !== 'answered') {
+			reporter.decide({
+				name: 'entryRefused',
+				request,
+				reason: outcome.refusal.detail,
+			});
+		}
+
+		return {request, outcome, home: self};
+	};
+
+	return {
+		async handle(incoming, signal) {
+			open++;
+			try {
+				return await handle(incoming, signal);
+			} finally {
+				open--;
+			}
+		},
+		async handleAtHome(request, signal) {
+			const barred = context.refusalOf();
+			if (barred !== undefined) {
+				return refuseHere(barred, 0);
+			}
+
+			const deadline = clock.now() + request.timeLeft;
+			return handleKey({request, operation: '', deadline}, signal);
+		},
+		open: () => open,
+	};
+}
--- /dev/null
+++ b/packages/node/src/http-target-client.ts
@@ -0,0 +1,176 @@
+/** The target beside the node, reached by HTTP through undici. */
+import {Agent, type Dispatcher} from 'undici';
+import {headerNames, type CallRequest} from '@egretspoke/protocol';
+import type {TargetClient, TargetResult} from './target-client.js';
+
+/** What the client needs to know. */
+export type HttpTargetOptions = {
+	/** `ip:port` of the target. */
+	address: string;
+	/** Connections that the target accepts; never exceeded. */
+	connections: number;
+	/** The largest answer body in bytes. */
+	bodyLimit: number;
+};
+
+/** Headers that belong to one connection and aren't passed on. */
+const connectionHeaders = new Set([
+	'connection',
+	'keep-alive',
+	'proxy-connection',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+	'host',
+	'content-length',
+	'expect',
+]);
+
+/** Creates a client with its own pool of connections to the target. */
+export function createHttpTargetClient(
+	options: HttpTargetOptions,
+): TargetClient & {close(): Promise<void>} {
+	const agent = new Agent({
+		connections: options.connections,
+		pipelining: 1,
+		bodyTimeout: 0,
+		headersTimeout: 0,
+		maxResponseSize: options.bodyLimit,
+	});
+	return {
+		async send(request, timeLeft, signal) {
+			return dispatch(agent, options.address, request, timeLeft, signal);
+		},
+		async close() {
+			await agent.close();
+		},
+	};
+}
+
+/** The headers that tell the target its request, class, time and attempts. */
+function writeHeaders(
+	request: CallRequest,
+	timeLeft: number,
+): Record<string, string> {
+	const headers: Record<string, string> = {};
+	for (const [name, value] of Object.entries(request.headers)) {
+		if (!connectionHeaders.has(name)) {
+			headers[name] = value;
+		}
+	}
+
+	headers[headerNames.request] = request.id;
+	headers[headerNames.service] = request.service;
+	headers[headerNames.requestClass] = request.requestClass;
+	headers[headerNames.caller] = request.caller;
+	headers[headerNames.deadline] = String(Math.floor(timeLeft));
+	headers[headerNames.attempts] = String(request.attempts);
+	return headers;
+}
+
+/** One exchange, written straight on undici's dispatch: no streams in between. */
+async function dispatch(
+	agent: Agent,
+	address: string,
+	request: CallRequest,
+	timeLeft: number,
+	signal: AbortSignal,
+): Promise<TargetResult> {
+	return new Promise((resolve) => {
+		let isConnected = false;
+		let status = 0;
+		let headers: Record<string, string> = {};
+		let controller: Dispatcher.DispatchController | undefined;
+		const chunks: Uint8Array[] = [];
+
+		const abort = () => {
+			controller?.abort(new Error('cancelled'));
+			finish({kind: 'lost', detail: 'cancelled'});
+		};
+
+		const finish = (result: TargetResult) => {
+			signal.removeEventListener('abort', abort);
+			resolve(result);
+		};
+
+		signal.addEventListener('abort', abort);
+		agent.dispatch(
+			{
+				origin: `http://${address}`,
+				path: request.path,
+				method: request.method,
+				headers: writeHeaders(request, timeLeft),
+				body: request.body.length === 0 ? null : request.body,
+			},
+			{
+				onRequestStart(started) {
+					isConnected = true;
+					controller = started;
+					if (signal.aborted) {
+						started.abort(new Error('cancelled'));
+					}
+				},
+				onResponseStart(_controller, statusCode, incoming) {
+					status = statusCode;
+					headers = readHeaders(incoming);
+				},
+				onResponseData(_controller, chunk) {
+					chunks.push(chunk);
+				},
+				onResponseEnd() {
+					finish(readResult(status, headers, Buffer.concat(chunks)));
+				},
+				onResponseError(_controller, error) {
+					finish(readFailure(isConnected, status, error));
+				},
+			},
+		);
+	});
+}
+
+function readResult(
+	status: number,
+	headers: Record<string, string>,
+	body: Uint8Array,
+): TargetResult {
+	if (headers[headerNames.shed] !== 'not-run') {
+		return {kind: 'answer', answer: {status, headers, body}};
+	}
+
+	const seconds = Number(headers[headerNames.standardRetryAfter]);
+	return Number.isFinite(seconds)
+		? {kind: 'shed', retryAfter: seconds * 1000}
+		: {kind: 'shed'};
+}
+
+/**
+ * A connection that never stood carried nothing, so nothing ran; anything
+ * later may have reached the target before it broke.
+ */
+function readFailure(
+	isConnected: boolean,
+	status: number,
+	error: Error,
+): TargetResult {
+	if (!isConnected) {
+		return {kind: 'unreachable', detail: error.message};
+	}
+
+	return status === 0
+		? {kind: 'lost', detail: error.message}
+		: {kind: 'cut', detail: error.message};
+}
+
+function readHeaders(
+	incoming: Record<string, string | string[] | undefined>,
+): Record<string, string> {
+	const headers: Record<string, string> = {};
+	for (const [name, value] of Object.entries(incoming)) {
+		if (value !== undefined && !connectionHeaders.has(name)) {
+			headers[name] = Array.isArray(value) ? value.join(', ') : value;
+		}
+	}
+
+	return headers;
+}
--- /dev/null
+++ b/packages/node/src/message-queue.ts
@@ -0,0 +1,55 @@
+/** Messages between the callback that receives them and the task that reads them. */
+
+/** A queue that is read as an async iterable, by one reader. */
+export type MessageQueue<T> = {
+	push(value: T): void;
+	/** The reader sees what was pushed before, then the end. */
+	end(): void;
+	read(): AsyncIterable<T>;
+	length(): number;
+};
+
+/** Creates an empty queue. */
+export function createMessageQueue<T>(): MessageQueue<T> {
+	let values: T[] = [];
+	let isEnded = false;
+	let wake: (() => void) | undefined;
+
+	const signal = () => {
+		wake?.();
+		wake = undefined;
+	};
+
+	return {
+		push(value) {
+			if (!isEnded) {
+				values.push(value);
+				signal();
+			}
+		},
+		end() {
+			isEnded = true;
+			signal();
+		},
+		async *read() {
+			for (;;) {
+				const batch = values;
+				values = [];
+				yield* batch;
+				if (values.length > 0) {
+					continue;
+				}
+
+				if (isEnded) {
+					return;
+				}
+
+				// eslint-disable-next-line no-await-in-loop -- waits for the next value.
+				await new Promise<void>((resolve) => {
+					wake = resolve;
+				});
+			}
+		},
+		length: () => values.length,
+	};
+}
--- /dev/null
+++ b/packages/node/src/peer-connection.ts
@@ -0,0 +1,189 @@
+/** One connection to a peer: the task that reads it, and the calls made over it. */
+import {
+	createRefusal,
+	ErrorCode,
+	type AcknowledgementMessage,
+	type AnswerMessage,
+	type CallMessage,
+	type CallRequest,
+	type ConfigurationBodyMessage,
+	type Message,
+	type ProbeMessage,
+	admitUnknown,
+} from '@egretspoke/protocol';
+import {
+	createExchangeTable,
+	writeAnswer,
+	type ExchangeResult,
+} from './exchange-table.js';
+import type {MessageChannel, PeerIdentity} from './message-channel.js';
+import type {NodeReporter} from './node-reporter.js';
+
+/** What a node does for its peers. */
+export type PeerServices = {
+	call(message: CallMessage, signal: AbortSignal): Promise<ExchangeResult>;
+	probe(message: ProbeMessage, peer: PeerIdentity): AcknowledgementMessage;
+	configurationBody(): ConfigurationBodyMessage | undefined;
+	takeConfigurationBody(message: ConfigurationBodyMessage): void;
+	reporter: NodeReporter;
+};
+
+/** A peer over an open channel. */
+export type PeerConnection = {
+	peer: PeerIdentity;
+	call(
+		request: CallRequest,
+		options: {role: CallMessage['role']; home?: string},
+		signal: AbortSignal,
+	): Promise<ExchangeResult>;
+	/** Undefined when no acknowledgement came before the signal or the close. */
+	probe(
+		probe: Omit<ProbeMessage, 'type' | 'sequence'>,
+		signal: AbortSignal,
+	): Promise<AcknowledgementMessage | undefined>;
+	requestConfiguration(): void;
+	/** Serves the peer until the channel closes. */
+	serve(): Promise<void>;
+	close(reason: string): void;
+	/** Exchanges and probes that are open in either direction. */
+	openExchanges(): number;
+};
+
+/** Calls that one peer may have open here; more are refused as overload. */
+const openCallLimit = 4096;
+
+type Handlers = {
+	[Type in Message['type']]: (message: Extract<Message, {type: Type}>) => void;
+};
+
+/** Creates the connection; nothing is read until `serve`. */
+export function createPeerConnection(
+	channel: MessageChannel,
+	services: PeerServices,
+): PeerConnection {
+	const exchanges = createExchangeTable((message) => channel.send(message));
+	const served = new Map<number, AbortController>();
+	const probes = new Map<
+		number,
+		(message: AcknowledgementMessage | undefined) => void
+	>();
+	let sequence = 1;
+
+	const answerCall = async (message: CallMessage) => {
+		const {exchange} = message;
+		if (served.size >= openCallLimit || served.has(exchange)) {
+			const outcome = {
+				outcome: admitUnknown(createRefusal(ErrorCode.Overloaded)),
+			};
+			channel.send(writeAnswer(exchange, outcome));
+			return;
+		}
+
+		const stop = new AbortController();
+		served.set(exchange, stop);
+		const result = await services.call(message, stop.signal);
+		served.delete(exchange);
+		channel.send(writeAnswer(exchange, result));
+	};
+
+	const rejectMessage = (message: Message) => {
+		services.reporter.notice({
+			name: 'malformedMessage',
+			detail: `${message.type} after the handshake`,
+		});
+		channel.close('unexpected message');
+	};
+
+	const handlers: Handlers = {
+		hello: rejectMessage,
+		proof: rejectMessage,
+		call(message) {
+			void answerCall(message);
+		},
+		answer(message: AnswerMessage) {
+			if (!exchanges.settle(message)) {
+				services.reporter.notice({
+					name: 'lateAnswer',
+					peer: channel.peer.node,
+				});
+			}
+		},
+		cancel(message) {
+			served.get(message.exchange)?.abort();
+		},
+		probe(message) {
+			channel.send(services.probe(message, channel.peer));
+		},
+		acknowledgement(message) {
+			probes.get(message.sequence)?.(message);
+		},
+		configurationRequest() {
+			const body = services.configurationBody();
+			if (body) {
+				channel.send(body);
+			}
+		},
+		configurationBody(message) {
+			services.takeConfigurationBody(message);
+		},
+	};
+
+	const closeAll = () => {
+		exchanges.closeAll();
+		for (const settle of probes.values()) {
+			settle(undefined);
+		}
+
+		// The callers of these requests are at the other end, which is gone.
+		for (const stop of served.values()) {
+			stop.abort();
+		}
+	};
+
+	return {
+		peer: channel.peer,
+		async call(request, options, signal) {
+			return exchanges.open(
+				(exchange) => ({type: 'call', exchange, request, ...options}),
+				signal,
+			);
+		},
+		async probe(probe, signal) {
+			const number = sequence++;
+			return new Promise((resolve) => {
+				const settle = (message: AcknowledgementMessage | undefined) => {
+					probes.delete(number);
+					signal.removeEventListener('abort', giveUp);
+					resolve(message);
+				};
+
+				const giveUp = () => {
+					settle(undefined);
+				};
+
+				probes.set(number, settle);
+				signal.addEventListener('abort', giveUp);
+				if (!channel.send({type: 'probe', sequence: number, ...probe})) {
+					settle(undefined);
+				}
+			});
+		},
+		requestConfiguration() {
+			channel.send({type: 'configurationRequest'});
+		},
+		async serve() {
+			try {
+				for await (const message of channel.receive()) {
+					const handle = handlers[message.type] as (message: Message) => void;
+					handle(message);
+				}
+			} finally {
+				closeAll();
+			}
+		},
+		close(reason) {
+			channel.close(reason);
+		},
+		openExchanges: () => exchanges.size() + served.size + probes.size,
+	};
+}
--- /dev/null
+++ b/packages/node/src/request-chain.ts
@@ -0,0 +1,96 @@
+/**
+ * What a request is within its chain: made anew at a first entry, or drawn
+ * from the request that the node's own target is running.
+ */
+import {createHash, randomUUID} from 'node:crypto';
+import {
+	createRefusal,
+	ErrorCode,
+	type CallRequest,
+	type Refusal,
+	type RequestClass,
+} from '@egretspoke/protocol';
+import {err, ok, type Result} from 'neverthrow';
+import type {CallerRequest} from './caller-request.js';
+import {readOperation} from './ingress.js';
+import type {Allotment, RunningRequests} from './running-requests.js';
+
+/** What the configuration in force says of a request. */
+export type Classification = {
+	requestClass: RequestClass;
+	idempotent: boolean;
+	/** Milliseconds for the whole chain. */
+	deadline: number;
+	/** Attempts for the whole chain. */
+	attempts: number;
+};
+
+/** A request as the entry node carries it. */
+export type EntryCall = {
+	request: CallRequest;
+	operation: string;
+	/** Monotonic milliseconds. */
+	deadline: number;
+	/** Present when the node's own target made the call. */
+	allotment?: Allotment;
+};
+
+/** Places a request in its chain, or says why its chain allows it nothing more. */
+export function createEntryCall(
+	incoming: CallerRequest,
+	rules: Classification,
+	running: RunningRequests,
+	now: number,
+): Result<EntryCall, Refusal> {
+	const operation = readOperation(incoming);
+	const allotment =
+		incoming.id === undefined
+			? undefined
+			: running.allot(incoming.id, {
+					service: incoming.service,
+					operation: digestCall(incoming),
+					requestClass: rules.requestClass,
+				});
+	if (allotment === 'spent') {
+		return err(createRefusal(ErrorCode.AttemptsSpent));
+	}
+
+	const timeLeft = Math.min(
+		incoming.timeLeft ?? rules.deadline,
+		rules.deadline,
+		(allotment?.deadline ?? Number.POSITIVE_INFINITY) - now,
+	);
+	if (timeLeft <= 0) {
+		return err(createRefusal(ErrorCode.DeadlinePassed));
+	}
+
+	const {method, path, headers, body, caller, service, key, keyExpiry} =
+		incoming;
+	return ok({
+		operation,
+		deadline: now + timeLeft,
+		...(allotment && {allotment}),
+		request: {
+			id: incoming.id ?? randomUUID(),
+			service,
+			method,
+			path,
+			headers,
+			body,
+			caller,
+			timeLeft,
+			requestClass: allotment?.requestClass ?? rules.requestClass,
+			attempts: allotment?.attempts ?? rules.attempts,
+			idempotent: rules.idempotent,
+			...(key !== undefined && {key}),
+			...(keyExpiry !== undefined && {keyExpiry}),
+		},
+	});
+}
+
+/** Tells a repeat of a deeper call from another call of the same kind. */
+function digestCall({method, path, key, body}: CallerRequest): string {
+	const digest =
+		body.length === 0 ? '' : createHash('sha1').update(body).digest('base64');
+	return `${method} ${path} ${key ?? ''} ${digest}`;
+}
--- /dev/null
+++ b/packages/node/src/running-requests.ts
@@ -0,0 +1,115 @@
+/**
+ * The requests that run at this node's own target. A call that the target
+ * makes deeper names the request it serves; its class, deadline and attempts
+ * come from here and not from what the target says.
+ *
+ * What goes wrong without it: a target that forwards no headers, or retries
+ * three times by itself, starts every deeper call with fresh attempts and a
+ * fresh deadline, and each layer multiplies the load on the next. One notices
+ * more calls at the deepest service than requests at the top. Here all calls
+ * of one running request draw from one pool, and end with it.
+ */
+import {rankOf, type RequestClass} from '@egretspoke/protocol';
+
+/** A request while its target runs it. */
+export type RunningRequest = {
+	id: string;
+	requestClass: RequestClass;
+	/** Monotonic milliseconds. */
+	deadline: number;
+	/** Attempts beyond the first of each call that the calls below may still use. */
+	spareAttempts: number;
+	/** How often each deeper call may be made anew before its repeats draw on the pool. */
+	callsMade: Map<string, number>;
+	/** Aborts when the request ends or its caller gives up. */
+	signal: AbortSignal;
+};
+
+/** What a deeper call gets of its parent's. */
+export type Allotment = {
+	requestClass: RequestClass;
+	deadline: number;
+	attempts: number;
+	signal: AbortSignal;
+	/** Gives back attempts that weren't used. */
+	giveBack(attempts: number): void;
+};
+
+/** The table of running requests. */
+export type RunningRequests = {
+	add(request: RunningRequest): void;
+	remove(id: string): void;
+	/** Undefined when no such request runs here; `spent` when its attempts are. */
+	allot(
+		id: string,
+		call: {service: string; operation: string; requestClass: RequestClass},
+	): Allotment | 'spent' | undefined;
+	has(id: string): boolean;
+	size(): number;
+};
+
+/** Creates an empty table. */
+export function createRunningRequests(): RunningRequests {
+	const running = new Map<string, RunningRequest>();
+	return {
+		add(request) {
+			running.set(request.id, request);
+		},
+		remove(id) {
+			running.delete(id);
+		},
+		allot(id, call) {
+			const parent = running.get(id);
+			if (!parent) {
+				return undefined;
+			}
+
+			const attempts = takeAttempts(
+				parent,
+				`${call.service} ${call.operation}`,
+			);
+			if (attempts === 0) {
+				return 'spent';
+			}
+
+			return {
+				requestClass: lowerOf(parent.requestClass, call.requestClass),
+				deadline: parent.deadline,
+				attempts,
+				signal: parent.signal,
+				giveBack(unused) {
+					parent.spareAttempts += unused;
+				},
+			};
+		},
+		has: (id) => running.has(id),
+		size: () => running.size,
+	};
+}
+
+/**
+ * The first call of an operation is free; a repeat of it, which a target that
+ * retries by itself makes, pays from the pool like any other retry. Half of
+ * what is left goes with the call, so that its siblings have some too.
+ */
+function takeAttempts(parent: RunningRequest, operation: string): number {
+	const made = parent.callsMade.get(operation) ?? 0;
+	parent.callsMade.set(operation, made + 1);
+	if (made > 0) {
+		if (parent.spareAttempts < 1) {
+			return 0;
+		}
+
+		parent.spareAttempts--;
+		return 1;
+	}
+
+	const spare = Math.ceil(parent.spareAttempts / 2);
+	parent.spareAttempts -= spare;
+	return 1 + spare;
+}
+
+/** A class is never raised below the entry: work for a deferrable request stays deferrable. */
+function lowerOf(left: RequestClass, right: RequestClass): RequestClass {
+	return rankOf(left) >= rankOf(right) ? left : right;
+}
--- /dev/null
+++ b/packages/node/src/supervisor.ts
@@ -0,0 +1,120 @@
+/**
+ * The supervisor tree. A child is one task; a child that fails is restarted
+ * alone, after a delay that doubles up to a ceiling, while its siblings go on.
+ *
+ * What goes wrong without it: an unexpected error in one peer's task ends the
+ * process, and every request in flight is cut. One notices restarts of nodes
+ * that follow a single bad peer. Here the error stays with its task, is
+ * reported, and the task starts afresh.
+ */
+import {sleep, type Clock} from '@egretspoke/shared';
+
+/** A task runs until its signal aborts; returning early means that its work is done. */
+export type Task = (signal: AbortSignal) => Promise<void>;
+
+/** A child's failure, for the log. */
+export type ChildFailure = {
+	/** The path within the tree, such as `root/peers/vm-17`. */
+	path: string;
+	error: unknown;
+	/** Milliseconds until the restart. */
+	restartIn: number;
+};
+
+/** A point of the tree that starts and stops children. */
+export type Supervisor = {
+	/** Starts a task and restarts it when it fails. */
+	start(name: string, task: Task): void;
+	/** A supervisor below this one; it stops with it. */
+	branch(name: string): Supervisor;
+	/** Stops one child and waits for its end. */
+	stopChild(name: string): Promise<void>;
+	/** Stops every child and waits for their ends. */
+	stop(): Promise<void>;
+	signal: AbortSignal;
+};
+
+const firstDelay = 50;
+const longestDelay = 5000;
+/** A task that ran this long in milliseconds counts as healthy again. */
+const healthyAfter = 10_000;
+
+/** Creates the root of a tree. */
+export function createSupervisor(
+	clock: Clock,
+	onFailure: (failure: ChildFailure) => void,
+	path = 'root',
+	parent?: AbortSignal,
+): Supervisor {
+	const stopping = new AbortController();
+	const signal = parent
+		? AbortSignal.any([parent, stopping.signal])
+		: stopping.signal;
+	const children = new Map<
+		string,
+		{stop: AbortController; end: Promise<void>}
+	>();
+	const branches: Supervisor[] = [];
+
+	const keepRunning = async (
+		name: string,
+		task: Task,
+		childSignal: AbortSignal,
+	) => {
+		let delay = firstDelay;
+		while (!childSignal.aborted) {
+			const startedAt = clock.now();
+			try {
+				// eslint-disable-next-line no-await-in-loop -- one run after another.
+				await task(childSignal);
+				return;
+			} catch (error) {
+				if (childSignal.aborted) {
+					return;
+				}
+
+				delay =
+					clock.now() - startedAt > healthyAfter
+						? firstDelay
+						: Math.min(delay * 2, longestDelay);
+				onFailure({path: `${path}/${name}`, error, restartIn: delay});
+				// eslint-disable-next-line no-await-in-loop -- the back-off before the next run.
+				await sleep(clock, delay, childSignal);
+			}
+		}
+	};
+
+	return {
+		signal,
+		start(name, task) {
+			const stop = new AbortController();
+			const childSignal = AbortSignal.any([signal, stop.signal]);
+			const end = keepRunning(name, task, childSignal).finally(() => {
+				if (children.get(name)?.stop === stop) {
+					children.delete(name);
+				}
+			});
+			children.set(name, {stop, end});
+		},
+		branch(name) {
+			const branch = createSupervisor(
+				clock,
+				onFailure,
+				`${path}/${name}`,
+				signal,
+			);
+			branches.push(branch);
+			return branch;
+		},
+		async stopChild(name) {
+			const child = children.get(name);
+			child?.stop.abort();
+			await child?.end;
+		},
+		async stop() {
+			stopping.abort();
+			await Promise.all(branches.map(async (branch) => branch.stop()));
+			await Promise.all([...children.values()].map(async ({end}) => end));
+		},
+	};
+}
--- /dev/null
+++ b/packages/node/src/web-socket-channel.ts
@@ -0,0 +1,126 @@
+/** A message channel over one WebSocket, from its handshake to its close. */
+import type {RawData, WebSocket} from 'ws';
+import {err, ok, type Result} from 'neverthrow';
+import {decodeMessage, encodeMessage, type Message} from '@egretspoke/protocol';
+import type {Clock} from '@egretspoke/shared';
+import type {MessageChannel, PeerIdentity} from './message-channel.js';
+import {createMessageQueue, type MessageQueue} from './message-queue.js';
+import {
+	createHandshake,
+	type HandshakeFailure,
+	type HandshakeSide,
+} from './peer-handshake.js';
+
+/** What a channel needs besides its socket. */
+export type ChannelContext = {
+	clock: Clock;
+	self: () => PeerIdentity;
+	secret: string;
+	/** Called when the peer sent what is no message; its channel is closed. */
+	onMalformed: (detail: string) => void;
+};
+
+/** Milliseconds for both sides to finish the handshake: many round trips between regions. */
+export const handshakeTime = 3000;
+
+/**
+ * Bytes waiting in the socket above which nothing more is sent. A peer that
+ * stopped reading would otherwise fill this node's memory; here the caller
+ * learns at once that its request was not sent.
+ */
+const bufferLimit = 8 * 1024 * 1024;
+
+/** Shakes hands and gives the channel, or the reason why there is none. */
+export async function openChannel(
+	socket: WebSocket,
+	side: HandshakeSide,
+	context: ChannelContext,
+): Promise<Result<MessageChannel, HandshakeFailure>> {
+	socket.binaryType = 'nodebuffer';
+	const incoming = createMessageQueue<Message>();
+	socket.on('message', (data) => {
+		const decoded = decodeMessage(toBytes(data));
+		if (decoded.isErr()) {
+			context.onMalformed(decoded.error);
+			socket.close(1002, 'malformed message');
+			incoming.end();
+			return;
+		}
+
+		incoming.push(decoded.value);
+	});
+	socket.on('close', () => {
+		incoming.end();
+	});
+	socket.on('error', () => {
+		incoming.end();
+	});
+
+	let failure: HandshakeFailure = 'closed';
+	const timer = context.clock.setTimer(handshakeTime, () => {
+		failure = 'timeout';
+		socket.terminate();
+	});
+	const handshake = createHandshake(side, context.self(), context.secret);
+	send(socket, handshake.hello);
+	const messages = incoming.read()[Symbol.asyncIterator]();
+	for (;;) {
+		// eslint-disable-next-line no-await-in-loop -- the handshake is a sequence.
+		const next = await messages.next();
+		if (next.done) {
+			timer.cancel();
+			return err(failure);
+		}
+
+		const step = handshake.receive(next.value);
+		if (step.isErr()) {
+			timer.cancel();
+			socket.close(1008, step.error);
+			return err(step.error);
+		}
+
+		if (step.value.kind === 'done') {
+			timer.cancel();
+			return ok(createChannel(socket, step.value.peer, incoming, messages));
+		}
+
+		send(socket, step.value.message);
+	}
+}
+
+function createChannel(
+	socket: WebSocket,
+	peer: PeerIdentity,
+	incoming: MessageQueue<Message>,
+	messages: AsyncIterator<Message>,
+): MessageChannel {
+	return {
+		peer,
+		send: (message) => send(socket, message),
+		receive: () => ({[Symbol.asyncIterator]: () => messages}),
+		close(reason) {
+			incoming.end();
+			socket.close(1000, reason);
+		},
+	};
+}
+
+function send(socket: WebSocket, message: Message): boolean {
+	if (
+		socket.readyState !== socket.OPEN ||
+		socket.bufferedAmount > bufferLimit
+	) {
+		return false;
+	}
+
+	socket.send(encodeMessage(message));
+	return true;
+}
+
+function toBytes(data: RawData): Uint8Array {
+	if (Array.isArray(data)) {
+		return Buffer.concat(data);
+	}
+
+	return data instanceof ArrayBuffer ? new Uint8Array(data) : data;
+}
--- /dev/null
+++ b/packages/node/src/web-socket-transport.ts
@@ -0,0 +1,127 @@
+/** Peer channels over `ws`. */
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import {WebSocket, WebSocketServer} from 'ws';
+import type {MessageChannel, PeerTransport} from './message-channel.js';
+import {openChannel, type ChannelContext} from './web-socket-channel.js';
+
+/** What the transport needs to know. */
+export type WebSocketTransportOptions = ChannelContext & {
+	/** The largest message in bytes: a body and its headers. */
+	messageLimit: number;
+	/** Connections that may shake hands at once; more are refused. */
+	handshakeLimit: number;
+	/** A peer was refused, and why. */
+	onRefused: (detail: string) => void;
+};
+
+/** The transport, and the address that its listener got. */
+export type WebSocketTransport = PeerTransport & {
+	listen(host: string, port: number): Promise<number>;
+};
+
+/** Milliseconds to open a connection; a peer that takes longer is as good as unreachable. */
+const connectTime = 2000;
+
+/** Creates the transport; nothing listens until `listen`. */
+export function createWebSocketTransport(
+	options: WebSocketTransportOptions,
+): WebSocketTransport {
+	const server = createServer((_request, response) => {
+		response.writeHead(426, {connection: 'close'}).end();
+	});
+	const socketServer = new WebSocketServer({
+		server,
+		maxPayload: options.messageLimit,
+		perMessageDeflate: false,
+	});
+	const sockets = new Set<WebSocket>();
+	let handler: (channel: MessageChannel) => void = () => undefined;
+	let shaking = 0;
+
+	const track = (socket: WebSocket) => {
+		sockets.add(socket);
+		socket.on('close', () => sockets.delete(socket));
+	};
+
+	const shake = async (socket: WebSocket) => {
+		shaking++;
+		const channel = await openChannel(socket, 'acceptor', options);
+		shaking--;
+		channel.match(
+			(accepted) => {
+				handler(accepted);
+			},
+			(failure) => {
+				options.onRefused(failure);
+			},
+		);
+	};
+
+	socketServer.on('connection', (socket) => {
+		track(socket);
+		if (shaking >= options.handshakeLimit) {
+			socket.close(1013, 'too many handshakes');
+			options.onRefused('too many handshakes');
+			return;
+		}
+
+		void shake(socket);
+	});
+
+	return {
+		async listen(host, port) {
+			return listen(server, host, port);
+		},
+		async connect(address, signal) {
+			const socket = new WebSocket(`ws://${address}`, {
+				perMessageDeflate: false,
+				handshakeTimeout: connectTime,
+				maxPayload: options.messageLimit,
+			});
+			track(socket);
+			try {
+				await once(socket, 'open', {signal});
+			} catch {
+				socket.on('error', () => undefined);
+				socket.terminate();
+				return undefined;
+			}
+
+			const channel = await openChannel(socket, 'opener', options);
+			return channel.match(
+				(opened) => opened,
+				(failure) => {
+					options.onRefused(failure);
+					return undefined;
+				},
+			);
+		},
+		accept(accepted) {
+			handler = accepted;
+		},
+		async close() {
+			for (const socket of sockets) {
+				socket.terminate();
+			}
+
+			socketServer.close();
+			if (server.listening) {
+				server.close();
+				await once(server, 'close');
+			}
+		},
+	};
+}
+
+/** Listens and gives the port; the error is Node's own, such as EADDRINUSE. */
+export async function listen(
+	server: Server,
+	host: string,
+	port: number,
+): Promise<number> {
+	server.listen(port, host);
+	await once(server, 'listening');
+	const address = server.address();
+	return typeof address === 'object' && address ? address.port : port;
+}
--- a/packages/protocol/src/member.ts
+++ b/packages/protocol/src/member.ts
@@ -52,7 +52,7 @@
 
 /** Reads `<node>@<incarnation>`; undefined when it isn't one. */
 export function parseHome(text: string): Home | undefined {
-	const match = /^(?<node>[^@\s]+)@(?<incarnation>\d{1,15})$/u.exec(text);
+	const match = /^(?<node>[^@\s]+)@(?<incarnation>\d{1,16})$/u.exec(text);
 	return match?.groups
 		? {
 				node: match.groups.node!,
