--- a/packages/node/src/caller-answer.ts
+++ b/packages/node/src/caller-answer.ts
@@ -1,4 +1,5 @@
 /** Writes an outcome as an HTTP answer. */
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {
 	ErrorCode,
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -27,6 +27,8 @@
 } from './caller-request.js';
 import {refuseHere} from './entry-refusal.js';
 import type {ExchangeResult} from './exchange-table.js';
+import {createIdleCounter} from './idle-counter.js';
+import {readOperation} from './ingress.js';
 import {createLinkedAbort} from './linked-abort.js';
 import type {NodeReporter} from './node-reporter.js';
 import {
@@ -67,12 +69,14 @@
 	handleAtHome(request: CallRequest, signal: AbortSignal): Promise<Outcome>;
 	/** Requests that have not been answered yet. */
 	open(): number;
+	/** Resolves when every request has been answered. */
+	whenIdle(): Promise<void>;
 };
 
 /** Creates the entry of one node. */
 export function createEntry(context: EntryContext): Entry {
 	const {clock, reporter, running, self} = context;
-	let open = 0;
+	const idle = createIdleCounter();
 
 	const handle = async (
 		incoming: CallerRequest,
@@ -239,12 +243,7 @@
 
 	return {
 		async handle(incoming, signal) {
-			open++;
-			try {
-				return await handle(incoming, signal);
-			} finally {
-				open--;
-			}
+			return idle.during(async () => handle(incoming, signal));
 		},
 		async handleAtHome(request, signal) {
 			const barred = context.refusalOf();
@@ -253,8 +252,10 @@
 			}
 
 			const deadline = clock.now() + request.timeLeft;
-			return handleKey({request, operation: '', deadline}, signal);
+			const call = {request, operation: readOperation(request), deadline};
+			return idle.during(async () => handleKey(call, signal));
 		},
-		open: () => open,
+		open: idle.count,
+		whenIdle: idle.whenIdle,
 	};
 }
--- a/packages/node/src/http-target-client.ts
+++ b/packages/node/src/http-target-client.ts
@@ -1,4 +1,5 @@
 /** The target beside the node, reached by HTTP through undici. */
+import {Buffer} from 'node:buffer';
 import {Agent, type Dispatcher} from 'undici';
 import {headerNames, type CallRequest} from '@egretspoke/protocol';
 import type {TargetClient, TargetResult} from './target-client.js';
@@ -40,7 +41,14 @@
 	});
 	return {
 		async send(request, timeLeft, signal) {
-			return dispatch(agent, options.address, request, timeLeft, signal);
+			const exchange = {
+				origin: `http://${options.address}`,
+				path: request.path,
+				method: request.method,
+				headers: writeHeaders(request, timeLeft),
+				body: request.body.length === 0 ? null : request.body,
+			};
+			return dispatch(agent, exchange, signal);
 		},
 		async close() {
 			await agent.close();
@@ -72,9 +80,7 @@
 /** One exchange, written straight on undici's dispatch: no streams in between. */
 async function dispatch(
 	agent: Agent,
-	address: string,
-	request: CallRequest,
-	timeLeft: number,
+	exchange: Dispatcher.DispatchOptions,
 	signal: AbortSignal,
 ): Promise<TargetResult> {
 	return new Promise((resolve) => {
@@ -95,37 +101,28 @@
 		};
 
 		signal.addEventListener('abort', abort);
-		agent.dispatch(
-			{
-				origin: `http://${address}`,
-				path: request.path,
-				method: request.method,
-				headers: writeHeaders(request, timeLeft),
-				body: request.body.length === 0 ? null : request.body,
+		agent.dispatch(exchange, {
+			onRequestStart(started) {
+				isConnected = true;
+				controller = started;
+				if (signal.aborted) {
+					started.abort(new Error('cancelled'));
+				}
+			},
+			onResponseStart(_controller, statusCode, incoming) {
+				status = statusCode;
+				headers = readHeaders(incoming);
+			},
+			onResponseData(_controller, chunk) {
+				chunks.push(chunk);
+			},
+			onResponseEnd() {
+				finish(readResult(status, headers, Buffer.concat(chunks)));
 			},
-			{
-				onRequestStart(started) {
-					isConnected = true;
-					controller = started;
-					if (signal.aborted) {
-						started.abort(new Error('cancelled'));
-					}
-				},
-				onResponseStart(_controller, statusCode, incoming) {
-					status = statusCode;
-					headers = readHeaders(incoming);
-				},
-				onResponseData(_controller, chunk) {
-					chunks.push(chunk);
-				},
-				onResponseEnd() {
-					finish(readResult(status, headers, Buffer.concat(chunks)));
-				},
-				onResponseError(_controller, error) {
-					finish(readFailure(isConnected, status, error));
-				},
+			onResponseError(_controller, error) {
+				finish(readFailure(isConnected, status, error));
 			},
-		);
+		});
 	});
 }
 
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,3 +1,7 @@
 export type * from './caller-request.js';
 export type * from './message-channel.js';
+export * from './node-core.js';
+export * from './node-reporter.js';
+export * from './request-chain.js';
+export * from './supervisor.js';
 export type * from './target-client.js';
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -24,6 +24,7 @@
 	RefusalDecision,
 } from '@egretspoke/decisions';
 import type {Clock, Timer} from '@egretspoke/shared';
+import {createIdleCounter} from './idle-counter.js';
 import type {NodeReporter} from './node-reporter.js';
 import type {RunningRequests} from './running-requests.js';
 import type {TargetClient, TargetResult} from './target-client.js';
@@ -64,10 +65,9 @@
 	const {clock, admission, reporter} = context;
 	const waiting = new Map<string, Waiting>();
 	let attempts = 0;
-	let inFlight = 0;
+	const idle = createIdleCounter();
 	let isLeaving = false;
 	let wake: Timer | undefined;
-	let idleWaiters: Array<() => void> = [];
 
 	const takeTurns = () => {
 		for (const turn of admission.turns(clock.now())) {
@@ -93,16 +93,9 @@
 	};
 
 	const ended = (facts: CallFacts, completion: Completion) => {
-		inFlight--;
+		idle.leave();
 		admission.finish(facts.id, completion, clock.now());
 		takeTurns();
-		if (inFlight === 0) {
-			for (const waiter of idleWaiters) {
-				waiter();
-			}
-
-			idleWaiters = [];
-		}
 	};
 
 	/** Waits for a turn; a caller that gives up while waiting takes its request back. */
@@ -142,13 +135,13 @@
 		signal: AbortSignal,
 	): Promise<Outcome> => {
 		const startedAt = clock.now();
-		inFlight++;
+		idle.enter();
 		const stop = new AbortController();
 		const combined = AbortSignal.any([signal, stop.signal]);
 		// A process that was frozen here wakes with its old plans; the deadline
 		// is read again so that nothing starts for a caller that has gone.
 		const late = checkLate(facts, startedAt, context.refusalOf());
-		if (late || signal.aborted || !ticket.handOver()) {
+		if (late !== undefined || signal.aborted || !ticket.handOver()) {
 			ended(facts, {duration: 0, result: 'cancelled'});
 			return refuseTicket(ticket, late ?? ErrorCode.CallerGone);
 		}
@@ -232,14 +225,8 @@
 		},
 		isLeaving: () => isLeaving,
 		report: () => admission.report(clock.now()),
-		inFlight: () => inFlight,
-		async whenIdle() {
-			if (inFlight > 0) {
-				await new Promise<void>((resolve) => {
-					idleWaiters.push(resolve);
-				});
-			}
-		},
+		inFlight: idle.count,
+		whenIdle: idle.whenIdle,
 	};
 }
 
--- a/packages/node/src/message-queue.ts
+++ b/packages/node/src/message-queue.ts
@@ -20,6 +20,11 @@
 		wake = undefined;
 	};
 
+	const nextSignal = async () =>
+		new Promise<void>((resolve) => {
+			wake = resolve;
+		});
+
 	return {
 		push(value) {
 			if (!isEnded) {
@@ -45,9 +50,7 @@
 				}
 
 				// eslint-disable-next-line no-await-in-loop -- waits for the next value.
-				await new Promise<void>((resolve) => {
-					wake = resolve;
-				});
+				await nextSignal();
 			}
 		},
 		length: () => values.length,
--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -21,11 +21,11 @@
 
 /** What a node does for its peers. */
 export type PeerServices = {
+	reporter: NodeReporter;
 	call(message: CallMessage, signal: AbortSignal): Promise<ExchangeResult>;
 	probe(message: ProbeMessage, peer: PeerIdentity): AcknowledgementMessage;
 	configurationBody(): ConfigurationBodyMessage | undefined;
 	takeConfigurationBody(message: ConfigurationBodyMessage): void;
-	reporter: NodeReporter;
 };
 
 /** A peer over an open channel. */
--- a/packages/node/src/peer-handshake.ts
+++ b/packages/node/src/peer-handshake.ts
@@ -7,6 +7,7 @@
  * notices members nobody started. The signature covers the signer's side and
  * name and the other's challenge, so a recorded or reflected one is of no use.
  */
+import {Buffer} from 'node:buffer';
 import {createHmac, randomBytes, timingSafeEqual} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
 import {protocolVersion, type Message} from '@egretspoke/protocol';
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -111,11 +111,6 @@
 	};
 
 	const open = async (address: string): Promise<PeerConnection | undefined> => {
-		const last = failedAt.get(address);
-		if (last !== undefined && clock.now() - last < reconnectDelay) {
-			return undefined;
-		}
-
 		const channel = await transport.connect(address, supervisor.signal);
 		opening.delete(address);
 		if (!channel) {
@@ -138,11 +133,15 @@
 			return known;
 		}
 
+		const failed = failedAt.get(address);
+		if (failed !== undefined && clock.now() - failed < reconnectDelay) {
+			return undefined;
+		}
+
 		let pending = opening.get(address);
 		if (!pending) {
 			pending = open(address);
 			opening.set(address, pending);
-			void pending.finally(() => opening.delete(address));
 		}
 
 		return pending;
--- a/packages/node/src/request-body.ts
+++ b/packages/node/src/request-body.ts
@@ -1,4 +1,5 @@
 /** Reads a request's body whole, within a limit. */
+import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
 
--- a/packages/node/src/supervisor.ts
+++ b/packages/node/src/supervisor.ts
@@ -23,6 +23,8 @@
 
 /** A point of the tree that starts and stops children. */
 export type Supervisor = {
+	/** Aborts when this point of the tree stops. */
+	signal: AbortSignal;
 	/** Starts a task and restarts it when it fails. */
 	start(name: string, task: Task): void;
 	/** A supervisor below this one; it stops with it. */
@@ -31,7 +33,6 @@
 	stopChild(name: string): Promise<void>;
 	/** Stops every child and waits for their ends. */
 	stop(): Promise<void>;
-	signal: AbortSignal;
 };
 
 const firstDelay = 50;
@@ -89,12 +90,14 @@
 		start(name, task) {
 			const stop = new AbortController();
 			const childSignal = AbortSignal.any([signal, stop.signal]);
-			const end = keepRunning(name, task, childSignal).finally(() => {
+			const run = async () => {
+				await keepRunning(name, task, childSignal);
 				if (children.get(name)?.stop === stop) {
 					children.delete(name);
 				}
-			});
-			children.set(name, {stop, end});
+			};
+
+			children.set(name, {stop, end: run()});
 		},
 		branch(name) {
 			const branch = createSupervisor(
--- a/packages/node/src/web-socket-channel.ts
+++ b/packages/node/src/web-socket-channel.ts
@@ -1,4 +1,5 @@
 /** A message channel over one WebSocket, from its handshake to its close. */
+import {Buffer} from 'node:buffer';
 import type {RawData, WebSocket} from 'ws';
 import {err, ok, type Result} from 'neverthrow';
 import {decodeMessage, encodeMessage, type Message} from '@egretspoke/protocol';
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -12,7 +12,10 @@
 export const protocolVersion = 1;
 
 const identifier = z.string().min(1).max(200);
-const bytes = z.instanceof(Uint8Array);
+const bytes = z.custom<Uint8Array>(
+	(value) => value instanceof Uint8Array,
+	'expected bytes',
+);
 const headers = z.record(z.string(), z.string());
 
 /** The first message of either side. */
