--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -9,25 +9,27 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {ErrorCode} from '@egretspoke/protocol';
+import {ErrorCode, type TargetAnnouncement} from '@egretspoke/protocol';
 import {writeOutcome} from './caller-answer.js';
 import type {CallerEntry, CallerOutcome} from './caller-request.js';
 import {readBody} from './request-body.js';
 import {readCallerRequest} from './caller-request-reader.js';
 import {refuseHere} from './entry-refusal.js';
 import type {NodeReporter} from './node-reporter.js';
+import {isAnnouncement, readAnnouncement} from './target-announcement.js';
 import {listen} from './web-socket-transport.js';
 
 /** Bounds of the listener; times in milliseconds, sizes in bytes. */
 export type CallerListenerOptions = {
 	entry: CallerEntry;
 	reporter: NodeReporter;
-	/** The name of callers that give none, from their address. */
 	bodyLimit: number;
 	headerLimit: number;
 	connectionLimit: number;
 	/** For a whole request to arrive; a slow sender is cut off after it. */
 	requestTime: number;
+	/** Takes the announcement of the target beside the node. */
+	announce(announcement: TargetAnnouncement): void;
 };
 
 /** The listener. */
@@ -133,10 +135,36 @@
 			gone.abort();
 		}
 	});
+	if (isAnnouncement(request)) {
+		await takeAnnouncement(request, response, options);
+		return;
+	}
+
 	const outcome = await answer(request, options, gone.signal);
 	writeOutcome(response, outcome);
 }
 
+async function takeAnnouncement(
+	request: IncomingMessage,
+	response: ServerResponse,
+	{announce, bodyLimit, reporter}: CallerListenerOptions,
+): Promise<void> {
+	const body = await readBody(request, bodyLimit);
+	const announcement = body
+		.mapErr(String)
+		.andThen((whole) => readAnnouncement(request, whole));
+	announcement.match(
+		(value) => {
+			announce(value);
+			response.writeHead(204).end();
+		},
+		(fault) => {
+			reporter.notice({name: 'malformedRequest', fault: 'announcement'});
+			response.writeHead(400).end(`${fault}\n`);
+		},
+	);
+}
+
 async function answer(
 	request: IncomingMessage,
 	options: CallerListenerOptions,
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -77,16 +77,23 @@
 	reporter: NodeReporter;
 	control: CoreControl;
 	ledger: Omit<LedgerOptions, 'clock'>;
-	/** Absent on a node without a target. */
-	target?: {announcement: TargetAnnouncement; client: TargetClient};
+};
+
+/** The target beside the node, once it has announced itself. */
+export type CoreTarget = {
+	announcement: TargetAnnouncement;
+	client: TargetClient;
 };
 
 /** A node's core. */
 export type NodeCore = {
 	entry: Entry;
-	ingress: Ingress | undefined;
 	peers: Peers;
 	ledger: Ledger;
+	/** Undefined until the target has announced itself. */
+	ingress(): Ingress | undefined;
+	/** Takes the target's announcement; a second one replaces the first. */
+	announce(target: CoreTarget): void;
 	/** To be called when members have changed. */
 	membersChanged(): void;
 	/** No new work for the target from now on; the entry still serves. */
@@ -114,7 +121,7 @@
 		return control.isSuspended() ? ErrorCode.NodeSuspended : undefined;
 	};
 
-	const ingress = createTargetIngress(context, running, refusalOf);
+	let ingress: TargetIngress | undefined;
 
 	const runHere = async (
 		request: CallRequest,
@@ -199,7 +206,12 @@
 
 	return {
 		entry,
-		ingress,
+		ingress: () => ingress,
+		announce(target) {
+			// Requests at the target go on under the old limits to their ends.
+			ingress?.leave();
+			ingress = createTargetIngress(context, target, running, refusalOf);
+		},
 		peers,
 		ledger,
 		membersChanged: createCandidateUpdater(context, routing),
@@ -220,23 +232,11 @@
 type TargetIngress = Ingress & {service: string};
 
 function createTargetIngress(
-	{
-		clock,
-		control,
-		dataCentre,
-		policy,
-		random,
-		reporter,
-		target,
-	}: NodeCoreContext,
+	{clock, dataCentre, policy, random, reporter}: NodeCoreContext,
+	{announcement, client}: CoreTarget,
 	running: RunningRequests,
 	refusalOf: () => ErrorCode | undefined,
-): TargetIngress | undefined {
-	if (!target) {
-		return undefined;
-	}
-
-	const {announcement, client} = target;
+): TargetIngress {
 	const admission: AdmissionPolicy = policy.createAdmission({
 		dataCentre,
 		random: random.fork(),
