--- /dev/null
+++ b/packages/stand-ins/src/target-main.ts
@@ -0,0 +1,47 @@
+/**
+ * A stand-in target as a process of its own:
+ * `node target-main.js '{"service":"orders","slots":8,…}'`. It prints one line
+ * of JSON with its address, and announces itself when it reads `announce` with
+ * the address of its node.
+ */
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {createSystemClock} from '@egretspoke/shared';
+import {z} from 'zod';
+import {startTargetStandIn} from './target-stand-in.js';
+
+const optionsSchema = z.object({
+	service: z.string(),
+	slots: z.number(),
+	connections: z.number(),
+	serviceTime: z.number(),
+	calls: z.array(z.string()).default([]),
+	nodeAddress: z.string(),
+	host: z.string().default('127.0.0.1'),
+	port: z.number().default(0),
+});
+
+const options = optionsSchema.parse(JSON.parse(process.argv[2] ?? '{}'));
+const target = await startTargetStandIn({
+	...options,
+	clock: createSystemClock({keepAlive: true}),
+});
+process.stdout.write(`${JSON.stringify({address: target.address})}\n`);
+
+/** Its runs, on `runs`; the announcement, on `announce`. */
+const commands: Record<string, () => Promise<unknown>> = {
+	async announce() {
+		await target.announce();
+		return {announced: true};
+	},
+	async runs() {
+		return {runs: Object.fromEntries(target.runs)};
+	},
+};
+
+for await (const line of createInterface({input: process.stdin})) {
+	const answer = (await commands[line]?.()) ?? {error: 'no such command'};
+	process.stdout.write(`${JSON.stringify(answer)}\n`);
+}
+
+await target.close();
--- /dev/null
+++ b/packages/stand-ins/src/target-stand-in.ts
@@ -0,0 +1,158 @@
+/**
+ * A target that stands in for a service: N slots, a service time, calls to
+ * deeper services through its own node. It announces itself to its node and
+ * counts what ran, so that a proof can ask it.
+ */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	createServer,
+	type IncomingMessage,
+	type ServerResponse,
+} from 'node:http';
+import {Agent, request as send} from 'undici';
+import {headerNames} from '@egretspoke/protocol';
+import {sleep, type Clock} from '@egretspoke/shared';
+
+/** What the stand-in is built from. */
+export type TargetStandInOptions = {
+	clock: Clock;
+	service: string;
+	slots: number;
+	connections: number;
+	/** Milliseconds that each request takes besides its calls. */
+	serviceTime: number;
+	/** Services called for each request, one after another. */
+	calls: string[];
+	/** The caller listener of its node, `ip:port`. */
+	nodeAddress: string;
+	/** Where to listen; port 0 chooses a free one. */
+	host: string;
+	port: number;
+};
+
+/** A running stand-in. */
+export type TargetStandIn = {
+	/** `ip:port`. */
+	address: string;
+	announce(): Promise<void>;
+	/** How often each request id ran. */
+	runs: ReadonlyMap<string, number>;
+	close(): Promise<void>;
+};
+
+/** What the stand-in answers, for people to read. */
+type StandInAnswer = {
+	service: string;
+	request: string;
+	requestClass: string;
+	millisecondsLeft: number;
+	attemptsLeft: number;
+	deeper: unknown[];
+};
+
+/** Starts a target; it is announced separately, once its node listens. */
+export async function startTargetStandIn(
+	options: TargetStandInOptions,
+): Promise<TargetStandIn> {
+	const agent = new Agent({connections: options.connections});
+	const runs = new Map<string, number>();
+	let running = 0;
+	const server = createServer((request, response) => {
+		void serve(request, response);
+	});
+
+	const serve = async (request: IncomingMessage, response: ServerResponse) => {
+		const body = await readAll(request);
+		if (running >= options.slots) {
+			response.writeHead(503, {[headerNames.shed]: 'not-run', 'retry-after': 1});
+			response.end();
+			return;
+		}
+
+		running++;
+		const id = readHeader(request, headerNames.request);
+		runs.set(id, (runs.get(id) ?? 0) + 1);
+		await sleep(options.clock, options.serviceTime);
+		const deeper = await callDeeper(agent, options, request);
+		running--;
+		const isOk = deeper.every(({status}) => status < 400);
+		response.writeHead(isOk ? 200 : 502, {'content-type': 'application/json'});
+		const answer: StandInAnswer = {
+			service: options.service,
+			request: id,
+			requestClass: readHeader(request, headerNames.requestClass),
+			millisecondsLeft: Number(readHeader(request, headerNames.deadline)),
+			attemptsLeft: Number(readHeader(request, headerNames.attempts)),
+			deeper: deeper.map(({answer: below}) => below),
+		};
+		response.end(JSON.stringify({...answer, received: body.length}));
+	};
+
+	server.listen(options.port, options.host);
+	await once(server, 'listening');
+	const address = server.address();
+	const port = typeof address === 'object' && address ? address.port : 0;
+	return {
+		address: `${options.host}:${port}`,
+		runs,
+		async announce() {
+			const {service, slots, connections} = options;
+			const answer = await send(
+				`http://${options.nodeAddress}/.egretspoke/announcement`,
+				{
+					method: 'POST',
+					dispatcher: agent,
+					body: JSON.stringify({service, slots, connections}),
+				},
+			);
+			await answer.body.dump();
+			if (answer.statusCode !== 204) {
+				throw new Error(`announcement refused: ${answer.statusCode}`);
+			}
+		},
+		async close() {
+			server.close();
+			server.closeAllConnections();
+			await agent.close();
+		},
+	};
+}
+
+async function callDeeper(
+	agent: Agent,
+	options: TargetStandInOptions,
+	request: IncomingMessage,
+): Promise<Array<{status: number; answer: unknown}>> {
+	const answers = [];
+	for (const service of options.calls) {
+		// eslint-disable-next-line no-await-in-loop -- a chain is called in order.
+		const answer = await send(`http://${options.nodeAddress}/${service}`, {
+			dispatcher: agent,
+			headers: {
+				[headerNames.service]: service,
+				[headerNames.request]: readHeader(request, headerNames.request),
+				[headerNames.caller]: options.service,
+			},
+		});
+		// eslint-disable-next-line no-await-in-loop -- its body belongs to it.
+		const body: unknown = await answer.body.json();
+		answers.push({status: answer.statusCode, answer: body});
+	}
+
+	return answers;
+}
+
+function readHeader(request: IncomingMessage, name: string): string {
+	const value = request.headers[name];
+	return typeof value === 'string' ? value : '';
+}
+
+async function readAll(request: IncomingMessage): Promise<Uint8Array> {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of request) {
+		chunks.push(chunk as Uint8Array);
+	}
+
+	return Buffer.concat(chunks);
+}
