--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,2 +1,3 @@
 export * from './memory-platform.js';
 export * from './platform-stand-in.js';
+export * from './target-stand-in.js';
--- a/packages/stand-ins/src/target-stand-in.ts
+++ b/packages/stand-ins/src/target-stand-in.ts
@@ -35,9 +35,9 @@
 export type TargetStandIn = {
 	/** `ip:port`. */
 	address: string;
-	announce(): Promise<void>;
 	/** How often each request id ran. */
 	runs: ReadonlyMap<string, number>;
+	announce(): Promise<void>;
 	close(): Promise<void>;
 };
 
@@ -65,7 +65,10 @@
 	const serve = async (request: IncomingMessage, response: ServerResponse) => {
 		const body = await readAll(request);
 		if (running >= options.slots) {
-			response.writeHead(503, {[headerNames.shed]: 'not-run', 'retry-after': 1});
+			response.writeHead(503, {
+				[headerNames.shed]: 'not-run',
+				'retry-after': '1',
+			});
 			response.end();
 			return;
 		}
