--- a/packages/node/src/attempts.ts
+++ b/packages/node/src/attempts.ts
@@ -79,6 +79,7 @@
 				name: decision.kind === 'retry' ? 'retried' : 'retryRefused',
 				request: request.id,
 				reason: decision.reason,
+				service: request.service,
 			});
 			if (decision.kind === 'refuse') {
 				const {code, reason, retryAfter} = decision;
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -24,6 +24,7 @@
 	name: DecisionName;
 	request: string;
 	reason: string;
+	service?: string;
 	details?: Record<string, string | number>;
 };
 
@@ -36,6 +37,7 @@
 	| {name: 'peerLost'; peer: string}
 	| {name: 'childFailed'; path: string; detail: string; restartIn: number}
 	| {name: 'malformedRequest'; fault: string}
+	| {name: 'operatorRefused'; detail: string}
 	| {name: 'suspended'; pause: number}
 	| {name: 'leaving'; reason: string}
 	| {name: 'drained'; cut: number}
