fix(node): the opener listens before the socket opens

Cause: the acceptor's hello can come with the bytes of the upgrade; the opener attached its listener one turn later, missed it and called the proof that followed nonsense. Ruled out: a wrong order of messages at the acceptor (its log shows hello, proof). Change: listeners stand before the socket opens, the hello goes out on open.

--- a/packages/node/src/web-socket-channel.ts
+++ b/packages/node/src/web-socket-channel.ts
@@ -31,7 +31,11 @@
  */
 const bufferLimit = 8 * 1024 * 1024;
 
-/** Shakes hands and gives the channel, or the reason why there is none. */
+/**
+ * Shakes hands and gives the channel, or the reason why there is none. It may
+ * be called while the socket still connects: the peer's hello can come with
+ * the very bytes that open it, and must find a listener.
+ */
 export async function openChannel(
 	socket: WebSocket,
 	side: HandshakeSide,
@@ -63,7 +67,16 @@
 		socket.terminate();
 	});
 	const handshake = createHandshake(side, context.self(), context.secret);
-	send(socket, handshake.hello);
+	const greet = () => {
+		send(socket, handshake.hello);
+	};
+
+	if (socket.readyState === socket.OPEN) {
+		greet();
+	} else {
+		socket.once('open', greet);
+	}
+
 	const messages = incoming.read()[Symbol.asyncIterator]();
 	for (;;) {
 		// eslint-disable-next-line no-await-in-loop -- the handshake is a sequence.
--- a/packages/node/src/web-socket-transport.ts
+++ b/packages/node/src/web-socket-transport.ts
@@ -80,15 +80,13 @@
 				maxPayload: options.messageLimit,
 			});
 			track(socket);
-			try {
-				await once(socket, 'open', {signal});
-			} catch {
-				socket.on('error', () => undefined);
+			const abort = () => {
 				socket.terminate();
-				return undefined;
-			}
+			};
 
+			signal.addEventListener('abort', abort);
 			const channel = await openChannel(socket, 'opener', options);
+			signal.removeEventListener('abort', abort);
 			return channel.match(
 				(opened) => opened,
 				(failure) => {
