--- /dev/null
+++ b/packages/node/__tests__/running-requests.spec.ts
@@ -0,0 +1,76 @@
+import {expect} from 'chai';
+import {createRunningRequests} from '../src/running-requests.js';
+
+function createParent(spareAttempts: number) {
+	const running = createRunningRequests();
+	running.add({
+		id: 'parent',
+		requestClass: 'deferrable',
+		deadline: 500,
+		spareAttempts,
+		callsMade: new Map(),
+		signal: new AbortController().signal,
+	});
+	const allot = (operation: string) => {
+		const allotment = running.allot('parent', {
+			service: 'loft-queues',
+			operation,
+			requestClass: 'essential',
+		});
+		return allotment === 'spent' ? 0 : (allotment?.attempts ?? Number.NaN);
+	};
+
+	return {running, allot};
+}
+
+describe('running requests', () => {
+	it('knows nothing of a request that does not run here', () => {
+		const {running} = createParent(0);
+		const call = {
+			service: 's',
+			operation: 'GET /',
+			requestClass: 'normal',
+		} as const;
+		expect(running.allot('other', call)).to.equal(undefined);
+	});
+
+	it('never raises the class and never extends the deadline', () => {
+		const {running} = createParent(0);
+		const allotment = running.allot('parent', {
+			service: 's',
+			operation: 'GET /',
+			requestClass: 'essential',
+		});
+		expect(allotment).to.include({requestClass: 'deferrable', deadline: 500});
+	});
+
+	describe('with a target that retries by itself', () => {
+		it('gives its repeats nothing beyond the pool', () => {
+			// The target of a middle layer calls a slow service three times by
+			// itself. Without the pool each try would start with fresh attempts,
+			// and the slow service would get three times the load.
+			const {allot} = createParent(1);
+			const given = [
+				allot('GET /q'),
+				allot('GET /q'),
+				allot('GET /q'),
+				allot('GET /q'),
+			];
+			expect(given).to.deep.equal([2, 0, 0, 0]);
+		});
+
+		it('lets a repeat use what is left', () => {
+			const {allot} = createParent(3);
+			expect([allot('GET /q'), allot('GET /q'), allot('GET /q')]).to.deep.equal(
+				[3, 1, 0],
+			);
+		});
+	});
+
+	it('leaves siblings their first attempts and a part of the pool', () => {
+		const {allot} = createParent(2);
+		expect([allot('GET /a'), allot('GET /b'), allot('GET /c')]).to.deep.equal([
+			2, 2, 1,
+		]);
+	});
+});
--- /dev/null
+++ b/packages/node/__tests__/supervisor.spec.ts
@@ -0,0 +1,63 @@
+import {expect} from 'chai';
+import {createVirtualClock, sleep} from '@egretspoke/shared';
+import {createSupervisor, type ChildFailure} from '../src/supervisor.js';
+
+describe('supervisor', () => {
+	const create = () => {
+		const clock = createVirtualClock();
+		const failures: ChildFailure[] = [];
+		const supervisor = createSupervisor(clock, (failure) =>
+			failures.push(failure),
+		);
+		return {clock, failures, supervisor};
+	};
+
+	it('restarts a failed child alone, later each time', async () => {
+		// One peer's task throws on every start. Without the supervisor its
+		// error would end the process and every request in flight with it.
+		const {clock, failures, supervisor} = create();
+		let siblingTurns = 0;
+		supervisor.start('faulty', async () => {
+			throw new Error('broken');
+		});
+		supervisor.start('sibling', async (signal) => {
+			while (!signal.aborted) {
+				// eslint-disable-next-line no-await-in-loop -- a task that ticks.
+				await sleep(clock, 100, signal);
+				siblingTurns++;
+			}
+		});
+		await clock.runTo(1000);
+		expect(failures.map(({restartIn}) => restartIn)).to.deep.equal([
+			100, 200, 400, 800,
+		]);
+		expect(failures[0]?.path).to.equal('root/faulty');
+		expect(siblingTurns).to.equal(10);
+	});
+
+	it('never waits longer than five seconds before a restart', async () => {
+		const {clock, failures, supervisor} = create();
+		supervisor.start('faulty', async () => {
+			throw new Error('broken');
+		});
+		await clock.runTo(60_000);
+		expect(Math.max(...failures.map(({restartIn}) => restartIn))).to.equal(
+			5000,
+		);
+	});
+
+	it('stops children of every branch and waits for them', async () => {
+		const {clock, supervisor} = create();
+		const ended: string[] = [];
+		const task = (name: string) => async (signal: AbortSignal) => {
+			await sleep(clock, 1e9, signal);
+			ended.push(name);
+		};
+
+		supervisor.start('one', task('one'));
+		supervisor.branch('below').start('two', task('two'));
+		await clock.runTo(1);
+		await supervisor.stop();
+		expect(ended.toSorted()).to.deep.equal(['one', 'two']);
+	});
+});
--- a/packages/node/src/peer-handshake.ts
+++ b/packages/node/src/peer-handshake.ts
@@ -22,7 +22,7 @@
 
 /** One side's progress through a handshake. */
 export type Handshake = {
-	hello: Message;
+	hello: Extract<Message, {type: 'hello'}>;
 	/** Takes the next message of the other side. */
 	receive(message: Message): Result<HandshakeStep, HandshakeFailure>;
 };
