--- /dev/null
+++ b/packages/command/src/demo-processes.ts
@@ -0,0 +1,185 @@
+/**
+ * The processes of the demonstration: the platform's stand-in, and for each
+ * VM a stand-in target with its node. Everything listens on loopback, on ports
+ * that the system chooses.
+ */
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {stringify} from 'yaml';
+import type {Child, startChild, readJson} from '@egretspoke/stand-ins';
+
+/** One VM of the demonstration. */
+export type DemoMachine = {
+	node: string;
+	dataCentre: string;
+	service: string;
+	calls: string[];
+	/** Milliseconds of the target's own work. */
+	serviceTime: number;
+};
+
+/** A VM that runs. */
+export type DemoNode = DemoMachine & {
+	/** `ip:port` of the listeners for callers and for operators. */
+	caller: string;
+	admin: string;
+	process: Child;
+	target: Child;
+};
+
+/** Everything that runs. */
+export type DemoCluster = {
+	nodes: DemoNode[];
+	/** Runs the operator program and resolves with its exit code and output. */
+	operate(
+		admin: string,
+		parameters: string[],
+	): Promise<{code: number | undefined; output: string; errors: string}>;
+	/** Writes a file that the operator program can read. */
+	write(name: string, text: string): Promise<string>;
+	/** Ends everything; the number of processes that did not end by themselves. */
+	stop(): Promise<number>;
+};
+
+type StandIns = {
+	startChild: typeof startChild;
+	readJson: typeof readJson;
+};
+
+const slots = 8;
+const connections = 64;
+
+/** The stand-ins ship with the repository only. */
+export async function loadStandIns(): Promise<StandIns | undefined> {
+	try {
+		return await import('@egretspoke/stand-ins');
+	} catch {
+		return undefined;
+	}
+}
+
+/** Starts the processes one after another and resolves when all serve. */
+export async function startCluster(
+	standIns: StandIns,
+	machines: DemoMachine[],
+	say: (line: string) => void,
+): Promise<DemoCluster> {
+	const directory = await mkdtemp(path.join(tmpdir(), 'egretspoke-demo-'));
+	const children: Child[] = [];
+	const start = (script: string, parameters: string[]) => {
+		const child = standIns.startChild({script, parameters});
+		children.push(child);
+		return child;
+	};
+
+	const write = async (name: string, text: string) => {
+		const file = path.join(directory, name);
+		await writeFile(file, text);
+		return file;
+	};
+
+	const startMachine = async (
+		machine: DemoMachine,
+		platform: string,
+	): Promise<DemoNode> => {
+		const {service, calls, serviceTime, node, dataCentre} = machine;
+		const target = start(scriptOf('@egretspoke/stand-ins', 'target-main.js'), [
+			JSON.stringify({service, slots, connections, serviceTime, calls}),
+		]);
+		const targetAddress = await target.waitFor((line) =>
+			readText(standIns, line, 'address'),
+		);
+		const settings = await write(
+			`${node}.yaml`,
+			stringify({
+				node,
+				dataCentre,
+				listeners: {
+					caller: '127.0.0.1:0',
+					peer: '127.0.0.1:0',
+					admin: '127.0.0.1:0',
+				},
+				platform: {address: `http://${platform}`},
+				target: {address: targetAddress},
+				logs: {format: 'json', level: 'info'},
+			}),
+		);
+		const child = start(scriptOf('@egretspoke/node', 'main.js'), [
+			'--settings',
+			settings,
+		]);
+		const {caller, admin} = await child.waitFor((line) =>
+			readStarted(standIns, line),
+		);
+		await target.ask(`announce ${caller}`);
+		say(`${node} serves ${service} in ${dataCentre}: callers ${caller}`);
+		return {...machine, caller, admin, process: child, target};
+	};
+
+	const platform = start(
+		scriptOf('@egretspoke/stand-ins', 'platform-main.js'),
+		[],
+	);
+	const platformAddress = await platform.waitFor((line) =>
+		readText(standIns, line, 'address'),
+	);
+	say(`the platform's stand-in listens on ${platformAddress}`);
+	const nodes = await Promise.all(
+		machines.map(async (machine) => startMachine(machine, platformAddress)),
+	);
+	return {
+		nodes,
+		write,
+		async operate(admin, parameters) {
+			const child = start(scriptOf('@egretspoke/command', 'main.js'), [
+				...parameters,
+				'--node',
+				admin,
+			]);
+			const code = await child.exited;
+			return {code, output: child.lines.join('\n'), errors: child.errors()};
+		},
+		async stop() {
+			for (const {process: child} of nodes) {
+				child.signal('SIGTERM');
+			}
+
+			const codes = await Promise.all(
+				nodes.map(async ({process: child}) => child.exited),
+			);
+			await Promise.all(children.map(async (child) => child.kill()));
+			await rm(directory, {recursive: true});
+			return codes.filter((code) => code !== 0).length;
+		},
+	};
+}
+
+function scriptOf(packageName: string, script: string): string {
+	const door = fileURLToPath(import.meta.resolve(packageName));
+	return path.join(path.dirname(door), script);
+}
+
+function readText(
+	{readJson}: StandIns,
+	line: string,
+	name: string,
+): string | undefined {
+	const value = readJson(line)?.[name];
+	return typeof value === 'string' ? value : undefined;
+}
+
+function readStarted(
+	standIns: StandIns,
+	line: string,
+): {caller: string; admin: string} | undefined {
+	if (readText(standIns, line, 'name') !== 'started') {
+		return undefined;
+	}
+
+	const caller = readText(standIns, line, 'caller');
+	const admin = readText(standIns, line, 'admin');
+	return caller && admin ? {caller, admin} : undefined;
+}
--- /dev/null
+++ b/packages/command/src/demo.ts
@@ -0,0 +1,259 @@
+/**
+ * The demonstration: one request served end to end by separate processes on
+ * embedded stand-ins, with what happened at each step. It fails, with a
+ * non-zero exit code, when any step does.
+ */
+import process from 'node:process';
+import {setTimeout as wait} from 'node:timers/promises';
+import {
+	explanationSchema,
+	nodeStatusSchema,
+	planSchema,
+	type Explanation,
+} from '@egretspoke/protocol';
+import {request as send} from 'undici';
+import {
+	loadStandIns,
+	startCluster,
+	type DemoCluster,
+	type DemoMachine,
+	type DemoNode,
+} from './demo-processes.js';
+
+const machines: DemoMachine[] = [
+	{
+		node: 'vm-1',
+		dataCentre: 'gh-coast-1',
+		service: 'orders-and-payments',
+		calls: ['loft-queues'],
+		serviceTime: 5,
+	},
+	{
+		node: 'vm-2',
+		dataCentre: 'gh-coast-1',
+		service: 'loft-queues',
+		calls: [],
+		serviceTime: 3,
+	},
+	{
+		node: 'vm-3',
+		dataCentre: 'gh-coast-2',
+		service: 'loft-queues',
+		calls: [],
+		serviceTime: 3,
+	},
+];
+
+const intents = `- service: orders-and-payments
+  deadline: 4s
+  attempts: 3
+  requests:
+    - match: {method: POST, path: /payments}
+      class: essential
+      idempotent: false
+  calls: [loft-queues]
+- service: loft-queues
+  deadline: 2s
+`;
+
+/** Milliseconds for the configuration to be in force everywhere, with room for a busy machine. */
+const inForceTime = 20_000;
+
+type DemoAnswer = {
+	status: number;
+	outcome: string;
+	request: string;
+	home: string;
+	body: string;
+};
+
+/** A step that did not do what it shows. */
+class DemoFailure extends Error {}
+
+/** Runs the demonstration and resolves with the exit code. */
+export async function runDemo(): Promise<number> {
+	const standIns = await loadStandIns();
+	if (!standIns) {
+		process.stderr.write(
+			'the demonstration needs the stand-ins of the repository; run it from a checkout with `npm run --silent demo`\n',
+		);
+		return 1;
+	}
+
+	let cluster: DemoCluster | undefined;
+	try {
+		say('Starting: platform stand-in, 3 targets, 3 nodes, each a process.');
+		cluster = await startCluster(standIns, machines, (line) => {
+			say(`  ${line}`);
+		});
+		await showSteps(cluster);
+		const unclean = await cluster.stop();
+		expectThat(
+			unclean <= 1,
+			'every node but the killed one drains and exits 0',
+		);
+		say('Done: every step did what it shows.');
+		return 0;
+	} catch (error) {
+		const detail = error instanceof DemoFailure ? error.message : String(error);
+		process.stderr.write(`the demonstration failed: ${detail}\n`);
+		return 1;
+	}
+}
+
+async function showSteps(cluster: DemoCluster): Promise<void> {
+	const entry = cluster.nodes[0]!;
+	await confirmIntents(cluster, entry);
+	await waitInForce(cluster, 1);
+
+	say('A client asks orders-and-payments, which asks loft-queues:');
+	const first = await ask(entry, 'GET', '/orders/17');
+	describe(first);
+	expectThat(first.status === 200, 'the request is served');
+	const ranAt = await showWay(cluster, first.request);
+
+	say('A payment is not idempotent: it needs a key and its home.');
+	const key = {'idempotency-key': 'twine-2041'};
+	const unhomed = await ask(entry, 'POST', '/payments', key);
+	describe(unhomed);
+	expectThat(unhomed.status === 428, 'a payment without a home is not run');
+	const homed = {...key, 'egretspoke-home': unhomed.home};
+	const paid = await ask(entry, 'POST', '/payments', homed);
+	describe(paid);
+	expectThat(paid.status === 200, 'the payment is run');
+	const repeated = await ask(cluster.nodes[1]!, 'POST', '/payments', homed);
+	describe(repeated);
+	expectThat(
+		repeated.outcome === 'answered; repeated' && repeated.body === paid.body,
+		'the same payment sent to another node gets the recorded answer',
+	);
+
+	const chosen = cluster.nodes.find(({node}) => node === ranAt);
+	say(`Killing ${ranAt}, which served loft-queues, and asking again:`);
+	await chosen?.process.kill();
+	const second = await ask(entry, 'GET', '/orders/18');
+	describe(second);
+	expectThat(
+		second.status === 200 || second.outcome !== 'answered',
+		'the request is served or refused truthfully',
+	);
+	await showWay(cluster, second.request);
+}
+
+async function confirmIntents(
+	cluster: DemoCluster,
+	entry: DemoNode,
+): Promise<void> {
+	const file = await cluster.write('intents.yaml', intents);
+	const planned = await cluster.operate(entry.admin, ['plan', file, '--json']);
+	expectThat(planned.code === 0, `plan: ${planned.output} ${planned.errors}`);
+	const plan = planSchema.parse(JSON.parse(planned.output));
+	say(`Plan ${plan.id} against version ${plan.baseVersion}:`);
+	for (const {service, path, before, after} of plan.changes) {
+		say(`  ${service} ${path}: ${before ?? '-'} -> ${after ?? '-'}`);
+	}
+
+	const confirmed = await cluster.operate(entry.admin, ['confirm', plan.id]);
+	expectThat(
+		confirmed.code === 0,
+		`confirm: ${confirmed.output} ${confirmed.errors}`,
+	);
+	say(`  ${confirmed.output.trim()}`);
+}
+
+async function waitInForce(
+	cluster: DemoCluster,
+	version: number,
+): Promise<void> {
+	const startedAt = performance.now();
+	for (;;) {
+		// eslint-disable-next-line no-await-in-loop -- polls until all agree.
+		const versions = await Promise.all(
+			cluster.nodes.map(async ({admin}) => {
+				const status = await cluster.operate(admin, ['status', '--json']);
+				expectThat(status.code === 0, `status: ${status.errors}`);
+				return nodeStatusSchema.parse(JSON.parse(status.output)).configuration
+					.version;
+			}),
+		);
+		const elapsed = performance.now() - startedAt;
+		if (versions.every((each) => each >= version)) {
+			say(`Version ${version} is in force on all ${versions.length} nodes.`);
+			return;
+		}
+
+		expectThat(elapsed < inForceTime, 'the version is in force everywhere');
+		// eslint-disable-next-line no-await-in-loop -- between two polls.
+		await wait(100);
+	}
+}
+
+async function ask(
+	{caller}: DemoNode,
+	method: 'GET' | 'POST',
+	path: string,
+	headers: Record<string, string> = {},
+): Promise<DemoAnswer> {
+	const answer = await send(`http://${caller}${path}`, {
+		method,
+		headers: {
+			'egretspoke-service': 'orders-and-payments',
+			'egretspoke-caller': 'boat-owner-9',
+			...headers,
+		},
+		...(method === 'POST' && {body: '{"cents": 1250}'}),
+	});
+	const read = (name: string) => String(answer.headers[name] ?? '');
+	return {
+		status: answer.statusCode,
+		outcome: read('egretspoke-outcome'),
+		request: read('egretspoke-request'),
+		home: read('egretspoke-home'),
+		body: await answer.body.text(),
+	};
+}
+
+/** Prints every decision about a request, and gives the node where its last run was. */
+async function showWay(cluster: DemoCluster, request: string): Promise<string> {
+	const explanations = await Promise.all(
+		cluster.nodes.map(async ({admin}) => explain(cluster, admin, request)),
+	);
+	const decisions = explanations
+		.flatMap((each) =>
+			(each?.decisions ?? []).map((decision) => ({
+				...decision,
+				node: each!.node,
+			})),
+		)
+		.toSorted((left, right) => left.at.localeCompare(right.at));
+	for (const {at, node, event, name, reason} of decisions) {
+		say(`    ${at.slice(11)} ${node} ${event} ${name}: ${reason}`);
+	}
+
+	const routed = decisions.findLast(({name}) => name === 'routed');
+	return String(routed?.details.node ?? '');
+}
+
+async function explain(
+	cluster: DemoCluster,
+	admin: string,
+	request: string,
+): Promise<Explanation | undefined> {
+	const parameters = ['explain', request, '--json'];
+	const {code, output} = await cluster.operate(admin, parameters);
+	return code === 0 ? explanationSchema.parse(JSON.parse(output)) : undefined;
+}
+
+function describe({status, outcome, body}: DemoAnswer): void {
+	say(`  HTTP ${status}, ${outcome}: ${body}`);
+}
+
+function expectThat(isTrue: boolean, what: string): void {
+	if (!isTrue) {
+		throw new DemoFailure(`expected: ${what}`);
+	}
+}
+
+function say(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -47,6 +47,8 @@
 	run(request: CallRequest, signal: AbortSignal): Promise<Outcome>;
 	/** From now on nothing new is admitted; what waits is handed back as not run. */
 	leave(): void;
+	/** Takes work again. */
+	rejoin(): void;
 	isLeaving(): boolean;
 	report(): LoadReport;
 	/** Requests at the target now. */
@@ -223,6 +225,9 @@
 
 			setWake();
 		},
+		rejoin() {
+			isLeaving = false;
+		},
 		isLeaving: () => isLeaving,
 		report: () => admission.report(clock.now()),
 		inFlight: idle.count,
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -33,7 +33,7 @@
 import {refuseHere} from './entry-refusal.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIngress, type Ingress} from './ingress.js';
-import type {PeerIdentity, PeerTransport} from './message-channel.js';
+import type {PeerTransport} from './message-channel.js';
 import type {NodeReporter} from './node-reporter.js';
 import {createPeers, type Peers} from './peers.js';
 import type {Classification} from './request-chain.js';
@@ -56,12 +56,8 @@
 	members(): readonly Member[];
 	/** True after a pause beyond the lease, until the node has announced itself again. */
 	isSuspended(): boolean;
-	handleProbe(
-		message: ProbeMessage,
-		peer: PeerIdentity,
-	): AcknowledgementMessage;
+	receiveProbe(message: ProbeMessage): AcknowledgementMessage;
 	configurationBody(): ConfigurationBodyMessage | undefined;
-	takeConfigurationBody(message: ConfigurationBodyMessage): void;
 };
 
 /** What a core is built from. */
@@ -98,6 +94,8 @@
 	membersChanged(): void;
 	/** No new work for the target from now on; the entry still serves. */
 	leave(): void;
+	/** The target takes work again after a `leave`. */
+	rejoin(): void;
 	/** Refuses everything new, and resolves when nothing is in flight. */
 	drain(): Promise<void>;
 };
@@ -157,11 +155,8 @@
 			reporter,
 			call: async (message, signal) =>
 				handleCall[message.role](message, signal),
-			probe: (message, peer) => control.handleProbe(message, peer),
+			probe: (message) => control.receiveProbe(message),
 			configurationBody: () => control.configurationBody(),
-			takeConfigurationBody(message) {
-				control.takeConfigurationBody(message);
-			},
 		},
 	});
 
@@ -219,6 +214,9 @@
 			reporter.notice({name: 'leaving', reason: 'asked to leave'});
 			ingress?.leave();
 		},
+		rejoin() {
+			ingress?.rejoin();
+		},
 		async drain() {
 			reporter.notice({name: 'leaving', reason: 'draining'});
 			isDraining = true;
--- /dev/null
+++ b/packages/node/src/node-instruments.ts
@@ -0,0 +1,42 @@
+/** The log, the metrics and the memory of decisions of one node, and the reporter over them. */
+import process from 'node:process';
+import {
+	createDecisionMemory,
+	createEventLog,
+	createMetrics,
+	createStreamSink,
+	type DecisionMemory,
+	type EventLog,
+	type Metrics,
+	type NodeReadings,
+} from '@egretspoke/observability';
+import type {Clock} from '@egretspoke/shared';
+import type {NodeReporter} from './node-reporter.js';
+import {createObservingReporter} from './observing-reporter.js';
+import type {NodeSettings} from './settings.js';
+
+/** What a node observes itself with. */
+export type NodeInstruments = {
+	log: EventLog;
+	metrics: Metrics;
+	memory: DecisionMemory;
+	reporter: NodeReporter;
+};
+
+/** Creates the instruments; `read` gives the readings of the gauges. */
+export function createNodeInstruments(
+	settings: NodeSettings,
+	clock: Clock,
+	read: () => NodeReadings,
+): NodeInstruments {
+	const log = createEventLog({
+		node: settings.node,
+		...settings.logs,
+		clock,
+		sink: createStreamSink(process.stdout),
+	});
+	const metrics = createMetrics(read);
+	const memory = createDecisionMemory();
+	const reporter = createObservingReporter({log, metrics, memory, clock});
+	return {log, metrics, memory, reporter};
+}
--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -23,9 +23,8 @@
 export type PeerServices = {
 	reporter: NodeReporter;
 	call(message: CallMessage, signal: AbortSignal): Promise<ExchangeResult>;
-	probe(message: ProbeMessage, peer: PeerIdentity): AcknowledgementMessage;
+	probe(message: ProbeMessage): AcknowledgementMessage;
 	configurationBody(): ConfigurationBodyMessage | undefined;
-	takeConfigurationBody(message: ConfigurationBodyMessage): void;
 };
 
 /** A peer over an open channel. */
@@ -41,7 +40,10 @@
 		probe: Omit<ProbeMessage, 'type' | 'sequence'>,
 		signal: AbortSignal,
 	): Promise<AcknowledgementMessage | undefined>;
-	requestConfiguration(): void;
+	/** Undefined when no body came before the signal or the close. */
+	requestConfiguration(
+		signal: AbortSignal,
+	): Promise<ConfigurationBodyMessage | undefined>;
 	/** Serves the peer until the channel closes. */
 	serve(): Promise<void>;
 	close(reason: string): void;
@@ -67,6 +69,9 @@
 		number,
 		(message: AcknowledgementMessage | undefined) => void
 	>();
+	const bodyWaiters = new Set<
+		(message: ConfigurationBodyMessage | undefined) => void
+	>();
 	let sequence = 1;
 
 	const answerCall = async (message: CallMessage) => {
@@ -112,7 +117,7 @@
 			served.get(message.exchange)?.abort();
 		},
 		probe(message) {
-			channel.send(services.probe(message, channel.peer));
+			channel.send(services.probe(message));
 		},
 		acknowledgement(message) {
 			probes.get(message.sequence)?.(message);
@@ -124,13 +129,15 @@
 			}
 		},
 		configurationBody(message) {
-			services.takeConfigurationBody(message);
+			for (const settle of bodyWaiters) {
+				settle(message);
+			}
 		},
 	};
 
 	const closeAll = () => {
 		exchanges.closeAll();
-		for (const settle of probes.values()) {
+		for (const settle of [...probes.values(), ...bodyWaiters]) {
 			settle(undefined);
 		}
 
@@ -168,8 +175,24 @@
 				}
 			});
 		},
-		requestConfiguration() {
-			channel.send({type: 'configurationRequest'});
+		async requestConfiguration(signal) {
+			return new Promise((resolve) => {
+				const settle = (message: ConfigurationBodyMessage | undefined) => {
+					bodyWaiters.delete(settle);
+					signal.removeEventListener('abort', giveUp);
+					resolve(message);
+				};
+
+				const giveUp = () => {
+					settle(undefined);
+				};
+
+				bodyWaiters.add(settle);
+				signal.addEventListener('abort', giveUp);
+				if (!channel.send({type: 'configurationRequest'})) {
+					settle(undefined);
+				}
+			});
 		},
 		async serve() {
 			try {
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -11,6 +11,7 @@
 	type AcknowledgementMessage,
 	type CallMessage,
 	type CallRequest,
+	type ConfigurationBodyMessage,
 	type ProbeMessage,
 } from '@egretspoke/protocol';
 import type {Clock} from '@egretspoke/shared';
@@ -39,8 +40,11 @@
 		probe: Omit<ProbeMessage, 'type' | 'sequence'>,
 		signal: AbortSignal,
 	): Promise<AcknowledgementMessage | undefined>;
-	/** Asks the peer for its configuration; the body comes as a message of its own. */
-	requestConfiguration(address: string): Promise<void>;
+	/** Undefined when the peer is unreachable, or knows no accepted version. */
+	requestConfiguration(
+		address: string,
+		signal: AbortSignal,
+	): Promise<ConfigurationBodyMessage | undefined>;
 	count(): number;
 	close(): void;
 };
@@ -165,9 +169,9 @@
 			const connection = await connect(address);
 			return connection?.probe(probe, signal);
 		},
-		async requestConfiguration(address) {
+		async requestConfiguration(address, signal) {
 			const connection = await connect(address);
-			connection?.requestConfiguration();
+			return connection?.requestConfiguration(signal);
 		},
 		count: () => byNode.size,
 		close() {
--- /dev/null
+++ b/packages/node/src/start-node.ts
@@ -0,0 +1,320 @@
+/**
+ * Starts one node from its settings: the core, control and the three
+ * listeners, and stops them in the order that cuts nothing.
+ */
+import {
+	classify,
+	createControl,
+	type Control,
+	type ControlOptions,
+} from '@egretspoke/control';
+import {egretspokePolicy, type Policy} from '@egretspoke/decisions';
+import type {NodeReadings} from '@egretspoke/observability';
+import {createHttpPlatform} from '@egretspoke/platform';
+import type {Home, Member, TargetAnnouncement} from '@egretspoke/protocol';
+import {
+	createRandom,
+	createSystemClock,
+	sleep,
+	type Clock,
+} from '@egretspoke/shared';
+import {createAdminListener} from './admin-listener.js';
+import {createAdminServices} from './admin-services.js';
+import {createCallerListener} from './caller-listener.js';
+import {createHttpTargetClient} from './http-target-client.js';
+import {createNodeCore, type NodeCore} from './node-core.js';
+import {createNodeInstruments} from './node-instruments.js';
+import {formatAddress, parseAddress} from './settings-address.js';
+import type {NodeSettings} from './settings.js';
+import {createSupervisor} from './supervisor.js';
+import {createWebSocketTransport} from './web-socket-transport.js';
+
+/** A node that serves. */
+export type RunningNode = {
+	/** The addresses that its listeners got, `ip:port`. */
+	addresses: {caller: string; peer: string; admin: string};
+	/** A planned stop: resolves with the number of requests that were cut. */
+	drain(): Promise<number>;
+	/** Stops at once; the number of requests that were cut. */
+	stop(): Promise<number>;
+};
+
+/** What a test or a benchmark may replace. */
+export type StartOptions = {
+	clock?: Clock;
+	policy?: Policy;
+};
+
+/** Bytes that a message may have beyond its body: headers and its envelope. */
+const envelopeSize = 256 * 1024;
+/** Peers that may shake hands at once: a data centre's worth after a restart. */
+const handshakeLimit = 128;
+const wildcardPort = 0;
+
+/**
+ * Starts a node. It rejects with Node's own error when a listener can't have
+ * its port; an unreachable platform is no error, since a data centre that is
+ * cut off has to serve what it can.
+ */
+export async function startNode(
+	settings: NodeSettings,
+	options: StartOptions = {},
+): Promise<RunningNode> {
+	const clock = options.clock ?? createSystemClock({keepAlive: true});
+	const {node, region, dataCentre, limits, secrets} = settings;
+	const startedAt = clock.date().getTime();
+	const random = createRandom(startedAt % 2 ** 31);
+	const self: Home = {node, incarnation: startedAt};
+	const parts: Parts = {};
+	const instruments = createNodeInstruments(settings, clock, () =>
+		readGauges(parts, instruments.log.dropped()),
+	);
+	const {reporter} = instruments;
+	const supervisor = createSupervisor(clock, ({path, error, restartIn}) => {
+		const detail = describeError(error);
+		reporter.notice({name: 'childFailed', path, detail, restartIn});
+	});
+	const transport = createWebSocketTransport({
+		clock,
+		self: () => ({...self, dataCentre}),
+		secret: secrets.peer ?? '',
+		messageLimit: limits.body + envelopeSize,
+		handshakeLimit,
+		onMalformed(detail) {
+			reporter.notice({name: 'malformedMessage', detail});
+		},
+		onRefused(detail) {
+			reporter.notice({name: 'peerRefused', detail});
+		},
+	});
+	const peer = await listenOn(transport, settings.listeners.peer);
+	const policy = options.policy ?? egretspokePolicy;
+
+	const core: NodeCore = createNodeCore({
+		clock,
+		random,
+		self,
+		dataCentre,
+		policy,
+		transport,
+		supervisor,
+		reporter,
+		ledger: {
+			capacity: limits.ledgerKeys,
+			bytesCapacity: limits.ledgerBytes,
+			maximumLifetime: limits.keyLifetime,
+			defaultLifetime: limits.keyLifetime,
+		},
+		control: {
+			classify: (service, method, path) =>
+				isKnown(control, service)
+					? classify(control.configuration.current(), service, method, path)
+					: undefined,
+			members: () => control.membership.members(),
+			isSuspended: () => control.membership.isSuspended(),
+			receiveProbe: (message) => control.receiveProbe(message),
+			configurationBody() {
+				const body = control.configuration.body();
+				return body && {type: 'configurationBody', ...body};
+			},
+		},
+	});
+
+	const caller = createCallerListener({
+		entry: core.entry,
+		reporter,
+		bodyLimit: limits.body,
+		headerLimit: limits.headers,
+		connectionLimit: limits.connections,
+		requestTime: limits.slowSender,
+		announce(announcement) {
+			takeTarget(announcement);
+		},
+	});
+	const callerAddress = await listenOn(caller, settings.listeners.caller);
+	const member: Member = {
+		node,
+		incarnation: self.incarnation,
+		heartbeat: 0,
+		region,
+		dataCentre,
+		peerAddress: settings.advertise.peer ?? peer,
+		callerAddress: settings.advertise.caller ?? callerAddress,
+		state: 'joining',
+		configurationVersion: 0,
+	};
+	const control = createControl(
+		readControlOptions(settings, {clock, random, core, member}),
+	);
+	parts.control = control;
+	parts.core = core;
+
+	const takeTarget = (announcement: TargetAnnouncement) => {
+		if (!settings.target) {
+			return;
+		}
+
+		const client = createHttpTargetClient({
+			address: settings.target.address,
+			connections: announcement.connections,
+			bodyLimit: limits.body,
+		});
+		core.announce({announcement, client});
+		control.announceTarget(announcement);
+	};
+
+	const admin = createAdminListener({
+		services: createAdminServices({node, control, core, instruments}),
+		bodyLimit: limits.body,
+		...(secrets.operator !== undefined && {secret: secrets.operator}),
+		onMalformed(detail) {
+			reporter.notice({name: 'operatorRefused', detail});
+		},
+	});
+	const adminAddress = await listenOn(admin, settings.listeners.admin);
+	followControl(control, core, instruments.reporter);
+	await control.start(supervisor.signal);
+	if (settings.target?.announcement) {
+		takeTarget(settings.target.announcement);
+	}
+
+	const stop = async () => {
+		const cut = core.entry.open() + (core.ingress()?.inFlight() ?? 0);
+		core.peers.close();
+		await Promise.all([caller.close(), admin.close(), transport.close()]);
+		await supervisor.stop();
+		instruments.log.flush();
+		return cut;
+	};
+
+	const addresses = {caller: callerAddress, peer, admin: adminAddress};
+	instruments.log.record('started', {details: {...addresses, dataCentre}});
+	return {
+		addresses,
+		stop,
+		async drain() {
+			control.leave();
+			await Promise.race([core.drain(), sleep(clock, settings.timings.drain)]);
+			caller.drain();
+			await control.end();
+			const cut = await stop();
+			reporter.notice({name: 'drained', cut});
+			instruments.log.flush();
+			return cut;
+		},
+	};
+}
+
+/** The parts that the gauges read; they come into being one after another. */
+type Parts = {control?: Control; core?: NodeCore};
+
+function readGauges({control, core}: Parts, dropped: number): NodeReadings {
+	const members: Record<string, number> = {};
+	for (const {state} of control?.membership.members() ?? []) {
+		members[state] = (members[state] ?? 0) + 1;
+	}
+
+	const ledger = core?.ledger.size();
+	const ingress = core?.ingress();
+	const load = ingress?.report();
+	const service = control?.membership.self().target?.service;
+	return {
+		configurationVersion: control?.configuration.current().version ?? 0,
+		isPlatformReachable: control?.configuration.platformState() === 'reachable',
+		isLeaving: ingress?.isLeaving() ?? false,
+		openRequests: core?.entry.open() ?? 0,
+		peersConnected: core?.peers.count() ?? 0,
+		members,
+		ledgerKeys: ledger?.keys ?? 0,
+		ledgerBytes: ledger?.answerBytes ?? 0,
+		logLinesDropped: dropped,
+		...(load && service !== undefined && {target: {service, ...load}}),
+	};
+}
+
+type ControlParts = Pick<ControlOptions, 'clock' | 'random'> & {
+	core: NodeCore;
+	member: Member;
+};
+
+function readControlOptions(
+	settings: NodeSettings,
+	{clock, random, core, member}: ControlParts,
+): ControlOptions {
+	const {platform, peers, timings} = settings;
+	return {
+		self: member,
+		clock,
+		random: random.fork(),
+		platform: createHttpPlatform({...platform, clock}),
+		peers,
+		timing: {lease: timings.lease, probePeriod: timings.probe},
+		readPeriod: timings.configurationRead,
+		send: async (address, probe, signal) =>
+			core.peers.probe(address, probe, signal),
+		requestBody: async (address) =>
+			core.peers.requestConfiguration(
+				address,
+				AbortSignal.timeout(platform.timeout),
+			),
+	};
+}
+
+/** A service that is configured or announced by anyone. */
+function isKnown(control: Control, service: string): boolean {
+	return (
+		control.configuration.current().classifiers.has(service) ||
+		control.membership.members().some(({target}) => target?.service === service)
+	);
+}
+
+/** Keeps the router and the ingress as membership and configuration say. */
+function followControl(
+	control: Control,
+	core: NodeCore,
+	reporter: ReturnType<typeof createNodeInstruments>['reporter'],
+): void {
+	const {node} = control.membership.self();
+	void control.membership.changes.observe(({member, before}) => {
+		core.membersChanged();
+		if (member.state === before?.state) {
+			return;
+		}
+
+		reporter.notice({
+			name: 'memberChanged',
+			node: member.node,
+			state: member.state,
+		});
+		if (member.node === node && member.state === 'leaving') {
+			core.leave();
+		}
+
+		if (
+			member.node === node &&
+			member.state === 'active' &&
+			before?.state === 'leaving'
+		) {
+			core.rejoin();
+		}
+	});
+	void control.configuration.accepted.observe(({version}) => {
+		const source = control.configuration.source();
+		reporter.notice({name: 'configurationTaken', version, source});
+	});
+}
+
+type Listening = {listen(host: string, port: number): Promise<number>};
+
+async function listenOn(listener: Listening, address: string): Promise<string> {
+	const {host, port} = parseAddress(address) ?? {
+		host: address,
+		port: wildcardPort,
+	};
+	const got = await listener.listen(host, port);
+	return formatAddress({host, port: got});
+}
+
+function describeError(error: unknown): string {
+	return error instanceof Error ? error.message : String(error);
+}
--- a/packages/stand-ins/src/target-main.ts
+++ b/packages/stand-ins/src/target-main.ts
@@ -1,8 +1,8 @@
 /**
  * A stand-in target as a process of its own:
  * `node target-main.js '{"service":"orders","slots":8,…}'`. It prints one line
- * of JSON with its address, and announces itself when it reads `announce` with
- * the address of its node.
+ * of JSON with its address, and answers each line it reads: `announce <ip:port>`
+ * announces it to its node, `runs` gives how often each request id ran.
  */
 import process from 'node:process';
 import {createInterface} from 'node:readline';
@@ -16,7 +16,6 @@
 	connections: z.number(),
 	serviceTime: z.number(),
 	calls: z.array(z.string()).default([]),
-	nodeAddress: z.string(),
 	host: z.string().default('127.0.0.1'),
 	port: z.number().default(0),
 });
@@ -28,10 +27,9 @@
 });
 process.stdout.write(`${JSON.stringify({address: target.address})}\n`);
 
-/** Its runs, on `runs`; the announcement, on `announce`. */
-const commands: Record<string, () => Promise<unknown>> = {
-	async announce() {
-		await target.announce();
+const commands: Record<string, (parameter: string) => Promise<unknown>> = {
+	async announce(nodeAddress) {
+		await target.announce(nodeAddress);
 		return {announced: true};
 	},
 	async runs() {
@@ -40,7 +38,8 @@
 };
 
 for await (const line of createInterface({input: process.stdin})) {
-	const answer = (await commands[line]?.()) ?? {error: 'no such command'};
+	const [name = '', parameter = ''] = line.split(' ');
+	const answer = (await commands[name]?.(parameter)) ?? {error: 'unknown'};
 	process.stdout.write(`${JSON.stringify(answer)}\n`);
 }
 
--- a/packages/stand-ins/src/target-stand-in.ts
+++ b/packages/stand-ins/src/target-stand-in.ts
@@ -24,8 +24,6 @@
 	serviceTime: number;
 	/** Services called for each request, one after another. */
 	calls: string[];
-	/** The caller listener of its node, `ip:port`. */
-	nodeAddress: string;
 	/** Where to listen; port 0 chooses a free one. */
 	host: string;
 	port: number;
@@ -37,7 +35,8 @@
 	address: string;
 	/** How often each request id ran. */
 	runs: ReadonlyMap<string, number>;
-	announce(): Promise<void>;
+	/** Announces itself to its node's caller listener, `ip:port`, and calls deeper through it from then on. */
+	announce(nodeAddress: string): Promise<void>;
 	close(): Promise<void>;
 };
 
@@ -58,6 +57,7 @@
 	const agent = new Agent({connections: options.connections});
 	const runs = new Map<string, number>();
 	let running = 0;
+	let node = '';
 	const server = createServer((request, response) => {
 		void serve(request, response);
 	});
@@ -77,7 +77,7 @@
 		const id = readHeader(request, headerNames.request);
 		runs.set(id, (runs.get(id) ?? 0) + 1);
 		await sleep(options.clock, options.serviceTime);
-		const deeper = await callDeeper(agent, options, request);
+		const deeper = await callDeeper(agent, {...options, node}, request);
 		running--;
 		const isOk = deeper.every(({status}) => status < 400);
 		response.writeHead(isOk ? 200 : 502, {'content-type': 'application/json'});
@@ -99,10 +99,11 @@
 	return {
 		address: `${options.host}:${port}`,
 		runs,
-		async announce() {
+		async announce(nodeAddress) {
+			node = nodeAddress;
 			const {service, slots, connections} = options;
 			const answer = await send(
-				`http://${options.nodeAddress}/.egretspoke/announcement`,
+				`http://${nodeAddress}/.egretspoke/announcement`,
 				{
 					method: 'POST',
 					dispatcher: agent,
@@ -124,13 +125,13 @@
 
 async function callDeeper(
 	agent: Agent,
-	options: TargetStandInOptions,
+	options: TargetStandInOptions & {node: string},
 	request: IncomingMessage,
 ): Promise<Array<{status: number; answer: unknown}>> {
 	const answers = [];
 	for (const service of options.calls) {
 		// eslint-disable-next-line no-await-in-loop -- a chain is called in order.
-		const answer = await send(`http://${options.nodeAddress}/${service}`, {
+		const answer = await send(`http://${options.node}/${service}`, {
 			dispatcher: agent,
 			headers: {
 				[headerNames.service]: service,
