--- a/packages/stand-ins/src/target-stand-in.ts
+++ b/packages/stand-ins/src/target-stand-in.ts
@@ -76,7 +76,10 @@
 		running++;
 		const id = readHeader(request, headerNames.request);
 		runs.set(id, (runs.get(id) ?? 0) + 1);
-		await sleep(options.clock, options.serviceTime);
+		if (options.serviceTime > 0) {
+			await sleep(options.clock, options.serviceTime);
+		}
+
 		const deeper = await callDeeper(agent, {...options, node}, request);
 		running--;
 		const isOk = deeper.every(({status}) => status < 400);
