feat(node): a reporter that logs, remembers and counts

Cause: the core reports through one door, and the log, explain and the metrics stand behind it. Change: the bridge; a detail that the line's template already holds is not repeated behind it.

--- /dev/null
+++ b/packages/node/src/observing-reporter.ts
@@ -0,0 +1,103 @@
+/** The reporter of a running node: log, metrics and decision memory behind one door. */
+import type {
+	DecisionMemory,
+	EventLog,
+	ListenerName,
+	Metrics,
+} from '@egretspoke/observability';
+import {ErrorCode} from '@egretspoke/protocol';
+import type {Clock} from '@egretspoke/shared';
+import type {
+	Decision,
+	DecisionName,
+	NodeNotice,
+	NodeReporter,
+} from './node-reporter.js';
+
+/** Where the reports go. */
+export type ObservingReporterOptions = {
+	log: EventLog;
+	metrics: Metrics;
+	memory: DecisionMemory;
+	clock: Clock;
+};
+
+type CountNotice<Name extends NodeNotice['name']> = (
+	metrics: Metrics,
+	notice: Extract<NodeNotice, {name: Name}>,
+) => void;
+
+/** The notices that are counted besides being logged. */
+const noticeCounters: {
+	[Name in NodeNotice['name']]?: CountNotice<Name>;
+} = {
+	lateAnswer(metrics) {
+		metrics.lateAnswer();
+	},
+	malformedMessage: countMalformed('peer', 'message'),
+	peerRefused: countMalformed('peer', 'handshake'),
+	malformedRequest(metrics, {fault}) {
+		metrics.malformedInput('caller', fault);
+	},
+	childFailed(metrics, {path}) {
+		metrics.childRestarted(path);
+	},
+	suspended(metrics) {
+		metrics.suspended();
+	},
+};
+
+/** The decisions that are counted besides being logged. */
+const decisionCounters: Partial<
+	Record<DecisionName, (metrics: Metrics, service: string) => void>
+> = {
+	retried(metrics, service) {
+		metrics.retried(service);
+	},
+	retryRefused(metrics, service) {
+		metrics.retryRefused(service);
+	},
+};
+
+/** Creates the reporter. */
+export function createObservingReporter(
+	options: ObservingReporterOptions,
+): NodeReporter {
+	const {log, metrics, memory, clock} = options;
+	return {
+		decide(decision) {
+			memory.remember({...decision, at: clock.date().getTime()});
+			log.record(decision.name, decision);
+			decisionCounters[decision.name]?.(metrics, readService(decision));
+		},
+		notice(notice) {
+			const {name, ...details} = notice;
+			log.record(name, {details});
+			const count = noticeCounters[name] as
+				CountNotice<NodeNotice['name']> | undefined;
+			count?.(metrics, notice);
+		},
+		ended({outcome, ...end}) {
+			metrics.requestEnded({
+				...end,
+				outcome: outcome.kind,
+				...(outcome.kind !== 'answered' && {
+					error: ErrorCode[outcome.refusal.code],
+				}),
+			});
+		},
+		waited(service, delay) {
+			metrics.waited(service, delay);
+		},
+	};
+}
+
+function readService({details}: Decision): string {
+	return String(details?.service ?? '');
+}
+
+function countMalformed(listener: ListenerName, kind: string) {
+	return (metrics: Metrics) => {
+		metrics.malformedInput(listener, kind);
+	};
+}
--- a/packages/observability/src/log-line.ts
+++ b/packages/observability/src/log-line.ts
@@ -26,9 +26,10 @@
 /** One formatter a format. */
 export const lineFormatters: Record<LogFormat, LineFormatter> = {
 	text(event, node) {
-		const {code, level} = events[event.name];
+		const {code, level, template} = events[event.name];
 		const request = event.request ? ` request=${event.request}` : '';
 		const details = Object.entries(event.details ?? {})
+			.filter(([key]) => !template.includes(`{${key}}`))
 			.map(([key, value]) => ` ${key}=${String(value)}`)
 			.join('');
 		const line = `${new Date(event.at).toISOString()} ${level.toUpperCase()} ${code} ${event.name} node=${node}${request} ${fillTemplate(event)}${details}`;
