feat(decisions): admission and routing as one module for each load pattern

Each module is a state and functions over it; admission.ts and routing.ts put them together, and the mechanisms that are switched off are replaced by lookup table. The priority number is given at the chain's first admission and carried down, so that all layers refuse the same requests; an answer's level holds for its operation, the layers below included. CallFacts, AttemptResult, PolicyContext and report take optional fields for this; a caller that leaves them out gets the same decisions from what its own node sees.

--- /dev/null
+++ b/packages/decisions/src/admission-options.ts
@@ -0,0 +1,62 @@
+/** What the switched-off mechanisms are replaced by, as lookup tables. */
+import {requestClasses, type RequestClass} from '@egretspoke/protocol';
+import {highestLevel} from './admission-level.js';
+import {comeBackTime, type BacklogState} from './come-back-time.js';
+import type {ConcurrencyLimit} from './concurrency-limit.js';
+import {latestStart} from './deadline-feasibility.js';
+import {levelBelow} from './levels-below.js';
+import type {AdmissionContext, Mechanism} from './policy.js';
+
+/** What every caller is told while come-back times are switched off, in milliseconds. */
+export const fixedComeBackTime = 250;
+
+/** The admission's behaviour, by what is switched on. */
+export type AdmissionOptions = {
+	/** Classes that are told apart. */
+	classes: number;
+	hasQueueTime: boolean;
+	hasFeasibility: boolean;
+	hasFairShare: boolean;
+	hasLongAmongShort: boolean;
+	hasCancellation: boolean;
+	latestStart: typeof latestStart;
+	classOf(requestClass: RequestClass): RequestClass;
+	limitOf(limit: ConcurrencyLimit): number;
+	levelBelow(operation: string, now: number): number;
+	comeBack(backlog: BacklogState): number;
+};
+
+/** Reads the context's switches once. */
+export function createAdmissionOptions(
+	context: AdmissionContext,
+): AdmissionOptions {
+	const {without, below, random} = context;
+	const isOn = (mechanism: Mechanism) => !without?.has(mechanism);
+	const options: AdmissionOptions = {
+		classes: requestClasses.length,
+		classOf: (requestClass) => requestClass,
+		limitOf: ({limit}) => limit,
+		hasQueueTime: isOn('queue-time'),
+		hasFeasibility: isOn('deadline-feasibility'),
+		hasFairShare: isOn('fair-share'),
+		hasLongAmongShort: isOn('long-among-short'),
+		hasCancellation: isOn('cancellation'),
+		latestStart,
+		levelBelow: (operation, now) =>
+			below ? levelBelow(below, operation, now) : highestLevel,
+		comeBack: (backlog) => comeBackTime(backlog, random),
+	};
+	for (const mechanism of without ?? []) {
+		Object.assign(options, replacements[mechanism]);
+	}
+
+	return options;
+}
+
+const replacements: Partial<Record<Mechanism, Partial<AdmissionOptions>>> = {
+	classes: {classes: 1, classOf: () => 'essential'},
+	'concurrency-limit': {limitOf: ({slots}) => slots},
+	'deadline-feasibility': {latestStart: (deadline) => deadline},
+	'upstream-refusal': {levelBelow: () => highestLevel},
+	'come-back-times': {comeBack: () => fixedComeBackTime},
+};
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -1,132 +1,435 @@
 /**
- * Admission at the target's node. Requests wait by class, each class first in
- * first out, until a slot is free or their time in the queue is over.
+ * Admission at the target's node: puts the modules together. A request that
+ * arrives gets its priority number, is held against the levels, the deadline
+ * and the slots, and runs, waits or is refused; nothing is decided twice.
  */
+import {ErrorCode, rankOf, type LoadReport} from '@egretspoke/protocol';
 import {
-	ErrorCode,
-	rankOf,
-	requestClasses,
-	type LoadReport,
-} from '@egretspoke/protocol';
+	closeLevelWindow,
+	countUse,
+	createAdmissionLevel,
+	isWindowOver,
+	levelWindow,
+	noteArrival,
+} from './admission-level.js';
+import {createAdmissionOptions} from './admission-options.js';
+import {
+	createAdmissionQueue,
+	enqueue,
+	firstExpiry,
+	oldestOf,
+	shortWaiting,
+	slotTimeAhead,
+	takeById,
+	takeExpired,
+	takeNext,
+	type QueueEntry,
+} from './admission-queue.js';
+import {hashFraction} from './chain-hash.js';
+import {
+	createConcurrencyLimit,
+	noteFull,
+	noteLatency,
+	noteShed,
+} from './concurrency-limit.js';
+import {
+	createFairShare,
+	isOverShareNumber,
+	noteDemand,
+	numberRequest,
+	settleShares,
+} from './fair-share.js';
+import {beginChain, endChain, levelBelow} from './levels-below.js';
+import {
+	averageSlots,
+	countSlot,
+	createLongAmongShort,
+	isLongDuration,
+	mayRunLong,
+} from './long-among-short.js';
+import {
+	countRunning,
+	createOperationDurations,
+	expectDuration,
+	learnDuration,
+	runningOf,
+	typicalDuration,
+	usualDuration,
+} from './operation-durations.js';
 import type {
 	AdmissionContext,
 	AdmissionPolicy,
 	AdmissionTurn,
 	CallFacts,
+	Completion,
 	RefusalDecision,
 } from './policy.js';
+import {moveAverage} from './rate-of-change.js';
+
+/** The slot time assumed while nothing has been learnt, in milliseconds. */
+const unknownDuration = 10;
+const letInSpan = 2;
 
-/** Milliseconds that a request may wait for a slot. */
-const queueTime = 250;
+type Running = {
+	operation: string;
+	chain: string;
+	rank: number;
+	isLong: boolean;
+};
 
-type Waiting = {call: CallFacts; since: number; until: number};
+/** Whether an end tells how long the operation takes, or only that it is no shorter. */
+const isWholeDuration: Partial<Record<Completion['result'], boolean>> = {
+	ok: true,
+	timeout: false,
+	cancelled: false,
+};
 
 /** Creates the admission of one target. */
 export function createAdmission(context: AdmissionContext): AdmissionPolicy {
-	const {slots} = context;
-	const queues: Waiting[][] = requestClasses.map(() => []);
-	const running = new Set<string>();
+	const options = createAdmissionOptions(context);
+	const durations = createOperationDurations();
+	const limit = createConcurrencyLimit(context.slots);
+	const queue = createAdmissionQueue(options.classes);
+	const running = new Map<string, Running>();
+	let startedAt: number | undefined;
+	let level = createAdmissionLevel(0);
+	let shares = createFairShare(0);
+	let slots = createLongAmongShort(0);
+	let arrived = 0;
+	let letIn = 0;
+	let letInShare = 1;
 	let queueDelay = 0;
-	let serviceTime = 0;
-
-	const waiting = () => queues.flat();
-	const takeExpired = (now: number): AdmissionTurn[] => {
-		const expired = waiting().filter((entry) => entry.until <= now);
-		for (const queue of queues) {
-			queue.splice(
-				0,
-				queue.length,
-				...queue.filter((entry) => entry.until > now),
+
+	const slotsInForce = () => options.limitOf(limit);
+	const serviceTime = () => durations.average || unknownDuration;
+
+	const advance = (now: number) => {
+		if (startedAt === undefined) {
+			startedAt = now;
+			level = createAdmissionLevel(now);
+			shares = createFairShare(now);
+			slots = createLongAmongShort(now);
+		}
+
+		countUse(level, running.size, now);
+		averageSlots(slots, now);
+		if (isWindowOver(level, serviceTime(), now)) {
+			closeWindow(now);
+		}
+	};
+
+	const closeWindow = (now: number) => {
+		closeLevelWindow(
+			level,
+			{
+				limit: slotsInForce(),
+				inFlight: running.size,
+				waitingTime: queue.slotTime,
+				serviceTime: serviceTime(),
+			},
+			now,
+		);
+		const share = arrived === 0 ? 1 : letIn / arrived;
+		letInShare = moveAverage(letInShare, share, letInSpan, letInSpan);
+		arrived = 0;
+		letIn = 0;
+		settleShares(shares, letInShare > 0.99 ? 1 : letInShare, now);
+	};
+
+	/** From when on the queue counts as standing. */
+	const standingFrom = () =>
+		options.hasQueueTime && queue.standingSince !== undefined
+			? queue.standingSince + levelWindow(serviceTime())
+			: Number.POSITIVE_INFINITY;
+	const isStanding = (now: number) => standingFrom() <= now;
+
+	const mayLong = (rank: number) =>
+		mayRunLong(slots, rank, slotsInForce(), (other) =>
+			other < options.classes ? shortWaiting(queue, other) : 0,
+		);
+
+	const refuse = (code: ErrorCode, reason: string): RefusalDecision => {
+		level.refused++;
+		const retryAfter = options.comeBack({
+			waiting: queue.byId.size,
+			refused: level.refused + level.refusedBefore,
+			drainRate: slotsInForce() / serviceTime(),
+			serviceTime: serviceTime(),
+		});
+		return {kind: 'refuse', code, reason, retryAfter};
+	};
+
+	const begin = (call: CallFacts, entry: Running, priority: number) => {
+		running.set(call.id, entry);
+		countSlot(slots, entry.rank, entry.isLong, 1);
+		countRunning(durations, entry.operation, 1);
+		if (running.size >= slotsInForce()) {
+			noteFull(limit);
+		}
+
+		if (context.below) {
+			beginChain(context.below, entry.chain, entry.operation, priority);
+		}
+	};
+
+	const numberOf = (call: CallFacts, isLong: boolean): number => {
+		const facts = {
+			requestClass: options.classOf(call.requestClass),
+			caller: call.caller,
+			fraction: hashFraction(call.chain ?? call.id),
+			isLong,
+		};
+		if (options.hasFairShare) {
+			noteDemand(shares, facts);
+		}
+
+		return call.priority ?? numberRequest(shares, facts);
+	};
+
+	const refuseByLevel = (priority: number, allowed: number) =>
+		isOverShareNumber(priority)
+			? refuse(
+					ErrorCode.CallerOverShare,
+					`priority ${priority} is over its caller's share, level ${Math.round(allowed)}`,
+				)
+			: refuse(
+					ErrorCode.LevelTooLow,
+					`priority ${priority} is above level ${Math.round(allowed)}`,
+				);
+
+	const arrive = (call: CallFacts, now: number) => {
+		const {id, operation, deadline} = call;
+		if (deadline <= now) {
+			return refuse(ErrorCode.DeadlinePassed, 'arrived after its deadline');
+		}
+
+		const rank = rankOf(options.classOf(call.requestClass));
+		const expected = expectDuration(durations, operation);
+		const isLong =
+			options.hasLongAmongShort &&
+			isLongDuration(expected, typicalDuration(durations));
+		const priority = numberOf(call, isLong);
+		const slotTime = expected || unknownDuration;
+		noteArrival(level, priority, slotTime);
+		arrived++;
+
+		const below = options.levelBelow(operation, now);
+		if (priority > below) {
+			return refuseByLevel(priority, below);
+		}
+
+		const latest = options.latestStart(
+			deadline,
+			expected,
+			runningOf(durations, operation),
+		);
+		const entry = {operation, chain: call.chain ?? id, rank, isLong};
+		if (latest <= now) {
+			return refuse(
+				ErrorCode.DeadlineInfeasible,
+				`takes about ${Math.round(expected)} ms, ${Math.round(deadline - now)} ms are left`,
+			);
+		}
+
+		if (
+			running.size < slotsInForce() &&
+			queue.byId.size === 0 &&
+			(!isLong || mayLong(rank))
+		) {
+			letIn++;
+			begin(call, entry, priority);
+			return {
+				kind: 'dispatch' as const,
+				reason: `${running.size} of ${slotsInForce()} slots`,
+			};
+		}
+
+		if (priority > level.level) {
+			return refuseByLevel(priority, level.level);
+		}
+
+		const ahead = slotTimeAhead(queue, rank) / slotsInForce();
+		if (options.hasFeasibility && !isStanding(now) && now + ahead > latest) {
+			return refuse(
+				ErrorCode.DeadlineInfeasible,
+				`${Math.round(ahead)} ms of work are ahead of it`,
 			);
 		}
 
-		return expired.map(({call}) => ({
-			id: call.id,
-			...refuse(
+		letIn++;
+		enqueue(queue, {
+			call,
+			rank,
+			isLong,
+			since: now,
+			slotTime,
+			until: latest,
+			priority,
+		});
+		return {
+			kind: 'wait' as const,
+			reason: `${running.size} of ${slotsInForce()} slots, ${queue.byId.size} wait`,
+		};
+	};
+
+	/** The oldest request that has waited too long in a queue that stands. */
+	const outstayed = (now: number): QueueEntry | undefined => {
+		for (let rank = options.classes - 1; rank > 0; rank--) {
+			const entry = oldestOf(queue, rank);
+			if (entry && entry.since + serviceTime() <= now) {
+				return entry;
+			}
+		}
+
+		return undefined;
+	};
+
+	const takeRefused = (now: number): AdmissionTurn[] => {
+		const turns: AdmissionTurn[] = [];
+		const give = ({call, since}: QueueEntry) => {
+			const code =
 				call.deadline <= now
 					? ErrorCode.DeadlinePassed
-					: ErrorCode.QueueTimeout,
-				'waited for its whole time in the queue',
-			),
-		}));
-	};
+					: ErrorCode.QueueTimeout;
+			const reason = `waited ${Math.round(now - since)} ms`;
+			turns.push({id: call.id, ...refuse(code, reason)});
+		};
 
-	return {
-		arrive(call, now) {
-			if (call.deadline <= now) {
-				return refuse(ErrorCode.DeadlinePassed, 'arrived after its deadline');
+		for (
+			let entry = takeExpired(queue, now);
+			entry;
+			entry = takeExpired(queue, now)
+		) {
+			give(entry);
+		}
+
+		if (isStanding(now)) {
+			for (let entry = outstayed(now); entry; entry = outstayed(now)) {
+				takeById(queue, entry.call.id);
+				give(entry);
 			}
+		}
+
+		return turns;
+	};
 
-			if (running.size < slots && waiting().length === 0) {
-				running.add(call.id);
-				return {kind: 'dispatch', reason: `${running.size} of ${slots} slots`};
+	const takeDispatched = (now: number): AdmissionTurn[] => {
+		const turns: AdmissionTurn[] = [];
+		const isNewestFirst = isStanding(now);
+		while (running.size < slotsInForce()) {
+			const entry = takeNext(queue, isNewestFirst, mayLong);
+			if (!entry) {
+				break;
 			}
 
-			queues[rankOf(call.requestClass)]?.push({
+			const {call, rank, isLong, priority} = entry;
+			queueDelay = now - entry.since;
+			begin(
 				call,
-				since: now,
-				until: Math.min(call.deadline, now + queueTime),
+				{
+					operation: call.operation,
+					chain: call.chain ?? call.id,
+					rank,
+					isLong,
+				},
+				priority,
+			);
+			turns.push({
+				id: call.id,
+				kind: 'dispatch',
+				reason: `waited ${Math.round(queueDelay)} ms, ${running.size} of ${slotsInForce()} slots`,
 			});
-			return {kind: 'wait', reason: `all ${slots} slots are taken`};
+		}
+
+		return turns;
+	};
+
+	const learn = (entry: Running, {duration, result}: Completion) => {
+		const isWhole = isWholeDuration[result];
+		if (result === 'ok') {
+			const usual = usualDuration(durations, entry.operation);
+			noteLatency(limit, usual > 0 ? duration / usual : 1);
+		} else if (result === 'shed') {
+			noteShed(limit, running.size + 1);
+		}
+
+		if (isWhole !== undefined) {
+			learnDuration(durations, entry.operation, duration, isWhole);
+		}
+	};
+
+	/** When the queue will have stood, or its oldest request outstays. */
+	const standingExpiry = (): number => {
+		let oldest = Number.POSITIVE_INFINITY;
+		for (let rank = options.classes - 1; rank > 0; rank--) {
+			oldest = Math.min(oldest, oldestOf(queue, rank)?.since ?? oldest);
+		}
+
+		return Math.max(standingFrom(), oldest + serviceTime());
+	};
+
+	return {
+		arrive(call, now) {
+			advance(now);
+			return arrive(call, now);
 		},
-		withdraw(id) {
-			for (const queue of queues) {
-				const index = queue.findIndex(({call}) => call.id === id);
-				if (index !== -1) {
-					queue.splice(index, 1);
-					return true;
-				}
+		withdraw: (id) =>
+			options.hasCancellation && takeById(queue, id) !== undefined,
+		finish(id, completion, now) {
+			const entry = running.get(id);
+			if (!entry) {
+				return;
 			}
 
-			return false;
-		},
-		finish(id, completion) {
+			advance(now);
 			running.delete(id);
-			serviceTime += (completion.duration - serviceTime) / 16;
+			countSlot(slots, entry.rank, entry.isLong, -1);
+			countRunning(durations, entry.operation, -1);
+			learn(entry, completion);
+			if (context.below) {
+				endChain(context.below, entry.chain);
+			}
 		},
 		turns(now) {
-			const turns = takeExpired(now);
-			for (const queue of queues) {
-				while (running.size < slots && queue.length > 0) {
-					const [{call, since}] = queue.splice(0, 1) as [Waiting];
-					running.add(call.id);
-					queueDelay = now - since;
-					turns.push({
-						id: call.id,
-						kind: 'dispatch',
-						reason: `waited ${queueDelay.toFixed(1)} ms`,
-					});
-				}
-			}
-
-			return turns;
+			advance(now);
+			return [...takeRefused(now), ...takeDispatched(now)];
 		},
 		wakeAt() {
-			const instants = waiting().map((entry) => entry.until);
-			return instants.length === 0 ? undefined : Math.min(...instants);
+			const first = firstExpiry(queue);
+			if (first === undefined || !options.hasQueueTime) {
+				return first;
+			}
+
+			return Math.min(first, standingExpiry());
 		},
 		drain() {
-			const turns = waiting().map(({call}) => ({
-				id: call.id,
-				...refuse(ErrorCode.Leaving, 'the target is leaving'),
-			}));
-			for (const queue of queues) {
-				queue.length = 0;
+			const turns: AdmissionTurn[] = [];
+			for (const id of queue.byId.keys()) {
+				takeById(queue, id);
+				const reason = 'the target is leaving';
+				turns.push({
+					id,
+					kind: 'refuse',
+					code: ErrorCode.Leaving,
+					reason,
+					retryAfter: 0,
+				});
 			}
 
 			return turns;
 		},
-		report: (): LoadReport => ({
+		report: (now, operation): LoadReport => ({
 			inFlight: running.size,
-			limit: slots,
-			waiting: waiting().length,
-			queueDelay,
-			level: 383,
-			serviceTime,
+			limit: slotsInForce(),
+			waiting: queue.byId.size,
+			queueDelay: queue.byId.size === 0 ? 0 : queueDelay,
+			level: Math.min(
+				level.level,
+				operation === undefined
+					? level.level
+					: Math.round(options.levelBelow(operation, now)),
+			),
+			serviceTime: durations.average,
 		}),
 	};
 }
-
-function refuse(code: ErrorCode, reason: string): RefusalDecision {
-	return {kind: 'refuse', code, reason, retryAfter: queueTime};
-}
--- /dev/null
+++ b/packages/decisions/src/levels-below.ts
@@ -0,0 +1,110 @@
+/**
+ * What the layers below let in, by the operation that needs them.
+ *
+ * Load pattern: a deep service is saturated. Without this the layers above run
+ * their part of every request, call deeper, and are refused there; all that
+ * work is waste, and one notices busy layers above and few whole requests.
+ * Answers bring the level of the node that gave them; the node ties it to the
+ * operation that its own target was running for that chain, and its admission
+ * refuses the operation by it before anything runs (DAGOR's collaborative
+ * admission, and TopFull, SIGCOMM 2024, which sheds by operation at the entry).
+ * The same table carries the priority number down the chain.
+ *
+ * Wrong and stale levels are dealt with in `level-samples.ts`.
+ */
+import {highestLevel} from './admission-level.js';
+import {findOrAdd} from './bounded-table.js';
+import {
+	addLevel,
+	createLevelSamples,
+	currentLevel,
+	type LevelSamples,
+} from './level-samples.js';
+
+/** Services that one operation calls; further ones replace the oldest. */
+const serviceLimit = 16;
+const operationLimit = 256;
+
+type RunningChain = {operation: string; priority: number; count: number};
+
+/** The table of one node, shared by its admission and its routing. */
+export type LevelsBelow = {
+	chains: Map<string, RunningChain>;
+	byOperation: Map<string, Map<string, LevelSamples>>;
+};
+
+/** Creates an empty table. */
+export function createLevelsBelow(): LevelsBelow {
+	return {chains: new Map(), byOperation: new Map()};
+}
+
+/** A request of the chain starts at the node's own target. */
+export function beginChain(
+	state: LevelsBelow,
+	chain: string,
+	operation: string,
+	priority: number,
+): void {
+	const known = state.chains.get(chain);
+	if (known) {
+		known.count++;
+	} else {
+		state.chains.set(chain, {operation, priority, count: 1});
+	}
+}
+
+/** It has ended. */
+export function endChain(state: LevelsBelow, chain: string): void {
+	const known = state.chains.get(chain);
+	if (known && --known.count === 0) {
+		state.chains.delete(chain);
+	}
+}
+
+/** The priority number of a chain that runs here. */
+export function chainPriority(
+	state: LevelsBelow,
+	chain: string,
+): number | undefined {
+	return state.chains.get(chain)?.priority;
+}
+
+/** Learns the level of a service that the chain's request called. */
+export function learnLevelBelow(
+	state: LevelsBelow,
+	chain: string,
+	seen: {service: string; level: number; now: number},
+): void {
+	const operation = state.chains.get(chain)?.operation;
+	if (operation === undefined) {
+		return;
+	}
+
+	const services = findOrAdd(
+		state.byOperation,
+		operation,
+		operationLimit,
+		() => new Map<string, LevelSamples>(),
+	);
+	const known = findOrAdd(services, seen.service, serviceLimit, () =>
+		createLevelSamples(),
+	);
+	addLevel(known, seen.level, seen.now);
+}
+
+/** The level that the layers below allow to an operation. */
+export function levelBelow(
+	state: LevelsBelow,
+	operation: string,
+	now: number,
+): number {
+	let lowest = highestLevel;
+	const services = state.byOperation.get(operation);
+	if (services) {
+		for (const known of services.values()) {
+			lowest = Math.min(lowest, currentLevel(known, now));
+		}
+	}
+
+	return lowest;
+}
--- /dev/null
+++ b/packages/decisions/src/operation-durations.ts
@@ -0,0 +1,138 @@
+/**
+ * Durations by operation, learnt from how requests ended.
+ *
+ * The moving averages forget after `latelySpan` and `usualSpan` ends: the
+ * first is short enough to follow a slowdown within one round of the slots,
+ * the second long enough to tell what is usual. The table is bounded, since an
+ * operation's name comes from outside.
+ */
+import {moveAverage} from './rate-of-change.js';
+
+const latelySpan = 16;
+const usualSpan = 512;
+/** Operations remembered; a service has tens, not hundreds. */
+const operationLimit = 256;
+
+type OperationDuration = {
+	lately: number;
+	usual: number;
+	count: number;
+	running: number;
+};
+
+/** What is known of durations, in milliseconds. */
+export type OperationDurations = {
+	byOperation: Map<string, OperationDuration>;
+	/** The average over all operations, as they came. */
+	average: number;
+	/** The average of the logarithm: the typical duration, which a few long ones don't move. */
+	typicalLog: number;
+	count: number;
+};
+
+/** Creates the state in which nothing is known. */
+export function createOperationDurations(): OperationDurations {
+	return {byOperation: new Map(), average: 0, typicalLog: 0, count: 0};
+}
+
+/** Learns a duration. One that was cut short says only that it is no shorter. */
+export function learnDuration(
+	state: OperationDurations,
+	operation: string,
+	duration: number,
+	isWhole: boolean,
+): void {
+	const known = findOrAdd(state, operation);
+	const value = isWhole ? duration : Math.max(duration, known.lately);
+	known.count++;
+	known.lately = moveAverage(known.lately, value, known.count, latelySpan);
+	known.usual = moveAverage(known.usual, value, known.count, usualSpan);
+	state.count++;
+	state.average = moveAverage(
+		state.average,
+		value,
+		state.count,
+		2 * latelySpan,
+	);
+	state.typicalLog = moveAverage(
+		state.typicalLog,
+		Math.log(Math.max(value, 0.01)),
+		state.count,
+		usualSpan,
+	);
+}
+
+/** The expected duration; that of all operations when this one is new; 0 when nothing is known. */
+export function expectDuration(
+	state: OperationDurations,
+	operation: string,
+): number {
+	return state.byOperation.get(operation)?.lately ?? state.average;
+}
+
+/** What is usual for the operation over a longer time. */
+export function usualDuration(
+	state: OperationDurations,
+	operation: string,
+): number {
+	return state.byOperation.get(operation)?.usual ?? state.average;
+}
+
+/** The duration of a typical request, whatever the operation. */
+export function typicalDuration(state: OperationDurations): number {
+	return state.count === 0 ? 0 : Math.exp(state.typicalLog);
+}
+
+/** Counts a request of the operation as running or ended. */
+export function countRunning(
+	state: OperationDurations,
+	operation: string,
+	change: 1 | -1,
+): void {
+	const known = findOrAdd(state, operation);
+	known.running = Math.max(0, known.running + change);
+}
+
+/** How many requests of the operation run now. */
+export function runningOf(
+	state: OperationDurations,
+	operation: string,
+): number {
+	return state.byOperation.get(operation)?.running ?? 0;
+}
+
+function findOrAdd(
+	state: OperationDurations,
+	operation: string,
+): OperationDuration {
+	const known = state.byOperation.get(operation);
+	if (known) {
+		return known;
+	}
+
+	if (state.byOperation.size >= operationLimit) {
+		forgetIdle(state);
+	}
+
+	const added = {
+		lately: state.average,
+		usual: state.average,
+		count: 0,
+		running: 0,
+	};
+	if (state.byOperation.size < operationLimit) {
+		state.byOperation.set(operation, added);
+	}
+
+	return added;
+}
+
+/** Forgets the operation that was learnt first and isn't running. */
+function forgetIdle({byOperation}: OperationDurations): void {
+	for (const [operation, {running}] of byOperation) {
+		if (running === 0) {
+			byOperation.delete(operation);
+			return;
+		}
+	}
+}
--- a/packages/decisions/src/policy.ts
+++ b/packages/decisions/src/policy.ts
@@ -6,6 +6,7 @@
  */
 import type {ErrorCode, LoadReport, RequestClass} from '@egretspoke/protocol';
 import type {Random} from '@egretspoke/shared';
+import type {LevelsBelow} from './levels-below.js';
 
 /** What a decision may know about a request. */
 export type CallFacts = {
@@ -22,6 +23,13 @@
 	/** Attempts left for the chain, this one included. */
 	attempts: number;
 	idempotent: boolean;
+	/** The request's name along the whole chain; the id when absent. */
+	chain?: string;
+	/**
+	 * The priority number that the chain's first admission gave, from
+	 * `chainPriority`; absent at the first admission.
+	 */
+	priority?: number;
 };
 
 /** A refusal with its reason; `notRun` by construction. */
@@ -68,7 +76,8 @@
 	wakeAt(): number | undefined;
 	/** Hands back everything that waits, for a planned stop. */
 	drain(now: number): AdmissionTurn[];
-	report(now: number): LoadReport;
+	/** The load, with the level that holds for the operation, the layers below included. */
+	report(now: number, operation?: string): LoadReport;
 };
 
 /** A target as the router knows it. */
@@ -95,6 +104,8 @@
 	code?: ErrorCode;
 	/** When a refusing node said to come back, in milliseconds. */
 	retryAfter?: number;
+	/** The load report that came with the answer, made for the call's operation. */
+	load?: LoadReport;
 };
 
 /** Whether another attempt is made, and if not, what the caller is told. */
@@ -130,6 +141,8 @@
 	random: Random;
 	/** Mechanisms switched off, by name, for tests and the experiment's table. */
 	without?: ReadonlySet<Mechanism>;
+	/** What the layers below let in; one table for the admission and the routing of a node. */
+	below?: LevelsBelow;
 };
 
 /** What an admission policy is built from besides. */
--- a/packages/decisions/src/routing.ts
+++ b/packages/decisions/src/routing.ts
@@ -1,106 +1,251 @@
 /**
- * Routing at the entry node: the better of two candidates drawn at random, and
- * another attempt only after a definite refusal.
+ * Routing at the entry node: puts the modules together. What was seen of each
+ * target is learnt at the end of an attempt; a choice only reads it.
  */
 import {ErrorCode} from '@egretspoke/protocol';
+import {fixedComeBackTime} from './admission-options.js';
+import {attemptsBelow, hasAttempts} from './chain-attempts.js';
+import {comeBackTime} from './come-back-time.js';
+import {considerEjection, considerReturn} from './ejection.js';
+import {isGroupOverloaded, noteAttempt} from './group-load.js';
+import {highestLevel} from './admission-level.js';
+import {learnLevelBelow} from './levels-below.js';
 import type {
 	AttemptResult,
 	CallFacts,
 	PolicyContext,
 	RefusalDecision,
-	RoutingCandidate,
+	RetryDecision,
+	RoutingDecision,
 	RoutingPolicy,
 } from './policy.js';
+import {earnRetry, spendRetry} from './retry-budget.js';
+import {isLoadRefusal, reactTo} from './retry-decision.js';
+import {
+	createRoutingGroup,
+	replaceCandidates,
+	type RoutingGroup,
+} from './routing-group.js';
+import {chooseTarget, createChoiceOptions} from './target-choice.js';
+import {
+	noteEnd,
+	noteFailure,
+	noteReport,
+	noteSlowness,
+	noteStart,
+} from './target-view.js';
+import {learnTypical, typicalOf} from './typical-durations.js';
+import {isRefusedUpstream, noteLevel, seenLevel} from './upstream-refusal.js';
 
-/** Milliseconds before a caller comes back when nothing better is known. */
-const comeBackTime = 250;
+/** Attempts at every layer while the chain's attempts are switched off. */
+const uncountedAttempts = 3;
+/** Ends that say something of the target's speed. */
+const isAnswer: Partial<Record<AttemptResult['result'], boolean>> = {ok: true};
+/** Ends that say that the target itself failed. */
+const isFault: Partial<Record<AttemptResult['result'], boolean>> = {
+	unknown: true,
+	unreachable: true,
+};
 
 /** Creates the routing of one entry node. */
 export function createRouting(context: PolicyContext): RoutingPolicy {
-	const {random} = context;
-	const candidates = new Map<string, RoutingCandidate[]>();
-	const inFlight = new Map<string, number>();
+	const {dataCentre, random, without, below} = context;
+	const choiceOptions = createChoiceOptions(without);
+	const hasUpstreamRefusal = !without?.has('upstream-refusal');
+	const hasRetryBudget = !without?.has('retry-budget');
+	const hasChainAttempts = !without?.has('chain-attempts');
+	const hasComeBackTimes = !without?.has('come-back-times');
+	const groups = new Map<string, RoutingGroup>();
 
-	const draw = (pool: RoutingCandidate[]) => pool[random.below(pool.length)]!;
-	const load = (candidate: RoutingCandidate) =>
-		(inFlight.get(candidate.node) ?? 0) / candidate.slots;
+	const groupOf = (service: string) => {
+		let group = groups.get(service);
+		if (!group) {
+			group = createRoutingGroup();
+			groups.set(service, group);
+		}
+
+		return group;
+	};
+
+	const refuse = (
+		group: RoutingGroup,
+		code: ErrorCode,
+		reason: string,
+		told?: number,
+	): RefusalDecision => {
+		if (told !== undefined || !hasComeBackTimes) {
+			const retryAfter = told ?? fixedComeBackTime;
+			return {kind: 'refuse', code, reason, retryAfter};
+		}
+
+		// One service time of the whole group, spread over as much again for each tenth that is refused.
+		const serviceTime = group.typical;
+		const retryAfter = comeBackTime(
+			{
+				waiting: 0,
+				refused: 10 * group.load.refusedShare,
+				drainRate: serviceTime > 0 ? 1 / serviceTime : 0,
+				serviceTime,
+			},
+			random,
+		);
+		return {kind: 'refuse', code, reason, retryAfter};
+	};
+
+	const choose = (
+		call: CallFacts,
+		exclude: string[],
+		now: number,
+	): RoutingDecision => {
+		const group = groupOf(call.service);
+		if (hasUpstreamRefusal && isRefusedUpstream(group.levels, call, now)) {
+			const level = Math.round(seenLevel(group.levels, call.operation, now));
+			if (below) {
+				learnLevelBelow(below, call.chain ?? call.id, {
+					service: call.service,
+					level,
+					now,
+				});
+			}
+
+			return refuse(
+				group,
+				ErrorCode.LevelTooLow,
+				`above level ${level} of ${call.service}`,
+			);
+		}
+
+		const choice = chooseTarget(group, choiceOptions, {
+			call,
+			exclude,
+			random,
+			now,
+		});
+		return choice
+			? {kind: 'send', node: choice.view.candidate.node, reason: choice.reason}
+			: refuse(group, ErrorCode.NoTarget, 'no candidate is left');
+	};
+
+	const learn = (
+		group: RoutingGroup,
+		call: CallFacts,
+		result: AttemptResult,
+		now: number,
+	) => {
+		const view = group.byNode.get(result.node);
+		const typical = typicalOf(group.durations, call.operation);
+		if (view) {
+			noteEnd(view, now - result.duration, typical);
+			noteFailure(view, isFault[result.result] === true);
+		}
+
+		noteAttempt(group.load, isLoadRefusal(result));
+		if (isAnswer[result.result]) {
+			learnTypical(group.durations, call.operation, result.duration);
+			group.typical += (result.duration - group.typical) / 16;
+			earnRetry(group.budget, call.caller);
+		}
+
+		if (view && isAnswer[result.result]) {
+			const ratio = typical > 0 ? result.duration / typical : 1;
+			noteSlowness(view, ratio, now);
+			considerReturn(group, view, ratio, now);
+		}
+
+		if (view && choiceOptions.hasEjection) {
+			const other = group.views[random.below(group.views.length)];
+			considerEjection(group, view, other === view ? undefined : other, now);
+		}
+	};
 
 	return {
-		candidatesChanged(service, list) {
-			candidates.set(service, list);
+		candidatesChanged(service, candidates) {
+			replaceCandidates(groupOf(service), candidates, dataCentre);
 		},
-		choose(call, exclude) {
-			const known = (candidates.get(call.service) ?? []).filter(
-				({node, state}) => state !== 'leaving' && !exclude.includes(node),
-			);
-			const active = known.filter(({state}) => state === 'active');
-			const pool = active.length > 0 ? active : known;
-			if (pool.length === 0) {
-				return refuse(ErrorCode.NoTarget, 'no candidate is left');
+		choose,
+		started(call, node, now) {
+			const group = groupOf(call.service);
+			const view = group.byNode.get(node);
+			if (view) {
+				noteStart(view, typicalOf(group.durations, call.operation), now);
 			}
-
-			const first = draw(pool);
-			const second = draw(pool);
-			const better = load(second) < load(first) ? second : first;
-			return {
-				kind: 'send',
-				node: better.node,
-				reason: `${first.node} or ${second.node}`,
-			};
 		},
-		started(_call, node) {
-			inFlight.set(node, (inFlight.get(node) ?? 0) + 1);
+		finished(call, result, now) {
+			const group = groupOf(call.service);
+			learn(group, call, result, now);
+			if (result.load) {
+				const {level} = result.load;
+				noteLevel(group.levels, call.operation, level, now);
+				if (below) {
+					const chain = call.chain ?? call.id;
+					const {service} = call;
+					learnLevelBelow(below, chain, {service, level, now});
+				}
+			}
 		},
-		finished(_call, {node}) {
-			const left = (inFlight.get(node) ?? 1) - 1;
-			if (left > 0) {
-				inFlight.set(node, left);
-			} else {
-				inFlight.delete(node);
+		observe(service, node, report, now) {
+			const view = groups.get(service)?.byNode.get(node);
+			if (view) {
+				noteReport(view, report, now);
 			}
 		},
-		observe() {
-			// The reports are of use to the modules that follow.
+		retry(call, result, now): RetryDecision {
+			const group = groupOf(call.service);
+			const refusal = barOf(group, call, result, now);
+			if (refusal) {
+				const [code, reason] = refusal;
+				return refuse(group, code, reason, result.retryAfter);
+			}
+
+			if (hasRetryBudget && !spendRetry(group.budget, call.caller)) {
+				return refuse(
+					group,
+					ErrorCode.RetryBudgetSpent,
+					`the budget towards ${call.service} is spent`,
+					result.retryAfter,
+				);
+			}
+
+			return {
+				kind: 'retry',
+				delay: 0,
+				exclude: [result.node],
+				reason: `${result.node} did not run it`,
+			};
 		},
-		retry: (call, result, now) => decideRetry(call, result, now),
-		attemptsBelow: (call) => Math.max(1, call.attempts - 1),
+		attemptsBelow: (call) =>
+			hasChainAttempts ? attemptsBelow(call) : uncountedAttempts,
 	};
-}
 
-function decideRetry(call: CallFacts, result: AttemptResult, now: number) {
-	if (call.attempts <= 1) {
-		return refuse(ErrorCode.AttemptsSpent, 'no attempt is left', result);
-	}
+	/** Why there is no further attempt, if so. */
+	function barOf(
+		group: RoutingGroup,
+		call: CallFacts,
+		result: AttemptResult,
+		now: number,
+	): [ErrorCode, string] | undefined {
+		const code = result.code ?? ErrorCode.Overloaded;
+		const reaction = reactTo(result);
+		if (reaction === 'never') {
+			return [code, 'it would end the same elsewhere'];
+		}
 
-	if (call.deadline <= now) {
-		return refuse(ErrorCode.DeadlinePassed, 'the deadline has passed', result);
-	}
+		if (!hasAttempts(call)) {
+			return [code, 'no attempt is left'];
+		}
 
-	if (result.code === ErrorCode.Leaving || result.result === 'unreachable') {
-		return {
-			kind: 'retry' as const,
-			delay: 0,
-			exclude: [result.node],
-			reason: `${result.node} did not run it`,
-		};
-	}
+		if (call.deadline <= now) {
+			return [ErrorCode.DeadlinePassed, 'the deadline has passed'];
+		}
 
-	return refuse(
-		result.code ?? ErrorCode.Overloaded,
-		'overload is not retried',
-		result,
-	);
-}
+		const level = seenLevel(group.levels, call.operation, now);
+		if (
+			reaction === 'ifGroupAllows' &&
+			(isGroupOverloaded(group.load) || level < highestLevel)
+		) {
+			return [code, `${call.service} is overloaded as a whole`];
+		}
 
-function refuse(
-	code: ErrorCode,
-	reason: string,
-	result?: AttemptResult,
-): RefusalDecision {
-	return {
-		kind: 'refuse',
-		code,
-		reason,
-		retryAfter: result?.retryAfter ?? comeBackTime,
-	};
+		return undefined;
+	}
 }
--- /dev/null
+++ b/packages/decisions/src/target-choice.ts
@@ -0,0 +1,133 @@
+/** The choice of a target: the modules of routing, in their order. */
+import type {Random} from '@egretspoke/shared';
+import {hasConnection} from './connection-limit.js';
+import {isDueForProbe, isEjected, isPanic} from './ejection.js';
+import {hasRoom} from './locality.js';
+import type {CallFacts, Mechanism} from './policy.js';
+import type {RoutingGroup} from './routing-group.js';
+import {slowStartWeight} from './slow-start.js';
+import type {TargetView} from './target-view.js';
+import {costOf, drawOne, drawTwo} from './two-choices.js';
+
+/** The choice's behaviour, by what is switched on. */
+export type ChoiceOptions = {
+	hasTwoChoices: boolean;
+	hasLocality: boolean;
+	hasSlowStart: boolean;
+	hasEjection: boolean;
+};
+
+/** What is to be chosen for. */
+export type ChoiceRequest = {
+	call: CallFacts;
+	/** Nodes that have refused the request. */
+	exclude: string[];
+	random: Random;
+	now: number;
+};
+
+/** A chosen target and why. */
+export type TargetChoice = {view: TargetView; reason: string};
+
+/** Reads the context's switches once. */
+export function createChoiceOptions(
+	without: ReadonlySet<Mechanism> | undefined,
+): ChoiceOptions {
+	const isOn = (mechanism: Mechanism) => !without?.has(mechanism);
+	return {
+		hasTwoChoices: isOn('two-choices'),
+		hasLocality: isOn('locality'),
+		hasSlowStart: isOn('slow-start'),
+		hasEjection: isOn('ejection'),
+	};
+}
+
+/** Chooses; undefined when no target may be chosen. */
+export function chooseTarget(
+	group: RoutingGroup,
+	options: ChoiceOptions,
+	{call, exclude, random, now}: ChoiceRequest,
+): TargetChoice | undefined {
+	const isOpen = (view: TargetView) =>
+		hasConnection(view) && !exclude.includes(view.candidate.node);
+	const counts = options.hasEjection && !isPanic(group);
+	const mayChoose = counts
+		? (view: TargetView) => isOpen(view) && !isEjected(view, now)
+		: isOpen;
+	const cost = (view: TargetView) =>
+		costOf(
+			view,
+			options.hasSlowStart ? slowStartWeight(view.candidate.since, now) : 1,
+			now,
+		);
+
+	if (!options.hasTwoChoices) {
+		return drawAny(group, mayChoose, isOpen, random);
+	}
+
+	const [first, second] = options.hasLocality
+		? drawLocalFirst(group, mayChoose, random, now)
+		: drawTwo(group.views, mayChoose, random);
+	if (!first) {
+		return drawAny(group, mayChoose, isOpen, random);
+	}
+
+	if (counts && call.requestClass !== 'essential') {
+		const probed = [first, second].find(
+			(view) => view && isDueForProbe(view, now),
+		);
+		if (probed) {
+			return {
+				view: probed,
+				reason: `${probed.candidate.node} is tried again after its ejection`,
+			};
+		}
+	}
+
+	if (!second) {
+		return {view: first, reason: `${first.candidate.node} is the only one`};
+	}
+
+	const firstCost = cost(first);
+	const secondCost = cost(second);
+	const view = secondCost < firstCost ? second : first;
+	const other = view === first ? second : first;
+	return {
+		view,
+		reason: `${view.candidate.node} at ${Math.min(firstCost, secondCost)} before ${other.candidate.node} at ${Math.max(firstCost, secondCost)}`,
+	};
+}
+
+/** Two local targets while one has room, else a local and a remote one. */
+function drawLocalFirst(
+	group: RoutingGroup,
+	mayChoose: (view: TargetView) => boolean,
+	random: Random,
+	now: number,
+): [TargetView?, TargetView?] {
+	const drawn = drawTwo(group.local, mayChoose, random);
+	if (drawn.some((view) => view && hasRoom(view, now))) {
+		return drawn;
+	}
+
+	// Without room here, all targets are drawn alike, so that no remote one gets more than its share.
+	return drawTwo(group.views, mayChoose, random);
+}
+
+function drawAny(
+	group: RoutingGroup,
+	mayChoose: (view: TargetView) => boolean,
+	isOpen: (view: TargetView) => boolean,
+	random: Random,
+): TargetChoice | undefined {
+	const active =
+		drawOne(group.views, mayChoose, random) ??
+		drawOne(group.views, isOpen, random);
+	const view = active ?? drawOne(group.suspect, isOpen, random);
+	return (
+		view && {
+			view,
+			reason: `${view.candidate.node} of ${active ? group.views.length : group.suspect.length}`,
+		}
+	);
+}
--- /dev/null
+++ b/packages/decisions/src/target-view.ts
@@ -0,0 +1,163 @@
+/** What an entry node has seen of one target. */
+import type {LoadReport} from '@egretspoke/protocol';
+import type {RoutingCandidate} from './policy.js';
+import {moveAverage} from './rate-of-change.js';
+
+/** Ends over which a target's slowness and failures are averaged. */
+const seenSpan = 16;
+/** A report counts for so long, in milliseconds; it is late when it comes and says nothing of later. */
+const reportMemory = 1000;
+/**
+ * Milliseconds after which a slowness that nobody confirms is down to 1/e: a
+ * target that is avoided sends no news, and must get another chance.
+ */
+const slownessMemory = 10_000;
+/** The longest duration that one end may count for, relative to the expected one. */
+const largestRatio = 64;
+
+/** One target as this node sees it. */
+export type TargetView = {
+	candidate: RoutingCandidate;
+	/** Requests that this node has in flight there. */
+	inFlight: number;
+	/** The sums of their starts and of their expected durations. */
+	startedSum: number;
+	expectedSum: number;
+	/** The moving average of log(duration / expected). */
+	slownessLog: number;
+	/** The moving average of ends that failed, from 0 to 1. */
+	failures: number;
+	ends: number;
+	/** When `slownessLog` last moved. */
+	seenAt: number;
+	/** Load for each slot, as last reported, and when. */
+	reported: number;
+	reportedAt: number;
+	/** Starts less ends since the report. */
+	sinceReport: number;
+	/** Until when it is ejected; 0 when it isn't. */
+	ejectedUntil: number;
+	/** How often in a row it was ejected. */
+	ejections: number;
+};
+
+/** Creates the view of a target that nothing is known of. */
+export function createTargetView(candidate: RoutingCandidate): TargetView {
+	return {
+		candidate,
+		inFlight: 0,
+		startedSum: 0,
+		expectedSum: 0,
+		slownessLog: 0,
+		failures: 0,
+		ends: 0,
+		seenAt: 0,
+		reported: 0,
+		reportedAt: Number.NEGATIVE_INFINITY,
+		sinceReport: 0,
+		ejectedUntil: 0,
+		ejections: 0,
+	};
+}
+
+/** A request was sent. */
+export function noteStart(
+	view: TargetView,
+	expected: number,
+	now: number,
+): void {
+	view.inFlight++;
+	view.sinceReport++;
+	view.startedSum += now;
+	view.expectedSum += expected;
+}
+
+/** A request has ended, however. */
+export function noteEnd(
+	view: TargetView,
+	startedAt: number,
+	expected: number,
+): void {
+	view.inFlight--;
+	view.sinceReport--;
+	view.startedSum -= startedAt;
+	view.expectedSum -= expected;
+	if (view.inFlight <= 0) {
+		view.inFlight = 0;
+		view.startedSum = 0;
+		view.expectedSum = 0;
+	}
+}
+
+/** Learns how long an answered request took, relative to what was expected. */
+export function noteSlowness(
+	view: TargetView,
+	ratio: number,
+	now: number,
+): void {
+	view.slownessLog = rememberedLog(view, now);
+	view.seenAt = now;
+	view.ends++;
+	const value = Math.log(
+		Math.min(largestRatio, Math.max(1 / largestRatio, ratio)),
+	);
+	view.slownessLog = moveAverage(
+		view.slownessLog,
+		value,
+		// A few samples count as if the first ones had been ordinary.
+		view.ends + 4,
+		seenSpan,
+	);
+}
+
+/** Learns whether a request failed for a reason other than load. */
+export function noteFailure(view: TargetView, hasFailed: boolean): void {
+	view.failures += ((hasFailed ? 1 : 0) - view.failures) / seenSpan;
+}
+
+/** Learns what the target's node reports. */
+export function noteReport(
+	view: TargetView,
+	{inFlight, waiting, limit}: LoadReport,
+	now: number,
+): void {
+	view.reported = (inFlight + waiting) / Math.max(1, limit);
+	view.reportedAt = now;
+	view.sinceReport = 0;
+}
+
+/**
+ * Load for each slot: what this node has there itself, or what was reported
+ * and sent since if that is more. A report can only add to what was seen, so
+ * one that claims an idle target draws no load to it.
+ */
+export function pressureOf(view: TargetView, now: number): number {
+	const slots = Math.max(1, view.candidate.slots);
+	const own = view.inFlight / slots;
+	if (now - view.reportedAt > reportMemory) {
+		return own;
+	}
+
+	return Math.max(own, view.reported + view.sinceReport / slots);
+}
+
+/**
+ * How slow the target is beside the others: 1 is ordinary. Requests in flight
+ * count by their age, so that a target which has stopped answering is seen
+ * before the first of them ends.
+ */
+export function slownessOf(view: TargetView, now: number): number {
+	const seen = Math.exp(rememberedLog(view, now));
+	if (view.inFlight < 2 || view.expectedSum <= 0) {
+		return seen;
+	}
+
+	const age = view.inFlight * now - view.startedSum;
+	return Math.max(seen, age / view.expectedSum);
+}
+
+function rememberedLog({slownessLog, seenAt}: TargetView, now: number): number {
+	return slownessLog === 0
+		? 0
+		: slownessLog * Math.exp((seenAt - now) / slownessMemory);
+}
--- /dev/null
+++ b/packages/decisions/src/typical-durations.ts
@@ -0,0 +1,36 @@
+/**
+ * The typical duration of each operation over all targets of a service.
+ *
+ * It is a running median: each sample moves it by a fixed step up or down, so
+ * that the long durations of one slow target, however long, weigh no more than
+ * as many ordinary ones, and that target stands out against it.
+ */
+import {findOrAdd} from './bounded-table.js';
+
+const operationLimit = 256;
+/** Fifteen samples on one side move the median by a factor of two. */
+const step = 1.05;
+
+/** The medians by operation, in milliseconds. */
+export type TypicalDurations = Map<string, {median: number}>;
+
+/** The typical duration; 0 when nothing is known. */
+export function typicalOf(
+	durations: TypicalDurations,
+	operation: string,
+): number {
+	return durations.get(operation)?.median ?? 0;
+}
+
+/** Learns from an answered request. */
+export function learnTypical(
+	durations: TypicalDurations,
+	operation: string,
+	duration: number,
+): void {
+	const value = Math.max(duration, 0.01);
+	const known = findOrAdd(durations, operation, operationLimit, () => ({
+		median: value,
+	}));
+	known.median *= value > known.median ? step : 1 / step;
+}
--- /dev/null
+++ b/packages/decisions/src/upstream-refusal.ts
@@ -0,0 +1,84 @@
+/**
+ * Work that the called service would refuse is refused before it is sent.
+ *
+ * Load pattern: a service is saturated and its callers go on sending. Each
+ * refusal costs a hop, and refused work that has travelled through layers was
+ * spent on for nothing; one notices nodes that are busy with refusals. The
+ * answers bring the level in force, and a request whose priority number, or
+ * whose whole class, is above it ends here (DAGOR, collaborative admission).
+ *
+ * What could go wrong: a level that nobody confirms any more refuses for ever.
+ * So one request in each `probeInterval` passes whatever the level says; its
+ * answer brings the level of that moment, and levels relax with age besides.
+ *
+ * Threshold: a probe every tenth of a second is ten a second and node, small
+ * beside the hundreds a second which are refused when this matters, and so
+ * fast that an opened level is known within the round trip after it.
+ */
+import {rankOf} from '@egretspoke/protocol';
+import {highestLevel, sharesPerClass} from './admission-level.js';
+import {findOrAdd} from './bounded-table.js';
+import {
+	addLevel,
+	createLevelSamples,
+	currentLevel,
+	type LevelSamples,
+} from './level-samples.js';
+import type {CallFacts} from './policy.js';
+
+const operationLimit = 256;
+const probeInterval = 100;
+
+type SeenLevel = {samples: LevelSamples; probedAt: number};
+
+/** The levels of one service by operation. */
+export type UpstreamRefusal = Map<string, SeenLevel>;
+
+/** Learns the level that an answer to the operation brought. */
+export function noteLevel(
+	state: UpstreamRefusal,
+	operation: string,
+	level: number,
+	now: number,
+): void {
+	const seen = findOrAdd(state, operation, operationLimit, () => ({
+		samples: createLevelSamples(),
+		probedAt: now,
+	}));
+	addLevel(seen.samples, level, now);
+}
+
+/** The level that holds for the operation now. */
+export function seenLevel(
+	state: UpstreamRefusal,
+	operation: string,
+	now: number,
+): number {
+	const seen = state.get(operation);
+	return seen ? currentLevel(seen.samples, now) : highestLevel;
+}
+
+/** Whether the request is doomed; one in each interval passes as a probe. */
+export function isRefusedUpstream(
+	state: UpstreamRefusal,
+	call: CallFacts,
+	now: number,
+): boolean {
+	const seen = state.get(call.operation);
+	if (!seen) {
+		return false;
+	}
+
+	// Without a number only a class that is shut as a whole can be told.
+	const priority = call.priority ?? rankOf(call.requestClass) * sharesPerClass;
+	if (priority <= currentLevel(seen.samples, now)) {
+		return false;
+	}
+
+	if (now - seen.probedAt >= probeInterval) {
+		seen.probedAt = now;
+		return false;
+	}
+
+	return true;
+}
