--- a/packages/benchmark/src/open-loop.ts
+++ b/packages/benchmark/src/open-loop.ts
@@ -62,7 +62,7 @@
 		}
 	};
 
-	for (let next = 0; next < total; ) {
+	for (let next = 0; next < total;) {
 		const now = performance.now();
 		for (; next < total && start + next * spacing <= now; next++) {
 			open.push(sendOne(start + next * spacing));
@@ -100,7 +100,7 @@
 	return new Promise((resolve) => {
 		let status = 0;
 		dispatcher.dispatch(
-			{origin, path: '/work', method: 'PUT', headers, body: Buffer.from(body)},
+			{origin, path: '/work', method: 'PUT', headers, body},
 			{
 				onRequestStart() {
 					// Nothing to do before the answer.
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -211,14 +211,16 @@
 		ledger,
 		membersChanged: createCandidateUpdater(context, routing),
 		leave() {
-			reporter.notice({name: 'leaving', reason: 'asked to leave'});
+			if (!ingress?.isLeaving()) {
+				reporter.notice({name: 'leaving', reason: 'asked to leave'});
+			}
+
 			ingress?.leave();
 		},
 		rejoin() {
 			ingress?.rejoin();
 		},
 		async drain() {
-			reporter.notice({name: 'leaving', reason: 'draining'});
 			isDraining = true;
 			ingress?.leave();
 			await ingress?.whenIdle();
--- a/packages/node/src/observing-reporter.ts
+++ b/packages/node/src/observing-reporter.ts
@@ -71,8 +71,8 @@
 			decisionCounters[decision.name]?.(metrics, readService(decision));
 		},
 		notice(notice) {
-			const {name, ...details} = notice;
-			log.record(name, {details});
+			const {name, reason, ...details} = {reason: undefined, ...notice};
+			log.record(name, {details, ...(reason !== undefined && {reason})});
 			const count = noticeCounters[name] as
 				CountNotice<NodeNotice['name']> | undefined;
 			count?.(metrics, notice);
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -194,7 +194,12 @@
 		stop,
 		async drain() {
 			control.leave();
-			await Promise.race([core.drain(), sleep(clock, settings.timings.drain)]);
+			const drained = new AbortController();
+			await Promise.race([
+				core.drain(),
+				sleep(clock, settings.timings.drain, drained.signal),
+			]);
+			drained.abort();
 			caller.drain();
 			await control.end();
 			const cut = await stop();
@@ -246,7 +251,14 @@
 		self: member,
 		clock,
 		random: random.fork(),
-		platform: createHttpPlatform({...platform, clock}),
+		platform: createHttpPlatform({
+			address: platform.address,
+			timeout: platform.timeout,
+			clock,
+			...(platform.credential !== undefined && {
+				credential: platform.credential,
+			}),
+		}),
 		peers,
 		timing: {lease: timings.lease, probePeriod: timings.probe},
 		readPeriod: timings.configurationRead,
