refactor(node): members looked up by a directory, one connection a pair of peers

Cause: a trial of three nodes showed two connections between each pair, and every call walked all members. Change: a directory rebuilt on changes; of two connections opened at once both sides use the lower name's, and one without messages for five minutes is closed.

--- /dev/null
+++ b/packages/node/src/member-directory.ts
@@ -0,0 +1,88 @@
+/**
+ * The members as the request path looks them up. It is rebuilt when members
+ * change, some hundred times a day, so that a call costs one look-up however
+ * many members there are.
+ */
+import type {Member} from '@egretspoke/protocol';
+import type {RoutingCandidate} from '@egretspoke/decisions';
+
+/** Members by what they are looked up by. */
+export type MemberDirectory = {
+	byNode(node: string): Member | undefined;
+	/** The node that announced this peer address. */
+	nodeAt(peerAddress: string): string | undefined;
+	/** True when some member's target serves it. */
+	isServed(service: string): boolean;
+	/**
+	 * Takes the members as they are now, and gives the candidates of each
+	 * service, an empty list for one that has lost its last.
+	 */
+	update(members: readonly Member[], now: number): CandidatesByService;
+};
+
+/** The router's candidates of each service. */
+export type CandidatesByService = Map<string, RoutingCandidate[]>;
+
+const candidateStates: Partial<
+	Record<Member['state'], RoutingCandidate['state']>
+> = {active: 'active', suspect: 'suspect', leaving: 'leaving'};
+
+/** Creates an empty directory. */
+export function createMemberDirectory(): MemberDirectory {
+	let members = new Map<string, Member>();
+	let nodes = new Map<string, string>();
+	let candidates: CandidatesByService = new Map();
+	/** When each start of a node was first seen, for slow start. */
+	let firstSeen = new Map<string, number>();
+
+	return {
+		byNode: (node) => members.get(node),
+		nodeAt: (peerAddress) => nodes.get(peerAddress),
+		isServed: (service) => candidates.has(service),
+		update(current, now) {
+			members = new Map(current.map((member) => [member.node, member]));
+			nodes = new Map(
+				current.map(({node, peerAddress}) => [peerAddress, node]),
+			);
+			const seen = new Map<string, number>();
+			const next: CandidatesByService = new Map();
+			for (const member of current) {
+				const start = `${member.node}@${member.incarnation}`;
+				const since = firstSeen.get(start) ?? now;
+				const candidate = createCandidate(member, since);
+				if (candidate) {
+					seen.set(start, since);
+					const {service} = member.target!;
+					next.set(service, [...(next.get(service) ?? []), candidate]);
+				}
+			}
+
+			const vanished = [...candidates.keys()].filter((each) => !next.has(each));
+			firstSeen = seen;
+			candidates = next;
+			const changed = new Map(next);
+			for (const service of vanished) {
+				changed.set(service, []);
+			}
+
+			return changed;
+		},
+	};
+}
+
+function createCandidate(
+	{node, dataCentre, state, target}: Member,
+	since: number,
+): RoutingCandidate | undefined {
+	const candidateState = candidateStates[state];
+	return target && candidateState
+		? {
+				node,
+				dataCentre,
+				slots: target.slots,
+				connections: target.connections,
+				since,
+				state: candidateState,
+			}
+		: undefined;
+}
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -21,16 +21,12 @@
 	type ProbeMessage,
 	type TargetAnnouncement,
 } from '@egretspoke/protocol';
-import type {
-	AdmissionPolicy,
-	Policy,
-	RoutingCandidate,
-	RoutingPolicy,
-} from '@egretspoke/decisions';
+import type {AdmissionPolicy, Policy} from '@egretspoke/decisions';
 import type {Clock, Random} from '@egretspoke/shared';
 import {createAttemptSender} from './attempt-sender.js';
 import {createEntry, type Entry} from './entry.js';
 import {refuseHere} from './entry-refusal.js';
+import {createMemberDirectory} from './member-directory.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIngress, type Ingress} from './ingress.js';
 import type {PeerTransport} from './message-channel.js';
@@ -90,8 +86,10 @@
 	ingress(): Ingress | undefined;
 	/** Takes the target's announcement; a second one replaces the first. */
 	announce(target: CoreTarget): void;
-	/** To be called when members have changed. */
+	/** To be called when members have changed in more than their heartbeat. */
 	membersChanged(): void;
+	/** True when some member's target serves it. */
+	isServed(service: string): boolean;
 	/** No new work for the target from now on; the entry still serves. */
 	leave(): void;
 	/** The target takes work again after a `leave`. */
@@ -104,6 +102,7 @@
 export function createNodeCore(context: NodeCoreContext): NodeCore {
 	const {clock, control, policy, reporter, self, supervisor} = context;
 	const running = createRunningRequests();
+	const directory = createMemberDirectory();
 	const ledger = createLedger({clock, ...context.ledger});
 	const routing = policy.createRouting({
 		dataCentre: context.dataCentre,
@@ -150,6 +149,8 @@
 	const peers = createPeers({
 		clock,
 		transport: context.transport,
+		self: self.node,
+		nodeAt: (address) => directory.nodeAt(address),
 		supervisor: supervisor.branch('peers'),
 		services: {
 			reporter,
@@ -160,15 +161,12 @@
 		},
 	});
 
-	const findMember = (node: string) =>
-		control.members().find((member) => member.node === node);
-
 	const send = createAttemptSender({
 		clock,
 		routing,
 		reporter,
 		async path(node, request, signal) {
-			const member = findMember(node);
+			const member = directory.byNode(node);
 			if (node === self.node || !member) {
 				return runHere(request, signal);
 			}
@@ -189,7 +187,7 @@
 		classify: (service, method, path) =>
 			control.classify(service, method, path),
 		async passToHome(home, request, signal) {
-			const member = findMember(home.node);
+			const member = directory.byNode(home.node);
 			if (!member || home.node === self.node) {
 				return {outcome: refuseHere(ErrorCode.HomeGone)};
 			}
@@ -209,7 +207,13 @@
 		},
 		peers,
 		ledger,
-		membersChanged: createCandidateUpdater(context, routing),
+		isServed: (service) => directory.isServed(service),
+		membersChanged() {
+			const now = clock.now();
+			for (const [service, list] of directory.update(control.members(), now)) {
+				routing.candidatesChanged(service, list, now);
+			}
+		},
 		leave() {
 			if (!ingress?.isLeaving()) {
 				reporter.notice({name: 'leaving', reason: 'asked to leave'});
@@ -256,54 +260,3 @@
 		}),
 	};
 }
-
-const candidateStates: Partial<
-	Record<Member['state'], RoutingCandidate['state']>
-> = {active: 'active', suspect: 'suspect', leaving: 'leaving'};
-
-/** Keeps the router's candidates as the members stand. */
-function createCandidateUpdater(
-	{clock, control}: NodeCoreContext,
-	routing: RoutingPolicy,
-): () => void {
-	const since = new Map<string, number>();
-	let services = new Set<string>();
-
-	return () => {
-		const now = clock.now();
-		const byService = new Map<string, RoutingCandidate[]>();
-		const seen = new Set<string>();
-		for (const member of control.members()) {
-			const state = candidateStates[member.state];
-			if (!member.target || !state) {
-				continue;
-			}
-
-			const start = `${member.node}@${member.incarnation}`;
-			seen.add(start);
-			since.set(start, since.get(start) ?? now);
-			const list = byService.get(member.target.service) ?? [];
-			byService.set(member.target.service, list);
-			list.push({
-				node: member.node,
-				dataCentre: member.dataCentre,
-				slots: member.target.slots,
-				connections: member.target.connections,
-				since: since.get(start)!,
-				state,
-			});
-		}
-
-		for (const start of since.keys()) {
-			if (!seen.has(start)) {
-				since.delete(start);
-			}
-		}
-
-		for (const service of new Set([...services, ...byService.keys()])) {
-			routing.candidatesChanged(service, byService.get(service) ?? [], now);
-		}
-
-		services = new Set(byService.keys());
-	};
-}
--- /dev/null
+++ b/packages/node/src/node-readings.ts
@@ -0,0 +1,53 @@
+/** What the gauges of a node show at the moment when they are collected. */
+import type {Control} from '@egretspoke/control';
+import type {NodeReadings} from '@egretspoke/observability';
+import type {NodeCore} from './node-core.js';
+
+/** The parts that are read; they come into being one after another. */
+export type ReadParts = {control?: Control; core?: NodeCore};
+
+/** Reads the parts; one that isn't there yet counts as empty. */
+export function readGauges(
+	{control, core}: ReadParts,
+	logLinesDropped: number,
+): NodeReadings {
+	return {
+		...readControl(control),
+		...readCore(core),
+		...readTarget(control, core),
+		logLinesDropped,
+	};
+}
+
+function readControl(control: Control | undefined) {
+	const members: Record<string, number> = {};
+	for (const {state} of control?.membership.members() ?? []) {
+		members[state] = (members[state] ?? 0) + 1;
+	}
+
+	return {
+		members,
+		configurationVersion: control?.configuration.current().version ?? 0,
+		isPlatformReachable: control?.configuration.platformState() === 'reachable',
+	};
+}
+
+function readCore(core: NodeCore | undefined) {
+	const ledger = core?.ledger.size();
+	return {
+		isLeaving: core?.ingress()?.isLeaving() ?? false,
+		openRequests: core?.entry.open() ?? 0,
+		peersConnected: core?.peers.count() ?? 0,
+		ledgerKeys: ledger?.keys ?? 0,
+		ledgerBytes: ledger?.answerBytes ?? 0,
+	};
+}
+
+function readTarget(
+	control: Control | undefined,
+	core: NodeCore | undefined,
+): Pick<NodeReadings, 'target'> {
+	const load = core?.ingress()?.report();
+	const service = control?.membership.self().target?.service;
+	return load && service !== undefined ? {target: {service, ...load}} : {};
+}
--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -49,6 +49,8 @@
 	close(reason: string): void;
 	/** Exchanges and probes that are open in either direction. */
 	openExchanges(): number;
+	/** Messages received so far; a connection that gains none is idle. */
+	received(): number;
 };
 
 /** Calls that one peer may have open here; more are refused as overload. */
@@ -73,6 +75,7 @@
 		(message: ConfigurationBodyMessage | undefined) => void
 	>();
 	let sequence = 1;
+	let received = 0;
 
 	const answerCall = async (message: CallMessage) => {
 		const {exchange} = message;
@@ -197,6 +200,7 @@
 		async serve() {
 			try {
 				for await (const message of channel.receive()) {
+					received++;
 					const handle = handlers[message.type] as (message: Message) => void;
 					handle(message);
 				}
@@ -207,6 +211,7 @@
 		close(reason) {
 			channel.close(reason);
 		},
+		received: () => received,
 		openExchanges: () => exchanges.size() + served.size + probes.size,
 	};
 }
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -14,7 +14,7 @@
 	type ConfigurationBodyMessage,
 	type ProbeMessage,
 } from '@egretspoke/protocol';
-import type {Clock} from '@egretspoke/shared';
+import {createTicks, type Clock} from '@egretspoke/shared';
 import type {ExchangeResult} from './exchange-table.js';
 import type {MessageChannel, PeerTransport} from './message-channel.js';
 import {
@@ -51,10 +51,14 @@
 
 /** What the peers are built from. */
 export type PeersContext = {
+	/** This node's name. */
+	self: string;
 	clock: Clock;
 	transport: PeerTransport;
 	services: PeerServices;
 	supervisor: Supervisor;
+	/** The node that announced this peer address. */
+	nodeAt(address: string): string | undefined;
 };
 
 /**
@@ -64,21 +68,39 @@
  */
 const reconnectDelay = 200;
 
+/**
+ * Milliseconds without an exchange after which a connection is closed. Every
+ * node probes every other now and then, so without it each of N nodes would
+ * keep N connections and their buffers for good.
+ */
+const idleTime = 300_000;
+const idleCheckPeriod = 30_000;
+
+type OpenPeer = {
+	connection: PeerConnection;
+	/** Messages received when it was last looked at, and since when it has gained none. */
+	received: number;
+	idleSince: number;
+};
+
 /** Creates the peers; connections that peers open are served from now on. */
 export function createPeers(context: PeersContext): Peers {
 	const {clock, transport, services, supervisor} = context;
-	const byAddress = new Map<string, PeerConnection>();
-	const byNode = new Map<string, PeerConnection>();
+	const byNode = new Map<string, OpenPeer>();
+	const all = new Set<OpenPeer>();
 	const opening = new Map<string, Promise<PeerConnection | undefined>>();
 	const failedAt = new Map<string, number>();
 	let connectionNumber = 0;
 
-	const serve = (channel: MessageChannel, address?: string) => {
+	const serve = (channel: MessageChannel, isOpener: boolean) => {
 		const connection = createPeerConnection(channel, services);
 		const {node} = channel.peer;
-		byNode.set(node, connection);
-		if (address !== undefined) {
-			byAddress.set(address, connection);
+		const open: OpenPeer = {connection, received: 0, idleSince: clock.now()};
+		all.add(open);
+		// Two nodes that open at once get two connections. Both sides use the
+		// one that the lower name opened, and the other falls idle.
+		if (!byNode.has(node) || isOpener === context.self < node) {
+			byNode.set(node, open);
 		}
 
 		services.reporter.notice({name: 'peerConnected', peer: node});
@@ -92,23 +114,22 @@
 				await connection.serve();
 			} finally {
 				signal.removeEventListener('abort', close);
-				forget(connection, node, address);
+				forget(open, node);
 			}
 		});
 		return connection;
 	};
 
-	const forget = (
-		connection: PeerConnection,
-		node: string,
-		address: string | undefined,
-	) => {
-		if (byNode.get(node) === connection) {
+	const forget = (open: OpenPeer, node: string) => {
+		all.delete(open);
+		if (byNode.get(node) === open) {
 			byNode.delete(node);
-		}
-
-		if (address !== undefined && byAddress.get(address) === connection) {
-			byAddress.delete(address);
+			const other = [...all].find(
+				({connection}) => connection.peer.node === node,
+			);
+			if (other) {
+				byNode.set(node, other);
+			}
 		}
 
 		services.reporter.notice({name: 'peerLost', peer: node});
@@ -123,18 +144,16 @@
 		}
 
 		failedAt.delete(address);
-		return serve(channel, address);
+		return serve(channel, true);
 	};
 
 	const connect = async (
 		address: string,
-		node?: string,
 	): Promise<PeerConnection | undefined> => {
-		const known =
-			byAddress.get(address) ??
-			(node === undefined ? undefined : byNode.get(node));
+		const node = context.nodeAt(address);
+		const known = node === undefined ? undefined : byNode.get(node);
 		if (known) {
-			return known;
+			return known.connection;
 		}
 
 		const failed = failedAt.get(address);
@@ -151,14 +170,31 @@
 		return pending;
 	};
 
+	const closeIdle = () => {
+		const now = clock.now();
+		for (const open of all) {
+			const {connection} = open;
+			const isBusy = connection.openExchanges() > 0;
+			if (isBusy || connection.received() > open.received) {
+				open.received = connection.received();
+				open.idleSince = now;
+			} else if (now - open.idleSince > idleTime) {
+				connection.close('idle');
+			}
+		}
+	};
+
 	transport.accept((channel) => {
-		serve(channel);
+		serve(channel, false);
 	});
+	void createTicks(clock, idleCheckPeriod, supervisor.signal).observe(
+		closeIdle,
+	);
 
 	return {
 		async call(peer, request, options, signal) {
-			const known = byAddress.get(peer.peerAddress) ?? byNode.get(peer.node);
-			const connection = known ?? (await connect(peer.peerAddress, peer.node));
+			const known = byNode.get(peer.node)?.connection;
+			const connection = known ?? (await connect(peer.peerAddress));
 			// An address can have passed to another node: a call for one must
 			// never run at the other under a false name.
 			return connection?.peer.node === peer.node
@@ -175,7 +211,7 @@
 		},
 		count: () => byNode.size,
 		close() {
-			for (const connection of [...byAddress.values(), ...byNode.values()]) {
+			for (const {connection} of all) {
 				connection.close('stopping');
 			}
 		},
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -9,7 +9,6 @@
 	type ControlOptions,
 } from '@egretspoke/control';
 import {egretspokePolicy, type Policy} from '@egretspoke/decisions';
-import type {NodeReadings} from '@egretspoke/observability';
 import {createHttpPlatform} from '@egretspoke/platform';
 import type {Home, Member, TargetAnnouncement} from '@egretspoke/protocol';
 import {
@@ -25,6 +24,7 @@
 import {createNodeCore, type NodeCore} from './node-core.js';
 import {createNodeInstruments} from './node-instruments.js';
 import {formatAddress, parseAddress} from './settings-address.js';
+import {readGauges, type ReadParts} from './node-readings.js';
 import type {NodeSettings} from './settings.js';
 import {createSupervisor} from './supervisor.js';
 import {createWebSocketTransport} from './web-socket-transport.js';
@@ -65,7 +65,7 @@
 	const startedAt = clock.date().getTime();
 	const random = createRandom(startedAt % 2 ** 31);
 	const self: Home = {node, incarnation: startedAt};
-	const parts: Parts = {};
+	const parts: ReadParts = {};
 	const instruments = createNodeInstruments(settings, clock, () =>
 		readGauges(parts, instruments.log.dropped()),
 	);
@@ -107,7 +107,8 @@
 		},
 		control: {
 			classify: (service, method, path) =>
-				isKnown(control, service)
+				control.configuration.current().classifiers.has(service) ||
+				core.isServed(service)
 					? classify(control.configuration.current(), service, method, path)
 					: undefined,
 			members: () => control.membership.members(),
@@ -210,33 +211,6 @@
 	};
 }
 
-/** The parts that the gauges read; they come into being one after another. */
-type Parts = {control?: Control; core?: NodeCore};
-
-function readGauges({control, core}: Parts, dropped: number): NodeReadings {
-	const members: Record<string, number> = {};
-	for (const {state} of control?.membership.members() ?? []) {
-		members[state] = (members[state] ?? 0) + 1;
-	}
-
-	const ledger = core?.ledger.size();
-	const ingress = core?.ingress();
-	const load = ingress?.report();
-	const service = control?.membership.self().target?.service;
-	return {
-		configurationVersion: control?.configuration.current().version ?? 0,
-		isPlatformReachable: control?.configuration.platformState() === 'reachable',
-		isLeaving: ingress?.isLeaving() ?? false,
-		openRequests: core?.entry.open() ?? 0,
-		peersConnected: core?.peers.count() ?? 0,
-		members,
-		ledgerKeys: ledger?.keys ?? 0,
-		ledgerBytes: ledger?.answerBytes ?? 0,
-		logLinesDropped: dropped,
-		...(load && service !== undefined && {target: {service, ...load}}),
-	};
-}
-
 type ControlParts = Pick<ControlOptions, 'clock' | 'random'> & {
 	core: NodeCore;
 	member: Member;
@@ -272,14 +246,6 @@
 	};
 }
 
-/** A service that is configured or announced by anyone. */
-function isKnown(control: Control, service: string): boolean {
-	return (
-		control.configuration.current().classifiers.has(service) ||
-		control.membership.members().some(({target}) => target?.service === service)
-	);
-}
-
 /** Keeps the router and the ingress as membership and configuration say. */
 function followControl(
 	control: Control,
@@ -288,7 +254,10 @@
 ): void {
 	const {node} = control.membership.self();
 	void control.membership.changes.observe(({member, before}) => {
-		core.membersChanged();
+		if (!before || isRoutingChange(member, before)) {
+			core.membersChanged();
+		}
+
 		if (member.state === before?.state) {
 			return;
 		}
@@ -316,6 +285,18 @@
 	});
 }
 
+/** A heartbeat or a version alone changes nothing for the router. */
+function isRoutingChange(member: Member, before: Member): boolean {
+	return (
+		member.state !== before.state ||
+		member.incarnation !== before.incarnation ||
+		member.peerAddress !== before.peerAddress ||
+		member.target?.service !== before.target?.service ||
+		member.target?.slots !== before.target?.slots ||
+		member.target?.connections !== before.target?.connections
+	);
+}
+
 type Listening = {listen(host: string, port: number): Promise<number>};
 
 async function listenOn(listener: Listening, address: string): Promise<string> {
