--- a/packages/command/src/demo-processes.ts
+++ b/packages/command/src/demo-processes.ts
@@ -7,9 +7,14 @@
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
-import {fileURLToPath} from 'node:url';
 import {stringify} from 'yaml';
-import type {Child, startChild, readJson} from '@egretspoke/stand-ins';
+import type {
+	Child,
+	readStartedNode,
+	readText,
+	scriptBeside,
+	startChild,
+} from '@egretspoke/stand-ins';
 
 /** One VM of the demonstration. */
 export type DemoMachine = {
@@ -46,7 +51,9 @@
 
 type StandIns = {
 	startChild: typeof startChild;
-	readJson: typeof readJson;
+	readStartedNode: typeof readStartedNode;
+	readText: typeof readText;
+	scriptBeside: typeof scriptBeside;
 };
 
 const slots = 8;
@@ -86,11 +93,15 @@
 		platform: string,
 	): Promise<DemoNode> => {
 		const {service, calls, serviceTime, node, dataCentre} = machine;
-		const target = start(scriptOf('@egretspoke/stand-ins', 'target-main.js'), [
-			JSON.stringify({service, slots, connections, serviceTime, calls}),
-		]);
+		const target = start(
+			standIns.scriptBeside(
+				import.meta.resolve('@egretspoke/stand-ins'),
+				'target-main.js',
+			),
+			[JSON.stringify({service, slots, connections, serviceTime, calls})],
+		);
 		const targetAddress = await target.waitFor((line) =>
-			readText(standIns, line, 'address'),
+			standIns.readText(line, 'address'),
 		);
 		const settings = await write(
 			`${node}.yaml`,
@@ -107,24 +118,25 @@
 				logs: {format: 'json', level: 'info'},
 			}),
 		);
-		const child = start(scriptOf('@egretspoke/node', 'main.js'), [
-			'--settings',
-			settings,
-		]);
-		const {caller, admin} = await child.waitFor((line) =>
-			readStarted(standIns, line),
+		const child = start(
+			standIns.scriptBeside(import.meta.resolve('@egretspoke/node'), 'main.js'),
+			['--settings', settings],
 		);
+		const {caller, admin} = await child.waitFor(standIns.readStartedNode);
 		await target.ask(`announce ${caller}`);
 		say(`${node} serves ${service} in ${dataCentre}: callers ${caller}`);
 		return {...machine, caller, admin, process: child, target};
 	};
 
 	const platform = start(
-		scriptOf('@egretspoke/stand-ins', 'platform-main.js'),
+		standIns.scriptBeside(
+			import.meta.resolve('@egretspoke/stand-ins'),
+			'platform-main.js',
+		),
 		[],
 	);
 	const platformAddress = await platform.waitFor((line) =>
-		readText(standIns, line, 'address'),
+		standIns.readText(line, 'address'),
 	);
 	say(`the platform's stand-in listens on ${platformAddress}`);
 	const nodes = await Promise.all(
@@ -134,7 +146,7 @@
 		nodes,
 		write,
 		async operate(admin, parameters) {
-			const child = start(scriptOf('@egretspoke/command', 'main.js'), [
+			const child = start(standIns.scriptBeside(import.meta.url, 'main.js'), [
 				...parameters,
 				'--node',
 				admin,
@@ -156,30 +168,3 @@
 		},
 	};
 }
-
-function scriptOf(packageName: string, script: string): string {
-	const door = fileURLToPath(import.meta.resolve(packageName));
-	return path.join(path.dirname(door), script);
-}
-
-function readText(
-	{readJson}: StandIns,
-	line: string,
-	name: string,
-): string | undefined {
-	const value = readJson(line)?.[name];
-	return typeof value === 'string' ? value : undefined;
-}
-
-function readStarted(
-	standIns: StandIns,
-	line: string,
-): {caller: string; admin: string} | undefined {
-	if (readText(standIns, line, 'name') !== 'started') {
-		return undefined;
-	}
-
-	const caller = readText(standIns, line, 'caller');
-	const admin = readText(standIns, line, 'admin');
-	return caller && admin ? {caller, admin} : undefined;
-}
