feat(experiment): the first running version, and the naive policy

Both policies go through one path on the virtual clock: user, entry node, routing, admission, a target of N slots, its calls deeper.

--- /dev/null
+++ b/packages/experiment/src/capacity.ts
@@ -0,0 +1,147 @@
+/**
+ * `limitGoodput`: the most whole requests a second that the capacity allows
+ * during the overload. It is computed, not measured, from slots, mean service
+ * times and the demand, as a flow in small steps:
+ *
+ * - The slots give `slots` milliseconds of work a millisecond and target. The
+ *   deepest service's slots divide by its slowdown; a cold target's factor
+ *   falls with what it has run, taken as running at full slots.
+ * - A want that isn't served in its step waits for the next one; none is lost,
+ *   so the limit can only be too high, never too low.
+ * - Each step serves the cheapest operations first, which gives the highest
+ *   count of requests.
+ * - A service above the deepest bounds the rate by its slots over the time for
+ *   which a request holds one: its own work and, without any queue, the calls
+ *   below it.
+ */
+import {
+	capacityOf,
+	deepWork,
+	type CallPlan,
+	type Deployment,
+	type Operation,
+	type ServiceRole,
+} from './deployment.js';
+import {coldFactor, warmAfter, type Scenario} from './scenario.js';
+
+/** Milliseconds of one step of the flow. */
+const step = 10;
+
+/** The limit for a scenario, in whole requests a second. */
+export function computeLimit(
+	deployment: Deployment,
+	scenario: Scenario,
+): number {
+	const deepSlots = createDeepSlots(deployment, scenario);
+	const streams = demandByCost(deployment, scenario);
+	let served = 0;
+	for (let elapsed = 0; elapsed < scenario.trigger; elapsed += step) {
+		let slotTime = deepSlots(step);
+		for (const stream of streams) {
+			stream.backlog += (stream.rate * step) / 1000;
+			const count = Math.min(stream.backlog, slotTime / stream.cost);
+			stream.backlog -= count;
+			slotTime -= count * stream.cost;
+			served += count;
+		}
+	}
+
+	const rate = (served * 1000) / scenario.trigger;
+	return Math.min(rate, boundAbove(deployment, scenario));
+}
+
+/** Milliseconds for which an operation holds a slot of a service, no queue anywhere. */
+export function holdingTime(
+	plan: CallPlan,
+	role: ServiceRole,
+	slowdown: number,
+): number {
+	const own = plan.role === role ? durationOf(plan, slowdown) : 0;
+	return plan.below.reduce(
+		(sum, below) => sum + holdingTime(below, role, slowdown),
+		own,
+	);
+}
+
+function durationOf(plan: CallPlan, slowdown: number): number {
+	const work =
+		(plan.before + plan.after) * (plan.role === 'deep' ? slowdown : 1);
+	return (
+		work +
+		Math.max(0, ...plan.below.map((below) => durationOf(below, slowdown)))
+	);
+}
+
+type Stream = {cost: number; rate: number; backlog: number};
+
+/** The streams of demand during the trigger, the cheapest first. */
+function demandByCost(deployment: Deployment, scenario: Scenario): Stream[] {
+	const capacity = capacityOf(deployment);
+	return scenario.surge
+		.flatMap((demand) =>
+			demand.operations.map((operation) => ({
+				cost: holdingTime(operation.plan, 'deep', 1),
+				rate: demand.load * capacity * operation.share,
+				backlog: 0,
+			})),
+		)
+		.toSorted((left, right) => left.cost - right.cost);
+}
+
+/** The work, in healthy milliseconds, that the deepest slots do in each next step. */
+function createDeepSlots({services}: Deployment, scenario: Scenario) {
+	const {targets, slots} = services.deep;
+	const run = Array.from({length: targets}, (_, target) =>
+		target < scenario.replaced ? 0 : warmAfter,
+	);
+	return (duration: number) => {
+		let total = 0;
+		for (let target = 0; target < targets; target++) {
+			const factor =
+				scenario.slowdown(target) * warmthFactor(run[target] ?? warmAfter);
+			const work = (slots * duration) / factor;
+			run[target]! += work / deepWork;
+			total += work;
+		}
+
+		return total;
+	};
+}
+
+/** How much longer a target takes that has run so many requests since it was started. */
+export function warmthFactor(run: number): number {
+	const left = Math.max(0, 1 - run / warmAfter);
+	return 1 + (coldFactor - 1) * left;
+}
+
+/** The rate that the services above the deepest allow, in requests a second. */
+function boundAbove({services}: Deployment, scenario: Scenario): number {
+	const {targets} = services.deep;
+	const slowdowns = Array.from({length: targets}, (_, target) =>
+		scenario.slowdown(target),
+	);
+	const slowdown = Math.min(...slowdowns);
+	const mix = mixOf(scenario);
+	const roles: ServiceRole[] = ['front', 'middle', 'side'];
+	const bounds = roles.map((role) => {
+		const holding = mix.reduce(
+			(sum, {operation, share}) =>
+				sum + share * holdingTime(operation.plan, role, slowdown),
+			0,
+		);
+		return (services[role].targets * services[role].slots * 1000) / holding;
+	});
+	return Math.min(...bounds);
+}
+
+function mixOf(
+	scenario: Scenario,
+): Array<{operation: Operation; share: number}> {
+	const total = scenario.surge.reduce((sum, {load}) => sum + load, 0);
+	return scenario.surge.flatMap(({load, operations}) =>
+		operations.map((operation) => ({
+			operation,
+			share: (operation.share * load) / total,
+		})),
+	);
+}
--- /dev/null
+++ b/packages/experiment/src/deployment.ts
@@ -0,0 +1,166 @@
+/**
+ * The two deployments of today: their services, targets, slots, connections,
+ * data centres and one-way delays, and the operations that their users ask
+ * for. The sizes are the brief's; the service times and the mix of operations
+ * are assumptions, stated here and in docs/EXPERIMENT.md.
+ */
+import type {RequestClass} from '@egretspoke/protocol';
+
+/** The part that a service plays in the call graph, the same in both deployments. */
+export const serviceRoles = ['front', 'middle', 'side', 'deep'] as const;
+export type ServiceRole = (typeof serviceRoles)[number];
+
+/** The size of one service. */
+export type ServiceSize = {
+	name: string;
+	targets: number;
+	/** Requests that one target runs at once. */
+	slots: number;
+	/** Connections that one target accepts. */
+	connections: number;
+};
+
+/** One call in the plan of an operation, with the calls that it makes in parallel. */
+export type CallPlan = {
+	role: ServiceRole;
+	/** Milliseconds of work before the deeper calls, on average; all there is in a leaf. */
+	before: number;
+	/** Milliseconds of work after the deeper calls. */
+	after: number;
+	below: CallPlan[];
+};
+
+/** What a user can ask for. Each operation needs exactly one call to the deepest service. */
+export type Operation = {
+	name: string;
+	requestClass: RequestClass;
+	idempotent: boolean;
+	/** Its share of the demand. */
+	share: number;
+	plan: CallPlan;
+};
+
+/** The names under which a deployment can be asked for. */
+export const deploymentNames = ['fieldline', 'akwaaba'] as const;
+export type DeploymentName = (typeof deploymentNames)[number];
+
+export type Deployment = {
+	name: DeploymentName;
+	dataCentres: number;
+	/** One-way milliseconds between two data centres. */
+	betweenDataCentres: number;
+	/** One-way milliseconds between a client and any node. */
+	toClients: number;
+	services: Record<ServiceRole, ServiceSize>;
+};
+
+/** One-way milliseconds between two VMs of one data centre (assumed). */
+export const withinDataCentre = 0.1;
+
+/** Milliseconds that a new connection costs. */
+export const connectionCost = 1;
+
+/** Mean milliseconds of the deepest service's work (assumed). */
+export const deepWork = 100;
+
+/** How much longer than an ordinary one a long operation keeps the deepest service. */
+export const longFactor = 8;
+
+export const deployments: Record<DeploymentName, Deployment> = {
+	fieldline: {
+		name: 'fieldline',
+		dataCentres: 3,
+		betweenDataCentres: 1,
+		toClients: 8,
+		services: {
+			front: size('shift-booking', 4, 140, 950),
+			middle: size('roster-board', 5, 110, 800),
+			side: size('questionnaire-intake', 3, 190, 1200),
+			deep: size('dispatch', 3, 20, 200),
+		},
+	},
+	akwaaba: {
+		name: 'akwaaba',
+		dataCentres: 3,
+		betweenDataCentres: 0.5,
+		toClients: 1,
+		services: {
+			front: size('orders-and-payments', 4, 100, 680),
+			middle: size('mending-history', 5, 80, 570),
+			side: size('photo-storage', 3, 130, 880),
+			deep: size('loft-queues', 3, 30, 280),
+		},
+	},
+};
+
+const deep: CallPlan = {role: 'deep', before: deepWork, after: 0, below: []};
+const middle: CallPlan = {role: 'middle', before: 8, after: 4, below: [deep]};
+const side: CallPlan = {role: 'side', before: 20, after: 0, below: []};
+
+/** The ordinary mix. */
+export const operations: Operation[] = [
+	{
+		name: 'POST /bookings',
+		requestClass: 'essential',
+		idempotent: false,
+		share: 0.15,
+		plan: {role: 'front', before: 4, after: 2, below: [middle]},
+	},
+	{
+		name: 'PUT /uploads',
+		requestClass: 'essential',
+		idempotent: true,
+		share: 0.15,
+		plan: {role: 'side', before: 20, after: 4, below: [middle]},
+	},
+	{
+		name: 'GET /orders',
+		requestClass: 'normal',
+		idempotent: true,
+		share: 0.25,
+		plan: {role: 'front', before: 4, after: 2, below: [middle, side]},
+	},
+	{
+		name: 'GET /board',
+		requestClass: 'normal',
+		idempotent: true,
+		share: 0.25,
+		plan: middle,
+	},
+	{
+		name: 'GET /reports',
+		requestClass: 'deferrable',
+		idempotent: true,
+		share: 0.2,
+		plan: {role: 'front', before: 4, after: 2, below: [middle]},
+	},
+];
+
+/** Long work: the same chain, with a deepest call that takes `longFactor` times as long. */
+export const longOperation: Operation = {
+	name: 'GET /archive',
+	requestClass: 'deferrable',
+	idempotent: true,
+	share: 0,
+	plan: {
+		role: 'front',
+		before: 4,
+		after: 2,
+		below: [{...middle, below: [{...deep, before: deepWork * longFactor}]}],
+	},
+};
+
+/** Requests a second that the deepest service can run when it is healthy. */
+export function capacityOf({services}: Deployment): number {
+	const {targets, slots} = services.deep;
+	return (targets * slots * 1000) / deepWork;
+}
+
+function size(
+	name: string,
+	targets: number,
+	slots: number,
+	connections: number,
+): ServiceSize {
+	return {name, targets, slots, connections};
+}
--- /dev/null
+++ b/packages/experiment/src/experiment.ts
@@ -0,0 +1,68 @@
+/** One experiment: the same seeded load through each policy. */
+import {computeLimit} from './capacity.js';
+import {findContender} from './contender.js';
+import {deployments, type DeploymentName} from './deployment.js';
+import {computeFigures, goodputOverTime, type Figures} from './figures.js';
+import {runContender} from './run.js';
+import {scenarios, type ScenarioName} from './scenario.js';
+
+/** What is run. */
+export type ExperimentSetup = {
+	scenario: ScenarioName;
+	deployment: DeploymentName;
+	seed: number;
+	policies: string[];
+};
+
+/** What is printed: the limit, then the figures of each policy under its name. */
+export type ExperimentResult = {
+	scenario: ScenarioName;
+	seed: number;
+	deployment: DeploymentName;
+	limitGoodput: number;
+	policies: Record<string, Figures>;
+};
+
+/** A point of the picture of goodput over time. */
+export type GoodputPoint = {policy: string; second: number; goodput: number};
+
+/** Runs every policy of the setup; each sees each point of its goodput handed on. */
+export function runExperiment(
+	setup: ExperimentSetup,
+	observe?: (point: GoodputPoint) => void,
+): ExperimentResult {
+	const {seed} = setup;
+	const scenario = scenarios[setup.scenario];
+	const deployment = deployments[setup.deployment];
+	const policies: Record<string, Figures> = {};
+	for (const name of setup.policies) {
+		const contender = findContender(name);
+		if (contender === undefined) {
+			throw new RangeError(`no policy is named ${name}`);
+		}
+
+		const tally = runContender(contender, deployment, scenario, seed);
+		policies[name] = computeFigures(tally, scenario);
+		if (observe) {
+			for (const point of goodputOverTime(tally, scenario)) {
+				observe({policy: name, ...point});
+			}
+		}
+	}
+
+	const limit = computeLimit(deployment, scenario);
+	return {
+		scenario: setup.scenario,
+		seed,
+		deployment: setup.deployment,
+		limitGoodput: Math.round(limit * 10_000) / 10_000,
+		policies,
+	};
+}
+
+/** The result as the one JSON object of the command; what isn't known is null. */
+export function print({policies, ...rest}: ExperimentResult): string {
+	return JSON.stringify({...rest, ...policies}, (_key, value: unknown) =>
+		value === undefined ? null : value,
+	);
+}
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -1,1 +1,7 @@
-export {};
+export * from './capacity.js';
+export * from './contender.js';
+export * from './deployment.js';
+export * from './experiment.js';
+export * from './figures.js';
+export * from './options.js';
+export * from './scenario.js';
--- /dev/null
+++ b/packages/experiment/src/world.ts
@@ -0,0 +1,82 @@
+/**
+ * What the parts of one run share: the clock, the streams of randomness, the
+ * nodes and the network between them. The network only delays; it neither
+ * loses nor reorders on one connection.
+ */
+import type {Random, VirtualClock} from '@egretspoke/shared';
+import type {Contender} from './contender.js';
+import {
+	connectionCost,
+	withinDataCentre,
+	type Deployment,
+} from './deployment.js';
+import type {ModelNode} from './model-node.js';
+import {warmthFactor} from './capacity.js';
+import type {Scenario} from './scenario.js';
+import type {Tally} from './tally.js';
+
+/** Everything that one run consists of. */
+export type World = {
+	clock: VirtualClock;
+	deployment: Deployment;
+	scenario: Scenario;
+	contender: Contender;
+	tally: Tally;
+	/** The nodes by their place; a replaced one has left its place to its successor. */
+	nodes: ModelNode[];
+	nodesByName: Map<string, ModelNode>;
+	/** Draws for the durations of work. */
+	workRandom: Random;
+	/** Draws for late and wrong load reports. */
+	reportRandom: Random;
+	nextId(): string;
+};
+
+/** Milliseconds from one node to another, the cost of a first connection included. */
+export function delayBetween(
+	world: World,
+	from: ModelNode,
+	to: ModelNode,
+): number {
+	if (from === to) {
+		return 0;
+	}
+
+	const delay =
+		from.dataCentre === to.dataCentre
+			? withinDataCentre
+			: world.deployment.betweenDataCentres;
+	if (from.contacts.has(to)) {
+		return delay;
+	}
+
+	from.contacts.add(to);
+	to.contacts.add(from);
+	return delay + connectionCost;
+}
+
+/** Whether the trigger is on. */
+export function isTriggered({clock, scenario}: World): boolean {
+	const since = clock.now() - scenario.calm;
+	return since >= 0 && since < scenario.trigger;
+}
+
+/** By how much work takes longer at a node now. */
+export function slowdownAt(world: World, node: ModelNode): number {
+	if (node.role !== 'deep') {
+		return 1;
+	}
+
+	const slow = isTriggered(world) ? world.scenario.slowdown(node.index) : 1;
+	return slow * (node.startsCold ? warmthFactor(node.completed()) : 1);
+}
+
+/** Spread of the work of one operation: the standard deviation of its logarithm. */
+const workSpread = 0.4;
+
+/** A duration drawn around its mean, log-normal. */
+export function drawWork(random: Random, mean: number): number {
+	const radius = Math.sqrt(-2 * Math.log(1 - random.fraction()));
+	const normal = radius * Math.cos(2 * Math.PI * random.fraction());
+	return mean * Math.exp(workSpread * normal - workSpread ** 2 / 2);
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from './naive-policy.js';
