--- a/packages/experiment/src/entry.ts
+++ b/packages/experiment/src/entry.ts
@@ -159,7 +159,7 @@
 	};
 
 	from.routing.started(facts, node, begin);
-	const timer = clock.setTimer(facts.deadline - begin, () => {
+	const timer = world.deadlines.set(facts.deadline, () => {
 		const end: CallEnd = {
 			kind: 'unknown',
 			code: ErrorCode.DeadlineWhileRunning,
--- a/packages/experiment/src/run.ts
+++ b/packages/experiment/src/run.ts
@@ -2,6 +2,7 @@
 import {createRandom, createVirtualClock} from '@egretspoke/shared';
 import type {RoutingCandidate} from '@egretspoke/decisions';
 import type {Contender} from './contender.js';
+import {createDeadlineWheel} from './deadline-wheel.js';
 import {
 	capacityOf,
 	serviceRoles,
@@ -54,6 +55,7 @@
 		scenario,
 		contender,
 		tally: createTally(() => clock.now()),
+		deadlines: createDeadlineWheel(clock),
 		nodes: [],
 		nodesByName: new Map(),
 		workRandom: noise.fork(),
--- a/packages/experiment/src/users.ts
+++ b/packages/experiment/src/users.ts
@@ -187,7 +187,7 @@
 		done(end);
 	};
 
-	const timer = clock.setTimer(timeLeft, () => {
+	const timer = world.deadlines.set(clock.now() + timeLeft, () => {
 		close(undefined);
 		clock.setTimer(toClients, () => leave?.());
 	});
--- a/packages/experiment/src/world.ts
+++ b/packages/experiment/src/world.ts
@@ -5,6 +5,7 @@
  */
 import type {Random, VirtualClock} from '@egretspoke/shared';
 import type {Contender} from './contender.js';
+import type {DeadlineWheel} from './deadline-wheel.js';
 import {
 	connectionCost,
 	withinDataCentre,
@@ -22,6 +23,8 @@
 	scenario: Scenario;
 	contender: Contender;
 	tally: Tally;
+	/** The deadlines of attempts and tries. */
+	deadlines: DeadlineWheel;
 	/** The nodes by their place; a replaced one has left its place to its successor. */
 	nodes: ModelNode[];
 	nodesByName: Map<string, ModelNode>;
