--- /dev/null
+++ b/packages/command/src/command-host.ts
@@ -0,0 +1,142 @@
+/** What every command is given, and what commands share in their output. */
+import {readFileSync} from 'node:fs';
+import {
+	formatFinding,
+	parseDuration,
+	type Clock,
+	type Finding,
+} from '@egretspoke/shared';
+import {InvalidArgumentError, Option, type Command} from 'commander';
+import {
+	createAdminClient,
+	type AdminClient,
+	type AdminFault,
+} from './admin-client.js';
+import {exitCodes, type ExitCode} from './exit-code.js';
+import type {Terminal} from './terminal.js';
+
+/** The surroundings of a command. */
+export type CommandHost = {
+	terminal: Terminal;
+	clock: Clock;
+	/** Sets the exit code. */
+	finish(code: ExitCode): void;
+};
+
+/** The options of every command that talks to a node. */
+export type NodeOptions = {
+	node: string;
+	secretFile?: string;
+	timeout: number;
+	json?: boolean;
+};
+
+const defaultNode = '127.0.0.1:7402';
+const defaultTimeout = 10_000;
+
+/** Adds the options by which a node is found. */
+export function addNodeOptions(command: Command): Command {
+	return command
+		.addOption(
+			new Option('--node <address>', "the node's admin listener")
+				.env('EGRETSPOKE_NODE')
+				.default(defaultNode),
+		)
+		.addOption(
+			new Option(
+				'--secret-file <file>',
+				'a file that holds the operator secret; or the secret itself in EGRETSPOKE_SECRET',
+			),
+		)
+		.addOption(
+			new Option('--timeout <duration>', 'how long to wait for an answer')
+				.argParser(readDurationArgument)
+				.default(defaultTimeout, '10s'),
+		);
+}
+
+/** Adds `--json`. */
+export function addJsonOption(command: Command): Command {
+	return command.option('--json', 'print one JSON document');
+}
+
+/** Creates the client that the options describe; a secret that can't be read is a usage error. */
+export function connect(
+	{terminal}: CommandHost,
+	options: NodeOptions,
+	command: Command,
+): AdminClient {
+	const secret = readSecret(options, command, terminal);
+	return createAdminClient({
+		address: options.node,
+		timeout: options.timeout,
+		...(secret !== undefined && {secret}),
+	});
+}
+
+/** Prints findings, one a line, and ends as refused. */
+export function refuseWithFindings(
+	{terminal, finish}: CommandHost,
+	findings: readonly Finding[],
+	options: {json?: boolean},
+): void {
+	if (options.json) {
+		printJson(terminal, {findings});
+	} else {
+		for (const finding of findings) {
+			terminal.writeError(`${formatFinding(finding)}\n`);
+		}
+
+		const noun = findings.length === 1 ? 'finding' : 'findings';
+		terminal.writeError(`${findings.length} ${noun}\n`);
+	}
+
+	finish(exitCodes.refused);
+}
+
+/** Prints why there is no answer; a call without effect ends as refused whatever became of it. */
+export function reportFault(
+	{terminal, finish}: CommandHost,
+	fault: AdminFault,
+	settle?: string,
+): void {
+	terminal.writeError(`${fault.detail}\n`);
+	if (fault.kind === 'lost' && settle !== undefined) {
+		terminal.writeError(`${settle}\n`);
+		finish(exitCodes.unknown);
+	} else {
+		finish(exitCodes.refused);
+	}
+}
+
+/** Prints one JSON document. */
+export function printJson(terminal: Terminal, value: unknown): void {
+	terminal.write(`${JSON.stringify(value, undefined, '\t')}\n`);
+}
+
+/** Reads a duration given on the command line, into milliseconds. */
+export function readDurationArgument(text: string): number {
+	const duration = parseDuration(text);
+	if (duration === undefined) {
+		throw new InvalidArgumentError('Expected a duration such as 4s.');
+	}
+
+	return duration;
+}
+
+function readSecret(
+	{secretFile}: NodeOptions,
+	command: Command,
+	terminal: Terminal,
+): string | undefined {
+	if (secretFile === undefined) {
+		return terminal.environment.EGRETSPOKE_SECRET;
+	}
+
+	try {
+		return readFileSync(secretFile, 'utf8').trim();
+	} catch (error) {
+		const {code} = error as NodeJS.ErrnoException;
+		return command.error(`cannot read the secret file ${secretFile}: ${code}`);
+	}
+}
--- a/packages/command/src/index.ts
+++ b/packages/command/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './exit-code.js';
+export * from './program.js';
+export * from './terminal.js';
--- /dev/null
+++ b/packages/command/src/leave-command.ts
@@ -0,0 +1,61 @@
+/** `egretspoke leave`: the target beside a node takes no new work. */
+import type {Command} from 'commander';
+import {z} from 'zod';
+import {
+	addNodeOptions,
+	connect,
+	reportFault,
+	type CommandHost,
+	type NodeOptions,
+} from './command-host.js';
+import {exitCodes} from './exit-code.js';
+import {withProgress} from './progress.js';
+
+const answerSchema = z.object({result: z.literal('leaving')});
+
+/** Adds the command. */
+export function addLeaveCommand(program: Command, host: CommandHost): void {
+	const command = program
+		.command('leave')
+		.description(
+			'take the target beside a node out of service; what is in flight finishes',
+		)
+		.addHelpText(
+			'after',
+			'\nExample:\n  egretspoke leave --node 10.0.0.1:7402',
+		);
+	addNodeOptions(command).action(async (options: NodeOptions) =>
+		leave(host, command, options),
+	);
+}
+
+async function leave(
+	host: CommandHost,
+	command: Command,
+	options: NodeOptions,
+): Promise<void> {
+	const client = connect(host, options, command);
+	const answer = await withProgress(
+		host,
+		'asking the node',
+		client.call({
+			method: 'POST',
+			path: '/v1/leave',
+			statuses: [202],
+			schema: answerSchema,
+		}),
+	);
+	if (answer.isErr()) {
+		reportFault(
+			host,
+			answer.error,
+			'it may be leaving; to settle it: egretspoke leave, which may be repeated',
+		);
+		return;
+	}
+
+	host.terminal.write(
+		`the node at ${client.address} is leaving; watch its load with: egretspoke status\n`,
+	);
+	host.finish(exitCodes.done);
+}
--- /dev/null
+++ b/packages/command/src/status-command.ts
@@ -0,0 +1,95 @@
+/** `egretspoke status`: how one node is, and what it knows of the others. */
+import {nodeStatusSchema, type NodeStatus} from '@egretspoke/protocol';
+import type {Command} from 'commander';
+import {
+	addJsonOption,
+	addNodeOptions,
+	connect,
+	printJson,
+	reportFault,
+	type CommandHost,
+	type NodeOptions,
+} from './command-host.js';
+import {exitCodes} from './exit-code.js';
+import {withProgress} from './progress.js';
+import {renderTable, type Column} from './table.js';
+import type {Terminal} from './terminal.js';
+
+/** Adds the command. */
+export function addStatusCommand(program: Command, host: CommandHost): void {
+	const command = program
+		.command('status')
+		.description('show a node, and the version in force at every node it knows')
+		.addHelpText(
+			'after',
+			'\nExample:\n  egretspoke status --node 10.0.0.1:7402 --json',
+		);
+	addJsonOption(addNodeOptions(command)).action(async (options: NodeOptions) =>
+		showStatus(host, command, options),
+	);
+}
+
+async function showStatus(
+	host: CommandHost,
+	command: Command,
+	options: NodeOptions,
+): Promise<void> {
+	const client = connect(host, options, command);
+	const answer = await withProgress(
+		host,
+		'asking the node',
+		client.call({
+			method: 'GET',
+			path: '/v1/status',
+			statuses: [200],
+			schema: nodeStatusSchema,
+		}),
+	);
+	if (answer.isErr()) {
+		reportFault(host, answer.error);
+		return;
+	}
+
+	if (options.json) {
+		printJson(host.terminal, answer.value);
+	} else {
+		printStatus(host.terminal, answer.value);
+	}
+
+	host.finish(exitCodes.done);
+}
+
+function printStatus(terminal: Terminal, status: NodeStatus): void {
+	const {configuration, load} = status;
+	const lines = [
+		`node           ${status.node}, incarnation ${status.incarnation}, ${status.state}`,
+		`data centre    ${status.dataCentre}`,
+		`up for         ${Math.round(status.uptimeSeconds)} s`,
+		`configuration  version ${configuration.version}, ${sources[configuration.source]}`,
+		`platform       ${status.platform}`,
+		...(load
+			? [
+					`load           ${load.inFlight} in flight of ${load.limit}, ${load.waiting} waiting, level ${load.level}`,
+				]
+			: []),
+	];
+	terminal.write(`${lines.join('\n')}\n\n`);
+	terminal.write(renderTable(status.inForce, columns, terminal.colour));
+}
+
+const sources: Record<NodeStatus['configuration']['source'], string> = {
+	defaults: 'the safe defaults: no accepted one can be had so far',
+	platform: 'from the platform',
+	peer: 'from a peer',
+};
+
+const columns: Array<Column<NodeStatus['inForce'][number]>> = [
+	{heading: 'NODE', cell: ({node}) => node},
+	{heading: 'DATA CENTRE', cell: ({dataCentre}) => dataCentre},
+	{heading: 'STATE', cell: ({state}) => state},
+	{heading: 'VERSION', cell: ({version}) => version},
+	{
+		heading: 'HEARD',
+		cell: ({heardSecondsAgo}) => `${Math.round(heardSecondsAgo)} s ago`,
+	},
+];
--- /dev/null
+++ b/packages/command/src/validate-command.ts
@@ -0,0 +1,93 @@
+/** `egretspoke validate`: every fault of a file, without a node. */
+import {readDocument, readTextFile, type Finding} from '@egretspoke/shared';
+import {nodeSettingsSchema, parseNodeSettings} from '@egretspoke/node';
+import {Option, type Command} from 'commander';
+import type {Result} from 'neverthrow';
+import {z} from 'zod';
+import {
+	addJsonOption,
+	printJson,
+	refuseWithFindings,
+	type CommandHost,
+} from './command-host.js';
+import {exitCodes} from './exit-code.js';
+
+type Reader = {
+	/** The keys by which a file of this kind is known. */
+	keys: readonly string[];
+	read(text: string, file: string): Result<unknown, Finding[]>;
+};
+
+const readers = {
+	settings: {
+		keys: Object.keys(nodeSettingsSchema.shape),
+		read: parseNodeSettings,
+	},
+} as const satisfies Record<string, Reader>;
+
+type Kind = keyof typeof readers;
+type ValidateOptions = {kind?: Kind; json?: boolean};
+
+const kinds = Object.keys(readers) as Kind[];
+
+/** Adds the command. */
+export function addValidateCommand(program: Command, host: CommandHost): void {
+	const command = program
+		.command('validate')
+		.description("report every fault of a node's settings or of an intent")
+		.argument('<file>', 'the file, YAML or JSON')
+		.addOption(
+			new Option(
+				'--kind <kind>',
+				'what the file is; its keys tell otherwise',
+			).choices(kinds),
+		)
+		.addHelpText('after', '\nExample:\n  egretspoke validate node.yaml');
+	addJsonOption(command).action((file: string, options: ValidateOptions) => {
+		validateFile(host, file, options);
+	});
+}
+
+function validateFile(
+	host: CommandHost,
+	file: string,
+	options: ValidateOptions,
+): void {
+	const {terminal} = host;
+	const text = readTextFile(file);
+	if (text.isErr()) {
+		refuseWithFindings(host, text.error, options);
+		return;
+	}
+
+	const kind = options.kind ?? recogniseKind(text.value, file);
+	const result = readers[kind].read(text.value, file);
+	if (result.isErr()) {
+		refuseWithFindings(host, result.error, options);
+		return;
+	}
+
+	if (options.json) {
+		printJson(terminal, {kind, findings: []});
+	} else {
+		terminal.write(`${file}: valid, read as ${kind}\n`);
+	}
+
+	host.finish(exitCodes.done);
+}
+
+/** The kind that knows most of the keys at the top of the file. */
+function recogniseKind(text: string, file: string): Kind {
+	const schema = z.record(z.string(), z.unknown());
+	const written = readDocument({text, file, schema}).map((value) =>
+		Object.keys(value),
+	);
+	const countKnown = (kind: Kind) =>
+		written
+			.unwrapOr([])
+			.filter((key) => (readers[kind].keys as readonly string[]).includes(key))
+			.length;
+	return kinds.toSorted(
+		(left, right) => countKnown(right) - countKnown(left),
+	)[0]!;
+}
