refactor(node): one reporter bridge

Cause: two bridges from the reporter to log, metrics and memory were written at once. Change: the one that the process uses stays, with the specs of the other.

--- a/packages/node/__tests__/observing-reporter.spec.ts
+++ b/packages/node/__tests__/event-reporter.spec.ts
@@ -7,7 +7,7 @@
 import {admitUnknown, createRefusal, ErrorCode} from '@egretspoke/protocol';
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {createObservingReporter} from '../src/index.js';
+import {createEventReporter} from '../src/index.js';
 
 const readings: NodeReadings = {
 	configurationVersion: 1,
@@ -34,18 +34,18 @@
 	});
 	const memory = createDecisionMemory();
 	const metrics = createMetrics(() => readings);
-	const reporter = createObservingReporter({log, metrics, memory, clock});
+	const reporter = createEventReporter({log, metrics, memory, clock});
 	return {log, memory, metrics, reporter, written};
 };
 
-describe('observing reporter', () => {
+describe('event reporter', () => {
 	it('logs, remembers and counts a decision', async () => {
 		const {log, memory, metrics, reporter, written} = createObserved();
 		reporter.decide({
 			name: 'retried',
 			request: 'r1',
 			reason: 'not run at b',
-			details: {service: 'orders'},
+			service: 'orders',
 		});
 		log.flush();
 		expect(written.join('')).to.contain('1201 retried node=a request=r1');
@@ -64,7 +64,7 @@
 		expect(written.join('')).to.contain('member b is gone');
 		const text = await metrics.render();
 		expect(text).to.contain('listener="caller",kind="tooLarge"} 1');
-		expect(text).to.contain('listener="peer",kind="handshake"} 1');
+		expect(text).to.contain('listener="peer",kind="wrong signature"} 1');
 	});
 
 	it('counts an outcome that is not known under its error', async () => {
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,6 +1,6 @@
 export * from './node-core.js';
 export * from './node-reporter.js';
-export * from './observing-reporter.js';
+export * from './event-reporter.js';
 export * from './request-chain.js';
 export * from './settings.js';
 export * from './supervisor.js';
