--- a/packages/command/src/demo-processes.ts
+++ b/packages/command/src/demo-processes.ts
@@ -38,6 +38,8 @@
 /** Everything that runs. */
 export type DemoCluster = {
 	nodes: DemoNode[];
+	/** Prints what happened. */
+	say(line: string): void;
 	/** Runs the operator program and resolves with its exit code and output. */
 	operate(
 		admin: string,
@@ -124,7 +126,7 @@
 		);
 		const {caller, admin} = await child.waitFor(standIns.readStartedNode);
 		await target.ask(`announce ${caller}`);
-		say(`${node} serves ${service} in ${dataCentre}: callers ${caller}`);
+		say(`  ${node} serves ${service} in ${dataCentre}: callers ${caller}`);
 		return {...machine, caller, admin, process: child, target};
 	};
 
@@ -138,12 +140,13 @@
 	const platformAddress = await platform.waitFor((line) =>
 		standIns.readText(line, 'address'),
 	);
-	say(`the platform's stand-in listens on ${platformAddress}`);
+	say(`  the platform's stand-in listens on ${platformAddress}`);
 	const nodes = await Promise.all(
 		machines.map(async (machine) => startMachine(machine, platformAddress)),
 	);
 	return {
 		nodes,
+		say,
 		write,
 		async operate(admin, parameters) {
 			const child = start(standIns.scriptBeside(import.meta.url, 'main.js'), [
--- a/packages/node/__tests__/running-requests.spec.ts
+++ b/packages/node/__tests__/running-requests.spec.ts
@@ -15,7 +15,6 @@
 		const allotment = running.allot('parent', {
 			service: 'loft-queues',
 			operation,
-			requestClass: 'essential',
 		});
 		return allotment === 'spent' ? 0 : (allotment?.attempts ?? Number.NaN);
 	};
@@ -26,20 +25,15 @@
 describe('running requests', () => {
 	it('knows nothing of a request that does not run here', () => {
 		const {running} = createParent(0);
-		const call = {
-			service: 's',
-			operation: 'GET /',
-			requestClass: 'normal',
-		} as const;
+		const call = {service: 's', operation: 'GET /'};
 		expect(running.allot('other', call)).to.equal(undefined);
 	});
 
-	it('never raises the class and never extends the deadline', () => {
+	it('passes on the stamped class and the deadline', () => {
 		const {running} = createParent(0);
 		const allotment = running.allot('parent', {
 			service: 's',
 			operation: 'GET /',
-			requestClass: 'essential',
 		});
 		expect(allotment).to.include({requestClass: 'deferrable', deadline: 500});
 	});
--- a/packages/node/src/request-chain.ts
+++ b/packages/node/src/request-chain.ts
@@ -49,7 +49,6 @@
 			: running.allot(incoming.id, {
 					service: incoming.service,
 					operation: digestCall(incoming),
-					requestClass: rules.requestClass,
 				});
 	if (allotment === 'spent') {
 		return err(createRefusal(ErrorCode.AttemptsSpent));
--- a/packages/node/src/running-requests.ts
+++ b/packages/node/src/running-requests.ts
@@ -9,7 +9,7 @@
  * more calls at the deepest service than requests at the top. Here all calls
  * of one running request draw from one pool, and end with it.
  */
-import {rankOf, type RequestClass} from '@egretspoke/protocol';
+import type {RequestClass} from '@egretspoke/protocol';
 
 /** A request while its target runs it. */
 export type RunningRequest = {
@@ -25,7 +25,11 @@
 	signal: AbortSignal;
 };
 
-/** What a deeper call gets of its parent's. */
+/**
+ * What a deeper call gets of its parent's. The class is the one stamped at the
+ * first entry: work for a deferrable request is never raised, and a payment
+ * isn't refused half-way for a look-up that counts as normal by itself.
+ */
 export type Allotment = {
 	requestClass: RequestClass;
 	deadline: number;
@@ -42,7 +46,7 @@
 	/** Undefined when no such request runs here; `spent` when its attempts are. */
 	allot(
 		id: string,
-		call: {service: string; operation: string; requestClass: RequestClass},
+		call: {service: string; operation: string},
 	): Allotment | 'spent' | undefined;
 	has(id: string): boolean;
 	size(): number;
@@ -73,7 +77,7 @@
 			}
 
 			return {
-				requestClass: lowerOf(parent.requestClass, call.requestClass),
+				requestClass: parent.requestClass,
 				deadline: parent.deadline,
 				attempts,
 				signal: parent.signal,
@@ -108,8 +112,3 @@
 	parent.spareAttempts -= spare;
 	return 1 + spare;
 }
-
-/** A class is never raised below the entry: work for a deferrable request stays deferrable. */
-function lowerOf(left: RequestClass, right: RequestClass): RequestClass {
-	return rankOf(left) >= rankOf(right) ? left : right;
-}
