--- /dev/null
+++ b/packages/node/src/peers.ts
@@ -0,0 +1,228 @@
+/**
+ * The connections to peers, one task each. A connection is opened when it is
+ * first needed and shared by calls, probes and configurations; one that a peer
+ * opened serves both directions too.
+ */
+import {
+	acceptCertifiedRefusal,
+	createRefusal,
+	ErrorCode,
+	refuseNotRun,
+	type AcknowledgementMessage,
+	type CallMessage,
+	type CallRequest,
+	type ConfigurationBodyMessage,
+	type ProbeMessage,
+} from '@egretspoke/protocol';
+import {createTicks, type Clock} from '@egretspoke/shared';
+import type {ExchangeResult} from './exchange-table.js';
+import type {MessageChannel, PeerTransport} from './message-channel.js';
+import {
+	createPeerConnection,
+	type PeerConnection,
+	type PeerServices,
+} from './peer-connection.js';
+import type {Supervisor} from './supervisor.js';
+
+/** A peer to be reached. */
+export type PeerAddress = {node: string; peerAddress: string};
+
+/** All peers of a node. */
+export type Peers = {
+	call(
+		peer: PeerAddress,
+		request: CallRequest,
+		options: {role: CallMessage['role']; home?: string},
+		signal: AbortSignal,
+	): Promise<ExchangeResult>;
+	probe(
+		address: string,
+		probe: Omit<ProbeMessage, 'type' | 'sequence'>,
+		signal: AbortSignal,
+	): Promise<AcknowledgementMessage | undefined>;
+	/** Undefined when the peer is unreachable, or knows no accepted version. */
+	requestConfiguration(
+		address: string,
+		signal: AbortSignal,
+	): Promise<ConfigurationBodyMessage | undefined>;
+	count(): number;
+	close(): void;
+};
+
+/** What the peers are built from. */
+export type PeersContext = {
+	/** This node's name. */
+	self: string;
+	clock: Clock;
+	transport: PeerTransport;
+	services: PeerServices;
+	supervisor: Supervisor;
+	/** The node that announced this peer address. */
+	nodeAt(address: string): string | undefined;
+};
+
+/**
+ * Milliseconds after a failed connect during which the peer counts as
+ * unreachable without another try. Without it each request to a dead VM pays a
+ * connect of its own until membership has noticed.
+ */
+const reconnectDelay = 200;
+
+/**
+ * Milliseconds without an exchange after which a connection is closed. Every
+ * node probes every other now and then, so without it each of N nodes would
+ * keep N connections and their buffers for good.
+ */
+const idleTime = 300_000;
+const idleCheckPeriod = 30_000;
+
+type OpenPeer = {
+	connection: PeerConnection;
+	/** Messages received when it was last looked at, and since when it has gained none. */
+	received: number;
+	idleSince: number;
+};
+
+/** Creates the peers; connections that peers open are served from now on. */
+export function createPeers(context: PeersContext): Peers {
+	const {clock, transport, services, supervisor} = context;
+	const byNode = new Map<string, OpenPeer>();
+	const all = new Set<OpenPeer>();
+	const opening = new Map<string, Promise<PeerConnection | undefined>>();
+	const failedAt = new Map<string, number>();
+	let connectionNumber = 0;
+
+	const serve = (channel: MessageChannel, isOpener: boolean) => {
+		const connection = createPeerConnection(channel, services);
+		const {node} = channel.peer;
+		const open: OpenPeer = {connection, received: 0, idleSince: clock.now()};
+		all.add(open);
+		// Two nodes that open at once get two connections. Both sides use the
+		// one that the lower name opened, and the other falls idle.
+		if (!byNode.has(node) || isOpener === context.self < node) {
+			byNode.set(node, open);
+		}
+
+		services.reporter.notice({name: 'peerConnected', peer: node});
+		supervisor.start(`${node}#${connectionNumber++}`, async (signal) => {
+			const close = () => {
+				connection.close('stopping');
+			};
+
+			signal.addEventListener('abort', close);
+			try {
+				await connection.serve();
+			} finally {
+				signal.removeEventListener('abort', close);
+				forget(open, node);
+			}
+		});
+		return connection;
+	};
+
+	const forget = (open: OpenPeer, node: string) => {
+		all.delete(open);
+		if (byNode.get(node) === open) {
+			byNode.delete(node);
+			const other = [...all].find(
+				({connection}) => connection.peer.node === node,
+			);
+			if (other) {
+				byNode.set(node, other);
+			}
+		}
+
+		services.reporter.notice({name: 'peerLost', peer: node});
+	};
+
+	const open = async (address: string): Promise<PeerConnection | undefined> => {
+		const channel = await transport.connect(address, supervisor.signal);
+		opening.delete(address);
+		if (!channel) {
+			failedAt.set(address, clock.now());
+			return undefined;
+		}
+
+		failedAt.delete(address);
+		return serve(channel, true);
+	};
+
+	const connect = async (
+		address: string,
+	): Promise<PeerConnection | undefined> => {
+		const node = context.nodeAt(address);
+		const known = node === undefined ? undefined : byNode.get(node);
+		if (known) {
+			return known.connection;
+		}
+
+		const failed = failedAt.get(address);
+		if (failed !== undefined && clock.now() - failed < reconnectDelay) {
+			return undefined;
+		}
+
+		let pending = opening.get(address);
+		if (!pending) {
+			pending = open(address);
+			opening.set(address, pending);
+		}
+
+		return pending;
+	};
+
+	const closeIdle = () => {
+		const now = clock.now();
+		for (const open of all) {
+			const {connection} = open;
+			const isBusy = connection.openExchanges() > 0;
+			if (isBusy || connection.received() > open.received) {
+				open.received = connection.received();
+				open.idleSince = now;
+			} else if (now - open.idleSince > idleTime) {
+				connection.close('idle');
+			}
+		}
+	};
+
+	transport.accept((channel) => {
+		serve(channel, false);
+	});
+	void createTicks(clock, idleCheckPeriod, supervisor.signal).observe(
+		closeIdle,
+	);
+
+	return {
+		async call(peer, request, options, signal) {
+			const known = byNode.get(peer.node)?.connection;
+			const connection = known ?? (await connect(peer.peerAddress));
+			// An address can have passed to another node: a call for one must
+			// never run at the other under a false name.
+			return connection?.peer.node === peer.node
+				? connection.call(request, options, signal)
+				: unreachable();
+		},
+		async probe(address, probe, signal) {
+			const connection = await connect(address);
+			return connection?.probe(probe, signal);
+		},
+		async requestConfiguration(address, signal) {
+			const connection = await connect(address);
+			return connection?.requestConfiguration(signal);
+		},
+		count: () => byNode.size,
+		close() {
+			for (const {connection} of all) {
+				connection.close('stopping');
+			}
+		},
+	};
+}
+
+function unreachable(): ExchangeResult {
+	return {
+		outcome: refuseNotRun(
+			acceptCertifiedRefusal('connectRefused'),
+			createRefusal(ErrorCode.TargetUnreachable, {retryAfter: 0}),
+		),
+	};
+}
