feat(benchmark): slopes of control; fix(control): bounded news and faster returns

Ruled out: dropping such rounds (a leave would take several periods to spread). Change: fewer records on such rounds and on acknowledgements, at most two rounds a second, starts and versions told fewer times than ends; only a return in the same incarnation leads to an exchange of all members, after the refutations.

--- /dev/null
+++ b/packages/benchmark/src/control-slopes.ts
@@ -0,0 +1,166 @@
+/**
+ * What control costs each node as the number of nodes grows: in steady state,
+ * at a change of the configuration, while nodes restart one after another, and
+ * when a data centre comes back. Real time; the network and the platform are
+ * in memory, so waits of the real ones are not in the figures.
+ */
+import process from 'node:process';
+import {setTimeout as wait} from 'node:timers/promises';
+import {createRandom} from '@egretspoke/shared';
+import {createFleet, type Fleet, type FleetNode} from './control-fleet.js';
+import {round, startWindow, type PhaseFigures} from './control-tally.js';
+
+/** The figures of one number of nodes. */
+export type SlopeResult = {
+	nodes: number;
+	/** Heap that a node adds, in kilobytes, its view of all members included. */
+	heapKilobytesPerNode: number;
+	steady: PhaseFigures;
+	configurationChange: PhaseFigures & {
+		/** Until every node has it in force; absent if not within the window. */
+		secondsUntilInForce: number | undefined;
+	};
+	/** One graceful restart a second. */
+	rollingRestart: PhaseFigures & {restarts: number};
+	dataCentreReturns: PhaseFigures & {
+		/** Until every node knows all others as active again. */
+		secondsUntilWhole: number | undefined;
+	};
+};
+
+/** Until the news of the starts have been told, or nearly so at the largest number. */
+const settleSeconds = (nodes: number) => Math.min(45, Math.max(4, nodes / 4));
+
+const steadySeconds = 8;
+const changeSeconds = 6;
+const restarts = 6;
+const cutSeconds = 12;
+const returnSeconds = 20;
+const pollMilliseconds = 50;
+
+/** Measures one number of nodes; takes up to two minutes. */
+export async function measureSlope(nodes: number): Promise<SlopeResult> {
+	const before = measureHeap();
+	const fleet = createFleet(createRandom(nodes));
+	for (let index = 0; index < nodes; index++) {
+		// eslint-disable-next-line no-await-in-loop -- the nodes start one after another.
+		await fleet.start(index);
+	}
+
+	await waitSeconds(settleSeconds(nodes));
+	const heap = measureHeap() - before;
+	const steady = await inWindow(fleet, steadySeconds);
+	const configurationChange = await changeConfiguration(fleet);
+	const rollingRestart = await restartOneByOne(fleet);
+	const dataCentreReturns = await returnDataCentre(fleet);
+	for (const node of fleet.nodes) {
+		node.stop();
+	}
+
+	return {
+		nodes,
+		heapKilobytesPerNode: round(heap / nodes / 1024),
+		steady,
+		configurationChange,
+		rollingRestart,
+		dataCentreReturns,
+	};
+}
+
+async function inWindow(fleet: Fleet, seconds: number): Promise<PhaseFigures> {
+	const end = startWindow(fleet.tallies, fleet.platform.counters);
+	await waitSeconds(seconds);
+	return end();
+}
+
+async function changeConfiguration(
+	fleet: Fleet,
+): Promise<SlopeResult['configurationChange']> {
+	const {control} = fleet.nodes[0]!;
+	const plan = await control.plan({
+		author: 'benchmark',
+		file: 'benchmark.yaml',
+		document: '{service: service-number-1, attempts: 2}',
+	});
+	const end = startWindow(fleet.tallies, fleet.platform.counters);
+	const answer = await control.confirm(plan._unsafeUnwrap().id);
+	const version =
+		answer === 'notFound' || answer.result !== 'accepted' ? 0 : answer.version;
+	const secondsUntilInForce = await waitUntil(changeSeconds, () =>
+		fleet.nodes.every(
+			(node) => node.control.configuration.current().version === version,
+		),
+	);
+	return {...end(), secondsUntilInForce};
+}
+
+async function restartOneByOne(
+	fleet: Fleet,
+): Promise<SlopeResult['rollingRestart']> {
+	const end = startWindow(fleet.tallies, fleet.platform.counters);
+	for (let index = 0; index < restarts; index++) {
+		// eslint-disable-next-line no-await-in-loop -- one restart after another.
+		await restart(fleet, index % fleet.nodes.length);
+	}
+
+	return {...end(), restarts};
+}
+
+async function restart(fleet: Fleet, index: number): Promise<void> {
+	const node = fleet.nodes.find(({name}) => name === `vm-${index}`);
+	node?.control.leave();
+	await waitSeconds(0.5);
+	await node?.control.end();
+	node?.stop();
+	await fleet.start(index);
+	await waitSeconds(0.5);
+}
+
+async function returnDataCentre(
+	fleet: Fleet,
+): Promise<SlopeResult['dataCentreReturns']> {
+	const {dataCentre} = fleet.nodes[0]!;
+	fleet.cutOff(dataCentre);
+	await waitSeconds(cutSeconds);
+	fleet.cutOff(undefined);
+	const end = startWindow(fleet.tallies, fleet.platform.counters);
+	const secondsUntilWhole = await waitUntil(returnSeconds, () =>
+		fleet.nodes.every((node) => knowsAll(node, fleet.nodes.length)),
+	);
+	return {...end(), secondsUntilWhole};
+}
+
+function knowsAll({control}: FleetNode, count: number): boolean {
+	const members = control.membership.members();
+	return members.filter(({state}) => state === 'active').length === count;
+}
+
+/** Waits for the whole window; the seconds until the condition first held. */
+async function waitUntil(
+	seconds: number,
+	condition: () => boolean,
+): Promise<number | undefined> {
+	const startedAt = performance.now();
+	const elapsed = () => (performance.now() - startedAt) / 1000;
+	let reachedAt: number | undefined;
+	while (elapsed() < seconds) {
+		if (reachedAt === undefined && condition()) {
+			reachedAt = round(elapsed(), 2);
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- one look after another.
+		await wait(pollMilliseconds);
+	}
+
+	return reachedAt;
+}
+
+async function waitSeconds(seconds: number): Promise<void> {
+	await wait(seconds * 1000);
+}
+
+/** Bytes of the heap that are in use; exact where the collector may be called. */
+function measureHeap(): number {
+	globalThis.gc?.();
+	return process.memoryUsage().heapUsed;
+}
--- a/packages/control/src/gossip-queue.ts
+++ b/packages/control/src/gossip-queue.ts
@@ -14,8 +14,14 @@
 	size(): number;
 };
 
-/** Times that a record is told for each doubling of the members. */
-const tellings = 3;
+/**
+ * Times that a record is told for each doubling of the members. At 570 these
+ * are 19 and 5. Five tellings by each who hears it leave out well under one
+ * member in a hundred; those learn it when members exchange all they know.
+ * That will do for a start or a new version, of which there may be hundreds at
+ * once, and not for an end.
+ */
+const tellings = {urgent: 2, ordinary: 0.5};
 
 type Item = {node: string; told: number; isUrgent: boolean};
 
@@ -31,11 +37,15 @@
 				return [];
 			}
 
-			const limit = Math.ceil(tellings * Math.log2(members + 1));
+			const doublings = Math.log2(members + 1);
+			const limits = {
+				urgent: Math.ceil(tellings.urgent * doublings),
+				ordinary: Math.ceil(tellings.ordinary * doublings),
+			};
 			const chosen = [...items.values()].sort(compareItems).slice(0, most);
 			for (const item of chosen) {
 				item.told++;
-				if (item.told >= limit) {
+				if (item.told >= limits[item.isUrgent ? 'urgent' : 'ordinary']) {
 					items.delete(item.node);
 				}
 			}
--- a/packages/control/src/member-view.ts
+++ b/packages/control/src/member-view.ts
@@ -18,7 +18,7 @@
 	type MemberEntry,
 	type MergeRule,
 } from './membership.js';
-import {newsLimit, type MembershipTiming} from './membership-timing.js';
+import type {MembershipTiming} from './membership-timing.js';
 import {refute} from './own-record.js';
 
 /** The view and what changes it. */
@@ -40,8 +40,8 @@
 	take(records: Member[], isWhole?: boolean): MemberChange[];
 	suspect(node: string): MemberChange | undefined;
 	expire(): void;
-	/** The own record, the addressee's where it should defend itself, and news. */
-	news(addressee: string | undefined): Member[];
+	/** The own record, the addressee's where it should defend itself, and so many news. */
+	news(addressee: string | undefined, limit: number): Member[];
 	/** All members that are not gone, the own record first. */
 	whole(): Member[];
 };
@@ -129,8 +129,8 @@
 				note(change);
 			}
 		},
-		news(addressee) {
-			const nodes = new Set(queue.take(newsLimit, state.entries.size));
+		news(addressee, limit) {
+			const nodes = new Set(queue.take(limit, state.entries.size));
 			const known = addressee ? state.entries.get(addressee) : undefined;
 			if (known && mustDefend(known.member)) {
 				nodes.add(known.member.node);
@@ -149,11 +149,7 @@
 	return state === 'suspect' || state === 'gone';
 }
 
-/** A change of the version in force can wait behind changes of who is there. */
+/** Starts and new versions can wait behind ends; a wrong trust costs more than a late one. */
 function isUrgentChange({member, before}: MemberChange): boolean {
-	return (
-		before?.state !== member.state ||
-		before.incarnation !== member.incarnation ||
-		before.target?.service !== member.target?.service
-	);
+	return before !== undefined && before.state !== member.state;
 }
--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -23,6 +23,7 @@
 } from './membership.js';
 import {
 	defaultTiming,
+	newsLimits,
 	spreadPause,
 	spreadWidth,
 	type MembershipTiming,
@@ -76,6 +77,8 @@
 	run(signal: AbortSignal): Promise<void>;
 };
 
+type ExchangeOptions = {whole?: boolean; limit?: number};
+
 /** Addresses asked for all members by one `join`. */
 const joinWidth = 3;
 
@@ -93,13 +96,19 @@
 	let spreadDue: Promise<void> | undefined;
 	let lastSpread = Number.NEGATIVE_INFINITY;
 	let lastWhole = Number.NEGATIVE_INFINITY;
-	let returnedAt: string | undefined;
+	let lastReturn = Number.NEGATIVE_INFINITY;
+	let catchUpFrom: {address: string; at: number} | undefined;
 
 	const takeIn = (
 		message: ProbeMessage | AcknowledgementMessage,
 		isWhole = false,
 	) => {
+		const own = view.self();
 		const changes = view.take(message.members, isWhole);
+		if (view.self() !== own) {
+			void spread();
+		}
+
 		for (const change of changes) {
 			followUp(change);
 		}
@@ -122,15 +131,30 @@
 			void spread();
 		}
 
-		if (before && !isPresent(before) && isPresent(member)) {
-			returnedAt = member.peerAddress;
+		const isReturn =
+			before?.incarnation === member.incarnation &&
+			!isPresent(before) &&
+			isPresent(member);
+		if (isReturn) {
+			noteReturn(member.peerAddress);
 		}
 	};
 
+	/** Links are back: others will return too, which is settled faster than one by one. */
+	const noteReturn = (address: string) => {
+		const now = clock.now();
+		const delay = timing.returnDelay * (1 + random.fraction());
+		lastReturn = now;
+		catchUpFrom ??= {
+			address,
+			at: Math.max(now + delay, lastWhole + timing.returnPause),
+		};
+	};
+
 	const exchange = async (
 		address: string,
 		addressee?: string,
-		whole?: boolean,
+		{whole = false, limit = newsLimits.probe}: ExchangeOptions = {},
 	): Promise<AcknowledgementMessage | undefined> => {
 		const abort = new AbortController();
 		const timer = clock.setTimer(timing.probeTimeout, () => {
@@ -139,7 +163,7 @@
 		const probe: ProbeMessage = {
 			type: 'probe',
 			sequence: sequence++,
-			members: view.news(addressee),
+			members: view.news(addressee, limit),
 			configurationVersion: view.self().configurationVersion,
 			...(whole && {whole}),
 		};
@@ -159,7 +183,9 @@
 		lastSpread = clock.now();
 		const chosen = sample(view.present(), spreadWidth, random);
 		await Promise.all(
-			chosen.map(async ({peerAddress, node}) => exchange(peerAddress, node)),
+			chosen.map(async ({peerAddress, node}) =>
+				exchange(peerAddress, node, {limit: newsLimits.spread}),
+			),
 		);
 	};
 
@@ -179,7 +205,9 @@
 		const chosen = sample(others, joinWidth, random);
 		lastWhole = clock.now();
 		const answers = await Promise.all(
-			chosen.map(async (address) => exchange(address, undefined, true)),
+			chosen.map(async (address) =>
+				exchange(address, undefined, {whole: true}),
+			),
 		);
 		return answers.filter(Boolean).length;
 	};
@@ -213,19 +241,23 @@
 		}
 
 		const isAlone = known.size === 1;
-		const answer = await exchange(lost.peerAddress, lost.node, isAlone);
-		if (answer && !isAlone) {
-			returnedAt = lost.peerAddress;
+		const answer = await exchange(lost.peerAddress, lost.node, {
+			whole: isAlone,
+		});
+		if (answer && !isAlone && answer.members[0]?.node === lost.node) {
+			noteReturn(lost.peerAddress);
 		}
 	};
 
 	/** After a return, the members on the other side are many: ask for all at once. */
 	const catchUp = async () => {
-		const due = lastWhole + timing.returnPause * (0.5 + random.fraction());
-		if (returnedAt !== undefined && clock.now() >= due) {
-			const address = returnedAt;
-			returnedAt = undefined;
+		const now = clock.now();
+		if (catchUpFrom && now >= catchUpFrom.at) {
+			const {address} = catchUpFrom;
+			catchUpFrom = undefined;
 			await join([address]);
+		} else if (now - lastReturn < timing.returnPause) {
+			await reachLost();
 		}
 	};
 
@@ -272,11 +304,13 @@
 		},
 		receive(probe) {
 			takeIn(probe);
-			const [sender] = probe.members;
+			const [sender, ...news] = probe.members;
+			const limit = Math.max(newsLimits.acknowledgement, news.length);
+			const most = Math.min(newsLimits.probe, limit);
 			return {
 				type: 'acknowledgement',
 				sequence: probe.sequence,
-				members: probe.whole ? view.whole() : view.news(sender?.node),
+				members: probe.whole ? view.whole() : view.news(sender?.node, most),
 				configurationVersion: view.self().configurationVersion,
 			};
 		},
--- a/packages/control/src/membership-timing.ts
+++ b/packages/control/src/membership-timing.ts
@@ -12,7 +12,9 @@
 	lostPeriod: number;
 	/** Between two exchanges of all members with some member. */
 	wholePeriod: number;
-	/** The least time between two exchanges of all members after a return. */
+	/** From the return of a member until all members are asked for; refutations take this long. */
+	returnDelay: number;
+	/** The least time between two such exchanges. */
 	returnPause: number;
 	/** How long the end of a member is remembered. */
 	remembrance: number;
@@ -25,15 +27,25 @@
 	lease: 3000,
 	lostPeriod: 5000,
 	wholePeriod: 120_000,
+	returnDelay: 3000,
 	returnPause: 10_000,
 	remembrance: 3_600_000,
 };
 
-/** Records that ride on a probe or acknowledgement besides the sender's own. */
-export const newsLimit = 12;
+/**
+ * Records that ride on a message besides the sender's own. A record is about
+ * 290 bytes, so these bounds and the periods above bound the bytes a second.
+ */
+export const newsLimits = {
+	probe: 8,
+	/** A message of a round that can't wait; there may be many of them. */
+	spread: 3,
+	/** An acknowledgement brings at least these, or as many as its probe brought. */
+	acknowledgement: 2,
+} as const;
 
 /** Members told at once of what can't wait for the next probe. */
 export const spreadWidth = 3;
 
 /** Milliseconds between two such rounds of a node. */
-export const spreadPause = 200;
+export const spreadPause = 500;
