fix(control): an accepted version needs no further read of the platform

Cause: the confirming node read the body anew after the acceptance; a platform that went down in that moment left the version accepted and in force nowhere. Change: the body is read before the write and taken from there; the sending side and the catch-up after a return are modules of their own; a sender learns of any newer record of itself. Conclusion: the new test fails with the former order (no node had the version 4 s later); a replaced node whose wall clock is behind is known everywhere within 3 s, and not at all when its earlier record isn't outbid.

--- a/packages/control/__tests__/control.spec.ts
+++ b/packages/control/__tests__/control.spec.ts
@@ -52,4 +52,30 @@
 		expect(inForce.map(({version}) => version)).to.deep.equal([1, 1, 1, 1, 1]);
 		expect(state).to.equal('reachable');
 	});
+
+	it('puts an accepted version in force though the platform goes away at once', async () => {
+		// The write is through, and in the same moment the platform goes down for
+		// hours. Were the body to be had only from there, the version would be
+		// accepted and in force nowhere.
+		const clock = createVirtualClock();
+		const platform = createMemoryPlatform({clock});
+		const network = createNetwork({clock, platform});
+		for (const name of ['dc1-a', 'dc1-b', 'dc2-a', 'dc2-b', 'dc3-a']) {
+			// eslint-disable-next-line no-await-in-loop -- the nodes start one after another.
+			await network.add(name);
+		}
+
+		await clock.runTo(10_000);
+		const {control} = network.nodes[0]!;
+		const plan = await control.plan({author: 'a', file: 'f', document});
+		platform.faults.delay = 1;
+		const confirming = control.confirm(plan._unsafeUnwrap().id);
+		await clock.runTo(clock.now() + 5);
+		platform.faults.down = true;
+		await clock.runTo(clock.now() + 4000);
+		expect(await confirming).to.include({result: 'accepted'});
+		for (const node of network.nodes) {
+			expect(node.versions).to.deep.equal([1]);
+		}
+	});
 });
--- a/packages/control/__tests__/membership-network.spec.ts
+++ b/packages/control/__tests__/membership-network.spec.ts
@@ -233,6 +233,36 @@
 		});
 	});
 
+	it('takes in a replaced node whose wall clock is behind', async () => {
+		// A VM is replaced and its clock is an hour behind that of the one before.
+		// Its announcements look older than what everybody knows, so that nobody
+		// would send it any work until the clocks were mended.
+		const {clock, network} = await startNetwork();
+		const old = find(network, 'dc1-b');
+		const {target, ...self} = old.control.membership.self();
+		old.kill();
+		network.nodes = network.nodes.filter((node) => node !== old);
+		const node = await network.add('dc1-b', {
+			self: {
+				...self,
+				incarnation: self.incarnation - 3_600_000,
+				heartbeat: 0,
+				state: 'joining',
+				peerAddress: 'dc1-b:9',
+			},
+			peers: ['dc1-a:0'],
+		});
+		await clock.runTo(clock.now() + 3000);
+		expect(target).to.equal(undefined);
+		for (const each of network.nodes) {
+			expect(stateOf(each, 'dc1-b')).to.equal('active');
+			const known = each.control.membership
+				.members()
+				.find(({node: name}) => name === 'dc1-b');
+			expect(known).to.deep.equal(node.control.membership.self());
+		}
+	});
+
 	describe('a cold start with the platform away', () => {
 		const startCold = async (peers: string[]) => {
 			const clock = createVirtualClock();
--- a/packages/control/src/configuration-store.ts
+++ b/packages/control/src/configuration-store.ts
@@ -90,6 +90,16 @@
 		);
 }
 
+/** The body that a plan would put in force; undefined when there is none. */
+export function readPlanBody(
+	platform: Platform,
+	id: string,
+): ResultAsync<ConfigurationBody | undefined, PlatformError> {
+	return readPlan(platform, id).andThen(({value}) =>
+		value ? fetchBody(platform, value.body) : okAsync(undefined),
+	);
+}
+
 /** Keeps a plan that is not accepted yet; its large body goes ahead of it. */
 export function keepPlan(
 	platform: Platform,
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -20,7 +20,6 @@
 import {
 	createMembership,
 	type MembershipService,
-	type SendProbe,
 } from './membership-service.js';
 import type {MembershipTiming} from './membership-timing.js';
 import type {MergeRule} from './membership.js';
@@ -28,6 +27,7 @@
 	createOperatorService,
 	type OperatorService,
 } from './operator-service.js';
+import type {SendProbe} from './probe-exchange.js';
 import {createSeedRows} from './seed-rows.js';
 
 /** What control needs of its node. */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -37,4 +37,5 @@
 export * from './operator-service.js';
 export * from './plan.js';
 export * from './plan-warnings.js';
+export type * from './probe-exchange.js';
 export * from './seed-rows.js';
--- a/packages/control/src/member-view.ts
+++ b/packages/control/src/member-view.ts
@@ -7,6 +7,7 @@
 import type {Stream} from 'most';
 import {createGossipQueue} from './gossip-queue.js';
 import {
+	compareRecords,
 	createMembershipState,
 	expireMembers,
 	hearMember,
@@ -42,6 +43,11 @@
 	expire(): void;
 	/** The own record, the addressee's where it should defend itself, and so many news. */
 	news(addressee: string | undefined, limit: number): Member[];
+	/**
+	 * The same for an answer to a sender, who also learns of a newer record of
+	 * itself, such as one of its earlier process whose wall time was ahead.
+	 */
+	answerNews(sender: Member | undefined, limit: number): Member[];
 	/** All members that are not gone, the own record first. */
 	whole(): Member[];
 };
@@ -81,6 +87,17 @@
 			.map(({member}) => member)
 			.filter(({node}) => node !== state.self);
 
+	const collectNews = (limit: number, rumour: Member | undefined) => {
+		const nodes = new Set(queue.take(limit, state.entries.size));
+		nodes.delete(state.self);
+		if (rumour) {
+			nodes.add(rumour.node);
+		}
+
+		const records = [...nodes].map((node) => state.entries.get(node)?.member);
+		return [self(), ...records.filter((record) => record !== undefined)];
+	};
+
 	return {
 		self,
 		entry: (node) => state.entries.get(node),
@@ -130,15 +147,14 @@
 			}
 		},
 		news(addressee, limit) {
-			const nodes = new Set(queue.take(limit, state.entries.size));
 			const known = addressee ? state.entries.get(addressee) : undefined;
-			if (known && mustDefend(known.member)) {
-				nodes.add(known.member.node);
-			}
-
-			nodes.delete(state.self);
-			const records = [...nodes].map((node) => state.entries.get(node)?.member);
-			return [self(), ...records.filter((record) => record !== undefined)];
+			const isRumoured = known && mustDefend(known.member);
+			return collectNews(limit, isRumoured ? known.member : undefined);
+		},
+		answerNews(sender, limit) {
+			const known = sender && state.entries.get(sender.node)?.member;
+			const isBehind = known && compareRecords(known, sender) > 0;
+			return collectNews(limit, isBehind ? known : undefined);
 		},
 		whole: () => [self(), ...others().filter((member) => isPresent(member))],
 	};
--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -13,6 +13,7 @@
 } from '@egretspoke/protocol';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
 import type {Stream} from 'most';
+import {createCatchUp} from './catch-up.js';
 import {createLease} from './lease.js';
 import {createMemberView} from './member-view.js';
 import {
@@ -24,20 +25,13 @@
 import {
 	defaultTiming,
 	newsLimits,
-	spreadPause,
 	spreadWidth,
 	type MembershipTiming,
 } from './membership-timing.js';
 import {announceChange, reincarnate, type OwnChange} from './own-record.js';
+import {createProbeExchange, type SendProbe} from './probe-exchange.js';
 import {createProbeOrder, sample} from './probe-order.js';
 
-/** Sends a probe to a peer listener; undefined when no acknowledgement came. */
-export type SendProbe = (
-	address: string,
-	probe: ProbeMessage,
-	signal: AbortSignal,
-) => Promise<AcknowledgementMessage | undefined>;
-
 /** What membership needs. */
 export type MembershipOptions = {
 	/** The node's record as it starts, usually `joining`. */
@@ -77,11 +71,6 @@
 	run(signal: AbortSignal): Promise<void>;
 };
 
-type ExchangeOptions = {whole?: boolean; limit?: number};
-
-/** Addresses asked for all members by one `join`. */
-const joinWidth = 3;
-
 /** Creates membership; nothing is sent before `run`, `join` or `announce`. */
 export function createMembership(
 	options: MembershipOptions,
@@ -92,12 +81,6 @@
 	const order = createProbeOrder(random.fork());
 	const lease = createLease(clock, timing.lease);
 	let isAnnouncing = false;
-	let sequence = 0;
-	let spreadDue: Promise<void> | undefined;
-	let lastSpread = Number.NEGATIVE_INFINITY;
-	let lastWhole = Number.NEGATIVE_INFINITY;
-	let lastReturn = Number.NEGATIVE_INFINITY;
-	let catchUpFrom: {address: string; at: number} | undefined;
 
 	const takeIn = (
 		message: ProbeMessage | AcknowledgementMessage,
@@ -136,81 +119,18 @@
 			!isPresent(before) &&
 			isPresent(member);
 		if (isReturn) {
-			noteReturn(member.peerAddress);
-		}
-	};
-
-	/** Links are back: others will return too, which is settled faster than one by one. */
-	const noteReturn = (address: string) => {
-		const now = clock.now();
-		const delay = timing.returnDelay * (1 + random.fraction());
-		lastReturn = now;
-		catchUpFrom ??= {
-			address,
-			at: Math.max(now + delay, lastWhole + timing.returnPause),
-		};
-	};
-
-	const exchange = async (
-		address: string,
-		addressee?: string,
-		{whole = false, limit = newsLimits.probe}: ExchangeOptions = {},
-	): Promise<AcknowledgementMessage | undefined> => {
-		const abort = new AbortController();
-		const timer = clock.setTimer(timing.probeTimeout, () => {
-			abort.abort();
-		});
-		const probe: ProbeMessage = {
-			type: 'probe',
-			sequence: sequence++,
-			members: view.news(addressee, limit),
-			configurationVersion: view.self().configurationVersion,
-			...(whole && {whole}),
-		};
-		const answer = await Promise.race([
-			send(address, probe, abort.signal),
-			waitForAbort(abort.signal),
-		]);
-		timer.cancel();
-		if (answer) {
-			takeIn(answer, whole);
+			catchUp.note(member.peerAddress);
 		}
-
-		return answer;
-	};
-
-	const spreadNow = async () => {
-		lastSpread = clock.now();
-		const chosen = sample(view.present(), spreadWidth, random);
-		await Promise.all(
-			chosen.map(async ({peerAddress, node}) =>
-				exchange(peerAddress, node, {limit: newsLimits.spread}),
-			),
-		);
 	};
 
-	const spread = async (): Promise<void> => {
-		spreadDue ??= (async () => {
-			const wait = Math.max(0, lastSpread + spreadPause - clock.now());
-			await sleep(clock, wait);
-			spreadDue = undefined;
-			await spreadNow();
-		})();
-		return spreadDue;
-	};
-
-	const join = async (addresses: string[]): Promise<number> => {
-		const own = view.self().peerAddress;
-		const others = [...new Set(addresses)].filter((each) => each !== own);
-		const chosen = sample(others, joinWidth, random);
-		lastWhole = clock.now();
-		const answers = await Promise.all(
-			chosen.map(async (address) =>
-				exchange(address, undefined, {whole: true}),
-			),
-		);
-		return answers.filter(Boolean).length;
-	};
+	const {exchange, spread, spreadNow, join, lastJoin} = createProbeExchange({
+		view,
+		clock,
+		random,
+		timing,
+		send,
+		takeIn,
+	});
 
 	const probeNext = async () => {
 		const node = order.next(() => view.present().map((each) => each.node));
@@ -244,22 +164,22 @@
 		const answer = await exchange(lost.peerAddress, lost.node, {
 			whole: isAlone,
 		});
-		if (answer && !isAlone && answer.members[0]?.node === lost.node) {
-			noteReturn(lost.peerAddress);
+		const isReached =
+			answer &&
+			(lost.node === undefined || answer.members[0]?.node === lost.node);
+		if (isReached && !isAlone) {
+			catchUp.note(lost.peerAddress);
 		}
 	};
 
-	/** After a return, the members on the other side are many: ask for all at once. */
-	const catchUp = async () => {
-		const now = clock.now();
-		if (catchUpFrom && now >= catchUpFrom.at) {
-			const {address} = catchUpFrom;
-			catchUpFrom = undefined;
-			await join([address]);
-		} else if (now - lastReturn < timing.returnPause) {
-			await reachLost();
-		}
-	};
+	const catchUp = createCatchUp({
+		clock,
+		random,
+		timing,
+		lastJoin,
+		join,
+		reachLost,
+	});
 
 	const exchangeWhole = async () => {
 		const [member] = sample(view.present(), 1, random);
@@ -310,7 +230,7 @@
 			return {
 				type: 'acknowledgement',
 				sequence: probe.sequence,
-				members: probe.whole ? view.whole() : view.news(sender?.node, most),
+				members: probe.whole ? view.whole() : view.answerNews(sender, most),
 				configurationVersion: view.self().configurationVersion,
 			};
 		},
@@ -326,7 +246,7 @@
 					timing.probePeriod / 2,
 					async () => {
 						view.expire();
-						await catchUp();
+						await catchUp.act();
 					},
 					signal,
 				),
@@ -336,11 +256,3 @@
 		},
 	};
 }
-
-async function waitForAbort(signal: AbortSignal): Promise<undefined> {
-	return new Promise((resolve) => {
-		signal.addEventListener('abort', () => {
-			resolve(undefined);
-		});
-	});
-}
--- a/packages/control/src/operator-service.ts
+++ b/packages/control/src/operator-service.ts
@@ -13,6 +13,7 @@
 	keepPlan,
 	readHead,
 	readPlan,
+	readPlanBody,
 	readVersion,
 } from './configuration-store.js';
 import type {ConfigurationWatch} from './configuration-watch.js';
@@ -20,6 +21,7 @@
 	defaultConfiguration,
 	readConfiguration,
 	type Configuration,
+	type ConfigurationBody,
 } from './configuration.js';
 import {confirmPlan, type HeadWrite} from './confirm.js';
 import {readIntents} from './intent.js';
@@ -64,6 +66,22 @@
 	const heardSecondsAgo = (node: string, heardAt: number) =>
 		node === membership.self().node ? 0 : secondsSince(heardAt);
 
+	/**
+	 * The confirming node takes the body that it has read before the write, and
+	 * its peers take it from there: a platform that goes away right after the
+	 * acceptance would otherwise hold back what has been accepted.
+	 */
+	const putInForce = async (
+		version: number,
+		body: ConfigurationBody | undefined,
+	) => {
+		if (body?.version === version) {
+			configuration.offer(body, 'platform');
+		} else {
+			await configuration.readPlatform();
+		}
+	};
+
 	return {
 		async plan({author, file, document}) {
 			const intents = readIntents({text: document, file});
@@ -93,9 +111,10 @@
 			return err({kind: 'unavailable', detail: kept.error.detail});
 		},
 		async confirm(id) {
+			const body = await readPlanBody(platform, id);
 			const answer = await confirmPlan(id, options);
 			if (answer !== 'notFound' && answer.result === 'accepted') {
-				await configuration.readPlatform();
+				await putInForce(answer.version, body.unwrapOr(undefined));
 			}
 
 			return answer;
