--- a/packages/control/src/gossip-queue.ts
+++ b/packages/control/src/gossip-queue.ts
@@ -23,6 +23,9 @@
  */
 const tellings = {urgent: 2, ordinary: 0.5};
 
+/** The least number of tellings, for a handful of members. */
+const fewestTellings = 4;
+
 type Item = {node: string; told: number; isUrgent: boolean};
 
 /** Creates an empty queue. */
@@ -38,9 +41,11 @@
 			}
 
 			const doublings = Math.log2(members + 1);
+			const limitOf = (factor: number) =>
+				Math.max(fewestTellings, Math.ceil(factor * doublings));
 			const limits = {
-				urgent: Math.ceil(tellings.urgent * doublings),
-				ordinary: Math.ceil(tellings.ordinary * doublings),
+				urgent: limitOf(tellings.urgent),
+				ordinary: limitOf(tellings.ordinary),
 			};
 			const chosen = [...items.values()].sort(compareItems).slice(0, most);
 			for (const item of chosen) {
--- a/packages/control/src/member-view.ts
+++ b/packages/control/src/member-view.ts
@@ -165,7 +165,16 @@
 	return state === 'suspect' || state === 'gone';
 }
 
-/** Starts and new versions can wait behind ends; a wrong trust costs more than a late one. */
+/**
+ * First starts, `joining` to `active` and new versions can wait behind ends,
+ * returns and new incarnations: a wrong trust costs more than a late one.
+ */
 function isUrgentChange({member, before}: MemberChange): boolean {
-	return before !== undefined && before.state !== member.state;
+	if (before === undefined) {
+		return false;
+	}
+
+	const isNewLife = before.incarnation !== member.incarnation;
+	const isFirstActive = before.state === 'joining' && member.state === 'active';
+	return isNewLife || (before.state !== member.state && !isFirstActive);
 }
