test(ledger): at-most-once cases of one home

Cause: the ledger and the rule stood without tests. Found by them: a dispatch that threw before its hand-over was retried at once and without end. A fault of the node itself is no longer retried.

--- /dev/null
+++ b/packages/ledger/__tests__/ledger.spec.ts
@@ -0,0 +1,370 @@
+import {
+	createHandOverTicket,
+	createRefusal,
+	ErrorCode,
+	type Answer,
+	type NotRunProof,
+	type Outcome,
+} from '@egretspoke/protocol';
+import {createVirtualClock, type VirtualClock} from '@egretspoke/shared';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+	createLedger,
+	fingerprintRequest,
+	type LedgerDecision,
+	type LedgerOptions,
+	type LedgerRequest,
+	type LedgerRun,
+} from '../src/index.js';
+
+const minute = 60_000;
+
+describe('ledger', () => {
+	describe('the first attempt', () => {
+		it('runs, and a second one is still running', () => {
+			const {ledger, request} = create();
+			expect(ledger.begin(request()).kind).to.equal('run');
+			expect(ledger.begin(request()).kind).to.equal('stillRunning');
+			expect(ledger.size()).to.deep.equal({
+				keys: 1,
+				running: 1,
+				answerBytes: 0,
+			});
+		});
+
+		it('runs again after a definite refusal, and only then', () => {
+			const {ledger, request} = create();
+			const first = runOf(ledger.begin(request()));
+			first.notRun(prove(), createRefusal(ErrorCode.Overloaded));
+			const second = runOf(ledger.begin(request()));
+			second.unknown(createRefusal(ErrorCode.AnswerLost));
+			expect(codeOf(ledger.begin(request()))).to.equal(ErrorCode.AnswerLost);
+		});
+
+		it('keeps keys of two services apart', () => {
+			const {ledger, request} = create();
+			ledger.begin(request());
+			expect(ledger.begin({...request(), service: 'payments'}).kind).to.equal(
+				'run',
+			);
+		});
+	});
+
+	describe('a repeat', () => {
+		it('gets the recorded answer, marked as repeated', () => {
+			const {ledger, request} = create();
+			runOf(ledger.begin(request())).answered(answerOf('receipt 7'));
+			const outcome = outcomeOf(ledger.begin(request()));
+			expect(outcome).to.deep.equal({
+				kind: 'answered',
+				answer: answerOf('receipt 7'),
+				repeated: true,
+			});
+		});
+
+		it('keeps its own copy of a body that the caller overwrites', () => {
+			const {ledger, request} = create();
+			const answer = answerOf('receipt 7');
+			runOf(ledger.begin(request())).answered(answer);
+			answer.body.fill(0);
+			const outcome = outcomeOf(ledger.begin(request()));
+			expect(outcome.kind === 'answered' && outcome.answer).to.deep.equal(
+				answerOf('receipt 7'),
+			);
+		});
+
+		it('is told of an answer that came after the outcome was unknown', () => {
+			const {ledger, request} = create();
+			const run = runOf(ledger.begin(request()));
+			run.unknown(createRefusal(ErrorCode.DeadlineWhileRunning));
+			run.answered(answerOf('late'));
+			run.unknown(createRefusal(ErrorCode.AnswerLost));
+			run.notRun(prove(), createRefusal(ErrorCode.Overloaded));
+			expect(outcomeOf(ledger.begin(request())).kind).to.equal('answered');
+		});
+
+		it('with another body is refused and never answered from the ledger', () => {
+			// Two orders are sent under one key by a fault in the caller. Given the
+			// first order's receipt, its user would believe that the second ran.
+			const {ledger, request} = create();
+			runOf(ledger.begin(request())).answered(answerOf('receipt 7'));
+			const other = {...request(), fingerprint: 'another'};
+			expect(codeOf(ledger.begin(other))).to.equal(ErrorCode.KeyReused);
+		});
+
+		it('under another expiry is refused without a claim that it was not run', () => {
+			// A caller that reckons a new expiry for each repeat would outlive the
+			// entry of its first attempt, and its payment would run a second time.
+			const {ledger, request} = create();
+			runOf(ledger.begin(request())).answered(answerOf('receipt 7'));
+			const later = {...request(), expiry: request().expiry! + 1};
+			expect(codeOf(ledger.begin(later))).to.equal(ErrorCode.KeyReused);
+			expect(outcomeOf(ledger.begin(later)).kind).to.equal('unknown');
+		});
+
+		it('beyond the bound of waiters is told at once that it is still running', () => {
+			const {ledger, request} = create({waitersCapacity: 2});
+			ledger.begin(request());
+			ledger.begin(request());
+			ledger.begin(request());
+			expect(codeOf(ledger.begin(request()))).to.equal(ErrorCode.StillRunning);
+		});
+	});
+
+	describe('expiry', () => {
+		it('refuses an expired key, whether or not it is still remembered', () => {
+			// A phone was off for the night and repeats its payment in the morning.
+			// The home has forgotten the key by then; taken for a new one, the
+			// payment would run twice.
+			const {ledger, request, clock} = create();
+			const old = request();
+			runOf(ledger.begin(old)).answered(answerOf('receipt 7'));
+			clock.advanceTo(10 * minute);
+			expect(codeOf(ledger.begin(old))).to.equal(ErrorCode.KeyExpired);
+			clock.advanceTo(20 * minute);
+			expect(codeOf(ledger.begin(old))).to.equal(ErrorCode.KeyExpired);
+			expect(outcomeOf(ledger.begin(old)).kind).to.equal('unknown');
+			expect(ledger.size()).to.deep.equal({
+				keys: 0,
+				running: 0,
+				answerBytes: 0,
+			});
+		});
+
+		it('refuses a forgotten key after the wall clock was set back', () => {
+			// An operator corrects the clock of the machine by some minutes. A key
+			// that had expired looks unexpired again, its entry is gone, and without
+			// a guard its payment would run a second time.
+			const {ledger, request, clock, wall} = create();
+			const old = request();
+			runOf(ledger.begin(old)).answered(answerOf('receipt 7'));
+			clock.advanceTo(11 * minute);
+			ledger.begin(request('another key', 30 * minute));
+			expect(ledger.size().keys).to.equal(1);
+			wall.offset = -5 * minute;
+			expect(codeOf(ledger.begin(old))).to.equal(ErrorCode.KeyExpired);
+		});
+
+		it('remembers a key while the wall clock was ahead for a moment', () => {
+			// The machine's clock jumps ahead for a second and comes back. Entries
+			// that were dropped in that second would let repeats run again.
+			const {ledger, request, clock, wall} = create();
+			runOf(ledger.begin(request())).answered(answerOf('receipt 7'));
+			const old = request();
+			wall.offset = 60 * minute;
+			clock.advanceTo(2000);
+			expect(codeOf(ledger.begin(old))).to.equal(ErrorCode.KeyExpired);
+			wall.offset = 0;
+			expect(outcomeOf(ledger.begin(old)).kind).to.equal('answered');
+		});
+
+		it('refuses a key that expires later than can be remembered', () => {
+			const {ledger, request, wallTime} = create();
+			const far = {...request(), expiry: wallTime() + 61 * minute};
+			expect(codeOf(ledger.begin(far))).to.equal(ErrorCode.KeyExpiryTooFar);
+		});
+
+		it('refuses a key without an expiry unless a default lifetime is set', () => {
+			const {request, ledger} = create();
+			const {expiry, ...bare} = request();
+			expect(codeOf(ledger.begin(bare))).to.equal(ErrorCode.KeyExpiryRequired);
+			const lenient = create({defaultLifetime: minute}).ledger;
+			expect(runOf(lenient.begin(bare)).expiry).to.be.a('number');
+			expect(lenient.begin(bare).kind).to.equal('stillRunning');
+		});
+
+		it('forgets a run that was never settled once its key has expired', () => {
+			const {ledger, request, clock} = create();
+			const run = runOf(ledger.begin(request()));
+			clock.advanceTo(12 * minute);
+			ledger.begin(request('another key', 30 * minute));
+			expect(ledger.size()).to.include({keys: 1, running: 1});
+			run.answered(answerOf('far too late'));
+			expect(ledger.size().answerBytes).to.equal(0);
+		});
+	});
+
+	describe('bounds', () => {
+		it('refuses new keys when full, and evicts no live one', () => {
+			// A burst of bookings fills the home's memory. If room were made by
+			// dropping the oldest, its repeat would book the shift a second time.
+			const {ledger, request, clock} = create({capacity: 2});
+			const [first, second, third] = ['a', 'b', 'c'].map((key) => request(key));
+			runOf(ledger.begin(first!)).answered(answerOf('booked'));
+			ledger.begin(second!);
+			const refused = outcomeOf(ledger.begin(third!));
+			expect(refused.kind).to.equal('notRun');
+			expect(refused.kind === 'notRun' && refused.refusal.code).to.equal(
+				ErrorCode.LedgerFull,
+			);
+			expect(
+				refused.kind === 'notRun' && refused.refusal.retryAfter,
+			).to.be.within(1000, 11 * minute);
+			expect(outcomeOf(ledger.begin(first!)).kind).to.equal('answered');
+			clock.advanceTo(11 * minute + 1000);
+			expect(ledger.begin(request('d', 30 * minute)).kind).to.equal('run');
+		});
+
+		it('drops old answers under byte pressure but not that they ran', () => {
+			const {ledger, request} = create({bytesCapacity: 20});
+			for (const key of ['a', 'b', 'c']) {
+				runOf(ledger.begin(request(key))).answered(answerOf('0123456789'));
+			}
+
+			expect(ledger.size()).to.include({keys: 3, answerBytes: 20});
+			expect(codeOf(ledger.begin(request('a')))).to.equal(
+				ErrorCode.OutcomeForgotten,
+			);
+			expect(outcomeOf(ledger.begin(request('c'))).kind).to.equal('answered');
+		});
+
+		it('does not keep an answer larger than all its room', () => {
+			const {ledger, request} = create({bytesCapacity: 4});
+			runOf(ledger.begin(request())).answered(answerOf('0123456789'));
+			expect(ledger.size().answerBytes).to.equal(0);
+			expect(codeOf(ledger.begin(request()))).to.equal(
+				ErrorCode.OutcomeForgotten,
+			);
+		});
+
+		it('holds its bounds and lets no key run twice in any order of events', () => {
+			const step = fc.record({
+				key: fc.constantFrom('a', 'b', 'c', 'd', 'e'),
+				lifetime: fc.constantFrom(1, 5),
+				end: fc.constantFrom('none', 'answered', 'unknown', 'notRun'),
+				wait: fc.integer({min: 0, max: 90_000}),
+				jump: fc.constantFrom(0, 0, 0, minute, -2 * minute),
+			});
+			fc.assert(
+				fc.property(fc.array(step, {maxLength: 60}), (steps) => {
+					const {ledger, request, clock, wall} = create({
+						capacity: 3,
+						bytesCapacity: 25,
+					});
+					const ran = new Set<string>();
+					for (const {key, lifetime, end, wait, jump} of steps) {
+						const name = `${key}${lifetime}`;
+						const decision = ledger.begin(request(name, lifetime * minute));
+						if (decision.kind === 'run') {
+							expect(ran.has(name)).to.equal(false);
+							if (end !== 'notRun') {
+								ran.add(name);
+							}
+
+							finish(decision.run, end);
+						}
+
+						expect(ledger.size().keys).to.be.at.most(3);
+						expect(ledger.size().answerBytes).to.be.at.most(25);
+						clock.advanceTo(clock.now() + wait);
+						wall.offset += jump;
+					}
+				}),
+				{seed: 4, numRuns: 300},
+			);
+		});
+	});
+
+	describe('fingerprint', () => {
+		it('tells apart each part of a request', () => {
+			const parts = {
+				caller: 'roster',
+				method: 'POST',
+				path: '/book',
+				body: new TextEncoder().encode('x'),
+			};
+			const prints = [
+				parts,
+				{...parts, caller: 'other'},
+				{...parts, method: 'PUT'},
+				{...parts, path: '/books'},
+				{...parts, body: new Uint8Array()},
+			].map((value) => fingerprintRequest(value));
+			expect(new Set(prints).size).to.equal(prints.length);
+			expect(fingerprintRequest({...parts})).to.equal(prints[0]);
+		});
+	});
+});
+
+function create(options: Partial<LedgerOptions> = {}) {
+	const virtual = createVirtualClock();
+	const wall = {offset: 0};
+	const clock: VirtualClock = {
+		...virtual,
+		date: () => new Date(virtual.date().getTime() + wall.offset),
+	};
+	const origin = clock.date().getTime();
+	const ledger = createLedger({
+		clock,
+		capacity: 100,
+		bytesCapacity: 1000,
+		maximumLifetime: 60 * minute,
+		...options,
+	});
+	const request = (key = 'key', lifetime = 10 * minute): LedgerRequest => ({
+		service: 'bookings',
+		key,
+		fingerprint: 'fingerprint',
+		expiry: origin + lifetime,
+	});
+	return {
+		ledger,
+		request,
+		clock,
+		wall,
+		wallTime: () => clock.date().getTime(),
+	};
+}
+
+function finish(run: LedgerRun, end: string): void {
+	switch (end) {
+		case 'answered': {
+			run.answered(answerOf('0123456789'));
+
+			break;
+		}
+
+		case 'unknown': {
+			run.unknown(createRefusal(ErrorCode.AnswerLost));
+
+			break;
+		}
+
+		case 'notRun': {
+			run.notRun(prove(), createRefusal(ErrorCode.Overloaded));
+
+			break;
+		}
+		// No default
+	}
+}
+
+function prove(): NotRunProof {
+	return createHandOverTicket().surrender()._unsafeUnwrap();
+}
+
+function answerOf(text: string): Answer {
+	return {status: 200, headers: {}, body: new TextEncoder().encode(text)};
+}
+
+function runOf(decision: LedgerDecision): LedgerRun {
+	if (decision.kind !== 'run') {
+		throw new Error(`expected a run, got ${JSON.stringify(decision)}`);
+	}
+
+	return decision.run;
+}
+
+function outcomeOf(decision: LedgerDecision): Outcome {
+	if (decision.kind !== 'settled') {
+		throw new Error(`expected a settled outcome, got ${decision.kind}`);
+	}
+
+	return decision.outcome;
+}
+
+function codeOf(decision: LedgerDecision): ErrorCode | undefined {
+	const outcome = outcomeOf(decision);
+	return outcome.kind === 'answered' ? undefined : outcome.refusal.code;
+}
--- a/packages/ledger/src/attempt-at-most-once.ts
+++ b/packages/ledger/src/attempt-at-most-once.ts
@@ -129,7 +129,7 @@
 
 		// eslint-disable-next-line no-await-in-loop -- a second target is tried only after the first has refused.
 		const outcome = await tryTarget(options, {number, ticket}, deadlinePassed);
-		if (outcome.kind !== 'notRun') {
+		if (outcome.kind !== 'notRun' || isOwnFault(outcome.refusal)) {
 			return outcome;
 		}
 
@@ -195,6 +195,11 @@
 	);
 }
 
+/** A fault of this node would only repeat itself, and at once. */
+function isOwnFault(refusal: Refusal): boolean {
+	return refusal.code === ErrorCode.Internal;
+}
+
 async function askRetry(
 	options: AttemptOptions,
 	refusal: Refusal,
