feat(history): recorder of events and four checkers

Cause: a promise that is only argued can't be seen to break. Change: events as targets and callers see them, and a check for each of: no key ran twice, no notRun ran, no version went down, no answer reached another.

--- a/packages/history/src/index.ts
+++ b/packages/history/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from './checkers.js';
+export type * from './event.js';
+export * from './recorder.js';
