feat(faults): seeded schedules of faults over whole node cores

Cause: the promises have to be seen holding while several things go wrong. Change: fakes for process, network, target and callers; 16 kinds of faults drawn alone and in pairs; control with the platform in memory; the naive handler beside ours (the core takes the handler as an option).

--- /dev/null
+++ b/packages/faults/src/fake-callers.ts
@@ -0,0 +1,165 @@
+/** Callers that send, lose patience, and repeat with the same key and home. */
+import type {Home, Outcome} from '@egretspoke/protocol';
+import {digestBody, type Recorder} from '@egretspoke/history';
+import type {CallerOutcome, CallerRequest} from '@egretspoke/node';
+import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import {fakeService, longestKeyLife, type FakeProcess} from './fake-node.js';
+import {writeAnswerBody, writeMark} from './request-mark.js';
+
+/** The callers of one run. */
+export type FakeCallers = {
+	/** Sends one request with all its repeats; resolves when its caller is done. */
+	send(number: number): Promise<void>;
+	counts(): CallerCounts;
+};
+
+/** What callers saw. */
+export type CallerCounts = {
+	attempts: number;
+	answered: number;
+	notRun: number;
+	unknown: number;
+	/** No answer came: the connection broke, or the caller gave up. */
+	lost: number;
+};
+
+type Request = {key: string; expiry: number; isRepeatable: boolean};
+
+const oneWay = 1;
+const mostRepeats = 6;
+/** Milliseconds that callers grant, and how much longer they wait. */
+const patience = {deadline: 800, grace: 150};
+
+/** Creates callers that reach the processes that are up at the time. */
+export function createFakeCallers(options: {
+	clock: Clock;
+	random: Random;
+	recorder: Recorder;
+	processes(): FakeProcess[];
+}): FakeCallers {
+	const {clock, random, recorder} = options;
+	const counts = {attempts: 0, answered: 0, notRun: 0, unknown: 0, lost: 0};
+
+	const attempt = async (
+		request: Request,
+		home: Home | undefined,
+	): Promise<CallerOutcome | undefined> => {
+		const processes = options.processes();
+		const process = processes[random.below(processes.length)];
+		const mark = {
+			attempt: `${request.key}.${counts.attempts++}`,
+			key: request.key,
+		};
+		const expected = digestBody(writeAnswerBody(request.key));
+		recorder.record({kind: 'submitted', ...mark, expected});
+		const incoming: CallerRequest = {
+			service: fakeService,
+			method: request.isRepeatable ? 'GET' : 'POST',
+			path: '/bookings',
+			headers: writeMark(mark),
+			body: new TextEncoder().encode(request.key),
+			caller: `caller-${request.key.length % 3}`,
+			timeLeft: patience.deadline,
+			...(!request.isRepeatable && {
+				key: request.key,
+				keyExpiry: request.expiry,
+			}),
+			...(home && {home}),
+		};
+		const result = await exchange(clock, process, incoming);
+		if (result) {
+			note(mark, result.outcome);
+		} else {
+			counts.lost++;
+		}
+
+		return result;
+	};
+
+	const note = (
+		mark: {attempt: string; key: string},
+		outcome: Outcome,
+	): void => {
+		counts[outcome.kind]++;
+		if (outcome.kind === 'answered') {
+			const digest = digestBody(outcome.answer.body);
+			recorder.record({kind: 'answered', ...mark, digest});
+			return;
+		}
+
+		const {code} = outcome.refusal;
+		const kind = outcome.kind === 'notRun' ? 'refused' : 'unknown';
+		recorder.record({kind, ...mark, code});
+	};
+
+	/** One node, or several at once as an impatient user does. */
+	const attemptSome = async (request: Request, home: Home | undefined) => {
+		const copies = random.below(4) === 0 ? 1 + random.below(3) : 1;
+		const results = await Promise.all(
+			Array.from({length: copies}, async () => attempt(request, home)),
+		);
+		return (
+			results.find((result) => result?.outcome.kind === 'answered') ??
+			results[0]
+		);
+	};
+
+	return {
+		async send(number) {
+			const lifetime = 500 + random.below(longestKeyLife / 10);
+			const request = {
+				key: `request-${number}`,
+				expiry: clock.date().getTime() + lifetime,
+				isRepeatable: random.below(4) === 0,
+			};
+			let home: Home | undefined;
+			for (let repeat = 0; repeat < mostRepeats; repeat++) {
+				// eslint-disable-next-line no-await-in-loop -- a repeat comes after what it repeats.
+				const result = await attemptSome(request, home);
+				home ??= result?.home;
+				const isDone = result?.outcome.kind === 'answered';
+				if (isDone && random.below(10) > 0) {
+					return;
+				}
+
+				// eslint-disable-next-line no-await-in-loop -- a repeat comes after a pause.
+				await sleep(clock, random.below(600));
+			}
+		},
+		counts: () => ({...counts}),
+	};
+}
+
+/** Undefined when no answer came before the caller gave up. */
+async function exchange(
+	clock: Clock,
+	process: FakeProcess | undefined,
+	incoming: CallerRequest,
+): Promise<CallerOutcome | undefined> {
+	await sleep(clock, oneWay);
+	if (!process || process.gate.state() === 'dead') {
+		return undefined;
+	}
+
+	const {gate, core} = process;
+	const patienceEnd = new AbortController();
+	return new Promise((resolve) => {
+		const timer = clock.setTimer(patience.deadline + patience.grace, () => {
+			gate.run(() => {
+				patienceEnd.abort();
+			});
+			resolve(undefined);
+		});
+		const answer = async () => {
+			const outcome = await core.entry.handle(incoming, patienceEnd.signal);
+			await gate.hold(Promise.resolve());
+			await sleep(clock, oneWay);
+			timer.cancel();
+			resolve(outcome);
+		};
+
+		gate.run(() => {
+			void answer();
+		});
+	});
+}
--- /dev/null
+++ b/packages/faults/src/fake-node.ts
@@ -0,0 +1,167 @@
+/** A node's whole core and control over the fakes, as a process that can end and start again. */
+import type {AttemptHandler} from '@egretspoke/ledger';
+import {createControl, classify, type Control} from '@egretspoke/control';
+import {egretspokePolicy} from '@egretspoke/decisions';
+import type {Recorder} from '@egretspoke/history';
+import {
+	createNodeCore,
+	createSupervisor,
+	silentReporter,
+	type NodeCore,
+} from '@egretspoke/node';
+import type {Platform} from '@egretspoke/platform';
+import type {Clock, Random} from '@egretspoke/shared';
+import {ResultAsync} from 'neverthrow';
+import type {FakeNetwork} from './fake-network.js';
+import type {FakeTarget} from './fake-target.js';
+import {createProcessGate, type ProcessGate} from './process-gate.js';
+
+/** What a node is built from. */
+export type FakeNodeOptions = {
+	name: string;
+	dataCentre: string;
+	clock: Clock;
+	random: Random;
+	network: FakeNetwork;
+	platform: Platform;
+	target: FakeTarget;
+	slots: number;
+	ledgerKeys: number;
+	recorder: Recorder;
+	attemptHandler: AttemptHandler;
+	/** Addresses of all nodes. */
+	peers: string[];
+};
+
+/** One start of the node's process. */
+export type FakeProcess = {
+	gate: ProcessGate;
+	core: NodeCore;
+	control: Control;
+	/** Ends it without a farewell. */
+	kill(): void;
+};
+
+/** The service that every fake target offers. */
+export const fakeService = 'bookings';
+
+/** Milliseconds of a key's longest life in the schedules. */
+export const longestKeyLife = 60_000;
+
+/** Starts the process; its incarnation is the wall time. */
+export function startFakeNode(options: FakeNodeOptions): FakeProcess {
+	const {name, dataCentre, network, random, recorder, target} = options;
+	const gate = createProcessGate(options.clock, random.fork());
+	const {clock} = gate;
+	const incarnation = clock.date().getTime();
+	const endpoint = {
+		address: name,
+		identity: {node: name, incarnation, dataCentre},
+		gate,
+	};
+	const supervisor = createSupervisor(clock, ({error}) => {
+		throw error;
+	});
+	const core: NodeCore = createNodeCore({
+		clock,
+		random: random.fork(),
+		self: {node: name, incarnation},
+		dataCentre,
+		policy: egretspokePolicy,
+		transport: network.attach(endpoint),
+		supervisor,
+		reporter: silentReporter,
+		attemptHandler: options.attemptHandler,
+		ledger: {
+			capacity: options.ledgerKeys,
+			bytesCapacity: 20_000,
+			maximumLifetime: longestKeyLife,
+		},
+		control: {
+			classify: (service, method, path) =>
+				classify(control.configuration.current(), service, method, path),
+			members: () => control.membership.members(),
+			isSuspended: () => control.membership.isSuspended(),
+			receiveProbe: (probe) => control.receiveProbe(probe),
+			configurationBody() {
+				const body = control.configuration.body();
+				return body && {type: 'configurationBody', ...body};
+			},
+		},
+	});
+	const control = createControl({
+		self: {
+			node: name,
+			incarnation,
+			heartbeat: 0,
+			region: 'gulf-south',
+			dataCentre,
+			peerAddress: name,
+			callerAddress: name,
+			state: 'joining',
+			configurationVersion: 0,
+		},
+		clock,
+		random: random.fork(),
+		platform: gatePlatform(options.platform, gate),
+		peers: options.peers.filter((address) => address !== name),
+		send: async (address, probe, signal) =>
+			core.peers.probe(address, probe, signal),
+		requestBody: async (address) =>
+			core.peers.requestConfiguration(address, supervisor.signal),
+	});
+	void control.configuration.accepted.observe(({version}) => {
+		recorder.record({kind: 'versionTaken', node: name, incarnation, version});
+	});
+	void control.membership.changes.observe(({member, before}) => {
+		core.membersChanged();
+		const isOwn = member.node === name && member.state !== before?.state;
+		if (isOwn && member.state === 'leaving') {
+			core.leave();
+		}
+	});
+	const announcement = {
+		service: fakeService,
+		slots: options.slots,
+		connections: 50,
+	};
+	core.announce({announcement, client: gateTarget(target, gate)});
+	control.announceTarget(announcement);
+	void control.start(supervisor.signal);
+	return {
+		gate,
+		core,
+		control,
+		kill() {
+			gate.kill();
+			network.detach(endpoint);
+			void supervisor.stop();
+		},
+	};
+}
+
+function gateTarget(
+	{client}: FakeTarget,
+	gate: ProcessGate,
+): FakeTarget['client'] {
+	return {
+		send: async (request, timeLeft, signal) =>
+			gate.hold(client.send(request, timeLeft, signal)),
+	};
+}
+
+function gatePlatform(platform: Platform, gate: ProcessGate): Platform {
+	const hold = <T, E>(result: ResultAsync<T, E>) =>
+		new ResultAsync(gate.hold(Promise.resolve(result)));
+	return {
+		table: {
+			read: (key) => hold(platform.table.read(key)),
+			list: (prefix) => hold(platform.table.list(prefix)),
+			transact: (writes) => hold(platform.table.transact(writes)),
+		},
+		objects: {
+			get: (name) => hold(platform.objects.get(name)),
+			put: (name, body) => hold(platform.objects.put(name, body)),
+		},
+	};
+}
--- /dev/null
+++ b/packages/faults/src/fake-target.ts
@@ -0,0 +1,112 @@
+/** A target of N slots with the faults of real ones, which records what it runs. */
+import type {CallRequest} from '@egretspoke/protocol';
+import type {Recorder} from '@egretspoke/history';
+import type {TargetClient, TargetResult} from '@egretspoke/node';
+import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import {readMark, writeAnswerBody} from './request-mark.js';
+
+/** What is wrong with the target, in shares of requests from 0 to 1. */
+export type TargetFaults = {
+	/** Runs take this many times as long. */
+	slowness: number;
+	shed: number;
+	unreachable: number;
+	lost: number;
+	cut: number;
+};
+
+/** A target with its switches. */
+export type FakeTarget = {
+	client: TargetClient;
+	faults: TargetFaults;
+	/** Everything that runs ends without an answer. */
+	killRunning(): void;
+};
+
+/** The faults of a healthy target. */
+export const noTargetFaults: TargetFaults = {
+	slowness: 1,
+	shed: 0,
+	unreachable: 0,
+	lost: 0,
+	cut: 0,
+};
+
+const connectDelay = 0.3;
+/** Bounds of a healthy run in milliseconds. */
+const run = {shortest: 2, longest: 40};
+
+/** Creates a healthy target. */
+export function createFakeTarget(options: {
+	name: string;
+	slots: number;
+	clock: Clock;
+	random: Random;
+	recorder: Recorder;
+}): FakeTarget {
+	const {name, slots, clock, random, recorder} = options;
+	const faults = {...noTargetFaults};
+	let killing = new AbortController();
+	let running = 0;
+
+	const happens = (share: number) => random.fraction() < share;
+
+	const runRequest = async (
+		request: CallRequest,
+		signal: AbortSignal,
+	): Promise<TargetResult> => {
+		const mark = readMark(request.headers);
+		const stop = AbortSignal.any([signal, killing.signal]);
+		const isCut = happens(faults.cut);
+		const isLost = happens(faults.lost);
+		recorder.record({
+			kind: 'ran',
+			...mark,
+			target: name,
+			idempotent: request.idempotent,
+		});
+		running++;
+		const duration =
+			run.shortest + random.fraction() * (run.longest - run.shortest);
+		await sleep(clock, duration * faults.slowness, stop);
+		running--;
+		if (stop.aborted || isLost) {
+			return {kind: 'lost', detail: 'the connection broke'};
+		}
+
+		return isCut
+			? {kind: 'cut', detail: 'the body is short'}
+			: {
+					kind: 'answer',
+					answer: {
+						status: 200,
+						headers: {},
+						body: writeAnswerBody(mark.key),
+					},
+				};
+	};
+
+	return {
+		faults,
+		client: {
+			async send(request, _timeLeft, signal) {
+				const mark = readMark(request.headers);
+				recorder.record({kind: 'handedOver', ...mark, node: name});
+				await sleep(clock, connectDelay);
+				if (happens(faults.unreachable)) {
+					return {kind: 'unreachable', detail: 'refused'};
+				}
+
+				if (running >= slots || happens(faults.shed)) {
+					return {kind: 'shed'};
+				}
+
+				return runRequest(request, signal);
+			},
+		},
+		killRunning() {
+			killing.abort();
+			killing = new AbortController();
+		},
+	};
+}
--- /dev/null
+++ b/packages/faults/src/fault-kinds.ts
@@ -0,0 +1,125 @@
+/** The faults that a schedule may draw; each strikes once and is mended after its time. */
+import type {Random} from '@egretspoke/shared';
+import type {FakeWorld} from './fake-world.js';
+
+/** The names of the faults, as in the summary. */
+export const faultKinds = [
+	'delay',
+	'cut',
+	'partition',
+	'kill',
+	'freeze',
+	'targetSlow',
+	'targetKilled',
+	'targetLosesAnswers',
+	'targetCutsAnswers',
+	'targetSheds',
+	'targetUnreachable',
+	'leave',
+	'platformDown',
+	'platformSlow',
+	'platformLosesAnswers',
+	'operatorRace',
+] as const;
+
+export type FaultKind = (typeof faultKinds)[number];
+
+/** Lets the fault strike; the function that comes back mends it. */
+type Fault = (world: FakeWorld, random: Random) => () => void;
+
+const lossShare = 0.6;
+
+/** The faults by name. */
+export const faults: Record<FaultKind, Fault> = {
+	delay({network}) {
+		network.setDelay(20, 400);
+		return () => {
+			network.setDelay(0.2, 1.5);
+		};
+	},
+	cut({network, names}, random) {
+		network.cut(pick(names, random));
+		return nothing;
+	},
+	partition({network, names}, random) {
+		const width = 1 + random.below(names.length - 1);
+		network.partition(new Set(names.slice(0, width)));
+		return () => {
+			network.heal();
+		};
+	},
+	kill(world, random) {
+		const name = pick(world.names, random);
+		world.kill(name);
+		return () => {
+			world.start(name);
+		};
+	},
+	freeze({processOf, names}, random) {
+		const process = processOf(pick(names, random));
+		process?.gate.freeze();
+		return () => {
+			process?.gate.thaw();
+		};
+	},
+	targetSlow: (world, random) =>
+		setTargetFault(world, random, {slowness: 5 + random.below(60)}),
+	targetKilled({targets}, random) {
+		pick(targets, random).killRunning();
+		return nothing;
+	},
+	targetLosesAnswers: (world, random) =>
+		setTargetFault(world, random, {lost: lossShare}),
+	targetCutsAnswers: (world, random) =>
+		setTargetFault(world, random, {cut: lossShare}),
+	targetSheds: (world, random) =>
+		setTargetFault(world, random, {shed: lossShare}),
+	targetUnreachable: (world, random) =>
+		setTargetFault(world, random, {unreachable: lossShare}),
+	leave({processOf, names}, random) {
+		processOf(pick(names, random))?.control.leave();
+		return nothing;
+	},
+	platformDown({platform}) {
+		platform.faults.down = true;
+		return () => {
+			platform.faults.down = false;
+		};
+	},
+	platformSlow({platform}, random) {
+		platform.faults.delay = 200 + random.below(3000);
+		return () => {
+			platform.faults.delay = 0;
+		};
+	},
+	platformLosesAnswers({platform}, random) {
+		platform.faults.lostAnswers += 1 + random.below(4);
+		return nothing;
+	},
+	operatorRace(world) {
+		void world.operate();
+		void world.operate();
+		return nothing;
+	},
+};
+
+function setTargetFault(
+	{targets}: FakeWorld,
+	random: Random,
+	change: Partial<FakeWorld['targets'][number]['faults']>,
+): () => void {
+	const target = pick(targets, random);
+	const before = {...target.faults};
+	Object.assign(target.faults, change);
+	return () => {
+		Object.assign(target.faults, before);
+	};
+}
+
+function pick<T>(items: readonly T[], random: Random): T {
+	return items[random.below(items.length)]!;
+}
+
+function nothing(): void {
+	// This fault is over as soon as it has struck.
+}
--- a/packages/faults/src/index.ts
+++ b/packages/faults/src/index.ts
@@ -1,1 +1,4 @@
-export {};
+export * from './attempt-handlers.js';
+export * from './fault-kinds.js';
+export * from './run-seeds.js';
+export * from './schedule.js';
--- /dev/null
+++ b/packages/faults/src/main.ts
@@ -0,0 +1,36 @@
+/** `npm run --silent faults -- --seeds A..B [--handler naive]`: one JSON line; exit 1 on a violation. */
+import process from 'node:process';
+import {Command, InvalidArgumentError, Option} from 'commander';
+import {
+	attemptHandlerNames,
+	type AttemptHandlerName,
+} from './attempt-handlers.js';
+import {runSeeds} from './run-seeds.js';
+
+type Range = {first: number; last: number};
+
+const program = new Command('faults')
+	.description('runs seeded schedules of faults and checks their histories')
+	.requiredOption('--seeds <A..B>', 'first and last seed', parseRange)
+	.addOption(
+		new Option('--handler <name>', 'how the home handles a key')
+			.choices(attemptHandlerNames)
+			.default('atMostOnce'),
+	)
+	.parse();
+
+const options = program.opts<{seeds: Range; handler: AttemptHandlerName}>();
+const summary = await runSeeds(options.seeds, options.handler);
+process.stdout.write(`${JSON.stringify(summary)}\n`);
+process.exitCode = summary.violations > 0 ? 1 : 0;
+
+function parseRange(text: string): Range {
+	const match = /^(?<first>\d{1,9})\.\.(?<last>\d{1,9})$/u.exec(text);
+	const first = Number(match?.groups?.first);
+	const last = Number(match?.groups?.last);
+	if (!match || last < first) {
+		throw new InvalidArgumentError('expected two whole numbers, as in 1..100');
+	}
+
+	return {first, last};
+}
--- /dev/null
+++ b/packages/faults/src/run-seeds.ts
@@ -0,0 +1,63 @@
+/** Many schedules, one after another, and their summary. */
+import type {Violation} from '@egretspoke/history';
+import type {AttemptHandlerName} from './attempt-handlers.js';
+import {runSchedule, type ScheduleResult} from './schedule.js';
+
+/** What the command prints. */
+export type FaultsSummary = {
+	handler: AttemptHandlerName;
+	schedules: number;
+	requests: number;
+	attempts: number;
+	outcomes: {answered: number; notRun: number; unknown: number; lost: number};
+	versionsTaken: number;
+	/** How often each kind struck. */
+	faults: Record<string, number>;
+	violations: number;
+	/** The first violation by its seed; running that seed alone shows it again. */
+	first?: {seed: number; violation: Violation};
+};
+
+/** Runs the seeds from the first to the last, both included. */
+export async function runSeeds(
+	range: {first: number; last: number},
+	handler: AttemptHandlerName,
+): Promise<FaultsSummary> {
+	const summary: FaultsSummary = {
+		handler,
+		schedules: 0,
+		requests: 0,
+		attempts: 0,
+		outcomes: {answered: 0, notRun: 0, unknown: 0, lost: 0},
+		versionsTaken: 0,
+		faults: {},
+		violations: 0,
+	};
+	for (let seed = range.first; seed <= range.last; seed++) {
+		// eslint-disable-next-line no-await-in-loop -- each run has the process to itself.
+		addResult(summary, await runSchedule({seed, handler}));
+	}
+
+	return summary;
+}
+
+function addResult(summary: FaultsSummary, result: ScheduleResult): void {
+	const {attempts, ...outcomes} = result.callers;
+	summary.schedules++;
+	summary.requests += result.requests;
+	summary.attempts += attempts;
+	summary.versionsTaken += result.versions;
+	for (const [name, count] of Object.entries(outcomes)) {
+		summary.outcomes[name as keyof typeof outcomes] += count;
+	}
+
+	for (const kind of result.faults) {
+		summary.faults[kind] = (summary.faults[kind] ?? 0) + 1;
+	}
+
+	const [violation] = result.violations;
+	summary.violations += result.violations.length;
+	if (violation && !summary.first) {
+		summary.first = {seed: result.seed, violation};
+	}
+}
--- /dev/null
+++ b/packages/faults/src/schedule.ts
@@ -0,0 +1,118 @@
+/** One run: a world, its callers, and the faults that the seed draws. */
+import {
+	checkHistory,
+	createRecorder,
+	type RecordedEvent,
+	type Violation,
+} from '@egretspoke/history';
+import {
+	createRandom,
+	createVirtualClock,
+	sleep,
+	type Clock,
+	type Random,
+} from '@egretspoke/shared';
+import {attemptHandlers, type AttemptHandlerName} from './attempt-handlers.js';
+import {createFakeCallers, type CallerCounts} from './fake-callers.js';
+import {createFakeWorld, type FakeWorld} from './fake-world.js';
+import {faultKinds, faults, type FaultKind} from './fault-kinds.js';
+
+/** What a run is drawn from. */
+export type ScheduleOptions = {
+	seed: number;
+	handler: AttemptHandlerName;
+	/** The faults to strike, in place of those that the seed draws. */
+	kinds?: FaultKind[];
+};
+
+/** What a run showed. */
+export type ScheduleResult = {
+	seed: number;
+	requests: number;
+	faults: FaultKind[];
+	callers: CallerCounts;
+	versions: number;
+	violations: Violation[];
+	history: readonly RecordedEvent[];
+};
+
+const requestCount = 40;
+/** Milliseconds: when requests come, when faults strike, and the end. */
+const times = {start: 2500, arrivals: 3000, strike: 2800, end: 16_000};
+
+/** Runs one schedule; the same options give the same result. */
+export async function runSchedule(
+	options: ScheduleOptions,
+): Promise<ScheduleResult> {
+	const {seed, handler} = options;
+	const clock = createVirtualClock();
+	const random = createRandom(seed);
+	const recorder = createRecorder(clock);
+	const kinds = options.kinds ?? drawKinds(random.fork());
+	const world = createFakeWorld({
+		clock,
+		random: random.fork(),
+		recorder,
+		attemptHandler: attemptHandlers[handler],
+	});
+	const callers = createFakeCallers({
+		clock,
+		random: random.fork(),
+		recorder,
+		processes: world.processes,
+	});
+	const draw = random.fork();
+	void world.operate();
+	for (let number = 0; number < requestCount; number++) {
+		const at = times.start + draw.below(times.arrivals);
+		void startAt(clock, at, async () => callers.send(number));
+	}
+
+	for (const kind of kinds) {
+		scheduleFault(kind, {clock, world, random: draw.fork()});
+	}
+
+	await clock.runTo(times.end);
+	world.stop();
+	const history = recorder.history();
+	return {
+		seed,
+		requests: requestCount,
+		faults: kinds,
+		callers: callers.counts(),
+		versions: history.filter(({kind}) => kind === 'versionTaken').length,
+		violations: checkHistory(history),
+		history,
+	};
+}
+
+/** One fault, or two that may overlap. */
+function drawKinds(random: Random): FaultKind[] {
+	const count = 1 + random.below(2);
+	return Array.from(
+		{length: count},
+		() => faultKinds[random.below(faultKinds.length)]!,
+	);
+}
+
+function scheduleFault(
+	kind: FaultKind,
+	{clock, world, random}: {clock: Clock; world: FakeWorld; random: Random},
+): void {
+	const at = times.start + random.below(times.strike);
+	// Up to beyond the lease, so that some nodes wake as absent.
+	const duration = 50 + random.below(random.below(2) === 0 ? 700 : 4500);
+	clock.setTimer(at, () => {
+		const mend = faults[kind](world, random);
+		clock.setTimer(duration, mend);
+	});
+}
+
+async function startAt(
+	clock: Clock,
+	delay: number,
+	work: () => Promise<void>,
+): Promise<void> {
+	await sleep(clock, delay);
+	await work();
+}
--- a/packages/history/src/checkers.ts
+++ b/packages/history/src/checkers.ts
@@ -42,7 +42,10 @@
 }
 
 function noKeyRanTwice(history: readonly RecordedEvent[]): Finding[] {
-	const runs = groupBy(select(history, 'ran'), ({key}) => key);
+	const runs = groupBy(
+		select(history, 'ran').filter(({idempotent}) => !idempotent),
+		({key}) => key,
+	);
 	return [...runs]
 		.filter(([, events]) => events.length > 1)
 		.map(([key, events]) => ({
--- a/packages/history/src/event.ts
+++ b/packages/history/src/event.ts
@@ -10,7 +10,7 @@
 	/** A node gave the request to a target. */
 	| ({kind: 'handedOver'; node: string} & OfAttempt)
 	/** The target began to run it, and from there its effect may show. */
-	| ({kind: 'ran'; target: string} & OfAttempt)
+	| ({kind: 'ran'; target: string; idempotent?: boolean} & OfAttempt)
 	/** The caller got an answer; the digest is of its bytes. */
 	| ({kind: 'answered'; digest: string} & OfAttempt)
 	/** The caller was told that it was not run. */
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -7,6 +7,7 @@
 	attemptAtMostOnce,
 	createAttemptTicket,
 	fingerprintRequest,
+	type AttemptHandler,
 	type Ledger,
 } from '@egretspoke/ledger';
 import {
@@ -45,6 +46,8 @@
 	routing: RoutingPolicy;
 	send: AttemptSender;
 	ledger: Ledger;
+	/** `attemptAtMostOnce` when absent. */
+	attemptHandler?: AttemptHandler;
 	running: RunningRequests;
 	reporter: NodeReporter;
 	/** Undefined for a service that nobody configured or announced. */
@@ -76,6 +79,7 @@
 /** Creates the entry of one node. */
 export function createEntry(context: EntryContext): Entry {
 	const {clock, reporter, running, self} = context;
+	const {attemptHandler = attemptAtMostOnce} = context;
 	const idle = createIdleCounter();
 
 	const handle = async (
@@ -186,7 +190,7 @@
 	): Promise<Outcome> => {
 		const {request} = call;
 		const attempts = createAttempts(context, call);
-		const outcome = await attemptAtMostOnce({
+		const outcome = await attemptHandler({
 			clock,
 			ledger: context.ledger,
 			request: {
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -5,6 +5,7 @@
  */
 import {
 	createLedger,
+	type AttemptHandler,
 	type Ledger,
 	type LedgerOptions,
 } from '@egretspoke/ledger';
@@ -69,6 +70,8 @@
 	reporter: NodeReporter;
 	control: CoreControl;
 	ledger: Omit<LedgerOptions, 'clock'>;
+	/** How the home handles a key; only tests take another than `attemptAtMostOnce`. */
+	attemptHandler?: AttemptHandler;
 };
 
 /** The target beside the node, once it has announced itself. */
@@ -181,6 +184,7 @@
 		routing,
 		send,
 		ledger,
+		...(context.attemptHandler && {attemptHandler: context.attemptHandler}),
 		running,
 		reporter,
 		refusalOf,
