--- /dev/null
+++ b/packages/decisions/__tests__/admission-parts.spec.ts
@@ -0,0 +1,212 @@
+import {expect} from 'chai';
+import {
+	closeLevelWindow,
+	countUse,
+	createAdmissionLevel,
+	highestLevel,
+	noteArrival,
+} from '../src/admission-level.js';
+import {hashFraction} from '../src/chain-hash.js';
+import {
+	createConcurrencyLimit,
+	noteFull,
+	noteLatency,
+	noteShed,
+} from '../src/concurrency-limit.js';
+import {
+	createFairShare,
+	isOverShareNumber,
+	noteDemand,
+	numberRequest,
+	settleShares,
+} from '../src/fair-share.js';
+import {
+	beginChain,
+	chainPriority,
+	createLevelsBelow,
+	endChain,
+	learnLevelBelow,
+	levelBelow,
+} from '../src/levels-below.js';
+
+describe('concurrency limit', () => {
+	/** Plays windows at full slots; latency is a function of the limit in force. */
+	const play = (latency: (limit: number) => number, windows: number) => {
+		const state = createConcurrencyLimit(40);
+		for (let sample = 0; sample < windows * 120; sample++) {
+			noteFull(state);
+			noteLatency(state, sample < 240 ? 1 : latency(state.limit));
+		}
+
+		return state.limit;
+	};
+
+	// Ten processors stand behind forty announced slots: past ten requests each
+	// further one only makes all others slower, and users see latency for nothing.
+	it('comes down where latency grows with the requests in flight', () => {
+		expect(play((limit) => limit / 10, 30)).to.be.within(10, 30);
+	});
+
+	// Something deeper has become slow. Fewer requests in flight would not make
+	// it faster; a limit that fell would throw slots away, and users' goodput.
+	it('stays where latency rises whatever the limit', () => {
+		expect(play(() => 3, 30)).to.equal(40);
+	});
+
+	it('has a floor, also for a target that sheds all the time', () => {
+		const state = createConcurrencyLimit(40);
+		for (let sample = 0; sample < 10_000; sample++) {
+			noteFull(state);
+			noteShed(state, state.limit);
+			noteLatency(state, 1);
+		}
+
+		expect(state.limit).to.be.at.least(4);
+	});
+
+	it('takes a shed at low load as somebody else’s trouble', () => {
+		const state = createConcurrencyLimit(40);
+		noteShed(state, 3);
+		expect(state.limit).to.equal(40);
+	});
+});
+
+describe('admission level', () => {
+	const target = {limit: 10, inFlight: 10, waitingTime: 5000, serviceTime: 50};
+
+	/** Windows of 200 ms with work spread evenly over the normal class. */
+	const playWindows = (
+		state: ReturnType<typeof createAdmissionLevel>,
+		count: number,
+		load: number,
+		use: number,
+	) => {
+		for (let window = 0; window < count; window++) {
+			const now = state.windowStart + 200;
+			for (let number = 128; number < 256; number++) {
+				noteArrival(state, number, (load * 2000) / 128);
+			}
+
+			countUse(state, use * 10, now);
+			const waitingTime = use < 1 ? 0 : target.waitingTime;
+			closeLevelWindow(state, {...target, waitingTime}, now);
+		}
+	};
+
+	it('comes down to what the slots can run, and opens again', () => {
+		const state = createAdmissionLevel(0);
+		playWindows(state, 6, 4, 1);
+		expect(state.level).to.be.within(128, 170);
+		// Three seconds is what recovery may take.
+		playWindows(state, 15, 0.5, 0.5);
+		expect(state.level).to.equal(highestLevel);
+	});
+
+	it('stays open while slots are idle', () => {
+		const state = createAdmissionLevel(0);
+		playWindows(state, 10, 0.9, 0.9);
+		expect(state.level).to.equal(highestLevel);
+	});
+});
+
+describe('fair share', () => {
+	const facts = (caller: string, fraction: number) => ({
+		requestClass: 'normal' as const,
+		caller,
+		fraction,
+		isLong: false,
+	});
+
+	const settled = () => {
+		const state = createFairShare(0);
+		for (let index = 0; index < 1000; index++) {
+			noteDemand(state, facts('heavy', 0));
+			noteDemand(state, facts(`light-${index % 20}`, 0));
+		}
+
+		settleShares(state, 0.6, 100);
+		return state;
+	};
+
+	it('puts only what is above the share last', () => {
+		const state = settled();
+		const heavyNumbers = Array.from({length: 100}, (_, index) =>
+			numberRequest(state, facts('heavy', index / 100)),
+		);
+		const over = heavyNumbers.filter((number) => isOverShareNumber(number));
+		// 1,200 of 2,000 fit: 1,000 of the light ones, and 200 of the heavy one's 1,000.
+		expect(over.length).to.be.within(78, 81);
+		expect(numberRequest(state, facts('light-3', 0.99))).to.be.lessThan(140);
+	});
+
+	it('never puts essential work last', () => {
+		const essential = {
+			...facts('heavy', 0.99),
+			requestClass: 'essential' as const,
+		};
+		expect(numberRequest(settled(), essential)).to.be.lessThan(128);
+	});
+
+	it('stays bounded with callers that come and go', () => {
+		const state = createFairShare(0);
+		for (let index = 0; index < 5000; index++) {
+			noteDemand(state, facts(`caller-${index}`, 0));
+		}
+
+		expect(state.callers.size).to.equal(1024);
+		settleShares(state, 1, 20_000);
+		expect(state.callers.size).to.equal(0);
+	});
+});
+
+describe('chain hash', () => {
+	it('spreads neighbouring names evenly', () => {
+		const buckets = Array.from({length: 10}, () => 0);
+		for (let index = 0; index < 10_000; index++) {
+			buckets[Math.floor(hashFraction(`request-${index}`) * 10)]!++;
+		}
+
+		expect(Math.min(...buckets)).to.be.greaterThan(900);
+	});
+});
+
+describe('levels below', () => {
+	const learn = (
+		state: ReturnType<typeof createLevelsBelow>,
+		levels: number[],
+	) => {
+		for (const level of levels) {
+			learnLevelBelow(state, 'chain', {service: 'deep', level, now: 0});
+		}
+	};
+
+	it('ties a level to the operation that needed the service', () => {
+		const state = createLevelsBelow();
+		beginChain(state, 'chain', 'GET /board', 77);
+		learn(state, [150, 150, 150]);
+		expect(levelBelow(state, 'GET /board', 10)).to.equal(150);
+		expect(levelBelow(state, 'GET /other', 10)).to.equal(highestLevel);
+		expect(chainPriority(state, 'chain')).to.equal(77);
+		endChain(state, 'chain');
+		expect(chainPriority(state, 'chain')).to.equal(undefined);
+	});
+
+	// One report in ten is wrong and claims a hopeless target. Believed, it
+	// would shut the operation, and users would be refused at an idle service.
+	it('does not believe a wrong report among right ones', () => {
+		const state = createLevelsBelow();
+		beginChain(state, 'chain', 'GET /board', 0);
+		learn(state, [383, 383, -1, 383, 383, 383, -1, 383, 383]);
+		expect(levelBelow(state, 'GET /board', 10)).to.equal(highestLevel);
+	});
+
+	// The layer below has recovered, but everything is refused above it, so no
+	// answer ever says so. Without relaxing, the refusals would last for ever.
+	it('opens again when nobody confirms the level', () => {
+		const state = createLevelsBelow();
+		beginChain(state, 'chain', 'GET /board', 0);
+		learn(state, [100]);
+		expect(levelBelow(state, 'GET /board', 1500)).to.be.greaterThan(200);
+		expect(levelBelow(state, 'GET /board', 2000)).to.equal(highestLevel);
+	});
+});
--- /dev/null
+++ b/packages/decisions/__tests__/admission.spec.ts
@@ -0,0 +1,253 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {ErrorCode, requestClasses} from '@egretspoke/protocol';
+import {createRandom} from '@egretspoke/shared';
+import {
+	createAdmissionOf,
+	createCall,
+	playTarget,
+	servedShare,
+	type Stream,
+} from './fixtures.js';
+
+const stream = (
+	load: number,
+	call: Stream['call'],
+	changes: Partial<Stream> = {},
+): Stream => ({
+	// Load 1 keeps twenty slots of 50 ms busy.
+	rate: (load * 20) / 50,
+	duration: 50,
+	patience: 1000,
+	call,
+	...changes,
+});
+
+describe('admission', () => {
+	describe('under light load', () => {
+		it('serves everything', () => {
+			const {endings} = playTarget(
+				createAdmissionOf(20),
+				[stream(0.4, {}), stream(0.1, {requestClass: 'deferrable'})],
+				20_000,
+			);
+			expect(servedShare(endings, 0)).to.equal(1);
+			expect(servedShare(endings, 1)).to.equal(1);
+		});
+	});
+
+	describe('in a burst', () => {
+		// For two seconds three times as many requests come as the slots can
+		// run. Without a rule, the queue holds requests whose callers have gone,
+		// and users see errors long after the burst.
+		it('serves what the slots allow, and all that comes after it', () => {
+			const admission = createAdmissionOf(20);
+			const {endings} = playTarget(admission, [stream(3, {})], 2000);
+			expect(servedShare(endings, 0)).to.be.greaterThan(0.3);
+			const after = [createCall('after', {deadline: 20_000})];
+			expect(
+				after.map((call) => admission.arrive(call, 10_000).kind),
+			).to.deep.equal(['dispatch']);
+		});
+
+		it('says at once when to come back, and not everybody the same', () => {
+			const admission = createAdmissionOf(1);
+			admission.arrive(createCall('running', {deadline: 5000}), 0);
+			admission.finish('running', {duration: 100, result: 'ok'}, 100);
+			admission.arrive(createCall('next', {deadline: 5000}), 100);
+			const times = [1, 2, 3, 4].map((number) => {
+				const call = createCall(`hasty-${number}`, {deadline: 150});
+				const decision = admission.arrive(call, 101);
+				return decision.kind === 'refuse' ? decision.retryAfter : 0;
+			});
+			expect(Math.min(...times)).to.be.at.least(100);
+			expect(new Set(times).size).to.be.greaterThan(1);
+		});
+	});
+
+	describe('at saturation', () => {
+		// Twice as many requests come as the target can run, for a long time. A
+		// limit that takes the waiting for slowness would throttle a healthy
+		// target, and users would get less than it can do.
+		it('keeps the slots busy and essential requests whole', () => {
+			const {endings, mostRunning} = playTarget(
+				createAdmissionOf(20),
+				[
+					stream(0.5, {requestClass: 'essential'}),
+					stream(1, {requestClass: 'normal'}),
+					stream(0.5, {requestClass: 'deferrable'}),
+				],
+				30_000,
+			);
+			expect(mostRunning).to.equal(20);
+			expect(servedShare(endings, 0)).to.be.greaterThan(0.99);
+			expect(servedShare(endings, 1, 3000)).to.be.within(0.42, 0.52);
+			expect(servedShare(endings, 2, 3000)).to.be.lessThan(0.1);
+		});
+
+		// The same without classes: payments are refused as readily as reports,
+		// and a boat owner can't pay while reports are being drawn.
+		it('loses essential requests when classes are switched off', () => {
+			const {endings} = playTarget(
+				createAdmissionOf(20, ['classes']),
+				[
+					stream(0.5, {requestClass: 'essential'}),
+					stream(1.5, {requestClass: 'deferrable'}),
+				],
+				30_000,
+			);
+			expect(servedShare(endings, 0)).to.be.lessThan(0.7);
+		});
+	});
+
+	describe('with a few heavy callers', () => {
+		// One caller sends three times what the target can run; nine others send
+		// a little each. Without shares all are refused alike, and nine lofts
+		// can't order because of one.
+		const streams = [
+			stream(3, {caller: 'heavy'}),
+			...Array.from({length: 9}, (_, index) =>
+				stream(0.05, {caller: `light-${index}`}),
+			),
+		];
+		const lightShare = (without: Parameters<typeof createAdmissionOf>[1]) => {
+			const {endings} = playTarget(
+				createAdmissionOf(20, without),
+				streams,
+				30_000,
+			);
+			const light = endings.filter(
+				(ending) => ending.stream > 0 && ending.arrivedAt > 3000,
+			);
+			const served = light.filter(({result}) => result === 'served');
+			return served.length / light.length;
+		};
+
+		it('refuses the heavy one first', () => {
+			expect(lightShare([])).to.be.greaterThan(0.98);
+		});
+
+		it('refuses everybody alike when shares are switched off', () => {
+			expect(lightShare(['fair-share'])).to.be.lessThan(0.7);
+		});
+	});
+
+	describe('with long work among short', () => {
+		// Reports of two seconds come along with orders of 50 ms, and together
+		// they are more than the slots can run. Reports gather in the slots until
+		// an order finds none, and the menders' screens stand still.
+		const streams = [
+			stream(0.6, {operation: 'POST /orders'}),
+			stream(
+				1.5,
+				{operation: 'GET /reports'},
+				{
+					rate: (1.5 * 20) / 2000,
+					duration: 2000,
+					patience: 10_000,
+				},
+			),
+		];
+
+		it('keeps slots for the short', () => {
+			const {endings} = playTarget(createAdmissionOf(20), streams, 60_000);
+			expect(servedShare(endings, 0, 10_000)).to.be.greaterThan(0.97);
+			expect(servedShare(endings, 1, 10_000)).to.be.greaterThan(0.1);
+		});
+	});
+
+	describe('with a planned stop', () => {
+		// The target is told to leave while requests wait. If they were kept,
+		// they would be cut when the process ends.
+		it('hands back all that waits', () => {
+			const admission = createAdmissionOf(1);
+			admission.arrive(createCall('running'), 0);
+			admission.arrive(createCall('waiting'), 1);
+			const [turn, ...others] = admission.drain(2);
+			expect(turn).to.include({id: 'waiting', code: ErrorCode.Leaving});
+			expect(others).to.deep.equal([]);
+			expect(admission.withdraw('waiting', 3)).to.equal(false);
+		});
+	});
+
+	describe('whatever comes', () => {
+		const streams = fc.array(
+			fc.record({
+				rate: fc.double({min: 0.001, max: 2, noNaN: true}),
+				duration: fc.double({min: 1, max: 500, noNaN: true}),
+				patience: fc.double({min: 1, max: 2000, noNaN: true}),
+				call: fc.record({
+					requestClass: fc.constantFrom(...requestClasses),
+					caller: fc.constantFrom('a', 'b', 'c'),
+					operation: fc.constantFrom('GET /a', 'GET /b'),
+				}),
+			}),
+			{minLength: 1, maxLength: 4},
+		);
+
+		it('ends every request once and never runs more than the slots', () => {
+			fc.assert(
+				fc.property(
+					streams,
+					fc.integer({min: 1, max: 30}),
+					fc.integer(),
+					(played, slots, seed) => {
+						const {endings, mostRunning} = playTarget(
+							createAdmissionOf(slots),
+							played,
+							1500,
+							createRandom(seed),
+						);
+						const names = new Set(endings.map(({call}) => call.id));
+						expect(names.size).to.equal(endings.length);
+						expect(mostRunning).to.be.at.most(slots);
+						for (let number = 0; number < endings.length; number++) {
+							expect(names.has(`call-${number}`)).to.equal(true);
+						}
+					},
+				),
+				{numRuns: 60, seed: 20_261_202},
+			);
+		});
+
+		it('gives no slot to a lower class while a higher one waits', () => {
+			const arrivals = fc.array(fc.constantFrom(...requestClasses), {
+				minLength: 1,
+				maxLength: 60,
+			});
+			fc.assert(
+				fc.property(arrivals, fc.integer({min: 1, max: 5}), (order, slots) => {
+					const admission = createAdmissionOf(slots);
+					const ranks = new Map<string, number>();
+					const running: string[] = [];
+					for (const [index, requestClass] of order.entries()) {
+						const call = createCall(String(index), {requestClass});
+						const {kind} = admission.arrive(call, index);
+						if (kind === 'dispatch') {
+							running.push(call.id);
+						} else if (kind === 'wait') {
+							ranks.set(call.id, requestClasses.indexOf(requestClass));
+						}
+					}
+
+					let now = order.length;
+					while (running.length > 0) {
+						const completion = {duration: 20, result: 'ok' as const};
+						admission.finish(running.shift()!, completion, ++now);
+						for (const turn of admission.turns(now)) {
+							const rank = ranks.get(turn.id)!;
+							ranks.delete(turn.id);
+							if (turn.kind === 'dispatch') {
+								running.push(turn.id);
+								expect(Math.min(rank, ...ranks.values())).to.equal(rank);
+							}
+						}
+					}
+
+					expect(ranks.size).to.equal(0);
+				}),
+				{numRuns: 200, seed: 20_261_202},
+			);
+		});
+	});
+});
--- /dev/null
+++ b/packages/decisions/__tests__/routing.spec.ts
@@ -0,0 +1,366 @@
+import {expect} from 'chai';
+import {ErrorCode, type LoadReport} from '@egretspoke/protocol';
+import {createRandom} from '@egretspoke/shared';
+import {
+	createEgretspokePolicy,
+	type AttemptResult,
+	type Mechanism,
+	type RoutingCandidate,
+	type RoutingPolicy,
+} from '../src/index.js';
+import {createCall} from './fixtures.js';
+
+const candidate = (
+	node: string,
+	changes: Partial<RoutingCandidate> = {},
+): RoutingCandidate => ({
+	node,
+	dataCentre: 'a',
+	slots: 30,
+	connections: 100,
+	since: -60_000,
+	state: 'active',
+	...changes,
+});
+
+const report = (changes: Partial<LoadReport> = {}): LoadReport => ({
+	inFlight: 0,
+	limit: 30,
+	waiting: 0,
+	queueDelay: 0,
+	level: 383,
+	serviceTime: 20,
+	...changes,
+});
+
+const createRoutingOf = (
+	candidates: RoutingCandidate[],
+	without: Mechanism[] = [],
+): RoutingPolicy => {
+	const routing = createEgretspokePolicy(new Set(without)).createRouting({
+		dataCentre: 'a',
+		random: createRandom(3),
+	});
+	routing.candidatesChanged('orders', candidates, 0);
+	return routing;
+};
+
+/** Sends one call a millisecond; targets take the given time. Returns the share of each. */
+const play = (
+	routing: RoutingPolicy,
+	length: number,
+	durationAt: (node: string, now: number) => number,
+	loadAt?: (node: string) => LoadReport,
+): Record<string, number> => {
+	const open: Array<{at: number; end: () => void}> = [];
+	const counts: Record<string, number> = {};
+	for (let now = 0; now < length; now++) {
+		for (const {at, end} of open.splice(0)) {
+			if (at <= now) {
+				end();
+			} else {
+				open.push({at, end});
+			}
+		}
+
+		const call = createCall(`call-${now}`, {deadline: now + 5000});
+		const decision = routing.choose(call, [], now);
+		if (decision.kind === 'send') {
+			const {node} = decision;
+			const duration = durationAt(node, now);
+			counts[node] = (counts[node] ?? 0) + 1 / length;
+			routing.started(call, node, now);
+			open.push({
+				at: now + duration,
+				end() {
+					const load = loadAt?.(node);
+					if (load) {
+						routing.observe('orders', node, load, now + duration);
+					}
+
+					const result: AttemptResult = {node, duration, result: 'ok'};
+					routing.finished(call, result, now + duration);
+				},
+			});
+		}
+	}
+
+	return counts;
+};
+
+const three = [candidate('one'), candidate('two'), candidate('three')];
+
+const refused = (code: ErrorCode, node = 'one'): AttemptResult => ({
+	node,
+	duration: 1,
+	result: 'notRun',
+	code,
+	retryAfter: 70,
+});
+
+describe('routing', () => {
+	describe('with a slow target', () => {
+		// One target of three takes ten times as long while its health endpoint
+		// is green. Each request that goes there is one that a user waits for.
+		const slow = (node: string) => (node === 'one' ? 200 : 20);
+
+		it('sends hardly anything there', () => {
+			const shares = play(createRoutingOf(three), 20_000, slow);
+			expect(shares.one).to.be.lessThan(0.01);
+		});
+
+		it('sends it a third without two choices and ejection', () => {
+			const without: Mechanism[] = ['two-choices', 'ejection'];
+			const shares = play(createRoutingOf(three, without), 20_000, slow);
+			expect(shares.one).to.be.greaterThan(0.3);
+		});
+
+		it('sends to it again once it is as fast as the others', () => {
+			const routing = createRoutingOf(three);
+			const shares = play(routing, 60_000, (node, now) =>
+				node === 'one' && now < 10_000 ? 200 : 20,
+			);
+			expect(shares.one).to.be.greaterThan(0.15);
+		});
+
+		// A fault common to all targets makes all of them slow at once. If each
+		// were ejected, the last ones left would drown.
+		it('ejects no more than a third of the group', () => {
+			const routing = createRoutingOf(three);
+			const shares = play(routing, 20_000, (node) =>
+				node === 'three' ? 20 : 200,
+			);
+			expect(Object.keys(shares)).to.have.length(3);
+		});
+	});
+
+	describe('with wrong load reports', () => {
+		// A target's report says that it is idle, always, though it is the
+		// slowest. If reports could raise trust it would draw all the load.
+		it('sends no more to a target that claims to be idle', () => {
+			const shares = play(
+				createRoutingOf(three),
+				20_000,
+				(node) => (node === 'one' ? 40 : 20),
+				(node) => report(node === 'one' ? {} : {inFlight: 10}),
+			);
+			expect(shares.one).to.be.lessThan(0.34);
+		});
+	});
+
+	describe('by place', () => {
+		const far = candidate('far', {dataCentre: 'b'});
+
+		it('stays in the own data centre while there is room', () => {
+			const routing = createRoutingOf([candidate('near'), far]);
+			const shares = play(routing, 5000, () => 5);
+			expect(shares).to.have.all.keys('near');
+		});
+
+		// The own data centre's target is full while the next one's is idle.
+		// Staying would refuse users whom the other could serve.
+		it('spills when the local targets are under pressure', () => {
+			const routing = createRoutingOf([candidate('near'), far]);
+			const shares = play(routing, 5000, () => 40);
+			expect(shares.far).to.be.greaterThan(0.2);
+		});
+	});
+
+	describe('with members that change', () => {
+		it('sends nothing to a leaving target, and to a suspect one only at last', () => {
+			const routing = createRoutingOf([
+				candidate('one', {state: 'leaving'}),
+				candidate('two', {state: 'suspect'}),
+				candidate('three'),
+			]);
+			expect(play(routing, 1000, () => 5)).to.have.all.keys('three');
+			const decision = routing.choose(createCall('last'), ['three'], 2000);
+			expect(decision).to.include({kind: 'send', node: 'two'});
+		});
+
+		it('says so when no target is left', () => {
+			const decision = createRoutingOf([]).choose(createCall('1'), [], 0);
+			expect(decision).to.include({kind: 'refuse', code: ErrorCode.NoTarget});
+		});
+
+		// A target has just been started, with cold caches. Looking idle it would
+		// get more than the others, and its first users would time out.
+		it('gives a new target its share step by step', () => {
+			const routing = createRoutingOf([
+				candidate('new', {since: 0}),
+				candidate('two'),
+				candidate('three'),
+			]);
+			expect(play(routing, 1000, () => 20).new).to.be.lessThan(0.15);
+		});
+
+		it('never holds more requests at a target than its connections', () => {
+			const routing = createRoutingOf([candidate('one', {connections: 10})]);
+			let sent = 0;
+			for (let index = 0; index < 50; index++) {
+				const call = createCall(String(index));
+				const decision = routing.choose(call, [], 0);
+				if (decision.kind === 'send') {
+					routing.started(call, decision.node, 0);
+					sent++;
+				}
+			}
+
+			expect(sent).to.equal(10);
+		});
+	});
+
+	describe('with levels seen on answers', () => {
+		// The service refuses all deferrable work and says so on its answers.
+		// Sending it more of that work would spend a hop on each refusal.
+		const shut = (routing: RoutingPolicy) => {
+			const call = createCall('seen', {requestClass: 'deferrable'});
+			routing.started(call, 'one', 0);
+			const load = report({level: 200});
+			routing.finished(call, {node: 'one', duration: 5, result: 'ok', load}, 5);
+		};
+
+		const countSent = (routing: RoutingPolicy, until: number) => {
+			let sent = 0;
+			for (let now = 6; now < until; now++) {
+				const call = createCall(`call-${now}`, {requestClass: 'deferrable'});
+				sent += routing.choose(call, [], now).kind === 'send' ? 1 : 0;
+			}
+
+			return sent;
+		};
+
+		it('refuses the class but for a probe each tenth of a second', () => {
+			const routing = createRoutingOf(three);
+			shut(routing);
+			expect(countSent(routing, 1006)).to.be.within(9, 10);
+			const normal = createCall('normal');
+			expect(routing.choose(normal, [], 1006).kind).to.equal('send');
+		});
+
+		it('sends all of it when the mechanism is off', () => {
+			const routing = createRoutingOf(three, ['upstream-refusal']);
+			shut(routing);
+			expect(countSent(routing, 1006)).to.equal(1000);
+		});
+	});
+
+	describe('after a refusal', () => {
+		it('tries elsewhere when the target is leaving', () => {
+			const decision = createRoutingOf(three).retry(
+				createCall('1'),
+				refused(ErrorCode.Leaving),
+				10,
+			);
+			expect(decision).to.deep.include({kind: 'retry', exclude: ['one']});
+		});
+
+		it('does not try again when the attempts of the chain are spent', () => {
+			const decision = createRoutingOf(three).retry(
+				createCall('1', {attempts: 1}),
+				refused(ErrorCode.Leaving),
+				10,
+			);
+			expect(decision).to.include({kind: 'refuse', retryAfter: 70});
+		});
+
+		it('never repeats an attempt whose outcome is not known', () => {
+			const decision = createRoutingOf(three).retry(
+				createCall('1'),
+				{node: 'one', duration: 1, result: 'unknown'},
+				10,
+			);
+			expect(decision.kind).to.equal('refuse');
+		});
+
+		// All targets refuse, and every caller tries each of them in turn. The
+		// load of the tries keeps the service down after its cause is gone.
+		it('does not try elsewhere when the whole group refuses', () => {
+			const routing = createRoutingOf(three);
+			const call = createCall('1');
+			let retries = 0;
+			for (let index = 0; index < 1000; index++) {
+				const result = refused(ErrorCode.LevelTooLow, three[index % 3]!.node);
+				routing.started(call, result.node, index);
+				routing.finished(call, result, index);
+				const decision = routing.retry(call, result, index);
+				retries += decision.kind === 'retry' ? 1 : 0;
+			}
+
+			expect(retries).to.be.at.most(10);
+		});
+
+		// Targets are gone one after the other, and each request finds that out
+		// anew. Without a budget the calls are three times the requests.
+		it('keeps retries below a tenth of the successes and a start', () => {
+			const routing = createRoutingOf(three);
+			let retries = 0;
+			for (let index = 0; index < 1000; index++) {
+				const call = createCall(String(index), {
+					caller: `caller-${index % 50}`,
+				});
+				const result: AttemptResult =
+					index % 2 === 0
+						? {node: 'one', duration: 1, result: 'ok'}
+						: refused(ErrorCode.TargetUnreachable);
+				routing.started(call, 'one', index);
+				routing.finished(call, result, index);
+				if (result.result === 'notRun') {
+					const decision = routing.retry(call, result, index);
+					retries += decision.kind === 'retry' ? 1 : 0;
+				}
+			}
+
+			expect(retries).to.be.within(40, 61);
+		});
+	});
+
+	describe('attempts of a chain', () => {
+		/** Calls at the bottom when each layer repeats what its attempts allow. */
+		const callsAtBottom = (
+			routing: RoutingPolicy,
+			layers: number,
+			attempts: number,
+		): number => {
+			if (layers === 0) {
+				return 1;
+			}
+
+			const call = createCall('1', {attempts});
+			const below = routing.attemptsBelow(call);
+			const used = callsAtBottom(routing, layers - 1, below);
+			const again = routing.retry(
+				call,
+				refused(ErrorCode.TargetUnreachable),
+				0,
+			);
+			return again.kind === 'retry'
+				? 1 + callsAtBottom(routing, layers, attempts - 1)
+				: used;
+		};
+
+		// Each of four layers tries three times, and one tap on a phone is 81
+		// calls at the dispatch service that can't take one.
+		it('are never more at the bottom than at the top', () => {
+			const counted = createRoutingOf(three);
+			expect(callsAtBottom(counted, 4, 3)).to.be.at.most(3);
+			expect(
+				createRoutingOf(three, ['chain-attempts']).attemptsBelow(
+					createCall('1', {attempts: 1}),
+				),
+			).to.equal(3);
+		});
+	});
+
+	it('forgets requests and targets that are gone', () => {
+		const routing = createRoutingOf(three);
+		routing.started(createCall('1'), 'one', 0);
+		routing.candidatesChanged('orders', [candidate('two')], 1);
+		routing.finished(
+			createCall('1'),
+			{node: 'one', duration: 5, result: 'ok'},
+			5,
+		);
+		expect(play(routing, 100, () => 1)).to.have.all.keys('two');
+	});
+});
--- a/packages/decisions/src/admission-level.ts
+++ b/packages/decisions/src/admission-level.ts
@@ -28,9 +28,14 @@
 /** The level that lets everything in. */
 export const highestLevel = 383;
 
+/** The highest priority number of an essential request. */
+export const highestEssential = sharesPerClass - 1;
+
 /** The lowest level: a twentieth of the essential band is never shut, so that the level can be learnt anew. */
 export const lowestLevel = 6;
 
+/** Opening may double: while slots are idle there is no queue that an overshoot could lengthen. */
+const openingBounds = {down: 1, up: 2};
 const shortestWindow = 200;
 const windowServiceTimes = 2;
 /** The queue aimed at, in service times. */
@@ -98,7 +103,7 @@
 	priority: number,
 	slotTime: number,
 ): void {
-	state.arrived[priority] = (state.arrived[priority] ?? 0) + slotTime;
+	state.arrived[priority]! += slotTime;
 }
 
 /** Whether the window is over; cheap enough for every call. */
@@ -148,7 +153,11 @@
 	const scale = elapsed / state.weight;
 	const admitted = sumUpTo(state, state.level) * scale;
 	if (idle > idleShare) {
-		const wanted = limitChange(admitted, admitted / (1 - Math.min(idle, 0.9)));
+		const wanted = limitChange(
+			admitted,
+			admitted / (1 - Math.min(idle, 0.9)),
+			openingBounds,
+		);
 		return raise(state, (wanted - admitted) / scale);
 	}
 
--- a/packages/decisions/src/admission-queue.ts
+++ b/packages/decisions/src/admission-queue.ts
@@ -1,5 +1,5 @@
 /**
- * The requests that wait for a slot, by class.
+ * The requests that wait for a slot.
  *
  * Load pattern: a burst, and then overload that stays. A queue bounded by
  * length is too short for a burst of short work and far too long for slow
@@ -8,100 +8,101 @@
  * So the bound is time. While the queue empties now and then, a request may
  * wait as long as its deadline allows. Once the queue has stood for a whole
  * window (CoDel, Nichols & Jacobson 2012), waiting no longer smooths a burst
- * but only delays everybody: then a request other than an essential one waits
- * at most one service time, and the newest goes first, since it has the most
- * time left (adaptive LIFO, Maurer, "Fail at Scale", 2015).
+ * but only delays everybody; then a request other than an essential one waits
+ * at most one service time, and the backlog older than that goes at once.
  *
- * A slot goes to the highest class that waits, within a class to short work
- * before long work that may not have a slot yet.
+ * Slots go by priority number, and so by class, then by share: what is refused
+ * for want of time is then the same as what the level refuses, here and at
+ * every other layer. In the order of arrival each layer would refuse other
+ * requests, and few would be whole. At the same number the newest goes first,
+ * since it has the most time left (adaptive LIFO, Maurer, "Fail at Scale",
+ * 2015).
  */
+import {sharesPerClass} from './admission-level.js';
+import {isOverShareNumber} from './fair-share.js';
 import {
-	peekExpiring,
-	popDue,
-	pushExpiring,
-	sweepGone,
-	type Expiring,
-} from './expiry-heap.js';
+	createLazyHeap,
+	peekItem,
+	pushItem,
+	type LazyHeap,
+	type Leavable,
+} from './lazy-heap.js';
 import type {CallFacts} from './policy.js';
 
 /** A request that waits. */
-export type QueueEntry = Expiring & {
+export type QueueEntry = Leavable & {
 	call: CallFacts;
+	/** Its class. */
 	rank: number;
 	isLong: boolean;
 	priority: number;
 	since: number;
+	/** When it can't start in time any more. */
+	until: number;
 	/** Slot time that it will take. */
 	slotTime: number;
-	previous: QueueEntry | undefined;
-	next: QueueEntry | undefined;
 };
 
-type QueueList = {
-	oldest: QueueEntry | undefined;
-	newest: QueueEntry | undefined;
-	length: number;
-};
+/** What waits in one class. */
+type ClassSum = {slotTime: number; shortCount: number};
 
 /** The queue of one target. */
 export type AdmissionQueue = {
-	byId: Map<string, QueueEntry>;
-	/** Short and long work of each class rank. */
-	lists: Array<{short: QueueList; long: QueueList; slotTime: number}>;
-	heap: QueueEntry[];
+	/** In the order of arrival. */
+	essential: Map<string, QueueEntry>;
+	unessential: Map<string, QueueEntry>;
+	shortByPriority: LazyHeap<QueueEntry>;
+	longByPriority: LazyHeap<QueueEntry>;
+	byExpiry: LazyHeap<QueueEntry>;
+	/** By class rank, and last what is over its caller's share. */
+	sums: ClassSum[];
 	/** The slot time of all that waits. */
 	slotTime: number;
 	/** Since when the queue hasn't been empty; undefined while it is. */
 	standingSince: number | undefined;
 };
 
-/** Creates an empty queue for so many classes. */
-export function createAdmissionQueue(classes: number): AdmissionQueue {
-	const list = (): QueueList => ({
-		oldest: undefined,
-		newest: undefined,
-		length: 0,
-	});
+/** The class index of what is over its caller's share. */
+const overShareClass = 3;
+
+/** Creates an empty queue. */
+export function createAdmissionQueue(): AdmissionQueue {
 	return {
-		byId: new Map(),
-		lists: Array.from({length: classes}, () => ({
-			short: list(),
-			long: list(),
+		essential: new Map(),
+		unessential: new Map(),
+		shortByPriority: createLazyHeap(isMoreImportant),
+		longByPriority: createLazyHeap(isMoreImportant),
+		byExpiry: createLazyHeap((left, right) => left.until < right.until),
+		sums: Array.from({length: overShareClass + 1}, () => ({
 			slotTime: 0,
+			shortCount: 0,
 		})),
-		heap: [],
 		slotTime: 0,
 		standingSince: undefined,
 	};
 }
 
+/** How many wait. */
+export function lengthOf({essential, unessential}: AdmissionQueue): number {
+	return essential.size + unessential.size;
+}
+
 /** Adds a request. */
 export function enqueue(
 	queue: AdmissionQueue,
-	entry: Omit<QueueEntry, 'previous' | 'next' | 'isGone'>,
+	entry: Omit<QueueEntry, 'isGone'>,
 ): void {
-	const added: QueueEntry = {
-		...entry,
-		isGone: false,
-		previous: undefined,
-		next: undefined,
-	};
-	const list = listOf(queue, added);
-	added.previous = list.newest;
-	if (list.newest) {
-		list.newest.next = added;
-	} else {
-		list.oldest = added;
-	}
-
-	list.newest = added;
-	list.length++;
-	queue.byId.set(added.call.id, added);
-	queue.slotTime += added.slotTime;
-	queue.lists[added.rank]!.slotTime += added.slotTime;
+	const added: QueueEntry = {...entry, isGone: false};
+	tableOf(queue, added).set(added.call.id, added);
 	queue.standingSince ??= added.since;
-	pushExpiring(queue.heap, added);
-	sweepGone(queue.heap, queue.byId.size);
+	count(queue, added, 1);
+	const live = lengthOf(queue);
+	pushItem(queue.byExpiry, added, live);
+	pushItem(
+		added.isLong ? queue.longByPriority : queue.shortByPriority,
+		added,
+		live,
+	);
 }
 
 /** Takes a request out; undefined when it isn't waiting. */
@@ -109,7 +110,7 @@
 	queue: AdmissionQueue,
 	id: string,
 ): QueueEntry | undefined {
-	const entry = queue.byId.get(id);
+	const entry = queue.unessential.get(id) ?? queue.essential.get(id);
 	if (entry) {
 		removeEntry(queue, entry);
 	}
@@ -117,115 +118,102 @@
 	return entry;
 }
 
-/** Takes the next request whose time in the queue is over. */
-export function takeExpired(
-	queue: AdmissionQueue,
-	now: number,
-): QueueEntry | undefined {
-	const entry = popDue(queue.heap, now);
-	if (entry) {
+/** Takes all that wait, in the order of arrival. */
+export function takeAll(queue: AdmissionQueue): QueueEntry[] {
+	const entries = [...queue.essential.values(), ...queue.unessential.values()];
+	for (const entry of entries) {
 		removeEntry(queue, entry);
 	}
 
-	return entry;
+	return entries;
+}
+
+/** The request that is the first that can't start in time any more. */
+export function firstToExpire(queue: AdmissionQueue): QueueEntry | undefined {
+	return peekItem(queue.byExpiry);
 }
 
-/** When the first request's time is over. */
-export function firstExpiry(queue: AdmissionQueue): number | undefined {
-	return peekExpiring(queue.heap)?.until;
+/** The oldest request that isn't essential. */
+export function oldestUnessential({
+	unessential,
+}: AdmissionQueue): QueueEntry | undefined {
+	const [oldest] = unessential.values();
+	return oldest;
 }
 
 /** Takes the request that gets the next slot. */
 export function takeNext(
 	queue: AdmissionQueue,
-	isNewestFirst: boolean,
 	mayRunLong: (rank: number) => boolean,
 ): QueueEntry | undefined {
-	for (const [rank, {short, long}] of queue.lists.entries()) {
-		const shortEntry = isNewestFirst ? short.newest : short.oldest;
-		const longEntry = isNewestFirst ? long.newest : long.oldest;
-		const entry =
-			longEntry && mayRunLong(rank)
-				? pickFirst(shortEntry, longEntry, isNewestFirst)
-				: shortEntry;
-		if (entry) {
-			removeEntry(queue, entry);
-			return entry;
-		}
+	const short = peekItem(queue.shortByPriority);
+	const long = peekItem(queue.longByPriority);
+	const isLongFirst =
+		long !== undefined &&
+		!(short && isMoreImportant(short, long)) &&
+		mayRunLong(long.rank);
+	const entry = isLongFirst ? long : short;
+	if (entry) {
+		removeEntry(queue, entry);
 	}
 
-	return undefined;
+	return entry;
 }
 
-/** The slot time of what waits in the class and those above it. */
-export function slotTimeAhead(queue: AdmissionQueue, rank: number): number {
+/** How many short requests of the class wait. */
+export function shortWaiting(queue: AdmissionQueue, rank: number): number {
+	return queue.sums[rank]?.shortCount ?? 0;
+}
+
+/** The slot time of what waits in the request's class and those before it. */
+export function slotTimeAhead(queue: AdmissionQueue, priority: number): number {
 	let sum = 0;
-	for (let other = 0; other <= rank; other++) {
-		sum += queue.lists[other]?.slotTime ?? 0;
+	for (let index = 0; index <= classOf(priority); index++) {
+		sum += queue.sums[index]!.slotTime;
 	}
 
 	return sum;
 }
 
-/** The oldest request of the class. */
-export function oldestOf(
-	queue: AdmissionQueue,
-	rank: number,
-): QueueEntry | undefined {
-	const {short, long} = queue.lists[rank]!;
-	if (!short.oldest || !long.oldest) {
-		return short.oldest ?? long.oldest;
-	}
-
-	return short.oldest.since <= long.oldest.since ? short.oldest : long.oldest;
+function isMoreImportant(left: QueueEntry, right: QueueEntry): boolean {
+	return left.priority === right.priority
+		? left.since > right.since
+		: left.priority < right.priority;
 }
 
-/** How many short requests of the class wait. */
-export function shortWaiting(queue: AdmissionQueue, rank: number): number {
-	return queue.lists[rank]?.short.length ?? 0;
+function classOf(priority: number): number {
+	return isOverShareNumber(priority)
+		? overShareClass
+		: Math.floor(priority / sharesPerClass);
 }
 
-function pickFirst(
-	shortEntry: QueueEntry | undefined,
-	longEntry: QueueEntry,
-	isNewestFirst: boolean,
-): QueueEntry {
-	if (!shortEntry) {
-		return longEntry;
-	}
-
-	const isShortOlder = shortEntry.since <= longEntry.since;
-	return isShortOlder === isNewestFirst ? longEntry : shortEntry;
+function tableOf(
+	queue: AdmissionQueue,
+	{rank}: Pick<QueueEntry, 'rank'>,
+): Map<string, QueueEntry> {
+	return rank === 0 ? queue.essential : queue.unessential;
 }
 
-function listOf(queue: AdmissionQueue, {rank, isLong}: QueueEntry): QueueList {
-	const lists = queue.lists[rank]!;
-	return isLong ? lists.long : lists.short;
+function count(
+	queue: AdmissionQueue,
+	{priority, isLong, slotTime}: QueueEntry,
+	change: 1 | -1,
+): void {
+	const sum = queue.sums[classOf(priority)]!;
+	sum.slotTime += change * slotTime;
+	sum.shortCount += isLong ? 0 : change;
+	queue.slotTime += change * slotTime;
 }
 
 function removeEntry(queue: AdmissionQueue, entry: QueueEntry): void {
-	const list = listOf(queue, entry);
-	if (entry.previous) {
-		entry.previous.next = entry.next;
-	} else {
-		list.oldest = entry.next;
-	}
-
-	if (entry.next) {
-		entry.next.previous = entry.previous;
-	} else {
-		list.newest = entry.previous;
-	}
-
-	list.length--;
 	entry.isGone = true;
-	entry.previous = undefined;
-	entry.next = undefined;
-	queue.byId.delete(entry.call.id);
-	queue.slotTime -= entry.slotTime;
-	queue.lists[entry.rank]!.slotTime -= entry.slotTime;
-	if (queue.byId.size === 0) {
+	tableOf(queue, entry).delete(entry.call.id);
+	count(queue, entry, -1);
+	if (lengthOf(queue) === 0) {
 		queue.slotTime = 0;
 		queue.standingSince = undefined;
+		for (const sum of queue.sums) {
+			sum.slotTime = 0;
+		}
 	}
 }
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -10,18 +10,20 @@
 	createAdmissionLevel,
 	isWindowOver,
 	levelWindow,
+	highestEssential,
 	noteArrival,
 } from './admission-level.js';
 import {createAdmissionOptions} from './admission-options.js';
 import {
 	createAdmissionQueue,
 	enqueue,
-	firstExpiry,
-	oldestOf,
+	firstToExpire,
+	lengthOf,
+	oldestUnessential,
 	shortWaiting,
 	slotTimeAhead,
+	takeAll,
 	takeById,
-	takeExpired,
 	takeNext,
 	type QueueEntry,
 } from './admission-queue.js';
@@ -53,8 +55,8 @@
 	expectDuration,
 	learnDuration,
 	runningOf,
+	scaleToReference,
 	typicalDuration,
-	usualDuration,
 } from './operation-durations.js';
 import type {
 	AdmissionContext,
@@ -89,7 +91,7 @@
 	const options = createAdmissionOptions(context);
 	const durations = createOperationDurations();
 	const limit = createConcurrencyLimit(context.slots);
-	const queue = createAdmissionQueue(options.classes);
+	const queue = createAdmissionQueue();
 	const running = new Map<string, Running>();
 	let startedAt: number | undefined;
 	let level = createAdmissionLevel(0);
@@ -145,13 +147,13 @@
 
 	const mayLong = (rank: number) =>
 		mayRunLong(slots, rank, slotsInForce(), (other) =>
-			other < options.classes ? shortWaiting(queue, other) : 0,
+			shortWaiting(queue, other),
 		);
 
 	const refuse = (code: ErrorCode, reason: string): RefusalDecision => {
 		level.refused++;
 		const retryAfter = options.comeBack({
-			waiting: queue.byId.size,
+			waiting: lengthOf(queue),
 			refused: level.refused + level.refusedBefore,
 			drainRate: slotsInForce() / serviceTime(),
 			serviceTime: serviceTime(),
@@ -183,7 +185,10 @@
 			noteDemand(shares, facts);
 		}
 
-		return call.priority ?? numberRequest(shares, facts);
+		const priority = call.priority ?? numberRequest(shares, facts);
+		return facts.requestClass === 'essential'
+			? Math.min(priority, highestEssential)
+			: priority;
 	};
 
 	const refuseByLevel = (priority: number, allowed: number) =>
@@ -233,7 +238,7 @@
 
 		if (
 			running.size < slotsInForce() &&
-			queue.byId.size === 0 &&
+			lengthOf(queue) === 0 &&
 			(!isLong || mayLong(rank))
 		) {
 			letIn++;
@@ -248,7 +253,7 @@
 			return refuseByLevel(priority, level.level);
 		}
 
-		const ahead = slotTimeAhead(queue, rank) / slotsInForce();
+		const ahead = slotTimeAhead(queue, priority) / slotsInForce();
 		if (options.hasFeasibility && !isStanding(now) && now + ahead > latest) {
 			return refuse(
 				ErrorCode.DeadlineInfeasible,
@@ -268,45 +273,40 @@
 		});
 		return {
 			kind: 'wait' as const,
-			reason: `${running.size} of ${slotsInForce()} slots, ${queue.byId.size} wait`,
+			reason: `${running.size} of ${slotsInForce()} slots, ${lengthOf(queue)} wait`,
 		};
 	};
 
 	/** The oldest request that has waited too long in a queue that stands. */
 	const outstayed = (now: number): QueueEntry | undefined => {
-		for (let rank = options.classes - 1; rank > 0; rank--) {
-			const entry = oldestOf(queue, rank);
-			if (entry && entry.since + serviceTime() <= now) {
-				return entry;
-			}
-		}
-
-		return undefined;
+		const entry = oldestUnessential(queue);
+		return entry && entry.since + serviceTime() <= now ? entry : undefined;
 	};
 
 	const takeRefused = (now: number): AdmissionTurn[] => {
 		const turns: AdmissionTurn[] = [];
-		const give = ({call, since}: QueueEntry) => {
-			const code =
-				call.deadline <= now
-					? ErrorCode.DeadlinePassed
-					: ErrorCode.QueueTimeout;
+		const give = ({call, since}: QueueEntry, code: ErrorCode) => {
 			const reason = `waited ${Math.round(now - since)} ms`;
 			turns.push({id: call.id, ...refuse(code, reason)});
 		};
 
 		for (
-			let entry = takeExpired(queue, now);
-			entry;
-			entry = takeExpired(queue, now)
+			let entry = firstToExpire(queue);
+			entry && entry.until <= now;
+			entry = firstToExpire(queue)
 		) {
-			give(entry);
+			takeById(queue, entry.call.id);
+			const isLate = entry.call.deadline <= now;
+			give(
+				entry,
+				isLate ? ErrorCode.DeadlinePassed : ErrorCode.DeadlineInfeasible,
+			);
 		}
 
 		if (isStanding(now)) {
 			for (let entry = outstayed(now); entry; entry = outstayed(now)) {
 				takeById(queue, entry.call.id);
-				give(entry);
+				give(entry, ErrorCode.QueueTimeout);
 			}
 		}
 
@@ -315,9 +315,8 @@
 
 	const takeDispatched = (now: number): AdmissionTurn[] => {
 		const turns: AdmissionTurn[] = [];
-		const isNewestFirst = isStanding(now);
 		while (running.size < slotsInForce()) {
-			const entry = takeNext(queue, isNewestFirst, mayLong);
+			const entry = takeNext(queue, mayLong);
 			if (!entry) {
 				break;
 			}
@@ -347,8 +346,10 @@
 	const learn = (entry: Running, {duration, result}: Completion) => {
 		const isWhole = isWholeDuration[result];
 		if (result === 'ok') {
-			const usual = usualDuration(durations, entry.operation);
-			noteLatency(limit, usual > 0 ? duration / usual : 1);
+			noteLatency(
+				limit,
+				scaleToReference(durations, entry.operation, duration),
+			);
 		} else if (result === 'shed') {
 			noteShed(limit, running.size + 1);
 		}
@@ -360,12 +361,10 @@
 
 	/** When the queue will have stood, or its oldest request outstays. */
 	const standingExpiry = (): number => {
-		let oldest = Number.POSITIVE_INFINITY;
-		for (let rank = options.classes - 1; rank > 0; rank--) {
-			oldest = Math.min(oldest, oldestOf(queue, rank)?.since ?? oldest);
-		}
-
-		return Math.max(standingFrom(), oldest + serviceTime());
+		const oldest = oldestUnessential(queue)?.since;
+		return oldest === undefined
+			? Number.POSITIVE_INFINITY
+			: Math.max(standingFrom(), oldest + serviceTime());
 	};
 
 	return {
@@ -395,7 +394,7 @@
 			return [...takeRefused(now), ...takeDispatched(now)];
 		},
 		wakeAt() {
-			const first = firstExpiry(queue);
+			const first = firstToExpire(queue)?.until;
 			if (first === undefined || !options.hasQueueTime) {
 				return first;
 			}
@@ -403,26 +402,19 @@
 			return Math.min(first, standingExpiry());
 		},
 		drain() {
-			const turns: AdmissionTurn[] = [];
-			for (const id of queue.byId.keys()) {
-				takeById(queue, id);
-				const reason = 'the target is leaving';
-				turns.push({
-					id,
-					kind: 'refuse',
-					code: ErrorCode.Leaving,
-					reason,
-					retryAfter: 0,
-				});
-			}
-
-			return turns;
+			return takeAll(queue).map(({call}) => ({
+				id: call.id,
+				kind: 'refuse',
+				code: ErrorCode.Leaving,
+				reason: 'the target is leaving',
+				retryAfter: 0,
+			}));
 		},
 		report: (now, operation): LoadReport => ({
 			inFlight: running.size,
 			limit: slotsInForce(),
-			waiting: queue.byId.size,
-			queueDelay: queue.byId.size === 0 ? 0 : queueDelay,
+			waiting: lengthOf(queue),
+			queueDelay: lengthOf(queue) === 0 ? 0 : queueDelay,
 			level: Math.min(
 				level.level,
 				operation === undefined
--- a/packages/decisions/src/concurrency-limit.ts
+++ b/packages/decisions/src/concurrency-limit.ts
@@ -24,6 +24,8 @@
 const roundsOfWindow = 2;
 const smallestWindow = 32;
 const risenFactor = 2;
+/** Up to here the limit grows; between the two it stays. */
+const growthFactor = 1.5;
 const trialFactor = 0.8;
 /** Latency has followed the limit when it fell by half of the limit's step or more. */
 const followedFactor = 1 - (1 - trialFactor) / 2;
@@ -35,11 +37,11 @@
 
 type Trial = {from: number; latency: number; skip: number};
 
-/** The limit and what it is learnt from. Latencies are relative to the operation's usual one. */
+/** The limit and what it is learnt from. Latencies are those of the reference operation, in milliseconds. */
 export type ConcurrencyLimit = {
 	slots: number;
 	limit: number;
-	/** The relative latency of an uncrowded target. */
+	/** The latency of an uncrowded target; 0 while nothing is known. */
 	usual: number;
 	count: number;
 	sum: number;
@@ -53,7 +55,7 @@
 	return {
 		slots,
 		limit: slots,
-		usual: 1,
+		usual: 0,
 		count: 0,
 		sum: 0,
 		wasFull: false,
@@ -83,15 +85,15 @@
 	}
 }
 
-/** Learns the latency of a request that ended, relative to its operation's usual one. */
-export function noteLatency(state: ConcurrencyLimit, relative: number): void {
+/** Learns the latency of a request that ended, brought to the reference operation. */
+export function noteLatency(state: ConcurrencyLimit, latency: number): void {
 	if (state.trial && state.trial.skip > 0) {
 		state.trial.skip--;
 		return;
 	}
 
 	state.count++;
-	state.sum += relative;
+	state.sum += latency;
 	if (state.count >= Math.max(smallestWindow, roundsOfWindow * state.limit)) {
 		closeWindow(state, state.sum / state.count);
 		state.count = 0;
@@ -102,16 +104,27 @@
 }
 
 function closeWindow(state: ConcurrencyLimit, mean: number): void {
+	state.usual ||= mean;
 	if (state.trial) {
 		judgeTrial(state, state.trial, mean);
-	} else if (state.wasFull && mean > risenFactor * state.usual) {
+		return;
+	}
+
+	if (state.wasFull && mean > risenFactor * state.usual) {
 		state.trial = {from: state.limit, latency: mean, skip: state.limit};
 		state.limit = Math.max(
 			floorOf(state),
 			Math.floor(state.limit * trialFactor),
 		);
-	} else if (!state.wasShed) {
+		return;
+	}
+
+	// A crowded window doesn't teach what an uncrowded one is like.
+	if (!state.wasFull || mean < state.usual) {
 		state.usual += (mean - state.usual) * usualShare;
+	}
+
+	if (!state.wasShed && mean <= growthFactor * state.usual) {
 		state.limit = Math.min(
 			state.slots,
 			state.limit + Math.max(1, Math.floor(state.limit * growthShare)),
--- a/packages/decisions/src/connection-limit.ts
+++ b/packages/decisions/src/connection-limit.ts
@@ -9,6 +9,6 @@
 import type {TargetView} from './target-view.js';
 
 /** Whether this node may open one more connection, or use a free one. */
-export function hasConnection({inFlight, candidate}: TargetView): boolean {
-	return inFlight < candidate.connections;
+export function hasConnection({open, candidate}: TargetView): boolean {
+	return open.size < candidate.connections;
 }
--- a/packages/decisions/src/ejection.ts
+++ b/packages/decisions/src/ejection.ts
@@ -44,12 +44,12 @@
 
 /** Whether the target is left alone now; a half-open one takes one request at a time. */
 export function isEjected(view: TargetView, now: number): boolean {
-	return view.ejections > 0 && (now < view.ejectedUntil || view.inFlight > 0);
+	return view.ejections > 0 && (now < view.ejectedUntil || view.open.size > 0);
 }
 
 /** Whether its time is over and the next request is to show whether it is ordinary again. */
 export function isDueForProbe(view: TargetView, now: number): boolean {
-	return view.ejections > 0 && now >= view.ejectedUntil && view.inFlight === 0;
+	return view.ejections > 0 && now >= view.ejectedUntil && view.open.size === 0;
 }
 
 /** Whether the ejections count, or so many are out that they can't be trusted. */
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -25,7 +25,7 @@
  * average, so that it loses nothing.
  */
 import {rankOf, type RequestClass} from '@egretspoke/protocol';
-import {highestLevel, sharesPerClass} from './admission-level.js';
+import {sharesPerClass} from './admission-level.js';
 
 /** Milliseconds after which a count is down to 1/e. */
 const memory = 2000;
@@ -175,8 +175,8 @@
 	place: number,
 ): number {
 	const {first, last} = bands[band];
-	const share = first + Math.floor(Math.min(place, 1) * (last - first + 1));
-	return Math.min(highestLevel, rank * sharesPerClass + Math.min(last, share));
+	const share = Math.floor(first + place * (last - first + 1));
+	return rank * sharesPerClass + Math.min(last, share);
 }
 
 /** The count c for which the sum of min(count, c) is the capacity. */
--- /dev/null
+++ b/packages/decisions/src/lazy-heap.ts
@@ -0,0 +1,94 @@
+/** A binary heap whose items may leave otherwise: those that are gone stay until they surface. */
+
+/** An item that may have left otherwise. */
+export type Leavable = {isGone: boolean};
+
+/** A heap and the order of its items. */
+export type LazyHeap<Item extends Leavable> = {
+	items: Item[];
+	isBefore(left: Item, right: Item): boolean;
+};
+
+/** Creates an empty heap. */
+export function createLazyHeap<Item extends Leavable>(
+	isBefore: (left: Item, right: Item) => boolean,
+): LazyHeap<Item> {
+	return {items: [], isBefore};
+}
+
+/** Adds an item; `live` is how many of all items aren't gone, by which the heap is swept. */
+export function pushItem<Item extends Leavable>(
+	heap: LazyHeap<Item>,
+	item: Item,
+	live: number,
+): void {
+	if (heap.items.length > 2 * live + 64) {
+		sweep(heap);
+	}
+
+	siftUp(heap, item);
+}
+
+/** The first item that isn't gone. */
+export function peekItem<Item extends Leavable>(
+	heap: LazyHeap<Item>,
+): Item | undefined {
+	while (heap.items[0]?.isGone) {
+		removeFirst(heap);
+	}
+
+	return heap.items[0];
+}
+
+function sweep<Item extends Leavable>(heap: LazyHeap<Item>): void {
+	const kept = heap.items.filter(({isGone}) => !isGone);
+	heap.items = [];
+	for (const item of kept) {
+		siftUp(heap, item);
+	}
+}
+
+function siftUp<Item extends Leavable>(
+	{items, isBefore}: LazyHeap<Item>,
+	item: Item,
+): void {
+	let index = items.push(item) - 1;
+	while (index > 0) {
+		const parent = Math.floor((index - 1) / 2);
+		if (!isBefore(item, items[parent]!)) {
+			break;
+		}
+
+		items[index] = items[parent]!;
+		index = parent;
+	}
+
+	items[index] = item;
+}
+
+function removeFirst<Item extends Leavable>({
+	items,
+	isBefore,
+}: LazyHeap<Item>): void {
+	const last = items.pop();
+	if (last === undefined || items.length === 0) {
+		return;
+	}
+
+	let index = 0;
+	for (let child = 1; child < items.length; child = 2 * index + 1) {
+		const right = items[child + 1];
+		if (right && isBefore(right, items[child]!)) {
+			child++;
+		}
+
+		if (!isBefore(items[child]!, last)) {
+			break;
+		}
+
+		items[index] = items[child]!;
+		index = child;
+	}
+
+	items[index] = last;
+}
--- a/packages/decisions/src/long-among-short.ts
+++ b/packages/decisions/src/long-among-short.ts
@@ -8,7 +8,10 @@
  *
  * Long work of a class may hold the slots that short work of its own and the
  * higher classes doesn't need. The need is the short work's average number in
- * the slots by Little's law, measured as it runs, plus what of it waits now.
+ * the slots by Little's law, measured as it runs, plus what of it waits now,
+ * plus the square root of that: with no more than the average, arrivals that
+ * vary by chance find all slots taken half of the time (square-root staffing,
+ * Halfin & Whitt 1981).
  * What the rule leaves to long work is never less than an eighth of the slots,
  * so that it gets on as well. Essential long work yields to essential short
  * work only.
@@ -89,6 +92,7 @@
 		}
 	}
 
-	const left = Math.max(1, limit * leastLongShare, limit - needed);
+	const spread = Math.sqrt(needed);
+	const left = Math.max(1, limit * leastLongShare, limit - needed - spread);
 	return running < left;
 }
--- a/packages/decisions/src/operation-durations.ts
+++ b/packages/decisions/src/operation-durations.ts
@@ -70,12 +70,20 @@
 	return state.byOperation.get(operation)?.lately ?? state.average;
 }
 
-/** What is usual for the operation over a longer time. */
-export function usualDuration(
+/**
+ * What the duration would have been for the operation that was learnt first,
+ * so that a different mix of operations doesn't look like a slower target.
+ */
+export function scaleToReference(
 	state: OperationDurations,
 	operation: string,
+	duration: number,
 ): number {
-	return state.byOperation.get(operation)?.usual ?? state.average;
+	const own = state.byOperation.get(operation)?.usual ?? 0;
+	const [reference] = state.byOperation.values();
+	return own > 0 && reference && reference.usual > 0
+		? (duration * reference.usual) / own
+		: duration;
 }
 
 /** The duration of a typical request, whatever the operation. */
--- a/packages/decisions/src/routing.ts
+++ b/packages/decisions/src/routing.ts
@@ -135,7 +135,7 @@
 		const view = group.byNode.get(result.node);
 		const typical = typicalOf(group.durations, call.operation);
 		if (view) {
-			noteEnd(view, now - result.duration, typical);
+			noteEnd(view, call.id);
 			noteFailure(view, isFault[result.result] === true);
 		}
 
@@ -167,7 +167,12 @@
 			const group = groupOf(call.service);
 			const view = group.byNode.get(node);
 			if (view) {
-				noteStart(view, typicalOf(group.durations, call.operation), now);
+				noteStart(
+					view,
+					call.id,
+					typicalOf(group.durations, call.operation),
+					now,
+				);
 			}
 		},
 		finished(call, result, now) {
--- a/packages/decisions/src/target-view.ts
+++ b/packages/decisions/src/target-view.ts
@@ -15,12 +15,16 @@
 /** The longest duration that one end may count for, relative to the expected one. */
 const largestRatio = 64;
 
+/** An attempt in flight; `expected` is 0 when nothing was known of its operation. */
+type OpenAttempt = {startedAt: number; expected: number};
+
 /** One target as this node sees it. */
 export type TargetView = {
 	candidate: RoutingCandidate;
-	/** Requests that this node has in flight there. */
-	inFlight: number;
-	/** The sums of their starts and of their expected durations. */
+	/** The attempts that this node has in flight there, by id. */
+	open: Map<string, OpenAttempt>;
+	/** Of those whose duration could be expected: how many, and the sums of their starts and durations. */
+	expectedCount: number;
 	startedSum: number;
 	expectedSum: number;
 	/** The moving average of log(duration / expected). */
@@ -45,7 +49,8 @@
 export function createTargetView(candidate: RoutingCandidate): TargetView {
 	return {
 		candidate,
-		inFlight: 0,
+		open: new Map(),
+		expectedCount: 0,
 		startedSum: 0,
 		expectedSum: 0,
 		slownessLog: 0,
@@ -60,33 +65,38 @@
 	};
 }
 
-/** A request was sent. */
+/** An attempt was sent. */
 export function noteStart(
 	view: TargetView,
+	id: string,
 	expected: number,
 	now: number,
 ): void {
-	view.inFlight++;
+	view.open.set(id, {startedAt: now, expected});
 	view.sinceReport++;
-	view.startedSum += now;
-	view.expectedSum += expected;
+	if (expected > 0) {
+		view.expectedCount++;
+		view.startedSum += now;
+		view.expectedSum += expected;
+	}
 }
 
-/** A request has ended, however. */
-export function noteEnd(
-	view: TargetView,
-	startedAt: number,
-	expected: number,
-): void {
-	view.inFlight--;
+/** It has ended, however; false when it isn't in flight. */
+export function noteEnd(view: TargetView, id: string): boolean {
+	const attempt = view.open.get(id);
+	if (!attempt) {
+		return false;
+	}
+
+	view.open.delete(id);
 	view.sinceReport--;
-	view.startedSum -= startedAt;
-	view.expectedSum -= expected;
-	if (view.inFlight <= 0) {
-		view.inFlight = 0;
-		view.startedSum = 0;
-		view.expectedSum = 0;
+	if (attempt.expected > 0) {
+		view.expectedCount--;
+		view.startedSum -= attempt.startedAt;
+		view.expectedSum -= attempt.expected;
 	}
+
+	return true;
 }
 
 /** Learns how long an answered request took, relative to what was expected. */
@@ -133,7 +143,7 @@
  */
 export function pressureOf(view: TargetView, now: number): number {
 	const slots = Math.max(1, view.candidate.slots);
-	const own = view.inFlight / slots;
+	const own = view.open.size / slots;
 	if (now - view.reportedAt > reportMemory) {
 		return own;
 	}
@@ -148,11 +158,11 @@
  */
 export function slownessOf(view: TargetView, now: number): number {
 	const seen = Math.exp(rememberedLog(view, now));
-	if (view.inFlight < 2 || view.expectedSum <= 0) {
+	if (view.expectedCount < 2) {
 		return seen;
 	}
 
-	const age = view.inFlight * now - view.startedSum;
+	const age = view.expectedCount * now - view.startedSum;
 	return Math.max(seen, age / view.expectedSum);
 }
 
