feat(decisions): shares by multiples of the ordinary caller; a limit that chance doesn't lower

Cause: what was above a share was found from the part of the demand let in now, which any share satisfies, so the level drifted into the light callers' numbers; and the limit, with windows of 32 ends and a usual latency that followed the lowest window, came down at a healthy target (to 6 of 20 slots in the test with exponential durations). Ruled out: the queue's order (unchanged, losses were refusals by level), the level's own control (it followed the shrinking limit). Change: places above twice the median caller get the numbers 320 to 383 by their multiple alone; windows of 64 ends; a full window teaches only what lies within chance; a failed trial undoes the trials before it.

--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -27,7 +27,6 @@
 	takeNext,
 	type QueueEntry,
 } from './admission-queue.js';
-import {hashFraction} from './chain-hash.js';
 import {
 	createConcurrencyLimit,
 	noteFull,
@@ -66,11 +65,9 @@
 	Completion,
 	RefusalDecision,
 } from './policy.js';
-import {moveAverage} from './rate-of-change.js';
 
 /** The slot time assumed while nothing has been learnt, in milliseconds. */
 const unknownDuration = 10;
-const letInSpan = 2;
 
 type Running = {
 	operation: string;
@@ -97,9 +94,6 @@
 	let level = createAdmissionLevel(0);
 	let shares = createFairShare(0);
 	let slots = createLongAmongShort(0);
-	let arrived = 0;
-	let letIn = 0;
-	let letInShare = 1;
 	let queueDelay = 0;
 
 	const slotsInForce = () => options.limitOf(limit);
@@ -131,11 +125,7 @@
 			},
 			now,
 		);
-		const share = arrived === 0 ? 1 : letIn / arrived;
-		letInShare = moveAverage(letInShare, share, letInSpan, letInSpan);
-		arrived = 0;
-		letIn = 0;
-		settleShares(shares, letInShare > 0.99 ? 1 : letInShare, now);
+		settleShares(shares, now);
 	};
 
 	/** From when on the queue counts as standing. */
@@ -175,20 +165,19 @@
 	};
 
 	const numberOf = (call: CallFacts, isLong: boolean): number => {
-		const facts = {
-			requestClass: options.classOf(call.requestClass),
-			caller: call.caller,
-			fraction: hashFraction(call.chain ?? call.id),
-			isLong,
-		};
+		const requestClass = options.classOf(call.requestClass);
+		if (call.priority !== undefined) {
+			return requestClass === 'essential'
+				? Math.min(call.priority, highestEssential)
+				: call.priority;
+		}
+
+		const {caller, chain = call.id} = call;
 		if (options.hasFairShare) {
-			noteDemand(shares, facts);
+			noteDemand(shares, {caller, requestClass});
 		}
 
-		const priority = call.priority ?? numberRequest(shares, facts);
-		return facts.requestClass === 'essential'
-			? Math.min(priority, highestEssential)
-			: priority;
+		return numberRequest(shares, {requestClass, caller, chain, isLong});
 	};
 
 	const refuseByLevel = (priority: number, allowed: number) =>
@@ -216,7 +205,6 @@
 		const priority = numberOf(call, isLong);
 		const slotTime = expected || unknownDuration;
 		noteArrival(level, priority, slotTime);
-		arrived++;
 
 		const below = options.levelBelow(operation, now);
 		if (priority > below) {
@@ -241,7 +229,6 @@
 			lengthOf(queue) === 0 &&
 			(!isLong || mayLong(rank))
 		) {
-			letIn++;
 			begin(call, entry, priority);
 			return {
 				kind: 'dispatch' as const,
@@ -261,7 +248,6 @@
 			);
 		}
 
-		letIn++;
 		enqueue(queue, {
 			call,
 			rank,
--- a/packages/decisions/src/concurrency-limit.ts
+++ b/packages/decisions/src/concurrency-limit.ts
@@ -14,6 +14,8 @@
  * of that, the target was crowded and the lower limit stays; if not, the limit
  * comes back and the new latency counts as usual. At saturation with slots as
  * the capacity this costs a fifth of the slots for one window per rise.
+ * A window that was full teaches what is usual only as far as chance goes, so
+ * that crowding is never taken for usual.
  *
  * Thresholds: a window has two rounds of the limit, so that each slot is
  * sampled twice; latency counts as risen at twice the usual, which the mean of
@@ -22,7 +24,7 @@
  */
 
 const roundsOfWindow = 2;
-const smallestWindow = 32;
+const smallestWindow = 64;
 const risenFactor = 2;
 /** Up to here the limit grows; between the two it stays. */
 const growthFactor = 1.5;
@@ -32,10 +34,19 @@
 const shedFactor = 0.9;
 const growthShare = 1 / 16;
 const floorShare = 1 / 10;
-/** The share by which what is usual moves to a window's mean while nothing is crowded. */
+/** The share by which what is usual moves to the mean of a window in which slots were left. */
 const usualShare = 1 / 4;
+/** The same for a full window, and how far its mean may lie from what is usual to count as chance. */
+const fullUsualShare = 1 / 16;
+const chanceShare = 1 / 4;
 
-type Trial = {from: number; latency: number; skip: number};
+type Trial = {
+	/** The limit before the first of the trials in a row. */
+	from: number;
+	latency: number;
+	/** Ends of requests that began before the trial. */
+	skip: number;
+};
 
 /** The limit and what it is learnt from. Latencies are those of the reference operation, in milliseconds. */
 export type ConcurrencyLimit = {
@@ -111,17 +122,17 @@
 	}
 
 	if (state.wasFull && mean > risenFactor * state.usual) {
-		state.trial = {from: state.limit, latency: mean, skip: state.limit};
-		state.limit = Math.max(
-			floorOf(state),
-			Math.floor(state.limit * trialFactor),
-		);
+		startTrial(state, state.limit, mean);
 		return;
 	}
 
 	// A crowded window doesn't teach what an uncrowded one is like.
-	if (!state.wasFull || mean < state.usual) {
+	if (!state.wasFull) {
 		state.usual += (mean - state.usual) * usualShare;
+	} else if (Math.abs(mean - state.usual) < chanceShare * state.usual) {
+		state.usual += (mean - state.usual) * fullUsualShare;
+	} else {
+		state.usual = Math.min(state.usual, mean);
 	}
 
 	if (!state.wasShed && mean <= growthFactor * state.usual) {
@@ -132,11 +143,27 @@
 	}
 }
 
-function judgeTrial(state: ConcurrencyLimit, trial: Trial, mean: number): void {
+function startTrial(
+	state: ConcurrencyLimit,
+	from: number,
+	latency: number,
+): void {
+	state.trial = {from, latency, skip: state.limit};
+	state.limit = Math.max(floorOf(state), Math.floor(state.limit * trialFactor));
+}
+
+/** Goes on lowering while latency follows and is still risen; a trial that fails undoes all before it. */
+function judgeTrial(
+	state: ConcurrencyLimit,
+	{from, latency}: Trial,
+	mean: number,
+): void {
 	state.trial = undefined;
-	if (mean > trial.latency * followedFactor) {
-		state.limit = trial.from;
+	if (mean > latency * followedFactor) {
+		state.limit = from;
 		state.usual = mean;
+	} else if (mean > risenFactor * state.usual) {
+		startTrial(state, from, mean);
 	}
 }
 
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -7,54 +7,64 @@
  * within their share lose requests; one notices many callers with a few
  * failures each, and one caller behind all of it.
  *
- * Here each request gets a place within its caller's own demand, drawn from
- * the chain's name: a caller of rate r has its requests spread over 0 to r. Up
- * to the rate at which everybody's demand fits the capacity a place is within
- * the fair share; that rate is found by filling (max-min fairness), from the
- * part of the demand that is let in now. The places are then numbered within
- * the class: essential 0 to 127, normal 128 to 255, deferrable from 256; long
- * operations after short ones; and what heavy callers send above their share
- * last of all. Essential work is never put last: it only yields to essential
- * work. (Core-stateless fair queueing, Stoica et al., SIGCOMM 1998, has the
- * same shape: drop by the ratio of the fair rate to the caller's own.)
+ * Each request gets a place within its caller's own demand, drawn from the
+ * chain's name: a caller that sent n requests lately has them spread over 0 to
+ * n, essential ones first, deferrable ones last. Places up to the heavy count
+ * are numbered by class: essential 0 to 127, normal 128 to 255, deferrable 256
+ * to 319, in each short operations before long ones. What lies above is
+ * numbered 320 to 383 by its place alone, so that a level among these numbers
+ * cuts all heavy callers down to the same count and nobody else (max-min
+ * fairness, in the shape of core-stateless fair queueing, Stoica et al.,
+ * SIGCOMM 1998). Essential work always keeps its class: it yields to essential
+ * work only.
  *
- * Thresholds: rates forget with two seconds' time constant, so that a caller
- * of a few requests a second is seen; a caller counts as heavy at twice the
- * average rate, which one of equal callers doesn't reach by chance; the table
- * is bounded at 1,024 callers, and a caller that finds no place counts as
- * average, so that it loses nothing.
+ * Thresholds: counts forget with two seconds' time constant, so that a caller
+ * of a few requests a second is seen. The heavy count is twice the median of
+ * the callers, and at least what chance gives to one of many callers with that
+ * median (four standard deviations of a Poisson count, and four). The table is
+ * bounded at 1,024 callers; a caller that finds no place counts as ordinary,
+ * so that it loses nothing.
  */
 import {rankOf, type RequestClass} from '@egretspoke/protocol';
-import {sharesPerClass} from './admission-level.js';
+import {highestLevel, sharesPerClass} from './admission-level.js';
+import {hashFraction} from './chain-hash.js';
 
 /** Milliseconds after which a count is down to 1/e. */
 const memory = 2000;
 const callerLimit = 1024;
 const heavyFactor = 2;
+const chanceDeviations = 4;
 /** A caller below this count has been silent for several time constants. */
 const forgottenCount = 0.05;
-const fillRounds = 20;
 
-/** Where in its class's 128 numbers a kind of request goes. */
-const bands = {
-	short: {first: 0, last: 79},
-	long: {first: 80, last: 111},
-	overShare: {first: 112, last: 127},
-} as const;
+/** The first number of what is above its caller's share, and how many such numbers there are. */
+const firstOverShare = 320;
+const overShareNumbers = highestLevel + 1 - firstOverShare;
+/** Doublings of the heavy count that these numbers span: ten numbers for each. */
+const overShareDoublings = 6;
+
+/** Numbers for the classes, by rank; the rest of the last class is for what is over a share. */
+const classNumbers = [
+	sharesPerClass,
+	sharesPerClass,
+	sharesPerClass - overShareNumbers,
+] as const;
+/** The part of a class's numbers that short operations have. */
+const shortPart = 5 / 8;
+
+type Rank = 0 | 1 | 2;
 
 /** What one caller sent lately, by class rank; counts that decay. */
 type CallerDemand = {counts: [number, number, number]; total: number};
 
-/** The demand of all callers and what follows from it. */
+/** The demand of all callers. */
 export type FairShare = {
 	callers: Map<string, CallerDemand>;
 	/** When the counts were decayed last. */
 	decayedAt: number;
-	/** The count above which a caller is heavy; infinite while nothing is refused. */
+	/** The count up to which a caller is within its share. */
 	heavyCount: number;
-	/** The count up to which every caller's demand is let in. */
-	fairCount: number;
-	/** The largest count of any caller by class rank, for the numbering. */
+	/** The largest count by class rank of a caller within its share. */
 	largest: [number, number, number];
 };
 
@@ -64,7 +74,6 @@
 		callers: new Map(),
 		decayedAt: now,
 		heavyCount: Number.POSITIVE_INFINITY,
-		fairCount: Number.POSITIVE_INFINITY,
 		largest: [0, 0, 0],
 	};
 }
@@ -73,15 +82,15 @@
 export type PriorityFacts = {
 	requestClass: RequestClass;
 	caller: string;
-	/** The chain's fraction, from 0 to 1. */
-	fraction: number;
+	/** The chain's name. */
+	chain: string;
 	isLong: boolean;
 };
 
 /** Counts the request for its caller. */
 export function noteDemand(
 	state: FairShare,
-	{caller, requestClass}: PriorityFacts,
+	{caller, requestClass}: Pick<PriorityFacts, 'caller' | 'requestClass'>,
 ): void {
 	let demand = state.callers.get(caller);
 	if (!demand) {
@@ -93,121 +102,93 @@
 		state.callers.set(caller, demand);
 	}
 
-	demand.counts[rankOf(requestClass) as 0 | 1 | 2]++;
+	demand.counts[rankOf(requestClass) as Rank]++;
 	demand.total++;
 }
 
 /** The request's priority number, from 0 (the last to be refused) to 383. */
 export function numberRequest(
 	state: FairShare,
-	{caller, requestClass, fraction, isLong}: PriorityFacts,
+	{caller, requestClass, chain, isLong}: PriorityFacts,
 ): number {
-	const rank = rankOf(requestClass) as 0 | 1 | 2;
+	const rank = rankOf(requestClass) as Rank;
+	const fraction = hashFraction(chain);
 	const demand = state.callers.get(caller);
-	if (rank > 0 && demand && isOverShare(state, demand, rank, fraction)) {
-		const excess = 1 - state.fairCount / demand.total;
-		return numberIn('overShare', 2, Math.max(0, excess) * fraction);
+	if (!demand) {
+		return numberInClass(rank, fraction, isLong);
+	}
+
+	const place = placeOf(demand, rank, fraction);
+	if (rank > 0 && place > state.heavyCount) {
+		return numberOverShare(place / state.heavyCount);
 	}
 
-	const place =
-		demand && state.largest[rank] > 0
-			? placeOf(demand, rank, fraction) / state.largest[rank]
-			: fraction;
-	return numberIn(isLong ? 'long' : 'short', rank, place);
+	const largest = Math.max(1, state.largest[rank]);
+	const share = Math.min(1, (fraction * demand.counts[rank]) / largest);
+	return numberInClass(rank, share, isLong);
 }
 
 /** Whether the number says that the request is above its caller's share. */
 export function isOverShareNumber(priority: number): boolean {
-	return priority >= 2 * sharesPerClass + bands.overShare.first;
+	return priority >= firstOverShare;
 }
 
-/** Works out the fair rate anew; `letIn` is the share of the demand that is let in. */
-export function settleShares(
-	state: FairShare,
-	letIn: number,
-	now: number,
-): void {
+/** Lets the counts decay, and works out anew which count is heavy. */
+export function settleShares(state: FairShare, now: number): void {
 	decay(state, now);
-	const totals = [...state.callers.values()].map(({total}) => total);
-	const sum = totals.reduce((left, right) => left + right, 0);
+	state.heavyCount = findHeavyCount(state);
 	state.largest = [0, 0, 0];
 	for (const {counts} of state.callers.values()) {
 		for (const rank of [0, 1, 2] as const) {
-			state.largest[rank] = Math.max(state.largest[rank], counts[rank]);
+			const count = Math.min(counts[rank], state.heavyCount);
+			state.largest[rank] = Math.max(state.largest[rank], count);
 		}
 	}
-
-	const isEnough = letIn >= 1 || totals.length < 2;
-	state.fairCount = isEnough
-		? Number.POSITIVE_INFINITY
-		: fillUpTo(totals, sum * letIn);
-	state.heavyCount = isEnough
-		? Number.POSITIVE_INFINITY
-		: (heavyFactor * sum) / totals.length;
 }
 
-/** A heavy caller's own order is essential, normal, deferrable; what lies beyond the fair count is over. */
-function isOverShare(
-	state: FairShare,
-	demand: CallerDemand,
-	rank: 0 | 1 | 2,
-	fraction: number,
-): boolean {
-	if (demand.total <= state.heavyCount) {
-		return false;
+function findHeavyCount({callers}: FairShare): number {
+	if (callers.size < 2) {
+		return Number.POSITIVE_INFINITY;
 	}
 
-	const before = demand.counts[0] + (rank === 2 ? demand.counts[1] : 0);
-	return before + fraction * demand.counts[rank] > state.fairCount;
+	const totals = Float64Array.from(callers.values(), ({total}) => total).sort();
+	const median = totals[Math.floor((totals.length - 1) / 2)] ?? 0;
+	return Math.max(
+		heavyFactor * median,
+		median + chanceDeviations * (Math.sqrt(median) + 1),
+	);
 }
 
-function placeOf(
-	demand: CallerDemand,
-	rank: 0 | 1 | 2,
-	fraction: number,
-): number {
-	return fraction * demand.counts[rank];
+/** The place in the caller's own order: essential, normal, deferrable. */
+function placeOf({counts}: CallerDemand, rank: Rank, fraction: number): number {
+	const before = counts[0] + (rank === 2 ? counts[1] : 0);
+	return before + fraction * counts[rank];
 }
 
-function numberIn(
-	band: keyof typeof bands,
-	rank: number,
-	place: number,
-): number {
-	const {first, last} = bands[band];
-	const share = Math.floor(first + place * (last - first + 1));
-	return rank * sharesPerClass + Math.min(last, share);
+function numberInClass(rank: Rank, share: number, isLong: boolean): number {
+	const part = isLong ? shortPart + share * (1 - shortPart) : share * shortPart;
+	const numbers = classNumbers[rank];
+	return (
+		rank * sharesPerClass + Math.min(numbers - 1, Math.floor(part * numbers))
+	);
 }
 
-/** The count c for which the sum of min(count, c) is the capacity. */
-function fillUpTo(totals: number[], capacity: number): number {
-	let low = 0;
-	let high = Math.max(0, ...totals);
-	for (let round = 0; round < fillRounds; round++) {
-		const middle = (low + high) / 2;
-		const filled = totals.reduce(
-			(sum, total) => sum + Math.min(total, middle),
-			0,
-		);
-		if (filled > capacity) {
-			high = middle;
-		} else {
-			low = middle;
-		}
-	}
-
-	return high;
+function numberOverShare(multiple: number): number {
+	const part = Math.log2(multiple) / overShareDoublings;
+	return Math.min(
+		highestLevel,
+		firstOverShare + Math.floor(part * overShareNumbers),
+	);
 }
 
 function decay(state: FairShare, now: number): void {
 	const factor = Math.exp((state.decayedAt - now) / memory);
 	state.decayedAt = now;
 	for (const [caller, demand] of state.callers) {
-		demand.counts = demand.counts.map((count) => count * factor) as [
-			number,
-			number,
-			number,
-		];
+		for (const rank of [0, 1, 2] as const) {
+			demand.counts[rank] *= factor;
+		}
+
 		demand.total *= factor;
 		if (demand.total < forgottenCount) {
 			state.callers.delete(caller);
