--- a/packages/experiment/src/capacity.ts
+++ b/packages/experiment/src/capacity.ts
@@ -1,7 +1,7 @@
 /**
  * `limitGoodput`: the most whole requests a second that the capacity allows
  * during the overload. It is computed, not measured, from slots, mean service
- * times and the demand, as a flow in small steps:
+ * times and the wants that arose, as a flow in small steps:
  *
  * - The slots give `slots` milliseconds of work a millisecond and target. The
  *   deepest service's slots divide by its slowdown; a cold target's factor
@@ -27,21 +27,29 @@
 /** Milliseconds of one step of the flow. */
 const step = 10;
 
-/** The limit for a scenario, in whole requests a second. */
+/** A want, as far as the limit is concerned. */
+export type Want = {
+	/** When it arose, in milliseconds of the run. */
+	at: number;
+	operation: Operation;
+};
+
+/** The limit for a scenario and the wants of one run, in whole requests a second. */
 export function computeLimit(
 	deployment: Deployment,
 	scenario: Scenario,
+	wants: Want[],
 ): number {
 	const deepSlots = createDeepSlots(deployment, scenario);
-	const streams = demandByCost(deployment, scenario);
+	const backlogs = createBacklogs(scenario, wants);
 	let served = 0;
 	for (let elapsed = 0; elapsed < scenario.trigger; elapsed += step) {
 		let slotTime = deepSlots(step);
-		for (const stream of streams) {
-			stream.backlog += (stream.rate * step) / 1000;
-			const count = Math.min(stream.backlog, slotTime / stream.cost);
-			stream.backlog -= count;
-			slotTime -= count * stream.cost;
+		for (const backlog of backlogs) {
+			backlog.arriveUntil(scenario.calm + elapsed + step);
+			const count = Math.min(backlog.waiting(), slotTime / backlog.cost);
+			backlog.take(count);
+			slotTime -= count * backlog.cost;
 			served += count;
 		}
 	}
@@ -72,20 +80,41 @@
 	);
 }
 
-type Stream = {cost: number; rate: number; backlog: number};
+/** The wants of one cost, in the order in which they arose. */
+function createBacklog(cost: number, instants: number[]) {
+	let waiting = 0;
+	let next = 0;
+	return {
+		cost,
+		waiting: () => waiting,
+		take(count: number) {
+			waiting -= count;
+		},
+		arriveUntil(instant: number) {
+			while (next < instants.length && instants[next]! < instant) {
+				next++;
+				waiting++;
+			}
+		},
+	};
+}
+
+/** The wants that arise during the trigger by what they cost the deepest service, the cheapest first. */
+function createBacklogs(scenario: Scenario, wants: Want[]) {
+	const end = scenario.calm + scenario.trigger;
+	const byCost = new Map<number, number[]>();
+	for (const {at, operation} of wants) {
+		if (at >= scenario.calm && at < end) {
+			const cost = holdingTime(operation.plan, 'deep', 1);
+			const instants = byCost.get(cost) ?? [];
+			instants.push(at);
+			byCost.set(cost, instants);
+		}
+	}
 
-/** The streams of demand during the trigger, the cheapest first. */
-function demandByCost(deployment: Deployment, scenario: Scenario): Stream[] {
-	const capacity = capacityOf(deployment);
-	return scenario.surge
-		.flatMap((demand) =>
-			demand.operations.map((operation) => ({
-				cost: holdingTime(operation.plan, 'deep', 1),
-				rate: demand.load * capacity * operation.share,
-				backlog: 0,
-			})),
-		)
-		.toSorted((left, right) => left.cost - right.cost);
+	return [...byCost]
+		.toSorted(([left], [right]) => left - right)
+		.map(([cost, instants]) => createBacklog(cost, instants));
 }
 
 /** The work, in healthy milliseconds, that the deepest slots do in each next step. */
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -35,6 +35,7 @@
 	const scenario = scenarios[setup.scenario];
 	const deployment = deployments[setup.deployment];
 	const policies: Record<string, Figures> = {};
+	let limit = 0;
 	for (const name of setup.policies) {
 		const contender = findContender(name);
 		if (contender === undefined) {
@@ -42,7 +43,8 @@
 		}
 
 		const tally = runContender(contender, deployment, scenario, seed);
-		policies[name] = computeFigures(tally, scenario);
+		limit = computeLimit(deployment, scenario, tally.wants);
+		policies[name] = computeFigures(tally, scenario, limit);
 		if (observe) {
 			for (const point of goodputOverTime(tally, scenario)) {
 				observe({policy: name, ...point});
@@ -50,7 +52,6 @@
 		}
 	}
 
-	const limit = computeLimit(deployment, scenario);
 	return {
 		scenario: setup.scenario,
 		seed,
@@ -61,7 +62,12 @@
 }
 
 /** The result as the one JSON object of the command; what isn't known is null. */
-export function print({policies, ...rest}: ExperimentResult): string {
+export function print({
+	policies,
+	...rest
+}: {
+	policies: Record<string, Record<string, unknown>>;
+}): string {
 	return JSON.stringify({...rest, ...policies}, (_key, value: unknown) =>
 		value === undefined ? null : value,
 	);
--- a/packages/experiment/src/figures.ts
+++ b/packages/experiment/src/figures.ts
@@ -7,6 +7,8 @@
 export type Figures = {
 	/** Whole requests answered within their deadline, a second, during the overload. */
 	goodput: number;
+	/** The same, as a share of the limit. */
+	goodputShare: number;
 	/** Share of the essential requests offered during the overload that were answered in time. */
 	essentialGoodput: number;
 	/** Seconds from the trigger's end until goodput is back; undefined if it never is. */
@@ -31,12 +33,18 @@
 	/** 99th percentile of the calls to the deepest service in milliseconds, of all and of the healthy targets. */
 	deepTime99: number | undefined;
 	deepTime99Healthy: number | undefined;
+	/** The first of the two over the second. */
+	deepTimeRatio: number | undefined;
 };
 
 type Span = {begin: number; end: number};
 
 /** Works the figures out. */
-export function computeFigures(tally: Tally, scenario: Scenario): Figures {
+export function computeFigures(
+	tally: Tally,
+	scenario: Scenario,
+	limit: number,
+): Figures {
 	const overload = {
 		begin: scenario.calm,
 		end: scenario.calm + scenario.trigger,
@@ -51,6 +59,7 @@
 	const heavy = offered.filter(({caller}) => isHeavy(caller));
 	return {
 		goodput: rounded(rateIn(overload, answers)),
+		goodputShare: rounded(rateIn(overload, answers) / limit),
 		essentialGoodput: rounded(
 			answeredShare(
 				offered.filter(({operation}) => operation.requestClass === 'essential'),
@@ -191,9 +200,15 @@
 function deepTimes(tally: Tally, scenario: Scenario, overload: Span) {
 	const calls = tally.deepCalls.filter(({endedAt}) => isIn(overload, endedAt));
 	const healthy = calls.filter(({index}) => scenario.slowdown(index) === 1);
+	const deepTime99 = percentile99(calls.map(({duration}) => duration));
+	const deepTime99Healthy = percentile99(healthy.map(({duration}) => duration));
 	return {
-		deepTime99: percentile99(calls.map(({duration}) => duration)),
-		deepTime99Healthy: percentile99(healthy.map(({duration}) => duration)),
+		deepTime99,
+		deepTime99Healthy,
+		deepTimeRatio:
+			deepTime99 === undefined || deepTime99Healthy === undefined
+				? undefined
+				: rounded(deepTime99 / deepTime99Healthy),
 	};
 }
 
--- a/packages/experiment/src/index.ts
+++ b/packages/experiment/src/index.ts
@@ -5,3 +5,4 @@
 export * from './figures.js';
 export * from './options.js';
 export * from './scenario.js';
+export * from './sweep.js';
--- a/packages/experiment/src/main.ts
+++ b/packages/experiment/src/main.ts
@@ -1,11 +1,25 @@
 /** The experiment command. */
+import {writeFileSync} from 'node:fs';
 import process from 'node:process';
 import {Command, CommanderError} from 'commander';
 import {contenderNames} from './contender.js';
 import {deploymentNames} from './deployment.js';
-import {print, runExperiment} from './experiment.js';
-import {formatFindings, readOptions, type Flags} from './options.js';
-import {scenarioNames} from './scenario.js';
+import {
+	print,
+	runExperiment,
+	type ExperimentResult,
+	type GoodputPoint,
+} from './experiment.js';
+import {writeMechanismTable} from './mechanism-table.js';
+import {
+	formatFindings,
+	readOptions,
+	type Flags,
+	type Options,
+} from './options.js';
+import {drawGoodput} from './plot.js';
+import {scenarioNames, scenarios} from './scenario.js';
+import {runSweep} from './sweep.js';
 
 const badUsage = 2;
 
@@ -28,17 +42,10 @@
 	.addHelpText('after', example)
 	.exitOverride()
 	.action((flags: Flags) => {
-		readOptions(flags).match(
-			(options) => {
-				const seed = options.seeds[0]!;
-				const result = runExperiment({...options, seed});
-				process.stdout.write(`${print(result)}\n`);
-			},
-			(findings) => {
-				process.stderr.write(`${formatFindings(findings)}\n`);
-				process.exitCode = badUsage;
-			},
-		);
+		readOptions(flags).match(runAsAsked, (findings) => {
+			process.stderr.write(`${formatFindings(findings)}\n`);
+			process.exitCode = badUsage;
+		});
 	});
 
 try {
@@ -50,3 +57,33 @@
 
 	process.exitCode = error.exitCode === 0 ? 0 : badUsage;
 }
+
+function runAsAsked(options: Options): void {
+	const {seeds, isSweep, table, plot, ...setup} = options;
+	const seed = seeds[0]!;
+	if (table) {
+		process.stdout.write(writeMechanismTable(setup, seeds));
+	} else if (isSweep) {
+		process.stdout.write(`${print(runSweep(setup, seeds))}\n`);
+	} else {
+		const points: GoodputPoint[] = [];
+		const result = runExperiment({...setup, seed}, (point) => {
+			points.push(point);
+		});
+		if (plot !== undefined) {
+			writeFileSync(plot, drawResult(result, points));
+		}
+
+		process.stdout.write(`${print(result)}\n`);
+	}
+}
+
+function drawResult(result: ExperimentResult, points: GoodputPoint[]): string {
+	const {scenario, deployment, seed, limitGoodput} = result;
+	return drawGoodput({
+		title: `Goodput over time: ${scenario}, ${deployment}, seed ${seed}`,
+		scenario: scenarios[scenario],
+		limitGoodput,
+		points,
+	});
+}
--- a/packages/experiment/src/tally.ts
+++ b/packages/experiment/src/tally.ts
@@ -5,6 +5,7 @@
  */
 import type {AttemptResult} from '@egretspoke/decisions';
 import type {Attempt, UserRequest} from './call.js';
+import type {Want} from './capacity.js';
 
 /** A call to the deepest service as its caller saw it. */
 export type DeepCall = {
@@ -16,6 +17,8 @@
 
 /** The record of one run. */
 export type Tally = {
+	/** Every want that arose; the same for every policy. */
+	wants: Want[];
 	requests: UserRequest[];
 	deepCalls: DeepCall[];
 	/** Instants at which a call arrived at a node of the deepest service. */
@@ -35,12 +38,14 @@
 
 /** Creates an empty record. */
 export function createTally(now: () => number): Tally {
+	const wants: Want[] = [];
 	const requests: UserRequest[] = [];
 	const deepCalls: DeepCall[] = [];
 	const deepArrivals: number[] = [];
 	const lies = new Set<Attempt>();
 
 	return {
+		wants,
 		requests,
 		deepCalls,
 		deepArrivals,
--- a/packages/experiment/src/users.ts
+++ b/packages/experiment/src/users.ts
@@ -7,7 +7,7 @@
  * - Half of the clients honour Retry-After: they wait as told before the next
  *   try, and give the request up if that is past its deadline. The others
  *   retry at once whatever they are told.
- * - After a request has failed the user thinks for one to three seconds (one
+ * - After a request has failed the user thinks for two to four seconds (one
  *   who was told to come back later waits at least that long, if the client
  *   honours it) and sends a new request. Ten seconds after the want arose it
  *   is abandoned.
@@ -33,7 +33,7 @@
 const patience = 10_000;
 
 /** Milliseconds that a user thinks before a new request: the least, and the span above it. */
-const thinkLeast = 1000;
+const thinkLeast = 2000;
 const thinkSpan = 2000;
 
 /** The share of clients that honour Retry-After. */
@@ -76,7 +76,9 @@
 		}
 
 		clock.setTimer(at - clock.now(), () => {
-			press(world, createUser(world, homes, demand, random));
+			const user = createUser(world, homes, demand, random);
+			world.tally.wants.push({at: clock.now(), operation: user.operation});
+			press(world, user);
 			arise();
 		});
 	};
