--- a/packages/experiment/src/call.ts
+++ b/packages/experiment/src/call.ts
@@ -26,6 +26,10 @@
 	deadline: number;
 	/** Attempts left for the whole chain. */
 	attempts: number;
+	/** The client's try, as named along the whole chain. */
+	chain: string;
+	/** The priority number of the chain, once an admission has given one. */
+	priority?: number;
 	/** The attempt on whose behalf a target calls deeper. */
 	parent?: Attempt;
 };
--- a/packages/experiment/src/deployment.ts
+++ b/packages/experiment/src/deployment.ts
@@ -23,6 +23,8 @@
 /** One call in the plan of an operation, with the calls that it makes in parallel. */
 export type CallPlan = {
 	role: ServiceRole;
+	/** Its name at that service; not the name of what the user asked for. */
+	operation: string;
 	/** Milliseconds of work before the deeper calls, on average; all there is in a leaf. */
 	before: number;
 	/** Milliseconds of work after the deeper calls. */
@@ -32,7 +34,6 @@
 
 /** What a user can ask for. Each operation needs exactly one call to the deepest service. */
 export type Operation = {
-	name: string;
 	requestClass: RequestClass;
 	idempotent: boolean;
 	/** Its share of the demand. */
@@ -93,60 +94,103 @@
 	},
 };
 
-const deep: CallPlan = {role: 'deep', before: deepWork, after: 0, below: []};
-const middle: CallPlan = {role: 'middle', before: 8, after: 4, below: [deep]};
-const side: CallPlan = {role: 'side', before: 20, after: 0, below: []};
+const deep: CallPlan = {
+	role: 'deep',
+	operation: 'GET /lookup',
+	before: deepWork,
+	after: 0,
+	below: [],
+};
+const middle: CallPlan = {
+	role: 'middle',
+	operation: 'GET /board',
+	before: 8,
+	after: 4,
+	below: [deep],
+};
+const side: CallPlan = {
+	role: 'side',
+	operation: 'GET /picture',
+	before: 20,
+	after: 0,
+	below: [],
+};
 
 /** The ordinary mix. */
 export const operations: Operation[] = [
 	{
-		name: 'POST /bookings',
 		requestClass: 'essential',
 		idempotent: false,
 		share: 0.15,
-		plan: {role: 'front', before: 4, after: 2, below: [middle]},
+		plan: {
+			role: 'front',
+			operation: 'POST /bookings',
+			before: 4,
+			after: 2,
+			below: [middle],
+		},
 	},
 	{
-		name: 'PUT /uploads',
 		requestClass: 'essential',
 		idempotent: true,
 		share: 0.15,
-		plan: {role: 'side', before: 20, after: 4, below: [middle]},
+		plan: {
+			role: 'side',
+			operation: 'PUT /uploads',
+			before: 20,
+			after: 4,
+			below: [middle],
+		},
 	},
 	{
-		name: 'GET /orders',
 		requestClass: 'normal',
 		idempotent: true,
 		share: 0.25,
-		plan: {role: 'front', before: 4, after: 2, below: [middle, side]},
+		plan: {
+			role: 'front',
+			operation: 'GET /orders',
+			before: 4,
+			after: 2,
+			below: [middle, side],
+		},
 	},
 	{
-		name: 'GET /board',
 		requestClass: 'normal',
 		idempotent: true,
 		share: 0.25,
 		plan: middle,
 	},
 	{
-		name: 'GET /reports',
 		requestClass: 'deferrable',
 		idempotent: true,
 		share: 0.2,
-		plan: {role: 'front', before: 4, after: 2, below: [middle]},
+		plan: {
+			role: 'front',
+			operation: 'GET /reports',
+			before: 4,
+			after: 2,
+			below: [middle],
+		},
 	},
 ];
 
+const longDeep: CallPlan = {
+	...deep,
+	operation: 'GET /all',
+	before: deepWork * longFactor,
+};
+
 /** Long work: the same chain, with a deepest call that takes `longFactor` times as long. */
 export const longOperation: Operation = {
-	name: 'GET /archive',
 	requestClass: 'deferrable',
 	idempotent: true,
 	share: 0,
 	plan: {
 		role: 'front',
+		operation: 'GET /archive',
 		before: 4,
 		after: 2,
-		below: [{...middle, below: [{...deep, before: deepWork * longFactor}]}],
+		below: [{...middle, operation: 'GET /season', below: [longDeep]}],
 	},
 };
 
--- a/packages/experiment/src/entry.ts
+++ b/packages/experiment/src/entry.ts
@@ -92,12 +92,15 @@
 
 function describe(world: World, call: Call, tries: number): CallFacts {
 	const {operation, caller} = call.request;
+	const {priority, chain} = call;
 	return {
+		chain,
+		...(priority === undefined ? {} : {priority}),
 		id: world.nextId(),
 		service: call.service,
 		requestClass: operation.requestClass,
 		caller,
-		operation: operation.name,
+		operation: call.plan.operation,
 		deadline: world.contender.attemptDeadline(call.deadline, world.clock.now()),
 		attempts: call.attempts - tries,
 		idempotent: operation.idempotent,
@@ -117,13 +120,18 @@
 	const begin = clock.now();
 	let open = true;
 
-	const close = (result: AttemptResult['result'], end?: CallEnd) => {
+	const close = (
+		result: AttemptResult['result'],
+		end?: CallEnd,
+		load?: LoadReport,
+	) => {
 		open = false;
 		timer.cancel();
 		const attemptResult: AttemptResult = {
 			node,
 			duration: clock.now() - begin,
 			result,
+			...(load === undefined ? {} : {load}),
 			...(end && end.kind !== 'answered'
 				? {code: end.code, retryAfter: end.retryAfter}
 				: {}),
@@ -152,7 +160,7 @@
 				tally.saidNotRun(attempt);
 			}
 
-			const result = close(resultOf(end), end);
+			const result = close(resultOf(end), end, seen);
 			tally.attemptEnded(attempt, to.index, result);
 			done(end, result);
 		});
--- a/packages/experiment/src/execution.ts
+++ b/packages/experiment/src/execution.ts
@@ -6,7 +6,11 @@
  * effect and no other deeper call is under way; else its answer is an error.
  */
 import {ErrorCode} from '@egretspoke/protocol';
-import type {CallFacts, Completion} from '@egretspoke/decisions';
+import {
+	chainPriority,
+	type CallFacts,
+	type Completion,
+} from '@egretspoke/decisions';
 import type {Timer} from '@egretspoke/shared';
 import type {Attempt, Call, CallEnd} from './call.js';
 import type {CallPlan} from './deployment.js';
@@ -155,7 +159,11 @@
 	at: {node: ModelNode; facts: CallFacts; plan: CallPlan},
 ): Call {
 	const {node, facts, plan} = at;
+	const {chain} = parent.call;
+	const priority = chainPriority(node.below, chain);
 	return {
+		chain,
+		...(priority === undefined ? {} : {priority}),
 		request: parent.call.request,
 		plan,
 		service: world.deployment.services[plan.role].name,
--- a/packages/experiment/src/model-node.ts
+++ b/packages/experiment/src/model-node.ts
@@ -8,6 +8,7 @@
 	AdmissionPolicy,
 	CallFacts,
 	Completion,
+	LevelsBelow,
 	RoutingPolicy,
 } from '@egretspoke/decisions';
 import type {Timer} from '@egretspoke/shared';
@@ -30,6 +31,8 @@
 	/** When it was started, in milliseconds of the run. */
 	since: number;
 	routing: RoutingPolicy;
+	/** What the layers below let in, for admission and routing alike. */
+	below: LevelsBelow;
 	/** The nodes to which a connection is open. */
 	contacts: Set<ModelNode>;
 	receive(attempt: Attempt, timeLeft: number, reply: Reply): void;
@@ -44,7 +47,14 @@
 /** What tells one node from another. */
 export type ModelNodeOptions = Pick<
 	ModelNode,
-	'name' | 'dataCentre' | 'role' | 'index' | 'startsCold' | 'since' | 'routing'
+	| 'name'
+	| 'dataCentre'
+	| 'role'
+	| 'index'
+	| 'startsCold'
+	| 'since'
+	| 'routing'
+	| 'below'
 > & {admission: AdmissionPolicy};
 
 /** An attempt at this node, waiting or running. */
@@ -75,7 +85,7 @@
 
 	const respond = (entry: Present, end: CallEnd) => {
 		present.delete(entry.facts.id);
-		const report = admission.report(clock.now());
+		const report = admission.report(clock.now(), entry.facts.operation);
 		if (clock.now() - current.at >= reportAge) {
 			late = current.report;
 			current = {at: clock.now(), report};
--- a/packages/experiment/src/run.ts
+++ b/packages/experiment/src/run.ts
@@ -1,6 +1,6 @@
 /** Runs one side of the comparison through one scenario. */
 import {createRandom, createVirtualClock} from '@egretspoke/shared';
-import type {RoutingCandidate} from '@egretspoke/decisions';
+import {createLevelsBelow, type RoutingCandidate} from '@egretspoke/decisions';
 import type {Contender} from './contender.js';
 import {createDeadlineWheel} from './deadline-wheel.js';
 import {
@@ -84,6 +84,7 @@
 	const {name: service, slots} = deployment.services[role];
 	const dataCentre = `data-centre-${(place % deployment.dataCentres) + 1}`;
 	const {policy} = contender;
+	const below = createLevelsBelow();
 	const node = createModelNode(world, {
 		name: `${service}-${index + 1}${startsCold ? '-new' : ''}`,
 		dataCentre,
@@ -91,9 +92,11 @@
 		index,
 		startsCold,
 		since: startsCold ? world.clock.now() : -longAgo,
-		routing: policy.createRouting({dataCentre, random: fork()}),
+		routing: policy.createRouting({dataCentre, below, random: fork()}),
+		below,
 		admission: policy.createAdmission({
 			dataCentre,
+			below,
 			random: fork(),
 			service,
 			slots,
--- a/packages/experiment/src/users.ts
+++ b/packages/experiment/src/users.ts
@@ -220,20 +220,22 @@
 	const {plan, requestClass, idempotent} = operation;
 	const deadline = clock.now() + timeLeft;
 	const service = deployment.services[plan.role].name;
+	const chain = world.nextId();
 	return {
 		call: {
 			request,
 			plan,
 			service,
+			chain,
 			deadline: contender.callDeadline(deadline),
 			attempts: contender.attempts,
 		},
 		facts: {
-			id: world.nextId(),
+			id: chain,
 			service,
 			requestClass,
 			caller,
-			operation: operation.name,
+			operation: plan.operation,
 			deadline,
 			attempts: contender.attempts,
 			idempotent,
