--- /dev/null
+++ b/packages/experiment/src/main.ts
@@ -0,0 +1,89 @@
+/** The experiment command. */
+import {writeFileSync} from 'node:fs';
+import process from 'node:process';
+import {Command, CommanderError} from 'commander';
+import {contenderNames} from './contender.js';
+import {deploymentNames} from './deployment.js';
+import {
+	print,
+	runExperiment,
+	type ExperimentResult,
+	type GoodputPoint,
+} from './experiment.js';
+import {writeMechanismTable} from './mechanism-table.js';
+import {
+	formatFindings,
+	readOptions,
+	type Flags,
+	type Options,
+} from './options.js';
+import {drawGoodput} from './plot.js';
+import {scenarioNames, scenarios} from './scenario.js';
+import {runSweep} from './sweep.js';
+
+const badUsage = 2;
+
+const example = `
+Example:
+  npm run --silent experiment -- --scenario deep-slowdown --seed 1 --json
+
+Policies: ${contenderNames.join(', ')}`;
+
+const command = new Command('experiment')
+	.description('The same seeded load through the naive policy and ours.')
+	.option('--scenario <name>', scenarioNames.join(', '))
+	.option('--seed <number>', 'a whole number; the same seed prints the same')
+	.option('--deployment <name>', deploymentNames.join(' or '), 'akwaaba')
+	.option('--json', 'print one JSON object (the only form there is)')
+	.option('--policy <name...>', 'the policies to run instead of both')
+	.option('--sweep <range>', 'seeds A..B: median and worst of each figure')
+	.option('--table', 'print one row a mechanism switched off, as markdown')
+	.option('--plot <file>', 'write goodput over time as SVG')
+	.addHelpText('after', example)
+	.exitOverride()
+	.action((flags: Flags) => {
+		readOptions(flags).match(runAsAsked, (findings) => {
+			process.stderr.write(`${formatFindings(findings)}\n`);
+			process.exitCode = badUsage;
+		});
+	});
+
+try {
+	command.parse();
+} catch (error) {
+	if (!(error instanceof CommanderError)) {
+		throw error;
+	}
+
+	process.exitCode = error.exitCode === 0 ? 0 : badUsage;
+}
+
+function runAsAsked(options: Options): void {
+	const {seeds, isSweep, table, plot, ...setup} = options;
+	const seed = seeds[0]!;
+	if (table) {
+		process.stdout.write(writeMechanismTable(setup, seeds));
+	} else if (isSweep) {
+		process.stdout.write(`${print(runSweep(setup, seeds))}\n`);
+	} else {
+		const points: GoodputPoint[] = [];
+		const result = runExperiment({...setup, seed}, (point) => {
+			points.push(point);
+		});
+		if (plot !== undefined) {
+			writeFileSync(plot, drawResult(result, points));
+		}
+
+		process.stdout.write(`${print(result)}\n`);
+	}
+}
+
+function drawResult(result: ExperimentResult, points: GoodputPoint[]): string {
+	const {scenario, deployment, seed, limitGoodput} = result;
+	return drawGoodput({
+		title: `Goodput over time: ${scenario}, ${deployment}, seed ${seed}`,
+		scenario: scenarios[scenario],
+		limitGoodput,
+		points,
+	});
+}
