--- a/packages/command/src/command-host.ts
+++ b/packages/command/src/command-host.ts
@@ -13,7 +13,7 @@
 	type AdminFault,
 } from './admin-client.js';
 import {exitCodes, type ExitCode} from './exit-code.js';
-import type {Terminal} from './terminal.js';
+import {environmentNames, type Terminal} from './terminal.js';
 
 /** The surroundings of a command. */
 export type CommandHost = {
@@ -25,7 +25,7 @@
 
 /** The options of every command that talks to a node. */
 export type NodeOptions = {
-	node: string;
+	node?: string;
 	secretFile?: string;
 	timeout: number;
 	json?: boolean;
@@ -38,14 +38,15 @@
 export function addNodeOptions(command: Command): Command {
 	return command
 		.addOption(
-			new Option('--node <address>', "the node's admin listener")
-				.env('EGRETSPOKE_NODE')
-				.default(defaultNode),
+			new Option(
+				'--node <address>',
+				`the node's admin listener; else ${environmentNames.node}, else ${defaultNode}`,
+			),
 		)
 		.addOption(
 			new Option(
 				'--secret-file <file>',
-				'a file that holds the operator secret; or the secret itself in EGRETSPOKE_SECRET',
+				`a file that holds the operator secret; or the secret itself in ${environmentNames.secret}`,
 			),
 		)
 		.addOption(
@@ -68,7 +69,10 @@
 ): AdminClient {
 	const secret = readSecret(options, command, terminal);
 	return createAdminClient({
-		address: options.node,
+		address:
+			options.node ??
+			terminal.environment[environmentNames.node] ??
+			defaultNode,
 		timeout: options.timeout,
 		...(secret !== undefined && {secret}),
 	});
@@ -130,7 +134,7 @@
 	terminal: Terminal,
 ): string | undefined {
 	if (secretFile === undefined) {
-		return terminal.environment.EGRETSPOKE_SECRET;
+		return terminal.environment[environmentNames.secret];
 	}
 
 	try {
--- a/packages/command/src/terminal.ts
+++ b/packages/command/src/terminal.ts
@@ -2,6 +2,13 @@
 import process from 'node:process';
 import {Chalk, type ChalkInstance} from 'chalk';
 
+/** The environment variables that the program reads. */
+export const environmentNames = {
+	node: 'EGRETSPOKE_NODE',
+	secret: 'EGRETSPOKE_SECRET',
+	noColour: 'NO_COLOR',
+} as const;
+
 /** Output, environment and colours. */
 export type Terminal = {
 	/** Whether progress can be shown and erased again. */
@@ -19,7 +26,9 @@
 export function createProcessTerminal(): Terminal {
 	const {stdout, stderr, env} = process;
 	const hasColour =
-		stdout.isTTY && (env.NO_COLOR ?? '') === '' && env.TERM !== 'dumb';
+		stdout.isTTY &&
+		(env[environmentNames.noColour] ?? '') === '' &&
+		env.TERM !== 'dumb';
 	return {
 		write(text) {
 			stdout.write(text);
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -38,7 +38,7 @@
 const duration = createDurationSchema({least: '1ms', most: '24h'});
 const webAddress = z.url({
 	protocol: /^https?$/u,
-	error: 'an http or https address, such as http://10.0.0.5:7500',
+	error: 'expected an http or https address, such as http://10.0.0.5:7500',
 });
 
 const listenersSchema = z.strictObject({
--- a/packages/shared/src/document-issue.ts
+++ b/packages/shared/src/document-issue.ts
@@ -60,7 +60,7 @@
 		{
 			path,
 			message: describe(written),
-			advice: format === 'regex' ? message : `expected ${format}`,
+			advice: message.startsWith('expected') ? message : `expected ${format}`,
 		},
 	],
 	not_multiple_of: ({path, divisor}, written) => [
