--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -21,19 +21,15 @@
 	type ProbeMessage,
 	type TargetAnnouncement,
 } from '@egretspoke/protocol';
-import type {
-	AdmissionPolicy,
-	Policy,
-	RoutingCandidate,
-	RoutingPolicy,
-} from '@egretspoke/decisions';
+import type {AdmissionPolicy, Policy} from '@egretspoke/decisions';
 import type {Clock, Random} from '@egretspoke/shared';
 import {createAttemptSender} from './attempt-sender.js';
 import {createEntry, type Entry} from './entry.js';
 import {refuseHere} from './entry-refusal.js';
+import {createMemberDirectory} from './member-directory.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIngress, type Ingress} from './ingress.js';
-import type {PeerIdentity, PeerTransport} from './message-channel.js';
+import type {PeerTransport} from './message-channel.js';
 import type {NodeReporter} from './node-reporter.js';
 import {createPeers, type Peers} from './peers.js';
 import type {Classification} from './request-chain.js';
@@ -56,12 +52,8 @@
 	members(): readonly Member[];
 	/** True after a pause beyond the lease, until the node has announced itself again. */
 	isSuspended(): boolean;
-	handleProbe(
-		message: ProbeMessage,
-		peer: PeerIdentity,
-	): AcknowledgementMessage;
+	receiveProbe(message: ProbeMessage): AcknowledgementMessage;
 	configurationBody(): ConfigurationBodyMessage | undefined;
-	takeConfigurationBody(message: ConfigurationBodyMessage): void;
 };
 
 /** What a core is built from. */
@@ -94,10 +86,14 @@
 	ingress(): Ingress | undefined;
 	/** Takes the target's announcement; a second one replaces the first. */
 	announce(target: CoreTarget): void;
-	/** To be called when members have changed. */
+	/** To be called when members have changed in more than their heartbeat. */
 	membersChanged(): void;
+	/** True when some member's target serves it. */
+	isServed(service: string): boolean;
 	/** No new work for the target from now on; the entry still serves. */
 	leave(): void;
+	/** The target takes work again after a `leave`. */
+	rejoin(): void;
 	/** Refuses everything new, and resolves when nothing is in flight. */
 	drain(): Promise<void>;
 };
@@ -106,6 +102,7 @@
 export function createNodeCore(context: NodeCoreContext): NodeCore {
 	const {clock, control, policy, reporter, self, supervisor} = context;
 	const running = createRunningRequests();
+	const directory = createMemberDirectory();
 	const ledger = createLedger({clock, ...context.ledger});
 	const routing = policy.createRouting({
 		dataCentre: context.dataCentre,
@@ -152,28 +149,24 @@
 	const peers = createPeers({
 		clock,
 		transport: context.transport,
+		self: self.node,
+		nodeAt: (address) => directory.nodeAt(address),
 		supervisor: supervisor.branch('peers'),
 		services: {
 			reporter,
 			call: async (message, signal) =>
 				handleCall[message.role](message, signal),
-			probe: (message, peer) => control.handleProbe(message, peer),
+			probe: (message) => control.receiveProbe(message),
 			configurationBody: () => control.configurationBody(),
-			takeConfigurationBody(message) {
-				control.takeConfigurationBody(message);
-			},
 		},
 	});
 
-	const findMember = (node: string) =>
-		control.members().find((member) => member.node === node);
-
 	const send = createAttemptSender({
 		clock,
 		routing,
 		reporter,
 		async path(node, request, signal) {
-			const member = findMember(node);
+			const member = directory.byNode(node);
 			if (node === self.node || !member) {
 				return runHere(request, signal);
 			}
@@ -194,7 +187,7 @@
 		classify: (service, method, path) =>
 			control.classify(service, method, path),
 		async passToHome(home, request, signal) {
-			const member = findMember(home.node);
+			const member = directory.byNode(home.node);
 			if (!member || home.node === self.node) {
 				return {outcome: refuseHere(ErrorCode.HomeGone)};
 			}
@@ -214,13 +207,24 @@
 		},
 		peers,
 		ledger,
-		membersChanged: createCandidateUpdater(context, routing),
+		isServed: (service) => directory.isServed(service),
+		membersChanged() {
+			const now = clock.now();
+			for (const [service, list] of directory.update(control.members(), now)) {
+				routing.candidatesChanged(service, list, now);
+			}
+		},
 		leave() {
-			reporter.notice({name: 'leaving', reason: 'asked to leave'});
+			if (!ingress?.isLeaving()) {
+				reporter.notice({name: 'leaving', reason: 'asked to leave'});
+			}
+
 			ingress?.leave();
 		},
+		rejoin() {
+			ingress?.rejoin();
+		},
 		async drain() {
-			reporter.notice({name: 'leaving', reason: 'draining'});
 			isDraining = true;
 			ingress?.leave();
 			await ingress?.whenIdle();
@@ -256,54 +260,3 @@
 		}),
 	};
 }
-
-const candidateStates: Partial<
-	Record<Member['state'], RoutingCandidate['state']>
-> = {active: 'active', suspect: 'suspect', leaving: 'leaving'};
-
-/** Keeps the router's candidates as the members stand. */
-function createCandidateUpdater(
-	{clock, control}: NodeCoreContext,
-	routing: RoutingPolicy,
-): () => void {
-	const since = new Map<string, number>();
-	let services = new Set<string>();
-
-	return () => {
-		const now = clock.now();
-		const byService = new Map<string, RoutingCandidate[]>();
-		const seen = new Set<string>();
-		for (const member of control.members()) {
-			const state = candidateStates[member.state];
-			if (!member.target || !state) {
-				continue;
-			}
-
-			const start = `${member.node}@${member.incarnation}`;
-			seen.add(start);
-			since.set(start, since.get(start) ?? now);
-			const list = byService.get(member.target.service) ?? [];
-			byService.set(member.target.service, list);
-			list.push({
-				node: member.node,
-				dataCentre: member.dataCentre,
-				slots: member.target.slots,
-				connections: member.target.connections,
-				since: since.get(start)!,
-				state,
-			});
-		}
-
-		for (const start of since.keys()) {
-			if (!seen.has(start)) {
-				since.delete(start);
-			}
-		}
-
-		for (const service of new Set([...services, ...byService.keys()])) {
-			routing.candidatesChanged(service, byService.get(service) ?? [], now);
-		}
-
-		services = new Set(byService.keys());
-	};
-}
--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -23,9 +23,8 @@
 export type PeerServices = {
 	reporter: NodeReporter;
 	call(message: CallMessage, signal: AbortSignal): Promise<ExchangeResult>;
-	probe(message: ProbeMessage, peer: PeerIdentity): AcknowledgementMessage;
+	probe(message: ProbeMessage): AcknowledgementMessage;
 	configurationBody(): ConfigurationBodyMessage | undefined;
-	takeConfigurationBody(message: ConfigurationBodyMessage): void;
 };
 
 /** A peer over an open channel. */
@@ -41,12 +40,17 @@
 		probe: Omit<ProbeMessage, 'type' | 'sequence'>,
 		signal: AbortSignal,
 	): Promise<AcknowledgementMessage | undefined>;
-	requestConfiguration(): void;
+	/** Undefined when no body came before the signal or the close. */
+	requestConfiguration(
+		signal: AbortSignal,
+	): Promise<ConfigurationBodyMessage | undefined>;
 	/** Serves the peer until the channel closes. */
 	serve(): Promise<void>;
 	close(reason: string): void;
 	/** Exchanges and probes that are open in either direction. */
 	openExchanges(): number;
+	/** Messages received so far; a connection that gains none is idle. */
+	received(): number;
 };
 
 /** Calls that one peer may have open here; more are refused as overload. */
@@ -67,7 +71,11 @@
 		number,
 		(message: AcknowledgementMessage | undefined) => void
 	>();
+	const bodyWaiters = new Set<
+		(message: ConfigurationBodyMessage | undefined) => void
+	>();
 	let sequence = 1;
+	let received = 0;
 
 	const answerCall = async (message: CallMessage) => {
 		const {exchange} = message;
@@ -112,7 +120,7 @@
 			served.get(message.exchange)?.abort();
 		},
 		probe(message) {
-			channel.send(services.probe(message, channel.peer));
+			channel.send(services.probe(message));
 		},
 		acknowledgement(message) {
 			probes.get(message.sequence)?.(message);
@@ -124,13 +132,15 @@
 			}
 		},
 		configurationBody(message) {
-			services.takeConfigurationBody(message);
+			for (const settle of bodyWaiters) {
+				settle(message);
+			}
 		},
 	};
 
 	const closeAll = () => {
 		exchanges.closeAll();
-		for (const settle of probes.values()) {
+		for (const settle of [...probes.values(), ...bodyWaiters]) {
 			settle(undefined);
 		}
 
@@ -168,12 +178,29 @@
 				}
 			});
 		},
-		requestConfiguration() {
-			channel.send({type: 'configurationRequest'});
+		async requestConfiguration(signal) {
+			return new Promise((resolve) => {
+				const settle = (message: ConfigurationBodyMessage | undefined) => {
+					bodyWaiters.delete(settle);
+					signal.removeEventListener('abort', giveUp);
+					resolve(message);
+				};
+
+				const giveUp = () => {
+					settle(undefined);
+				};
+
+				bodyWaiters.add(settle);
+				signal.addEventListener('abort', giveUp);
+				if (!channel.send({type: 'configurationRequest'})) {
+					settle(undefined);
+				}
+			});
 		},
 		async serve() {
 			try {
 				for await (const message of channel.receive()) {
+					received++;
 					const handle = handlers[message.type] as (message: Message) => void;
 					handle(message);
 				}
@@ -184,6 +211,7 @@
 		close(reason) {
 			channel.close(reason);
 		},
+		received: () => received,
 		openExchanges: () => exchanges.size() + served.size + probes.size,
 	};
 }
