fix(node): a refusal after a lost answer is unknown, never not run

Cause: an idempotent request whose first answer was lost was tried again; when the second target refused, the caller was told 'not run' although the first had run it. Ruled out: the non-idempotent path, which makes no attempt after an unknown end. Change: the loop remembers that an attempt may have run.

--- a/packages/node/src/attempt-sender.ts
+++ b/packages/node/src/attempt-sender.ts
@@ -105,7 +105,7 @@
 		const now = clock.now();
 		observe(request.service, node, load);
 		const result = readResult(node, outcome, now - startedAt, signal);
-		routing.finished(facts, result, now);
+		routing.finished(facts, {...result, ...(load && {load})}, now);
 		return {outcome, result, given};
 	};
 }
--- a/packages/node/src/attempts.ts
+++ b/packages/node/src/attempts.ts
@@ -32,6 +32,9 @@
 	reporter: NodeReporter;
 };
 
+/** Tells the attempts of one process apart, also those of a request that passes its node twice. */
+let attemptNumber = 0;
+
 /** Creates the attempts of a request that has made none. */
 export function createAttempts(
 	context: AttemptsContext,
@@ -41,10 +44,11 @@
 	const {request} = call;
 	let left = request.attempts;
 	let exclude: string[] = [];
-	let last: AttemptResult | undefined;
+	let last: {facts: CallFacts; result: AttemptResult} | undefined;
 
 	const facts = (): CallFacts => ({
-		id: request.id,
+		id: `${request.id}~${attemptNumber++}`,
+		chain: request.id,
 		service: request.service,
 		requestClass: request.requestClass,
 		caller: request.caller,
@@ -52,28 +56,31 @@
 		deadline: call.deadline,
 		attempts: left,
 		idempotent: request.idempotent,
+		...(request.priority !== undefined && {priority: request.priority}),
 	});
 
 	return {
 		async send(ticket, signal) {
 			const options = {exclude, ticket, signal};
-			const sent = await context.send(request, facts(), options);
-			last = sent.result;
+			const attempt = facts();
+			const sent = await context.send(request, attempt, options);
+			last = sent.result && {facts: attempt, result: sent.result};
 			// A definite refusal used nothing below; anything else may have used all it was given.
 			left -= sent.outcome.kind === 'notRun' ? 0 : sent.given;
 			return sent.outcome;
 		},
 		async retry(refusal, signal) {
-			if (last === undefined) {
+			if (last === undefined || signal.aborted) {
 				return refusal;
 			}
 
-			if (last.result === 'unknown') {
+			if (last.result.result === 'unknown') {
 				// Its attempt is already deducted; the decision expects it included.
 				left += 1;
 			}
 
-			const decision = routing.retry(facts(), last, clock.now());
+			const tried = {...last.facts, attempts: left};
+			const decision = routing.retry(tried, last.result, clock.now());
 			left -= 1;
 			reporter.decide({
 				name: decision.kind === 'retry' ? 'retried' : 'retryRefused',
@@ -86,8 +93,11 @@
 				return createRefusal(code, {detail: reason, retryAfter});
 			}
 
-			exclude = decision.exclude;
-			await sleep(clock, decision.delay, signal);
+			exclude = [...exclude, ...decision.exclude];
+			if (decision.delay > 0) {
+				await sleep(clock, decision.delay, signal);
+			}
+
 			return signal.aborted ? createRefusal(ErrorCode.CallerGone) : undefined;
 		},
 		finish() {
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -11,6 +11,7 @@
 	type Ledger,
 } from '@egretspoke/ledger';
 import {
+	admitUnknown,
 	ErrorCode,
 	formatHome,
 	type CallRequest,
@@ -56,6 +57,8 @@
 		method: string,
 		path: string,
 	): Classification | undefined;
+	/** The priority number of a request that the node's own target runs. */
+	priorityOf(request: string): number | undefined;
 	/** Passes a request to the home of its key. */
 	passToHome(
 		home: Home,
@@ -104,6 +107,11 @@
 
 		const startedAt = clock.now();
 		const {request, allotment} = call.value;
+		const priority = allotment && context.priorityOf(request.id);
+		if (priority !== undefined) {
+			request.priority = priority;
+		}
+
 		const linked = createLinkedAbort(signal, allotment?.signal);
 		const outcome = await chooseHandler(incoming, call.value)(
 			call.value,
@@ -162,6 +170,7 @@
 		signal: AbortSignal,
 	): Promise<Outcome> => {
 		const attempts = createAttempts(context, call);
+		let mayHaveRun = false;
 		for (;;) {
 			const ticket = createAttemptTicket({
 				clock,
@@ -170,16 +179,20 @@
 			});
 			// eslint-disable-next-line no-await-in-loop -- one attempt after another.
 			const outcome = await attempts.send(ticket, signal);
-			if (outcome.kind === 'answered' || signal.aborted) {
+			if (outcome.kind === 'answered') {
 				attempts.finish();
 				return outcome;
 			}
 
+			// A later refusal says nothing about an earlier attempt whose answer
+			// was lost: "not run" would be a lie about the request.
+			mayHaveRun ||= outcome.kind === 'unknown';
+
 			// eslint-disable-next-line no-await-in-loop -- the back-off comes before the next attempt.
 			const refusal = await attempts.retry(outcome.refusal, signal);
 			if (refusal) {
 				attempts.finish();
-				return {...outcome, refusal};
+				return mayHaveRun ? admitUnknown(refusal) : {...outcome, refusal};
 			}
 		}
 	};
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -50,7 +50,8 @@
 	/** Takes work again. */
 	rejoin(): void;
 	isLeaving(): boolean;
-	report(): LoadReport;
+	/** The load, with the level that holds for the operation. */
+	report(operation?: string): LoadReport;
 	/** Requests at the target now. */
 	inFlight(): number;
 	/** Resolves when nothing runs any more. */
@@ -229,7 +230,7 @@
 			isLeaving = false;
 		},
 		isLeaving: () => isLeaving,
-		report: () => admission.report(clock.now()),
+		report: (operation) => admission.report(clock.now(), operation),
 		inFlight: idle.count,
 		whenIdle: idle.whenIdle,
 	};
@@ -246,6 +247,8 @@
 		deadline: now + request.timeLeft,
 		attempts: request.attempts,
 		idempotent: request.idempotent,
+		chain: request.id,
+		...(request.priority !== undefined && {priority: request.priority}),
 	};
 }
 
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -22,14 +22,20 @@
 	type ProbeMessage,
 	type TargetAnnouncement,
 } from '@egretspoke/protocol';
-import type {AdmissionPolicy, Policy} from '@egretspoke/decisions';
+import {
+	chainPriority,
+	createLevelsBelow,
+	type AdmissionPolicy,
+	type LevelsBelow,
+	type Policy,
+} from '@egretspoke/decisions';
 import type {Clock, Random} from '@egretspoke/shared';
 import {createAttemptSender} from './attempt-sender.js';
 import {createEntry, type Entry} from './entry.js';
 import {refuseHere} from './entry-refusal.js';
 import {createMemberDirectory} from './member-directory.js';
 import type {ExchangeResult} from './exchange-table.js';
-import {createIngress, type Ingress} from './ingress.js';
+import {createIngress, readOperation, type Ingress} from './ingress.js';
 import type {PeerTransport} from './message-channel.js';
 import type {NodeReporter} from './node-reporter.js';
 import {createPeers, type Peers} from './peers.js';
@@ -107,7 +113,9 @@
 	const running = createRunningRequests();
 	const directory = createMemberDirectory();
 	const ledger = createLedger({clock, ...context.ledger});
+	const below = createLevelsBelow();
 	const routing = policy.createRouting({
+		below,
 		dataCentre: context.dataCentre,
 		random: context.random.fork(),
 	});
@@ -132,7 +140,7 @@
 		}
 
 		const outcome = await ingress.run(request, signal);
-		return {outcome, load: ingress.report()};
+		return {outcome, load: ingress.report(readOperation(request))};
 	};
 
 	const handleCall: Record<
@@ -188,6 +196,7 @@
 		running,
 		reporter,
 		refusalOf,
+		priorityOf: (request) => chainPriority(below, request),
 		classify: (service, method, path) =>
 			control.classify(service, method, path),
 		async passToHome(home, request, signal) {
@@ -207,7 +216,11 @@
 		announce(target) {
 			// Requests at the target go on under the old limits to their ends.
 			ingress?.leave();
-			ingress = createTargetIngress(context, target, running, refusalOf);
+			ingress = createTargetIngress(context, target, {
+				running,
+				below,
+				refusalOf,
+			});
 		},
 		peers,
 		ledger,
@@ -239,13 +252,19 @@
 
 type TargetIngress = Ingress & {service: string};
 
+type IngressParts = {
+	running: RunningRequests;
+	below: LevelsBelow;
+	refusalOf: () => ErrorCode | undefined;
+};
+
 function createTargetIngress(
 	{clock, dataCentre, policy, random, reporter}: NodeCoreContext,
 	{announcement, client}: CoreTarget,
-	running: RunningRequests,
-	refusalOf: () => ErrorCode | undefined,
+	{running, below, refusalOf}: IngressParts,
 ): TargetIngress {
 	const admission: AdmissionPolicy = policy.createAdmission({
+		below,
 		dataCentre,
 		random: random.fork(),
 		service: announcement.service,
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -51,6 +51,8 @@
 	/** Attempts left for the chain at and below this call, this one included. */
 	attempts: z.number().int().nonnegative(),
 	idempotent: z.boolean(),
+	/** The priority number that the chain's first admission gave. */
+	priority: z.number().optional(),
 	key: z.string().optional(),
 	/** When the key expires, in milliseconds since 1970. */
 	keyExpiry: z.number().optional(),
