--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -7,9 +7,11 @@
 	attemptAtMostOnce,
 	createAttemptTicket,
 	fingerprintRequest,
+	type AttemptHandler,
 	type Ledger,
 } from '@egretspoke/ledger';
 import {
+	admitUnknown,
 	ErrorCode,
 	formatHome,
 	type CallRequest,
@@ -45,6 +47,8 @@
 	routing: RoutingPolicy;
 	send: AttemptSender;
 	ledger: Ledger;
+	/** `attemptAtMostOnce` when absent. */
+	attemptHandler?: AttemptHandler;
 	running: RunningRequests;
 	reporter: NodeReporter;
 	/** Undefined for a service that nobody configured or announced. */
@@ -53,6 +57,8 @@
 		method: string,
 		path: string,
 	): Classification | undefined;
+	/** The priority number of a request that the node's own target runs. */
+	priorityOf(request: string): number | undefined;
 	/** Passes a request to the home of its key. */
 	passToHome(
 		home: Home,
@@ -76,6 +82,7 @@
 /** Creates the entry of one node. */
 export function createEntry(context: EntryContext): Entry {
 	const {clock, reporter, running, self} = context;
+	const {attemptHandler = attemptAtMostOnce} = context;
 	const idle = createIdleCounter();
 
 	const handle = async (
@@ -100,6 +107,11 @@
 
 		const startedAt = clock.now();
 		const {request, allotment} = call.value;
+		const priority = allotment && context.priorityOf(request.id);
+		if (priority !== undefined) {
+			request.priority = priority;
+		}
+
 		const linked = createLinkedAbort(signal, allotment?.signal);
 		const outcome = await chooseHandler(incoming, call.value)(
 			call.value,
@@ -158,6 +170,7 @@
 		signal: AbortSignal,
 	): Promise<Outcome> => {
 		const attempts = createAttempts(context, call);
+		let mayHaveRun = false;
 		for (;;) {
 			const ticket = createAttemptTicket({
 				clock,
@@ -166,16 +179,20 @@
 			});
 			// eslint-disable-next-line no-await-in-loop -- one attempt after another.
 			const outcome = await attempts.send(ticket, signal);
-			if (outcome.kind === 'answered' || signal.aborted) {
+			if (outcome.kind === 'answered') {
 				attempts.finish();
 				return outcome;
 			}
 
+			// A later refusal says nothing about an earlier attempt whose answer
+			// was lost: "not run" would be a lie about the request.
+			mayHaveRun ||= outcome.kind === 'unknown';
+
 			// eslint-disable-next-line no-await-in-loop -- the back-off comes before the next attempt.
 			const refusal = await attempts.retry(outcome.refusal, signal);
 			if (refusal) {
 				attempts.finish();
-				return {...outcome, refusal};
+				return mayHaveRun ? admitUnknown(refusal) : {...outcome, refusal};
 			}
 		}
 	};
@@ -186,7 +203,7 @@
 	): Promise<Outcome> => {
 		const {request} = call;
 		const attempts = createAttempts(context, call);
-		const outcome = await attemptAtMostOnce({
+		const outcome = await attemptHandler({
 			clock,
 			ledger: context.ledger,
 			request: {
