fix(control): plans of one id are told apart; repeated announcements are silent

Cause: a plan whose write failed was taken for kept if any plan had its id; a target that announces itself again and again had its node tell everybody. Conclusion: the new test fails with the former check.

--- a/packages/control/__tests__/control.spec.ts
+++ b/packages/control/__tests__/control.spec.ts
@@ -78,4 +78,26 @@
 			expect(node.versions).to.deep.equal([1]);
 		}
 	});
+
+	it('keeps a plan whose answer was lost, and no other under its id', async () => {
+		// The write of the plan takes effect and its answer is lost: the operator
+		// should see the plan. Two nodes that drew the same id must not show one
+		// operator a plan and confirm another's.
+		const clock = createVirtualClock();
+		const platform = createMemoryPlatform({clock});
+		const plan = async (author: string) => {
+			const network = createNetwork({clock, platform, seed: 9});
+			const {control} = await network.add('dc1-a');
+			platform.faults.lostAnswers = 1;
+			return control.plan({author, file: 'f', document});
+		};
+
+		const instant = clock.date();
+		clock.date = () => instant;
+		const first = await plan('esi');
+		expect(first._unsafeUnwrap().author).to.equal('esi');
+		platform.faults.lostAnswers = 0;
+		const second = await plan('kofi');
+		expect(second._unsafeUnwrapErr().kind).to.equal('unavailable');
+	});
 });
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -1,4 +1,5 @@
 /** Control of one node, wired together: configuration, membership, operators. */
+import {isDeepStrictEqual} from 'node:util';
 import type {
 	AcknowledgementMessage,
 	Member,
@@ -57,7 +58,7 @@
 	membership: MembershipService;
 	/** Answers a probe that came in. */
 	receiveProbe(probe: ProbeMessage): AcknowledgementMessage;
-	/** The target beside the node announced itself, or ended. */
+	/** The target beside the node announced itself, or ended; repeats tell nobody. */
 	announceTarget(target: TargetAnnouncement | undefined): void;
 	/** The target takes no new work from now on; told to all at once. */
 	leave(): void;
@@ -168,7 +169,9 @@
 		membership,
 		receiveProbe: membership.receive,
 		announceTarget(target) {
-			membership.announce({target});
+			if (!isDeepStrictEqual(target, membership.self().target)) {
+				membership.announce({target});
+			}
 		},
 		leave() {
 			isLeavingByIntent = false;
--- a/packages/control/src/operator-service.ts
+++ b/packages/control/src/operator-service.ts
@@ -1,4 +1,5 @@
 /** What the admin listener offers to operators: plan, confirm and status. */
+import {isDeepStrictEqual} from 'node:util';
 import type {
 	ConfirmAnswer,
 	NodeStatus,
@@ -104,7 +105,7 @@
 				targets: listKnownTargets(membership),
 			});
 			const kept = await keepPlan(platform, plan, body);
-			if (kept.isOk() || (await isKept(platform, plan.id))) {
+			if (kept.isOk() || (await isKept(platform, plan))) {
 				return ok(plan);
 			}
 
@@ -189,10 +190,14 @@
 	};
 }
 
-/** A plan whose write lost its answer may have been kept; it has no effect before a confirmation. */
-async function isKept(platform: Platform, id: string): Promise<boolean> {
-	const plan = await readPlan(platform, id);
-	return plan.isOk() && plan.value.value !== undefined;
+/**
+ * A plan whose write lost its answer may have been kept; it has no effect
+ * before a confirmation. One that another node made under the same id isn't it.
+ */
+async function isKept(platform: Platform, plan: Plan): Promise<boolean> {
+	const found = await readPlan(platform, plan.id);
+	const kept = found.isOk() ? found.value.value?.plan : undefined;
+	return kept !== undefined && isDeepStrictEqual(kept, plan);
 }
 
 function listKnownTargets(membership: MembershipService) {
