fix(control): only many returns lead to an exchange of all members

Change: more returns than fit into one message's news are needed, and the member that is asked is drawn from the data centres that came back, so that the answers are spread.

--- a/packages/control/src/catch-up.ts
+++ b/packages/control/src/catch-up.ts
@@ -6,51 +6,82 @@
  * refutations spread a few a message; at 96 nodes the data centres were not
  * whole again within 20 s. One notices requests refused in one data centre
  * while another has free targets. Asking once for all members, after the
- * refutations were made, costs one large message and settles it in 7 s.
+ * refutations were made, costs one large message and settles it.
+ *
+ * It is for many returns only. A single member that was slow for a moment
+ * would otherwise have every node ask for all members: at 570 nodes that took
+ * 100 KB a second of the busiest one.
  */
+import type {Member} from '@egretspoke/protocol';
 import type {Clock, Random} from '@egretspoke/shared';
-import type {MembershipTiming} from './membership-timing.js';
+import {newsLimits, type MembershipTiming} from './membership-timing.js';
+import {sample} from './probe-order.js';
 
 /** Notes returns and acts on them. */
 export type CatchUp = {
-	/** A member at this address came back. */
-	note(address: string): void;
+	/** A member came back. */
+	note(member: Member): void;
 	/** To be called often; does what is due. */
 	act(): Promise<void>;
 };
 
+/** Returns within a pause that don't fit into the news of one message. */
+const manyReturns = newsLimits.probe;
+
 /** Creates the catch-up of one node. */
 export function createCatchUp(options: {
 	clock: Clock;
 	random: Random;
 	timing: MembershipTiming;
+	present: () => Member[];
 	/** When all members were last asked for. */
 	lastJoin: () => number;
 	join: (addresses: string[]) => Promise<unknown>;
 	reachLost: () => Promise<void>;
 }): CatchUp {
-	const {clock, random, timing, lastJoin, join, reachLost} = options;
-	let lastReturn = Number.NEGATIVE_INFINITY;
-	let due: {address: string; at: number} | undefined;
+	const {clock, random, timing, present, lastJoin, join, reachLost} = options;
+	let firstReturn = Number.NEGATIVE_INFINITY;
+	let returns = new Map<string, Member>();
+
+	const askOneOf = async (members: Member[]) => {
+		const dataCentres = new Set(members.map(({dataCentre}) => dataCentre));
+		const candidates = present().filter(({dataCentre}) =>
+			dataCentres.has(dataCentre),
+		);
+		const [chosen] = sample(candidates, 1, random);
+		if (chosen) {
+			await join([chosen.peerAddress]);
+		}
+	};
+
 	return {
-		note(address) {
-			const now = clock.now();
-			const delay = timing.returnDelay * (1 + random.fraction());
-			lastReturn = now;
-			due ??= {
-				address,
-				at: Math.max(now + delay, lastJoin() + timing.returnPause),
-			};
+		note(member) {
+			if (returns.size === 0) {
+				firstReturn = clock.now();
+			}
+
+			returns.set(member.node, member);
 		},
 		async act() {
+			if (returns.size === 0) {
+				return;
+			}
+
 			const now = clock.now();
-			if (due && now >= due.at) {
-				const {address} = due;
-				due = undefined;
-				await join([address]);
-			} else if (now - lastReturn < timing.returnPause) {
-				await reachLost();
+			const delay = timing.returnDelay * (1 + random.fraction());
+			const at = Math.max(firstReturn + delay, lastJoin() + timing.returnPause);
+			if (returns.size > manyReturns && now >= at) {
+				const returned = [...returns.values()];
+				returns = new Map();
+				await askOneOf(returned);
+				return;
 			}
+
+			if (now - firstReturn > timing.returnPause) {
+				returns = new Map();
+			}
+
+			await reachLost();
 		},
 	};
 }
--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -119,7 +119,7 @@
 			!isPresent(before) &&
 			isPresent(member);
 		if (isReturn) {
-			catchUp.note(member.peerAddress);
+			catchUp.note(member);
 		}
 	};
 
@@ -161,21 +161,15 @@
 		}
 
 		const isAlone = known.size === 1;
-		const answer = await exchange(lost.peerAddress, lost.node, {
-			whole: isAlone,
-		});
-		const isReached =
-			answer &&
-			(lost.node === undefined || answer.members[0]?.node === lost.node);
-		if (isReached && !isAlone) {
-			catchUp.note(lost.peerAddress);
-		}
+		const isSeed = lost.node === undefined;
+		await exchange(lost.peerAddress, lost.node, {whole: isAlone || isSeed});
 	};
 
 	const catchUp = createCatchUp({
 		clock,
 		random,
 		timing,
+		present: view.present,
 		lastJoin,
 		join,
 		reachLost,
