perf(control): the gossip queue in turns, and nothing done while all is well

Cause: a profile of 570 nodes in one process showed 14.5% of its time in sorting the news for each message and over 15% in looking through all members for suspects and lost ones. Change: the queue keeps its records in turns, untold ones first, and takes the first; the suspects and the gone are kept as a set.

--- a/packages/control/src/gossip-queue.ts
+++ b/packages/control/src/gossip-queue.ts
@@ -26,43 +26,79 @@
 /** The least number of tellings, for a handful of members. */
 const fewestTellings = 4;
 
-type Item = {node: string; told: number; isUrgent: boolean};
+/** Nodes that are still to be told, in turn, and how often they were. */
+type Turns = Map<string, number>;
 
 /** Creates an empty queue. */
 export function createGossipQueue(): GossipQueue {
-	const items = new Map<string, Item>();
+	const fresh = createLanes();
+	const told = createLanes();
+
+	const remove = (node: string) => {
+		for (const lane of lanes) {
+			fresh[lane].delete(node);
+			told[lane].delete(node);
+		}
+	};
+
 	return {
 		add(node, isUrgent) {
-			items.set(node, {node, told: 0, isUrgent});
+			remove(node);
+			fresh[isUrgent ? 'urgent' : 'ordinary'].set(node, 0);
 		},
 		take(most, members) {
-			if (items.size === 0) {
-				return [];
+			const doublings = Math.log2(members + 1);
+			const taken: Array<{node: string; times: number; lane: Lane}> = [];
+			for (const lane of lanes) {
+				for (const {[lane]: turns} of [fresh, told]) {
+					const nodes = takeTurns(turns, most - taken.length);
+					taken.push(...nodes.map(([node, times]) => ({node, times, lane})));
+				}
 			}
 
-			const doublings = Math.log2(members + 1);
-			const limitOf = (factor: number) =>
-				Math.max(fewestTellings, Math.ceil(factor * doublings));
-			const limits = {
-				urgent: limitOf(tellings.urgent),
-				ordinary: limitOf(tellings.ordinary),
-			};
-			const chosen = [...items.values()].sort(compareItems).slice(0, most);
-			for (const item of chosen) {
-				item.told++;
-				if (item.told >= limits[item.isUrgent ? 'urgent' : 'ordinary']) {
-					items.delete(item.node);
+			for (const {node, times, lane} of taken) {
+				const limit = Math.ceil(tellings[lane] * doublings);
+				if (times + 1 < Math.max(fewestTellings, limit)) {
+					told[lane].set(node, times + 1);
 				}
 			}
 
-			return chosen.map(({node}) => node);
+			return taken.map(({node}) => node);
 		},
-		size: () => items.size,
+		size: () =>
+			lanes.reduce(
+				(total, lane) => total + fresh[lane].size + told[lane].size,
+				0,
+			),
 	};
 }
 
-function compareItems(left: Item, right: Item): number {
-	return (
-		Number(right.isUrgent) - Number(left.isUrgent) || left.told - right.told
-	);
+/** Ends go before everything that can wait. */
+const lanes = ['urgent', 'ordinary'] as const;
+
+type Lane = (typeof lanes)[number];
+
+function createLanes(): Record<Lane, Turns> {
+	return {
+		urgent: new Map<string, number>(),
+		ordinary: new Map<string, number>(),
+	};
+}
+
+/** Takes the first entries out; a map keeps the order of their insertion. */
+function takeTurns(turns: Turns, most: number): Array<[string, number]> {
+	const taken: Array<[string, number]> = [];
+	for (const entry of turns) {
+		if (taken.length >= most) {
+			break;
+		}
+
+		taken.push(entry);
+	}
+
+	for (const [node] of taken) {
+		turns.delete(node);
+	}
+
+	return taken;
 }
--- a/packages/control/src/member-view.ts
+++ b/packages/control/src/member-view.ts
@@ -103,7 +103,10 @@
 		entry: (node) => state.entries.get(node),
 		entries: () => [...state.entries.values()],
 		present: () => others().filter((member) => isPresent(member)),
-		gone: () => others().filter((member) => !isPresent(member)),
+		gone: () =>
+			[...state.fading]
+				.map((node) => state.entries.get(node)!.member)
+				.filter((member) => !isPresent(member)),
 		changes: changes.stream,
 		setSelf,
 		take(records, isWhole = false) {
--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -149,20 +149,25 @@
 		}
 	};
 
-	const reachLost = async () => {
-		const known = new Set(view.present().map(({peerAddress}) => peerAddress));
-		known.add(view.self().peerAddress);
-		const seeds = peers
-			.filter((address) => !known.has(address))
-			.map((peerAddress) => ({peerAddress, node: undefined}));
-		const [lost] = sample([...view.gone(), ...seeds], 1, random);
-		if (!lost) {
-			return;
+	/** Addresses of the settings that no member known here has. */
+	const listSeeds = () => {
+		if (peers.length === 0) {
+			return [];
 		}
 
-		const isAlone = known.size === 1;
-		const isSeed = lost.node === undefined;
-		await exchange(lost.peerAddress, lost.node, {whole: isAlone || isSeed});
+		const known = view.present().map(({peerAddress}) => peerAddress);
+		const others = new Set([...known, view.self().peerAddress]);
+		return peers
+			.filter((address) => !others.has(address))
+			.map((peerAddress) => ({peerAddress, node: undefined}));
+	};
+
+	const reachLost = async () => {
+		const [lost] = sample([...view.gone(), ...listSeeds()], 1, random);
+		if (lost) {
+			const whole = lost.node === undefined || view.present().length === 0;
+			await exchange(lost.peerAddress, lost.node, {whole});
+		}
 	};
 
 	const catchUp = createCatchUp({
--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -26,6 +26,8 @@
 export type MembershipState = {
 	self: string;
 	entries: Map<string, MemberEntry>;
+	/** The suspects and the gone, so that looking after them costs nothing while all is well. */
+	fading: Set<string>;
 };
 
 /** A record that changed here; `before` is absent for a new member. */
@@ -56,6 +58,7 @@
 	return {
 		self: member.node,
 		entries: new Map([[member.node, {member, changedAt: now, heardAt: now}]]),
+		fading: new Set(),
 	};
 }
 
@@ -82,6 +85,7 @@
 			changedAt: now,
 			heardAt: now,
 		});
+		noteFading(state, incoming);
 		return {member: incoming};
 	}
 
@@ -96,6 +100,7 @@
 	entry.member = incoming;
 	entry.changedAt = now;
 	entry.heardAt = isLife ? now : entry.heardAt;
+	noteFading(state, incoming);
 	return {member: incoming, before};
 }
 
@@ -122,7 +127,7 @@
 ): MemberChange | undefined {
 	const entry = state.entries.get(node);
 	const next = entry && nextOnSilence[entry.member.state];
-	return entry && next ? changeState(entry, next, now) : undefined;
+	return entry && next ? changeState(state, entry, next, now) : undefined;
 }
 
 /** Suspects that nobody refuted in time are gone; old ends are forgotten. */
@@ -132,16 +137,14 @@
 	limits: {suspicion: number; remembrance: number},
 ): MemberChange[] {
 	const changes: MemberChange[] = [];
-	for (const [node, entry] of state.entries) {
+	for (const node of state.fading) {
+		const entry = state.entries.get(node)!;
 		const age = now - entry.changedAt;
 		if (entry.member.state === 'suspect' && age >= limits.suspicion) {
-			changes.push(changeState(entry, 'gone', now));
-		} else if (
-			entry.member.state === 'gone' &&
-			node !== state.self &&
-			age >= limits.remembrance
-		) {
+			changes.push(changeState(state, entry, 'gone', now));
+		} else if (entry.member.state === 'gone' && age >= limits.remembrance) {
 			state.entries.delete(node);
+			state.fading.delete(node);
 		}
 	}
 
@@ -160,12 +163,22 @@
 };
 
 function changeState(
+	state: MembershipState,
 	entry: MemberEntry,
-	state: Member['state'],
+	next: Member['state'],
 	now: number,
 ): MemberChange {
 	const before = entry.member;
-	entry.member = {...before, state};
+	entry.member = {...before, state: next};
 	entry.changedAt = now;
+	noteFading(state, entry.member);
 	return {member: entry.member, before};
 }
+
+function noteFading({fading}: MembershipState, member: Member): void {
+	if (member.state === 'suspect' || member.state === 'gone') {
+		fading.add(member.node);
+	} else {
+		fading.delete(member.node);
+	}
+}
