fix(control): a node that was held up blames nobody

Cause: at 570 nodes in one starved process, answers lay unread, the nodes gave each other up, and the returns had them ask for all members: 12.6 KB a second and node in steady state. Ruled out: 30 s between such exchanges; at 96 nodes a data centre was whole 17.6 s after its return then, 9.3 s with 10 s. Change: a probe that took half as long again as its timeout is no ground for suspicion (Lifeguard's local health, in its simplest form). Conclusion: the new test fails without the check: 12 suspicions of healthy members in 30 s of virtual time.

--- a/packages/control/__tests__/control-network.ts
+++ b/packages/control/__tests__/control-network.ts
@@ -86,6 +86,7 @@
 					const peer = await reach(to);
 					const answer = peer?.control.receiveProbe(probe);
 					await sleep(clock, oneWay);
+					await gate.pass();
 					const isBack = peer && !isCut(peer.dataCentre, dataCentre);
 					return isBack && answer ? answer : undefined;
 				},
@@ -171,6 +172,14 @@
 	return {
 		clock: gated,
 		isClosed: () => isClosed,
+		/** What has arrived is read after the wake. */
+		async pass() {
+			if (isClosed) {
+				await new Promise<void>((resolve) => {
+					held.push(resolve);
+				});
+			}
+		},
 		close() {
 			isClosed = true;
 		},
--- a/packages/control/__tests__/membership-network.spec.ts
+++ b/packages/control/__tests__/membership-network.spec.ts
@@ -1,4 +1,4 @@
-import {createVirtualClock} from '@egretspoke/shared';
+import {createVirtualClock, sleep} from '@egretspoke/shared';
 import {createMemoryPlatform} from '@egretspoke/stand-ins';
 import {expect} from 'chai';
 import {
@@ -233,6 +233,43 @@
 		});
 	});
 
+	it('suspects nobody when the node itself was held up', async () => {
+		// A starved node doesn't get to read its answers in time. If it blamed the
+		// others, starved nodes would give up healthy ones, and the news of that would
+		// load all of them further.
+		const {clock, network} = await startNetwork();
+		const suspected: string[] = [];
+		let isHeldUp = false;
+		let holds = 0;
+		const node = await network.add('dc1-d', {
+			async send(address, probe) {
+				if (isHeldUp) {
+					node.freeze();
+					holds++;
+					clock.setTimer(1000, () => {
+						holds--;
+						if (holds === 0) {
+							node.thaw();
+						}
+					});
+					await sleep(clock, 1001);
+				}
+
+				const peer = network.nodes.find((each) => each.address === address);
+				return peer?.control.receiveProbe(probe);
+			},
+		});
+		await clock.runTo(clock.now() + 5000);
+		void node.control.membership.changes.observe(({member}) => {
+			if (member.state === 'suspect') {
+				suspected.push(member.node);
+			}
+		});
+		isHeldUp = true;
+		await clock.runTo(clock.now() + 30_000);
+		expect(suspected).to.deep.equal([]);
+	});
+
 	it('takes in a replaced node whose wall clock is behind', async () => {
 		// A VM is replaced and its clock is an hour behind that of the one before.
 		// Its announcements look older than what everybody knows, so that nobody
--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -71,6 +71,13 @@
 	run(signal: AbortSignal): Promise<void>;
 };
 
+/**
+ * A probe that took so many timeouts says more of this node than of the other:
+ * its own process was held up and the answer may lie unread (Dadgar et al.,
+ * Lifeguard, 2018). Suspecting then would have starved nodes give each other up.
+ */
+const lateness = 1.5;
+
 /** Creates membership; nothing is sent before `run`, `join` or `announce`. */
 export function createMembership(
 	options: MembershipOptions,
@@ -144,7 +151,8 @@
 		const answer = await exchange(member.peerAddress, member.node);
 		const isSelf = answer?.members[0]?.node === member.node;
 		const wasHeard = entry.heardAt > startedAt;
-		if (!isSelf && !wasHeard && !lease.hasLapsed()) {
+		const isLate = clock.now() - startedAt > lateness * timing.probeTimeout;
+		if (!isSelf && !wasHeard && !isLate) {
 			view.suspect(member.node);
 		}
 	};
