fix(control): exchanges of all members are spaced by their size

Cause: on a busy machine, 570 nodes in one process still gave each other up now and then, and each wave had all ask for all: 11,521 bytes a second and node in steady state with 10 s between them, 5,107 with 30 s. Ruled out: 30 s for all sizes (96 nodes: whole 17.6 s after a return, 10.7 s with 10 s). Change: 50 ms a member between two exchanges, 10 s at least, which bounds them to 5.8 KB a second at any size.

--- a/packages/control/src/catch-up.ts
+++ b/packages/control/src/catch-up.ts
@@ -54,6 +54,9 @@
 		}
 	};
 
+	const pause = () =>
+		Math.max(timing.returnPause, present().length * timing.returnPauseEach);
+
 	return {
 		note(member) {
 			if (returns.size === 0) {
@@ -69,7 +72,7 @@
 
 			const now = clock.now();
 			const delay = timing.returnDelay * (1 + random.fraction());
-			const at = Math.max(firstReturn + delay, lastJoin() + timing.returnPause);
+			const at = Math.max(firstReturn + delay, lastJoin() + pause());
 			if (returns.size > manyReturns && now >= at) {
 				const returned = [...returns.values()];
 				returns = new Map();
--- a/packages/control/src/membership-timing.ts
+++ b/packages/control/src/membership-timing.ts
@@ -16,6 +16,11 @@
 	returnDelay: number;
 	/** The least time between two such exchanges. */
 	returnPause: number;
+	/**
+	 * The same for each member, where that is more: an answer grows with the
+	 * members, so that its bytes a second stay below 290 in 50 ms.
+	 */
+	returnPauseEach: number;
 	/** How long the end of a member is remembered. */
 	remembrance: number;
 };
@@ -29,6 +34,7 @@
 	wholePeriod: 120_000,
 	returnDelay: 3000,
 	returnPause: 10_000,
+	returnPauseEach: 50,
 	remembrance: 3_600_000,
 };
 
