perf(node): fewer abort signals a call

Cause: a profile of one node at 1,500 calls/s showed a fifth of its busy time in abort signals: five a call, one of which built an exception with its stack when the call ended well. Ruled out: the log (sampled at 0.01, not in the profile's first thirty). Change: one linked signal a call, aborted with a constant reason; the signal of deeper calls is made with the first of them.

--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -31,7 +31,7 @@
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
 import {readOperation} from './ingress.js';
-import {createLinkedAbort} from './linked-abort.js';
+import {createLinkedAbort, type LinkedAbort} from './linked-abort.js';
 import type {NodeReporter} from './node-reporter.js';
 import {
 	createEntryCall,
@@ -79,6 +79,8 @@
 	whenIdle(): Promise<void>;
 };
 
+type CallHandler = (call: EntryCall, caller: LinkedAbort) => Promise<Outcome>;
+
 /** Creates the entry of one node. */
 export function createEntry(context: EntryContext): Entry {
 	const {clock, reporter, running, self} = context;
@@ -115,7 +117,7 @@
 		const linked = createLinkedAbort(signal, allotment?.signal);
 		const outcome = await chooseHandler(incoming, call.value)(
 			call.value,
-			linked.signal,
+			linked,
 		);
 		linked.release();
 		reporter.ended({
@@ -135,7 +137,7 @@
 	const chooseHandler = (
 		{home, key}: CallerRequest,
 		{request}: EntryCall,
-	): ((call: EntryCall, signal: AbortSignal) => Promise<Outcome>) => {
+	): CallHandler => {
 		if (request.idempotent) {
 			return handleIdempotent;
 		}
@@ -150,18 +152,23 @@
 
 		return formatHome(home) === formatHome(self)
 			? handleKey
-			: async (call, signal) => pass(home, call, signal);
+			: async (call, caller) => pass(home, call, caller);
 	};
 
-	const handleIdempotent = async (
+	const handleIdempotent: CallHandler = async (call, caller) =>
+		untilDeadline(call, caller, async () =>
+			attemptIdempotent(call, caller.signal),
+		);
+
+	/** At the deadline the caller counts as gone, and gets its final answer at once. */
+	const untilDeadline = async (
 		call: EntryCall,
-		signal: AbortSignal,
+		caller: LinkedAbort,
+		work: () => Promise<Outcome>,
 	): Promise<Outcome> => {
-		const linked = createLinkedAbort(signal);
-		const timer = clock.setTimer(call.deadline - clock.now(), linked.abort);
-		const outcome = await attemptIdempotent(call, linked.signal);
+		const timer = clock.setTimer(call.deadline - clock.now(), caller.abort);
+		const outcome = await work();
 		timer.cancel();
-		linked.release();
 		return outcome;
 	};
 
@@ -197,10 +204,7 @@
 		}
 	};
 
-	const handleKey = async (
-		call: EntryCall,
-		signal: AbortSignal,
-	): Promise<Outcome> => {
+	const handleKey: CallHandler = async (call, {signal}) => {
 		const {request} = call;
 		const attempts = createAttempts(context, call);
 		const outcome = await attemptHandler({
@@ -225,7 +229,7 @@
 	const pass = async (
 		home: Home,
 		call: EntryCall,
-		signal: AbortSignal,
+		caller: LinkedAbort,
 	): Promise<Outcome> => {
 		reporter.decide({
 			name: 'homePassed',
@@ -233,16 +237,14 @@
 			reason: 'the key has its home elsewhere',
 			details: {home: formatHome(home)},
 		});
-		const linked = createLinkedAbort(signal);
-		const timer = clock.setTimer(call.deadline - clock.now(), linked.abort);
-		const {outcome} = await context.passToHome(
-			home,
-			call.request,
-			linked.signal,
-		);
-		timer.cancel();
-		linked.release();
-		return outcome;
+		return untilDeadline(call, caller, async () => {
+			const {outcome} = await context.passToHome(
+				home,
+				call.request,
+				caller.signal,
+			);
+			return outcome;
+		});
 	};
 
 	const end = (incoming: CallerRequest, outcome: Outcome): CallerOutcome => {
@@ -270,7 +272,8 @@
 
 			const deadline = clock.now() + request.timeLeft;
 			const call = {request, operation: readOperation(request), deadline};
-			return idle.during(async () => handleKey(call, signal));
+			const caller = createLinkedAbort(signal);
+			return idle.during(async () => handleKey(call, caller));
 		},
 		open: idle.count,
 		whenIdle: idle.whenIdle,
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -139,8 +139,6 @@
 	): Promise<Outcome> => {
 		const startedAt = clock.now();
 		idle.enter();
-		const stop = new AbortController();
-		const combined = AbortSignal.any([signal, stop.signal]);
 		// A process that was frozen here wakes with its old plans; the deadline
 		// is read again so that nothing starts for a caller that has gone.
 		const late = checkLate(facts, startedAt, context.refusalOf());
@@ -155,14 +153,13 @@
 			deadline: facts.deadline,
 			spareAttempts: Math.max(0, request.attempts - 1),
 			callsMade: new Map(),
-			signal: combined,
+			signal,
 		});
 		const result = await context.target.send(
 			request,
 			facts.deadline - startedAt,
 			signal,
 		);
-		stop.abort();
 		context.running.remove(request.id);
 		const duration = clock.now() - startedAt;
 		reporter.decide({
--- a/packages/node/src/linked-abort.ts
+++ b/packages/node/src/linked-abort.ts
@@ -8,13 +8,16 @@
 	release(): void;
 };
 
+/** Without a reason of its own, each abort would build an exception with its stack. */
+const callerGone = 'caller gone';
+
 /** Creates an abort linked to the sources that are present. */
 export function createLinkedAbort(
 	...sources: Array<AbortSignal | undefined>
 ): LinkedAbort {
 	const controller = new AbortController();
 	const abort = () => {
-		controller.abort();
+		controller.abort(callerGone);
 	};
 
 	for (const source of sources) {
--- a/packages/node/src/running-requests.ts
+++ b/packages/node/src/running-requests.ts
@@ -10,6 +10,7 @@
  * of one running request draw from one pool, and end with it.
  */
 import type {RequestClass} from '@egretspoke/protocol';
+import {createLinkedAbort, type LinkedAbort} from './linked-abort.js';
 
 /** A request while its target runs it. */
 export type RunningRequest = {
@@ -21,10 +22,16 @@
 	spareAttempts: number;
 	/** How often each deeper call may be made anew before its repeats draw on the pool. */
 	callsMade: Map<string, number>;
-	/** Aborts when the request ends or its caller gives up. */
+	/** Aborts when its caller gives up. */
 	signal: AbortSignal;
 };
 
+/** A running request with what its deeper calls share. */
+type Running = RunningRequest & {
+	/** Made with the first deeper call: most requests make none. */
+	end?: LinkedAbort;
+};
+
 /**
  * What a deeper call gets of its parent's. The class is the one stamped at the
  * first entry: work for a deferrable request is never raised, and a payment
@@ -54,12 +61,15 @@
 
 /** Creates an empty table. */
 export function createRunningRequests(): RunningRequests {
-	const running = new Map<string, RunningRequest>();
+	const running = new Map<string, Running>();
 	return {
 		add(request) {
-			running.set(request.id, request);
+			running.set(request.id, {...request});
 		},
 		remove(id) {
+			const end = running.get(id)?.end;
+			end?.abort();
+			end?.release();
 			running.delete(id);
 		},
 		allot(id, call) {
@@ -68,6 +78,7 @@
 				return undefined;
 			}
 
+			parent.end ??= createLinkedAbort(parent.signal);
 			const attempts = takeAttempts(
 				parent,
 				`${call.service} ${call.operation}`,
@@ -80,7 +91,7 @@
 				requestClass: parent.requestClass,
 				deadline: parent.deadline,
 				attempts,
-				signal: parent.signal,
+				signal: parent.end.signal,
 				giveBack(unused) {
 					parent.spareAttempts += unused;
 				},
