fix(node): what was read after a pause counts as old as the pause

Cause: a home frozen for the 0.8 s of a payment's deadline woke, read the call from its socket and ran it, because the time left counts from the reading. The process test failed first (the request had run). Ruled out: the lease, which is longer than this pause by design; the cancel message, which is read after the call. Change: a tick that comes late tells how long what is read now may have waited, and that is taken off the time left, for peers and callers alike. After: the test passes, and so do planned stop, second signal, leave and kill on real processes.

--- a/packages/node/__tests__/entry.spec.ts
+++ b/packages/node/__tests__/entry.spec.ts
@@ -68,6 +68,7 @@
 			deadline: 1000,
 			attempts: 3,
 		}),
+		possibleAge: () => 0,
 		priorityOf: () => undefined,
 		passToHome: async () => ({outcome: lost}),
 		refusalOf: () => undefined,
--- /dev/null
+++ b/packages/node/__tests__/pause-watch.spec.ts
@@ -0,0 +1,44 @@
+import {expect} from 'chai';
+import {createVirtualClock, type Clock} from '@egretspoke/shared';
+import {createPauseWatch} from '../src/pause-watch.js';
+
+describe('pause watch', () => {
+	it('sees nothing in ordinary running', () => {
+		const clock = createVirtualClock();
+		const watch = createPauseWatch(clock, new AbortController().signal);
+		clock.advanceTo(5020);
+		expect(watch.possibleAge()).to.equal(0);
+	});
+
+	describe('of a process that was frozen', () => {
+		// A VM is paused for two seconds with requests in its sockets. It wakes
+		// either in its timers or in its sockets first; the requests are as old
+		// as the pause in both cases.
+		const create = () => {
+			const real = createVirtualClock();
+			let offset = 0;
+			const clock: Clock = {...real, now: () => real.now() + offset};
+			const watch = createPauseWatch(clock, new AbortController().signal);
+			real.advanceTo(1000);
+			offset = 2000;
+			return {real, watch};
+		};
+
+		it('knows the age when the sockets are read first', () => {
+			const {watch} = create();
+			expect(watch.possibleAge()).to.equal(2000);
+		});
+
+		it('knows the age when the timers fire first', () => {
+			const {real, watch} = create();
+			real.advanceTo(1050);
+			expect(watch.possibleAge()).to.equal(2050);
+		});
+
+		it('trusts what is read after the next tick', () => {
+			const {real, watch} = create();
+			real.advanceTo(1100);
+			expect(watch.possibleAge()).to.equal(0);
+		});
+	});
+});
--- /dev/null
+++ b/packages/node/__tests__/process-cluster.ts
@@ -0,0 +1,152 @@
+/**
+ * Real processes for the failures that only a process has: kill, freeze and
+ * planned stop. The platform and the targets are the stand-ins. Everything
+ * waits for events, never for a time to pass.
+ */
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {fileURLToPath} from 'node:url';
+import {
+	readStartedNode,
+	readText,
+	scriptBeside,
+	startChild,
+	type Child,
+} from '@egretspoke/stand-ins';
+import {Agent, request as send} from 'undici';
+
+/** One VM: a target with its node. */
+export type Machine = {
+	name: string;
+	process: Child;
+	target: Child;
+	caller: string;
+	admin: string;
+};
+
+/** An answer as a caller sees it. */
+export type SeenAnswer = {
+	status: number;
+	outcome: string;
+	error: string;
+	home: string;
+	request: string;
+	body: string;
+};
+
+/** What a machine's target is like. */
+export type MachineOptions = {
+	service: string;
+	slots: number;
+	/** Milliseconds. */
+	serviceTime: number;
+};
+
+/** The processes of one test. */
+export type ProcessCluster = {
+	startMachine(name: string, options: MachineOptions): Promise<Machine>;
+	/** Resolves when the machine's node knows these others as active. */
+	waitForMembers(machine: Machine, names: string[]): Promise<void>;
+	ask(
+		machine: Machine,
+		service: string,
+		options?: {method?: string; headers?: Record<string, string>},
+	): Promise<SeenAnswer>;
+	/** How often each request id ran at the machine's target. */
+	runsAt(machine: Machine): Promise<Record<string, number>>;
+	stop(): Promise<void>;
+};
+
+const nodeProgram = fileURLToPath(new URL('../dist/main.js', import.meta.url));
+const standIns = new URL('../../stand-ins/dist/index.js', import.meta.url).href;
+
+/** Starts the platform's stand-in; machines follow. */
+export async function startProcessCluster(): Promise<ProcessCluster> {
+	const directory = await mkdtemp(path.join(tmpdir(), 'egretspoke-test-'));
+	const agent = new Agent({connections: 64});
+	const children: Child[] = [];
+	const start = (script: string, ...parameters: string[]) => {
+		const child = startChild({script, parameters});
+		children.push(child);
+		return child;
+	};
+
+	const platform = start(scriptBeside(standIns, 'platform-main.js'));
+	const platformAddress = await platform.waitFor((line) =>
+		readText(line, 'address'),
+	);
+
+	return {
+		async startMachine(name, options) {
+			const target = start(
+				scriptBeside(standIns, 'target-main.js'),
+				JSON.stringify({...options, connections: 64}),
+			);
+			const address = await target.waitFor((line) => readText(line, 'address'));
+			const file = path.join(directory, `${name}.json`);
+			const free = '127.0.0.1:0';
+			await writeFile(
+				file,
+				JSON.stringify({
+					node: name,
+					dataCentre: 'gh-coast-1',
+					listeners: {caller: free, peer: free, admin: free},
+					platform: {address: `http://${platformAddress}`},
+					target: {address},
+					logs: {format: 'json'},
+					timings: {lease: '1s', probe: '300ms'},
+				}),
+			);
+			const child = start(nodeProgram, '--settings', file);
+			const {caller, admin} = await child.waitFor(readStartedNode);
+			await target.ask(`announce ${caller}`);
+			return {name, process: child, target, caller, admin};
+		},
+		async waitForMembers({admin}, names) {
+			for (;;) {
+				// eslint-disable-next-line no-await-in-loop -- asks until it is so.
+				const answer = await send(`http://${admin}/v1/targets`);
+				// eslint-disable-next-line no-await-in-loop -- its body belongs to it.
+				const rows = (await answer.body.json()) as Array<{
+					node: string;
+					state: string;
+				}>;
+				const active = new Set(
+					rows.filter(({state}) => state === 'active').map(({node}) => node),
+				);
+				if (names.every((name) => active.has(name))) {
+					return;
+				}
+			}
+		},
+		async ask({caller}, service, {method = 'GET', headers = {}} = {}) {
+			const answer = await send(`http://${caller}/work`, {
+				method: method as 'GET',
+				dispatcher: agent,
+				headers: {'egretspoke-service': service, ...headers},
+				...(method === 'POST' && {body: '{"cents":1250}'}),
+			});
+			const read = (name: string) => String(answer.headers[name] ?? '');
+			return {
+				status: answer.statusCode,
+				outcome: read('egretspoke-outcome'),
+				error: read('egretspoke-error'),
+				home: read('egretspoke-home'),
+				request: read('egretspoke-request'),
+				body: await answer.body.text(),
+			};
+		},
+		async runsAt({target}) {
+			const {runs} = (await target.ask('runs')) as {
+				runs: Record<string, number>;
+			};
+			return runs;
+		},
+		async stop() {
+			await agent.destroy();
+			await Promise.all(children.map(async (child) => child.kill()));
+			await rm(directory, {recursive: true});
+		},
+	};
+}
--- /dev/null
+++ b/packages/node/__tests__/process-failures.spec.ts
@@ -0,0 +1,183 @@
+import {expect} from 'chai';
+import {request as send} from 'undici';
+import {
+	startProcessCluster,
+	type Machine,
+	type ProcessCluster,
+} from './process-cluster.js';
+
+const service = 'orders-and-payments';
+
+describe('a node as a process', () => {
+	let cluster: ProcessCluster;
+
+	beforeEach(async () => {
+		cluster = await startProcessCluster();
+	});
+
+	afterEach(async () => {
+		await cluster.stop();
+	});
+
+	const startPair = async (serviceTime: number, slots = 4) => {
+		const options = {service, slots, serviceTime};
+		const [first, second] = await Promise.all([
+			cluster.startMachine('vm-1', options),
+			cluster.startMachine('vm-2', options),
+		]);
+		await cluster.waitForMembers(first, ['vm-1', 'vm-2']);
+		await cluster.waitForMembers(second, ['vm-1', 'vm-2']);
+		return [first, second] as const;
+	};
+
+	const countRuns = async (machines: readonly Machine[]) => {
+		const runs = await Promise.all(
+			machines.map(async (machine) => cluster.runsAt(machine)),
+		);
+		const counts = new Map<string, number>();
+		for (const [request, count] of runs.flatMap((each) =>
+			Object.entries(each),
+		)) {
+			counts.set(request, (counts.get(request) ?? 0) + count);
+		}
+
+		return counts;
+	};
+
+	/** Resolves once the machine's target has run something. */
+	const waitForRun = async (machine: Machine) => {
+		for (;;) {
+			// eslint-disable-next-line no-await-in-loop -- asks until it is so.
+			const runs = await cluster.runsAt(machine);
+			if (Object.keys(runs).length > 0) {
+				return;
+			}
+		}
+	};
+
+	describe('stopped as planned under load', () => {
+		it('cuts nothing, and hands back what waited', async () => {
+			// An operator stops a VM while its target is busy and more requests
+			// wait. Without the drain those in flight would be cut, and the
+			// interviewers would see errors for shifts that were booked.
+			const [first, second] = await startPair(200);
+			const answers = Array.from({length: 12}, async () =>
+				cluster.ask(first, service),
+			);
+			await waitForRun(second);
+			second.process.signal('SIGTERM');
+			const seen = await Promise.all(answers);
+			expect(await second.process.exited).to.equal(0);
+			const counts = await countRuns([first, second]);
+			const summary = seen.map(({outcome, request}) => ({
+				outcome,
+				runs: counts.get(request) ?? 0,
+			}));
+			// Eight slots serve twelve requests, so some may be refused; none
+			// may be cut, and none may run and be called refused.
+			const expected = seen.map(({outcome}) =>
+				outcome === 'not-run'
+					? {outcome, runs: 0}
+					: {outcome: 'answered', runs: 1},
+			);
+			expect(summary).to.deep.equal(expected);
+			expect(summary.filter(({runs}) => runs === 1).length).to.be.at.least(6);
+		});
+
+		it('ends at once on a second signal, and says what it cut', async () => {
+			// The operator can't wait for a long request and signals again.
+			const [first, second] = await startPair(3_600_000);
+			const headers = {'egretspoke-deadline': '4000'};
+			const asked = Promise.allSettled([
+				cluster.ask(second, service, {headers}),
+			]);
+			await Promise.race([waitForRun(first), waitForRun(second)]);
+			second.process.signal('SIGTERM');
+			await second.process.waitFor((line) =>
+				line.includes('"leaving"') ? line : undefined,
+			);
+			second.process.signal('SIGTERM');
+			expect(await second.process.exited).to.equal(1);
+			expect(second.process.errors()).to.match(
+				/second signal; \d+ requests cut/u,
+			);
+		});
+	});
+
+	it('runs nothing new at a target that was told to leave', async () => {
+		// An operator takes a target out; the other node's view is still the old
+		// one. Without the refusal at the leaving node it would go on working
+		// for as long as the news takes.
+		const [first, second] = await startPair(1);
+		await send(`http://${second.admin}/v1/leave`, {method: 'POST'});
+		const before = await cluster.runsAt(second);
+		const answers = await Promise.all(
+			Array.from({length: 40}, async () => cluster.ask(first, service)),
+		);
+		expect(new Set(answers.map(({status}) => status))).to.deep.equal(
+			new Set([200]),
+		);
+		expect(await cluster.runsAt(second)).to.deep.equal(before);
+	});
+
+	describe('killed while its target runs a payment', () => {
+		it('lets the payment run once and never says that it did not run', async () => {
+			// The VM of the target dies between hand-over and answer. The boat
+			// owner repeats the payment with its key; a second run would charge
+			// twice, and "not run" would be a lie.
+			const first = await cluster.startMachine('vm-1', {
+				service: 'history',
+				slots: 4,
+				serviceTime: 1,
+			});
+			const second = await cluster.startMachine('vm-2', {
+				service,
+				slots: 4,
+				serviceTime: 500,
+			});
+			await cluster.waitForMembers(first, ['vm-1', 'vm-2']);
+			const key = {'idempotency-key': 'twine-1'};
+			const options = {method: 'POST', headers: key};
+			const {home} = await cluster.ask(first, service, options);
+			const homed = {
+				method: 'POST',
+				headers: {...key, 'egretspoke-home': home},
+			};
+			const paying = cluster.ask(first, service, homed);
+			await waitForRun(second);
+			await second.process.kill();
+			const seen = await paying;
+			const repeated = await cluster.ask(first, service, homed);
+			expect([seen.outcome, repeated.outcome]).to.deep.equal([
+				'unknown',
+				'unknown',
+			]);
+			const counts = await countRuns([second]);
+			expect([...counts.values()]).to.deep.equal([1]);
+		});
+	});
+
+	describe('frozen past the deadline of a request', () => {
+		it('does not run it after the wake', async () => {
+			// The home of a key is paused, its caller's deadline passes, and it
+			// wakes with the request in its socket. Without a look at the pause it
+			// would book a shift that was given up long ago.
+			const [first, second] = await startPair(1);
+			const key = {'idempotency-key': 'shift-1', 'egretspoke-deadline': '800'};
+			const {home} = await cluster.ask(first, service, {
+				method: 'POST',
+				headers: key,
+			});
+			first.process.signal('SIGSTOP');
+			const given = await cluster.ask(second, service, {
+				method: 'POST',
+				headers: {...key, 'egretspoke-home': home},
+			});
+			expect(given.outcome).to.equal('unknown');
+			first.process.signal('SIGCONT');
+			await cluster.waitForMembers(first, ['vm-1', 'vm-2']);
+			const counts = await countRuns([first, second]);
+			expect(counts.has(given.request)).to.equal(false);
+		});
+	});
+});
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -57,6 +57,8 @@
 		method: string,
 		path: string,
 	): Classification | undefined;
+	/** Milliseconds for which a request that is read now may have waited. */
+	possibleAge(): number;
 	/** The priority number of a request that the node's own target runs. */
 	priorityOf(request: string): number | undefined;
 	/** Passes a request to the home of its key. */
@@ -102,7 +104,8 @@
 			return end(incoming, refuseHere(barred, 0));
 		}
 
-		const call = createEntryCall(incoming, rules, running, clock.now());
+		const arrivedAt = clock.now() - context.possibleAge();
+		const call = createEntryCall(incoming, rules, running, arrivedAt);
 		if (call.isErr()) {
 			return end(incoming, refuseHere(call.error.code, call.error.retryAfter));
 		}
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -38,6 +38,7 @@
 import {createIngress, readOperation, type Ingress} from './ingress.js';
 import type {PeerTransport} from './message-channel.js';
 import type {NodeReporter} from './node-reporter.js';
+import {createPauseWatch} from './pause-watch.js';
 import {createPeers, type Peers} from './peers.js';
 import type {Classification} from './request-chain.js';
 import {
@@ -114,6 +115,7 @@
 	const directory = createMemberDirectory();
 	const ledger = createLedger({clock, ...context.ledger});
 	const below = createLevelsBelow();
+	const pauses = createPauseWatch(clock, supervisor.signal);
 	const routing = policy.createRouting({
 		below,
 		dataCentre: context.dataCentre,
@@ -165,8 +167,12 @@
 		supervisor: supervisor.branch('peers'),
 		services: {
 			reporter,
-			call: async (message, signal) =>
-				handleCall[message.role](message, signal),
+			async call(message, signal) {
+				const {request} = message;
+				const timeLeft = request.timeLeft - pauses.possibleAge();
+				const aged = {...message, request: {...request, timeLeft}};
+				return handleCall[message.role](aged, signal);
+			},
 			probe: (message) => control.receiveProbe(message),
 			configurationBody: () => control.configurationBody(),
 		},
@@ -196,6 +202,7 @@
 		running,
 		reporter,
 		refusalOf,
+		possibleAge: pauses.possibleAge,
 		priorityOf: (request) => chainPriority(below, request),
 		classify: (service, method, path) =>
 			control.classify(service, method, path),
