fix(node): a refusal says no more than its node knows of the key

An idempotent request whose first attempt may have run was told 'not run' when its second was refused. Ruled out: calling 'not run' a statement about the attempt alone, since the user at the other end means the request. Change: refusals outside the ledger are 'unknown' unless the key's home is here and its ledger proves that nothing ran; a leaving or paused home still answers repeats from its ledger; exchanges that never left are marked as unsent; an idempotent request stays 'unknown' once one attempt was.

--- a/packages/faults/src/fake-channel.ts
+++ b/packages/faults/src/fake-channel.ts
@@ -43,6 +43,11 @@
 		wake = undefined;
 	};
 
+	const nextSignal = async () =>
+		new Promise<void>((resolve) => {
+			wake = resolve;
+		});
+
 	const end = () => {
 		isOpen = false;
 		isEnded = true;
@@ -104,9 +109,7 @@
 				}
 
 				// eslint-disable-next-line no-await-in-loop -- waits for the next message.
-				await new Promise<void>((resolve) => {
-					wake = resolve;
-				});
+				await nextSignal();
 			}
 		},
 		close() {
--- a/packages/ledger/__tests__/ledger.spec.ts
+++ b/packages/ledger/__tests__/ledger.spec.ts
@@ -185,6 +185,22 @@
 		});
 	});
 
+	describe('the question whether a request may have run', () => {
+		it('is answered by no only for a key that is neither held nor expired', () => {
+			// A paused home refuses new work. It has forgotten an expired key, and a
+			// plain "not run" to its repeat would deny a payment that was made.
+			const {ledger, request, clock} = create();
+			const old = request();
+			expect(ledger.mayHaveRun(old)).to.equal(false);
+			ledger.begin(old);
+			expect(ledger.mayHaveRun(old)).to.equal(true);
+			clock.advanceTo(20 * minute);
+			ledger.begin(request('another key', 30 * minute));
+			expect(ledger.size().keys).to.equal(1);
+			expect(ledger.mayHaveRun(old)).to.equal(true);
+		});
+	});
+
 	describe('bounds', () => {
 		it('refuses new keys when full, and evicts no live one', () => {
 			// A burst of bookings fills the home's memory. If room were made by
--- a/packages/ledger/src/ledger-decision.ts
+++ b/packages/ledger/src/ledger-decision.ts
@@ -49,5 +49,10 @@
 /** The memory of one home; it lives and ends with the node's incarnation. */
 export type Ledger = {
 	begin(request: LedgerRequest): LedgerDecision;
+	/**
+	 * True when the request may have run here or may be about to: its key is held,
+	 * or has expired and may be forgotten. False proves that it has not run.
+	 */
+	mayHaveRun(request: Omit<LedgerRequest, 'fingerprint'>): boolean;
 	size(): LedgerSize;
 };
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -171,7 +171,7 @@
 	return {
 		begin(request) {
 			expiries.sweep();
-			const id = JSON.stringify([request.service, request.key]);
+			const id = identify(request.service, request.key);
 			const entry = entries.get(id);
 			if (!entry) {
 				return start(id, request);
@@ -186,6 +186,9 @@
 				? {kind: 'settled', outcome: expired()}
 				: repeat(entry);
 		},
+		mayHaveRun: ({service, key, expiry}) =>
+			entries.has(identify(service, key)) ||
+			(expiry !== undefined && expiries.hasPassed(expiry)),
 		size: () => ({
 			keys: entries.size,
 			running,
@@ -209,6 +212,10 @@
 		: admitUnknown(refusal);
 }
 
+function identify(service: string, key: string): string {
+	return JSON.stringify([service, key]);
+}
+
 function refuseNewKey(
 	request: LedgerRequest,
 	wallTime: number,
--- a/packages/node/src/entry-refusal.ts
+++ b/packages/node/src/entry-refusal.ts
@@ -1,4 +1,4 @@
-/** Refusals of requests that never left this process. */
+/** Refusals of attempts that never left this process. */
 import {
 	admitUnknown,
 	createHandOverTicket,
@@ -25,3 +25,14 @@
 			() => admitUnknown(refusal),
 		);
 }
+
+/**
+ * Refuses an attempt at a key whose earlier attempts are not known here. "Not
+ * run" would be true of this attempt alone, and its user, whose earlier attempt
+ * may have run, would take it for the request.
+ */
+export function refuseUnknown(code: ErrorCode, retryAfter?: number): Outcome {
+	return admitUnknown(
+		createRefusal(code, {...(retryAfter !== undefined && {retryAfter})}),
+	);
+}
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -11,6 +11,7 @@
 	type Ledger,
 } from '@egretspoke/ledger';
 import {
+	admitUnknown,
 	ErrorCode,
 	formatHome,
 	type CallRequest,
@@ -26,7 +27,8 @@
 	CallerOutcome,
 	CallerRequest,
 } from './caller-request.js';
-import {refuseHere} from './entry-refusal.js';
+import {refuseHere, refuseUnknown} from './entry-refusal.js';
+import {createKeyRefusals} from './entry-keys.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
 import {readOperation} from './ingress.js';
@@ -76,11 +78,15 @@
 	whenIdle(): Promise<void>;
 };
 
+/** Milliseconds after which a home that couldn't be reached may be. */
+const homeRetryAfter = 1000;
+
 /** Creates the entry of one node. */
 export function createEntry(context: EntryContext): Entry {
 	const {clock, reporter, running, self} = context;
 	const {attemptHandler = attemptAtMostOnce} = context;
 	const idle = createIdleCounter();
+	const keys = createKeyRefusals(self, context.ledger);
 
 	const handle = async (
 		incoming: CallerRequest,
@@ -89,17 +95,22 @@
 		const {service, method, path} = incoming;
 		const rules = context.classify(service, method, path);
 		if (!rules) {
-			return end(incoming, refuseHere(ErrorCode.UnknownService));
+			return end(incoming, keys.refuse(incoming, ErrorCode.UnknownService));
 		}
 
 		const barred = context.refusalOf();
-		if (barred !== undefined && !isDeeper(incoming)) {
-			return end(incoming, refuseHere(barred, 0));
+		if (
+			barred !== undefined &&
+			!isDeeper(incoming) &&
+			!keys.isRepeatHere(incoming)
+		) {
+			return end(incoming, keys.refuse(incoming, barred, 0));
 		}
 
 		const call = createEntryCall(incoming, rules, running, clock.now());
 		if (call.isErr()) {
-			return end(incoming, refuseHere(call.error.code, call.error.retryAfter));
+			const {code, retryAfter} = call.error;
+			return end(incoming, keys.refuse(incoming, code, retryAfter));
 		}
 
 		const startedAt = clock.now();
@@ -162,6 +173,12 @@
 		signal: AbortSignal,
 	): Promise<Outcome> => {
 		const attempts = createAttempts(context, call);
+		// Once one attempt may have run, no later refusal makes it "not run".
+		let mayHaveRun = false;
+		const endWith = (outcome: Outcome): Outcome =>
+			mayHaveRun && outcome.kind === 'notRun'
+				? admitUnknown(outcome.refusal)
+				: outcome;
 		for (;;) {
 			const ticket = createAttemptTicket({
 				clock,
@@ -170,16 +187,17 @@
 			});
 			// eslint-disable-next-line no-await-in-loop -- one attempt after another.
 			const outcome = await attempts.send(ticket, signal);
+			mayHaveRun ||= outcome.kind === 'unknown';
 			if (outcome.kind === 'answered' || signal.aborted) {
 				attempts.finish();
-				return outcome;
+				return endWith(outcome);
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- the back-off comes before the next attempt.
 			const refusal = await attempts.retry(outcome.refusal, signal);
 			if (refusal) {
 				attempts.finish();
-				return {...outcome, refusal};
+				return endWith({...outcome, refusal});
 			}
 		}
 	};
@@ -222,14 +240,16 @@
 		});
 		const linked = createLinkedAbort(signal);
 		const timer = clock.setTimer(call.deadline - clock.now(), linked.abort);
-		const {outcome} = await context.passToHome(
+		const {outcome, isUnsent} = await context.passToHome(
 			home,
 			call.request,
 			linked.signal,
 		);
 		timer.cancel();
 		linked.release();
-		return outcome;
+		return isUnsent
+			? refuseUnknown(ErrorCode.HomeUnreachable, homeRetryAfter)
+			: outcome;
 	};
 
 	const end = (incoming: CallerRequest, outcome: Outcome): CallerOutcome => {
@@ -251,7 +271,7 @@
 		},
 		async handleAtHome(request, signal) {
 			const barred = context.refusalOf();
-			if (barred !== undefined) {
+			if (barred !== undefined && !keys.mayHaveRunHere(request)) {
 				return refuseHere(barred, 0);
 			}
 
--- a/packages/node/src/exchange-table.ts
+++ b/packages/node/src/exchange-table.ts
@@ -22,7 +22,12 @@
 } from '@egretspoke/protocol';
 
 /** What came back for a call: its outcome, and the load of the node that gave it. */
-export type ExchangeResult = {outcome: Outcome; load?: LoadReport};
+export type ExchangeResult = {
+	outcome: Outcome;
+	load?: LoadReport;
+	/** True when the peer was never asked, so that nothing is known of it. */
+	isUnsent?: true;
+};
 
 /** The open exchanges of one channel. */
 export type ExchangeTable = {
@@ -158,8 +163,10 @@
 	});
 }
 
-function notSent(): ExchangeResult {
+/** The end of an exchange whose first message never left. */
+export function notSent(): ExchangeResult {
 	return {
+		isUnsent: true,
 		outcome: refuseNotRun(
 			acceptCertifiedRefusal('connectRefused'),
 			createRefusal(ErrorCode.TargetUnreachable, {retryAfter: 0}),
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -26,7 +26,7 @@
 import type {Clock, Random} from '@egretspoke/shared';
 import {createAttemptSender} from './attempt-sender.js';
 import {createEntry, type Entry} from './entry.js';
-import {refuseHere} from './entry-refusal.js';
+import {refuseHere, refuseUnknown} from './entry-refusal.js';
 import {createMemberDirectory} from './member-directory.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIngress, type Ingress} from './ingress.js';
@@ -144,7 +144,7 @@
 			const outcome =
 				home === formatHome(self)
 					? await entry.handleAtHome(request, signal)
-					: refuseHere(ErrorCode.HomeGone);
+					: refuseUnknown(ErrorCode.HomeGone);
 			return {outcome};
 		},
 	};
@@ -193,7 +193,7 @@
 		async passToHome(home, request, signal) {
 			const member = directory.byNode(home.node);
 			if (!member || home.node === self.node) {
-				return {outcome: refuseHere(ErrorCode.HomeGone)};
+				return {outcome: refuseUnknown(ErrorCode.HomeGone)};
 			}
 
 			const options = {role: 'pass' as const, home: formatHome(home)};
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -3,19 +3,15 @@
  * first needed and shared by calls, probes and configurations; one that a peer
  * opened serves both directions too.
  */
-import {
-	acceptCertifiedRefusal,
-	createRefusal,
-	ErrorCode,
-	refuseNotRun,
-	type AcknowledgementMessage,
-	type CallMessage,
-	type CallRequest,
-	type ConfigurationBodyMessage,
-	type ProbeMessage,
+import type {
+	AcknowledgementMessage,
+	CallMessage,
+	CallRequest,
+	ConfigurationBodyMessage,
+	ProbeMessage,
 } from '@egretspoke/protocol';
 import {createTicks, type Clock} from '@egretspoke/shared';
-import type {ExchangeResult} from './exchange-table.js';
+import {notSent, type ExchangeResult} from './exchange-table.js';
 import type {MessageChannel, PeerTransport} from './message-channel.js';
 import {
 	createPeerConnection,
@@ -199,7 +195,7 @@
 			// never run at the other under a false name.
 			return connection?.peer.node === peer.node
 				? connection.call(request, options, signal)
-				: unreachable();
+				: notSent();
 		},
 		async probe(address, probe, signal) {
 			const connection = await connect(address);
@@ -217,12 +213,3 @@
 		},
 	};
 }
-
-function unreachable(): ExchangeResult {
-	return {
-		outcome: refuseNotRun(
-			acceptCertifiedRefusal('connectRefused'),
-			createRefusal(ErrorCode.TargetUnreachable, {retryAfter: 0}),
-		),
-	};
-}
