feat(faults): one variant for each mechanism that is left out

Cause: a check that can't fail proves nothing. Change: a table of ways to behave (no ledger, a lost answer tried again, a timeout told as 'not run', the version heard last, all together); operators change the configuration during every run.

--- a/packages/faults/src/fake-node.ts
+++ b/packages/faults/src/fake-node.ts
@@ -1,5 +1,4 @@
 /** A node's whole core and control over the fakes, as a process that can end and start again. */
-import type {AttemptHandler} from '@egretspoke/ledger';
 import {createControl, classify, type Control} from '@egretspoke/control';
 import {egretspokePolicy} from '@egretspoke/decisions';
 import type {Recorder} from '@egretspoke/history';
@@ -14,6 +13,7 @@
 import {ResultAsync} from 'neverthrow';
 import type {FakeNetwork} from './fake-network.js';
 import type {FakeTarget} from './fake-target.js';
+import type {Handlers} from './handlers.js';
 import {createProcessGate, type ProcessGate} from './process-gate.js';
 
 /** What a node is built from. */
@@ -28,7 +28,7 @@
 	slots: number;
 	ledgerKeys: number;
 	recorder: Recorder;
-	attemptHandler: AttemptHandler;
+	handlers: Handlers;
 	/** Addresses of all nodes. */
 	peers: string[];
 };
@@ -71,7 +71,7 @@
 		transport: network.attach(endpoint),
 		supervisor,
 		reporter: silentReporter,
-		attemptHandler: options.attemptHandler,
+		attemptHandler: options.handlers.attempt,
 		ledger: {
 			capacity: options.ledgerKeys,
 			bytesCapacity: 20_000,
@@ -103,6 +103,7 @@
 		},
 		clock,
 		random: random.fork(),
+		acceptance: options.handlers.acceptance,
 		platform: gatePlatform(options.platform, gate),
 		peers: options.peers.filter((address) => address !== name),
 		send: async (address, probe, signal) =>
--- a/packages/faults/src/fake-world.ts
+++ b/packages/faults/src/fake-world.ts
@@ -1,11 +1,11 @@
 /** The nodes, targets, network, platform and operators of one run. */
-import type {AttemptHandler} from '@egretspoke/ledger';
 import type {Recorder} from '@egretspoke/history';
 import type {Random, VirtualClock} from '@egretspoke/shared';
 import {createMemoryPlatform, type MemoryPlatform} from '@egretspoke/stand-ins';
 import {createFakeNetwork, type FakeNetwork} from './fake-network.js';
 import {fakeService, startFakeNode, type FakeProcess} from './fake-node.js';
 import {createFakeTarget, type FakeTarget} from './fake-target.js';
+import type {Handlers} from './handlers.js';
 
 /** Everything that faults can strike. */
 export type FakeWorld = {
@@ -32,9 +32,9 @@
 	clock: VirtualClock;
 	random: Random;
 	recorder: Recorder;
-	attemptHandler: AttemptHandler;
+	handlers: Handlers;
 }): FakeWorld {
-	const {clock, random, recorder, attemptHandler} = options;
+	const {clock, random, recorder, handlers} = options;
 	const names = Array.from({length: nodeCount}, (_, index) => `vm-${index}`);
 	const network = createFakeNetwork(clock, random.fork());
 	const platform = createMemoryPlatform({clock});
@@ -69,7 +69,7 @@
 			slots,
 			ledgerKeys,
 			recorder,
-			attemptHandler,
+			handlers,
 			peers: names,
 		});
 		processes.set(name, process);
--- a/packages/faults/src/index.ts
+++ b/packages/faults/src/index.ts
@@ -1,4 +1,4 @@
-export * from './attempt-handlers.js';
+export * from './handlers.js';
 export * from './fault-kinds.js';
 export * from './run-seeds.js';
 export * from './schedule.js';
--- a/packages/faults/src/main.ts
+++ b/packages/faults/src/main.ts
@@ -1,10 +1,7 @@
-/** `npm run --silent faults -- --seeds A..B [--handler naive]`: one JSON line; exit 1 on a violation. */
+/** `npm run --silent faults -- --seeds A..B [--handler <name>]`: one JSON line; exit 1 on a violation. */
 import process from 'node:process';
 import {Command, InvalidArgumentError, Option} from 'commander';
-import {
-	attemptHandlerNames,
-	type AttemptHandlerName,
-} from './attempt-handlers.js';
+import {handlerNames, type HandlerName} from './handlers.js';
 import {runSeeds} from './run-seeds.js';
 
 type Range = {first: number; last: number};
@@ -13,13 +10,13 @@
 	.description('runs seeded schedules of faults and checks their histories')
 	.requiredOption('--seeds <A..B>', 'first and last seed', parseRange)
 	.addOption(
-		new Option('--handler <name>', 'how the home handles a key')
-			.choices(attemptHandlerNames)
-			.default('atMostOnce'),
+		new Option('--handler <name>', 'how the nodes behave')
+			.choices(handlerNames)
+			.default('egretspoke'),
 	)
 	.parse();
 
-const options = program.opts<{seeds: Range; handler: AttemptHandlerName}>();
+const options = program.opts<{seeds: Range; handler: HandlerName}>();
 const summary = await runSeeds(options.seeds, options.handler);
 process.stdout.write(`${JSON.stringify(summary)}\n`);
 process.exitCode = summary.violations > 0 ? 1 : 0;
--- a/packages/faults/src/run-seeds.ts
+++ b/packages/faults/src/run-seeds.ts
@@ -1,11 +1,11 @@
 /** Many schedules, one after another, and their summary. */
 import type {Violation} from '@egretspoke/history';
-import type {AttemptHandlerName} from './attempt-handlers.js';
+import type {HandlerName} from './handlers.js';
 import {runSchedule, type ScheduleResult} from './schedule.js';
 
 /** What the command prints. */
 export type FaultsSummary = {
-	handler: AttemptHandlerName;
+	handler: HandlerName;
 	schedules: number;
 	requests: number;
 	attempts: number;
@@ -21,7 +21,7 @@
 /** Runs the seeds from the first to the last, both included. */
 export async function runSeeds(
 	range: {first: number; last: number},
-	handler: AttemptHandlerName,
+	handler: HandlerName,
 ): Promise<FaultsSummary> {
 	const summary: FaultsSummary = {
 		handler,
--- a/packages/faults/src/schedule.ts
+++ b/packages/faults/src/schedule.ts
@@ -12,7 +12,7 @@
 	type Clock,
 	type Random,
 } from '@egretspoke/shared';
-import {attemptHandlers, type AttemptHandlerName} from './attempt-handlers.js';
+import {handlers, type HandlerName} from './handlers.js';
 import {createFakeCallers, type CallerCounts} from './fake-callers.js';
 import {createFakeWorld, type FakeWorld} from './fake-world.js';
 import {faultKinds, faults, type FaultKind} from './fault-kinds.js';
@@ -20,7 +20,7 @@
 /** What a run is drawn from. */
 export type ScheduleOptions = {
 	seed: number;
-	handler: AttemptHandlerName;
+	handler: HandlerName;
 	/** The faults to strike, in place of those that the seed draws. */
 	kinds?: FaultKind[];
 };
@@ -37,8 +37,16 @@
 };
 
 const requestCount = 40;
-/** Milliseconds: when requests come, when faults strike, and the end. */
-const times = {start: 2500, arrivals: 3000, strike: 2800, end: 16_000};
+/** Changes of the configuration, besides those of the faults. */
+const changeCount = 4;
+/** Milliseconds: when requests and faults begin and for how long, and the ends. */
+const times = {
+	start: 2500,
+	arrivals: 3000,
+	strike: 2800,
+	lastChange: 8000,
+	end: 16_000,
+};
 
 /** Runs one schedule; the same options give the same result. */
 export async function runSchedule(
@@ -53,7 +61,7 @@
 		clock,
 		random: random.fork(),
 		recorder,
-		attemptHandler: attemptHandlers[handler],
+		handlers: handlers[handler],
 	});
 	const callers = createFakeCallers({
 		clock,
@@ -62,7 +70,10 @@
 		processes: world.processes,
 	});
 	const draw = random.fork();
-	void world.operate();
+	for (let change = 0; change < changeCount; change++) {
+		void startAt(clock, draw.below(times.lastChange), world.operate);
+	}
+
 	for (let number = 0; number < requestCount; number++) {
 		const at = times.start + draw.below(times.arrivals);
 		void startAt(clock, at, async () => callers.send(number));
