--- a/packages/faults/src/run-seeds.ts
+++ b/packages/faults/src/run-seeds.ts
@@ -1,5 +1,5 @@
 /** Many schedules, one after another, and their summary. */
-import type {Violation} from '@egretspoke/history';
+import type {CheckerName, Violation} from '@egretspoke/history';
 import type {HandlerName} from './handlers.js';
 import {runSchedule, type ScheduleResult} from './schedule.js';
 
@@ -14,6 +14,7 @@
 	/** How often each kind struck. */
 	faults: Record<string, number>;
 	violations: number;
+	violationsByChecker: Partial<Record<CheckerName, number>>;
 	/** The first violation by its seed; running that seed alone shows it again. */
 	first?: {seed: number; violation: Violation};
 };
@@ -32,6 +33,7 @@
 		versionsTaken: 0,
 		faults: {},
 		violations: 0,
+		violationsByChecker: {},
 	};
 	for (let seed = range.first; seed <= range.last; seed++) {
 		// eslint-disable-next-line no-await-in-loop -- each run has the process to itself.
@@ -55,6 +57,11 @@
 		summary.faults[kind] = (summary.faults[kind] ?? 0) + 1;
 	}
 
+	for (const {checker} of result.violations) {
+		const before = summary.violationsByChecker[checker] ?? 0;
+		summary.violationsByChecker[checker] = before + 1;
+	}
+
 	const [violation] = result.violations;
 	summary.violations += result.violations.length;
 	if (violation && !summary.first) {
--- a/packages/node/__tests__/observing-reporter.spec.ts
+++ b/packages/node/__tests__/observing-reporter.spec.ts
@@ -45,7 +45,7 @@
 			name: 'retried',
 			request: 'r1',
 			reason: 'not run at b',
-			details: {service: 'orders'},
+			service: 'orders',
 		});
 		log.flush();
 		expect(written.join('')).to.contain('1201 retried node=a request=r1');
@@ -59,11 +59,13 @@
 		const {log, metrics, reporter, written} = createObserved();
 		reporter.notice({name: 'malformedRequest', fault: 'tooLarge'});
 		reporter.notice({name: 'peerRefused', detail: 'wrong signature'});
+		reporter.notice({name: 'operatorRefused', detail: 'unauthorized'});
 		reporter.notice({name: 'memberChanged', node: 'b', state: 'gone'});
 		log.flush();
 		expect(written.join('')).to.contain('member b is gone');
 		const text = await metrics.render();
 		expect(text).to.contain('listener="caller",kind="tooLarge"} 1');
+		expect(text).to.contain('listener="admin",kind="unauthorized"} 1');
 		expect(text).to.contain('listener="peer",kind="handshake"} 1');
 	});
 
--- a/packages/node/src/observing-reporter.ts
+++ b/packages/node/src/observing-reporter.ts
@@ -7,12 +7,7 @@
 } from '@egretspoke/observability';
 import {ErrorCode} from '@egretspoke/protocol';
 import type {Clock} from '@egretspoke/shared';
-import type {
-	Decision,
-	DecisionName,
-	NodeNotice,
-	NodeReporter,
-} from './node-reporter.js';
+import type {DecisionName, NodeNotice, NodeReporter} from './node-reporter.js';
 
 /** Where the reports go. */
 export type ObservingReporterOptions = {
@@ -39,6 +34,9 @@
 	malformedRequest(metrics, {fault}) {
 		metrics.malformedInput('caller', fault);
 	},
+	operatorRefused(metrics, {detail}) {
+		metrics.malformedInput('admin', detail);
+	},
 	childFailed(metrics, {path}) {
 		metrics.childRestarted(path);
 	},
@@ -68,7 +66,7 @@
 		decide(decision) {
 			memory.remember({...decision, at: clock.date().getTime()});
 			log.record(decision.name, decision);
-			decisionCounters[decision.name]?.(metrics, readService(decision));
+			decisionCounters[decision.name]?.(metrics, decision.service ?? '');
 		},
 		notice(notice) {
 			const {name, reason, ...details} = {reason: undefined, ...notice};
@@ -92,10 +90,6 @@
 	};
 }
 
-function readService({details}: Decision): string {
-	return String(details?.service ?? '');
-}
-
 function countMalformed(listener: ListenerName, kind: string) {
 	return (metrics: Metrics) => {
 		metrics.malformedInput(listener, kind);
