--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -27,7 +27,8 @@
 	CallerOutcome,
 	CallerRequest,
 } from './caller-request.js';
-import {refuseHere} from './entry-refusal.js';
+import {refuseHere, refuseUnknown} from './entry-refusal.js';
+import {createKeyRefusals} from './entry-keys.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
 import {readOperation} from './ingress.js';
@@ -83,11 +84,15 @@
 
 type CallHandler = (call: EntryCall, caller: LinkedAbort) => Promise<Outcome>;
 
+/** Milliseconds after which a home that couldn't be reached may be. */
+const homeRetryAfter = 1000;
+
 /** Creates the entry of one node. */
 export function createEntry(context: EntryContext): Entry {
 	const {clock, reporter, running, self} = context;
 	const {attemptHandler = attemptAtMostOnce} = context;
 	const idle = createIdleCounter();
+	const keys = createKeyRefusals(self, context.ledger);
 
 	const handle = async (
 		incoming: CallerRequest,
@@ -96,18 +101,23 @@
 		const {service, method, path} = incoming;
 		const rules = context.classify(service, method, path);
 		if (!rules) {
-			return end(incoming, refuseHere(ErrorCode.UnknownService));
+			return end(incoming, keys.refuse(incoming, ErrorCode.UnknownService));
 		}
 
 		const barred = context.refusalOf();
-		if (barred !== undefined && !isDeeper(incoming)) {
-			return end(incoming, refuseHere(barred, 0));
+		if (
+			barred !== undefined &&
+			!isDeeper(incoming) &&
+			!keys.isRepeatHere(incoming)
+		) {
+			return end(incoming, keys.refuse(incoming, barred, 0));
 		}
 
 		const arrivedAt = clock.now() - context.possibleAge();
 		const call = createEntryCall(incoming, rules, running, arrivedAt);
 		if (call.isErr()) {
-			return end(incoming, refuseHere(call.error.code, call.error.retryAfter));
+			const {code, retryAfter} = call.error;
+			return end(incoming, keys.refuse(incoming, code, retryAfter));
 		}
 
 		const startedAt = clock.now();
@@ -241,12 +251,14 @@
 			details: {home: formatHome(home)},
 		});
 		return untilDeadline(call, caller, async () => {
-			const {outcome} = await context.passToHome(
+			const {outcome, isUnsent} = await context.passToHome(
 				home,
 				call.request,
 				caller.signal,
 			);
-			return outcome;
+			return isUnsent
+				? refuseUnknown(ErrorCode.HomeUnreachable, homeRetryAfter)
+				: outcome;
 		});
 	};
 
@@ -269,7 +281,7 @@
 		},
 		async handleAtHome(request, signal) {
 			const barred = context.refusalOf();
-			if (barred !== undefined) {
+			if (barred !== undefined && !keys.mayHaveRunHere(request)) {
 				return refuseHere(barred, 0);
 			}
 
