feat(decisions): a free slot goes before speed; slow start by answers

Cause: in cold-start the one warm target refused while two cold ones had free slots: they were ejected for slowness, and the ramp by time kept them from the work that warms them. Ruled out: the level (it opened within a second once the slots were used) and the come-back times (a few hundred milliseconds). Change: a target with a free slot goes before one without, then the cost decides; a new target's load grows by one with each answer; one that may be cold is not ejected for slowness, nor is any while the one it is compared with stands out itself.

--- a/packages/decisions/src/ejection.ts
+++ b/packages/decisions/src/ejection.ts
@@ -11,7 +11,7 @@
  * What could go wrong: a fault that hits all targets ejects all of them, and
  * the few that are left drown. So at most a third of the group is ejected, at
  * least two targets are needed to tell an outlier, slowness ejects only while
- * the others have room for its work, and when fewer than half of the group may
+ * the others have room for its work and never a target that may be cold, and when fewer than half of the group may
  * be chosen, ejections don't count at all (panic rule).
  *
  * Thresholds: three times the typical duration, as an average over sixteen, is
@@ -20,6 +20,7 @@
  * to half a minute: a target that stays slow then costs one request a node and
  * half minute.
  */
+import {isStarting} from './slow-start.js';
 import {
 	noteSlowness,
 	pressureOf,
@@ -78,7 +79,7 @@
 	}
 
 	const isOnlySlow = view.failures <= failureShare;
-	if (isOnlySlow && other && pressureOf(other, now) > roomPressure) {
+	if (isOnlySlow && (isStarting(view, now) || !hasRoomFor(other, now))) {
 		return false;
 	}
 
@@ -111,6 +112,15 @@
 	}
 }
 
+/** Whether another target can take the work; one that stands out itself can't. */
+function hasRoomFor(other: TargetView | undefined, now: number): boolean {
+	return (
+		other !== undefined &&
+		!isOutlier(other, now) &&
+		pressureOf(other, now) <= roomPressure
+	);
+}
+
 function hasPlace({views, ejected}: EjectionGroup, view: TargetView): boolean {
 	if (views.length < 2 || ejected.has(view)) {
 		return views.length >= 2;
--- a/packages/decisions/src/slow-start.ts
+++ b/packages/decisions/src/slow-start.ts
@@ -1,29 +1,28 @@
 /**
- * A target that has just joined gets its share of the work step by step.
+ * A target that has just joined gets its work step by step.
  *
  * Load pattern: a cold target joins a busy group. It looks idle, so every
  * entry node prefers it, and its empty caches make it slow at the very moment
  * when it gets most; one notices timeouts for some seconds after each restart.
- * Its cost is divided by a weight that grows from a tenth to one.
+ * So each entry node begins with one request there, and each answer lets one
+ * more in at a time (as TCP's slow start does): the load doubles with each
+ * round of answers, slowly at a target that answers slowly, fast at one that
+ * is warm. A ramp by time alone would hold back a target that is ready, and
+ * keep one cold that warms up by its work.
  *
- * Threshold: ten seconds, two of the intervals in which a slowness that shows
- * only under load leads to ejection; from then on what was seen of the target
- * is worth more than its age.
+ * Threshold: the start is over after ten seconds; from then on what was seen
+ * of the target is worth more than its age.
  */
-import {limitChange} from './rate-of-change.js';
+import type {TargetView} from './target-view.js';
 
-const rampTime = 10_000;
-const firstWeight = 0.1;
+const startTime = 10_000;
 
-/** The weight of a target seen first at `since`. */
-export function slowStartWeight(since: number, now: number): number {
-	const age = now - since;
-	if (age >= rampTime) {
-		return 1;
-	}
+/** Whether the target has joined so lately that it may be cold. */
+export function isStarting({candidate}: TargetView, now: number): boolean {
+	return now - candidate.since < startTime;
+}
 
-	return limitChange(firstWeight, age / rampTime, {
-		down: 1,
-		up: 1 / firstWeight,
-	});
+/** Whether one more request may be sent to a target that may be cold. */
+export function mayStart(view: TargetView, now: number): boolean {
+	return !isStarting(view, now) || view.open.size <= view.ends;
 }
--- a/packages/decisions/src/target-choice.ts
+++ b/packages/decisions/src/target-choice.ts
@@ -5,9 +5,16 @@
 import {hasRoom} from './locality.js';
 import type {CallFacts, Mechanism} from './policy.js';
 import type {RoutingGroup} from './routing-group.js';
-import {slowStartWeight} from './slow-start.js';
+import {mayStart} from './slow-start.js';
 import type {TargetView} from './target-view.js';
-import {costOf, drawOne, drawTwo} from './two-choices.js';
+import {typicalOf} from './typical-durations.js';
+import {
+	drawOne,
+	drawTwo,
+	isBetter,
+	rateTarget,
+	type Suitability,
+} from './two-choices.js';
 
 /** The choice's behaviour, by what is switched on. */
 export type ChoiceOptions = {
@@ -49,18 +56,13 @@
 	{call, exclude, random, now}: ChoiceRequest,
 ): TargetChoice | undefined {
 	const isOpen = (view: TargetView) =>
-		hasConnection(view) && !exclude.includes(view.candidate.node);
+		hasConnection(view) &&
+		!exclude.includes(view.candidate.node) &&
+		(!options.hasSlowStart || mayStart(view, now));
 	const counts = options.hasEjection && !isPanic(group);
 	const mayChoose = counts
 		? (view: TargetView) => isOpen(view) && !isEjected(view, now)
 		: isOpen;
-	const cost = (view: TargetView) =>
-		costOf(
-			view,
-			options.hasSlowStart ? slowStartWeight(view.candidate.since, now) : 1,
-			now,
-		);
-
 	if (!options.hasTwoChoices) {
 		return drawAny(group, mayChoose, isOpen, random);
 	}
@@ -88,14 +90,26 @@
 		return {view: first, reason: `${first.candidate.node} is the only one`};
 	}
 
-	const firstCost = cost(first);
-	const secondCost = cost(second);
-	const view = secondCost < firstCost ? second : first;
-	const other = view === first ? second : first;
-	return {
-		view,
-		reason: `${view.candidate.node} at ${Math.min(firstCost, secondCost)} before ${other.candidate.node} at ${Math.max(firstCost, secondCost)}`,
-	};
+	const typical = typicalOf(group.durations, call.operation);
+	const timeLeft = call.deadline - now;
+	const firstRate = rateTarget(first, timeLeft, typical, now);
+	const secondRate = rateTarget(second, timeLeft, typical, now);
+	return isBetter(firstRate, secondRate)
+		? {view: first, reason: explain(first, firstRate, second, secondRate)}
+		: {view: second, reason: explain(second, secondRate, first, firstRate)};
+}
+
+function explain(
+	chosen: TargetView,
+	rate: Suitability,
+	other: TargetView,
+	otherRate: Suitability,
+): string {
+	return `${chosen.candidate.node} at ${format(rate)} before ${other.candidate.node} at ${format(otherRate)}`;
+}
+
+function format({tier, cost}: Suitability): string {
+	return `${tier}/${Math.round(cost * 100) / 100}`;
 }
 
 /** Two local targets while one has room, else a local and a remote one. */
--- a/packages/decisions/src/two-choices.ts
+++ b/packages/decisions/src/two-choices.ts
@@ -9,9 +9,12 @@
  * 2001), and requests in flight with latency tell more than a report of
  * utilisation does (Prequal, Wydrowski et al., NSDI 2024).
  *
- * The cost is a target's slowness times its load for each slot. Slowness
- * within half as much again as ordinary counts as ordinary: an average of
- * sixteen durations varies as much by chance.
+ * A target with a free slot goes before one without, and one that can answer
+ * before the deadline before one that is too slow for it; only then the cost
+ * decides, which is a target's slowness times its load for each slot. So a
+ * slow target gets nothing while the others have room, and what its slots can
+ * do once they are full. Slowness within half as much again as ordinary counts
+ * as ordinary: an average of sixteen durations varies as much by chance.
  *
  * A draw costs the same however many targets there are: at most `drawLimit`
  * random draws, and a walk through all only when none of these may be chosen.
@@ -24,11 +27,37 @@
 const idleCost = 0.5;
 const drawLimit = 6;
 
-/** A target's cost; the lower the better. */
-export function costOf(view: TargetView, weight: number, now: number): number {
+/** How well a target suits a request. */
+export type Suitability = {
+	/** 0 with a free slot, 1 without, 2 when it is too slow for the deadline. */
+	tier: number;
+	/** The lower the better within a tier. */
+	cost: number;
+};
+
+/** Rates a target for a request with so much time left, and so much typically needed. */
+export function rateTarget(
+	view: TargetView,
+	timeLeft: number,
+	typical: number,
+	now: number,
+): Suitability {
 	const slowness = slownessOf(view, now);
 	const counted = slowness <= ordinarySlowness ? 1 : slowness;
-	return (counted * (pressureOf(view, now) + idleCost)) / weight;
+	const pressure = pressureOf(view, now);
+	const cost = counted * (pressure + idleCost);
+	if (counted * typical > timeLeft) {
+		return {tier: 2, cost};
+	}
+
+	return {tier: pressure < 1 ? 0 : 1, cost};
+}
+
+/** Whether the first suits better; of two alike it is the first. */
+export function isBetter(first: Suitability, second: Suitability): boolean {
+	return first.tier === second.tier
+		? first.cost <= second.cost
+		: first.tier < second.tier;
 }
 
 /** Draws up to two different targets that may be chosen. */
