feat(decisions): a probe's own duration decides over an ejection; a target that stops answering is seen at once

Cause: after an ejection the averages looked ordinary again, since requests cut by their callers taught nothing, so a slow target got one request after the other from each entry node; and its in-flight requests were seen as late only when their average age was three typical durations. Ruled out: the length of ejections (2, 4, 8 s as before). Change: a half-open target is judged by its one request, cut or not; three attempts in a row that outlast one and a half typical durations make a target count as slow; failures eject only where the others fail less.

--- a/packages/decisions/src/ejection.ts
+++ b/packages/decisions/src/ejection.ts
@@ -10,12 +10,14 @@
  *
  * What could go wrong: a fault that hits all targets ejects all of them, and
  * the few that are left drown. So at most a third of the group is ejected, at
- * least two targets are needed to tell an outlier, slowness ejects only while
+ * least three targets are needed to tell an outlier, slowness ejects only while
  * the others have room for its work and never a target that may be cold, and when fewer than half of the group may
  * be chosen, ejections don't count at all (panic rule).
  *
  * Thresholds: three times the typical duration, as an average over sixteen, is
- * beyond what chance gives; half of sixteen requests failed likewise. The
+ * beyond what chance gives; half of sixteen requests failed likewise, if it is
+ * twice what another target fails, since a fault deeper in the chain shows at
+ * all of them. The
  * first ejection lasts two seconds, each further one in a row twice as long up
  * to half a minute: a target that stays slow then costs one request a node and
  * half minute.
@@ -33,8 +35,8 @@
 const firstTime = 2000;
 const longestTime = 30_000;
 const ceilingShare = 1 / 3;
-/** Above this load for each slot the others have no room for the work of one more. */
-const roomPressure = 0.8;
+/** From this load for each slot on a target has no free slot for the work of another. */
+const fullPressure = 1;
 
 /** The ejections of a group. */
 export type EjectionGroup = {
@@ -58,74 +60,98 @@
 	return ejected.size * 2 > views.length;
 }
 
-/** Whether the target stands out by failures, or by slowness. */
-export function isOutlier(view: TargetView, now: number): boolean {
-	return view.failures > failureShare || slownessOf(view, now) > slowFactor;
-}
+/** How an attempt at a target ended. */
+export type SeenEnd = {
+	/** Its duration relative to the typical one; 1 when that isn't known. */
+	ratio: number;
+	/** Whether it was answered; else the duration is only the least that it would have taken. */
+	isWhole: boolean;
+	/** Another target of the group to compare with. */
+	other: TargetView | undefined;
+};
 
-/** Ejects the target if it stands out and the group allows it. */
-export function considerEjection(
+/** Ejects the target, lifts its ejection, or leaves it as it is. */
+export function judgeTarget(
 	group: EjectionGroup,
 	view: TargetView,
-	other: TargetView | undefined,
+	end: SeenEnd,
 	now: number,
-): boolean {
-	if (
-		now < view.ejectedUntil ||
-		!isOutlier(view, now) ||
-		!hasPlace(group, view)
-	) {
-		return false;
-	}
-
-	const isOnlySlow = view.failures <= failureShare;
-	if (isOnlySlow && (isStarting(view, now) || !hasRoomFor(other, now))) {
-		return false;
+): void {
+	if (view.ejections === 0) {
+		considerEjection(group, view, end.other, now);
+	} else if (now >= view.ejectedUntil) {
+		judgeProbe(group, view, end, now);
 	}
-
-	view.ejections++;
-	view.ejectedUntil =
-		now + Math.min(longestTime, firstTime * 2 ** (view.ejections - 1));
-	group.ejected.add(view);
-	return true;
 }
 
-/** An ordinary answer of a half-open target lifts its ejection. */
-export function considerReturn(
+function considerEjection(
 	group: EjectionGroup,
 	view: TargetView,
-	ratio: number,
+	other: TargetView | undefined,
 	now: number,
 ): void {
-	if (view.ejections === 0 || now < view.ejectedUntil) {
-		return;
+	const isFailing =
+		view.failures > failureShare &&
+		(other?.failures ?? 0) < view.failures * failureShare;
+	const isSlow =
+		slownessOf(view, now) > slowFactor &&
+		!isStarting(view, now) &&
+		hasRoomFor(other, now);
+	if ((isFailing || isSlow) && hasPlace(group)) {
+		eject(group, view, now);
 	}
+}
 
-	if (ratio <= slowFactor) {
-		view.ejections = 0;
-		view.ejectedUntil = 0;
+/** The end of the request that a half-open target was given. */
+function judgeProbe(
+	group: EjectionGroup,
+	view: TargetView,
+	{ratio, isWhole, other}: SeenEnd,
+	now: number,
+): void {
+	if (ratio > slowFactor) {
+		if (hasRoomFor(other, now)) {
+			eject(group, view, now);
+		} else {
+			// A slow slot is better than none.
+			forget(group, view);
+		}
+	} else if (isWhole) {
+		forget(group, view);
 		view.failures = 0;
 		view.slownessLog = 0;
 		view.ends = 0;
-		group.ejected.delete(view);
 		noteSlowness(view, ratio, now);
+	} else if (view.failures > failureShare) {
+		eject(group, view, now);
 	}
 }
 
+function eject(group: EjectionGroup, view: TargetView, now: number): void {
+	view.slownessLog = Math.log(slownessOf(view, now));
+	view.seenAt = now;
+	view.ejections++;
+	view.ejectedUntil =
+		now + Math.min(longestTime, firstTime * 2 ** (view.ejections - 1));
+	group.ejected.add(view);
+}
+
+function forget(group: EjectionGroup, view: TargetView): void {
+	view.ejections = 0;
+	view.ejectedUntil = 0;
+	group.ejected.delete(view);
+}
+
 /** Whether another target can take the work; one that stands out itself can't. */
 function hasRoomFor(other: TargetView | undefined, now: number): boolean {
 	return (
 		other !== undefined &&
-		!isOutlier(other, now) &&
-		pressureOf(other, now) <= roomPressure
+		slownessOf(other, now) <= slowFactor &&
+		pressureOf(other, now) < fullPressure
 	);
 }
 
-function hasPlace({views, ejected}: EjectionGroup, view: TargetView): boolean {
-	if (views.length < 2 || ejected.has(view)) {
-		return views.length >= 2;
-	}
-
+function hasPlace({views, ejected}: EjectionGroup): boolean {
 	const ceiling = Math.max(
 		views.length >= 3 ? 1 : 0,
 		Math.floor(views.length * ceilingShare),
--- a/packages/decisions/src/routing.ts
+++ b/packages/decisions/src/routing.ts
@@ -6,7 +6,7 @@
 import {fixedComeBackTime} from './admission-options.js';
 import {attemptsBelow, hasAttempts} from './chain-attempts.js';
 import {comeBackTime} from './come-back-time.js';
-import {considerEjection, considerReturn} from './ejection.js';
+import {judgeTarget} from './ejection.js';
 import {isGroupOverloaded, noteAttempt} from './group-load.js';
 import {highestLevel} from './admission-level.js';
 import {learnLevelBelow} from './levels-below.js';
@@ -34,6 +34,7 @@
 	noteSlowness,
 	noteStart,
 } from './target-view.js';
+import {drawOne} from './two-choices.js';
 import {learnTypical, typicalOf} from './typical-durations.js';
 import {isRefusedUpstream, noteLevel, seenLevel} from './upstream-refusal.js';
 
@@ -146,15 +147,19 @@
 			earnRetry(group.budget, call.caller);
 		}
 
-		if (view && isAnswer[result.result]) {
-			const ratio = typical > 0 ? result.duration / typical : 1;
+		if (!view) {
+			return;
+		}
+
+		const isWhole = isAnswer[result.result] === true;
+		const ratio = typical > 0 ? result.duration / typical : 1;
+		if (isWhole) {
 			noteSlowness(view, ratio, now);
-			considerReturn(group, view, ratio, now);
 		}
 
-		if (view && choiceOptions.hasEjection) {
-			const other = group.views[random.below(group.views.length)];
-			considerEjection(group, view, other === view ? undefined : other, now);
+		if (choiceOptions.hasEjection) {
+			const other = drawOne(group.views, (each) => each !== view, random);
+			judgeTarget(group, view, {ratio, isWhole, other}, now);
 		}
 	};
 
--- a/packages/decisions/src/target-view.ts
+++ b/packages/decisions/src/target-view.ts
@@ -18,6 +18,13 @@
 /** An attempt in flight; `expected` is 0 when nothing was known of its operation. */
 type OpenAttempt = {startedAt: number; expected: number};
 
+/** So many attempts in a row, so much longer than typical, make a target count as slow. */
+const stuckCount = 3;
+const stuckFactor = 1.5;
+const stuckSlowness = 2;
+/** Attempts looked at for this, from the oldest. */
+const stuckLook = 8;
+
 /** One target as this node sees it. */
 export type TargetView = {
 	candidate: RoutingCandidate;
@@ -27,6 +34,8 @@
 	expectedCount: number;
 	startedSum: number;
 	expectedSum: number;
+	/** The latest start of those that have ended. */
+	lastEndedStart: number;
 	/** The moving average of log(duration / expected). */
 	slownessLog: number;
 	/** The moving average of ends that failed, from 0 to 1. */
@@ -53,6 +62,7 @@
 		expectedCount: 0,
 		startedSum: 0,
 		expectedSum: 0,
+		lastEndedStart: Number.NEGATIVE_INFINITY,
 		slownessLog: 0,
 		failures: 0,
 		ends: 0,
@@ -89,6 +99,7 @@
 	}
 
 	view.open.delete(id);
+	view.lastEndedStart = Math.max(view.lastEndedStart, attempt.startedAt);
 	view.sinceReport--;
 	if (attempt.expected > 0) {
 		view.expectedCount--;
@@ -157,7 +168,10 @@
  * before the first of them ends.
  */
 export function slownessOf(view: TargetView, now: number): number {
-	const seen = Math.exp(rememberedLog(view, now));
+	const remembered = Math.exp(rememberedLog(view, now));
+	const seen = isStuck(view, now)
+		? Math.max(remembered, stuckSlowness)
+		: remembered;
 	if (view.expectedCount < 2) {
 		return seen;
 	}
@@ -166,6 +180,28 @@
 	return Math.max(seen, age / view.expectedSum);
 }
 
+/**
+ * Whether the target has stopped answering as usual: the last few attempts
+ * have all outlasted what is typical, and none that was started after them has
+ * ended. When durations vary exponentially this happens by chance to three
+ * attempts in one case of 23, and then costs only a few choices.
+ */
+function isStuck({open, lastEndedStart}: TargetView, now: number): boolean {
+	let looked = 0;
+	let late = 0;
+	for (const {startedAt, expected} of open.values()) {
+		if (++looked > stuckLook || now - startedAt <= stuckFactor * expected) {
+			return false;
+		}
+
+		if (expected > 0 && startedAt > lastEndedStart && ++late === stuckCount) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
 function rememberedLog({slownessLog, seenAt}: TargetView, now: number): number {
 	return slownessLog === 0
 		? 0
