feat(decisions): an ordinary free slot before a slow one

Cause: a target that was seen to be slow still got requests whenever the ordinary one beside it was busier. Change: free and ordinary, free and slow, full, too slow for the deadline, in this order; the cost decides within each.

--- a/packages/decisions/src/two-choices.ts
+++ b/packages/decisions/src/two-choices.ts
@@ -9,9 +9,9 @@
  * 2001), and requests in flight with latency tell more than a report of
  * utilisation does (Prequal, Wydrowski et al., NSDI 2024).
  *
- * A target with a free slot goes before one without, and one that can answer
- * before the deadline before one that is too slow for it; only then the cost
- * decides, which is a target's slowness times its load for each slot. So a
+ * A target with a free slot goes before one without, an ordinary one before a
+ * slow one, and one that can answer before the deadline before one that is too
+ * slow for it; only then the cost decides, which is a target's slowness times its load for each slot. So a
  * slow target gets nothing while the others have room, and what its slots can
  * do once they are full. Slowness within half as much again as ordinary counts
  * as ordinary: an average of sixteen durations varies as much by chance.
@@ -27,9 +27,12 @@
 const idleCost = 0.5;
 const drawLimit = 6;
 
+/** What matters before the cost: a free slot, even a slow one, but first an ordinary one. */
+const tiers = {free: 0, slow: 1, full: 2, tooSlow: 3} as const;
+
 /** How well a target suits a request. */
 export type Suitability = {
-	/** 0 with a free slot, 1 without, 2 when it is too slow for the deadline. */
+	/** The place in `tiers`; the lower the better. */
 	tier: number;
 	/** The lower the better within a tier. */
 	cost: number;
@@ -47,10 +50,14 @@
 	const pressure = pressureOf(view, now);
 	const cost = counted * (pressure + idleCost);
 	if (counted * typical > timeLeft) {
-		return {tier: 2, cost};
+		return {tier: tiers.tooSlow, cost};
+	}
+
+	if (pressure >= 1) {
+		return {tier: tiers.full, cost};
 	}
 
-	return {tier: pressure < 1 ? 0 : 1, cost};
+	return {tier: counted > 1 ? tiers.slow : tiers.free, cost};
 }
 
 /** Whether the first suits better; of two alike it is the first. */
