feat(decisions): the level counts what waits by priority and remembers the demand above it

Cause: in heavy-callers the level swung between 140 and 383: what waited counted against the level even if it was above it, and each opening let in ten times what the average below had promised. Ruled out: the numbering (light callers had low numbers, heavy ones high ones) and wrong reports (the swing was in the deepest service's own level). Change: the level fits slots and aimed queue with arrivals and waiting work by number; above the level, demand seen earlier is kept and fades.

--- a/packages/decisions/__tests__/admission-parts.spec.ts
+++ b/packages/decisions/__tests__/admission-parts.spec.ts
@@ -73,7 +73,8 @@
 });
 
 describe('admission level', () => {
-	const target = {limit: 10, inFlight: 10, waitingTime: 5000, serviceTime: 50};
+	const target = {limit: 10, serviceTime: 50};
+	const queued = [{priority: 130, slotTime: 500}];
 
 	/** Windows of 200 ms with work spread evenly over the normal class. */
 	const playWindows = (
@@ -89,8 +90,8 @@
 			}
 
 			countUse(state, use * 10, now);
-			const waitingTime = use < 1 ? 0 : target.waitingTime;
-			closeLevelWindow(state, {...target, waitingTime}, now);
+			const waiting = use < 1 ? [] : queued;
+			closeLevelWindow(state, {...target, waiting}, now);
 		}
 	};
 
--- a/packages/decisions/src/admission-level.ts
+++ b/packages/decisions/src/admission-level.ts
@@ -43,16 +43,21 @@
 const idleShare = 0.05;
 /** The most by which the level rises in a window: half a class. */
 const highestRise = sharesPerClass / 2;
-/** Share of the old counts that a window keeps. */
-const keptShare = 0.5;
+/** The weight of a window in the demand up to the level. */
+const newShare = 0.5;
+/** What is kept a window of the demand known above the level: half after about three seconds, and after less than one while slots are idle. */
+const keptAbove = 0.95;
+const keptAboveIdle = 0.8;
 
 /** The state of one target's level. */
 export type AdmissionLevel = {
 	level: number;
-	/** Slot time that arrived lately by priority number, averaged over windows. */
+	/** Slot time that arrived in this window, by priority number. */
 	arrived: Float64Array;
-	/** The sum of the weights of the windows in `arrived`. */
-	weight: number;
+	/** Slot time that arrives a millisecond, by priority number. */
+	demand: Float64Array;
+	/** Windows that `demand` was learnt from. */
+	windows: number;
 	windowStart: number;
 	/** Slot time used in this window, and until when it is counted. */
 	used: number;
@@ -66,9 +71,8 @@
 export type TargetState = {
 	/** Slots in force. */
 	limit: number;
-	inFlight: number;
-	/** Slot time that waits. */
-	waitingTime: number;
+	/** What waits. */
+	waiting: Iterable<{priority: number; slotTime: number}>;
 	/** The average service time. */
 	serviceTime: number;
 };
@@ -78,7 +82,8 @@
 	return {
 		level: highestLevel,
 		arrived: new Float64Array(highestLevel + 1),
-		weight: 0,
+		demand: new Float64Array(highestLevel + 1),
+		windows: 0,
 		windowStart: now,
 		used: 0,
 		countedUntil: now,
@@ -127,54 +132,78 @@
 	now: number,
 ): void {
 	const elapsed = now - state.windowStart;
-	const offered = target.limit * elapsed;
-	const idle = 1 - state.used / offered;
-	state.weight = state.weight * keptShare + elapsed;
-	state.level = nextLevel(state, target, elapsed, idle);
-	for (let number = 0; number <= highestLevel; number++) {
-		state.arrived[number]! *= keptShare;
-	}
-
+	const idle = 1 - state.used / (target.limit * elapsed);
+	learnDemand(state, elapsed, idle > idleShare);
+	state.level =
+		idle > idleShare
+			? openLevel(state, idle)
+			: fitLevel(state, target, elapsed);
+	state.arrived.fill(0);
 	state.windowStart = now;
 	state.used = 0;
 	state.refusedBefore = state.refused;
 	state.refused = 0;
 }
 
-function nextLevel(
+/**
+ * Up to the level all demand arrives here. Above it the layers above refuse,
+ * so that few arrivals there don't mean little demand: what was seen when the
+ * level was higher is forgotten slowly, faster while slots are idle.
+ */
+function learnDemand(
 	state: AdmissionLevel,
-	target: TargetState,
 	elapsed: number,
-	idle: number,
-): number {
-	const offered = target.limit * elapsed;
-	const aimedQueue = aimedQueueTime * target.limit * target.serviceTime;
-	// `arrived` holds several windows; this brings it to one.
-	const scale = elapsed / state.weight;
-	const admitted = sumUpTo(state, state.level) * scale;
-	if (idle > idleShare) {
-		const wanted = limitChange(
-			admitted,
-			admitted / (1 - Math.min(idle, 0.9)),
-			openingBounds,
-		);
-		return raise(state, (wanted - admitted) / scale);
+	isIdle: boolean,
+): void {
+	const {arrived, demand, level} = state;
+	const kept = isIdle ? keptAboveIdle : keptAbove;
+	const share = Math.max(newShare, 1 / ++state.windows);
+	for (let number = 0; number <= highestLevel; number++) {
+		const known = demand[number]!;
+		const moved = known + (arrived[number]! / elapsed - known) * share;
+		demand[number] = number <= level ? moved : Math.max(moved, known * kept);
 	}
+}
 
+/** The level that lets in as much more as slots were idle. */
+function openLevel(state: AdmissionLevel, idle: number): number {
+	const admitted = sumUpTo(state.demand, state.level);
 	const wanted = limitChange(
 		admitted,
-		offered + aimedQueue - target.waitingTime,
+		admitted / (1 - Math.min(idle, 0.9)),
+		openingBounds,
 	);
-	return wanted < admitted && target.waitingTime > aimedQueue / 2
-		? lower(state, wanted / scale)
-		: raise(state, Math.max(0, wanted - admitted) / scale);
+	return raise(state, wanted - admitted);
 }
 
-/** The highest level up to which no more than the wanted slot time arrived. */
-function lower(state: AdmissionLevel, wanted: number): number {
+/** The level up to which what waits and what will arrive fills the slots and the aimed queue. */
+function fitLevel(
+	state: AdmissionLevel,
+	{limit, serviceTime, waiting}: TargetState,
+	elapsed: number,
+): number {
+	const aimed = aimedQueueTime * limit * serviceTime;
+	const queued = new Float64Array(highestLevel + 1);
+	for (const {priority, slotTime} of waiting) {
+		queued[priority]! += slotTime;
+	}
+
+	const queuedSum = sumUpTo(queued, state.level);
+	const admitted = sumUpTo(state.demand, state.level);
+	const spare = limit * elapsed + aimed - queuedSum - admitted * elapsed;
+	if (spare >= 0) {
+		return raise(state, spare / elapsed);
+	}
+
+	if (queuedSum < aimed / 2) {
+		return state.level;
+	}
+
+	const least = limitChange(admitted, 0) * elapsed;
+	const wanted = Math.max(least, limit * elapsed + aimed);
 	let sum = 0;
 	for (let number = 0; number <= state.level; number++) {
-		sum += state.arrived[number] ?? 0;
+		sum += state.demand[number]! * elapsed + queued[number]!;
 		if (sum > wanted) {
 			return Math.max(lowestLevel, number - 1);
 		}
@@ -184,32 +213,31 @@
 }
 
 /**
- * Raises the level until so much more is let in. Above the level little may
- * have been seen, because the layers above refuse it, so a number counts for
- * at least the average of the numbers below.
+ * Raises the level until so much more a millisecond is let in. A number of
+ * which nothing is known counts for the average of the numbers below.
  */
 function raise(state: AdmissionLevel, more: number): number {
 	if (state.level >= highestLevel || more <= 0) {
 		return state.level;
 	}
 
-	const density = sumUpTo(state, state.level) / (state.level + 1);
+	const density = sumUpTo(state.demand, state.level) / (state.level + 1);
 	const last = Math.min(highestLevel, state.level + highestRise);
 	let sum = 0;
 	for (let number = state.level + 1; number <= last; number++) {
-		sum += Math.max(density, state.arrived[number] ?? 0);
+		sum += Math.max(density, state.demand[number]!);
 		if (sum > more) {
-			return number;
+			return number - 1;
 		}
 	}
 
 	return last;
 }
 
-function sumUpTo(state: AdmissionLevel, level: number): number {
+function sumUpTo(values: Float64Array, level: number): number {
 	let sum = 0;
 	for (let number = 0; number <= level; number++) {
-		sum += state.arrived[number] ?? 0;
+		sum += values[number]!;
 	}
 
 	return sum;
--- a/packages/decisions/src/admission-queue.ts
+++ b/packages/decisions/src/admission-queue.ts
@@ -56,8 +56,6 @@
 	byExpiry: LazyHeap<QueueEntry>;
 	/** By class rank, and last what is over its caller's share. */
 	sums: ClassSum[];
-	/** The slot time of all that waits. */
-	slotTime: number;
 	/** Since when the queue hasn't been empty; undefined while it is. */
 	standingSince: number | undefined;
 };
@@ -77,7 +75,6 @@
 			slotTime: 0,
 			shortCount: 0,
 		})),
-		slotTime: 0,
 		standingSince: undefined,
 	};
 }
@@ -87,6 +84,15 @@
 	return essential.size + unessential.size;
 }
 
+/** All that wait, the essential ones first, in the order of arrival. */
+export function* waitingEntries({
+	essential,
+	unessential,
+}: AdmissionQueue): Generator<QueueEntry> {
+	yield* essential.values();
+	yield* unessential.values();
+}
+
 /** Adds a request. */
 export function enqueue(
 	queue: AdmissionQueue,
@@ -120,7 +126,7 @@
 
 /** Takes all that wait, in the order of arrival. */
 export function takeAll(queue: AdmissionQueue): QueueEntry[] {
-	const entries = [...queue.essential.values(), ...queue.unessential.values()];
+	const entries = [...waitingEntries(queue)];
 	for (const entry of entries) {
 		removeEntry(queue, entry);
 	}
@@ -202,7 +208,6 @@
 	const sum = queue.sums[classOf(priority)]!;
 	sum.slotTime += change * slotTime;
 	sum.shortCount += isLong ? 0 : change;
-	queue.slotTime += change * slotTime;
 }
 
 function removeEntry(queue: AdmissionQueue, entry: QueueEntry): void {
@@ -210,7 +215,6 @@
 	tableOf(queue, entry).delete(entry.call.id);
 	count(queue, entry, -1);
 	if (lengthOf(queue) === 0) {
-		queue.slotTime = 0;
 		queue.standingSince = undefined;
 		for (const sum of queue.sums) {
 			sum.slotTime = 0;
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -25,6 +25,7 @@
 	takeAll,
 	takeById,
 	takeNext,
+	waitingEntries,
 	type QueueEntry,
 } from './admission-queue.js';
 import {
@@ -119,8 +120,7 @@
 			level,
 			{
 				limit: slotsInForce(),
-				inFlight: running.size,
-				waitingTime: queue.slotTime,
+				waiting: waitingEntries(queue),
 				serviceTime: serviceTime(),
 			},
 			now,
