feat(decisions): waiting is bounded by a part of the caller's time, by service time only above a share

Cause: with a bound of one service time, requests within their share timed out at the deepest service whenever arrivals came in a clump, and their work above was wasted. Change: a quarter of the time left for normal and deferrable requests, all of it for essential ones; one service time in a standing queue only for what is over its caller's share.

--- a/packages/decisions/src/admission-options.ts
+++ b/packages/decisions/src/admission-options.ts
@@ -1,5 +1,6 @@
 /** What the switched-off mechanisms are replaced by, as lookup tables. */
 import {requestClasses, type RequestClass} from '@egretspoke/protocol';
+import {patienceOf} from './admission-queue.js';
 import {highestLevel} from './admission-level.js';
 import {comeBackTime, type BacklogState} from './come-back-time.js';
 import type {ConcurrencyLimit} from './concurrency-limit.js';
@@ -20,6 +21,7 @@
 	hasLongAmongShort: boolean;
 	hasCancellation: boolean;
 	latestStart: typeof latestStart;
+	patienceOf: typeof patienceOf;
 	classOf(requestClass: RequestClass): RequestClass;
 	limitOf(limit: ConcurrencyLimit): number;
 	levelBelow(operation: string, now: number): number;
@@ -42,6 +44,7 @@
 		hasLongAmongShort: isOn('long-among-short'),
 		hasCancellation: isOn('cancellation'),
 		latestStart,
+		patienceOf,
 		levelBelow: (operation, now) =>
 			below ? levelBelow(below, operation, now) : highestLevel,
 		comeBack: (backlog) => comeBackTime(backlog, random),
@@ -55,6 +58,7 @@
 
 const replacements: Partial<Record<Mechanism, Partial<AdmissionOptions>>> = {
 	classes: {classes: 1, classOf: () => 'essential'},
+	'queue-time': {patienceOf: (_rank, latest) => latest},
 	'concurrency-limit': {limitOf: ({slots}) => slots},
 	'deadline-feasibility': {latestStart: (deadline) => deadline},
 	'upstream-refusal': {levelBelow: () => highestLevel},
--- a/packages/decisions/src/admission-queue.ts
+++ b/packages/decisions/src/admission-queue.ts
@@ -5,11 +5,12 @@
  * length is too short for a burst of short work and far too long for slow
  * work: requests wait until their callers have gone, and every slot serves the
  * dead; one notices full slots, a constant queue and hardly a whole answer.
- * So the bound is time. While the queue empties now and then, a request may
- * wait as long as its deadline allows. Once the queue has stood for a whole
- * window (CoDel, Nichols & Jacobson 2012), waiting no longer smooths a burst
- * but only delays everybody; then a request other than an essential one waits
- * at most one service time, and the backlog older than that goes at once.
+ * So the bound is time. An essential request waits as long as it can still end
+ * in time; any other for a quarter of the time that it has left, so that four
+ * layers may each keep it waiting. Once the queue has stood for a whole window
+ * (CoDel, Nichols & Jacobson 2012), waiting no longer smooths a burst but only
+ * delays everybody; then what is over its caller's share, and so never gets a
+ * slot while anything else waits, goes after one service time.
  *
  * Slots go by priority number, and so by class, then by share: what is refused
  * for want of time is then the same as what the level refuses, here and at
@@ -37,7 +38,9 @@
 	isLong: boolean;
 	priority: number;
 	since: number;
-	/** When it can't start in time any more. */
+	/** The latest start from which it can end in time. */
+	latest: number;
+	/** When it is given up: at its latest start, or earlier when its patience is over. */
 	until: number;
 	/** Slot time that it will take. */
 	slotTime: number;
@@ -48,9 +51,9 @@
 
 /** The queue of one target. */
 export type AdmissionQueue = {
-	/** In the order of arrival. */
-	essential: Map<string, QueueEntry>;
-	unessential: Map<string, QueueEntry>;
+	/** What is within its caller's share and what is over it, in the order of arrival. */
+	withinShare: Map<string, QueueEntry>;
+	overShare: Map<string, QueueEntry>;
 	shortByPriority: LazyHeap<QueueEntry>;
 	longByPriority: LazyHeap<QueueEntry>;
 	byExpiry: LazyHeap<QueueEntry>;
@@ -60,14 +63,16 @@
 	standingSince: number | undefined;
 };
 
+/** The part of its time that a request other than an essential one waits at one layer. */
+const patienceShare = 1 / 4;
 /** The class index of what is over its caller's share. */
 const overShareClass = 3;
 
 /** Creates an empty queue. */
 export function createAdmissionQueue(): AdmissionQueue {
 	return {
-		essential: new Map(),
-		unessential: new Map(),
+		withinShare: new Map(),
+		overShare: new Map(),
 		shortByPriority: createLazyHeap(isMoreImportant),
 		longByPriority: createLazyHeap(isMoreImportant),
 		byExpiry: createLazyHeap((left, right) => left.until < right.until),
@@ -79,18 +84,30 @@
 	};
 }
 
+/** When a request that may start until `latest` is given up. */
+export function patienceOf(
+	rank: number,
+	latest: number,
+	deadline: number,
+	now: number,
+): number {
+	return rank === 0
+		? latest
+		: Math.min(latest, now + (deadline - now) * patienceShare);
+}
+
 /** How many wait. */
-export function lengthOf({essential, unessential}: AdmissionQueue): number {
-	return essential.size + unessential.size;
+export function lengthOf({withinShare, overShare}: AdmissionQueue): number {
+	return withinShare.size + overShare.size;
 }
 
-/** All that wait, the essential ones first, in the order of arrival. */
+/** All that wait, in the order of arrival, what is over its caller's share last. */
 export function* waitingEntries({
-	essential,
-	unessential,
+	withinShare,
+	overShare,
 }: AdmissionQueue): Generator<QueueEntry> {
-	yield* essential.values();
-	yield* unessential.values();
+	yield* withinShare.values();
+	yield* overShare.values();
 }
 
 /** Adds a request. */
@@ -116,7 +133,7 @@
 	queue: AdmissionQueue,
 	id: string,
 ): QueueEntry | undefined {
-	const entry = queue.unessential.get(id) ?? queue.essential.get(id);
+	const entry = queue.withinShare.get(id) ?? queue.overShare.get(id);
 	if (entry) {
 		removeEntry(queue, entry);
 	}
@@ -134,16 +151,16 @@
 	return entries;
 }
 
-/** The request that is the first that can't start in time any more. */
+/** The request that is given up first. */
 export function firstToExpire(queue: AdmissionQueue): QueueEntry | undefined {
 	return peekItem(queue.byExpiry);
 }
 
-/** The oldest request that isn't essential. */
-export function oldestUnessential({
-	unessential,
+/** The oldest request that is over its caller's share. */
+export function oldestOverShare({
+	overShare,
 }: AdmissionQueue): QueueEntry | undefined {
-	const [oldest] = unessential.values();
+	const [oldest] = overShare.values();
 	return oldest;
 }
 
@@ -195,9 +212,9 @@
 
 function tableOf(
 	queue: AdmissionQueue,
-	{rank}: Pick<QueueEntry, 'rank'>,
+	{priority}: QueueEntry,
 ): Map<string, QueueEntry> {
-	return rank === 0 ? queue.essential : queue.unessential;
+	return isOverShareNumber(priority) ? queue.overShare : queue.withinShare;
 }
 
 function count(
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -19,7 +19,7 @@
 	enqueue,
 	firstToExpire,
 	lengthOf,
-	oldestUnessential,
+	oldestOverShare,
 	shortWaiting,
 	slotTimeAhead,
 	takeAll,
@@ -254,7 +254,8 @@
 			isLong,
 			since: now,
 			slotTime,
-			until: latest,
+			latest,
+			until: options.patienceOf(rank, latest, deadline, now),
 			priority,
 		});
 		return {
@@ -263,9 +264,9 @@
 		};
 	};
 
-	/** The oldest request that has waited too long in a queue that stands. */
+	/** The oldest request over its share that has waited too long in a queue that stands. */
 	const outstayed = (now: number): QueueEntry | undefined => {
-		const entry = oldestUnessential(queue);
+		const entry = oldestOverShare(queue);
 		return entry && entry.since + serviceTime() <= now ? entry : undefined;
 	};
 
@@ -282,10 +283,11 @@
 			entry = firstToExpire(queue)
 		) {
 			takeById(queue, entry.call.id);
-			const isLate = entry.call.deadline <= now;
 			give(
 				entry,
-				isLate ? ErrorCode.DeadlinePassed : ErrorCode.DeadlineInfeasible,
+				entry.latest <= now
+					? ErrorCode.DeadlineInfeasible
+					: ErrorCode.QueueTimeout,
 			);
 		}
 
@@ -347,7 +349,7 @@
 
 	/** When the queue will have stood, or its oldest request outstays. */
 	const standingExpiry = (): number => {
-		const oldest = oldestUnessential(queue)?.since;
+		const oldest = oldestOverShare(queue)?.since;
 		return oldest === undefined
 			? Number.POSITIVE_INFINITY
 			: Math.max(standingFrom(), oldest + serviceTime());
