--- /dev/null
+++ b/packages/experiment/__tests__/experiment.spec.ts
@@ -0,0 +1,136 @@
+import {expect} from 'chai';
+import {
+	computeFigures,
+	computeLimit,
+	deployments,
+	findContender,
+	findRecovery,
+	scenarios,
+	spread,
+	type Figures,
+	type Scenario,
+} from '../src/index.js';
+import {createFakeTarget} from '../src/fake-target.js';
+import {runContender} from '../src/run.js';
+
+const deployment = deployments.fieldline;
+
+function runOnce(policy: string, scenario: Scenario, seed = 1): Figures {
+	const contender = findContender(policy)!;
+	const tally = runContender(contender, deployment, scenario, seed);
+	const limit = computeLimit(deployment, scenario, tally.wants);
+	return computeFigures(tally, scenario, limit);
+}
+
+describe('the experiment', () => {
+	const light = {
+		...scenarios.light,
+		calm: 1000,
+		trigger: 2000,
+		aftermath: 1000,
+	};
+
+	for (const policy of ['naive', 'egretspoke']) {
+		describe(policy, () => {
+			it('gives the same figures for the same seed, others for another', () => {
+				const first = JSON.stringify(runOnce(policy, light));
+				expect(JSON.stringify(runOnce(policy, light))).to.equal(first);
+				expect(JSON.stringify(runOnce(policy, light, 2))).not.to.equal(first);
+			});
+
+			it('answers everything at light load', () => {
+				const figures = runOnce(policy, light);
+				expect(figures.essentialGoodput).to.equal(1);
+				expect(figures.goodputShare).to.be.within(0.95, 1.05);
+				expect(figures.wastedWork).to.equal(0);
+			});
+		});
+	}
+
+	it('shows a collapse of the naive policy that outlasts its cause', () => {
+		// The deepest service slows down while demand rises; every layer and every
+		// client tries again. After the cause has gone the queues are still full of
+		// requests whose callers have left, and the users see nothing but timeouts.
+		const figures = runOnce('naive', {
+			...scenarios['deep-slowdown'],
+			calm: 2000,
+			trigger: 5000,
+			aftermath: 12_000,
+		});
+		expect(figures.goodputBefore).to.be.above(300);
+		expect(figures.goodputAtEnd).to.be.below(0.1 * figures.goodputBefore);
+		expect(figures.recoverySeconds).to.equal(undefined);
+		expect(figures.ranTwice).to.be.above(0);
+	});
+
+	it('keeps the promises of our policy through the same load', () => {
+		const figures = runOnce('egretspoke', {
+			...scenarios['deep-slowdown'],
+			calm: 2000,
+			trigger: 5000,
+			aftermath: 6000,
+		});
+		expect(figures.ranTwice).to.equal(0);
+		expect(figures.notRunThatRan).to.equal(0);
+	});
+});
+
+describe('recovery', () => {
+	const evenly = (rate: number, begin: number, end: number) =>
+		Array.from(
+			{length: ((end - begin) * rate) / 1000},
+			(_, index) => begin + (index * 1000) / rate,
+		);
+
+	it('is the end of the first second that is back and stays back', () => {
+		const answers = evenly(100, 3000, 20_000);
+		const recovery = findRecovery(answers, 100, {begin: 0, end: 20_000});
+		expect(recovery).to.be.closeTo(4, 0.1);
+	});
+
+	it('is not a moment of luck in a collapse', () => {
+		const answers = evenly(100, 3000, 4500);
+		expect(findRecovery(answers, 100, {begin: 0, end: 20_000})).to.equal(
+			undefined,
+		);
+	});
+});
+
+describe('the spread over seeds', () => {
+	it('has the median and the worst with its seed', () => {
+		expect(spread([3, 1, 2, 5], [1, 2, 3, 4], 'higher')).to.deep.equal({
+			median: 2.5,
+			worst: 5,
+			worstSeed: 4,
+		});
+		expect(spread([3, 1, 2], [7, 8, 9], 'lower')).to.deep.equal({
+			median: 2,
+			worst: 1,
+			worstSeed: 8,
+		});
+	});
+
+	it('takes what never came about for the worst', () => {
+		const {worst, worstSeed} = spread([1, undefined, 2], [1, 2, 3], 'higher');
+		expect([worst, worstSeed]).to.deep.equal([undefined, 2]);
+	});
+});
+
+describe('the fake target', () => {
+	it('runs as many as it has slots, first in first out, and refuses beyond its connections', () => {
+		const target = createFakeTarget(1, 3);
+		const started: string[] = [];
+		const jobs = ['a', 'b', 'c', 'd'].map((name) => ({
+			start() {
+				started.push(name);
+			},
+		}));
+		const taken = jobs.map((job) => target.offer(job));
+		expect(taken).to.deep.equal([true, true, true, false]);
+		expect(started).to.deep.equal(['a']);
+		target.release(jobs[1]!);
+		target.release(jobs[0]!);
+		expect(started).to.deep.equal(['a', 'c']);
+		expect(target.completed()).to.equal(1);
+	});
+});
--- /dev/null
+++ b/packages/experiment/__tests__/tally.spec.ts
@@ -0,0 +1,96 @@
+import {expect} from 'chai';
+import type {Attempt, UserRequest} from '../src/call.js';
+import {operations} from '../src/index.js';
+import {createTally} from '../src/tally.js';
+
+function createRequest(operation = operations[0]!): UserRequest {
+	return {operation, caller: 'somebody', sentAt: 0, deadline: 3000, work: 0};
+}
+
+function createAttempt(request: UserRequest, parent?: Attempt): Attempt {
+	const {plan} = request.operation;
+	return {
+		call: {
+			request,
+			plan,
+			service: parent ? 'below' : 'above',
+			deadline: 1000,
+			attempts: 3,
+			chain: '1',
+			...(parent ? {parent} : {}),
+		},
+		facts: {
+			id: '1',
+			service: 'above',
+			requestClass: 'essential',
+			caller: 'somebody',
+			operation: plan.operation,
+			deadline: 1000,
+			attempts: 3,
+			idempotent: false,
+		},
+		node: 'one',
+		hasRun: false,
+		saidNotRun: false,
+	};
+}
+
+describe('the checkers', () => {
+	describe('of "not run"', () => {
+		it('catch an attempt that runs after it was said not to', () => {
+			// A target takes a request from its queue just as its node refuses it for
+			// having waited too long. The boat owner reads that nothing was paid, pays
+			// again, and has paid twice.
+			const tally = createTally(() => 0);
+			const attempt = createAttempt(createRequest());
+			tally.saidNotRun(attempt);
+			expect(tally.notRunThatRan()).to.equal(0);
+			tally.tookEffect(attempt);
+			expect(tally.notRunThatRan()).to.equal(1);
+		});
+
+		it('catch an attempt whose deeper call had run', () => {
+			// A service gives up after its deeper call has gone through, and says that
+			// nothing was run. What the caller sees in the deeper service contradicts it.
+			const tally = createTally(() => 0);
+			const request = createRequest();
+			const above = createAttempt(request);
+			tally.tookEffect(createAttempt(request, above));
+			tally.saidNotRun(above);
+			expect(tally.notRunThatRan()).to.equal(1);
+		});
+
+		it('accept a refusal of what never ran', () => {
+			const tally = createTally(() => 0);
+			const request = createRequest();
+			tally.saidNotRun(createAttempt(request));
+			tally.tookEffect(createAttempt(request));
+			expect(tally.notRunThatRan()).to.equal(0);
+		});
+	});
+
+	describe('of "at most once"', () => {
+		it('catch two attempts of one booking that both run', () => {
+			// A client that waited in vain sends its booking again while the first
+			// attempt is still running. The supervisor sees one interviewer twice.
+			const tally = createTally(() => 0);
+			const request = createRequest();
+			tally.requestSent(request);
+			tally.tookEffect(createAttempt(request));
+			expect(tally.ranTwice()).to.equal(0);
+			tally.tookEffect(createAttempt(request));
+			expect(tally.ranTwice()).to.equal(1);
+		});
+
+		it('leave a request alone that may be repeated', () => {
+			const tally = createTally(() => 0);
+			const request = createRequest(
+				operations.find(({idempotent}) => idempotent),
+			);
+			tally.requestSent(request);
+			tally.tookEffect(createAttempt(request));
+			tally.tookEffect(createAttempt(request));
+			expect(tally.ranTwice()).to.equal(0);
+		});
+	});
+});
