--- a/packages/experiment/src/entry.ts
+++ b/packages/experiment/src/entry.ts
@@ -92,10 +92,8 @@
 
 function describe(world: World, call: Call, tries: number): CallFacts {
 	const {operation, caller} = call.request;
-	const {priority, chain} = call;
-	return {
-		chain,
-		...(priority === undefined ? {} : {priority}),
+	const facts: CallFacts = {
+		chain: call.chain,
 		id: world.nextId(),
 		service: call.service,
 		requestClass: operation.requestClass,
@@ -105,6 +103,11 @@
 		attempts: call.attempts - tries,
 		idempotent: operation.idempotent,
 	};
+	if (call.priority !== undefined) {
+		facts.priority = call.priority;
+	}
+
+	return facts;
 }
 
 /** Sends one attempt; the returned function gives it up because the caller has gone. */
@@ -131,11 +134,16 @@
 			node,
 			duration: clock.now() - begin,
 			result,
-			...(load === undefined ? {} : {load}),
-			...(end && end.kind !== 'answered'
-				? {code: end.code, retryAfter: end.retryAfter}
-				: {}),
 		};
+		if (load) {
+			attemptResult.load = load;
+		}
+
+		if (end && end.kind !== 'answered') {
+			attemptResult.code = end.code;
+			attemptResult.retryAfter = end.retryAfter;
+		}
+
 		from.routing.finished(facts, attemptResult, clock.now());
 		return attemptResult;
 	};
--- a/packages/experiment/src/execution.ts
+++ b/packages/experiment/src/execution.ts
@@ -160,10 +160,8 @@
 ): Call {
 	const {node, facts, plan} = at;
 	const {chain} = parent.call;
-	const priority = chainPriority(node.below, chain);
-	return {
+	const call: Call = {
 		chain,
-		...(priority === undefined ? {} : {priority}),
 		request: parent.call.request,
 		plan,
 		service: world.deployment.services[plan.role].name,
@@ -171,4 +169,10 @@
 		attempts: node.routing.attemptsBelow(facts),
 		parent,
 	};
+	const priority = chainPriority(node.below, chain);
+	if (priority !== undefined) {
+		call.priority = priority;
+	}
+
+	return call;
 }
