--- /dev/null
+++ b/packages/experiment/__tests__/output.spec.ts
@@ -0,0 +1,59 @@
+import {expect} from 'chai';
+import {
+	findContender,
+	contenderNames,
+	print,
+	runSweep,
+	scenarios,
+} from '../src/index.js';
+import {drawGoodput} from '../src/plot.js';
+
+describe('what is printed', () => {
+	it('is one line, with null for what never came about', () => {
+		const figures = {goodput: 1, recoverySeconds: undefined};
+		const line = print({scenario: 'light', policies: {naive: figures}});
+		expect(line).to.equal(
+			'{"scenario":"light","naive":{"goodput":1,"recoverySeconds":null}}',
+		);
+	});
+
+	it('knows every policy by its name', () => {
+		for (const name of contenderNames) {
+			expect(findContender(name)?.name).to.equal(name);
+		}
+
+		expect(findContender('clever')).to.equal(undefined);
+	});
+});
+
+describe('the sweep', () => {
+	it('sums up every figure of every policy', () => {
+		const result = runSweep(
+			{scenario: 'light', deployment: 'fieldline', policies: ['naive']},
+			[1],
+		);
+		expect(Object.keys(result.policies)).to.deep.equal(['naive']);
+		expect(result.policies.naive!.ranTwice).to.deep.equal({
+			median: 0,
+			worst: 0,
+			worstSeed: 1,
+		});
+	});
+});
+
+describe('the picture', () => {
+	it('is an SVG file of its own, the same for the same points', () => {
+		const draw = () =>
+			drawGoodput({
+				title: 'two policies',
+				scenario: scenarios.light,
+				limitGoodput: 10,
+				points: ['naive', 'egretspoke'].flatMap((policy) =>
+					[0, 1, 2].map((second) => ({policy, second, goodput: second})),
+				),
+			});
+		expect(draw()).to.match(/^<svg xmlns="http:\/\/www\.w3\.org\/2000\/svg"/u);
+		expect(draw()).to.contain('egretspoke');
+		expect(draw()).to.equal(draw());
+	});
+});
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -61,13 +61,13 @@
 	};
 }
 
+/** What is known by policy is printed beside the rest, under the policy's name. */
+type Printable = Record<string, unknown> & {
+	policies: Record<string, unknown>;
+};
+
 /** The result as the one JSON object of the command; what isn't known is null. */
-export function print({
-	policies,
-	...rest
-}: {
-	policies: Record<string, Record<string, unknown>>;
-}): string {
+export function print({policies, ...rest}: Printable): string {
 	return JSON.stringify({...rest, ...policies}, (_key, value: unknown) =>
 		value === undefined ? null : value,
 	);
