--- a/packages/experiment/src/contender.ts
+++ b/packages/experiment/src/contender.ts
@@ -25,13 +25,10 @@
 	repeatsUnknown: boolean;
 	/** The deadline of a call whose caller gives up at the instant; without end where deadlines aren't passed on. */
 	callDeadline(callerDeadline: number): number;
-	/** When one attempt is given up: at the call's deadline, or after a fixed time for each try. */
-	attemptDeadline(deadline: number, now: number): number;
+	/** When one attempt is given up: at the call's deadline, or after the operation's timeout for each try. */
+	attemptDeadline(deadline: number, now: number, tryTimeout: number): number;
 };
 
-/** Milliseconds after which the naive version gives up each try, at every layer. */
-const naiveTimeout = 1000;
-
 /** The prefix that asks for our policy with one mechanism switched off. */
 const withoutPrefix = 'without:';
 
@@ -53,7 +50,7 @@
 		policy: naivePolicy,
 		attempts: naiveTries,
 		callDeadline: () => Number.POSITIVE_INFINITY,
-		attemptDeadline: (_deadline, now) => now + naiveTimeout,
+		attemptDeadline: (_deadline, now, tryTimeout) => now + tryTimeout,
 		cancels: false,
 		remembersKeys: false,
 		repeatsUnknown: true,
--- a/packages/experiment/src/deployment.ts
+++ b/packages/experiment/src/deployment.ts
@@ -38,6 +38,8 @@
 	idempotent: boolean;
 	/** Its share of the demand. */
 	share: number;
+	/** Milliseconds after which whoever waits for a try of it gives that try up. */
+	tryTimeout: number;
 	plan: CallPlan;
 };
 
@@ -116,12 +118,16 @@
 	below: [],
 };
 
+/** Milliseconds that a client waits for the answer to a try of an ordinary operation. */
+const ordinaryTimeout = 1000;
+
 /** The ordinary mix. */
 export const operations: Operation[] = [
 	{
 		requestClass: 'essential',
 		idempotent: false,
 		share: 0.15,
+		tryTimeout: ordinaryTimeout,
 		plan: {
 			role: 'front',
 			operation: 'POST /bookings',
@@ -134,6 +140,7 @@
 		requestClass: 'essential',
 		idempotent: true,
 		share: 0.15,
+		tryTimeout: ordinaryTimeout,
 		plan: {
 			role: 'side',
 			operation: 'PUT /uploads',
@@ -146,6 +153,7 @@
 		requestClass: 'normal',
 		idempotent: true,
 		share: 0.25,
+		tryTimeout: ordinaryTimeout,
 		plan: {
 			role: 'front',
 			operation: 'GET /orders',
@@ -158,12 +166,14 @@
 		requestClass: 'normal',
 		idempotent: true,
 		share: 0.25,
+		tryTimeout: ordinaryTimeout,
 		plan: middle,
 	},
 	{
 		requestClass: 'deferrable',
 		idempotent: true,
 		share: 0.2,
+		tryTimeout: ordinaryTimeout,
 		plan: {
 			role: 'front',
 			operation: 'GET /reports',
@@ -185,6 +195,7 @@
 	requestClass: 'deferrable',
 	idempotent: true,
 	share: 0,
+	tryTimeout: 5 * ordinaryTimeout,
 	plan: {
 		role: 'front',
 		operation: 'GET /archive',
--- a/packages/experiment/src/entry.ts
+++ b/packages/experiment/src/entry.ts
@@ -99,7 +99,11 @@
 		requestClass: operation.requestClass,
 		caller,
 		operation: call.plan.operation,
-		deadline: world.contender.attemptDeadline(call.deadline, world.clock.now()),
+		deadline: world.contender.attemptDeadline(
+			call.deadline,
+			world.clock.now(),
+			operation.tryTimeout,
+		),
 		attempts: call.attempts - tries,
 		idempotent: operation.idempotent,
 	};
--- a/packages/experiment/src/users.ts
+++ b/packages/experiment/src/users.ts
@@ -3,7 +3,8 @@
  * thing, and the want lives on until it is served or abandoned:
  *
  * - The client sends a request with a deadline of three seconds. It waits one
- *   second for the answer to a try, and tries at once up to three times.
+ *   second for the answer to a try, and tries at once up to three times. For a
+ *   long operation all times of waiting are five times as long.
  * - Half of the clients honour Retry-After: they wait as told before the next
  *   try, and give the request up if that is past its deadline. The others
  *   retry at once whatever they are told.
@@ -20,17 +21,14 @@
 import type {Demand} from './scenario.js';
 import type {World} from './world.js';
 
-/** Milliseconds from a request to its deadline. */
-export const requestDeadline = 3000;
-
-/** Milliseconds that a client waits for the answer to one try. */
-export const tryTimeout = 1000;
-
 /** Tries of one request, the first one included. */
 const clientTries = 3;
 
-/** Milliseconds after which a user gives the want up. */
-const patience = 10_000;
+/** How many times the wait for a try a request's deadline is away. */
+const deadlineTries = 3;
+
+/** How many times the wait for a try a user keeps a want up. */
+const patienceTries = 10;
 
 /** Milliseconds that a user thinks before a new request: the least, and the span above it. */
 const thinkLeast = 2000;
@@ -92,12 +90,13 @@
 	demand: Demand,
 	random: Random,
 ): User {
+	const operation = drawOperation(demand.operations, random);
 	return {
-		operation: drawOperation(demand.operations, random),
+		operation,
 		caller: demand.callers[random.below(demand.callers.length)]!,
 		honours: random.fraction() < honouringShare,
 		home: homes[random.below(homes.length)]!,
-		abandonsAt: world.clock.now() + patience,
+		abandonsAt: world.clock.now() + patienceTries * operation.tryTimeout,
 		random: random.fork(),
 	};
 }
@@ -122,7 +121,7 @@
 		operation: user.operation,
 		caller: user.caller,
 		sentAt: now,
-		deadline: now + requestDeadline,
+		deadline: now + deadlineTries * user.operation.tryTimeout,
 		work: 0,
 	};
 	tally.requestSent(request);
@@ -179,6 +178,7 @@
 ): void {
 	const {clock, deployment, tally} = world;
 	const {toClients} = deployment;
+	const {tryTimeout} = request.operation;
 	const timeLeft = Math.min(tryTimeout, request.deadline - clock.now());
 	let open = true;
 	let leave: (() => void) | undefined;
