--- a/packages/experiment/src/figures.ts
+++ b/packages/experiment/src/figures.ts
@@ -113,9 +113,9 @@
 const recoveredShare = 0.95;
 
 /**
- * The end of the first second after the trigger in which goodput was back,
- * and from which it stayed back on average for five more: a moment of luck
- * in a collapse is no recovery.
+ * The first instant at which goodput is back, over the last second or since
+ * the trigger's end, and from which it stays back on average for five seconds
+ * more: a moment of luck in a collapse is no recovery.
  */
 export function findRecovery(
 	answers: number[],
