--- a/packages/command/__tests__/program.spec.ts
+++ b/packages/command/__tests__/program.spec.ts
@@ -143,6 +143,51 @@
 		});
 	});
 
+	describe('validate on an intent', () => {
+		let directory = '';
+
+		beforeEach(() => {
+			directory = mkdtempSync(path.join(tmpdir(), 'egretspoke-'));
+		});
+
+		afterEach(() => {
+			rmSync(directory, {recursive: true});
+		});
+
+		const validate = async (text: string, ...rest: string[]) => {
+			const file = path.join(directory, 'intent.yaml');
+			writeFileSync(file, text);
+			const result = await run(['validate', file, ...rest]);
+			return {...result, errors: result.errors.replaceAll(file, 'intent.yaml')};
+		};
+
+		it('knows it by its keys, also in a list', async () => {
+			for (const text of ['service: orders', '- service: orders']) {
+				// eslint-disable-next-line no-await-in-loop -- one file after another.
+				const {code, output} = await validate(text);
+				expect(code).to.equal(0);
+				expect(output).to.contain('valid, read as intent');
+			}
+		});
+
+		it('reports its faults with their places', async () => {
+			const {code, errors} = await validate(
+				['service: orders', 'atempts: 3', 'deadline: 4'].join('\n'),
+			);
+			expect(code).to.equal(1);
+			expect(errors).to.contain(
+				'intent.yaml:2:1 atempts: unknown key (nearest known key: attempts)',
+			);
+			expect(errors).to.contain('intent.yaml:3:11 deadline: 4 has no unit');
+			expect(errors).to.contain('2 findings');
+		});
+
+		it('reads as the kind that is asked for', async () => {
+			const {code} = await validate('service: orders', '--kind', 'settings');
+			expect(code).to.equal(1);
+		});
+	});
+
 	describe('progress', () => {
 		const recordProgress = (canShowProgress: boolean) => {
 			const shown: string[] = [];
--- a/packages/command/src/demo.ts
+++ b/packages/command/src/demo.ts
@@ -67,11 +67,17 @@
 	body: string;
 };
 
+/** How the demonstration prints. */
+export type DemoOptions = {
+	/** One JSON object a step in place of prose. */
+	json: boolean;
+};
+
 /** A step that did not do what it shows. */
 class DemoFailure extends Error {}
 
 /** Runs the demonstration and resolves with the exit code. */
-export async function runDemo(): Promise<number> {
+export async function runDemo({json}: DemoOptions): Promise<number> {
 	const standIns = await loadStandIns();
 	if (!standIns) {
 		process.stderr.write(
@@ -80,12 +86,14 @@
 		return 1;
 	}
 
-	let cluster: DemoCluster | undefined;
+	const say = (line: string) => {
+		const text = json ? JSON.stringify({step: line.trim()}) : line;
+		process.stdout.write(`${text}\n`);
+	};
+
 	try {
 		say('Starting: platform stand-in, 3 targets, 3 nodes, each a process.');
-		cluster = await startCluster(standIns, machines, (line) => {
-			say(`  ${line}`);
-		});
+		const cluster = await startCluster(standIns, machines, say);
 		await showSteps(cluster);
 		const unclean = await cluster.stop();
 		expectThat(
@@ -106,33 +114,33 @@
 	await confirmIntents(cluster, entry);
 	await waitInForce(cluster, 1);
 
-	say('A client asks orders-and-payments, which asks loft-queues:');
+	cluster.say('A client asks orders-and-payments, which asks loft-queues:');
 	const first = await ask(entry, 'GET', '/orders/17');
-	describe(first);
+	describe(cluster, first);
 	expectThat(first.status === 200, 'the request is served');
 	const ranAt = await showWay(cluster, first.request);
 
-	say('A payment is not idempotent: it needs a key and its home.');
+	cluster.say('A payment is not idempotent: it needs a key and its home.');
 	const key = {'idempotency-key': 'twine-2041'};
 	const unhomed = await ask(entry, 'POST', '/payments', key);
-	describe(unhomed);
+	describe(cluster, unhomed);
 	expectThat(unhomed.status === 428, 'a payment without a home is not run');
 	const homed = {...key, 'egretspoke-home': unhomed.home};
 	const paid = await ask(entry, 'POST', '/payments', homed);
-	describe(paid);
+	describe(cluster, paid);
 	expectThat(paid.status === 200, 'the payment is run');
 	const repeated = await ask(cluster.nodes[1]!, 'POST', '/payments', homed);
-	describe(repeated);
+	describe(cluster, repeated);
 	expectThat(
 		repeated.outcome === 'answered; repeated' && repeated.body === paid.body,
 		'the same payment sent to another node gets the recorded answer',
 	);
 
 	const chosen = cluster.nodes.find(({node}) => node === ranAt);
-	say(`Killing ${ranAt}, which served loft-queues, and asking again:`);
+	cluster.say(`Killing ${ranAt}, which served loft-queues, and asking again:`);
 	await chosen?.process.kill();
 	const second = await ask(entry, 'GET', '/orders/18');
-	describe(second);
+	describe(cluster, second);
 	expectThat(
 		second.status === 200 || second.outcome !== 'answered',
 		'the request is served or refused truthfully',
@@ -148,9 +156,9 @@
 	const planned = await cluster.operate(entry.admin, ['plan', file, '--json']);
 	expectThat(planned.code === 0, `plan: ${planned.output} ${planned.errors}`);
 	const plan = planSchema.parse(JSON.parse(planned.output));
-	say(`Plan ${plan.id} against version ${plan.baseVersion}:`);
+	cluster.say(`Plan ${plan.id} against version ${plan.baseVersion}:`);
 	for (const {service, path, before, after} of plan.changes) {
-		say(`  ${service} ${path}: ${before ?? '-'} -> ${after ?? '-'}`);
+		cluster.say(`  ${service} ${path}: ${before ?? '-'} -> ${after ?? '-'}`);
 	}
 
 	const confirmed = await cluster.operate(entry.admin, ['confirm', plan.id]);
@@ -158,7 +166,7 @@
 		confirmed.code === 0,
 		`confirm: ${confirmed.output} ${confirmed.errors}`,
 	);
-	say(`  ${confirmed.output.trim()}`);
+	cluster.say(`  ${confirmed.output.trim()}`);
 }
 
 async function waitInForce(
@@ -178,7 +186,9 @@
 		);
 		const elapsed = performance.now() - startedAt;
 		if (versions.every((each) => each >= version)) {
-			say(`Version ${version} is in force on all ${versions.length} nodes.`);
+			cluster.say(
+				`Version ${version} is in force on all ${versions.length} nodes.`,
+			);
 			return;
 		}
 
@@ -227,7 +237,7 @@
 		)
 		.toSorted((left, right) => left.at.localeCompare(right.at));
 	for (const {at, node, event, name, reason} of decisions) {
-		say(`    ${at.slice(11)} ${node} ${event} ${name}: ${reason}`);
+		cluster.say(`    ${at.slice(11)} ${node} ${event} ${name}: ${reason}`);
 	}
 
 	const routed = decisions.findLast(({name}) => name === 'routed');
@@ -244,7 +254,10 @@
 	return code === 0 ? explanationSchema.parse(JSON.parse(output)) : undefined;
 }
 
-function describe({status, outcome, body}: DemoAnswer): void {
+function describe(
+	{say}: DemoCluster,
+	{status, outcome, body}: DemoAnswer,
+): void {
 	say(`  HTTP ${status}, ${outcome}: ${body}`);
 }
 
@@ -253,7 +266,3 @@
 		throw new DemoFailure(`expected: ${what}`);
 	}
 }
-
-function say(line: string): void {
-	process.stdout.write(`${line}\n`);
-}
--- a/packages/command/src/validate-command.ts
+++ b/packages/command/src/validate-command.ts
@@ -1,4 +1,5 @@
 /** `egretspoke validate`: every fault of a file, without a node. */
+import {readIntents} from '@egretspoke/control';
 import {readDocument, readTextFile, type Finding} from '@egretspoke/shared';
 import {nodeSettingsSchema, parseNodeSettings} from '@egretspoke/node';
 import {Option, type Command} from 'commander';
@@ -23,6 +24,18 @@
 		keys: Object.keys(nodeSettingsSchema.shape),
 		read: parseNodeSettings,
 	},
+	intent: {
+		keys: [
+			'service',
+			'deadline',
+			'attempts',
+			'requests',
+			'calls',
+			'targets',
+			'removed',
+		],
+		read: (text, file) => readIntents({text, file}),
+	},
 } as const satisfies Record<string, Reader>;
 
 type Kind = keyof typeof readers;
@@ -76,11 +89,12 @@
 	host.finish(exitCodes.done);
 }
 
-/** The kind that knows most of the keys at the top of the file. */
+/** The kind that knows most of the keys at the top of the file, or of its list of intents. */
 function recogniseKind(text: string, file: string): Kind {
-	const schema = z.record(z.string(), z.unknown());
+	const map = z.record(z.string(), z.unknown());
+	const schema = z.union([map, z.array(map)]);
 	const written = readDocument({text, file, schema}).map((value) =>
-		Object.keys(value),
+		[value].flat().flatMap((each) => Object.keys(each)),
 	);
 	const countKnown = (kind: Kind) =>
 		written
--- a/packages/stand-ins/src/child-process.ts
+++ b/packages/stand-ins/src/child-process.ts
@@ -34,6 +34,14 @@
 	kill(): Promise<void>;
 };
 
+const running = new Set<ChildProcess>();
+
+process.once('exit', () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+});
+
 /** Starts a process. It ends with this one at the latest. */
 export function startChild(options: ChildOptions): Child {
 	const child = spawn(
@@ -61,13 +69,9 @@
 	child.stderr.on('data', (chunk: Uint8Array) => {
 		errors += String(chunk);
 	});
-	const killAtExit = () => {
-		child.kill('SIGKILL');
-	};
-
-	process.once('exit', killAtExit);
+	running.add(child);
 	const exited = waitForExit(child, () => {
-		process.removeListener('exit', killAtExit);
+		running.delete(child);
 		tell(undefined);
 	});
 
