fix(node): bad input at the three listeners keeps no memory and gets a typed error

Cause: specs of bad input found that a refused peer that goes on sending was decoded and queued for a reader that had gone; that bodies were bounded each, not together (8 MB times 4,096 connections); and that a path that isn't percent-encoded got 500 from the admin listener. Ruled out: closing the socket at once, which can lose the refusal. Change: a refused channel takes nothing more; a budget over all callers' bodies (limits.bufferedBodies) refuses the upload that doesn't fit and says when to come back; such a path gets 404.

--- a/packages/node/src/admin-listener.ts
+++ b/packages/node/src/admin-listener.ts
@@ -191,13 +191,13 @@
 		};
 	}
 
-	const parameter = found.path.exec(path)?.groups?.parameter ?? '';
+	const parameter = decodeParameter(found.path.exec(path)?.groups?.parameter);
+	if (parameter === undefined) {
+		return notFound(`${path} is no admin call`);
+	}
+
 	try {
-		return await found.handle(
-			options.services,
-			decodeURIComponent(parameter),
-			body.value,
-		);
+		return await found.handle(options.services, parameter, body.value);
 	} catch (error) {
 		return {status: 500, body: {error: String(error)}};
 	}
@@ -241,6 +241,15 @@
 	}
 }
 
+/** Undefined for a text that isn't percent-encoded as RFC 3986 says. */
+function decodeParameter(text = ''): string | undefined {
+	try {
+		return decodeURIComponent(text);
+	} catch {
+		return undefined;
+	}
+}
+
 function isAllowed(
 	authorization: string | undefined,
 	secret: string | undefined,
--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -10,9 +10,10 @@
 	type ServerResponse,
 } from 'node:http';
 import {ErrorCode, type TargetAnnouncement} from '@egretspoke/protocol';
+import {createBodyBudget, type BodyBudget} from './body-budget.js';
 import {writeOutcome} from './caller-answer.js';
 import type {CallerEntry, CallerOutcome} from './caller-request.js';
-import {readBody} from './request-body.js';
+import {readBody, type BodyFault} from './request-body.js';
 import {readCallerRequest} from './caller-request-reader.js';
 import {refuseHere} from './entry-refusal.js';
 import type {NodeReporter} from './node-reporter.js';
@@ -24,6 +25,8 @@
 	entry: CallerEntry;
 	reporter: NodeReporter;
 	bodyLimit: number;
+	/** All bodies that are held at once. */
+	bufferLimit: number;
 	headerLimit: number;
 	connectionLimit: number;
 	/** For a whole request to arrive; a slow sender is cut off after it. */
@@ -48,6 +51,7 @@
 	options: CallerListenerOptions,
 ): CallerListener {
 	let isDraining = false;
+	const budget = createBodyBudget(options.bufferLimit);
 	const server = createServer(
 		{
 			maxHeaderSize: options.headerLimit,
@@ -61,7 +65,7 @@
 				response.setHeader('connection', 'close');
 			}
 
-			void serve(request, response, options);
+			void serve(request, response, options, budget);
 		},
 	);
 	server.maxConnections = options.connectionLimit;
@@ -128,6 +132,7 @@
 	request: IncomingMessage,
 	response: ServerResponse,
 	options: CallerListenerOptions,
+	budget: BodyBudget,
 ): Promise<void> {
 	const gone = new AbortController();
 	response.once('close', () => {
@@ -140,7 +145,7 @@
 		return;
 	}
 
-	const outcome = await answer(request, options, gone.signal);
+	const outcome = await answer(request, options, budget, gone.signal);
 	writeOutcome(response, outcome);
 }
 
@@ -168,19 +173,39 @@
 async function answer(
 	request: IncomingMessage,
 	options: CallerListenerOptions,
+	budget: BodyBudget,
 	signal: AbortSignal,
 ): Promise<CallerOutcome> {
-	const body = await readBody(request, options.bodyLimit);
+	const body = await readBody(request, options.bodyLimit, budget);
 	if (body.isErr()) {
 		options.reporter.notice({name: 'malformedRequest', fault: body.error});
-		const code =
-			body.error === 'tooLarge'
-				? ErrorCode.TooLarge
-				: ErrorCode.MalformedRequest;
-		return {request: 'none', outcome: refuseHere(code)};
+		const {code, retryAfter} = bodyRefusals[body.error];
+		return {request: 'none', outcome: refuseHere(code, retryAfter)};
 	}
 
-	const read = readCallerRequest(request, body.value);
+	const {length} = body.value;
+	const outcome = await handle(request, body.value, options, signal);
+	budget.give(length);
+	return outcome;
+}
+
+/** Milliseconds after which an upload that found no room comes back: most bodies have left by then. */
+const roomDelay = 1000;
+
+const bodyRefusals: Record<BodyFault, {code: ErrorCode; retryAfter?: number}> =
+	{
+		tooLarge: {code: ErrorCode.TooLarge},
+		cutShort: {code: ErrorCode.MalformedRequest},
+		noRoom: {code: ErrorCode.Overloaded, retryAfter: roomDelay},
+	};
+
+async function handle(
+	request: IncomingMessage,
+	body: Uint8Array,
+	options: CallerListenerOptions,
+	signal: AbortSignal,
+): Promise<CallerOutcome> {
+	const read = readCallerRequest(request, body);
 	if (read.isErr()) {
 		options.reporter.notice({name: 'malformedRequest', fault: 'header'});
 		const detail = read.error.join('; ');
--- a/packages/node/src/request-body.ts
+++ b/packages/node/src/request-body.ts
@@ -2,16 +2,21 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {err, ok, type Result} from 'neverthrow';
+import type {BodyBudget} from './body-budget.js';
 
 /** Why there is no whole body. */
-export type BodyFault = 'tooLarge' | 'cutShort';
+export type BodyFault = 'tooLarge' | 'cutShort' | 'noRoom';
 
 const empty = new Uint8Array(0);
 
-/** Resolves always. A body over the limit isn't read to its end. */
+/**
+ * Resolves always. A body over the limit isn't read to its end. The bytes of a
+ * whole body stay taken from the budget until the caller gives them back.
+ */
 export async function readBody(
 	request: IncomingMessage,
 	limit: number,
+	budget?: BodyBudget,
 ): Promise<Result<Uint8Array, BodyFault>> {
 	const announced = request.headers['content-length'];
 	if (announced === undefined && !request.headers['transfer-encoding']) {
@@ -25,24 +30,36 @@
 	return new Promise((resolve) => {
 		const chunks: Uint8Array[] = [];
 		let length = 0;
-		request.on('data', (chunk: Uint8Array) => {
-			length += chunk.length;
-			if (length > limit) {
-				request.pause();
-				resolve(err('tooLarge'));
-				return;
+		const fail = (fault: BodyFault) => {
+			budget?.give(length);
+			length = 0;
+			chunks.length = 0;
+			request.off('data', take).off('end', finish).off('close', cut).pause();
+			resolve(err(fault));
+		};
+
+		const take = (chunk: Uint8Array) => {
+			if (length + chunk.length > limit) {
+				fail('tooLarge');
+			} else if (budget?.take(chunk.length) ?? true) {
+				length += chunk.length;
+				chunks.push(chunk);
+			} else {
+				fail('noRoom');
 			}
+		};
 
-			chunks.push(chunk);
-		});
-		request.on('end', () => {
+		const finish = () => {
+			request.off('close', cut);
 			resolve(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
-		});
-		request.on('close', () => {
-			resolve(err('cutShort'));
-		});
-		request.on('error', () => {
-			resolve(err('cutShort'));
-		});
+		};
+
+		const cut = () => {
+			fail('cutShort');
+		};
+
+		request.on('data', take).on('end', finish).on('close', cut);
+		// The close that follows an error tells of it.
+		request.on('error', () => undefined);
 	});
 }
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -92,7 +92,7 @@
 	body: sizeSchema.default(8 * megabyte),
 	/** All headers of one request together. */
 	headers: sizeSchema.default(16 * kilobyte),
-	/** All bodies that the node holds at once. */
+	/** The bodies of callers' requests that the node holds at once. */
 	bufferedBodies: sizeSchema.default(128 * megabyte),
 	/** Connections that the caller listener holds open. */
 	connections: count.default(4096),
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -125,6 +125,7 @@
 		entry: core.entry,
 		reporter,
 		bodyLimit: limits.body,
+		bufferLimit: limits.bufferedBodies,
 		headerLimit: limits.headers,
 		connectionLimit: limits.connections,
 		requestTime: limits.slowSender,
--- a/packages/node/src/web-socket-channel.ts
+++ b/packages/node/src/web-socket-channel.ts
@@ -43,17 +43,29 @@
 ): Promise<Result<MessageChannel, HandshakeFailure>> {
 	socket.binaryType = 'nodebuffer';
 	const incoming = createMessageQueue<Message>();
-	socket.on('message', (data) => {
+	const take = (data: RawData) => {
 		const decoded = decodeMessage(toBytes(data));
 		if (decoded.isErr()) {
 			context.onMalformed(decoded.error);
-			socket.close(1002, 'malformed message');
-			incoming.end();
+			refuse(1002, 'malformed message');
 			return;
 		}
 
 		incoming.push(decoded.value);
-	});
+	};
+
+	/**
+	 * A stranger who ignores the close can go on sending until the socket gives
+	 * it up, half a minute later. Kept for a reader that has gone, its messages
+	 * would fill the memory; here nothing is decoded or kept after a refusal.
+	 */
+	const refuse = (code: number, reason: string) => {
+		socket.off('message', take);
+		incoming.end();
+		socket.close(code, reason);
+	};
+
+	socket.on('message', take);
 	socket.on('close', () => {
 		incoming.end();
 	});
@@ -89,7 +101,7 @@
 		const step = handshake.receive(next.value);
 		if (step.isErr()) {
 			timer.cancel();
-			socket.close(1008, step.error);
+			refuse(1008, step.error);
 			return err(step.error);
 		}
 
