fix(decisions): slow start never refuses when every target is new

Cause: two fresh nodes on real processes answered 2 of 12 requests and refused 10 with NoTarget; each target was held to one request by slow start, and with no other candidate the entry refused. Found by the planned-stop test. Ruled out: fair shares and levels (the code was 206, from the entry). The new test failed first. Change: slow start and ejection are preferences; where no target meets them, one that has a connection gets the request and its own admission decides.

--- a/packages/decisions/__tests__/routing.spec.ts
+++ b/packages/decisions/__tests__/routing.spec.ts
@@ -200,6 +200,24 @@
 			expect(warm.new).to.be.greaterThan(0.25);
 		});
 
+		// A whole data centre is back after its failure, so every target is new.
+		// Were slow start a reason to refuse, most of the first seconds' requests
+		// would be told that there is no target, by nodes whose targets are idle.
+		it('refuses nothing for slow start when every target is new', () => {
+			const routing = createRoutingOf([
+				candidate('one', {since: 0}),
+				candidate('two', {since: 0}),
+			]);
+			for (let index = 0; index < 12; index++) {
+				const call = createCall(String(index));
+				const decision = routing.choose(call, [], 0);
+				expect(decision.kind).to.equal('send');
+				if (decision.kind === 'send') {
+					routing.started(call, decision.node, 0);
+				}
+			}
+		});
+
 		it('never holds more requests at a target than its connections', () => {
 			const routing = createRoutingOf([candidate('one', {connections: 10})]);
 			let sent = 0;
--- a/packages/decisions/src/target-choice.ts
+++ b/packages/decisions/src/target-choice.ts
@@ -55,23 +55,23 @@
 	options: ChoiceOptions,
 	{call, exclude, random, now}: ChoiceRequest,
 ): TargetChoice | undefined {
+	const isReachable = (view: TargetView) =>
+		hasConnection(view) && !exclude.includes(view.candidate.node);
 	const isOpen = (view: TargetView) =>
-		hasConnection(view) &&
-		!exclude.includes(view.candidate.node) &&
-		(!options.hasSlowStart || mayStart(view, now));
+		isReachable(view) && (!options.hasSlowStart || mayStart(view, now));
 	const counts = options.hasEjection && !isPanic(group);
 	const mayChoose = counts
 		? (view: TargetView) => isOpen(view) && !isEjected(view, now)
 		: isOpen;
 	if (!options.hasTwoChoices) {
-		return drawAny(group, mayChoose, isOpen, random);
+		return drawAny(group, [mayChoose, isOpen, isReachable], random);
 	}
 
 	const [first, second] = options.hasLocality
 		? drawLocalFirst(group, mayChoose, random, now)
 		: drawTwo(group.views, mayChoose, random);
 	if (!first) {
-		return drawAny(group, mayChoose, isOpen, random);
+		return drawAny(group, [mayChoose, isOpen, isReachable], random);
 	}
 
 	if (counts && call.requestClass !== 'essential') {
@@ -128,20 +128,25 @@
 	return drawTwo(group.views, mayChoose, random);
 }
 
+/**
+ * Draws by the first rule that some target meets. Slow start and ejection are
+ * preferences: where every target is new, as after a restart of a whole data
+ * centre, one of them gets the request, and its own admission decides.
+ */
 function drawAny(
 	group: RoutingGroup,
-	mayChoose: (view: TargetView) => boolean,
-	isOpen: (view: TargetView) => boolean,
+	rules: Array<(view: TargetView) => boolean>,
 	random: Random,
 ): TargetChoice | undefined {
-	const active =
-		drawOne(group.views, mayChoose, random) ??
-		drawOne(group.views, isOpen, random);
-	const view = active ?? drawOne(group.suspect, isOpen, random);
-	return (
-		view && {
-			view,
-			reason: `${view.candidate.node} of ${active ? group.views.length : group.suspect.length}`,
+	for (const views of [group.views, group.suspect]) {
+		for (const rule of rules) {
+			const view = drawOne(views, rule, random);
+			if (view) {
+				const reason = `${view.candidate.node} of ${views.length}`;
+				return {view, reason};
+			}
 		}
-	);
+	}
+
+	return undefined;
 }
