fix(node): cut requests counted once, the platform's state in one line

Cause: specs of the node program found that a request served without the middle hop was counted as two when a second signal cut it, and that a node whose platform was out of reach said nothing of it. Change: a request counts at the entry or as a peer's, not both, and a drain waits for the peers' requests also after the target was announced anew; the configuration watch tells when the platform stops and begins to answer (2301, 2302), refused bodies (2202) and a start on the defaults (2203) are logged.

--- a/packages/control/src/configuration-watch.ts
+++ b/packages/control/src/configuration-watch.ts
@@ -39,12 +39,17 @@
 	reason: Rejection;
 };
 
+/** The platform began to answer, or stopped; `detail` says how it failed. */
+export type PlatformChange = {state: PlatformState; detail?: string};
+
 /** The configuration in force and the ways by which it changes. */
 export type ConfigurationWatch = {
 	/** Each configuration as it comes into force. */
 	accepted: Stream<Configuration>;
 	/** Damaged or malformed bodies, for the log and its counter. */
 	rejected: Stream<RejectedBody>;
+	/** Each change of `platformState`, the first read's result included. */
+	platformChanges: Stream<PlatformChange>;
 	current(): Configuration;
 	source(): ConfigurationSource;
 	platformState(): PlatformState;
@@ -97,6 +102,7 @@
 	const {acceptance = acceptanceRules.higherAndWhole} = options;
 	const accepted = createSubject<Configuration>();
 	const rejected = createSubject<RejectedBody>();
+	const platformChanges = createSubject<PlatformChange>();
 	let current = defaultConfiguration;
 	let source: ConfigurationSource = 'defaults';
 	let platformState: PlatformState = 'unknown';
@@ -116,9 +122,21 @@
 		return result;
 	};
 
+	const noteState = (change: PlatformChange) => {
+		const isChanged = change.state !== platformState;
+		platformState = change.state;
+		if (isChanged) {
+			platformChanges.push(change);
+		}
+	};
+
 	const readPlatform = async () => {
 		const head = await readHead(platform);
-		platformState = head.isOk() ? 'reachable' : 'unreachable';
+		noteState(
+			head.isOk()
+				? {state: 'reachable'}
+				: {state: 'unreachable', detail: head.error.detail},
+		);
 		const version = head.isOk() ? head.value.value?.version : undefined;
 		if (version === undefined || !acceptance.isWanted(current, version)) {
 			return;
@@ -136,6 +154,7 @@
 		platformState: () => platformState,
 		accepted: accepted.stream,
 		rejected: rejected.stream,
+		platformChanges: platformChanges.stream,
 		body() {
 			const {version, checksum, text} = current;
 			return version === 0 ? undefined : {version, checksum, text};
--- /dev/null
+++ b/packages/node/__tests__/node-program.spec.ts
@@ -0,0 +1,235 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	createServer as createHttpServer,
+	type Server as HttpServer,
+} from 'node:http';
+import {createServer, type AddressInfo, type Server} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+import {expect} from 'chai';
+import {request} from 'undici';
+
+const program = fileURLToPath(new URL('../src/main.ts', import.meta.url));
+
+/** Runs the program; `lines` grows as it writes. */
+const start = (...parameters: string[]) => {
+	const child = spawn(
+		process.execPath,
+		['--conditions=source', '--import', 'tsx', program, ...parameters],
+		{stdio: ['ignore', 'pipe', 'pipe']},
+	);
+	const lines: string[] = [];
+	const errors: string[] = [];
+	const watchers = new Set<() => void>();
+	createInterface({input: child.stdout}).on('line', (line) => {
+		lines.push(line);
+		for (const watch of watchers) {
+			watch();
+		}
+	});
+	createInterface({input: child.stderr}).on('line', (line) => {
+		errors.push(line);
+	});
+	const closed = once(child, 'close') as Promise<[number | undefined]>;
+	return {
+		lines,
+		errors,
+		async ended() {
+			const [code] = await closed;
+			return code;
+		},
+		signal: () => child.kill('SIGTERM'),
+		/** The first line that matches, written already or yet to come. */
+		waitFor: async (pattern: RegExp): Promise<RegExpExecArray> =>
+			new Promise((resolve) => {
+				const watch = () => {
+					const found = lines
+						.map((line) => pattern.exec(line))
+						.find((match) => match !== null);
+					if (found) {
+						watchers.delete(watch);
+						resolve(found);
+					}
+				};
+
+				watchers.add(watch);
+				watch();
+			}),
+	};
+};
+
+const listenAnywhere = async (server: Server | HttpServer) => {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	return `127.0.0.1:${port}`;
+};
+
+/** The answer as text, or `cut` when the connection ended without one. */
+const ask = async (url: string): Promise<string> => {
+	try {
+		const answer = await request(url, {
+			headers: {'egretspoke-service': 'orders'},
+		});
+		const text = await answer.body.text();
+		return `${answer.statusCode} ${text}`;
+	} catch {
+		return 'cut';
+	}
+};
+
+describe('the node program', () => {
+	let directory = '';
+
+	beforeEach(() => {
+		directory = mkdtempSync(path.join(tmpdir(), 'egretspoke-'));
+	});
+
+	afterEach(() => {
+		rmSync(directory, {recursive: true});
+	});
+
+	const write = (...lines: string[]) => {
+		const file = path.join(directory, 'node.yaml');
+		writeFileSync(file, lines.join('\n'));
+		return file;
+	};
+
+	/** Settings of a node whose platform answers nothing. */
+	const writeSettings = (admin = '127.0.0.1:0', ...rest: string[]) =>
+		write(
+			'node: vm-1',
+			'dataCentre: a',
+			'platform: {address: "http://127.0.0.1:1"}',
+			`listeners: {caller: "127.0.0.1:0", peer: "127.0.0.1:0", admin: "${admin}"}`,
+			'secrets: {operator: operator-secret-0123}',
+			...rest,
+		);
+
+	describe('checking', () => {
+		it('reports all faults without starting', async () => {
+			const file = write(
+				'node: 1',
+				'listeners: {callr: x}',
+				'logs: {level: x}',
+			);
+			const run = start('--settings', file, '--check');
+			expect(await run.ended()).to.equal(1);
+			expect(run.errors).to.have.length(5);
+			expect(run.errors.join('\n')).to.contain(
+				`${file}:2:13 listeners.callr: unknown key (nearest known key: caller)`,
+			);
+		});
+
+		it('ends with 0 for settings without faults', async () => {
+			const run = start('--settings', writeSettings(), '--check');
+			expect(await run.ended()).to.equal(0);
+			expect(run.lines).to.have.length(1);
+		});
+
+		it('ends with 2 for a command line that makes no sense', async () => {
+			expect(await start('--nonsense').ended()).to.equal(2);
+		});
+	});
+
+	describe('starting', () => {
+		it('gives one line when a port is in use', async () => {
+			// Two nodes are configured on one VM with the same port, or an old one
+			// still runs. The line has to name the listener, not a stack.
+			const other = createServer();
+			const address = await listenAnywhere(other);
+			const run = start('--settings', writeSettings(address));
+			expect(await run.ended()).to.equal(1);
+			other.close();
+			expect(run.errors).to.deep.equal([
+				`not started: listeners.admin ${address} is taken by another process; choose another port`,
+			]);
+		});
+
+		it('gives one line for an address that this VM does not have', async () => {
+			const run = start('--settings', writeSettings('192.0.2.1:7402'));
+			expect(await run.ended()).to.equal(1);
+			expect(run.errors).to.have.length(1);
+			expect(run.errors[0]).to.contain(
+				'192.0.2.1:7402 is no address of this VM',
+			);
+		});
+
+		it('serves without the platform and says so in one line', async () => {
+			// The platform is down while a VM is replaced. A node that refused to
+			// start would turn an outage of the store into one of the service.
+			const run = start('--settings', writeSettings());
+			await run.waitFor(/ 2001 started /u);
+			const unreachable = run.lines.filter((line) => line.includes(' 2301 '));
+			expect(unreachable).to.have.length(1);
+			expect(unreachable[0]).to.contain("the platform can't be reached");
+			run.signal();
+			expect(await run.ended()).to.equal(0);
+		});
+	});
+
+	describe('stopping', () => {
+		let target: HttpServer;
+		let answer: () => void;
+		let arrived: Promise<unknown>;
+
+		beforeEach(async () => {
+			answer = () => undefined;
+			target = createHttpServer((incoming, response) => {
+				incoming.resume();
+				answer = () => response.end('done');
+				target.emit('arrived');
+			});
+			arrived = once(target, 'arrived');
+		});
+
+		afterEach(() => {
+			target.close();
+			target.closeAllConnections();
+		});
+
+		const startWithRequest = async () => {
+			const address = await listenAnywhere(target);
+			const run = start(
+				'--settings',
+				writeSettings(
+					'127.0.0.1:0',
+					`target: {address: "${address}", announcement: {service: orders, slots: 4, connections: 4}}`,
+				),
+			);
+			const [, caller] = await run.waitFor(/ callers (?<caller>[\d.:]+),/u);
+			const asked = ask(`http://${caller!}/orders`);
+			await arrived;
+			return {run, asked};
+		};
+
+		it('finishes what is in flight on a first signal', async () => {
+			const {run, asked} = await startWithRequest();
+			run.signal();
+			await run.waitFor(/ 2003 leaving /u);
+			answer();
+			expect(await asked).to.equal('200 done');
+			expect(await run.ended()).to.equal(0);
+			expect(run.lines.at(-1)).to.contain('drained; 0 requests cut');
+		});
+
+		it('ends at once on a second one and says what it cut', async () => {
+			// A target hangs, and whoever stops the VM will not wait for the drain
+			// time. The cut has to be told, since its caller can't know what ran.
+			const {run, asked} = await startWithRequest();
+			run.signal();
+			await run.waitFor(/ 2003 leaving /u);
+			run.signal();
+			expect(await run.ended()).to.equal(1);
+			expect(run.errors).to.deep.equal([
+				'stopped at once on a second signal; 1 requests cut',
+			]);
+			expect(await asked).not.to.equal('200 done');
+		});
+	});
+});
--- /dev/null
+++ b/packages/node/src/control-follower.ts
@@ -0,0 +1,66 @@
+/** Carries what control learns to the core and to the reporter. */
+import type {Control} from '@egretspoke/control';
+import type {Member} from '@egretspoke/protocol';
+import type {NodeCore} from './node-core.js';
+import type {NodeReporter} from './node-reporter.js';
+
+/** Keeps the router and the ingress as membership and configuration say. */
+export function followControl(
+	control: Control,
+	core: NodeCore,
+	reporter: NodeReporter,
+): void {
+	const {node} = control.membership.self();
+	void control.membership.changes.observe(({member, before}) => {
+		if (!before || isRoutingChange(member, before)) {
+			core.membersChanged();
+		}
+
+		if (member.state === before?.state) {
+			return;
+		}
+
+		reporter.notice({
+			name: 'memberChanged',
+			node: member.node,
+			state: member.state,
+		});
+		if (member.node === node && member.state === 'leaving') {
+			core.leave();
+		}
+
+		if (
+			member.node === node &&
+			member.state === 'active' &&
+			before?.state === 'leaving'
+		) {
+			core.rejoin();
+		}
+	});
+	void control.configuration.platformChanges.observe(({state, detail = ''}) => {
+		reporter.notice(
+			state === 'reachable'
+				? {name: 'platformReachable'}
+				: {name: 'platformUnreachable', detail},
+		);
+	});
+	void control.configuration.rejected.observe(({version, reason}) => {
+		reporter.notice({name: 'configurationRefused', version, detail: reason});
+	});
+	void control.configuration.accepted.observe(({version}) => {
+		const source = control.configuration.source();
+		reporter.notice({name: 'configurationTaken', version, source});
+	});
+}
+
+/** A heartbeat or a version alone changes nothing for the router. */
+function isRoutingChange(member: Member, before: Member): boolean {
+	return (
+		member.state !== before.state ||
+		member.incarnation !== before.incarnation ||
+		member.peerAddress !== before.peerAddress ||
+		member.target?.service !== before.target?.service ||
+		member.target?.slots !== before.target?.slots ||
+		member.target?.connections !== before.target?.connections
+	);
+}
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -35,6 +35,7 @@
 import {refuseHere} from './entry-refusal.js';
 import {createMemberDirectory} from './member-directory.js';
 import type {ExchangeResult} from './exchange-table.js';
+import {createIdleCounter} from './idle-counter.js';
 import {createIngress, readOperation, type Ingress} from './ingress.js';
 import type {PeerTransport} from './message-channel.js';
 import type {NodeReporter} from './node-reporter.js';
@@ -91,6 +92,8 @@
 	entry: Entry;
 	peers: Peers;
 	ledger: Ledger;
+	/** Requests in progress here, of callers and of other nodes, each counted once. */
+	open(): number;
 	/** Undefined until the target has announced itself. */
 	ingress(): Ingress | undefined;
 	/** Takes the target's announcement; a second one replaces the first. */
@@ -130,6 +133,7 @@
 	};
 
 	let ingress: TargetIngress | undefined;
+	const fromPeers = createIdleCounter();
 
 	const runHere = async (
 		request: CallRequest,
@@ -147,7 +151,8 @@
 		CallMessage['role'],
 		(message: CallMessage, signal: AbortSignal) => Promise<ExchangeResult>
 	> = {
-		run: async ({request}, signal) => runHere(request, signal),
+		run: async ({request}, signal) =>
+			fromPeers.during(async () => runHere(request, signal)),
 		async pass({request, home}, signal) {
 			const outcome =
 				home === formatHome(self)
@@ -224,6 +229,7 @@
 		},
 		peers,
 		ledger,
+		open: () => entry.open() + fromPeers.count(),
 		isServed: (service) => directory.isServed(service),
 		membersChanged() {
 			const now = clock.now();
@@ -244,7 +250,7 @@
 		async drain() {
 			isDraining = true;
 			ingress?.leave();
-			await ingress?.whenIdle();
+			await fromPeers.whenIdle();
 			await entry.whenIdle();
 		},
 	};
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -43,7 +43,10 @@
 	| {name: 'drained'; cut: number}
 	| {name: 'configurationTaken'; version: number; source: string}
 	| {name: 'memberChanged'; node: string; state: string}
-	| {name: 'platformReachable'; isReachable: boolean; detail: string};
+	| {name: 'configurationRefused'; version: number; detail: string}
+	| {name: 'runningOnDefaults'}
+	| {name: 'platformReachable'}
+	| {name: 'platformUnreachable'; detail: string};
 
 /** A request's end, for the metrics. */
 export type RequestEnd = {
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -20,6 +20,7 @@
 import {createAdminListener} from './admin-listener.js';
 import {createAdminServices} from './admin-services.js';
 import {createCallerListener} from './caller-listener.js';
+import {followControl} from './control-follower.js';
 import {createHttpTargetClient} from './http-target-client.js';
 import {createNodeCore, type NodeCore} from './node-core.js';
 import {createNodeInstruments} from './node-instruments.js';
@@ -176,12 +177,16 @@
 	const adminAddress = await listenOn(admin, settings.listeners.admin);
 	followControl(control, core, instruments.reporter);
 	await control.start(supervisor.signal);
+	if (control.configuration.source() === 'defaults') {
+		reporter.notice({name: 'runningOnDefaults'});
+	}
+
 	if (settings.target?.announcement) {
 		takeTarget(settings.target.announcement);
 	}
 
 	const stop = async () => {
-		const cut = core.entry.open() + (core.ingress()?.inFlight() ?? 0);
+		const cut = core.open();
 		core.peers.close();
 		await Promise.all([caller.close(), admin.close(), transport.close()]);
 		await supervisor.stop();
@@ -247,57 +252,6 @@
 	};
 }
 
-/** Keeps the router and the ingress as membership and configuration say. */
-function followControl(
-	control: Control,
-	core: NodeCore,
-	reporter: ReturnType<typeof createNodeInstruments>['reporter'],
-): void {
-	const {node} = control.membership.self();
-	void control.membership.changes.observe(({member, before}) => {
-		if (!before || isRoutingChange(member, before)) {
-			core.membersChanged();
-		}
-
-		if (member.state === before?.state) {
-			return;
-		}
-
-		reporter.notice({
-			name: 'memberChanged',
-			node: member.node,
-			state: member.state,
-		});
-		if (member.node === node && member.state === 'leaving') {
-			core.leave();
-		}
-
-		if (
-			member.node === node &&
-			member.state === 'active' &&
-			before?.state === 'leaving'
-		) {
-			core.rejoin();
-		}
-	});
-	void control.configuration.accepted.observe(({version}) => {
-		const source = control.configuration.source();
-		reporter.notice({name: 'configurationTaken', version, source});
-	});
-}
-
-/** A heartbeat or a version alone changes nothing for the router. */
-function isRoutingChange(member: Member, before: Member): boolean {
-	return (
-		member.state !== before.state ||
-		member.incarnation !== before.incarnation ||
-		member.peerAddress !== before.peerAddress ||
-		member.target?.service !== before.target?.service ||
-		member.target?.slots !== before.target?.slots ||
-		member.target?.connections !== before.target?.connections
-	);
-}
-
 type Listening = {listen(host: string, port: number): Promise<number>};
 
 async function listenOn(listener: Listening, address: string): Promise<string> {
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -123,11 +123,11 @@
 		code: 2203,
 		level: 'warn',
 		kind: 'notice',
-		template:
-			'no accepted configuration can be had; safe defaults are in force',
+		template: 'no accepted configuration so far; safe defaults are in force',
 		meaning:
-			'Neither the platform nor a peer could give one; only the target beside the node is served.',
-		advice: 'Bring back the platform or the link; it mends itself then.',
+			'None has ever been accepted, or neither the platform nor a peer could give it.',
+		advice:
+			'With 2301 beside it: bring back the platform or the link; it mends itself then. Without: confirm a first plan.',
 	},
 	planMade: {
 		code: 2204,
@@ -162,16 +162,25 @@
 			'The answer of the table was lost and its record cannot be read yet.',
 		advice: 'Run `egretspoke confirm` with the same plan again; it is safe.',
 	},
-	platformReachable: {
+	platformUnreachable: {
 		code: 2301,
 		level: 'warn',
 		kind: 'notice',
-		template: 'platform reachable: {isReachable}; {detail}',
+		template:
+			"the platform can't be reached, the configuration in force stays: {detail}",
 		meaning:
-			'The table or the object store stopped or began to answer. Requests are served on either way.',
+			'A read of the table failed. Requests are served on; nothing new can be accepted.',
 		advice:
 			'Do not restart nodes in an outage: they would lose the configuration they hold.',
 	},
+	platformReachable: {
+		code: 2302,
+		level: 'info',
+		kind: 'notice',
+		template: 'the platform answers',
+		meaning: 'The first read, or the first one after an outage, was answered.',
+		advice: 'Nothing to do.',
+	},
 	malformedRequest: {
 		code: 2401,
 		level: 'warn',
