--- a/packages/node/__tests__/settings.spec.ts
+++ b/packages/node/__tests__/settings.spec.ts
@@ -58,13 +58,13 @@
 				'  caller: 127.0.0.1:7401',
 				'  admin: localhost:7402',
 				'limits:',
-				'  requestTime: 30',
+				'  slowSender: 30',
 				'  bodies: 1MB',
 			),
 		).to.deep.equal([
 			'node.yaml:4:1 listeners.peer: port 7401 is taken by listeners.caller (expected a port of its own for each listener and the target)',
 			'node.yaml:6:10 listeners.admin: "localhost:7402" is not an address (expected an IP number and a port, such as 10.0.0.1:7400)',
-			'node.yaml:8:16 limits.requestTime: 30 has no unit (expected a number with ms, s, m or h, such as 250ms or 4s, at least 1ms, at most 24h)',
+			'node.yaml:8:15 limits.slowSender: 30 has no unit (expected a number with ms, s, m or h, such as 250ms or 4s, at least 1ms, at most 24h)',
 			'node.yaml:9:3 limits.bodies: unknown key (nearest known key: body)',
 		]);
 	});
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -96,15 +96,13 @@
 	bufferedBodies: sizeSchema.default(128 * megabyte),
 	/** Connections that the caller listener holds open. */
 	connections: count.default(4096),
-	/** The longest that a request may take, and its time when it states none. */
-	requestTime: duration.default(30 * second),
 	/** A caller that takes longer to send its request is cut off. */
 	slowSender: duration.default(10 * second),
 	/** Idempotency keys that the node remembers at once. */
 	ledgerKeys: count.default(65_536),
 	/** Recorded answers of those keys together. */
 	ledgerBytes: sizeSchema.default(16 * megabyte),
-	/** How long a key is remembered when the request states no expiry. */
+	/** How long a key is remembered at most, and when the request states no expiry. */
 	keyLifetime: duration.default(2 * minute),
 });
 
--- a/packages/observability/__tests__/catalogue-pages.spec.ts
+++ b/packages/observability/__tests__/catalogue-pages.spec.ts
@@ -30,6 +30,21 @@
 		}
 	});
 
+	it("hold every metric and event that the operators' page names", () => {
+		const page = readPage('OPERATING.md');
+		const names = Object.values(metricDefinitions).map(({name}) => name);
+		for (const [name] of page.matchAll(/(?:egretspoke|process)_\w+/gu)) {
+			expect(names).to.include(name);
+		}
+
+		const codes = listEvents().map(({code}) => String(code));
+		for (const [code] of page.matchAll(/\b[12]\d{3}\b(?! \*)/gu)) {
+			if (code !== '1024') {
+				expect(codes).to.include(code);
+			}
+		}
+	});
+
 	it('give no number twice', () => {
 		const codes = listEvents().map(({code}) => code);
 		expect(new Set(codes).size).to.equal(codes.length);
