--- a/packages/control/src/member-view.ts
+++ b/packages/control/src/member-view.ts
@@ -7,6 +7,7 @@
 import type {Stream} from 'most';
 import {createGossipQueue} from './gossip-queue.js';
 import {
+	compareRecords,
 	createMembershipState,
 	expireMembers,
 	hearMember,
@@ -18,7 +19,7 @@
 	type MemberEntry,
 	type MergeRule,
 } from './membership.js';
-import {newsLimit, type MembershipTiming} from './membership-timing.js';
+import type {MembershipTiming} from './membership-timing.js';
 import {refute} from './own-record.js';
 
 /** The view and what changes it. */
@@ -40,8 +41,13 @@
 	take(records: Member[], isWhole?: boolean): MemberChange[];
 	suspect(node: string): MemberChange | undefined;
 	expire(): void;
-	/** The own record, the addressee's where it should defend itself, and news. */
-	news(addressee: string | undefined): Member[];
+	/** The own record, the addressee's where it should defend itself, and so many news. */
+	news(addressee: string | undefined, limit: number): Member[];
+	/**
+	 * The same for an answer to a sender, who also learns of a newer record of
+	 * itself, such as one of its earlier process whose wall time was ahead.
+	 */
+	answerNews(sender: Member | undefined, limit: number): Member[];
 	/** All members that are not gone, the own record first. */
 	whole(): Member[];
 };
@@ -81,6 +87,17 @@
 			.map(({member}) => member)
 			.filter(({node}) => node !== state.self);
 
+	const collectNews = (limit: number, rumour: Member | undefined) => {
+		const nodes = new Set(queue.take(limit, state.entries.size));
+		nodes.delete(state.self);
+		if (rumour) {
+			nodes.add(rumour.node);
+		}
+
+		const records = [...nodes].map((node) => state.entries.get(node)?.member);
+		return [self(), ...records.filter((record) => record !== undefined)];
+	};
+
 	return {
 		self,
 		entry: (node) => state.entries.get(node),
@@ -129,16 +146,15 @@
 				note(change);
 			}
 		},
-		news(addressee) {
-			const nodes = new Set(queue.take(newsLimit, state.entries.size));
+		news(addressee, limit) {
 			const known = addressee ? state.entries.get(addressee) : undefined;
-			if (known && mustDefend(known.member)) {
-				nodes.add(known.member.node);
-			}
-
-			nodes.delete(state.self);
-			const records = [...nodes].map((node) => state.entries.get(node)?.member);
-			return [self(), ...records.filter((record) => record !== undefined)];
+			const isRumoured = known && mustDefend(known.member);
+			return collectNews(limit, isRumoured ? known.member : undefined);
+		},
+		answerNews(sender, limit) {
+			const known = sender && state.entries.get(sender.node)?.member;
+			const isBehind = known && compareRecords(known, sender) > 0;
+			return collectNews(limit, isBehind ? known : undefined);
 		},
 		whole: () => [self(), ...others().filter((member) => isPresent(member))],
 	};
@@ -149,11 +165,16 @@
 	return state === 'suspect' || state === 'gone';
 }
 
-/** A change of the version in force can wait behind changes of who is there. */
+/**
+ * First starts, `joining` to `active` and new versions can wait behind ends,
+ * returns and new incarnations: a wrong trust costs more than a late one.
+ */
 function isUrgentChange({member, before}: MemberChange): boolean {
-	return (
-		before?.state !== member.state ||
-		before.incarnation !== member.incarnation ||
-		before.target?.service !== member.target?.service
-	);
+	if (before === undefined) {
+		return false;
+	}
+
+	const isNewLife = before.incarnation !== member.incarnation;
+	const isFirstActive = before.state === 'joining' && member.state === 'active';
+	return isNewLife || (before.state !== member.state && !isFirstActive);
 }
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -27,11 +27,12 @@
 	CallerOutcome,
 	CallerRequest,
 } from './caller-request.js';
-import {refuseHere} from './entry-refusal.js';
+import {refuseHere, refuseUnknown} from './entry-refusal.js';
+import {createKeyRefusals} from './entry-keys.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
 import {readOperation} from './ingress.js';
-import {createLinkedAbort} from './linked-abort.js';
+import {createLinkedAbort, type LinkedAbort} from './linked-abort.js';
 import type {NodeReporter} from './node-reporter.js';
 import {
 	createEntryCall,
@@ -57,6 +58,8 @@
 		method: string,
 		path: string,
 	): Classification | undefined;
+	/** Milliseconds for which a request that is read now may have waited. */
+	possibleAge(): number;
 	/** The priority number of a request that the node's own target runs. */
 	priorityOf(request: string): number | undefined;
 	/** Passes a request to the home of its key. */
@@ -79,11 +82,17 @@
 	whenIdle(): Promise<void>;
 };
 
+type CallHandler = (call: EntryCall, caller: LinkedAbort) => Promise<Outcome>;
+
+/** Milliseconds after which a home that couldn't be reached may be. */
+const homeRetryAfter = 1000;
+
 /** Creates the entry of one node. */
 export function createEntry(context: EntryContext): Entry {
 	const {clock, reporter, running, self} = context;
 	const {attemptHandler = attemptAtMostOnce} = context;
 	const idle = createIdleCounter();
+	const keys = createKeyRefusals(self, context.ledger);
 
 	const handle = async (
 		incoming: CallerRequest,
@@ -92,17 +101,23 @@
 		const {service, method, path} = incoming;
 		const rules = context.classify(service, method, path);
 		if (!rules) {
-			return end(incoming, refuseHere(ErrorCode.UnknownService));
+			return end(incoming, keys.refuse(incoming, ErrorCode.UnknownService));
 		}
 
 		const barred = context.refusalOf();
-		if (barred !== undefined && !isDeeper(incoming)) {
-			return end(incoming, refuseHere(barred, 0));
+		if (
+			barred !== undefined &&
+			!isDeeper(incoming) &&
+			!keys.isRepeatHere(incoming)
+		) {
+			return end(incoming, keys.refuse(incoming, barred, 0));
 		}
 
-		const call = createEntryCall(incoming, rules, running, clock.now());
+		const arrivedAt = clock.now() - context.possibleAge();
+		const call = createEntryCall(incoming, rules, running, arrivedAt);
 		if (call.isErr()) {
-			return end(incoming, refuseHere(call.error.code, call.error.retryAfter));
+			const {code, retryAfter} = call.error;
+			return end(incoming, keys.refuse(incoming, code, retryAfter));
 		}
 
 		const startedAt = clock.now();
@@ -115,7 +130,7 @@
 		const linked = createLinkedAbort(signal, allotment?.signal);
 		const outcome = await chooseHandler(incoming, call.value)(
 			call.value,
-			linked.signal,
+			linked,
 		);
 		linked.release();
 		reporter.ended({
@@ -135,7 +150,7 @@
 	const chooseHandler = (
 		{home, key}: CallerRequest,
 		{request}: EntryCall,
-	): ((call: EntryCall, signal: AbortSignal) => Promise<Outcome>) => {
+	): CallHandler => {
 		if (request.idempotent) {
 			return handleIdempotent;
 		}
@@ -150,18 +165,23 @@
 
 		return formatHome(home) === formatHome(self)
 			? handleKey
-			: async (call, signal) => pass(home, call, signal);
+			: async (call, caller) => pass(home, call, caller);
 	};
 
-	const handleIdempotent = async (
+	const handleIdempotent: CallHandler = async (call, caller) =>
+		untilDeadline(call, caller, async () =>
+			attemptIdempotent(call, caller.signal),
+		);
+
+	/** At the deadline the caller counts as gone, and gets its final answer at once. */
+	const untilDeadline = async (
 		call: EntryCall,
-		signal: AbortSignal,
+		caller: LinkedAbort,
+		work: () => Promise<Outcome>,
 	): Promise<Outcome> => {
-		const linked = createLinkedAbort(signal);
-		const timer = clock.setTimer(call.deadline - clock.now(), linked.abort);
-		const outcome = await attemptIdempotent(call, linked.signal);
+		const timer = clock.setTimer(call.deadline - clock.now(), caller.abort);
+		const outcome = await work();
 		timer.cancel();
-		linked.release();
 		return outcome;
 	};
 
@@ -197,10 +217,7 @@
 		}
 	};
 
-	const handleKey = async (
-		call: EntryCall,
-		signal: AbortSignal,
-	): Promise<Outcome> => {
+	const handleKey: CallHandler = async (call, {signal}) => {
 		const {request} = call;
 		const attempts = createAttempts(context, call);
 		const outcome = await attemptHandler({
@@ -225,7 +242,7 @@
 	const pass = async (
 		home: Home,
 		call: EntryCall,
-		signal: AbortSignal,
+		caller: LinkedAbort,
 	): Promise<Outcome> => {
 		reporter.decide({
 			name: 'homePassed',
@@ -233,16 +250,16 @@
 			reason: 'the key has its home elsewhere',
 			details: {home: formatHome(home)},
 		});
-		const linked = createLinkedAbort(signal);
-		const timer = clock.setTimer(call.deadline - clock.now(), linked.abort);
-		const {outcome} = await context.passToHome(
-			home,
-			call.request,
-			linked.signal,
-		);
-		timer.cancel();
-		linked.release();
-		return outcome;
+		return untilDeadline(call, caller, async () => {
+			const {outcome, isUnsent} = await context.passToHome(
+				home,
+				call.request,
+				caller.signal,
+			);
+			return isUnsent
+				? refuseUnknown(ErrorCode.HomeUnreachable, homeRetryAfter)
+				: outcome;
+		});
 	};
 
 	const end = (incoming: CallerRequest, outcome: Outcome): CallerOutcome => {
@@ -264,13 +281,14 @@
 		},
 		async handleAtHome(request, signal) {
 			const barred = context.refusalOf();
-			if (barred !== undefined) {
+			if (barred !== undefined && !keys.mayHaveRunHere(request)) {
 				return refuseHere(barred, 0);
 			}
 
 			const deadline = clock.now() + request.timeLeft;
 			const call = {request, operation: readOperation(request), deadline};
-			return idle.during(async () => handleKey(call, signal));
+			const caller = createLinkedAbort(signal);
+			return idle.during(async () => handleKey(call, caller));
 		},
 		open: idle.count,
 		whenIdle: idle.whenIdle,
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -32,13 +32,14 @@
 import type {Clock, Random} from '@egretspoke/shared';
 import {createAttemptSender} from './attempt-sender.js';
 import {createEntry, type Entry} from './entry.js';
-import {refuseHere} from './entry-refusal.js';
+import {refuseHere, refuseUnknown} from './entry-refusal.js';
 import {createMemberDirectory} from './member-directory.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
 import {createIngress, readOperation, type Ingress} from './ingress.js';
 import type {PeerTransport} from './message-channel.js';
 import type {NodeReporter} from './node-reporter.js';
+import {createPauseWatch} from './pause-watch.js';
 import {createPeers, type Peers} from './peers.js';
 import type {Classification} from './request-chain.js';
 import {
@@ -117,6 +118,7 @@
 	const directory = createMemberDirectory();
 	const ledger = createLedger({clock, ...context.ledger});
 	const below = createLevelsBelow();
+	const pauses = createPauseWatch(clock, supervisor.signal);
 	const routing = policy.createRouting({
 		below,
 		dataCentre: context.dataCentre,
@@ -157,7 +159,7 @@
 			const outcome =
 				home === formatHome(self)
 					? await entry.handleAtHome(request, signal)
-					: refuseHere(ErrorCode.HomeGone);
+					: refuseUnknown(ErrorCode.HomeGone);
 			return {outcome};
 		},
 	};
@@ -170,8 +172,12 @@
 		supervisor: supervisor.branch('peers'),
 		services: {
 			reporter,
-			call: async (message, signal) =>
-				handleCall[message.role](message, signal),
+			async call(message, signal) {
+				const {request} = message;
+				const timeLeft = request.timeLeft - pauses.possibleAge();
+				const aged = {...message, request: {...request, timeLeft}};
+				return handleCall[message.role](aged, signal);
+			},
 			probe: (message) => control.receiveProbe(message),
 			configurationBody: () => control.configurationBody(),
 		},
@@ -201,13 +207,14 @@
 		running,
 		reporter,
 		refusalOf,
+		possibleAge: pauses.possibleAge,
 		priorityOf: (request) => chainPriority(below, request),
 		classify: (service, method, path) =>
 			control.classify(service, method, path),
 		async passToHome(home, request, signal) {
 			const member = directory.byNode(home.node);
 			if (!member || home.node === self.node) {
-				return {outcome: refuseHere(ErrorCode.HomeGone)};
+				return {outcome: refuseUnknown(ErrorCode.HomeGone)};
 			}
 
 			const options = {role: 'pass' as const, home: formatHome(home)};
