--- a/packages/node/src/supervisor.ts
+++ b/packages/node/src/supervisor.ts
@@ -7,6 +7,7 @@
  * that follow a single bad peer. Here the error stays with its task, is
  * reported, and the task starts afresh.
  */
+import {setMaxListeners} from 'node:events';
 import {sleep, type Clock} from '@egretspoke/shared';
 
 /** A task runs until its signal aborts; returning early means that its work is done. */
@@ -51,6 +52,8 @@
 	const signal = parent
 		? AbortSignal.any([parent, stopping.signal])
 		: stopping.signal;
+	// Every task below waits on this signal; Node would call eleven of them a leak.
+	setMaxListeners(0, signal);
 	const children = new Map<
 		string,
 		{stop: AbortController; end: Promise<void>}
