--- /dev/null
+++ b/packages/node/__tests__/chain-attempts.spec.ts
@@ -0,0 +1,178 @@
+import {expect} from 'chai';
+import {egretspokePolicy} from '@egretspoke/decisions';
+import type {Answer, CallRequest, Member} from '@egretspoke/protocol';
+import {createRandom, createVirtualClock} from '@egretspoke/shared';
+import {createNodeCore, type NodeCore} from '../src/node-core.js';
+import {silentReporter} from '../src/node-reporter.js';
+import {createSupervisor} from '../src/supervisor.js';
+import {createLocalNetwork} from './local-network.js';
+
+const triesOfTargets = 3;
+const attemptsOfChain = 3;
+const empty = new Uint8Array(0);
+const failed: Answer = {status: 503, headers: {}, body: empty};
+const {signal} = new AbortController();
+
+/** A way for the target of one layer to call the next. */
+type CallDeeper = (request: CallRequest, layer: number) => Promise<Answer>;
+
+/** Each layer's target tries three times by itself, whatever it is told. */
+async function retryNaively(call: () => Promise<Answer>): Promise<Answer> {
+	for (let tries = 1; ; tries++) {
+		// eslint-disable-next-line no-await-in-loop -- one try after another.
+		const answer = await call();
+		if (answer.status === 200 || tries === triesOfTargets) {
+			return answer;
+		}
+	}
+}
+
+/** Calls that reach the failing service below `depth` layers for one request, without a layer of ours. */
+async function countNaive(depth: number): Promise<number> {
+	let reached = 0;
+	const runLayer = async (layer: number): Promise<Answer> => {
+		if (layer === depth) {
+			reached++;
+			return failed;
+		}
+
+		return retryNaively(async () => runLayer(layer + 1));
+	};
+
+	await runLayer(1);
+	return reached;
+}
+
+/** The same with a node beside every target. */
+async function countWithNodes(depth: number): Promise<number> {
+	const clock = createVirtualClock();
+	const attach = createLocalNetwork();
+	const members: Member[] = [];
+	const cores: NodeCore[] = [];
+	const tally = {reached: 0, isOver: false};
+
+	const callDeeper: CallDeeper = async (request, layer) => {
+		const {outcome} = await cores[layer - 1]!.entry.handle(
+			{
+				id: request.id,
+				service: `layer-${layer + 1}`,
+				method: 'GET',
+				path: '/',
+				headers: {},
+				body: empty,
+				caller: `layer-${layer}`,
+			},
+			signal,
+		);
+		return outcome.kind === 'answered' ? outcome.answer : failed;
+	};
+
+	for (let layer = 1; layer <= depth; layer++) {
+		const node = `vm-${layer}`;
+		const announcement = {
+			service: `layer-${layer}`,
+			slots: 100,
+			connections: 100,
+		};
+		members.push({
+			node,
+			incarnation: 1,
+			heartbeat: 1,
+			region: 'gh-coast',
+			dataCentre: 'gh-coast-1',
+			peerAddress: node,
+			callerAddress: node,
+			state: 'active',
+			target: announcement,
+			configurationVersion: 0,
+		});
+		const core = createNodeCore({
+			clock,
+			random: createRandom(layer),
+			self: {node, incarnation: 1},
+			dataCentre: 'gh-coast-1',
+			policy: egretspokePolicy,
+			transport: attach({node, incarnation: 1, dataCentre: 'gh-coast-1'}),
+			supervisor: createSupervisor(clock, () => undefined),
+			reporter: silentReporter,
+			ledger: {capacity: 10, bytesCapacity: 1000, maximumLifetime: 60_000},
+			control: {
+				classify: () => ({
+					requestClass: 'normal',
+					idempotent: true,
+					deadline: 60_000,
+					attempts: attemptsOfChain,
+				}),
+				members: () => members,
+				isSuspended: () => false,
+				receiveProbe() {
+					throw new Error('nobody probes here');
+				},
+				configurationBody: () => undefined,
+			},
+		});
+		core.announce({
+			announcement,
+			client: {
+				async send(request) {
+					if (layer === depth) {
+						tally.reached++;
+						return {kind: 'answer', answer: failed};
+					}
+
+					const answer = await retryNaively(async () =>
+						callDeeper(request, layer),
+					);
+					return {kind: 'answer', answer};
+				},
+			},
+		});
+		cores.push(core);
+	}
+
+	for (const core of cores) {
+		core.membersChanged();
+	}
+
+	const asking = cores[0]!.entry.handle(
+		{
+			service: 'layer-1',
+			method: 'GET',
+			path: '/',
+			headers: {},
+			body: empty,
+			caller: 'client',
+		},
+		signal,
+	);
+	void (async () => {
+		await asking;
+		tally.isOver = true;
+	})();
+
+	while (!tally.isOver) {
+		// eslint-disable-next-line no-await-in-loop -- a millisecond after another.
+		await clock.runTo(clock.now() + 1);
+	}
+
+	return tally.reached;
+}
+
+describe('attempts of a whole chain', () => {
+	// Every target of a deep chain tries three times by itself when the next
+	// service fails. Each layer multiplies what the one above it sends, and the
+	// slow service drowns long after the surge has passed.
+	for (const depth of [2, 4, 6]) {
+		describe(`${depth} services deep`, () => {
+			it('are bounded by the chain, however often its targets try', async () => {
+				const reached = await countWithNodes(depth);
+				expect(reached).to.be.within(1, attemptsOfChain);
+			});
+
+			it('multiply with each layer without nodes', async () => {
+				const reached = await countNaive(depth);
+				expect(reached).to.equal(triesOfTargets ** (depth - 1));
+			});
+		});
+	}
+});
