--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -13,6 +13,7 @@
 } from '@egretspoke/protocol';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
 import type {Stream} from 'most';
+import {createCatchUp} from './catch-up.js';
 import {createLease} from './lease.js';
 import {createMemberView} from './member-view.js';
 import {
@@ -23,20 +24,14 @@
 } from './membership.js';
 import {
 	defaultTiming,
-	spreadPause,
+	newsLimits,
 	spreadWidth,
 	type MembershipTiming,
 } from './membership-timing.js';
 import {announceChange, reincarnate, type OwnChange} from './own-record.js';
+import {createProbeExchange, type SendProbe} from './probe-exchange.js';
 import {createProbeOrder, sample} from './probe-order.js';
 
-/** Sends a probe to a peer listener; undefined when no acknowledgement came. */
-export type SendProbe = (
-	address: string,
-	probe: ProbeMessage,
-	signal: AbortSignal,
-) => Promise<AcknowledgementMessage | undefined>;
-
 /** What membership needs. */
 export type MembershipOptions = {
 	/** The node's record as it starts, usually `joining`. */
@@ -76,9 +71,6 @@
 	run(signal: AbortSignal): Promise<void>;
 };
 
-/** Addresses asked for all members by one `join`. */
-const joinWidth = 3;
-
 /** Creates membership; nothing is sent before `run`, `join` or `announce`. */
 export function createMembership(
 	options: MembershipOptions,
@@ -89,17 +81,17 @@
 	const order = createProbeOrder(random.fork());
 	const lease = createLease(clock, timing.lease);
 	let isAnnouncing = false;
-	let sequence = 0;
-	let spreadDue: Promise<void> | undefined;
-	let lastSpread = Number.NEGATIVE_INFINITY;
-	let lastWhole = Number.NEGATIVE_INFINITY;
-	let returnedAt: string | undefined;
 
 	const takeIn = (
 		message: ProbeMessage | AcknowledgementMessage,
 		isWhole = false,
 	) => {
+		const own = view.self();
 		const changes = view.take(message.members, isWhole);
+		if (view.self() !== own) {
+			void spread();
+		}
+
 		for (const change of changes) {
 			followUp(change);
 		}
@@ -122,67 +114,23 @@
 			void spread();
 		}
 
-		if (before && !isPresent(before) && isPresent(member)) {
-			returnedAt = member.peerAddress;
+		const isReturn =
+			before?.incarnation === member.incarnation &&
+			!isPresent(before) &&
+			isPresent(member);
+		if (isReturn) {
+			catchUp.note(member.peerAddress);
 		}
 	};
 
-	const exchange = async (
-		address: string,
-		addressee?: string,
-		whole?: boolean,
-	): Promise<AcknowledgementMessage | undefined> => {
-		const abort = new AbortController();
-		const timer = clock.setTimer(timing.probeTimeout, () => {
-			abort.abort();
-		});
-		const probe: ProbeMessage = {
-			type: 'probe',
-			sequence: sequence++,
-			members: view.news(addressee),
-			configurationVersion: view.self().configurationVersion,
-			...(whole && {whole}),
-		};
-		const answer = await Promise.race([
-			send(address, probe, abort.signal),
-			waitForAbort(abort.signal),
-		]);
-		timer.cancel();
-		if (answer) {
-			takeIn(answer, whole);
-		}
-
-		return answer;
-	};
-
-	const spreadNow = async () => {
-		lastSpread = clock.now();
-		const chosen = sample(view.present(), spreadWidth, random);
-		await Promise.all(
-			chosen.map(async ({peerAddress, node}) => exchange(peerAddress, node)),
-		);
-	};
-
-	const spread = async (): Promise<void> => {
-		spreadDue ??= (async () => {
-			const wait = Math.max(0, lastSpread + spreadPause - clock.now());
-			await sleep(clock, wait);
-			spreadDue = undefined;
-			await spreadNow();
-		})();
-		return spreadDue;
-	};
-
-	const join = async (addresses: string[]): Promise<number> => {
-		const own = view.self().peerAddress;
-		const others = [...new Set(addresses)].filter((each) => each !== own);
-		const chosen = sample(others, joinWidth, random);
-		lastWhole = clock.now();
-		const answers = await Promise.all(
-			chosen.map(async (address) => exchange(address, undefined, true)),
-		);
-		return answers.filter(Boolean).length;
-	};
+	const {exchange, spread, spreadNow, join, lastJoin} = createProbeExchange({
+		view,
+		clock,
+		random,
+		timing,
+		send,
+		takeIn,
+	});
 
 	const probeNext = async () => {
 		const node = order.next(() => view.present().map((each) => each.node));
@@ -213,21 +161,25 @@
 		}
 
 		const isAlone = known.size === 1;
-		const answer = await exchange(lost.peerAddress, lost.node, isAlone);
-		if (answer && !isAlone) {
-			returnedAt = lost.peerAddress;
+		const answer = await exchange(lost.peerAddress, lost.node, {
+			whole: isAlone,
+		});
+		const isReached =
+			answer &&
+			(lost.node === undefined || answer.members[0]?.node === lost.node);
+		if (isReached && !isAlone) {
+			catchUp.note(lost.peerAddress);
 		}
 	};
 
-	/** After a return, the members on the other side are many: ask for all at once. */
-	const catchUp = async () => {
-		const due = lastWhole + timing.returnPause * (0.5 + random.fraction());
-		if (returnedAt !== undefined && clock.now() >= due) {
-			const address = returnedAt;
-			returnedAt = undefined;
-			await join([address]);
-		}
-	};
+	const catchUp = createCatchUp({
+		clock,
+		random,
+		timing,
+		lastJoin,
+		join,
+		reachLost,
+	});
 
 	const exchangeWhole = async () => {
 		const [member] = sample(view.present(), 1, random);
@@ -272,11 +224,13 @@
 		},
 		receive(probe) {
 			takeIn(probe);
-			const [sender] = probe.members;
+			const [sender, ...news] = probe.members;
+			const limit = Math.max(newsLimits.acknowledgement, news.length);
+			const most = Math.min(newsLimits.probe, limit);
 			return {
 				type: 'acknowledgement',
 				sequence: probe.sequence,
-				members: probe.whole ? view.whole() : view.news(sender?.node),
+				members: probe.whole ? view.whole() : view.answerNews(sender, most),
 				configurationVersion: view.self().configurationVersion,
 			};
 		},
@@ -292,7 +246,7 @@
 					timing.probePeriod / 2,
 					async () => {
 						view.expire();
-						await catchUp();
+						await catchUp.act();
 					},
 					signal,
 				),
@@ -302,11 +256,3 @@
 		},
 	};
 }
-
-async function waitForAbort(signal: AbortSignal): Promise<undefined> {
-	return new Promise((resolve) => {
-		signal.addEventListener('abort', () => {
-			resolve(undefined);
-		});
-	});
-}
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -32,7 +32,7 @@
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
 import {readOperation} from './ingress.js';
-import {createLinkedAbort} from './linked-abort.js';
+import {createLinkedAbort, type LinkedAbort} from './linked-abort.js';
 import type {NodeReporter} from './node-reporter.js';
 import {
 	createEntryCall,
@@ -58,6 +58,8 @@
 		method: string,
 		path: string,
 	): Classification | undefined;
+	/** Milliseconds for which a request that is read now may have waited. */
+	possibleAge(): number;
 	/** The priority number of a request that the node's own target runs. */
 	priorityOf(request: string): number | undefined;
 	/** Passes a request to the home of its key. */
@@ -80,6 +82,8 @@
 	whenIdle(): Promise<void>;
 };
 
+type CallHandler = (call: EntryCall, caller: LinkedAbort) => Promise<Outcome>;
+
 /** Milliseconds after which a home that couldn't be reached may be. */
 const homeRetryAfter = 1000;
 
@@ -109,7 +113,8 @@
 			return end(incoming, keys.refuse(incoming, barred, 0));
 		}
 
-		const call = createEntryCall(incoming, rules, running, clock.now());
+		const arrivedAt = clock.now() - context.possibleAge();
+		const call = createEntryCall(incoming, rules, running, arrivedAt);
 		if (call.isErr()) {
 			const {code, retryAfter} = call.error;
 			return end(incoming, keys.refuse(incoming, code, retryAfter));
@@ -125,7 +130,7 @@
 		const linked = createLinkedAbort(signal, allotment?.signal);
 		const outcome = await chooseHandler(incoming, call.value)(
 			call.value,
-			linked.signal,
+			linked,
 		);
 		linked.release();
 		reporter.ended({
@@ -145,7 +150,7 @@
 	const chooseHandler = (
 		{home, key}: CallerRequest,
 		{request}: EntryCall,
-	): ((call: EntryCall, signal: AbortSignal) => Promise<Outcome>) => {
+	): CallHandler => {
 		if (request.idempotent) {
 			return handleIdempotent;
 		}
@@ -160,18 +165,23 @@
 
 		return formatHome(home) === formatHome(self)
 			? handleKey
-			: async (call, signal) => pass(home, call, signal);
+			: async (call, caller) => pass(home, call, caller);
 	};
 
-	const handleIdempotent = async (
+	const handleIdempotent: CallHandler = async (call, caller) =>
+		untilDeadline(call, caller, async () =>
+			attemptIdempotent(call, caller.signal),
+		);
+
+	/** At the deadline the caller counts as gone, and gets its final answer at once. */
+	const untilDeadline = async (
 		call: EntryCall,
-		signal: AbortSignal,
+		caller: LinkedAbort,
+		work: () => Promise<Outcome>,
 	): Promise<Outcome> => {
-		const linked = createLinkedAbort(signal);
-		const timer = clock.setTimer(call.deadline - clock.now(), linked.abort);
-		const outcome = await attemptIdempotent(call, linked.signal);
+		const timer = clock.setTimer(call.deadline - clock.now(), caller.abort);
+		const outcome = await work();
 		timer.cancel();
-		linked.release();
 		return outcome;
 	};
 
@@ -207,10 +217,7 @@
 		}
 	};
 
-	const handleKey = async (
-		call: EntryCall,
-		signal: AbortSignal,
-	): Promise<Outcome> => {
+	const handleKey: CallHandler = async (call, {signal}) => {
 		const {request} = call;
 		const attempts = createAttempts(context, call);
 		const outcome = await attemptHandler({
@@ -235,7 +242,7 @@
 	const pass = async (
 		home: Home,
 		call: EntryCall,
-		signal: AbortSignal,
+		caller: LinkedAbort,
 	): Promise<Outcome> => {
 		reporter.decide({
 			name: 'homePassed',
@@ -243,18 +250,16 @@
 			reason: 'the key has its home elsewhere',
 			details: {home: formatHome(home)},
 		});
-		const linked = createLinkedAbort(signal);
-		const timer = clock.setTimer(call.deadline - clock.now(), linked.abort);
-		const {outcome, isUnsent} = await context.passToHome(
-			home,
-			call.request,
-			linked.signal,
-		);
-		timer.cancel();
-		linked.release();
-		return isUnsent
-			? refuseUnknown(ErrorCode.HomeUnreachable, homeRetryAfter)
-			: outcome;
+		return untilDeadline(call, caller, async () => {
+			const {outcome, isUnsent} = await context.passToHome(
+				home,
+				call.request,
+				caller.signal,
+			);
+			return isUnsent
+				? refuseUnknown(ErrorCode.HomeUnreachable, homeRetryAfter)
+				: outcome;
+		});
 	};
 
 	const end = (incoming: CallerRequest, outcome: Outcome): CallerOutcome => {
@@ -282,7 +287,8 @@
 
 			const deadline = clock.now() + request.timeLeft;
 			const call = {request, operation: readOperation(request), deadline};
-			return idle.during(async () => handleKey(call, signal));
+			const caller = createLinkedAbort(signal);
+			return idle.during(async () => handleKey(call, caller));
 		},
 		open: idle.count,
 		whenIdle: idle.whenIdle,
