--- /dev/null
+++ b/packages/faults/__tests__/bench.ts
@@ -0,0 +1,105 @@
+/** A world whose faults are struck by the test and not by a seed. */
+import {checkHistory, createRecorder, digestBody} from '@egretspoke/history';
+import type {CallerOutcome, CallerRequest} from '@egretspoke/node';
+import {ErrorCode, type Home} from '@egretspoke/protocol';
+import {createRandom, createVirtualClock} from '@egretspoke/shared';
+import {exchange, patience} from '../src/caller-exchange.js';
+import {fakeService} from '../src/fake-node.js';
+import {createFakeWorld} from '../src/fake-world.js';
+import {handlers, type HandlerName} from '../src/handlers.js';
+import {writeAnswerBody, writeMark} from '../src/request-mark.js';
+
+export type Sent = Promise<CallerOutcome | undefined>;
+
+/** Four nodes, `vm-0` to `vm-3`, that have found each other. */
+export async function createBench(
+	options: {slots?: number; ledgerKeys?: number; handler?: HandlerName} = {},
+) {
+	const {slots = 4, ledgerKeys = 1000, handler = 'egretspoke'} = options;
+	const clock = createVirtualClock();
+	const recorder = createRecorder(clock);
+	const world = createFakeWorld({
+		clock,
+		random: createRandom(1),
+		recorder,
+		handlers: handlers[handler],
+		sizes: {slots, ledgerKeys},
+	});
+	await clock.runTo(3000);
+	let attempts = 0;
+
+	const homeAt = (name: string): Home => ({
+		node: name,
+		incarnation: world.processOf(name)!.control.membership.self().incarnation,
+	});
+
+	/** Sends a payment; `vm-0` is its entry and its home unless said otherwise. */
+	const send = async (
+		key: string,
+		change: Partial<CallerRequest> & {entry?: string} = {},
+	): Sent => {
+		const {entry = 'vm-0', ...fields} = change;
+		const mark = {attempt: `${key}.${attempts++}`, key};
+		const expected = digestBody(writeAnswerBody(key));
+		recorder.record({kind: 'submitted', ...mark, expected});
+		const result = await exchange(clock, world.processOf(entry), {
+			service: fakeService,
+			method: 'POST',
+			path: '/payments',
+			headers: writeMark(mark),
+			body: new TextEncoder().encode(key),
+			caller: 'boat',
+			timeLeft: patience.deadline,
+			key,
+			keyExpiry: clock.date().getTime() + 20_000,
+			home: homeAt('vm-0'),
+			...fields,
+		});
+		if (result?.outcome.kind === 'notRun') {
+			const {code} = result.outcome.refusal;
+			recorder.record({kind: 'refused', ...mark, code});
+		}
+
+		return result;
+	};
+
+	const wait = async (duration: number) => clock.runTo(clock.now() + duration);
+
+	return {
+		clock,
+		world,
+		send,
+		wait,
+		homeAt,
+		/** Sends, and lets time pass until the attempt has ended. */
+		async sendAndWait(...given: Parameters<typeof send>) {
+			const sent = send(...given);
+			await wait(patience.deadline + patience.grace + 10);
+			return sent;
+		},
+		setTargets(change: Partial<(typeof world.targets)[number]['faults']>) {
+			for (const {faults} of world.targets) {
+				Object.assign(faults, change);
+			}
+		},
+		runsOf: (key: string) =>
+			recorder
+				.history()
+				.filter((event) => event.kind === 'ran' && event.key === key).length,
+		violations: () => checkHistory(recorder.history()),
+	};
+}
+
+export type Bench = Awaited<ReturnType<typeof createBench>>;
+
+/** The end as `answered`, or as kind and name of the code. */
+export function nameOf(result: CallerOutcome | undefined): string {
+	if (!result) {
+		return 'no answer';
+	}
+
+	const {outcome} = result;
+	return outcome.kind === 'answered'
+		? `answered${outcome.repeated ? ' again' : ''}`
+		: `${outcome.kind} ${ErrorCode[outcome.refusal.code]}`;
+}
--- a/packages/faults/src/fake-callers.ts
+++ b/packages/faults/src/fake-callers.ts
@@ -3,6 +3,7 @@
 import {digestBody, type Recorder} from '@egretspoke/history';
 import type {CallerOutcome, CallerRequest} from '@egretspoke/node';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import {exchange, patience} from './caller-exchange.js';
 import {fakeService, longestKeyLife, type FakeProcess} from './fake-node.js';
 import {writeAnswerBody, writeMark} from './request-mark.js';
 
@@ -25,10 +26,7 @@
 
 type Request = {key: string; expiry: number; isRepeatable: boolean};
 
-const oneWay = 1;
 const mostRepeats = 6;
-/** Milliseconds that callers grant, and how much longer they wait. */
-const patience = {deadline: 800, grace: 150};
 
 /** Creates callers that reach the processes that are up at the time. */
 export function createFakeCallers(options: {
@@ -129,37 +127,3 @@
 		counts: () => ({...counts}),
 	};
 }
-
-/** Undefined when no answer came before the caller gave up. */
-async function exchange(
-	clock: Clock,
-	process: FakeProcess | undefined,
-	incoming: CallerRequest,
-): Promise<CallerOutcome | undefined> {
-	await sleep(clock, oneWay);
-	if (!process || process.gate.state() === 'dead') {
-		return undefined;
-	}
-
-	const {gate, core} = process;
-	const patienceEnd = new AbortController();
-	return new Promise((resolve) => {
-		const timer = clock.setTimer(patience.deadline + patience.grace, () => {
-			gate.run(() => {
-				patienceEnd.abort();
-			});
-			resolve(undefined);
-		});
-		const answer = async () => {
-			const outcome = await core.entry.handle(incoming, patienceEnd.signal);
-			await gate.hold(Promise.resolve());
-			await sleep(clock, oneWay);
-			timer.cancel();
-			resolve(outcome);
-		};
-
-		gate.run(() => {
-			void answer();
-		});
-	});
-}
--- a/packages/faults/src/fake-world.ts
+++ b/packages/faults/src/fake-world.ts
@@ -33,13 +33,14 @@
 	random: Random;
 	recorder: Recorder;
 	handlers: Handlers;
+	/** In place of what is drawn. */
+	sizes?: {slots: number; ledgerKeys: number};
 }): FakeWorld {
 	const {clock, random, recorder, handlers} = options;
 	const names = Array.from({length: nodeCount}, (_, index) => `vm-${index}`);
 	const network = createFakeNetwork(clock, random.fork());
 	const platform = createMemoryPlatform({clock});
-	const slots = 2 + random.below(5);
-	const ledgerKeys = random.below(4) === 0 ? 6 : 1000;
+	const {slots, ledgerKeys} = options.sizes ?? drawSizes(random);
 	const targets = names.map((name) =>
 		createFakeTarget({
 			name,
@@ -112,3 +113,11 @@
 		},
 	};
 }
+
+/** Some homes are so small that their ledgers fill up. */
+function drawSizes(random: Random): {slots: number; ledgerKeys: number} {
+	return {
+		slots: 2 + random.below(5),
+		ledgerKeys: random.below(4) === 0 ? 6 : 1000,
+	};
+}
--- a/packages/ledger/__tests__/ledger.spec.ts
+++ b/packages/ledger/__tests__/ledger.spec.ts
@@ -91,6 +91,7 @@
 			runOf(ledger.begin(request())).answered(answerOf('receipt 7'));
 			const other = {...request(), fingerprint: 'another'};
 			expect(codeOf(ledger.begin(other))).to.equal(ErrorCode.KeyReused);
+			expect(outcomeOf(ledger.begin(other)).kind).to.equal('unknown');
 		});
 
 		it('under another expiry is refused without a claim that it was not run', () => {
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -233,17 +233,18 @@
 }
 
 /**
- * A key that stands for another request is refused. The same request under
- * another expiry is refused too, because its first entry could be forgotten
- * while the later expiry still lets a repeat in; nobody says here that it did
- * not run.
+ * A key that stands for another request is refused, and so is the same request
+ * under another expiry: its first entry could be forgotten while the later
+ * expiry still lets a repeat in. Neither is told "not run". A caller that
+ * writes its body anew for a repeat, with the fields in another order, means
+ * the request that ran.
  */
 function refuseMismatch(
 	entry: Entry,
 	request: LedgerRequest,
 ): Outcome | undefined {
 	if (request.fingerprint !== entry.fingerprint) {
-		return refuseHere(createRefusal(ErrorCode.KeyReused));
+		return admitUnknown(createRefusal(ErrorCode.KeyReused));
 	}
 
 	return request.expiry === undefined || request.expiry === entry.expiry
