feat(decisions): counts of callers over five seconds, and a tighter chance bound

Cause: at a node that sees one request a second of a caller, the bound for chance was eight times the median, so heavy callers kept five times a light one's rate; and an entry that had seen a low level for a moment needed half a second of probes to forget it. Change: five seconds of memory, two standard deviations and two; the median of five levels in place of nine.

--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -18,10 +18,11 @@
  * SIGCOMM 1998). Essential work always keeps its class: it yields to essential
  * work only.
  *
- * Thresholds: counts forget with two seconds' time constant, so that a caller
- * of a few requests a second is seen. The heavy count is twice the median of
- * the callers, and at least what chance gives to one of many callers with that
- * median (four standard deviations of a Poisson count, and four). The table is
+ * Thresholds: counts forget with five seconds' time constant, so that a caller
+ * of one request a second at this node is seen. The heavy count is twice the
+ * median of the callers, and at least what chance gives to a caller with that
+ * median (two standard deviations of a Poisson count, and two); by chance only
+ * what is above it is put last, not all of the caller's requests. The table is
  * bounded at 1,024 callers; a caller that finds no place counts as ordinary,
  * so that it loses nothing.
  */
@@ -30,10 +31,10 @@
 import {hashFraction} from './chain-hash.js';
 
 /** Milliseconds after which a count is down to 1/e. */
-const memory = 2000;
+const memory = 5000;
 const callerLimit = 1024;
 const heavyFactor = 2;
-const chanceDeviations = 4;
+const chanceDeviations = 2;
 /** A caller below this count has been silent for several time constants. */
 const forgottenCount = 0.05;
 
--- a/packages/decisions/src/level-samples.ts
+++ b/packages/decisions/src/level-samples.ts
@@ -1,12 +1,12 @@
 /**
  * The levels seen lately from one source. One wrong or late report must not
- * shut anything, so the median of the last nine counts; and a level that
+ * shut anything, so the median of the last five counts; and a level that
  * nobody has confirmed for a second relaxes over the next, so that the source
  * is asked again and a stale level can't refuse for ever.
  */
 import {highestLevel} from './admission-level.js';
 
-const sampleCount = 9;
+const sampleCount = 5;
 const freshFor = 1000;
 const relaxedAfter = 2000;
 
