refactor(decisions): slots and numbering out of admission.ts; short work passes long work that is held back

In taking it apart two faults showed: a short request that found a free slot waited when long work was held back before it, and the work ahead of a short request counted long work that it doesn't wait for. Change: slot-table.ts and request-numbering.ts; a short request runs at once when no short one waits; long work that waits beside free slots is looked at again every tenth of a second.

--- a/packages/decisions/src/admission-queue.ts
+++ b/packages/decisions/src/admission-queue.ts
@@ -47,7 +47,7 @@
 };
 
 /** What waits in one class. */
-type ClassSum = {slotTime: number; shortCount: number};
+type ClassSum = {shortTime: number; longTime: number; shortCount: number};
 
 /** The queue of one target. */
 export type AdmissionQueue = {
@@ -77,7 +77,8 @@
 		longByPriority: createLazyHeap(isMoreImportant),
 		byExpiry: createLazyHeap((left, right) => left.until < right.until),
 		sums: Array.from({length: overShareClass + 1}, () => ({
-			slotTime: 0,
+			shortTime: 0,
+			longTime: 0,
 			shortCount: 0,
 		})),
 		standingSince: undefined,
@@ -183,16 +184,26 @@
 	return entry;
 }
 
+/** Whether any short request waits. */
+export function waitsShort(queue: AdmissionQueue): boolean {
+	return peekItem(queue.shortByPriority) !== undefined;
+}
+
 /** How many short requests of the class wait. */
 export function shortWaiting(queue: AdmissionQueue, rank: number): number {
 	return queue.sums[rank]?.shortCount ?? 0;
 }
 
-/** The slot time of what waits in the request's class and those before it. */
-export function slotTimeAhead(queue: AdmissionQueue, priority: number): number {
+/** The slot time of what waits in the request's class and those before it; long work doesn't keep short work waiting. */
+export function slotTimeAhead(
+	queue: AdmissionQueue,
+	priority: number,
+	isLong: boolean,
+): number {
 	let sum = 0;
 	for (let index = 0; index <= classOf(priority); index++) {
-		sum += queue.sums[index]!.slotTime;
+		const {shortTime, longTime} = queue.sums[index]!;
+		sum += isLong ? shortTime + longTime : shortTime;
 	}
 
 	return sum;
@@ -223,8 +234,12 @@
 	change: 1 | -1,
 ): void {
 	const sum = queue.sums[classOf(priority)]!;
-	sum.slotTime += change * slotTime;
-	sum.shortCount += isLong ? 0 : change;
+	if (isLong) {
+		sum.longTime += change * slotTime;
+	} else {
+		sum.shortTime += change * slotTime;
+		sum.shortCount += change;
+	}
 }
 
 function removeEntry(queue: AdmissionQueue, entry: QueueEntry): void {
@@ -234,7 +249,8 @@
 	if (lengthOf(queue) === 0) {
 		queue.standingSince = undefined;
 		for (const sum of queue.sums) {
-			sum.slotTime = 0;
+			sum.shortTime = 0;
+			sum.longTime = 0;
 		}
 	}
 }
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -3,15 +3,16 @@
  * arrives gets its priority number, is held against the levels, the deadline
  * and the slots, and runs, waits or is refused; nothing is decided twice.
  */
-import {ErrorCode, rankOf, type LoadReport} from '@egretspoke/protocol';
+import {ErrorCode} from '@egretspoke/protocol';
 import {
 	closeLevelWindow,
 	countUse,
 	createAdmissionLevel,
+	highestLevel,
 	isWindowOver,
 	levelWindow,
-	highestEssential,
 	noteArrival,
+	type AdmissionLevel,
 } from './admission-level.js';
 import {createAdmissionOptions} from './admission-options.js';
 import {
@@ -26,106 +27,59 @@
 	takeById,
 	takeNext,
 	waitingEntries,
+	waitsShort,
 	type QueueEntry,
 } from './admission-queue.js';
-import {
-	createConcurrencyLimit,
-	noteFull,
-	noteLatency,
-	noteShed,
-} from './concurrency-limit.js';
 import {
 	createFairShare,
 	isOverShareNumber,
-	noteDemand,
-	numberRequest,
 	settleShares,
+	type FairShare,
 } from './fair-share.js';
-import {beginChain, endChain, levelBelow} from './levels-below.js';
-import {
-	averageSlots,
-	countSlot,
-	createLongAmongShort,
-	isLongDuration,
-	mayRunLong,
-} from './long-among-short.js';
-import {
-	countRunning,
-	createOperationDurations,
-	expectDuration,
-	learnDuration,
-	runningOf,
-	scaleToReference,
-	typicalDuration,
-} from './operation-durations.js';
+import {runningOf} from './operation-durations.js';
 import type {
 	AdmissionContext,
+	AdmissionDecision,
 	AdmissionPolicy,
 	AdmissionTurn,
 	CallFacts,
-	Completion,
 	RefusalDecision,
 } from './policy.js';
+import {numberArrival, unknownDuration} from './request-numbering.js';
+import {createSlotTable} from './slot-table.js';
 
-/** The slot time assumed while nothing has been learnt, in milliseconds. */
-const unknownDuration = 10;
-
-type Running = {
-	operation: string;
-	chain: string;
-	rank: number;
-	isLong: boolean;
-};
-
-/** Whether an end tells how long the operation takes, or only that it is no shorter. */
-const isWholeDuration: Partial<Record<Completion['result'], boolean>> = {
-	ok: true,
-	timeout: false,
-	cancelled: false,
-};
+/** Milliseconds after which long work that waits beside free slots is looked at again. */
+const heldWake = 100;
 
 /** Creates the admission of one target. */
 export function createAdmission(context: AdmissionContext): AdmissionPolicy {
 	const options = createAdmissionOptions(context);
-	const durations = createOperationDurations();
-	const limit = createConcurrencyLimit(context.slots);
+	const slots = createSlotTable(context, options);
 	const queue = createAdmissionQueue();
-	const running = new Map<string, Running>();
-	let startedAt: number | undefined;
-	let level = createAdmissionLevel(0);
-	let shares = createFairShare(0);
-	let slots = createLongAmongShort(0);
+	let started: {level: AdmissionLevel; shares: FairShare} | undefined;
 	let queueDelay = 0;
 
-	const slotsInForce = () => options.limitOf(limit);
-	const serviceTime = () => durations.average || unknownDuration;
+	const serviceTime = () => slots.durations.average || unknownDuration;
 
+	/** Brings the measures to this instant; to be called first. */
 	const advance = (now: number) => {
-		if (startedAt === undefined) {
-			startedAt = now;
-			level = createAdmissionLevel(now);
-			shares = createFairShare(now);
-			slots = createLongAmongShort(now);
-		}
-
-		countUse(level, running.size, now);
-		averageSlots(slots, now);
-		if (isWindowOver(level, serviceTime(), now)) {
-			closeWindow(now);
-		}
-	};
-
-	const closeWindow = (now: number) => {
-		closeLevelWindow(
-			level,
-			{
-				limit: slotsInForce(),
+		started ??= {
+			level: createAdmissionLevel(now),
+			shares: createFairShare(now),
+		};
+		countUse(started.level, slots.running(), now);
+		slots.advance(now);
+		if (isWindowOver(started.level, serviceTime(), now)) {
+			const target = {
+				limit: slots.limit(),
 				waiting: waitingEntries(queue),
 				serviceTime: serviceTime(),
-			},
-			now,
-		);
-		settleShares(shares, now);
+			};
+			closeLevelWindow(started.level, target, now);
+			settleShares(started.shares, now);
+		}
+
+		return started;
 	};
 
 	/** From when on the queue counts as standing. */
@@ -133,90 +87,48 @@
 		options.hasQueueTime && queue.standingSince !== undefined
 			? queue.standingSince + levelWindow(serviceTime())
 			: Number.POSITIVE_INFINITY;
-	const isStanding = (now: number) => standingFrom() <= now;
 
-	const mayLong = (rank: number) =>
-		mayRunLong(slots, rank, slotsInForce(), (other) =>
-			shortWaiting(queue, other),
-		);
+	const mayRunLong = (rank: number) =>
+		slots.mayRunLong(rank, (other) => shortWaiting(queue, other));
+
+	const describeSlots = () => `${slots.running()} of ${slots.limit()} slots`;
 
 	const refuse = (code: ErrorCode, reason: string): RefusalDecision => {
+		const {level} = started!;
 		level.refused++;
 		const retryAfter = options.comeBack({
 			waiting: lengthOf(queue),
 			refused: level.refused + level.refusedBefore,
-			drainRate: slotsInForce() / serviceTime(),
+			drainRate: slots.limit() / serviceTime(),
 			serviceTime: serviceTime(),
 		});
 		return {kind: 'refuse', code, reason, retryAfter};
 	};
 
-	const begin = (call: CallFacts, entry: Running, priority: number) => {
-		running.set(call.id, entry);
-		countSlot(slots, entry.rank, entry.isLong, 1);
-		countRunning(durations, entry.operation, 1);
-		if (running.size >= slotsInForce()) {
-			noteFull(limit);
-		}
-
-		if (context.below) {
-			beginChain(context.below, entry.chain, entry.operation, priority);
-		}
+	const refuseByLevel = (priority: number, allowed: number) => {
+		const code = isOverShareNumber(priority)
+			? ErrorCode.CallerOverShare
+			: ErrorCode.LevelTooLow;
+		return refuse(code, `${priority} is above level ${Math.round(allowed)}`);
 	};
 
-	const numberOf = (call: CallFacts, isLong: boolean): number => {
-		const requestClass = options.classOf(call.requestClass);
-		if (call.priority !== undefined) {
-			return requestClass === 'essential'
-				? Math.min(call.priority, highestEssential)
-				: call.priority;
-		}
-
-		const {caller, chain = call.id} = call;
-		if (options.hasFairShare) {
-			noteDemand(shares, {caller, requestClass});
-		}
-
-		return numberRequest(shares, {requestClass, caller, chain, isLong});
-	};
-
-	const refuseByLevel = (priority: number, allowed: number) =>
-		isOverShareNumber(priority)
-			? refuse(
-					ErrorCode.CallerOverShare,
-					`priority ${priority} is over its caller's share, level ${Math.round(allowed)}`,
-				)
-			: refuse(
-					ErrorCode.LevelTooLow,
-					`priority ${priority} is above level ${Math.round(allowed)}`,
-				);
-
-	const arrive = (call: CallFacts, now: number) => {
-		const {id, operation, deadline} = call;
+	const arrive = (call: CallFacts, now: number): AdmissionDecision => {
+		const {level, shares} = advance(now);
+		const {operation, deadline} = call;
 		if (deadline <= now) {
 			return refuse(ErrorCode.DeadlinePassed, 'arrived after its deadline');
 		}
 
-		const rank = rankOf(options.classOf(call.requestClass));
-		const expected = expectDuration(durations, operation);
-		const isLong =
-			options.hasLongAmongShort &&
-			isLongDuration(expected, typicalDuration(durations));
-		const priority = numberOf(call, isLong);
-		const slotTime = expected || unknownDuration;
+		const request = numberArrival(call, options, slots.durations, shares);
+		const {priority, rank, isLong, expected, slotTime} = request;
 		noteArrival(level, priority, slotTime);
-
 		const below = options.levelBelow(operation, now);
 		if (priority > below) {
 			return refuseByLevel(priority, below);
 		}
 
-		const latest = options.latestStart(
-			deadline,
-			expected,
-			runningOf(durations, operation),
-		);
-		const entry = {operation, chain: call.chain ?? id, rank, isLong};
+		const running = runningOf(slots.durations, operation);
+		const latest = options.latestStart(deadline, expected, running);
 		if (latest <= now) {
 			return refuse(
 				ErrorCode.DeadlineInfeasible,
@@ -224,78 +136,70 @@
 			);
 		}
 
-		if (
-			running.size < slotsInForce() &&
-			lengthOf(queue) === 0 &&
-			(!isLong || mayLong(rank))
-		) {
-			begin(call, entry, priority);
-			return {
-				kind: 'dispatch' as const,
-				reason: `${running.size} of ${slotsInForce()} slots`,
-			};
+		const isNext = isLong
+			? lengthOf(queue) === 0 && mayRunLong(rank)
+			: !waitsShort(queue);
+		if (isNext && slots.isFree()) {
+			slots.begin(request);
+			return {kind: 'dispatch', reason: describeSlots()};
 		}
 
 		if (priority > level.level) {
 			return refuseByLevel(priority, level.level);
 		}
 
-		const ahead = slotTimeAhead(queue, priority) / slotsInForce();
-		if (options.hasFeasibility && !isStanding(now) && now + ahead > latest) {
+		const ahead = slotTimeAhead(queue, priority, isLong) / slots.limit();
+		if (options.hasFeasibility && now + ahead > latest) {
 			return refuse(
 				ErrorCode.DeadlineInfeasible,
 				`${Math.round(ahead)} ms of work are ahead of it`,
 			);
 		}
 
+		const until = options.patienceOf(rank, latest, deadline, now);
 		enqueue(queue, {
 			call,
 			rank,
 			isLong,
-			since: now,
+			priority,
 			slotTime,
+			since: now,
 			latest,
-			until: options.patienceOf(rank, latest, deadline, now),
-			priority,
+			until,
 		});
 		return {
-			kind: 'wait' as const,
-			reason: `${running.size} of ${slotsInForce()} slots, ${lengthOf(queue)} wait`,
+			kind: 'wait',
+			reason: `${describeSlots()}, ${lengthOf(queue)} wait`,
 		};
 	};
 
-	/** The oldest request over its share that has waited too long in a queue that stands. */
-	const outstayed = (now: number): QueueEntry | undefined => {
-		const entry = oldestOverShare(queue);
-		return entry && entry.since + serviceTime() <= now ? entry : undefined;
+	/** When the oldest request over its share has outstayed in a queue that stands. */
+	const overShareExpiry = (): number => {
+		const oldest = oldestOverShare(queue)?.since;
+		return oldest === undefined
+			? Number.POSITIVE_INFINITY
+			: Math.max(standingFrom(), oldest + serviceTime());
+	};
+
+	/** The next request that is given up now. */
+	const nextGivenUp = (now: number): QueueEntry | undefined => {
+		const first = firstToExpire(queue);
+		if (first && first.until <= now) {
+			return first;
+		}
+
+		return overShareExpiry() <= now ? oldestOverShare(queue) : undefined;
 	};
 
 	const takeRefused = (now: number): AdmissionTurn[] => {
 		const turns: AdmissionTurn[] = [];
-		const give = ({call, since}: QueueEntry, code: ErrorCode) => {
+		for (let entry = nextGivenUp(now); entry; entry = nextGivenUp(now)) {
+			const {call, latest, since} = entry;
+			takeById(queue, call.id);
+			const code =
+				latest <= now ? ErrorCode.DeadlineInfeasible : ErrorCode.QueueTimeout;
 			const reason = `waited ${Math.round(now - since)} ms`;
 			turns.push({id: call.id, ...refuse(code, reason)});
-		};
-
-		for (
-			let entry = firstToExpire(queue);
-			entry && entry.until <= now;
-			entry = firstToExpire(queue)
-		) {
-			takeById(queue, entry.call.id);
-			give(
-				entry,
-				entry.latest <= now
-					? ErrorCode.DeadlineInfeasible
-					: ErrorCode.QueueTimeout,
-			);
-		}
-
-		if (isStanding(now)) {
-			for (let entry = outstayed(now); entry; entry = outstayed(now)) {
-				takeById(queue, entry.call.id);
-				give(entry, ErrorCode.QueueTimeout);
-			}
 		}
 
 		return turns;
@@ -303,113 +207,67 @@
 
 	const takeDispatched = (now: number): AdmissionTurn[] => {
 		const turns: AdmissionTurn[] = [];
-		while (running.size < slotsInForce()) {
-			const entry = takeNext(queue, mayLong);
+		while (slots.isFree()) {
+			const entry = takeNext(queue, mayRunLong);
 			if (!entry) {
 				break;
 			}
 
-			const {call, rank, isLong, priority} = entry;
 			queueDelay = now - entry.since;
-			begin(
-				call,
-				{
-					operation: call.operation,
-					chain: call.chain ?? call.id,
-					rank,
-					isLong,
-				},
-				priority,
-			);
+			slots.begin(entry);
 			turns.push({
-				id: call.id,
+				id: entry.call.id,
 				kind: 'dispatch',
-				reason: `waited ${Math.round(queueDelay)} ms, ${running.size} of ${slotsInForce()} slots`,
+				reason: `waited ${Math.round(queueDelay)} ms, ${describeSlots()}`,
 			});
 		}
 
 		return turns;
 	};
 
-	const learn = (entry: Running, {duration, result}: Completion) => {
-		const isWhole = isWholeDuration[result];
-		if (result === 'ok') {
-			noteLatency(
-				limit,
-				scaleToReference(durations, entry.operation, duration),
-			);
-		} else if (result === 'shed') {
-			noteShed(limit, running.size + 1);
-		}
-
-		if (isWhole !== undefined) {
-			learnDuration(durations, entry.operation, duration, isWhole);
-		}
-	};
-
-	/** When the queue will have stood, or its oldest request outstays. */
-	const standingExpiry = (): number => {
-		const oldest = oldestOverShare(queue)?.since;
-		return oldest === undefined
-			? Number.POSITIVE_INFINITY
-			: Math.max(standingFrom(), oldest + serviceTime());
-	};
-
 	return {
-		arrive(call, now) {
-			advance(now);
-			return arrive(call, now);
-		},
+		arrive,
 		withdraw: (id) =>
 			options.hasCancellation && takeById(queue, id) !== undefined,
 		finish(id, completion, now) {
-			const entry = running.get(id);
-			if (!entry) {
-				return;
-			}
-
 			advance(now);
-			running.delete(id);
-			countSlot(slots, entry.rank, entry.isLong, -1);
-			countRunning(durations, entry.operation, -1);
-			learn(entry, completion);
-			if (context.below) {
-				endChain(context.below, entry.chain);
-			}
+			slots.end(id, completion);
 		},
 		turns(now) {
 			advance(now);
 			return [...takeRefused(now), ...takeDispatched(now)];
 		},
 		wakeAt() {
-			const first = firstToExpire(queue)?.until;
-			if (first === undefined || !options.hasQueueTime) {
-				return first;
+			const first = firstToExpire(queue);
+			if (!first) {
+				return undefined;
 			}
 
-			return Math.min(first, standingExpiry());
+			const held = slots.isFree()
+				? started!.level.countedUntil + heldWake
+				: Number.POSITIVE_INFINITY;
+			return Math.min(first.until, overShareExpiry(), held);
 		},
-		drain() {
-			return takeAll(queue).map(({call}) => ({
+		drain: () =>
+			takeAll(queue).map(({call}) => ({
 				id: call.id,
 				kind: 'refuse',
 				code: ErrorCode.Leaving,
 				reason: 'the target is leaving',
 				retryAfter: 0,
-			}));
+			})),
+		report(now, operation) {
+			const own = started?.level.level ?? highestLevel;
+			const below =
+				operation === undefined ? own : options.levelBelow(operation, now);
+			return {
+				inFlight: slots.running(),
+				limit: slots.limit(),
+				waiting: lengthOf(queue),
+				queueDelay: lengthOf(queue) === 0 ? 0 : queueDelay,
+				level: Math.min(own, Math.round(below)),
+				serviceTime: slots.durations.average,
+			};
 		},
-		report: (now, operation): LoadReport => ({
-			inFlight: running.size,
-			limit: slotsInForce(),
-			waiting: lengthOf(queue),
-			queueDelay: lengthOf(queue) === 0 ? 0 : queueDelay,
-			level: Math.min(
-				level.level,
-				operation === undefined
-					? level.level
-					: Math.round(options.levelBelow(operation, now)),
-			),
-			serviceTime: durations.average,
-		}),
 	};
 }
