--- /dev/null
+++ b/packages/node/src/entry-refusal.ts
@@ -0,0 +1,38 @@
+/** Refusals of attempts that never left this process. */
+import {
+	admitUnknown,
+	createHandOverTicket,
+	createRefusal,
+	refuseNotRun,
+	type ErrorCode,
+	type Outcome,
+} from '@egretspoke/protocol';
+
+/** Says "not run", with the proof of a ticket that never left this process. */
+export function refuseHere(
+	code: ErrorCode,
+	retryAfter?: number,
+	detail?: string,
+): Outcome {
+	const refusal = createRefusal(code, {
+		...(retryAfter !== undefined && {retryAfter}),
+		...(detail !== undefined && {detail}),
+	});
+	return createHandOverTicket()
+		.surrender()
+		.match<Outcome>(
+			(proof) => refuseNotRun(proof, refusal),
+			() => admitUnknown(refusal),
+		);
+}
+
+/**
+ * Refuses an attempt at a key whose earlier attempts are not known here. "Not
+ * run" would be true of this attempt alone, and its user, whose earlier attempt
+ * may have run, would take it for the request.
+ */
+export function refuseUnknown(code: ErrorCode, retryAfter?: number): Outcome {
+	return admitUnknown(
+		createRefusal(code, {...(retryAfter !== undefined && {retryAfter})}),
+	);
+}
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -12,7 +12,10 @@
 export const protocolVersion = 1;
 
 const identifier = z.string().min(1).max(200);
-const bytes = z.instanceof(Uint8Array);
+const bytes = z.custom<Uint8Array>(
+	(value) => value instanceof Uint8Array,
+	'expected bytes',
+);
 const headers = z.record(z.string(), z.string());
 
 /** The first message of either side. */
@@ -48,6 +51,8 @@
 	/** Attempts left for the chain at and below this call, this one included. */
 	attempts: z.number().int().nonnegative(),
 	idempotent: z.boolean(),
+	/** The priority number that the chain's first admission gave. */
+	priority: z.number().optional(),
 	key: z.string().optional(),
 	/** When the key expires, in milliseconds since 1970. */
 	keyExpiry: z.number().optional(),
