--- a/packages/control/src/gossip-queue.ts
+++ b/packages/control/src/gossip-queue.ts
@@ -14,8 +14,17 @@
 	size(): number;
 };
 
-/** Times that a record is told for each doubling of the members. */
-const tellings = 3;
+/**
+ * Times that a record is told for each doubling of the members. At 570 these
+ * are 19 and 5. Five tellings by each who hears it leave out well under one
+ * member in a hundred; those learn it when members exchange all they know.
+ * That will do for a start or a new version, of which there may be hundreds at
+ * once, and not for an end.
+ */
+const tellings = {urgent: 2, ordinary: 0.5};
+
+/** The least number of tellings, for a handful of members. */
+const fewestTellings = 4;
 
 type Item = {node: string; told: number; isUrgent: boolean};
 
@@ -31,11 +40,17 @@
 				return [];
 			}
 
-			const limit = Math.ceil(tellings * Math.log2(members + 1));
+			const doublings = Math.log2(members + 1);
+			const limitOf = (factor: number) =>
+				Math.max(fewestTellings, Math.ceil(factor * doublings));
+			const limits = {
+				urgent: limitOf(tellings.urgent),
+				ordinary: limitOf(tellings.ordinary),
+			};
 			const chosen = [...items.values()].sort(compareItems).slice(0, most);
 			for (const item of chosen) {
 				item.told++;
-				if (item.told >= limit) {
+				if (item.told >= limits[item.isUrgent ? 'urgent' : 'ordinary']) {
 					items.delete(item.node);
 				}
 			}
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -50,7 +50,8 @@
 	/** Takes work again. */
 	rejoin(): void;
 	isLeaving(): boolean;
-	report(): LoadReport;
+	/** The load, with the level that holds for the operation. */
+	report(operation?: string): LoadReport;
 	/** Requests at the target now. */
 	inFlight(): number;
 	/** Resolves when nothing runs any more. */
@@ -138,8 +139,6 @@
 	): Promise<Outcome> => {
 		const startedAt = clock.now();
 		idle.enter();
-		const stop = new AbortController();
-		const combined = AbortSignal.any([signal, stop.signal]);
 		// A process that was frozen here wakes with its old plans; the deadline
 		// is read again so that nothing starts for a caller that has gone.
 		const late = checkLate(facts, startedAt, context.refusalOf());
@@ -154,14 +153,13 @@
 			deadline: facts.deadline,
 			spareAttempts: Math.max(0, request.attempts - 1),
 			callsMade: new Map(),
-			signal: combined,
+			signal,
 		});
 		const result = await context.target.send(
 			request,
 			facts.deadline - startedAt,
 			signal,
 		);
-		stop.abort();
 		context.running.remove(request.id);
 		const duration = clock.now() - startedAt;
 		reporter.decide({
@@ -229,7 +227,7 @@
 			isLeaving = false;
 		},
 		isLeaving: () => isLeaving,
-		report: () => admission.report(clock.now()),
+		report: (operation) => admission.report(clock.now(), operation),
 		inFlight: idle.count,
 		whenIdle: idle.whenIdle,
 	};
@@ -246,6 +244,8 @@
 		deadline: now + request.timeLeft,
 		attempts: request.attempts,
 		idempotent: request.idempotent,
+		chain: request.id,
+		...(request.priority !== undefined && {priority: request.priority}),
 	};
 }
 
--- a/packages/node/src/node-instruments.ts
+++ b/packages/node/src/node-instruments.ts
@@ -12,7 +12,7 @@
 } from '@egretspoke/observability';
 import type {Clock} from '@egretspoke/shared';
 import type {NodeReporter} from './node-reporter.js';
-import {createEventReporter} from './event-reporter.js';
+import {createObservingReporter} from './observing-reporter.js';
 import type {NodeSettings} from './settings.js';
 
 /** What a node observes itself with. */
@@ -37,6 +37,6 @@
 	});
 	const metrics = createMetrics(read);
 	const memory = createDecisionMemory();
-	const reporter = createEventReporter({log, metrics, memory, clock});
+	const reporter = createObservingReporter({log, metrics, memory, clock});
 	return {log, metrics, memory, reporter};
 }
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -38,7 +38,7 @@
 const duration = createDurationSchema({least: '1ms', most: '24h'});
 const webAddress = z.url({
 	protocol: /^https?$/u,
-	error: 'an http or https address, such as http://10.0.0.5:7500',
+	error: 'expected an http or https address, such as http://10.0.0.5:7500',
 });
 
 const listenersSchema = z.strictObject({
@@ -92,7 +92,7 @@
 	body: sizeSchema.default(8 * megabyte),
 	/** All headers of one request together. */
 	headers: sizeSchema.default(16 * kilobyte),
-	/** All bodies that the node holds at once. */
+	/** The bodies of callers' requests that the node holds at once. */
 	bufferedBodies: sizeSchema.default(128 * megabyte),
 	/** Connections that the caller listener holds open. */
 	connections: count.default(4096),
