--- a/packages/node/src/attempt-sender.ts
+++ b/packages/node/src/attempt-sender.ts
@@ -3,12 +3,10 @@
  * node, and what the router learns from its end.
  */
 import {
-	createRefusal,
 	ErrorCode,
-	refuseNotRun,
 	type CallRequest,
 	type LoadReport,
-	type NotRunProof,
+	type HandOverTicket,
 	type Outcome,
 } from '@egretspoke/protocol';
 import type {
@@ -19,6 +17,7 @@
 import type {Clock} from '@egretspoke/shared';
 import type {ExchangeResult} from './exchange-table.js';
 import type {NodeReporter} from './node-reporter.js';
+import {refuseTicket} from './ticket-refusal.js';
 
 /** Reaches the ingress of a node, be it this one or a peer. */
 export type TargetPath = (
@@ -27,11 +26,8 @@
 	signal: AbortSignal,
 ) => Promise<ExchangeResult>;
 
-/** The right to send, from a hand-over ticket. */
-export type SendTicket = {
-	handOver(): boolean;
-	surrender(): {match<T>(ok: (proof: NotRunProof) => T, error: () => T): T};
-};
+/** The right to send. */
+export type SendTicket = Pick<HandOverTicket, 'handOver' | 'surrender'>;
 
 /** How an attempt ended and where it went. */
 export type SentAttempt = {
@@ -75,7 +71,7 @@
 			const {code, reason, retryAfter} = decision;
 			reporter.decide({name: 'routingRefused', request: request.id, reason});
 			return {
-				outcome: endTicket(ticket, code, reason, retryAfter),
+				outcome: refuseTicket(ticket, {code, reason, retryAfter}),
 				given: 0,
 			};
 		}
@@ -89,7 +85,10 @@
 		});
 		if (!ticket.handOver()) {
 			return {
-				outcome: endTicket(ticket, ErrorCode.DeadlinePassed, reason, 0),
+				outcome: refuseTicket(ticket, {
+					code: ErrorCode.DeadlinePassed,
+					retryAfter: 0,
+				}),
 				given: 0,
 			};
 		}
@@ -110,19 +109,6 @@
 	};
 }
 
-function endTicket(
-	ticket: SendTicket,
-	code: ErrorCode,
-	detail: string,
-	retryAfter: number,
-): Outcome {
-	const refusal = createRefusal(code, {detail, retryAfter});
-	return ticket.surrender().match<Outcome>(
-		(proof) => refuseNotRun(proof, refusal),
-		() => ({kind: 'unknown', refusal}),
-	);
-}
-
 function readResult(
 	node: string,
 	outcome: Outcome,
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -31,7 +31,7 @@
 import {createKeyRefusals} from './entry-keys.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
-import {readOperation} from './ingress.js';
+import {readOperation} from './call-facts.js';
 import {createLinkedAbort, type LinkedAbort} from './linked-abort.js';
 import type {NodeReporter} from './node-reporter.js';
 import {
--- a/packages/node/src/request-chain.ts
+++ b/packages/node/src/request-chain.ts
@@ -12,7 +12,7 @@
 } from '@egretspoke/protocol';
 import {err, ok, type Result} from 'neverthrow';
 import type {CallerRequest} from './caller-request.js';
-import {readOperation} from './ingress.js';
+import {readOperation} from './call-facts.js';
 import type {Allotment, RunningRequests} from './running-requests.js';
 
 /** What the configuration in force says of a request. */
--- a/packages/node/src/running-requests.ts
+++ b/packages/node/src/running-requests.ts
@@ -28,6 +28,8 @@
 
 /** A running request with what its deeper calls share. */
 type Running = RunningRequest & {
+	/** A chain that comes back to its own service runs here more than once at a time. */
+	count: number;
 	/** Made with the first deeper call: most requests make none. */
 	end?: LinkedAbort;
 };
@@ -64,13 +66,20 @@
 	const running = new Map<string, Running>();
 	return {
 		add(request) {
-			running.set(request.id, {...request});
+			const known = running.get(request.id);
+			if (known) {
+				known.count++;
+			} else {
+				running.set(request.id, {...request, count: 1});
+			}
 		},
 		remove(id) {
-			const end = running.get(id)?.end;
-			end?.abort();
-			end?.release();
-			running.delete(id);
+			const known = running.get(id);
+			if (known && --known.count === 0) {
+				known.end?.abort();
+				known.end?.release();
+				running.delete(id);
+			}
 		},
 		allot(id, call) {
 			const parent = running.get(id);
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -10,7 +10,7 @@
 } from '@egretspoke/control';
 import {egretspokePolicy, type Policy} from '@egretspoke/decisions';
 import {createHttpPlatform} from '@egretspoke/platform';
-import type {Home, Member, TargetAnnouncement} from '@egretspoke/protocol';
+import type {Home, Member} from '@egretspoke/protocol';
 import {
 	createRandom,
 	createSystemClock,
@@ -21,14 +21,18 @@
 import {createAdminServices} from './admin-services.js';
 import {createCallerListener} from './caller-listener.js';
 import {followControl} from './control-follower.js';
-import {createHttpTargetClient} from './http-target-client.js';
-import {createNodeCore, type NodeCore} from './node-core.js';
+import {createNodeCore, type CoreControl, type NodeCore} from './node-core.js';
 import {createNodeInstruments} from './node-instruments.js';
 import {formatAddress, parseAddress} from './settings-address.js';
 import {readGauges, type ReadParts} from './node-readings.js';
+import type {NodeReporter} from './node-reporter.js';
 import type {NodeSettings} from './settings.js';
 import {createSupervisor} from './supervisor.js';
-import {createWebSocketTransport} from './web-socket-transport.js';
+import {createTargetBeside} from './target-beside.js';
+import {
+	createWebSocketTransport,
+	type WebSocketTransport,
+} from './web-socket-transport.js';
 
 /** A node that serves. */
 export type RunningNode = {
@@ -62,7 +66,7 @@
 	options: StartOptions = {},
 ): Promise<RunningNode> {
 	const clock = options.clock ?? createSystemClock({keepAlive: true});
-	const {node, region, dataCentre, limits, secrets} = settings;
+	const {node, dataCentre, limits, secrets} = settings;
 	const startedAt = clock.date().getTime();
 	const random = createRandom(startedAt % 2 ** 31);
 	const self: Home = {node, incarnation: startedAt};
@@ -75,19 +79,7 @@
 		const detail = describeError(error);
 		reporter.notice({name: 'childFailed', path, detail, restartIn});
 	});
-	const transport = createWebSocketTransport({
-		clock,
-		self: () => ({...self, dataCentre}),
-		secret: secrets.peer ?? '',
-		messageLimit: limits.body + envelopeSize,
-		handshakeLimit,
-		onMalformed(detail) {
-			reporter.notice({name: 'malformedMessage', detail});
-		},
-		onRefused(detail) {
-			reporter.notice({name: 'peerRefused', detail});
-		},
-	});
+	const transport = createTransport(settings, clock, self, reporter);
 	const peer = await listenOn(transport, settings.listeners.peer);
 	const policy = options.policy ?? egretspokePolicy;
 
@@ -106,20 +98,10 @@
 			maximumLifetime: limits.keyLifetime,
 			defaultLifetime: limits.keyLifetime,
 		},
-		control: {
-			classify: (service, method, path) =>
-				control.configuration.current().classifiers.has(service) ||
-				core.isServed(service)
-					? classify(control.configuration.current(), service, method, path)
-					: undefined,
-			members: () => control.membership.members(),
-			isSuspended: () => control.membership.isSuspended(),
-			receiveProbe: (message) => control.receiveProbe(message),
-			configurationBody() {
-				const body = control.configuration.body();
-				return body && {type: 'configurationBody', ...body};
-			},
-		},
+		control: createCoreControl(
+			() => control,
+			(service) => core.isServed(service),
+		),
 	});
 
 	const caller = createCallerListener({
@@ -135,37 +117,14 @@
 		},
 	});
 	const callerAddress = await listenOn(caller, settings.listeners.caller);
-	const member: Member = {
-		node,
-		incarnation: self.incarnation,
-		heartbeat: 0,
-		region,
-		dataCentre,
-		peerAddress: settings.advertise.peer ?? peer,
-		callerAddress: settings.advertise.caller ?? callerAddress,
-		state: 'joining',
-		configurationVersion: 0,
-	};
+	const member = createMember(settings, self, {peer, caller: callerAddress});
 	const control = createControl(
 		readControlOptions(settings, {clock, random, core, member}),
 	);
 	parts.control = control;
 	parts.core = core;
 
-	const takeTarget = (announcement: TargetAnnouncement) => {
-		if (!settings.target) {
-			return;
-		}
-
-		const client = createHttpTargetClient({
-			address: settings.target.address,
-			connections: announcement.connections,
-			bodyLimit: limits.body,
-		});
-		core.announce({announcement, client});
-		control.announceTarget(announcement);
-	};
-
+	const takeTarget = createTargetBeside(settings, core, control);
 	const admin = createAdminListener({
 		services: createAdminServices({node, control, core, instruments}),
 		bodyLimit: limits.body,
@@ -217,6 +176,67 @@
 	};
 }
 
+function createTransport(
+	{dataCentre, limits, secrets}: NodeSettings,
+	clock: Clock,
+	self: Home,
+	reporter: NodeReporter,
+): WebSocketTransport {
+	return createWebSocketTransport({
+		clock,
+		self: () => ({...self, dataCentre}),
+		secret: secrets.peer ?? '',
+		messageLimit: limits.body + envelopeSize,
+		handshakeLimit,
+		onMalformed(detail) {
+			reporter.notice({name: 'malformedMessage', detail});
+		},
+		onRefused(detail) {
+			reporter.notice({name: 'peerRefused', detail});
+		},
+	});
+}
+
+/** Control as the core sees it; it is asked for because core and control need each other. */
+function createCoreControl(
+	control: () => Control,
+	isServed: (service: string) => boolean,
+): CoreControl {
+	return {
+		classify(service, method, path) {
+			const configuration = control().configuration.current();
+			return configuration.classifiers.has(service) || isServed(service)
+				? classify(configuration, service, method, path)
+				: undefined;
+		},
+		members: () => control().membership.members(),
+		isSuspended: () => control().membership.isSuspended(),
+		receiveProbe: (message) => control().receiveProbe(message),
+		configurationBody() {
+			const body = control().configuration.body();
+			return body && {type: 'configurationBody', ...body};
+		},
+	};
+}
+
+function createMember(
+	{advertise, dataCentre, region}: NodeSettings,
+	{node, incarnation}: Home,
+	{peer, caller}: {peer: string; caller: string},
+): Member {
+	return {
+		node,
+		incarnation,
+		heartbeat: 0,
+		region,
+		dataCentre,
+		peerAddress: advertise.peer ?? peer,
+		callerAddress: advertise.caller ?? caller,
+		state: 'joining',
+		configurationVersion: 0,
+	};
+}
+
 type ControlParts = Pick<ControlOptions, 'clock' | 'random'> & {
 	core: NodeCore;
 	member: Member;
--- /dev/null
+++ b/packages/node/src/target-outcome.ts
@@ -0,0 +1,63 @@
+/** What the end of an exchange with the target means for its caller and for the admission. */
+import type {Completion} from '@egretspoke/decisions';
+import {
+	acceptCertifiedRefusal,
+	admitUnknown,
+	createRefusal,
+	ErrorCode,
+	refuseNotRun,
+	type LoadReport,
+	type Outcome,
+} from '@egretspoke/protocol';
+import type {TargetResult} from './target-client.js';
+
+/** The outcome of an exchange; only a refusal that the target certifies, or a connection that never stood, is `notRun`. */
+export function readOutcome(result: TargetResult, load: LoadReport): Outcome {
+	const read = outcomeReaders[result.kind] as (
+		result: TargetResult,
+		load: LoadReport,
+	) => Outcome;
+	return read(result, load);
+}
+
+/** How the admission counts the end of an exchange. */
+export function readCompletion(
+	result: TargetResult,
+	signal: AbortSignal,
+): Completion['result'] {
+	return signal.aborted ? 'cancelled' : completions[result.kind];
+}
+
+const completions: Record<TargetResult['kind'], Completion['result']> = {
+	answer: 'ok',
+	shed: 'shed',
+	unreachable: 'failed',
+	lost: 'failed',
+	cut: 'failed',
+};
+
+type OutcomeReaders = {
+	[Kind in TargetResult['kind']]: (
+		result: Extract<TargetResult, {kind: Kind}>,
+		load: LoadReport,
+	) => Outcome;
+};
+
+const outcomeReaders: OutcomeReaders = {
+	answer: ({answer}) => ({kind: 'answered', answer}),
+	shed: ({retryAfter}, load) =>
+		refuseNotRun(
+			acceptCertifiedRefusal('target'),
+			createRefusal(ErrorCode.TargetShed, {
+				retryAfter: retryAfter ?? Math.ceil(load.serviceTime),
+			}),
+		),
+	unreachable: ({detail}) =>
+		refuseNotRun(
+			acceptCertifiedRefusal('connectRefused'),
+			createRefusal(ErrorCode.TargetUnreachable, {detail, retryAfter: 0}),
+		),
+	lost: ({detail}) =>
+		admitUnknown(createRefusal(ErrorCode.AnswerLost, {detail})),
+	cut: ({detail}) => admitUnknown(createRefusal(ErrorCode.AnswerCut, {detail})),
+};
--- /dev/null
+++ b/packages/node/src/ticket-refusal.ts
@@ -0,0 +1,33 @@
+/** Refusals of requests whose hand-over ticket is in hand. */
+import {
+	admitUnknown,
+	createRefusal,
+	refuseNotRun,
+	type ErrorCode,
+	type HandOverTicket,
+	type Outcome,
+} from '@egretspoke/protocol';
+
+/** Why, in a sentence and in time. */
+export type RefusalReason = {
+	code: ErrorCode;
+	/** The message of the code when absent. */
+	reason?: string;
+	/** Milliseconds. */
+	retryAfter: number;
+};
+
+/** Says "not run" if the ticket still proves it, and "unknown" if it doesn't. */
+export function refuseTicket(
+	ticket: Pick<HandOverTicket, 'surrender'>,
+	{code, reason, retryAfter}: RefusalReason,
+): Outcome {
+	const refusal = createRefusal(code, {
+		retryAfter,
+		...(reason !== undefined && {detail: reason}),
+	});
+	return ticket.surrender().match<Outcome>(
+		(proof) => refuseNotRun(proof, refusal),
+		() => admitUnknown(refusal),
+	);
+}
