--- /dev/null
+++ b/packages/benchmark/src/decision-benchmark.ts
@@ -0,0 +1,189 @@
+/**
+ * What one decision costs, in nanoseconds: the choice of a target and the
+ * bookkeeping around it with so many targets known, and the admission of a
+ * request at a target that is saturated. Each figure is the median over
+ * batches, so that a pause of the collector doesn't count.
+ */
+import {performance} from 'node:perf_hooks';
+import {createRandom} from '@egretspoke/shared';
+import {
+	egretspokePolicy,
+	type AdmissionPolicy,
+	type CallFacts,
+	type RoutingCandidate,
+	type RoutingDecision,
+	type RoutingPolicy,
+} from '@egretspoke/decisions';
+
+/** Median nanoseconds of each decision. */
+export type DecisionCosts = {
+	choose: number;
+	/** `started`, `observe` and `finished` together. */
+	learn: number;
+	/** `arrive`, whatever it decides. */
+	arrive: number;
+	/** `finish` and `turns` together, for each request that ended. */
+	finish: number;
+};
+
+const batches = 4000;
+const warmUps = 1000;
+/** Requests of a batch, and the milliseconds of virtual time it stands for. */
+const batchSize = 20;
+/** Of these so many end in the time: the slots run half of what arrives. */
+const endedOfBatch = 10;
+const dataCentres = ['one', 'two', 'three'];
+const classes = ['essential', 'normal', 'deferrable'] as const;
+const slots = 30;
+const load = {
+	inFlight: 20,
+	limit: slots,
+	waiting: 2,
+	queueDelay: 5,
+	level: 383,
+	serviceTime: 60,
+};
+
+/** Measures with so many targets of one service. */
+export function measureDecisions(targets: number): DecisionCosts {
+	return {...measureRouting(targets), ...measureAdmission()};
+}
+
+function measureRouting(
+	targets: number,
+): Pick<DecisionCosts, 'choose' | 'learn'> {
+	const random = createRandom(targets);
+	const routing = egretspokePolicy.createRouting({dataCentre: 'one', random});
+	const candidates = Array.from({length: targets}, (_, index) =>
+		createCandidate(index),
+	);
+	routing.candidatesChanged('loft-queues', candidates, 0);
+	const choose: number[] = [];
+	const learn: number[] = [];
+	for (let batch = 0; batch < warmUps + batches; batch++) {
+		const now = batch * batchSize;
+		const calls = createCalls(batch);
+		const begin = performance.now();
+		const decisions = calls.map((call) => routing.choose(call, [], now));
+		const chosen = performance.now();
+		learnFrom(routing, calls, decisions, now);
+		learn.push(performance.now() - chosen);
+		choose.push(chosen - begin);
+	}
+
+	return {
+		choose: toMedian(choose, batchSize),
+		learn: toMedian(learn, batchSize),
+	};
+}
+
+function learnFrom(
+	routing: RoutingPolicy,
+	calls: CallFacts[],
+	decisions: RoutingDecision[],
+	now: number,
+): void {
+	for (const [index, decision] of decisions.entries()) {
+		const call = calls[index]!;
+		if (decision.kind === 'send') {
+			const {node} = decision;
+			routing.started(call, node, now);
+			routing.observe(call.service, node, load, now);
+			const result = {node, duration: 90, result: 'ok' as const, load};
+			routing.finished(call, result, now + 90);
+		}
+	}
+}
+
+function measureAdmission(): Pick<DecisionCosts, 'arrive' | 'finish'> {
+	const admission = egretspokePolicy.createAdmission({
+		dataCentre: 'one',
+		random: createRandom(1),
+		service: 'loft-queues',
+		slots,
+	});
+	const arrive: number[] = [];
+	const finish: number[] = [];
+	const running: string[] = [];
+	for (let batch = 0; batch < warmUps + batches; batch++) {
+		const now = batch * batchSize;
+		const calls = createCalls(batch);
+		const begin = performance.now();
+		const decisions = calls.map((call) => admission.arrive(call, now));
+		arrive.push(performance.now() - begin);
+		for (const [index, {kind}] of decisions.entries()) {
+			if (kind === 'dispatch') {
+				running.push(calls[index]!.id);
+			}
+		}
+
+		const ended = running.splice(0, endedOfBatch);
+		const ending = performance.now();
+		const begun = finishAll(admission, ended, now + batchSize / 2);
+		if (ended.length === endedOfBatch) {
+			finish.push(performance.now() - ending);
+		}
+
+		running.push(...begun);
+	}
+
+	return {
+		arrive: toMedian(arrive, batchSize),
+		finish: toMedian(finish, endedOfBatch),
+	};
+}
+
+/** Ends the requests; returns what began in their place. */
+function finishAll(
+	admission: AdmissionPolicy,
+	ended: string[],
+	now: number,
+): string[] {
+	const begun: string[] = [];
+	for (const id of ended) {
+		admission.finish(id, {duration: 60, result: 'ok'}, now);
+		for (const turn of admission.turns(now)) {
+			if (turn.kind === 'dispatch') {
+				begun.push(turn.id);
+			}
+		}
+	}
+
+	return begun;
+}
+
+function createCalls(batch: number): CallFacts[] {
+	return Array.from({length: batchSize}, (_, index) => {
+		const number = batch * batchSize + index;
+		return {
+			id: `request-${number}`,
+			service: 'loft-queues',
+			requestClass: classes[number % classes.length]!,
+			caller: `caller-${number % 40}`,
+			operation: `GET /queues/${number % 5}`,
+			deadline: batch * batchSize + 1000,
+			attempts: 3,
+			idempotent: true,
+		};
+	});
+}
+
+function createCandidate(index: number): RoutingCandidate {
+	return {
+		node: `node-${index}`,
+		dataCentre: dataCentres[index % dataCentres.length]!,
+		slots,
+		connections: 280,
+		since: -60_000,
+		state: 'active',
+	};
+}
+
+/** The median batch without the warm-ups, in nanoseconds for one decision. */
+function toMedian(durations: number[], decisions: number): number {
+	const counted = durations
+		.slice(warmUps)
+		.toSorted((left, right) => left - right);
+	const median = counted[Math.floor(counted.length / 2)] ?? 0;
+	return Math.round((median * 1e6) / decisions);
+}
--- a/packages/decisions/src/admission-queue.ts
+++ b/packages/decisions/src/admission-queue.ts
@@ -112,11 +112,7 @@
 }
 
 /** Adds a request. */
-export function enqueue(
-	queue: AdmissionQueue,
-	entry: Omit<QueueEntry, 'isGone'>,
-): void {
-	const added: QueueEntry = {...entry, isGone: false};
+export function enqueue(queue: AdmissionQueue, added: QueueEntry): void {
 	tableOf(queue, added).set(added.call.id, added);
 	queue.standingSince ??= added.since;
 	count(queue, added, 1);
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -166,6 +166,7 @@
 			since: now,
 			latest,
 			until,
+			isGone: false,
 		});
 		return {
 			kind: 'wait',
--- a/packages/decisions/src/target-choice.ts
+++ b/packages/decisions/src/target-choice.ts
@@ -109,7 +109,7 @@
 }
 
 function format({tier, cost}: Suitability): string {
-	return `${tier}/${Math.round(cost * 100) / 100}`;
+	return `${tier}/${Math.round(cost * 100)}`;
 }
 
 /** Two local targets while one has room, else a local and a remote one. */
