fix(decisions): a group that has just been started serves

Cause: slow start let each new target have one request at a time, and when all targets of a service were new, the rest was refused for want of a target. Ruled out: the node and the drain; with the fallback both pass unchanged. Change: when no target may be chosen under slow start and ejection, both are set aside for that choice. A test plays forty requests at a group that is new as a whole.

--- a/packages/decisions/__tests__/routing.spec.ts
+++ b/packages/decisions/__tests__/routing.spec.ts
@@ -200,6 +200,23 @@
 			expect(warm.new).to.be.greaterThan(0.25);
 		});
 
+		// All nodes of a service have just been started, and forty requests come
+		// at once. If each target took one at a time, the others would be refused.
+		it('refuses nothing when the whole group is new', () => {
+			const routing = createRoutingOf([
+				candidate('one', {since: 0}),
+				candidate('two', {since: 0}),
+			]);
+			for (let index = 0; index < 40; index++) {
+				const call = createCall(String(index));
+				const decision = routing.choose(call, [], 1);
+				expect(decision.kind).to.equal('send');
+				if (decision.kind === 'send') {
+					routing.started(call, decision.node, 1);
+				}
+			}
+		});
+
 		it('never holds more requests at a target than its connections', () => {
 			const routing = createRoutingOf([candidate('one', {connections: 10})]);
 			let sent = 0;
--- a/packages/decisions/src/target-choice.ts
+++ b/packages/decisions/src/target-choice.ts
@@ -56,20 +56,26 @@
 	{call, exclude, random, now}: ChoiceRequest,
 ): TargetChoice | undefined {
 	const isOpen = (view: TargetView) =>
-		hasConnection(view) &&
-		!exclude.includes(view.candidate.node) &&
-		(!options.hasSlowStart || mayStart(view, now));
+		hasConnection(view) && !exclude.includes(view.candidate.node);
 	const counts = options.hasEjection && !isPanic(group);
-	const mayChoose = counts
-		? (view: TargetView) => isOpen(view) && !isEjected(view, now)
-		: isOpen;
+	const mayChoose = (view: TargetView) =>
+		isOpen(view) &&
+		!(counts && isEjected(view, now)) &&
+		(!options.hasSlowStart || mayStart(view, now));
 	if (!options.hasTwoChoices) {
 		return drawAny(group, mayChoose, isOpen, random);
 	}
 
-	const [first, second] = options.hasLocality
-		? drawLocalFirst(group, mayChoose, random, now)
-		: drawTwo(group.views, mayChoose, random);
+	const draw = (mayDraw: (view: TargetView) => boolean) =>
+		options.hasLocality
+			? drawLocalFirst(group, mayDraw, random, now)
+			: drawTwo(group.views, mayDraw, random);
+	let [first, second] = draw(mayChoose);
+	if (!first) {
+		// A group that has just been started, or stands out as a whole, still serves.
+		[first, second] = draw(isOpen);
+	}
+
 	if (!first) {
 		return drawAny(group, mayChoose, isOpen, random);
 	}
