--- a/packages/node/__tests__/observing-reporter.spec.ts
+++ b/packages/node/__tests__/observing-reporter.spec.ts
@@ -69,8 +69,8 @@
 		expect(text).to.contain('listener="peer",kind="handshake"} 1');
 	});
 
-	it('counts an outcome that is not known under its error', async () => {
-		const {metrics, reporter} = createObserved();
+	it('counts an outcome that is not known under its error, and remembers the end', async () => {
+		const {memory, metrics, reporter} = createObserved();
 		reporter.ended({
 			request: 'r1',
 			service: 'orders',
@@ -79,6 +79,9 @@
 			duration: 5,
 			role: 'entry',
 		});
+		const [end] = memory.explain('r1');
+		expect(end?.name).to.equal('requestEnded');
+		expect(end?.reason).to.contain('unknown: the request was handed over');
 		expect(await metrics.render()).to.contain(
 			'class="normal",outcome="unknown",error="AnswerLost"} 1',
 		);
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -31,6 +31,7 @@
 import {createKeyRefusals} from './entry-keys.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
+import {reportKey} from './key-report.js';
 import {readOperation} from './ingress.js';
 import {createLinkedAbort, type LinkedAbort} from './linked-abort.js';
 import type {NodeReporter} from './node-reporter.js';
@@ -236,6 +237,7 @@
 			retry: async (refusal) => attempts.retry(refusal, signal),
 		});
 		attempts.finish();
+		reportKey(reporter, request.id, outcome);
 		return outcome;
 	};
 
@@ -262,8 +264,20 @@
 		});
 	};
 
-	const end = (incoming: CallerRequest, outcome: Outcome): CallerOutcome => {
+	const end = (
+		incoming: CallerRequest,
+		outcome: Outcome,
+		service = incoming.service,
+	): CallerOutcome => {
 		const request = incoming.id ?? 'none';
+		reporter.ended({
+			request,
+			service,
+			requestClass: 'normal',
+			outcome,
+			duration: 0,
+			role: 'entry',
+		});
 		if (outcome.kind !== 'answered') {
 			reporter.decide({
 				name: 'entryRefused',
--- /dev/null
+++ b/packages/node/src/key-report.ts
@@ -0,0 +1,35 @@
+/** Tells the reporter when a key's home answered from its ledger, or refused the key. */
+import {ErrorCode, type Outcome} from '@egretspoke/protocol';
+import type {NodeReporter} from './node-reporter.js';
+
+/** The refusals that come from the ledger and not from admission or routing. */
+const ledgerCodes: ReadonlySet<ErrorCode> = new Set([
+	ErrorCode.KeyExpired,
+	ErrorCode.KeyExpiryRequired,
+	ErrorCode.KeyExpiryTooFar,
+	ErrorCode.KeyReused,
+	ErrorCode.LedgerFull,
+	ErrorCode.OutcomeForgotten,
+	ErrorCode.StillRunning,
+]);
+
+/** Reports the ledger's part in an outcome, if it had one. */
+export function reportKey(
+	reporter: NodeReporter,
+	request: string,
+	outcome: Outcome,
+): void {
+	if (outcome.kind === 'answered') {
+		if (outcome.repeated) {
+			const reason = 'the key ran before';
+			reporter.decide({name: 'keyRepeated', request, reason});
+		}
+
+		return;
+	}
+
+	const {code, detail} = outcome.refusal;
+	if (ledgerCodes.has(code)) {
+		reporter.decide({name: 'keyRefused', request, reason: detail});
+	}
+}
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -3,7 +3,6 @@
 
 /** The decisions that get a line each. */
 export type DecisionName =
-	| 'entryAccepted'
 	| 'entryRefused'
 	| 'routed'
 	| 'routingRefused'
--- a/packages/node/src/observing-reporter.ts
+++ b/packages/node/src/observing-reporter.ts
@@ -7,7 +7,12 @@
 } from '@egretspoke/observability';
 import {ErrorCode} from '@egretspoke/protocol';
 import type {Clock} from '@egretspoke/shared';
-import type {DecisionName, NodeNotice, NodeReporter} from './node-reporter.js';
+import type {
+	Decision,
+	DecisionName,
+	NodeNotice,
+	NodeReporter,
+} from './node-reporter.js';
 
 /** Where the reports go. */
 export type ObservingReporterOptions = {
@@ -62,12 +67,14 @@
 	options: ObservingReporterOptions,
 ): NodeReporter {
 	const {log, metrics, memory, clock} = options;
+	const decide = (decision: Decision) => {
+		memory.remember({...decision, at: clock.date().getTime()});
+		log.record(decision.name, decision);
+		decisionCounters[decision.name]?.(metrics, decision.service ?? '');
+	};
+
 	return {
-		decide(decision) {
-			memory.remember({...decision, at: clock.date().getTime()});
-			log.record(decision.name, decision);
-			decisionCounters[decision.name]?.(metrics, decision.service ?? '');
-		},
+		decide,
 		notice(notice) {
 			const {name, reason, ...details} = {reason: undefined, ...notice};
 			log.record(name, {details, ...(reason !== undefined && {reason})});
@@ -75,7 +82,19 @@
 				CountNotice<NodeNotice['name']> | undefined;
 			count?.(metrics, notice);
 		},
-		ended({outcome, ...end}) {
+		ended({outcome, request, ...end}) {
+			if (end.role === 'entry') {
+				decide({
+					name: 'requestEnded',
+					request,
+					reason:
+						outcome.kind === 'answered'
+							? outcome.kind
+							: `${outcome.kind}: ${outcome.refusal.detail}`,
+					details: {milliseconds: Math.round(end.duration * 10) / 10},
+				});
+			}
+
 			metrics.requestEnded({
 				...end,
 				outcome: outcome.kind,
--- a/packages/observability/src/decision-events.ts
+++ b/packages/observability/src/decision-events.ts
@@ -3,14 +3,6 @@
 
 /** Decisions, in the order in which a request meets them. */
 export const decisionEvents = {
-	entryAccepted: {
-		code: 1001,
-		level: 'debug',
-		kind: 'decision',
-		template: 'accepted from its caller: {reason}',
-		meaning: 'The entry node took a request in and stamped its class.',
-		advice: 'Nothing to do.',
-	},
 	entryRefused: {
 		code: 1002,
 		level: 'info',
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -12,15 +12,6 @@
 		meaning: 'All listeners are open.',
 		advice: 'Nothing to do.',
 	},
-	startFailed: {
-		code: 2002,
-		level: 'error',
-		kind: 'notice',
-		template: 'did not start: {detail}',
-		meaning: 'A listener or the settings kept the node from starting.',
-		advice:
-			'Mend what the line names; `egretspoke-node --check` shows all faults.',
-	},
 	leaving: {
 		code: 2003,
 		level: 'info',
@@ -39,15 +30,6 @@
 		advice:
 			'Above 0: raise timings.drain to the longest request before the next stop.',
 	},
-	stoppedAtOnce: {
-		code: 2005,
-		level: 'warn',
-		kind: 'notice',
-		template: 'stopped at once on a second signal; {cut} requests cut',
-		meaning:
-			'Somebody asked twice. The cut requests have an unknown outcome for their callers.',
-		advice: 'Ask why one signal was not enough.',
-	},
 	childFailed: {
 		code: 2006,
 		level: 'error',
