--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -8,3 +8,4 @@
 export type * from './message-channel.js';
 export type * from './target-client.js';
 export {formatAddress, parseAddress, type Address} from './settings-address.js';
+export * from './web-socket-transport.js';
