--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -32,6 +32,7 @@
 } from './admission-queue.js';
 import {
 	createFairShare,
+	forgiveDemand,
 	isOverShareNumber,
 	settleShares,
 	type FairShare,
@@ -105,11 +106,31 @@
 		return {kind: 'refuse', code, reason, retryAfter};
 	};
 
-	const refuseByLevel = (priority: number, allowed: number) => {
+	/** Refuses a request that was counted for its caller. */
+	const refuseCounted = (call: CallFacts, code: ErrorCode, reason: string) => {
+		forgive(call);
+		return refuse(code, reason);
+	};
+
+	const forgive = (call: CallFacts) => {
+		if (options.hasFairShare && call.priority === undefined) {
+			forgiveDemand(started!.shares, call);
+		}
+	};
+
+	const refuseByLevel = (
+		call: CallFacts,
+		priority: number,
+		allowed: number,
+	) => {
 		const code = isOverShareNumber(priority)
 			? ErrorCode.CallerOverShare
 			: ErrorCode.LevelTooLow;
-		return refuse(code, `${priority} is above level ${Math.round(allowed)}`);
+		return refuseCounted(
+			call,
+			code,
+			`${priority} is above level ${Math.round(allowed)}`,
+		);
 	};
 
 	const arrive = (call: CallFacts, now: number): AdmissionDecision => {
@@ -124,13 +145,14 @@
 		noteArrival(level, priority, slotTime);
 		const below = options.levelBelow(operation, now);
 		if (priority > below) {
-			return refuseByLevel(priority, below);
+			return refuseByLevel(call, priority, below);
 		}
 
 		const running = runningOf(slots.durations, operation);
 		const latest = options.latestStart(deadline, expected, running);
 		if (latest <= now) {
-			return refuse(
+			return refuseCounted(
+				call,
 				ErrorCode.DeadlineInfeasible,
 				`takes about ${Math.round(expected)} ms, ${Math.round(deadline - now)} ms are left`,
 			);
@@ -145,12 +167,13 @@
 		}
 
 		if (priority > level.level) {
-			return refuseByLevel(priority, level.level);
+			return refuseByLevel(call, priority, level.level);
 		}
 
 		const ahead = slotTimeAhead(queue, priority, isLong) / slots.limit();
 		if (options.hasFeasibility && now + ahead > latest) {
-			return refuse(
+			return refuseCounted(
+				call,
 				ErrorCode.DeadlineInfeasible,
 				`${Math.round(ahead)} ms of work are ahead of it`,
 			);
@@ -200,7 +223,7 @@
 			const code =
 				latest <= now ? ErrorCode.DeadlineInfeasible : ErrorCode.QueueTimeout;
 			const reason = `waited ${Math.round(now - since)} ms`;
-			turns.push({id: call.id, ...refuse(code, reason)});
+			turns.push({id: call.id, ...refuseCounted(call, code, reason)});
 		}
 
 		return turns;
@@ -232,7 +255,10 @@
 			options.hasCancellation && takeById(queue, id) !== undefined,
 		finish(id, completion, now) {
 			advance(now);
-			slots.end(id, completion);
+			const ended = slots.end(id, completion);
+			if (ended && completion.result === 'shed') {
+				forgive(ended);
+			}
 		},
 		turns(now) {
 			advance(now);
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -107,6 +107,23 @@
 	demand.total++;
 }
 
+/**
+ * Takes the count of a refused request back, unless its caller is heavy. Each
+ * refusal brings tries of the same request; counted, they would make a light
+ * caller that was refused once heavy, and so refused again.
+ */
+export function forgiveDemand(
+	state: FairShare,
+	{caller, requestClass}: Pick<PriorityFacts, 'caller' | 'requestClass'>,
+): void {
+	const demand = state.callers.get(caller);
+	const rank = rankOf(requestClass) as Rank;
+	if (demand && demand.total <= state.heavyCount && demand.counts[rank] >= 1) {
+		demand.counts[rank]--;
+		demand.total--;
+	}
+}
+
 /** The request's priority number, from 0 (the last to be refused) to 383. */
 export function numberRequest(
 	state: FairShare,
--- a/packages/decisions/src/slot-table.ts
+++ b/packages/decisions/src/slot-table.ts
@@ -46,8 +46,8 @@
 	/** To be called before anything changes at an instant. */
 	advance(now: number): void;
 	begin(entry: SlotEntry): void;
-	/** False when no such request runs. */
-	end(id: string, completion: Completion): boolean;
+	/** The request that has ended; undefined when no such request runs. */
+	end(id: string, completion: Completion): CallFacts | undefined;
 };
 
 /** Whether an end tells how long the operation takes, or only that it is no shorter. */
@@ -115,7 +115,7 @@
 		end(id, completion) {
 			const entry = entries.get(id);
 			if (!entry) {
-				return false;
+				return undefined;
 			}
 
 			entries.delete(id);
@@ -125,7 +125,7 @@
 				endChain(below, entry.call.chain ?? id);
 			}
 
-			return true;
+			return entry.call;
 		},
 	};
 }
