feat(decisions): work over a share leaves a few slots (tried)

Cause supposed: work over its caller's share begins whenever nothing else waits, and takes slots from light callers' requests that come right after.

--- a/packages/decisions/src/admission-queue.ts
+++ b/packages/decisions/src/admission-queue.ts
@@ -165,6 +165,7 @@
 export function takeNext(
 	queue: AdmissionQueue,
 	mayRunLong: (rank: number) => boolean,
+	mayBegin: (priority: number) => boolean,
 ): QueueEntry | undefined {
 	const short = peekItem(queue.shortByPriority);
 	const long = peekItem(queue.longByPriority);
@@ -173,10 +174,11 @@
 		!(short && isMoreImportant(short, long)) &&
 		mayRunLong(long.rank);
 	const entry = isLongFirst ? long : short;
-	if (entry) {
-		removeEntry(queue, entry);
+	if (!entry || !mayBegin(entry.priority)) {
+		return undefined;
 	}
 
+	removeEntry(queue, entry);
 	return entry;
 }
 
