--- a/packages/decisions/src/admission-queue.ts
+++ b/packages/decisions/src/admission-queue.ts
@@ -165,7 +165,6 @@
 export function takeNext(
 	queue: AdmissionQueue,
 	mayRunLong: (rank: number) => boolean,
-	mayBegin: (priority: number) => boolean,
 ): QueueEntry | undefined {
 	const short = peekItem(queue.shortByPriority);
 	const long = peekItem(queue.longByPriority);
@@ -174,11 +173,10 @@
 		!(short && isMoreImportant(short, long)) &&
 		mayRunLong(long.rank);
 	const entry = isLongFirst ? long : short;
-	if (!entry || !mayBegin(entry.priority)) {
-		return undefined;
+	if (entry) {
+		removeEntry(queue, entry);
 	}
 
-	removeEntry(queue, entry);
 	return entry;
 }
 
--- a/packages/decisions/src/admission.ts
+++ b/packages/decisions/src/admission.ts
@@ -32,7 +32,6 @@
 } from './admission-queue.js';
 import {
 	createFairShare,
-	reservedSlots,
 	forgiveDemand,
 	isOverShareNumber,
 	settleShares,
@@ -93,11 +92,6 @@
 	const mayRunLong = (rank: number) =>
 		slots.mayRunLong(rank, (other) => shortWaiting(queue, other));
 
-	/** Work over its caller's share leaves a few slots for what comes next. */
-	const mayBegin = (priority: number) =>
-		!isOverShareNumber(priority) ||
-		slots.running() < slots.limit() - reservedSlots(slots.limit());
-
 	const describeSlots = () => `${slots.running()} of ${slots.limit()} slots`;
 
 	const refuse = (code: ErrorCode, reason: string): RefusalDecision => {
@@ -167,7 +161,7 @@
 		const isNext = isLong
 			? lengthOf(queue) === 0 && mayRunLong(rank)
 			: !waitsShort(queue);
-		if (isNext && slots.isFree() && mayBegin(priority)) {
+		if (isNext && slots.isFree()) {
 			slots.begin(request);
 			return {kind: 'dispatch', reason: describeSlots()};
 		}
@@ -238,7 +232,7 @@
 	const takeDispatched = (now: number): AdmissionTurn[] => {
 		const turns: AdmissionTurn[] = [];
 		while (slots.isFree()) {
-			const entry = takeNext(queue, mayRunLong, mayBegin);
+			const entry = takeNext(queue, mayRunLong);
 			if (!entry) {
 				break;
 			}
--- a/packages/decisions/src/fair-share.ts
+++ b/packages/decisions/src/fair-share.ts
@@ -151,17 +151,6 @@
 	return priority >= firstOverShare;
 }
 
-/**
- * Slots that work over its caller's share leaves free. Without them it begins
- * in each moment in which nothing else waits, and what is within a share and
- * comes right after finds every slot taken for a whole service time; a few
- * reserved slots prevent nearly all of that (trunk reservation, Key 1990).
- * Half the square root of the slots is half the chance variation of what runs.
- */
-export function reservedSlots(limit: number): number {
-	return Math.floor(Math.sqrt(limit) / 2);
-}
-
 /** Lets the counts decay, and works out anew which count is heavy. */
 export function settleShares(state: FairShare, now: number): void {
 	decay(state, now);
