--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -119,7 +119,7 @@
 			!isPresent(before) &&
 			isPresent(member);
 		if (isReturn) {
-			catchUp.note(member.peerAddress);
+			catchUp.note(member);
 		}
 	};
 
@@ -149,26 +149,24 @@
 		}
 	};
 
-	const reachLost = async () => {
-		const known = new Set(view.present().map(({peerAddress}) => peerAddress));
-		known.add(view.self().peerAddress);
-		const seeds = peers
-			.filter((address) => !known.has(address))
-			.map((peerAddress) => ({peerAddress, node: undefined}));
-		const [lost] = sample([...view.gone(), ...seeds], 1, random);
-		if (!lost) {
-			return;
+	/** Addresses of the settings that no member known here has. */
+	const listSeeds = () => {
+		if (peers.length === 0) {
+			return [];
 		}
 
-		const isAlone = known.size === 1;
-		const answer = await exchange(lost.peerAddress, lost.node, {
-			whole: isAlone,
-		});
-		const isReached =
-			answer &&
-			(lost.node === undefined || answer.members[0]?.node === lost.node);
-		if (isReached && !isAlone) {
-			catchUp.note(lost.peerAddress);
+		const known = view.present().map(({peerAddress}) => peerAddress);
+		const others = new Set([...known, view.self().peerAddress]);
+		return peers
+			.filter((address) => !others.has(address))
+			.map((peerAddress) => ({peerAddress, node: undefined}));
+	};
+
+	const reachLost = async () => {
+		const [lost] = sample([...view.gone(), ...listSeeds()], 1, random);
+		if (lost) {
+			const whole = lost.node === undefined || view.present().length === 0;
+			await exchange(lost.peerAddress, lost.node, {whole});
 		}
 	};
 
@@ -176,6 +174,7 @@
 		clock,
 		random,
 		timing,
+		present: view.present,
 		lastJoin,
 		join,
 		reachLost,
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -3,7 +3,6 @@
 
 /** The decisions that get a line each. */
 export type DecisionName =
-	| 'entryAccepted'
 	| 'entryRefused'
 	| 'routed'
 	| 'routingRefused'
@@ -43,7 +42,10 @@
 	| {name: 'drained'; cut: number}
 	| {name: 'configurationTaken'; version: number; source: string}
 	| {name: 'memberChanged'; node: string; state: string}
-	| {name: 'platformReachable'; isReachable: boolean; detail: string};
+	| {name: 'configurationRefused'; version: number; detail: string}
+	| {name: 'runningOnDefaults'}
+	| {name: 'platformReachable'}
+	| {name: 'platformUnreachable'; detail: string};
 
 /** A request's end, for the metrics. */
 export type RequestEnd = {
