--- a/packages/faults/src/schedule.ts
+++ b/packages/faults/src/schedule.ts
@@ -37,6 +37,9 @@
 };
 
 const requestCount = 40;
+/** Has no factor in common with the number of combinations. */
+const combinationStep = 67;
+const warmUpDraws = 32;
 /** Changes of the configuration, besides those of the faults. */
 const changeCount = 4;
 /** Milliseconds: when requests and faults begin and for how long, and the ends. */
@@ -54,9 +57,9 @@
 ): Promise<ScheduleResult> {
 	const {seed, handler} = options;
 	const clock = createVirtualClock();
-	const random = createRandom(seed);
+	const random = createScheduleRandom(seed);
 	const recorder = createRecorder(clock);
-	const kinds = options.kinds ?? drawKinds(random.fork());
+	const kinds = options.kinds ?? chooseKinds(seed);
 	const world = createFakeWorld({
 		clock,
 		random: random.fork(),
@@ -97,13 +100,27 @@
 	};
 }
 
-/** One fault, or two that may overlap. */
-function drawKinds(random: Random): FaultKind[] {
-	const count = 1 + random.below(2);
-	return Array.from(
-		{length: count},
-		() => faultKinds[random.below(faultKinds.length)]!,
+/**
+ * One fault, or two that may overlap: as many seeds as there are combinations
+ * take each of them once, in an order that spreads a short range over all.
+ */
+function chooseKinds(seed: number): FaultKind[] {
+	const alone = faultKinds.map((kind) => [kind]);
+	const pairs = faultKinds.flatMap((first, index) =>
+		faultKinds.slice(index).map((second) => [first, second]),
 	);
+	const combinations = [...alone, ...pairs];
+	return combinations[(seed * combinationStep) % combinations.length]!;
+}
+
+/** The first numbers of neighbouring seeds are much alike, so they are thrown away. */
+function createScheduleRandom(seed: number): Random {
+	const random = createRandom(seed);
+	for (let draw = 0; draw < warmUpDraws; draw++) {
+		random.fraction();
+	}
+
+	return random;
 }
 
 function scheduleFault(
