--- a/packages/decisions/src/target-choice.ts
+++ b/packages/decisions/src/target-choice.ts
@@ -55,23 +55,29 @@
 	options: ChoiceOptions,
 	{call, exclude, random, now}: ChoiceRequest,
 ): TargetChoice | undefined {
-	const isReachable = (view: TargetView) =>
-		hasConnection(view) && !exclude.includes(view.candidate.node);
 	const isOpen = (view: TargetView) =>
-		isReachable(view) && (!options.hasSlowStart || mayStart(view, now));
+		hasConnection(view) && !exclude.includes(view.candidate.node);
 	const counts = options.hasEjection && !isPanic(group);
-	const mayChoose = counts
-		? (view: TargetView) => isOpen(view) && !isEjected(view, now)
-		: isOpen;
+	const mayChoose = (view: TargetView) =>
+		isOpen(view) &&
+		!(counts && isEjected(view, now)) &&
+		(!options.hasSlowStart || mayStart(view, now));
 	if (!options.hasTwoChoices) {
-		return drawAny(group, [mayChoose, isOpen, isReachable], random);
+		return drawAny(group, mayChoose, isOpen, random);
+	}
+
+	const draw = (mayDraw: (view: TargetView) => boolean) =>
+		options.hasLocality
+			? drawLocalFirst(group, mayDraw, random, now)
+			: drawTwo(group.views, mayDraw, random);
+	let [first, second] = draw(mayChoose);
+	if (!first) {
+		// A group that has just been started, or stands out as a whole, still serves.
+		[first, second] = draw(isOpen);
 	}
 
-	const [first, second] = options.hasLocality
-		? drawLocalFirst(group, mayChoose, random, now)
-		: drawTwo(group.views, mayChoose, random);
 	if (!first) {
-		return drawAny(group, [mayChoose, isOpen, isReachable], random);
+		return drawAny(group, mayChoose, isOpen, random);
 	}
 
 	if (counts && call.requestClass !== 'essential') {
@@ -109,7 +115,7 @@
 }
 
 function format({tier, cost}: Suitability): string {
-	return `${tier}/${Math.round(cost * 100) / 100}`;
+	return `${tier}/${Math.round(cost * 100)}`;
 }
 
 /** Two local targets while one has room, else a local and a remote one. */
@@ -128,25 +134,20 @@
 	return drawTwo(group.views, mayChoose, random);
 }
 
-/**
- * Draws by the first rule that some target meets. Slow start and ejection are
- * preferences: where every target is new, as after a restart of a whole data
- * centre, one of them gets the request, and its own admission decides.
- */
 function drawAny(
 	group: RoutingGroup,
-	rules: Array<(view: TargetView) => boolean>,
+	mayChoose: (view: TargetView) => boolean,
+	isOpen: (view: TargetView) => boolean,
 	random: Random,
 ): TargetChoice | undefined {
-	for (const views of [group.views, group.suspect]) {
-		for (const rule of rules) {
-			const view = drawOne(views, rule, random);
-			if (view) {
-				const reason = `${view.candidate.node} of ${views.length}`;
-				return {view, reason};
-			}
+	const active =
+		drawOne(group.views, mayChoose, random) ??
+		drawOne(group.views, isOpen, random);
+	const view = active ?? drawOne(group.suspect, isOpen, random);
+	return (
+		view && {
+			view,
+			reason: `${view.candidate.node} of ${active ? group.views.length : group.suspect.length}`,
 		}
-	}
-
-	return undefined;
+	);
 }
