--- a/packages/observability/src/decision-memory.ts
+++ b/packages/observability/src/decision-memory.ts
@@ -50,8 +50,18 @@
 	return {
 		remember(decision) {
 			const ring = isNotable(decision.name) ? notable : ordinary;
-			const reason = decision.reason.slice(0, longestReason);
-			ring.add({...decision, reason, order: order++});
+			const {request, name, at, reason, details} = decision;
+			ring.add({
+				request,
+				name,
+				at,
+				reason:
+					reason.length > longestReason
+						? reason.slice(0, longestReason)
+						: reason,
+				...(details && {details}),
+				order: order++,
+			});
 		},
 		explain: (request) =>
 			[...ordinary.recall(request), ...notable.recall(request)]
--- a/packages/observability/src/log-line.ts
+++ b/packages/observability/src/log-line.ts
@@ -49,20 +49,48 @@
 		}),
 };
 
-/** The event's text with its details filled in. */
+/** The event's text with its details filled in; a detail that is missing shows as its name. */
 export function fillTemplate(event: RecordedEvent): string {
-	const {template} = events[event.name];
-	return template.replaceAll(/\{(?<key>\w+)\}/gu, (whole, key: string) => {
-		const value = key === 'reason' ? event.reason : event.details?.[key];
-		return value === undefined ? whole : String(value);
-	});
+	let text = '';
+	for (const {before, key} of templateParts[event.name]) {
+		text += before;
+		if (key !== undefined) {
+			const value = key === 'reason' ? event.reason : event.details?.[key];
+			text += value ?? `{${key}}`;
+		}
+	}
+
+	return text;
+}
+
+type TemplatePart = {before: string; key: string | undefined};
+
+/** The templates taken apart once; a search in each line costs microseconds. */
+const templateParts = Object.fromEntries(
+	Object.entries(events).map(([name, {template}]) => [
+		name,
+		splitTemplate(template),
+	]),
+) as Record<EventName, TemplatePart[]>;
+
+function splitTemplate(template: string): TemplatePart[] {
+	const pieces = template.split(/\{(?<key>\w+)\}/u);
+	return pieces.flatMap((piece, index) =>
+		index % 2 === 0 ? [{before: piece, key: pieces[index + 1]}] : [],
+	);
 }
 
+const controlPattern = /\p{Cc}/u;
+
 /**
  * A caller chooses its request id, and a line end within one would forge a
  * line of its own; one would notice lines of events that never happened.
  */
 function escapeControls(line: string): string {
+	if (!controlPattern.test(line)) {
+		return line;
+	}
+
 	return line.replaceAll(
 		/\p{Cc}/gu,
 		(control) => `\\u${control.codePointAt(0)!.toString(16).padStart(4, '0')}`,
