--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -32,7 +32,7 @@
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
 import {reportKey} from './key-report.js';
-import {readOperation} from './ingress.js';
+import {readOperation} from './call-facts.js';
 import {createLinkedAbort, type LinkedAbort} from './linked-abort.js';
 import type {NodeReporter} from './node-reporter.js';
 import {
