--- a/packages/decisions/src/admission-queue.ts
+++ b/packages/decisions/src/admission-queue.ts
@@ -5,11 +5,12 @@
  * length is too short for a burst of short work and far too long for slow
  * work: requests wait until their callers have gone, and every slot serves the
  * dead; one notices full slots, a constant queue and hardly a whole answer.
- * So the bound is time. While the queue empties now and then, a request may
- * wait as long as its deadline allows. Once the queue has stood for a whole
- * window (CoDel, Nichols & Jacobson 2012), waiting no longer smooths a burst
- * but only delays everybody; then a request other than an essential one waits
- * at most one service time, and the backlog older than that goes at once.
+ * So the bound is time. An essential request waits as long as it can still end
+ * in time; any other for a quarter of the time that it has left, so that four
+ * layers may each keep it waiting. Once the queue has stood for a whole window
+ * (CoDel, Nichols & Jacobson 2012), waiting no longer smooths a burst but only
+ * delays everybody; then what is over its caller's share, and so never gets a
+ * slot while anything else waits, goes after one service time.
  *
  * Slots go by priority number, and so by class, then by share: what is refused
  * for want of time is then the same as what the level refuses, here and at
@@ -37,62 +38,81 @@
 	isLong: boolean;
 	priority: number;
 	since: number;
-	/** When it can't start in time any more. */
+	/** The latest start from which it can end in time. */
+	latest: number;
+	/** When it is given up: at its latest start, or earlier when its patience is over. */
 	until: number;
 	/** Slot time that it will take. */
 	slotTime: number;
 };
 
 /** What waits in one class. */
-type ClassSum = {slotTime: number; shortCount: number};
+type ClassSum = {shortTime: number; longTime: number; shortCount: number};
 
 /** The queue of one target. */
 export type AdmissionQueue = {
-	/** In the order of arrival. */
-	essential: Map<string, QueueEntry>;
-	unessential: Map<string, QueueEntry>;
+	/** What is within its caller's share and what is over it, in the order of arrival. */
+	withinShare: Map<string, QueueEntry>;
+	overShare: Map<string, QueueEntry>;
 	shortByPriority: LazyHeap<QueueEntry>;
 	longByPriority: LazyHeap<QueueEntry>;
 	byExpiry: LazyHeap<QueueEntry>;
 	/** By class rank, and last what is over its caller's share. */
 	sums: ClassSum[];
-	/** The slot time of all that waits. */
-	slotTime: number;
 	/** Since when the queue hasn't been empty; undefined while it is. */
 	standingSince: number | undefined;
 };
 
+/** The part of its time that a request other than an essential one waits at one layer. */
+const patienceShare = 1 / 4;
 /** The class index of what is over its caller's share. */
 const overShareClass = 3;
 
 /** Creates an empty queue. */
 export function createAdmissionQueue(): AdmissionQueue {
 	return {
-		essential: new Map(),
-		unessential: new Map(),
+		withinShare: new Map(),
+		overShare: new Map(),
 		shortByPriority: createLazyHeap(isMoreImportant),
 		longByPriority: createLazyHeap(isMoreImportant),
 		byExpiry: createLazyHeap((left, right) => left.until < right.until),
 		sums: Array.from({length: overShareClass + 1}, () => ({
-			slotTime: 0,
+			shortTime: 0,
+			longTime: 0,
 			shortCount: 0,
 		})),
-		slotTime: 0,
 		standingSince: undefined,
 	};
 }
 
+/** When a request that may start until `latest` is given up. */
+export function patienceOf(
+	rank: number,
+	latest: number,
+	deadline: number,
+	now: number,
+): number {
+	return rank === 0
+		? latest
+		: Math.min(latest, now + (deadline - now) * patienceShare);
+}
+
 /** How many wait. */
-export function lengthOf({essential, unessential}: AdmissionQueue): number {
-	return essential.size + unessential.size;
+export function lengthOf({withinShare, overShare}: AdmissionQueue): number {
+	return withinShare.size + overShare.size;
+}
+
+/** All that wait, in the order of arrival, what is over its caller's share last. */
+export function* waitingEntries({
+	withinShare,
+	overShare,
+}: AdmissionQueue): Generator<QueueEntry> {
+	yield* withinShare.values();
+	yield* overShare.values();
 }
 
 /** Adds a request. */
-export function enqueue(
-	queue: AdmissionQueue,
-	entry: Omit<QueueEntry, 'isGone'>,
-): void {
-	const added: QueueEntry = {...entry, isGone: false};
+export function enqueue(queue: AdmissionQueue, added: QueueEntry): void {
 	tableOf(queue, added).set(added.call.id, added);
 	queue.standingSince ??= added.since;
 	count(queue, added, 1);
@@ -110,7 +130,7 @@
 	queue: AdmissionQueue,
 	id: string,
 ): QueueEntry | undefined {
-	const entry = queue.unessential.get(id) ?? queue.essential.get(id);
+	const entry = queue.withinShare.get(id) ?? queue.overShare.get(id);
 	if (entry) {
 		removeEntry(queue, entry);
 	}
@@ -120,7 +140,7 @@
 
 /** Takes all that wait, in the order of arrival. */
 export function takeAll(queue: AdmissionQueue): QueueEntry[] {
-	const entries = [...queue.essential.values(), ...queue.unessential.values()];
+	const entries = [...waitingEntries(queue)];
 	for (const entry of entries) {
 		removeEntry(queue, entry);
 	}
@@ -128,16 +148,16 @@
 	return entries;
 }
 
-/** The request that is the first that can't start in time any more. */
+/** The request that is given up first. */
 export function firstToExpire(queue: AdmissionQueue): QueueEntry | undefined {
 	return peekItem(queue.byExpiry);
 }
 
-/** The oldest request that isn't essential. */
-export function oldestUnessential({
-	unessential,
+/** The oldest request that is over its caller's share. */
+export function oldestOverShare({
+	overShare,
 }: AdmissionQueue): QueueEntry | undefined {
-	const [oldest] = unessential.values();
+	const [oldest] = overShare.values();
 	return oldest;
 }
 
@@ -160,16 +180,26 @@
 	return entry;
 }
 
+/** Whether any short request waits. */
+export function waitsShort(queue: AdmissionQueue): boolean {
+	return peekItem(queue.shortByPriority) !== undefined;
+}
+
 /** How many short requests of the class wait. */
 export function shortWaiting(queue: AdmissionQueue, rank: number): number {
 	return queue.sums[rank]?.shortCount ?? 0;
 }
 
-/** The slot time of what waits in the request's class and those before it. */
-export function slotTimeAhead(queue: AdmissionQueue, priority: number): number {
+/** The slot time of what waits in the request's class and those before it; long work doesn't keep short work waiting. */
+export function slotTimeAhead(
+	queue: AdmissionQueue,
+	priority: number,
+	isLong: boolean,
+): number {
 	let sum = 0;
 	for (let index = 0; index <= classOf(priority); index++) {
-		sum += queue.sums[index]!.slotTime;
+		const {shortTime, longTime} = queue.sums[index]!;
+		sum += isLong ? shortTime + longTime : shortTime;
 	}
 
 	return sum;
@@ -189,9 +219,9 @@
 
 function tableOf(
 	queue: AdmissionQueue,
-	{rank}: Pick<QueueEntry, 'rank'>,
+	{priority}: QueueEntry,
 ): Map<string, QueueEntry> {
-	return rank === 0 ? queue.essential : queue.unessential;
+	return isOverShareNumber(priority) ? queue.overShare : queue.withinShare;
 }
 
 function count(
@@ -200,9 +230,12 @@
 	change: 1 | -1,
 ): void {
 	const sum = queue.sums[classOf(priority)]!;
-	sum.slotTime += change * slotTime;
-	sum.shortCount += isLong ? 0 : change;
-	queue.slotTime += change * slotTime;
+	if (isLong) {
+		sum.longTime += change * slotTime;
+	} else {
+		sum.shortTime += change * slotTime;
+		sum.shortCount += change;
+	}
 }
 
 function removeEntry(queue: AdmissionQueue, entry: QueueEntry): void {
@@ -210,10 +243,10 @@
 	tableOf(queue, entry).delete(entry.call.id);
 	count(queue, entry, -1);
 	if (lengthOf(queue) === 0) {
-		queue.slotTime = 0;
 		queue.standingSince = undefined;
 		for (const sum of queue.sums) {
-			sum.slotTime = 0;
+			sum.shortTime = 0;
+			sum.longTime = 0;
 		}
 	}
 }
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -171,7 +171,7 @@
 	return {
 		begin(request) {
 			expiries.sweep();
-			const id = JSON.stringify([request.service, request.key]);
+			const id = identify(request.service, request.key);
 			const entry = entries.get(id);
 			if (!entry) {
 				return start(id, request);
@@ -186,6 +186,9 @@
 				? {kind: 'settled', outcome: expired()}
 				: repeat(entry);
 		},
+		mayHaveRun: ({service, key, expiry}) =>
+			entries.has(identify(service, key)) ||
+			(expiry !== undefined && expiries.hasPassed(expiry)),
 		size: () => ({
 			keys: entries.size,
 			running,
@@ -209,6 +212,10 @@
 		: admitUnknown(refusal);
 }
 
+function identify(service: string, key: string): string {
+	return JSON.stringify([service, key]);
+}
+
 function refuseNewKey(
 	request: LedgerRequest,
 	wallTime: number,
@@ -226,17 +233,18 @@
 }
 
 /**
- * A key that stands for another request is refused. The same request under
- * another expiry is refused too, because its first entry could be forgotten
- * while the later expiry still lets a repeat in; nobody says here that it did
- * not run.
+ * A key that stands for another request is refused, and so is the same request
+ * under another expiry: its first entry could be forgotten while the later
+ * expiry still lets a repeat in. Neither is told "not run". A caller that
+ * writes its body anew for a repeat, with the fields in another order, means
+ * the request that ran.
  */
 function refuseMismatch(
 	entry: Entry,
 	request: LedgerRequest,
 ): Outcome | undefined {
 	if (request.fingerprint !== entry.fingerprint) {
-		return refuseHere(createRefusal(ErrorCode.KeyReused));
+		return admitUnknown(createRefusal(ErrorCode.KeyReused));
 	}
 
 	return request.expiry === undefined || request.expiry === entry.expiry
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -32,12 +32,15 @@
 import type {Clock, Random} from '@egretspoke/shared';
 import {createAttemptSender} from './attempt-sender.js';
 import {createEntry, type Entry} from './entry.js';
-import {refuseHere} from './entry-refusal.js';
+import {refuseHere, refuseUnknown} from './entry-refusal.js';
 import {createMemberDirectory} from './member-directory.js';
 import type {ExchangeResult} from './exchange-table.js';
-import {createIngress, readOperation, type Ingress} from './ingress.js';
+import {createIdleCounter} from './idle-counter.js';
+import {readOperation} from './call-facts.js';
+import {createIngress, type Ingress} from './ingress.js';
 import type {PeerTransport} from './message-channel.js';
 import type {NodeReporter} from './node-reporter.js';
+import {createPauseWatch} from './pause-watch.js';
 import {createPeers, type Peers} from './peers.js';
 import type {Classification} from './request-chain.js';
 import {
@@ -91,6 +94,8 @@
 	entry: Entry;
 	peers: Peers;
 	ledger: Ledger;
+	/** Requests in progress here, of callers and of other nodes, each counted once. */
+	open(): number;
 	/** Undefined until the target has announced itself. */
 	ingress(): Ingress | undefined;
 	/** Takes the target's announcement; a second one replaces the first. */
@@ -114,6 +119,7 @@
 	const directory = createMemberDirectory();
 	const ledger = createLedger({clock, ...context.ledger});
 	const below = createLevelsBelow();
+	const pauses = createPauseWatch(clock, supervisor.signal);
 	const routing = policy.createRouting({
 		below,
 		dataCentre: context.dataCentre,
@@ -130,6 +136,7 @@
 	};
 
 	let ingress: TargetIngress | undefined;
+	const fromPeers = createIdleCounter();
 
 	const runHere = async (
 		request: CallRequest,
@@ -147,12 +154,13 @@
 		CallMessage['role'],
 		(message: CallMessage, signal: AbortSignal) => Promise<ExchangeResult>
 	> = {
-		run: async ({request}, signal) => runHere(request, signal),
+		run: async ({request}, signal) =>
+			fromPeers.during(async () => runHere(request, signal)),
 		async pass({request, home}, signal) {
 			const outcome =
 				home === formatHome(self)
 					? await entry.handleAtHome(request, signal)
-					: refuseHere(ErrorCode.HomeGone);
+					: refuseUnknown(ErrorCode.HomeGone);
 			return {outcome};
 		},
 	};
@@ -165,8 +173,12 @@
 		supervisor: supervisor.branch('peers'),
 		services: {
 			reporter,
-			call: async (message, signal) =>
-				handleCall[message.role](message, signal),
+			async call(message, signal) {
+				const {request} = message;
+				const timeLeft = request.timeLeft - pauses.possibleAge();
+				const aged = {...message, request: {...request, timeLeft}};
+				return handleCall[message.role](aged, signal);
+			},
 			probe: (message) => control.receiveProbe(message),
 			configurationBody: () => control.configurationBody(),
 		},
@@ -196,13 +208,14 @@
 		running,
 		reporter,
 		refusalOf,
+		possibleAge: pauses.possibleAge,
 		priorityOf: (request) => chainPriority(below, request),
 		classify: (service, method, path) =>
 			control.classify(service, method, path),
 		async passToHome(home, request, signal) {
 			const member = directory.byNode(home.node);
 			if (!member || home.node === self.node) {
-				return {outcome: refuseHere(ErrorCode.HomeGone)};
+				return {outcome: refuseUnknown(ErrorCode.HomeGone)};
 			}
 
 			const options = {role: 'pass' as const, home: formatHome(home)};
@@ -224,6 +237,7 @@
 		},
 		peers,
 		ledger,
+		open: () => entry.open() + fromPeers.count(),
 		isServed: (service) => directory.isServed(service),
 		membersChanged() {
 			const now = clock.now();
@@ -244,7 +258,7 @@
 		async drain() {
 			isDraining = true;
 			ingress?.leave();
-			await ingress?.whenIdle();
+			await fromPeers.whenIdle();
 			await entry.whenIdle();
 		},
 	};
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -92,19 +92,17 @@
 	body: sizeSchema.default(8 * megabyte),
 	/** All headers of one request together. */
 	headers: sizeSchema.default(16 * kilobyte),
-	/** All bodies that the node holds at once. */
+	/** The bodies of callers' requests that the node holds at once. */
 	bufferedBodies: sizeSchema.default(128 * megabyte),
 	/** Connections that the caller listener holds open. */
 	connections: count.default(4096),
-	/** The longest that a request may take, and its time when it states none. */
-	requestTime: duration.default(30 * second),
 	/** A caller that takes longer to send its request is cut off. */
 	slowSender: duration.default(10 * second),
 	/** Idempotency keys that the node remembers at once. */
 	ledgerKeys: count.default(65_536),
 	/** Recorded answers of those keys together. */
 	ledgerBytes: sizeSchema.default(16 * megabyte),
-	/** How long a key is remembered when the request states no expiry. */
+	/** How long a key is remembered at most, and when the request states no expiry. */
 	keyLifetime: duration.default(2 * minute),
 });
 
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -10,7 +10,7 @@
 } from '@egretspoke/control';
 import {egretspokePolicy, type Policy} from '@egretspoke/decisions';
 import {createHttpPlatform} from '@egretspoke/platform';
-import type {Home, Member, TargetAnnouncement} from '@egretspoke/protocol';
+import type {Home, Member} from '@egretspoke/protocol';
 import {
 	createRandom,
 	createSystemClock,
@@ -20,14 +20,19 @@
 import {createAdminListener} from './admin-listener.js';
 import {createAdminServices} from './admin-services.js';
 import {createCallerListener} from './caller-listener.js';
-import {createHttpTargetClient} from './http-target-client.js';
-import {createNodeCore, type NodeCore} from './node-core.js';
+import {followControl} from './control-follower.js';
+import {createNodeCore, type CoreControl, type NodeCore} from './node-core.js';
 import {createNodeInstruments} from './node-instruments.js';
 import {formatAddress, parseAddress} from './settings-address.js';
 import {readGauges, type ReadParts} from './node-readings.js';
+import type {NodeReporter} from './node-reporter.js';
 import type {NodeSettings} from './settings.js';
 import {createSupervisor} from './supervisor.js';
-import {createWebSocketTransport} from './web-socket-transport.js';
+import {createTargetBeside} from './target-beside.js';
+import {
+	createWebSocketTransport,
+	type WebSocketTransport,
+} from './web-socket-transport.js';
 
 /** A node that serves. */
 export type RunningNode = {
@@ -61,7 +66,7 @@
 	options: StartOptions = {},
 ): Promise<RunningNode> {
 	const clock = options.clock ?? createSystemClock({keepAlive: true});
-	const {node, region, dataCentre, limits, secrets} = settings;
+	const {node, dataCentre, limits, secrets} = settings;
 	const startedAt = clock.date().getTime();
 	const random = createRandom(startedAt % 2 ** 31);
 	const self: Home = {node, incarnation: startedAt};
@@ -74,19 +79,7 @@
 		const detail = describeError(error);
 		reporter.notice({name: 'childFailed', path, detail, restartIn});
 	});
-	const transport = createWebSocketTransport({
-		clock,
-		self: () => ({...self, dataCentre}),
-		secret: secrets.peer ?? '',
-		messageLimit: limits.body + envelopeSize,
-		handshakeLimit,
-		onMalformed(detail) {
-			reporter.notice({name: 'malformedMessage', detail});
-		},
-		onRefused(detail) {
-			reporter.notice({name: 'peerRefused', detail});
-		},
-	});
+	const transport = createTransport(settings, clock, self, reporter);
 	const peer = await listenOn(transport, settings.listeners.peer);
 	const policy = options.policy ?? egretspokePolicy;
 
@@ -105,26 +98,17 @@
 			maximumLifetime: limits.keyLifetime,
 			defaultLifetime: limits.keyLifetime,
 		},
-		control: {
-			classify: (service, method, path) =>
-				control.configuration.current().classifiers.has(service) ||
-				core.isServed(service)
-					? classify(control.configuration.current(), service, method, path)
-					: undefined,
-			members: () => control.membership.members(),
-			isSuspended: () => control.membership.isSuspended(),
-			receiveProbe: (message) => control.receiveProbe(message),
-			configurationBody() {
-				const body = control.configuration.body();
-				return body && {type: 'configurationBody', ...body};
-			},
-		},
+		control: createCoreControl(
+			() => control,
+			(service) => core.isServed(service),
+		),
 	});
 
 	const caller = createCallerListener({
 		entry: core.entry,
 		reporter,
 		bodyLimit: limits.body,
+		bufferLimit: limits.bufferedBodies,
 		headerLimit: limits.headers,
 		connectionLimit: limits.connections,
 		requestTime: limits.slowSender,
@@ -133,37 +117,14 @@
 		},
 	});
 	const callerAddress = await listenOn(caller, settings.listeners.caller);
-	const member: Member = {
-		node,
-		incarnation: self.incarnation,
-		heartbeat: 0,
-		region,
-		dataCentre,
-		peerAddress: settings.advertise.peer ?? peer,
-		callerAddress: settings.advertise.caller ?? callerAddress,
-		state: 'joining',
-		configurationVersion: 0,
-	};
+	const member = createMember(settings, self, {peer, caller: callerAddress});
 	const control = createControl(
 		readControlOptions(settings, {clock, random, core, member}),
 	);
 	parts.control = control;
 	parts.core = core;
 
-	const takeTarget = (announcement: TargetAnnouncement) => {
-		if (!settings.target) {
-			return;
-		}
-
-		const client = createHttpTargetClient({
-			address: settings.target.address,
-			connections: announcement.connections,
-			bodyLimit: limits.body,
-		});
-		core.announce({announcement, client});
-		control.announceTarget(announcement);
-	};
-
+	const takeTarget = createTargetBeside(settings, core, control);
 	const admin = createAdminListener({
 		services: createAdminServices({node, control, core, instruments}),
 		bodyLimit: limits.body,
@@ -175,12 +136,16 @@
 	const adminAddress = await listenOn(admin, settings.listeners.admin);
 	followControl(control, core, instruments.reporter);
 	await control.start(supervisor.signal);
+	if (control.configuration.source() === 'defaults') {
+		reporter.notice({name: 'runningOnDefaults'});
+	}
+
 	if (settings.target?.announcement) {
 		takeTarget(settings.target.announcement);
 	}
 
 	const stop = async () => {
-		const cut = core.entry.open() + (core.ingress()?.inFlight() ?? 0);
+		const cut = core.open();
 		core.peers.close();
 		await Promise.all([caller.close(), admin.close(), transport.close()]);
 		await supervisor.stop();
@@ -211,6 +176,67 @@
 	};
 }
 
+function createTransport(
+	{dataCentre, limits, secrets}: NodeSettings,
+	clock: Clock,
+	self: Home,
+	reporter: NodeReporter,
+): WebSocketTransport {
+	return createWebSocketTransport({
+		clock,
+		self: () => ({...self, dataCentre}),
+		secret: secrets.peer ?? '',
+		messageLimit: limits.body + envelopeSize,
+		handshakeLimit,
+		onMalformed(detail) {
+			reporter.notice({name: 'malformedMessage', detail});
+		},
+		onRefused(detail) {
+			reporter.notice({name: 'peerRefused', detail});
+		},
+	});
+}
+
+/** Control as the core sees it; it is asked for because core and control need each other. */
+function createCoreControl(
+	control: () => Control,
+	isServed: (service: string) => boolean,
+): CoreControl {
+	return {
+		classify(service, method, path) {
+			const configuration = control().configuration.current();
+			return configuration.classifiers.has(service) || isServed(service)
+				? classify(configuration, service, method, path)
+				: undefined;
+		},
+		members: () => control().membership.members(),
+		isSuspended: () => control().membership.isSuspended(),
+		receiveProbe: (message) => control().receiveProbe(message),
+		configurationBody() {
+			const body = control().configuration.body();
+			return body && {type: 'configurationBody', ...body};
+		},
+	};
+}
+
+function createMember(
+	{advertise, dataCentre, region}: NodeSettings,
+	{node, incarnation}: Home,
+	{peer, caller}: {peer: string; caller: string},
+): Member {
+	return {
+		node,
+		incarnation,
+		heartbeat: 0,
+		region,
+		dataCentre,
+		peerAddress: advertise.peer ?? peer,
+		callerAddress: advertise.caller ?? caller,
+		state: 'joining',
+		configurationVersion: 0,
+	};
+}
+
 type ControlParts = Pick<ControlOptions, 'clock' | 'random'> & {
 	core: NodeCore;
 	member: Member;
@@ -246,57 +272,6 @@
 	};
 }
 
-/** Keeps the router and the ingress as membership and configuration say. */
-function followControl(
-	control: Control,
-	core: NodeCore,
-	reporter: ReturnType<typeof createNodeInstruments>['reporter'],
-): void {
-	const {node} = control.membership.self();
-	void control.membership.changes.observe(({member, before}) => {
-		if (!before || isRoutingChange(member, before)) {
-			core.membersChanged();
-		}
-
-		if (member.state === before?.state) {
-			return;
-		}
-
-		reporter.notice({
-			name: 'memberChanged',
-			node: member.node,
-			state: member.state,
-		});
-		if (member.node === node && member.state === 'leaving') {
-			core.leave();
-		}
-
-		if (
-			member.node === node &&
-			member.state === 'active' &&
-			before?.state === 'leaving'
-		) {
-			core.rejoin();
-		}
-	});
-	void control.configuration.accepted.observe(({version}) => {
-		const source = control.configuration.source();
-		reporter.notice({name: 'configurationTaken', version, source});
-	});
-}
-
-/** A heartbeat or a version alone changes nothing for the router. */
-function isRoutingChange(member: Member, before: Member): boolean {
-	return (
-		member.state !== before.state ||
-		member.incarnation !== before.incarnation ||
-		member.peerAddress !== before.peerAddress ||
-		member.target?.service !== before.target?.service ||
-		member.target?.slots !== before.target?.slots ||
-		member.target?.connections !== before.target?.connections
-	);
-}
-
 type Listening = {listen(host: string, port: number): Promise<number>};
 
 async function listenOn(listener: Listening, address: string): Promise<string> {
