--- a/packages/decisions/__tests__/routing.spec.ts
+++ b/packages/decisions/__tests__/routing.spec.ts
@@ -200,20 +200,19 @@
 			expect(warm.new).to.be.greaterThan(0.25);
 		});
 
-		// A whole data centre is back after its failure, so every target is new.
-		// Were slow start a reason to refuse, most of the first seconds' requests
-		// would be told that there is no target, by nodes whose targets are idle.
-		it('refuses nothing for slow start when every target is new', () => {
+		// All nodes of a service have just been started, and forty requests come
+		// at once. If each target took one at a time, the others would be refused.
+		it('refuses nothing when the whole group is new', () => {
 			const routing = createRoutingOf([
 				candidate('one', {since: 0}),
 				candidate('two', {since: 0}),
 			]);
-			for (let index = 0; index < 12; index++) {
+			for (let index = 0; index < 40; index++) {
 				const call = createCall(String(index));
-				const decision = routing.choose(call, [], 0);
+				const decision = routing.choose(call, [], 1);
 				expect(decision.kind).to.equal('send');
 				if (decision.kind === 'send') {
-					routing.started(call, decision.node, 0);
+					routing.started(call, decision.node, 1);
 				}
 			}
 		});
