fix(node): a key says when it expires, or isn't run

Cause: a key without an expiry was remembered for limits.keyLifetime and then forgotten; its repeat after that ran a second time. Ruled out: remembering for ever (no disks, bounded memory). Change: such a key gets 428 with the home and a proposed expiry, in the round trip that it needs for the home anyway.

--- a/packages/command/src/demo.ts
+++ b/packages/command/src/demo.ts
@@ -64,6 +64,8 @@
 	outcome: string;
 	request: string;
 	home: string;
+	/** When the key should expire, in milliseconds since 1970. */
+	keyExpiry: string;
 	body: string;
 };
 
@@ -120,12 +122,18 @@
 	expectThat(first.status === 200, 'the request is served');
 	const ranAt = await showWay(cluster, first.request);
 
-	cluster.say('A payment is not idempotent: it needs a key and its home.');
+	cluster.say(
+		'A payment is not idempotent: it needs a key, its home and an expiry.',
+	);
 	const key = {'idempotency-key': 'twine-2041'};
 	const unhomed = await ask(entry, 'POST', '/payments', key);
 	describe(cluster, unhomed);
 	expectThat(unhomed.status === 428, 'a payment without a home is not run');
-	const homed = {...key, 'egretspoke-home': unhomed.home};
+	const homed = {
+		...key,
+		'egretspoke-home': unhomed.home,
+		'egretspoke-key-expiry': unhomed.keyExpiry,
+	};
 	const paid = await ask(entry, 'POST', '/payments', homed);
 	describe(cluster, paid);
 	expectThat(paid.status === 200, 'the payment is run');
@@ -219,6 +227,7 @@
 		outcome: read('egretspoke-outcome'),
 		request: read('egretspoke-request'),
 		home: read('egretspoke-home'),
+		keyExpiry: read('egretspoke-key-expiry'),
 		body: await answer.body.text(),
 	};
 }
--- a/packages/node/__tests__/entry.spec.ts
+++ b/packages/node/__tests__/entry.spec.ts
@@ -58,7 +58,6 @@
 			capacity: 10,
 			bytesCapacity: 1000,
 			maximumLifetime: 60_000,
-			defaultLifetime: 60_000,
 		}),
 		running: createRunningRequests(),
 		reporter: silentReporter,
@@ -68,14 +67,16 @@
 			deadline: 1000,
 			attempts: 3,
 		}),
+		keyLifetime: 60_000,
 		possibleAge: () => 0,
 		priorityOf: () => undefined,
 		passToHome: async () => ({outcome: lost}),
 		refusalOf: () => undefined,
 	});
-	const ask = async () =>
+	const ask = async (keyExpiry?: number) =>
 		entry.handle(
 			{
+				...(keyExpiry !== undefined && {keyExpiry}),
 				service: 's',
 				method: 'GET',
 				path: '/',
@@ -87,7 +88,8 @@
 			},
 			new AbortController().signal,
 		);
-	return {ask, sent};
+	const soon = () => clock.date().getTime() + 30_000;
+	return {ask, sent, soon};
 }
 
 describe('entry', () => {
@@ -111,13 +113,26 @@
 
 		it('makes no second attempt at a non-idempotent request', async () => {
 			// The answer to a payment is lost. Another attempt would pay twice.
-			const {ask, sent} = createEntryWith([lost, lost], false);
-			const {outcome} = await ask();
+			const {ask, sent, soon} = createEntryWith([lost, lost], false);
+			const {outcome} = await ask(soon());
 			expect(outcome.kind).to.equal('unknown');
 			expect(sent).to.have.length(1);
 		});
 	});
 
+	it('runs no key without an expiry, and proposes one', async () => {
+		// A boat owner's phone sends a payment whose key says no expiry, and
+		// repeats it an hour later. A home can't remember keys for ever; one that
+		// had forgotten this one would charge the payment again.
+		const {ask, sent} = createEntryWith([lost], false);
+		const {outcome, keyExpiry} = await ask();
+		expect(outcome.kind).to.equal('notRun');
+		expect(sent).to.have.length(0);
+		const {outcome: second} = await ask(keyExpiry);
+		expect(second.kind).to.equal('unknown');
+		expect(sent).to.have.length(1);
+	});
+
 	it('makes no more attempts than the chain has', async () => {
 		// Every target refuses. Without the bound the entry would go round for as
 		// long as the deadline lasts.
--- a/packages/node/__tests__/process-cluster.ts
+++ b/packages/node/__tests__/process-cluster.ts
@@ -31,6 +31,8 @@
 	outcome: string;
 	error: string;
 	home: string;
+	/** When the key should expire, in milliseconds since 1970. */
+	keyExpiry: string;
 	request: string;
 	body: string;
 };
@@ -133,6 +135,7 @@
 				outcome: read('egretspoke-outcome'),
 				error: read('egretspoke-error'),
 				home: read('egretspoke-home'),
+				keyExpiry: read('egretspoke-key-expiry'),
 				request: read('egretspoke-request'),
 				body: await answer.body.text(),
 			};
--- a/packages/node/__tests__/process-failures.spec.ts
+++ b/packages/node/__tests__/process-failures.spec.ts
@@ -138,10 +138,14 @@
 			await cluster.waitForMembers(first, ['vm-1', 'vm-2']);
 			const key = {'idempotency-key': 'twine-1'};
 			const options = {method: 'POST', headers: key};
-			const {home} = await cluster.ask(first, service, options);
+			const {home, keyExpiry} = await cluster.ask(first, service, options);
 			const homed = {
 				method: 'POST',
-				headers: {...key, 'egretspoke-home': home},
+				headers: {
+					...key,
+					'egretspoke-home': home,
+					'egretspoke-key-expiry': keyExpiry,
+				},
 			};
 			const paying = cluster.ask(first, service, homed);
 			await waitForRun(second);
@@ -164,14 +168,18 @@
 			// would book a shift that was given up long ago.
 			const [first, second] = await startPair(1);
 			const key = {'idempotency-key': 'shift-1', 'egretspoke-deadline': '800'};
-			const {home} = await cluster.ask(first, service, {
+			const {home, keyExpiry} = await cluster.ask(first, service, {
 				method: 'POST',
 				headers: key,
 			});
 			first.process.signal('SIGSTOP');
 			const given = await cluster.ask(second, service, {
 				method: 'POST',
-				headers: {...key, 'egretspoke-home': home},
+				headers: {
+					...key,
+					'egretspoke-home': home,
+					'egretspoke-key-expiry': keyExpiry,
+				},
 			});
 			expect(given.outcome).to.equal('unknown');
 			first.process.signal('SIGCONT');
--- a/packages/node/src/caller-answer.ts
+++ b/packages/node/src/caller-answer.ts
@@ -15,13 +15,17 @@
 /** Writes the whole answer; a caller that has gone is no error. */
 export function writeOutcome(
 	response: ServerResponse,
-	{request, outcome, home}: CallerOutcome,
+	{request, outcome, home, keyExpiry}: CallerOutcome,
 ): void {
 	response.setHeader(headerNames.request, request);
 	if (home) {
 		response.setHeader(headerNames.home, formatHome(home));
 	}
 
+	if (keyExpiry !== undefined) {
+		response.setHeader(headerNames.keyExpiry, keyExpiry);
+	}
+
 	const write = writers[outcome.kind] as (
 		response: ServerResponse,
 		outcome: Outcome,
--- a/packages/node/src/caller-request.ts
+++ b/packages/node/src/caller-request.ts
@@ -29,6 +29,8 @@
 	outcome: Outcome;
 	/** The home that a non-idempotent request should name. */
 	home?: Home;
+	/** The expiry that its key should have, in milliseconds since 1970. */
+	keyExpiry?: number;
 	/** The node that ran it, when one did. */
 	ranAt?: string;
 };
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -49,6 +49,8 @@
 	routing: RoutingPolicy;
 	send: AttemptSender;
 	ledger: Ledger;
+	/** Milliseconds that this home remembers a key for at the most. */
+	keyLifetime: number;
 	/** `attemptAtMostOnce` when absent. */
 	attemptHandler?: AttemptHandler;
 	running: RunningRequests;
@@ -85,6 +87,12 @@
 
 type CallHandler = (call: EntryCall, caller: LinkedAbort) => Promise<Outcome>;
 
+/** Refusals whose caller is to come back with a home and an expiry. */
+const needsExpiry: ReadonlySet<ErrorCode> = new Set([
+	ErrorCode.HomeRequired,
+	ErrorCode.KeyExpiryRequired,
+]);
+
 /** Milliseconds after which a home that couldn't be reached may be. */
 const homeRetryAfter = 1000;
 
@@ -142,9 +150,20 @@
 			duration: clock.now() - startedAt,
 			role: 'entry',
 		});
-		return {request: request.id, outcome, home: incoming.home ?? self};
+		return {
+			request: request.id,
+			outcome,
+			home: incoming.home ?? self,
+			...proposeExpiry(outcome),
+		};
 	};
 
+	/** What a caller needs besides the home to send a key that it may repeat. */
+	const proposeExpiry = (outcome: Outcome): Pick<CallerOutcome, 'keyExpiry'> =>
+		outcome.kind === 'notRun' && needsExpiry.has(outcome.refusal.code)
+			? {keyExpiry: clock.date().getTime() + context.keyLifetime}
+			: {};
+
 	/** A target's own calls go on while its node is leaving: they belong to requests in flight. */
 	const isDeeper = ({id}: CallerRequest) => id !== undefined && running.has(id);
 
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -208,6 +208,7 @@
 		running,
 		reporter,
 		refusalOf,
+		keyLifetime: context.ledger.maximumLifetime,
 		possibleAge: pauses.possibleAge,
 		priorityOf: (request) => chainPriority(below, request),
 		classify: (service, method, path) =>
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -96,7 +96,6 @@
 			capacity: limits.ledgerKeys,
 			bytesCapacity: limits.ledgerBytes,
 			maximumLifetime: limits.keyLifetime,
-			defaultLifetime: limits.keyLifetime,
 		},
 		control: createCoreControl(
 			() => control,
--- a/packages/protocol/src/error-code.ts
+++ b/packages/protocol/src/error-code.ts
@@ -73,7 +73,8 @@
 	},
 	[ErrorCode.HomeRequired]: {
 		message: 'a non-idempotent request must name its home',
-		advice: 'repeat it with the Egretspoke-Home header of this answer',
+		advice:
+			'repeat it with the Egretspoke-Home and Egretspoke-Key-Expiry headers of this answer',
 		status: 428,
 	},
 	[ErrorCode.KeyExpired]: {
--- a/packages/protocol/src/header-names.ts
+++ b/packages/protocol/src/header-names.ts
@@ -14,7 +14,7 @@
 	caller: 'egretspoke-caller',
 	/** The node that remembers a key: `<node>@<incarnation>`. */
 	home: 'egretspoke-home',
-	/** When a key expires, in milliseconds since 1970. */
+	/** When a key expires, in milliseconds since 1970; a 428 proposes one. */
 	keyExpiry: 'egretspoke-key-expiry',
 	/** In answers: `answered`, `not-run` or `unknown`. */
 	outcome: 'egretspoke-outcome',
