fix(node): pauses are told, deeper calls keep the first caller, seeds differ by node

Change: membership tells each pause; the first caller's name goes down the chain; the node's name is in the seed.

--- /dev/null
+++ b/packages/control/__tests__/lease.spec.ts
@@ -0,0 +1,36 @@
+import {expect} from 'chai';
+import {createVirtualClock, type Clock} from '@egretspoke/shared';
+import {createLease} from '../src/lease.js';
+
+describe('lease', () => {
+	const create = () => {
+		const real = createVirtualClock();
+		const pause = {length: 0};
+		const clock: Clock = {...real, now: () => real.now() + pause.length};
+		const lease = createLease(clock, 3000);
+		const told: number[] = [];
+		const stop = new AbortController();
+		void lease.run(stop.signal, (length) => told.push(length));
+		return {real, pause, lease, told};
+	};
+
+	it('holds while the process runs', async () => {
+		const {real, lease, told} = create();
+		await real.runTo(60_000);
+		expect(lease.hasLapsed()).to.equal(false);
+		expect(told).to.deep.equal([]);
+	});
+
+	it('has lapsed at the first look after a pause, and tells its length', async () => {
+		// A VM is frozen for ten seconds. Its peers have given it up; a request
+		// that reaches it before its first timer must find it suspended, and who
+		// is on call must find the pause in the log.
+		const {real, pause, lease, told} = create();
+		await real.runTo(60_000);
+		pause.length = 10_000;
+		expect(lease.hasLapsed()).to.equal(true);
+		await real.runTo(60_500);
+		expect(lease.hasLapsed()).to.equal(false);
+		expect(told).to.deep.equal([10_500]);
+	});
+});
--- a/packages/control/src/lease.ts
+++ b/packages/control/src/lease.ts
@@ -14,8 +14,8 @@
 export type Lease = {
 	/** True when the last pulse is older than the lease. */
 	hasLapsed(): boolean;
-	/** Pulses until the signal aborts, and calls back when a lapse is over. */
-	run(signal: AbortSignal, onLapse: () => void): Promise<void>;
+	/** Pulses until the signal aborts; when a lapse is over, calls back with its length in milliseconds. */
+	run(signal: AbortSignal, onLapse: (pause: number) => void): Promise<void>;
 };
 
 /** Pulses within a lease, so that an ordinary late timer is no lapse. */
@@ -32,10 +32,11 @@
 			while (!signal.aborted) {
 				// eslint-disable-next-line no-await-in-loop -- one pulse after another.
 				await sleep(clock, duration / pulses, signal);
+				const pause = clock.now() - lastPulse;
 				const isLapse = hasLapsed() && !signal.aborted;
 				lastPulse = clock.now();
 				if (isLapse) {
-					onLapse();
+					onLapse(pause);
 				}
 			}
 		},
--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -11,7 +11,12 @@
 	Member,
 	ProbeMessage,
 } from '@egretspoke/protocol';
-import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import {
+	createSubject,
+	sleep,
+	type Clock,
+	type Random,
+} from '@egretspoke/shared';
 import type {Stream} from 'most';
 import {createCatchUp} from './catch-up.js';
 import {createLease} from './lease.js';
@@ -52,6 +57,8 @@
 export type MembershipService = {
 	/** Every change of a record, the node's own included. */
 	changes: Stream<MemberChange>;
+	/** The length of each pause beyond the lease, in milliseconds, once it is over. */
+	pauses: Stream<number>;
 	/** The node's own record; its incarnation changes after a pause. */
 	self(): Member;
 	/** All known members, gone ones included, this node first. */
@@ -86,6 +93,7 @@
 	const timing = {...defaultTiming, ...options.timing};
 	const view = createMemberView({...options, timing});
 	const order = createProbeOrder(random.fork());
+	const pauses = createSubject<number>();
 	const lease = createLease(clock, timing.lease);
 	let isAnnouncing = false;
 
@@ -195,7 +203,8 @@
 		}
 	};
 
-	const returnFromPause = async () => {
+	const returnFromPause = async (pause: number) => {
+		pauses.push(pause);
 		isAnnouncing = true;
 		view.setSelf(reincarnate(view.self(), clock.date()), true);
 		await spreadNow();
@@ -222,6 +231,7 @@
 		members: () => view.entries().map(({member}) => member),
 		entries: view.entries,
 		changes: view.changes,
+		pauses: pauses.stream,
 		isSuspended: () => isAnnouncing || lease.hasLapsed(),
 		announce(change) {
 			const own = view.self();
@@ -245,8 +255,8 @@
 		spread,
 		async run(signal) {
 			await Promise.all([
-				lease.run(signal, () => {
-					void returnFromPause();
+				lease.run(signal, (pause) => {
+					void returnFromPause(pause);
 				}),
 				repeat(timing.probePeriod, probeNext, signal),
 				repeat(
--- a/packages/node/__tests__/running-requests.spec.ts
+++ b/packages/node/__tests__/running-requests.spec.ts
@@ -6,6 +6,7 @@
 	running.add({
 		id: 'parent',
 		requestClass: 'deferrable',
+		caller: 'boat-owner-9',
 		deadline: 500,
 		spareAttempts,
 		callsMade: new Map(),
@@ -29,13 +30,17 @@
 		expect(running.allot('other', call)).to.equal(undefined);
 	});
 
-	it('passes on the stamped class and the deadline', () => {
+	it('passes on the stamped class, the first caller and the deadline', () => {
 		const {running} = createParent(0);
 		const allotment = running.allot('parent', {
 			service: 's',
 			operation: 'GET /',
 		});
-		expect(allotment).to.include({requestClass: 'deferrable', deadline: 500});
+		expect(allotment).to.include({
+			requestClass: 'deferrable',
+			caller: 'boat-owner-9',
+			deadline: 500,
+		});
 	});
 
 	describe('with a target that retries by itself', () => {
--- a/packages/node/src/control-follower.ts
+++ b/packages/node/src/control-follower.ts
@@ -37,6 +37,9 @@
 			core.rejoin();
 		}
 	});
+	void control.membership.pauses.observe((pause) => {
+		reporter.notice({name: 'suspended', pause});
+	});
 	void control.configuration.platformChanges.observe(({state, detail = ''}) => {
 		reporter.notice(
 			state === 'reachable'
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -92,6 +92,7 @@
 		context.running.add({
 			id: request.id,
 			requestClass: request.requestClass,
+			caller: request.caller,
 			deadline: facts.deadline,
 			spareAttempts: Math.max(0, request.attempts - 1),
 			callsMade: new Map(),
--- a/packages/node/src/request-chain.ts
+++ b/packages/node/src/request-chain.ts
@@ -63,8 +63,7 @@
 		return err(createRefusal(ErrorCode.DeadlinePassed));
 	}
 
-	const {method, path, headers, body, caller, service, key, keyExpiry} =
-		incoming;
+	const {method, path, headers, body, service, key, keyExpiry} = incoming;
 	return ok({
 		operation,
 		deadline: now + timeLeft,
@@ -76,7 +75,7 @@
 			path,
 			headers,
 			body,
-			caller,
+			caller: allotment?.caller ?? incoming.caller,
 			timeLeft,
 			requestClass: allotment?.requestClass ?? rules.requestClass,
 			attempts: allotment?.attempts ?? rules.attempts,
--- a/packages/node/src/running-requests.ts
+++ b/packages/node/src/running-requests.ts
@@ -16,6 +16,8 @@
 export type RunningRequest = {
 	id: string;
 	requestClass: RequestClass;
+	/** Who made the first call of the chain; fair shares are counted by it at every layer. */
+	caller: string;
 	/** Monotonic milliseconds. */
 	deadline: number;
 	/** Attempts beyond the first of each call that the calls below may still use. */
@@ -40,6 +42,7 @@
  * isn't refused half-way for a look-up that counts as normal by itself.
  */
 export type Allotment = {
+	caller: string;
 	requestClass: RequestClass;
 	deadline: number;
 	attempts: number;
@@ -97,6 +100,7 @@
 			}
 
 			return {
+				caller: parent.caller,
 				requestClass: parent.requestClass,
 				deadline: parent.deadline,
 				attempts,
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -2,6 +2,7 @@
  * Starts one node from its settings: the core, control and the three
  * listeners, and stops them in the order that cuts nothing.
  */
+import {createHash} from 'node:crypto';
 import {
 	classify,
 	createControl,
@@ -68,7 +69,7 @@
 	const clock = options.clock ?? createSystemClock({keepAlive: true});
 	const {node, dataCentre, limits, secrets} = settings;
 	const startedAt = clock.date().getTime();
-	const random = createRandom(startedAt % 2 ** 31);
+	const random = createRandom(createSeed(node, startedAt));
 	const self: Home = {node, incarnation: startedAt};
 	const parts: ReadParts = {};
 	const instruments = createNodeInstruments(settings, clock, () =>
@@ -175,6 +176,17 @@
 	};
 }
 
+/**
+ * Nodes that start in the same millisecond, as after a power cut, would
+ * otherwise read the platform and probe their peers in step.
+ */
+function createSeed(node: string, startedAt: number): number {
+	return createHash('sha256')
+		.update(`${node} ${startedAt}`)
+		.digest()
+		.readInt32BE();
+}
+
 function createTransport(
 	{dataCentre, limits, secrets}: NodeSettings,
 	clock: Clock,
