feat(benchmark): a forwarder to measure against, and a warm-up

Change: every way is warmed up, and a process that only forwards is a fourth way, so that what the runtime costs and what the node costs can be told apart.

--- a/packages/benchmark/src/live-benchmark.ts
+++ b/packages/benchmark/src/live-benchmark.ts
@@ -1,7 +1,9 @@
 /**
  * The live benchmark: what egretspoke adds to a call. The same target is
- * called directly, through its own node (one hop) and through an entry node
- * (two hops), in turns within one run, so that all three meet the same machine.
+ * called directly, through a process that only forwards, through its own node
+ * (one hop) and through an entry node (two hops), in turns within one run, so
+ * that all meet the same machine. Before that, every way is warmed up: code that
+ * hasn't been compiled yet costs several times as much, and a node runs for days.
  */
 import type {Histogram} from 'hdr-histogram-js';
 import {Agent} from 'undici';
@@ -22,6 +24,8 @@
 	/** Seconds of each turn, and those of them that aren't counted. */
 	duration: number;
 	warmUp: number;
+	/** Seconds for which each way is warmed up before anything counts. */
+	warmTime: number;
 	/** Bytes of each body. */
 	bodySize: number;
 	/** The share of calls whose decisions are logged. */
@@ -38,36 +42,41 @@
 	/** The way's quantile less the direct one's. */
 	added: Quantiles;
 	failed: number;
-	/** Milliseconds of processor time that nodes spent on a call. */
+	/** Milliseconds of processor time that nodes, or the forwarder, spent on a call. */
 	processorTimePerCall: number;
 };
 
+type ByProcess = {forwarder: number; targetNode: number; entryNode: number};
+
 /** All that was measured. Memory in megabytes. */
 export type LiveResult = {
 	options: LiveOptions;
-	idleMemory: {targetNode: number; entryNode: number};
+	idleMemory: ByProcess;
 	/** Share of a core that a node spent while idle. */
-	idleProcessorShare: {targetNode: number; entryNode: number};
+	idleProcessorShare: ByProcess;
 	rates: Array<{
 		rate: number;
 		ways: WayResult[];
-		memory: {targetNode: number; entryNode: number};
+		memory: ByProcess;
 	}>;
 };
 
 /** The ways to the target. */
-export type WayName = 'direct' | 'oneHop' | 'twoHops';
+export type WayName = 'direct' | 'forwarded' | 'oneHop' | 'twoHops';
 
 const ways: Record<WayName, (processes: LiveProcesses) => string> = {
 	direct: ({target}) => target,
+	forwarded: ({forwarder}) => forwarder.caller,
 	oneHop: ({targetNode}) => targetNode.caller,
 	twoHops: ({entryNode}) => entryNode.caller,
 };
-const wayNames: WayName[] = ['direct', 'oneHop', 'twoHops'];
+const wayNames: WayName[] = ['direct', 'forwarded', 'oneHop', 'twoHops'];
 
 const megabyte = 1024 * 1024;
 const idleSeconds = 5;
 const clientConnections = 64;
+/** Calls a second while warming up. */
+const warmRate = 1000;
 
 /** Runs the whole benchmark; progress goes to the function. */
 export async function runLiveBenchmark(
@@ -76,8 +85,17 @@
 ): Promise<LiveResult> {
 	const processes = await startLiveProcesses(options.logSample);
 	try {
-		say('measuring the idle nodes');
+		say('measuring the idle processes');
 		const idle = await measureIdle(processes);
+		say('warming up');
+		for (const way of wayNames) {
+			// eslint-disable-next-line no-await-in-loop -- the ways take turns.
+			await measureTurn(processes, way, warmRate, {
+				...options,
+				duration: options.warmTime,
+			});
+		}
+
 		const rates = [];
 		for (const rate of options.rates) {
 			// eslint-disable-next-line no-await-in-loop -- one rate after another.
@@ -91,18 +109,19 @@
 }
 
 async function measureIdle(processes: LiveProcesses) {
-	const before = await readNodes(processes);
+	const before = await readProcesses(processes);
 	await new Promise((resolve) => {
 		setTimeout(resolve, idleSeconds * 1000);
 	});
-	const after = await readNodes(processes);
-	const share = (node: 'targetNode' | 'entryNode') =>
+	const after = await readProcesses(processes);
+	const share = (node: keyof Usages) =>
 		round(
 			(after[node].processorTime - before[node].processorTime) / idleSeconds,
 		);
 	return {
 		idleMemory: memoryOf(after),
 		idleProcessorShare: {
+			forwarder: share('forwarder'),
 			targetNode: share('targetNode'),
 			entryNode: share('entryNode'),
 		},
@@ -150,7 +169,11 @@
 			processorTimePerCall: round((busy * 1000) / sent),
 		};
 	});
-	return {rate, ways: results, memory: memoryOf(await readNodes(processes))};
+	return {
+		rate,
+		ways: results,
+		memory: memoryOf(await readProcesses(processes)),
+	};
 }
 
 async function measureTurn(
@@ -160,7 +183,7 @@
 	options: LiveOptions,
 ) {
 	const dispatcher = new Agent({connections: clientConnections});
-	const before = await readNodes(processes);
+	const before = await readProcesses(processes);
 	const result = await runOpenLoop({
 		dispatcher,
 		origin: `http://${ways[way](processes)}`,
@@ -170,30 +193,35 @@
 		duration: options.duration,
 		warmUp: options.warmUp,
 	});
-	const after = await readNodes(processes);
+	const after = await readProcesses(processes);
 	await dispatcher.close();
 	const busy =
 		after.targetNode.processorTime -
 		before.targetNode.processorTime +
 		after.entryNode.processorTime -
-		before.entryNode.processorTime;
+		before.entryNode.processorTime +
+		after.forwarder.processorTime -
+		before.forwarder.processorTime;
 	return {...result, busy};
 }
 
-type NodeUsages = {targetNode: ProcessUsage; entryNode: ProcessUsage};
+type Usages = Record<keyof ByProcess, ProcessUsage>;
 
-async function readNodes({
+async function readProcesses({
+	forwarder,
 	targetNode,
 	entryNode,
-}: LiveProcesses): Promise<NodeUsages> {
+}: LiveProcesses): Promise<Usages> {
 	return {
+		forwarder: await readUsage(forwarder.process.pid),
 		targetNode: await readUsage(targetNode.process.pid),
 		entryNode: await readUsage(entryNode.process.pid),
 	};
 }
 
-function memoryOf({targetNode, entryNode}: NodeUsages) {
+function memoryOf({forwarder, targetNode, entryNode}: Usages): ByProcess {
 	return {
+		forwarder: round(forwarder.residentMemory / megabyte),
 		targetNode: round(targetNode.residentMemory / megabyte),
 		entryNode: round(entryNode.residentMemory / megabyte),
 	};
--- a/packages/benchmark/src/live-processes.ts
+++ b/packages/benchmark/src/live-processes.ts
@@ -23,6 +23,8 @@
 export type LiveProcesses = {
 	/** `ip:port` of the target itself. */
 	target: string;
+	/** A process that only forwards to the target, for comparison. */
+	forwarder: {process: Child; caller: string};
 	/** The node beside the target, and the entry node. */
 	targetNode: LiveNode;
 	entryNode: LiveNode;
@@ -59,6 +61,13 @@
 		readText(line, 'address'),
 	);
 
+	const forwarder = start('@egretspoke/stand-ins', 'forwarder-main.js', [
+		targetAddress,
+	]);
+	const forwarderAddress = await forwarder.waitFor((line) =>
+		readText(line, 'address'),
+	);
+
 	const startNode = async (
 		node: string,
 		settings: Record<string, unknown>,
@@ -90,6 +99,7 @@
 	await waitForTarget(entryNode);
 	return {
 		target: targetAddress,
+		forwarder: {process: forwarder, caller: forwarderAddress},
 		targetNode,
 		entryNode,
 		async stop() {
--- a/packages/benchmark/src/main.ts
+++ b/packages/benchmark/src/main.ts
@@ -8,6 +8,7 @@
 	rounds: number;
 	duration: number;
 	warmUp: number;
+	warmTime: number;
 	bodySize: number;
 	logSample: number;
 	json?: boolean;
@@ -20,6 +21,7 @@
 	.option('--rounds <number>', 'turns of each way', parseNumber, 4)
 	.option('--duration <seconds>', 'of each turn', parseNumber, 5)
 	.option('--warm-up <seconds>', 'of each turn, not counted', parseNumber, 1)
+	.option('--warm-time <seconds>', 'of each way, before all', parseNumber, 8)
 	.option('--body-size <bytes>', 'of each request', parseNumber, 256)
 	.option('--log-sample <share>', 'of calls logged', parseNumber, 0.01)
 	.option('--json', 'print one JSON object')
@@ -51,7 +53,7 @@
 		ways.map(({way, latency, added, processorTimePerCall, failed}) =>
 			[
 				String(rate).padStart(6),
-				way.padEnd(8),
+				way.padEnd(9),
 				`p50 ${latency.p50} (+${added.p50})`,
 				`p99 ${latency.p99} (+${added.p99})`,
 				`p99.9 ${latency.p999} (+${added.p999})`,
@@ -60,5 +62,5 @@
 			].join('  '),
 		),
 	);
-	return `${lines.join('\n')}\nidle memory: ${idleMemory.targetNode} and ${idleMemory.entryNode} MB\n`;
+	return `${lines.join('\n')}\nidle memory: ${idleMemory.targetNode} and ${idleMemory.entryNode} MB, forwarder ${idleMemory.forwarder} MB\n`;
 }
