--- /dev/null
+++ b/packages/node/src/attempt-idempotent.ts
@@ -0,0 +1,42 @@
+/**
+ * The attempts at a request that may run more than once: another target is
+ * tried after a definite refusal and after a lost answer alike.
+ */
+import {createAttemptTicket} from '@egretspoke/ledger';
+import {admitUnknown, type Outcome} from '@egretspoke/protocol';
+import {createAttempts, type AttemptsContext} from './attempts.js';
+import type {EntryCall} from './request-chain.js';
+
+/** Resolves with the first answer, or with the end of the last attempt; the signal aborts at the deadline. */
+export async function attemptIdempotent(
+	context: AttemptsContext,
+	call: EntryCall,
+	signal: AbortSignal,
+): Promise<Outcome> {
+	const attempts = createAttempts(context, call);
+	let mayHaveRun = false;
+	for (;;) {
+		const ticket = createAttemptTicket({
+			clock: context.clock,
+			deadline: call.deadline,
+			signal,
+		});
+		// eslint-disable-next-line no-await-in-loop -- one attempt after another.
+		const outcome = await attempts.send(ticket, signal);
+		if (outcome.kind === 'answered') {
+			attempts.finish();
+			return outcome;
+		}
+
+		// A later refusal says nothing about an earlier attempt whose answer
+		// was lost: "not run" would be a lie about the request.
+		mayHaveRun ||= outcome.kind === 'unknown';
+
+		// eslint-disable-next-line no-await-in-loop -- the back-off comes before the next attempt.
+		const refusal = await attempts.retry(outcome.refusal, signal);
+		if (refusal) {
+			attempts.finish();
+			return mayHaveRun ? admitUnknown(refusal) : {...outcome, refusal};
+		}
+	}
+}
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -5,13 +5,11 @@
  */
 import {
 	attemptAtMostOnce,
-	createAttemptTicket,
 	fingerprintRequest,
 	type AttemptHandler,
 	type Ledger,
 } from '@egretspoke/ledger';
 import {
-	admitUnknown,
 	ErrorCode,
 	formatHome,
 	type CallRequest,
@@ -29,6 +27,7 @@
 } from './caller-request.js';
 import {refuseHere, refuseUnknown} from './entry-refusal.js';
 import {createKeyRefusals} from './entry-keys.js';
+import {attemptIdempotent} from './attempt-idempotent.js';
 import type {ExchangeResult} from './exchange-table.js';
 import {createIdleCounter} from './idle-counter.js';
 import {readOperation} from './call-facts.js';
@@ -190,7 +189,7 @@
 
 	const handleIdempotent: CallHandler = async (call, caller) =>
 		untilDeadline(call, caller, async () =>
-			attemptIdempotent(call, caller.signal),
+			attemptIdempotent(context, call, caller.signal),
 		);
 
 	/** At the deadline the caller counts as gone, and gets its final answer at once. */
@@ -205,38 +204,6 @@
 		return outcome;
 	};
 
-	const attemptIdempotent = async (
-		call: EntryCall,
-		signal: AbortSignal,
-	): Promise<Outcome> => {
-		const attempts = createAttempts(context, call);
-		let mayHaveRun = false;
-		for (;;) {
-			const ticket = createAttemptTicket({
-				clock,
-				deadline: call.deadline,
-				signal,
-			});
-			// eslint-disable-next-line no-await-in-loop -- one attempt after another.
-			const outcome = await attempts.send(ticket, signal);
-			if (outcome.kind === 'answered') {
-				attempts.finish();
-				return outcome;
-			}
-
-			// A later refusal says nothing about an earlier attempt whose answer
-			// was lost: "not run" would be a lie about the request.
-			mayHaveRun ||= outcome.kind === 'unknown';
-
-			// eslint-disable-next-line no-await-in-loop -- the back-off comes before the next attempt.
-			const refusal = await attempts.retry(outcome.refusal, signal);
-			if (refusal) {
-				attempts.finish();
-				return mayHaveRun ? admitUnknown(refusal) : {...outcome, refusal};
-			}
-		}
-	};
-
 	const handleKey: CallHandler = async (call, {signal}) => {
 		const {request} = call;
 		const attempts = createAttempts(context, call);
