--- a/packages/command/src/explain-command.ts
+++ b/packages/command/src/explain-command.ts
@@ -4,15 +4,12 @@
 import {
 	addJsonOption,
 	addNodeOptions,
-	connect,
-	printJson,
-	reportFault,
 	type CommandHost,
 	type NodeOptions,
 } from './command-host.js';
-import {exitCodes} from './exit-code.js';
-import {withProgress} from './progress.js';
+import {queryNode} from './node-query.js';
 import {renderTable, type Column} from './table.js';
+import type {Terminal} from './terminal.js';
 
 /** Adds the command. */
 export function addExplainCommand(program: Command, host: CommandHost): void {
@@ -26,42 +23,21 @@
 		);
 	addJsonOption(addNodeOptions(command)).action(
 		async (request: string, options: NodeOptions) =>
-			explainRequest(host, command, request, options),
+			queryNode(host, command, options, {
+				path: `/v1/explain/${encodeURIComponent(request)}`,
+				schema: explanationSchema,
+				select: (explanation) => explanation,
+				print: printExplanation,
+			}),
 	);
 }
 
-async function explainRequest(
-	host: CommandHost,
-	command: Command,
-	request: string,
-	options: NodeOptions,
-): Promise<void> {
-	const {terminal} = host;
-	const client = connect(host, options, command);
-	const answer = await withProgress(
-		host,
-		'asking the node',
-		client.call({
-			method: 'GET',
-			path: `/v1/explain/${encodeURIComponent(request)}`,
-			statuses: [200],
-			schema: explanationSchema,
-		}),
-	);
-	if (answer.isErr()) {
-		reportFault(host, answer.error);
-		return;
-	}
-
-	const {node, decisions} = answer.value;
-	if (options.json) {
-		printJson(terminal, answer.value);
-	} else {
-		terminal.write(`request ${request} at node ${node}\n`);
-		terminal.write(renderTable(decisions, columns, terminal.colour));
-	}
-
-	host.finish(exitCodes.done);
+function printExplanation(
+	terminal: Terminal,
+	{request, node, decisions}: Explanation,
+): void {
+	terminal.write(`request ${request} at node ${node}\n`);
+	terminal.write(renderTable(decisions, columns, terminal.colour));
 }
 
 const columns: Array<Column<Explanation['decisions'][number]>> = [
--- a/packages/command/src/status-command.ts
+++ b/packages/command/src/status-command.ts
@@ -4,14 +4,10 @@
 import {
 	addJsonOption,
 	addNodeOptions,
-	connect,
-	printJson,
-	reportFault,
 	type CommandHost,
 	type NodeOptions,
 } from './command-host.js';
-import {exitCodes} from './exit-code.js';
-import {withProgress} from './progress.js';
+import {queryNode} from './node-query.js';
 import {renderTable, type Column} from './table.js';
 import type {Terminal} from './terminal.js';
 
@@ -25,38 +21,13 @@
 			'\nExample:\n  egretspoke status --node 10.0.0.1:7402 --json',
 		);
 	addJsonOption(addNodeOptions(command)).action(async (options: NodeOptions) =>
-		showStatus(host, command, options),
-	);
-}
-
-async function showStatus(
-	host: CommandHost,
-	command: Command,
-	options: NodeOptions,
-): Promise<void> {
-	const client = connect(host, options, command);
-	const answer = await withProgress(
-		host,
-		'asking the node',
-		client.call({
-			method: 'GET',
+		queryNode(host, command, options, {
 			path: '/v1/status',
-			statuses: [200],
 			schema: nodeStatusSchema,
+			select: (status) => status,
+			print: printStatus,
 		}),
 	);
-	if (answer.isErr()) {
-		reportFault(host, answer.error);
-		return;
-	}
-
-	if (options.json) {
-		printJson(host.terminal, answer.value);
-	} else {
-		printStatus(host.terminal, answer.value);
-	}
-
-	host.finish(exitCodes.done);
 }
 
 function printStatus(terminal: Terminal, status: NodeStatus): void {
--- a/packages/command/src/targets-command.ts
+++ b/packages/command/src/targets-command.ts
@@ -5,15 +5,12 @@
 import {
 	addJsonOption,
 	addNodeOptions,
-	connect,
-	printJson,
-	reportFault,
 	type CommandHost,
 	type NodeOptions,
 } from './command-host.js';
-import {exitCodes} from './exit-code.js';
-import {withProgress} from './progress.js';
+import {queryNode} from './node-query.js';
 import {renderTable, type Column} from './table.js';
+import type {Terminal} from './terminal.js';
 
 type TargetsOptions = NodeOptions & {service?: string};
 
@@ -25,45 +22,24 @@
 		.option('--service <name>', 'only the targets of this service')
 		.addHelpText('after', '\nExample:\n  egretspoke targets --service orders');
 	addJsonOption(addNodeOptions(command)).action(
-		async (options: TargetsOptions) => listTargets(host, command, options),
+		async (options: TargetsOptions) =>
+			queryNode(host, command, options, {
+				path: '/v1/targets',
+				schema: z.array(targetRowSchema),
+				select: (rows) =>
+					rows.filter(
+						({service}) =>
+							options.service === undefined || service === options.service,
+					),
+				print: printTargets,
+			}),
 	);
 }
 
-async function listTargets(
-	host: CommandHost,
-	command: Command,
-	options: TargetsOptions,
-): Promise<void> {
-	const {terminal} = host;
-	const client = connect(host, options, command);
-	const answer = await withProgress(
-		host,
-		'asking the node',
-		client.call({
-			method: 'GET',
-			path: '/v1/targets',
-			statuses: [200],
-			schema: z.array(targetRowSchema),
-		}),
+function printTargets(terminal: Terminal, rows: TargetRow[]): void {
+	terminal.write(
+		renderTable(rows, columns, terminal.colour) || 'no targets are known\n',
 	);
-	if (answer.isErr()) {
-		reportFault(host, answer.error);
-		return;
-	}
-
-	const {service} = options;
-	const rows = answer.value.filter(
-		(row) => service === undefined || row.service === service,
-	);
-	if (options.json) {
-		printJson(terminal, rows);
-	} else {
-		terminal.write(
-			renderTable(rows, columns, terminal.colour) || 'no targets are known\n',
-		);
-	}
-
-	host.finish(exitCodes.done);
 }
 
 const columns: Array<Column<TargetRow>> = [
