--- /dev/null
+++ b/packages/node/__tests__/ingress.spec.ts
@@ -0,0 +1,121 @@
+import {expect} from 'chai';
+import {egretspokePolicy} from '@egretspoke/decisions';
+import type {CallRequest} from '@egretspoke/protocol';
+import {createRandom, createVirtualClock, sleep} from '@egretspoke/shared';
+import {createIngress} from '../src/ingress.js';
+import {silentReporter} from '../src/node-reporter.js';
+import {createRunningRequests} from '../src/running-requests.js';
+
+const serviceTime = 20;
+const never = new AbortController().signal;
+
+function createCall(id: string): CallRequest {
+	return {
+		id,
+		service: 'orders',
+		method: 'GET',
+		path: '/',
+		headers: {},
+		body: new Uint8Array(0),
+		requestClass: 'normal',
+		caller: id,
+		timeLeft: 1000,
+		attempts: 1,
+		idempotent: true,
+	};
+}
+
+function createIngressOf(slots: number) {
+	const clock = createVirtualClock();
+	const ran: string[] = [];
+	const ingress = createIngress({
+		clock,
+		admission: egretspokePolicy.createAdmission({
+			service: 'orders',
+			slots,
+			dataCentre: 'a',
+			random: createRandom(1),
+		}),
+		target: {
+			async send({id}) {
+				ran.push(id);
+				await sleep(clock, serviceTime);
+				return {
+					kind: 'answer',
+					answer: {status: 200, headers: {}, body: new Uint8Array(0)},
+				};
+			},
+		},
+		announcement: {service: 'orders', slots, connections: 10},
+		running: createRunningRequests(),
+		reporter: silentReporter,
+		refusalOf: () => undefined,
+	});
+	const run = async (id: string, signal = never) => {
+		const {kind} = await ingress.run(createCall(id), signal);
+		return kind;
+	};
+
+	return {clock, ingress, ran, run};
+}
+
+describe('ingress', () => {
+	describe('of a target that leaves', () => {
+		it('hands back what waits, finishes what runs and takes nothing new', async () => {
+			// An operator takes a target out while one request runs and one waits.
+			const {clock, ingress, ran, run} = createIngressOf(1);
+			const running = run('running');
+			const waiting = run('waiting');
+			await clock.runTo(1);
+			ingress.leave();
+			expect(await waiting).to.equal('notRun');
+			expect(await run('late')).to.equal('notRun');
+			await clock.runTo(2 * serviceTime);
+			expect(await running).to.equal('answered');
+			expect(ran).to.deep.equal(['running']);
+		});
+
+		it('would go on for entries with an old view if only members were told', async () => {
+			// The same without the word at the ingress: whoever has not heard the
+			// news yet still gets work done at the leaving target.
+			const {clock, ran, run} = createIngressOf(1);
+			const late = run('late');
+			await clock.runTo(2 * serviceTime);
+			expect(await late).to.equal('answered');
+			expect(ran).to.deep.equal(['late']);
+		});
+
+		it('takes work again after it has come back', async () => {
+			const {clock, ingress, run} = createIngressOf(1);
+			ingress.leave();
+			ingress.rejoin();
+			const asked = run('again');
+			await clock.runTo(2 * serviceTime);
+			expect(await asked).to.equal('answered');
+		});
+	});
+
+	describe('with a caller that gives up', () => {
+		it('runs nothing for one that had gone before it came', async () => {
+			// A cancelled call is read from the socket after its cancel.
+			const {ran, run} = createIngressOf(1);
+			expect(await run('gone', AbortSignal.abort())).to.equal('notRun');
+			expect(ran).to.deep.equal([]);
+		});
+
+		it('takes its waiting request out of the queue', async () => {
+			// A supervisor closes the roster board while its request waits. Run all
+			// the same, it would take a slot for nobody.
+			const {clock, ran, run} = createIngressOf(1);
+			const running = run('running');
+			const caller = new AbortController();
+			const waiting = run('waiting', caller.signal);
+			await clock.runTo(1);
+			caller.abort();
+			expect(await waiting).to.equal('notRun');
+			await clock.runTo(3 * serviceTime);
+			expect(await running).to.equal('answered');
+			expect(ran).to.deep.equal(['running']);
+		});
+	});
+});
--- a/packages/node/__tests__/process-failures.spec.ts
+++ b/packages/node/__tests__/process-failures.spec.ts
@@ -84,6 +84,23 @@
 			expect(summary.some(({runs}) => runs === 1)).to.equal(true);
 		});
 
+		it('would cut what runs if it were killed instead', async () => {
+			// The same stop without the drain: what ran there is lost, and runs
+			// once more elsewhere or ends unknown.
+			const [first, second] = await startPair(1500);
+			const answers = Array.from({length: 12}, async () =>
+				cluster.ask(first, service),
+			);
+			await waitForRun(second);
+			await second.process.kill();
+			const seen = await Promise.all(answers);
+			const counts = await countRuns([first, second]);
+			const isHarmed =
+				[...counts.values()].some((count) => count > 1) ||
+				seen.some(({outcome}) => outcome === 'unknown');
+			expect(isHarmed).to.equal(true);
+		});
+
 		it('ends at once on a second signal, and says what it cut', async () => {
 			// The operator can't wait for a long request and signals again.
 			const [first, second] = await startPair(3_600_000);
