--- a/packages/node/__tests__/entry.spec.ts
+++ b/packages/node/__tests__/entry.spec.ts
@@ -21,7 +21,10 @@
 const lost = admitUnknown(createRefusal(ErrorCode.AnswerLost));
 
 /** An entry whose attempts end as listed, each at another target. */
-function createEntryWith(ends: Outcome[], idempotent = true) {
+function createEntryWith(
+	ends: Outcome[],
+	{idempotent = true, age = 0}: {idempotent?: boolean; age?: number} = {},
+) {
 	const clock = createVirtualClock();
 	const sent: number[] = [];
 	const entry = createEntry({
@@ -68,7 +71,7 @@
 			attempts: 3,
 		}),
 		keyLifetime: 60_000,
-		possibleAge: () => 0,
+		possibleAge: () => age,
 		priorityOf: () => undefined,
 		passToHome: async () => ({outcome: lost}),
 		refusalOf: () => undefined,
@@ -113,18 +116,37 @@
 
 		it('makes no second attempt at a non-idempotent request', async () => {
 			// The answer to a payment is lost. Another attempt would pay twice.
-			const {ask, sent, soon} = createEntryWith([lost, lost], false);
+			const {ask, sent, soon} = createEntryWith([lost, lost], {
+				idempotent: false,
+			});
 			const {outcome} = await ask(soon());
 			expect(outcome.kind).to.equal('unknown');
 			expect(sent).to.have.length(1);
 		});
 	});
 
+	describe('of a node that was frozen', () => {
+		// A VM wakes after two seconds with a request of one second in its socket.
+		// Its caller has given up; without a look at the pause it would run.
+		it('refuses what is older than its deadline', async () => {
+			const {ask, sent} = createEntryWith([lost], {age: 2000});
+			const {outcome} = await ask();
+			expect(outcome).to.deep.include({kind: 'notRun'});
+			expect(sent).to.have.length(0);
+		});
+
+		it('would run it if it counted as just sent', async () => {
+			const {ask, sent} = createEntryWith([lost, lost, lost], {age: 0});
+			await ask();
+			expect(sent).not.to.have.length(0);
+		});
+	});
+
 	it('runs no key without an expiry, and proposes one', async () => {
 		// A boat owner's phone sends a payment whose key says no expiry, and
 		// repeats it an hour later. A home can't remember keys for ever; one that
 		// had forgotten this one would charge the payment again.
-		const {ask, sent} = createEntryWith([lost], false);
+		const {ask, sent} = createEntryWith([lost], {idempotent: false});
 		const {outcome, keyExpiry} = await ask();
 		expect(outcome.kind).to.equal('notRun');
 		expect(sent).to.have.length(0);
