--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -121,8 +121,10 @@
 			return end(incoming, keys.refuse(incoming, barred, 0));
 		}
 
-		const arrivedAt = clock.now() - context.possibleAge();
-		const call = createEntryCall(incoming, rules, running, arrivedAt);
+		const call = createEntryCall(incoming, rules, running, {
+			now: clock.now(),
+			age: context.possibleAge(),
+		});
 		if (call.isErr()) {
 			const {code, retryAfter} = call.error;
 			return end(incoming, keys.refuse(incoming, code, retryAfter));
--- a/packages/node/src/request-chain.ts
+++ b/packages/node/src/request-chain.ts
@@ -35,13 +35,17 @@
 	allotment?: Allotment;
 };
 
-/** Places a request in its chain, or says why its chain allows it nothing more. */
+/**
+ * Places a request in its chain, or says why its chain allows it nothing more.
+ * The age is the time for which it may have waited to be read, in milliseconds.
+ */
 export function createEntryCall(
 	incoming: CallerRequest,
 	rules: Classification,
 	running: RunningRequests,
-	now: number,
+	{now, age}: {now: number; age: number},
 ): Result<EntryCall, Refusal> {
+	const arrivedAt = now - age;
 	const operation = readOperation(incoming);
 	const allotment =
 		incoming.id === undefined
@@ -57,16 +61,17 @@
 	const timeLeft = Math.min(
 		incoming.timeLeft ?? rules.deadline,
 		rules.deadline,
-		(allotment?.deadline ?? Number.POSITIVE_INFINITY) - now,
+		(allotment?.deadline ?? Number.POSITIVE_INFINITY) - arrivedAt,
 	);
-	if (timeLeft <= 0) {
+	const deadline = arrivedAt + timeLeft;
+	if (deadline <= now) {
 		return err(createRefusal(ErrorCode.DeadlinePassed));
 	}
 
 	const {method, path, headers, body, service, key, keyExpiry} = incoming;
 	return ok({
 		operation,
-		deadline: now + timeLeft,
+		deadline,
 		...(allotment && {allotment}),
 		request: {
 			id: incoming.id ?? randomUUID(),
@@ -76,7 +81,7 @@
 			headers,
 			body,
 			caller: allotment?.caller ?? incoming.caller,
-			timeLeft,
+			timeLeft: deadline - now,
 			requestClass: allotment?.requestClass ?? rules.requestClass,
 			attempts: allotment?.attempts ?? rules.attempts,
 			idempotent: rules.idempotent,
