--- a/packages/command/__tests__/program.spec.ts
+++ b/packages/command/__tests__/program.spec.ts
@@ -18,6 +18,26 @@
 	'demo',
 ];
 
+/** Validates texts written under this name, each test in a directory of its own. */
+function useValidation(name: string) {
+	let directory = '';
+
+	beforeEach(() => {
+		directory = mkdtempSync(path.join(tmpdir(), 'egretspoke-'));
+	});
+
+	afterEach(() => {
+		rmSync(directory, {recursive: true});
+	});
+
+	return async (text: string, ...rest: string[]) => {
+		const file = path.join(directory, name);
+		writeFileSync(file, text);
+		const result = await run(['validate', file, ...rest]);
+		return {...result, errors: result.errors.replaceAll(file, name)};
+	};
+}
+
 describe('program', () => {
 	describe('help', () => {
 		it('lists the commands and the exit codes', async () => {
@@ -84,22 +104,7 @@
 	});
 
 	describe('validate', () => {
-		let directory = '';
-
-		beforeEach(() => {
-			directory = mkdtempSync(path.join(tmpdir(), 'egretspoke-'));
-		});
-
-		afterEach(() => {
-			rmSync(directory, {recursive: true});
-		});
-
-		const validate = async (text: string, ...rest: string[]) => {
-			const file = path.join(directory, 'node.yaml');
-			writeFileSync(file, text);
-			const result = await run(['validate', file, ...rest]);
-			return {...result, errors: result.errors.replaceAll(file, 'node.yaml')};
-		};
+		const validate = useValidation('node.yaml');
 
 		it('prints five findings with their places for five different faults', async () => {
 			const {code, errors} = await validate(
@@ -144,22 +149,7 @@
 	});
 
 	describe('validate on an intent', () => {
-		let directory = '';
-
-		beforeEach(() => {
-			directory = mkdtempSync(path.join(tmpdir(), 'egretspoke-'));
-		});
-
-		afterEach(() => {
-			rmSync(directory, {recursive: true});
-		});
-
-		const validate = async (text: string, ...rest: string[]) => {
-			const file = path.join(directory, 'intent.yaml');
-			writeFileSync(file, text);
-			const result = await run(['validate', file, ...rest]);
-			return {...result, errors: result.errors.replaceAll(file, 'intent.yaml')};
-		};
+		const validate = useValidation('intent.yaml');
 
 		it('knows it by its keys, also in a list', async () => {
 			for (const text of ['service: orders', '- service: orders']) {
--- a/packages/decisions/__tests__/egretspoke-policy.spec.ts
+++ b/packages/decisions/__tests__/egretspoke-policy.spec.ts
@@ -1,18 +1,7 @@
 import {expect} from 'chai';
 import {createRandom} from '@egretspoke/shared';
-import {egretspokePolicy, type CallFacts} from '../src/index.js';
-
-const call = (id: string, changes: Partial<CallFacts> = {}): CallFacts => ({
-	id,
-	service: 'orders',
-	requestClass: 'normal',
-	caller: 'loft-1',
-	operation: 'POST /orders',
-	deadline: 1000,
-	attempts: 3,
-	idempotent: true,
-	...changes,
-});
+import {egretspokePolicy} from '../src/index.js';
+import {createCall} from './fixtures.js';
 
 describe('egretspoke policy', () => {
 	it('dispatches essential work before the normal work that came first', () => {
@@ -22,9 +11,11 @@
 			dataCentre: 'a',
 			random: createRandom(1),
 		});
-		expect(admission.arrive(call('running'), 0).kind).to.equal('dispatch');
-		expect(admission.arrive(call('normal'), 1).kind).to.equal('wait');
-		const essential = call('essential', {requestClass: 'essential'});
+		expect(admission.arrive(createCall('running'), 0).kind).to.equal(
+			'dispatch',
+		);
+		expect(admission.arrive(createCall('normal'), 1).kind).to.equal('wait');
+		const essential = createCall('essential', {requestClass: 'essential'});
 		expect(admission.arrive(essential, 2).kind).to.equal('wait');
 		admission.finish('running', {duration: 5, result: 'ok'}, 5);
 		expect(admission.turns(5).map(({id}) => id)).to.deep.equal(['essential']);
@@ -44,7 +35,7 @@
 			],
 			0,
 		);
-		const decision = routing.choose(call('1'), [], 0);
+		const decision = routing.choose(createCall('1'), [], 0);
 		expect(decision).to.include({kind: 'send', node: 'two'});
 	});
 });
