--- /dev/null
+++ b/packages/mesh/__tests__/decisions.spec.ts
@@ -0,0 +1,211 @@
+import {createRandom} from '@egretspoke/shared';
+import {expect} from 'chai';
+import {createGate, type GateRequest} from '../src/decisions/gate.js';
+import {createRetryBudget} from '../src/decisions/retry-budget.js';
+import {createShedLevel, shedShare} from '../src/decisions/shed-level.js';
+import {
+	selectTarget,
+	type Candidate,
+} from '../src/decisions/target-selection.js';
+import {createWeightedRotation} from '../src/decisions/weighted-rotation.js';
+
+describe('a weighted rotation', () => {
+	it('keeps any run of requests within one request of the weights', () => {
+		const rotation = createWeightedRotation([
+			{service: 'old', weight: 90},
+			{service: 'new', weight: 10},
+		]);
+		for (let run = 0; run < 50; run++) {
+			const taken = Array.from({length: 10}, () => rotation.next());
+			expect(taken.filter((service) => service === 'new')).to.have.length(1);
+		}
+	});
+
+	it('never takes a service of weight 0 beside others', () => {
+		const rotation = createWeightedRotation([
+			{service: 'old', weight: 0},
+			{service: 'new', weight: 5},
+		]);
+		expect(Array.from({length: 5}, () => rotation.next())).to.not.include(
+			'old',
+		);
+	});
+});
+
+describe('a retry budget', () => {
+	const options = {ratio: 0.2, allowance: 48, window: 10_000};
+
+	it('bounds what all nodes together send again when a service loses every answer', () => {
+		// Every answer of a service is lost while 300 requests a second go to it
+		// through 15 nodes that know nothing of each other's retries. Unbounded,
+		// the service would get twice its load; users see it drown.
+		const nodes = 15;
+		const budgets = Array.from({length: nodes}, () =>
+			createRetryBudget(options),
+		);
+		let retries = 0;
+		for (let index = 0; index < 3000; index++) {
+			const now = (index * 1000) / 300;
+			const budget = budgets[index % nodes]!;
+			budget.countRequest('orders', now);
+			retries += budget.take('orders', now, nodes) ? 1 : 0;
+		}
+
+		expect(retries).to.be.within(100, options.ratio * 3000 + options.allowance);
+	});
+
+	it('has its part again when the window has passed', () => {
+		const budget = createRetryBudget(options);
+		const takeAll = (now: number) => {
+			let taken = 0;
+			while (budget.take('orders', now, 1)) {
+				taken++;
+			}
+
+			return taken;
+		};
+
+		expect(takeAll(0)).to.equal(12);
+		expect(takeAll(9000)).to.equal(0);
+		expect(takeAll(11_000)).to.equal(12);
+	});
+});
+
+describe('a gate', () => {
+	const inner: GateRequest = {isInner: true, priority: 2, patience: 300};
+	const fresh: GateRequest = {isInner: false, priority: 0, patience: 300};
+
+	const createFullGate = () => {
+		const gate = createGate<string>(21);
+		for (let index = 0; index < 19; index++) {
+			gate.offer(fresh, `running ${index}`, 0);
+		}
+
+		return gate;
+	};
+
+	it('hands over no more than nineteen of twenty slots', () => {
+		const gate = createFullGate();
+		expect(gate.offer(fresh, 'one more', 0)).to.equal('wait');
+		expect(gate.running()).to.equal(19);
+	});
+
+	it('runs calls of work that has begun before new work of a higher priority', () => {
+		const gate = createFullGate();
+		gate.offer(fresh, 'new', 0);
+		gate.offer(inner, 'call', 0);
+		gate.finish(30);
+		expect(gate.next()).to.equal('call');
+	});
+
+	it('refuses at once what would wait longer than it may', () => {
+		const gate = createFullGate();
+		for (let index = 0; index < 40; index++) {
+			gate.offer({...fresh, patience: 1000}, `waiting ${index}`, 0);
+		}
+
+		expect(gate.offer({...fresh, patience: 20}, 'late', 0)).to.equal('refuse');
+	});
+
+	it('gives back those whose patience is over, once', () => {
+		const gate = createFullGate();
+		gate.offer({...fresh, patience: 50}, 'impatient', 0);
+		gate.offer({...fresh, patience: 500}, 'patient', 0);
+		expect(gate.expire(100)).to.deep.equal(['impatient']);
+		expect(gate.expire(100)).to.deep.equal([]);
+		expect(gate.waiting()).to.equal(1);
+	});
+
+	it('forgets one that was withdrawn', () => {
+		const gate = createFullGate();
+		gate.offer(fresh, 'left', 0);
+		expect(gate.withdraw('left')).to.equal(true);
+		gate.finish(30);
+		expect(gate.next()).to.equal(undefined);
+	});
+});
+
+describe('a shed level', () => {
+	it('finds the share that fits under demand of half above capacity, the least important first', () => {
+		// Half as much again as a target can run comes for twenty seconds. The
+		// queue grows with every period in which more is let in than leaves;
+		// users of every kind would wait to the end of their time.
+		const level = createShedLevel();
+		let waiting = 0;
+		const waits: number[] = [];
+		for (let period = 0; period < 200; period++) {
+			const [low, high] = [90, 60];
+			const admitted =
+				low * (1 - shedShare(level.value(), 0)) +
+				high * (1 - shedShare(level.value(), 1));
+			waiting = Math.max(0, waiting + admitted - 100);
+			level.update(waiting, 2);
+			waits.push(waiting);
+		}
+
+		expect(Math.max(...waits.slice(100))).to.be.below(60);
+		expect(shedShare(level.value(), 0)).to.be.within(0.4, 0.75);
+		expect(shedShare(level.value(), 1)).to.equal(0);
+	});
+
+	it('goes back to refusing nothing when the burst is over', () => {
+		const level = createShedLevel();
+		for (let period = 0; period < 20; period++) {
+			level.update(200, 3);
+		}
+
+		for (let period = 0; period < 200; period++) {
+			level.update(0, 3);
+		}
+
+		expect(level.value()).to.equal(0);
+	});
+});
+
+describe('the choice of a target', () => {
+	const random = createRandom(7);
+	const candidate = (changed: Partial<Candidate>): Candidate => ({
+		node: 'a',
+		isNear: true,
+		occupancy: 0.5,
+		isDoubtful: false,
+		...changed,
+	});
+
+	const count = (candidates: Candidate[], node: string) =>
+		Array.from({length: 300}, () => selectTarget(candidates, random)).filter(
+			(chosen) => chosen?.node === node,
+		).length;
+
+	it('stays near while a near target has room', () => {
+		const candidates = [
+			candidate({node: 'near'}),
+			candidate({node: 'far', isNear: false, occupancy: 0}),
+		];
+		expect(count(candidates, 'near')).to.equal(300);
+	});
+
+	it('goes elsewhere before the only near target is full', () => {
+		const candidates = [
+			candidate({node: 'near', occupancy: 0.95}),
+			candidate({node: 'far', isNear: false, occupancy: 0.3}),
+		];
+		expect(count(candidates, 'far')).to.equal(300);
+	});
+
+	it('gives work to a target that has just joined', () => {
+		const candidates = [
+			candidate({node: 'old'}),
+			candidate({node: 'joined', occupancy: 0}),
+		];
+		expect(count(candidates, 'joined')).to.equal(300);
+	});
+
+	it('takes a doubtful target only when there is no other', () => {
+		const doubtful = candidate({node: 'doubtful', isDoubtful: true});
+		expect(
+			count([doubtful, candidate({node: 'good', occupancy: 2})], 'doubtful'),
+		).to.equal(0);
+		expect(count([doubtful], 'doubtful')).to.equal(300);
+	});
+});
--- /dev/null
+++ b/packages/mesh/__tests__/target-record.spec.ts
@@ -0,0 +1,89 @@
+import {expect} from 'chai';
+import {
+	takeAnnouncement,
+	takeWithdrawal,
+	type Announcement,
+	type TargetRecord,
+} from '../src/target-record.js';
+
+const announcement: Announcement = {
+	targetId: 'target-1',
+	startedAt: 1000,
+	sequence: 5,
+	service: 'orders',
+	address: '10.0.0.5:8301',
+	slots: 100,
+	isLeaving: false,
+	warmUpLeft: 0,
+};
+const known: TargetRecord = {...announcement, hasLeft: false};
+
+describe('the record of a target', () => {
+	it('takes a later start, also under the same id', () => {
+		const change = takeAnnouncement(known, {
+			...announcement,
+			startedAt: 2000,
+			sequence: 1,
+		});
+		expect(change).to.deep.include({kind: 'changed'});
+	});
+
+	it('does not go back to an earlier start whose announcement was held up', () => {
+		// A target announces itself into a partition, crashes, and another starts
+		// on its address; then the partition heals and the old announcement
+		// arrives. Taken, requests would carry the id of a target that is gone,
+		// and users would get failures from a healthy one.
+		const change = takeAnnouncement(known, {
+			...announcement,
+			targetId: 'target-0',
+			startedAt: 500,
+			sequence: 90,
+		});
+		expect(change.kind).to.equal('stale');
+	});
+
+	it('does not take back a leaving when an older announcement arrives after it', () => {
+		// The announcement before the leaving was delayed on the way. Taken as
+		// news, the target would get work until it ends in the middle of it.
+		const leaving = takeAnnouncement(known, {
+			...announcement,
+			sequence: 7,
+			isLeaving: true,
+		});
+		expect(leaving).to.have.nested.property('record.isLeaving', true);
+		const late = takeAnnouncement(
+			{...known, isLeaving: true, sequence: 7},
+			{...announcement, sequence: 6},
+		);
+		expect(late.kind).to.equal('stale');
+		const later = takeAnnouncement(
+			{...known, isLeaving: true, sequence: 7},
+			{...announcement, sequence: 8},
+		);
+		expect(later).to.have.nested.property('record.isLeaving', true);
+	});
+
+	it('takes a leaving that arrives behind a later announcement', () => {
+		const change = takeAnnouncement(known, {
+			...announcement,
+			sequence: 4,
+			isLeaving: true,
+		});
+		expect(change.kind).to.equal('changed');
+	});
+
+	it('takes a farewell of the known start only', () => {
+		expect(
+			takeWithdrawal(known, {targetId: 'target-1', startedAt: 1000}).kind,
+		).to.equal('changed');
+		expect(
+			takeWithdrawal(known, {targetId: 'target-1', startedAt: undefined}).kind,
+		).to.equal('changed');
+		expect(
+			takeWithdrawal(known, {targetId: 'target-1', startedAt: 900}).kind,
+		).to.equal('stale');
+		expect(
+			takeWithdrawal(known, {targetId: 'target-0', startedAt: undefined}).kind,
+		).to.equal('stale');
+	});
+});
