fix(mesh): a caller that is answered at once gets its answer; reads get a second target after a failure

Cause: the caller's leave was deleted before it was known when an answer came in the same turn (no route, no target), which threw and left the caller without an answer.

--- a/packages/mesh/src/caller-listener.ts
+++ b/packages/mesh/src/caller-listener.ts
@@ -148,6 +148,9 @@
 		const timeLeft = Number(findHeader(raw, headerNames.timeLeft));
 		const headers = keepEndToEnd(raw, dropped);
 		headers.push(headerNames.callerService, options.callerService());
+		// An answer can be given before the way to say that the caller left is known.
+		let isAnswered = false;
+		let forgetLeave = () => undefined as unknown;
 		const leave = options.entry.handle(
 			{
 				requestId: findHeader(raw, headerNames.requestId) ?? '',
@@ -162,12 +165,14 @@
 				isInner: options.isTargetAddress(request.socket.remoteAddress),
 			},
 			(final) => {
-				leaves?.delete(leave);
+				isAnswered = true;
+				forgetLeave();
 				respond(response, final);
 			},
 		);
-		if (!response.writableEnded) {
+		if (!isAnswered) {
 			leaves?.add(leave);
+			forgetLeave = () => leaves?.delete(leave);
 		}
 	};
 
--- a/packages/mesh/src/entry.ts
+++ b/packages/mesh/src/entry.ts
@@ -83,6 +83,12 @@
 const patienceOfNewWork = 0.25;
 /** The same for calls of work that has begun: giving those up wastes what was done already. */
 const patienceOfInnerCalls = 0.6;
+/**
+ * The status of a target that failed. Work that may be repeated gets a second
+ * chance, but not while load is shed: most failures come from refused calls
+ * then, and repeating the whole tree of calls only makes more of them.
+ */
+const failureStatus = 500;
 /** Milliseconds below which another attempt has no chance to end in time. */
 const leastTimeToRetry = 20;
 
@@ -163,6 +169,8 @@
 	let arrivals = 0;
 	let refusals = 0;
 	let mayHaveRun = false;
+	/** A target's own failure, for the caller if no other target does better. */
+	let failure: FinalAnswer | undefined;
 	let isOver = false;
 	let cancelAttempt: () => void = () => undefined;
 
@@ -194,6 +202,11 @@
 
 	/** The final answer of a request that no target will answer. */
 	const giveUp = (reason: string) => {
+		if (failure) {
+			finish(failure);
+			return;
+		}
+
 		finish(
 			mayHaveRun
 				? {kind: 'own', status: 502, reason}
@@ -249,7 +262,7 @@
 				target.note(outcome.kind === 'answered' ? 'answered' : 'failed', load);
 				noteDeeperLoad(load);
 				if (!isOver) {
-					handlers[outcome.kind](outcome as never, target.node);
+					handlers[outcome.kind](outcome as never, target.node, load);
 				}
 			},
 		);
@@ -282,33 +295,49 @@
 		timeLeft,
 	});
 
-	/** Another target may get it, within the attempts of the route and the shared budget. */
-	const sendAgain = (reason: string, node: string) => {
+	/** Whether another target may get it, within the attempts of the route and the shared budget. */
+	const takeRetry = (reason: string, node: string): boolean => {
 		const now = clock.now();
-		if (
-			arrivals >= route.attempts ||
-			until - now < leastTimeToRetry ||
-			!budget.take(service, now, directory.size())
-		) {
-			giveUp(reason);
-			return;
+		const isAllowed =
+			arrivals < route.attempts &&
+			until - now >= leastTimeToRetry &&
+			budget.take(service, now, directory.size());
+		if (isAllowed) {
+			reporter.decision('meshSentAgain', request.requestId, reason, {
+				from: node,
+				arrivals,
+			});
 		}
 
-		reporter.decision('meshSentAgain', request.requestId, reason, {
-			from: node,
-			arrivals,
-		});
-		attempt();
+		return isAllowed;
+	};
+
+	const sendAgain = (reason: string, node: string) => {
+		if (takeRetry(reason, node)) {
+			attempt();
+		} else {
+			giveUp(reason);
+		}
 	};
 
 	const handlers: {
 		[Kind in Outcome['kind']]: (
 			outcome: Extract<Outcome, {kind: Kind}>,
 			node: string,
+			load: TargetLoad | undefined,
 		) => void;
 	} = {
-		answered({status, headers, body}) {
-			finish({kind: 'target', status, headers, body});
+		answered({status, headers, body}, node, load) {
+			arrivals++;
+			const answer: FinalAnswer = {kind: 'target', status, headers, body};
+			const isWorthRepeating =
+				status === failureStatus && route.isIdempotent && load?.shedLevel === 0;
+			if (isWorthRepeating && takeRetry('targetFailed', node)) {
+				failure = answer;
+				attempt();
+			} else {
+				finish(answer);
+			}
 		},
 		refused({reason}, node) {
 			refusals++;
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -46,6 +46,8 @@
 	/** The target's own calls met this level at the services that they went to. */
 	noteDeeperLevel(level: number): void;
 	load(): TargetLoad;
+	/** Closes the connections to the target. */
+	close(): void;
 	/** Requests that run or wait. */
 	held(): number;
 };
@@ -312,6 +314,9 @@
 			deeperLevelUntil = now + deeperLevelTime;
 		},
 		load,
+		close() {
+			client?.close();
+		},
 		held: () => gate.running() + gate.waiting(),
 	};
 
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -59,7 +59,8 @@
 
 /** A node. */
 export type MeshNode = {
-	start(): Promise<void>;
+	/** Opens the listeners; gives their addresses, for ports that were 0. */
+	start(): Promise<{callers: string; peers: string}>;
 	/** Whether callers should be sent here. */
 	isReady(): boolean;
 	/** Takes what the target says of itself; false when it is older than what is known. */
@@ -70,6 +71,8 @@
 	applySettings(settings: MeshNodeSettings): void;
 	/** A planned stop; resolves when nothing is in flight, or when the grace is over. */
 	stop(): Promise<void>;
+	/** Ends at once; what is in flight is cut. */
+	abort(): void;
 };
 
 /** Milliseconds between two reports of a changed load to all peers, for each peer: 15 nodes hear every 300 ms. */
@@ -313,19 +316,24 @@
 		async start() {
 			const peer = splitAddress(settings.peerAddress);
 			const caller = splitAddress(settings.callerAddress);
-			await Promise.all([
+			const [peerPort, callerPort] = await Promise.all([
 				peerListener.listen(peer.host, peer.port),
 				callerListener.listen(caller.host, caller.port),
 			]);
+			self.address = `${peer.host}:${peerPort}`;
 			void follower.run(life.signal);
 			void register.run(life.signal);
 			reportLoad();
+			const addresses = {
+				callers: `${caller.host}:${callerPort}`,
+				peers: self.address,
+			};
 			reporter.notice('meshStarted', {
 				service: settings.service,
 				dataCentre: settings.dataCentre,
-				callers: settings.callerAddress,
-				peers: settings.peerAddress,
+				...addresses,
 			});
+			return addresses;
 		},
 		isReady: () => routes !== undefined && !isStopping,
 		announce: async (announcement) =>
@@ -344,14 +352,20 @@
 			callerListener.drain();
 			await waitUntilIdle(since);
 			reporter.notice('drained', {cut: entry.open() + gatekeeper.held()});
-			life.abort();
-			callerListener.close();
-			peerListener.close();
-			directory.close();
-			store.close();
+			abort();
 		},
+		abort,
 	};
 
+	function abort(): void {
+		life.abort();
+		callerListener.close();
+		peerListener.close();
+		directory.close();
+		gatekeeper.close();
+		store.close();
+	}
+
 	async function waitUntilIdle(since: number): Promise<void> {
 		await new Promise<void>((resolve) => {
 			const look = () => {
