--- a/packages/control/__tests__/confirm.spec.ts
+++ b/packages/control/__tests__/confirm.spec.ts
@@ -1,4 +1,4 @@
-import type {Platform} from '@egretspoke/platform';
+import type {Platform} from '@egretspoke/storage';
 import {
 	createRandom,
 	createVirtualClock,
--- a/packages/control/src/configuration-store.ts
+++ b/packages/control/src/configuration-store.ts
@@ -13,7 +13,7 @@
  * be asked to confirm one.
  */
 import {planSchema, type Plan} from '@egretspoke/protocol';
-import type {Platform, PlatformError, Row} from '@egretspoke/platform';
+import type {Platform, PlatformError, Row} from '@egretspoke/storage';
 import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
 import type {ConfigurationBody} from './configuration.js';
--- a/packages/control/src/configuration-watch.ts
+++ b/packages/control/src/configuration-watch.ts
@@ -5,7 +5,7 @@
  * last accepted version stays in force.
  */
 import type {NodeStatus} from '@egretspoke/protocol';
-import type {Platform} from '@egretspoke/platform';
+import type {Platform} from '@egretspoke/storage';
 import {
 	createSubject,
 	sleep,
--- a/packages/control/src/confirm.ts
+++ b/packages/control/src/confirm.ts
@@ -11,7 +11,7 @@
  * may be sent again, since its own conditions keep it from taking effect twice.
  */
 import type {ConfirmAnswer} from '@egretspoke/protocol';
-import type {Platform, PlatformError, TableWrite} from '@egretspoke/platform';
+import type {Platform, PlatformError, TableWrite} from '@egretspoke/storage';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
 import {err, ok, type Result} from 'neverthrow';
 import {
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -6,7 +6,7 @@
 	ProbeMessage,
 	TargetAnnouncement,
 } from '@egretspoke/protocol';
-import type {Platform} from '@egretspoke/platform';
+import type {Platform} from '@egretspoke/storage';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
 import type {AcceptanceRule} from './configuration-acceptance.js';
 import {
--- a/packages/control/src/operator-service.ts
+++ b/packages/control/src/operator-service.ts
@@ -7,7 +7,7 @@
 	PlanRequest,
 	TargetRow,
 } from '@egretspoke/protocol';
-import type {Platform, PlatformError} from '@egretspoke/platform';
+import type {Platform, PlatformError} from '@egretspoke/storage';
 import type {Clock, Finding, Random} from '@egretspoke/shared';
 import {err, ok, type Result} from 'neverthrow';
 import {
--- a/packages/control/src/seed-rows.ts
+++ b/packages/control/src/seed-rows.ts
@@ -4,7 +4,7 @@
  * now is for membership to find out, so an old row does no harm.
  */
 import type {Member} from '@egretspoke/protocol';
-import type {Platform} from '@egretspoke/platform';
+import type {Platform} from '@egretspoke/storage';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
 import {z} from 'zod';
 
--- a/packages/faults/src/fake-node.ts
+++ b/packages/faults/src/fake-node.ts
@@ -8,7 +8,7 @@
 	silentReporter,
 	type NodeCore,
 } from '@egretspoke/node';
-import type {Platform} from '@egretspoke/platform';
+import type {Platform} from '@egretspoke/storage';
 import type {Clock, Random} from '@egretspoke/shared';
 import {ResultAsync} from 'neverthrow';
 import type {FakeNetwork} from './fake-network.js';
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -10,7 +10,7 @@
 	type ControlOptions,
 } from '@egretspoke/control';
 import {egretspokePolicy, type Policy} from '@egretspoke/decisions';
-import {createHttpPlatform} from '@egretspoke/platform';
+import {createHttpPlatform} from '@egretspoke/storage';
 import type {Home, Member} from '@egretspoke/protocol';
 import {
 	createRandom,
--- a/packages/stand-ins/__tests__/platform-stand-in.spec.ts
+++ b/packages/stand-ins/__tests__/platform-stand-in.spec.ts
@@ -4,7 +4,7 @@
 	type HttpPlatform,
 	type PlatformError,
 	type Row,
-} from '@egretspoke/platform';
+} from '@egretspoke/storage';
 import {createSystemClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import type {ResultAsync} from 'neverthrow';
--- a/packages/stand-ins/src/memory-platform.ts
+++ b/packages/stand-ins/src/memory-platform.ts
@@ -8,7 +8,7 @@
 	PlatformError,
 	Row,
 	TableWrite,
-} from '@egretspoke/platform';
+} from '@egretspoke/storage';
 import {sleep, type Clock} from '@egretspoke/shared';
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
 
--- a/packages/stand-ins/src/platform-stand-in.ts
+++ b/packages/stand-ins/src/platform-stand-in.ts
@@ -1,6 +1,6 @@
 /**
  * The platform's stand-in as an HTTP server: the protocol of
- * `@egretspoke/platform` over a platform in memory. One call more than the
+ * `@egretspoke/storage` over a platform in memory. One call more than the
  * real one: `PUT /faults` with a part of `PlatformFaults` switches faults.
  * A write whose answer is lost ends with its connection cut.
  */
@@ -16,7 +16,7 @@
 	noEffect,
 	transactionSchema,
 	type PlatformError,
-} from '@egretspoke/platform';
+} from '@egretspoke/storage';
 import type {Clock} from '@egretspoke/shared';
 import type {ResultAsync} from 'neverthrow';
 import {z} from 'zod';
