fix(mesh): a leaving outlives the node that acknowledged it; fewer probes; silent connections to the target are renewed

Cause of the first: the row was built before the conflict told what an earlier start had stored, and the retry erased it.

--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -59,6 +59,9 @@
 /** Milliseconds that the level seen at deeper services counts after the last call. */
 const deeperLevelTime = 1000;
 
+/** Milliseconds between two renewals of the connections to the target: a check of its health takes no longer. */
+const renewalPeriod = 2000;
+
 type Job = {
 	request: HandedRequest;
 	/** The instant at which the caller has its final answer. */
@@ -144,6 +147,7 @@
 		const removeGuard = wheel.add(job.until + overtime, () => {
 			cancelClient();
 			end(undefined);
+			renewConnections();
 			if (job.state === 'running') {
 				finish(job, {kind: 'lost', reason: 'noAnswerInTime'});
 			}
@@ -161,6 +165,22 @@
 		};
 	};
 
+	/**
+	 * Connections can go silent for good without a reset, all at once; each
+	 * would cost the request that it is used for next. A target ends its work
+	 * by the time that it was given, so one that says nothing at all by then
+	 * may have lost its connections: the idle ones are closed and new ones are
+	 * opened, at most once in a while, for a hanging target looks the same.
+	 */
+	let renewedAt = Number.NEGATIVE_INFINITY;
+	const renewConnections = () => {
+		const now = clock.now();
+		if (target && now - renewedAt > renewalPeriod) {
+			renewedAt = now;
+			replaceClient(target);
+		}
+	};
+
 	const noteOutcome = (outcome: Outcome) => {
 		if (outcome.kind === 'answered' && !isReachable) {
 			isReachable = true;
--- a/packages/mesh/src/member-register.ts
+++ b/packages/mesh/src/member-register.ts
@@ -79,8 +79,9 @@
 	};
 
 	const writeOnce = async (): Promise<boolean> => {
-		const value: RowValue = {member: self, ...(leaving && {leaving})};
 		for (let tries = 0; tries < 3; tries++) {
+			// A conflict can bring the leaving that an earlier start acknowledged; it is kept.
+			const value: RowValue = {member: self, ...(leaving && {leaving})};
 			// eslint-disable-next-line no-await-in-loop -- a conflict tells the version for the next try.
 			const result = await store.write(
 				{table, key: self.node, value: JSON.stringify(value)},
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -78,7 +78,7 @@
 /** Milliseconds between two reports of a changed load to all peers, for each peer: 15 nodes hear every 300 ms. */
 const reportTimePerPeer = 20;
 /** The change of occupancy or level that is worth a report. */
-const reportedChange = 0.1;
+const reportedChange = 0.2;
 /**
  * Milliseconds that a stopping node goes on at least: callers' balancers ask
  * every second and take a node out after two misses.
--- a/packages/mesh/src/peer-link.ts
+++ b/packages/mesh/src/peer-link.ts
@@ -52,8 +52,13 @@
 
 /** Milliseconds between two calls of `probe`; a link that was silent for half of it is asked. */
 export const probePeriod = 500;
-/** Milliseconds without a message after which a link is no longer used: two lost probes and a slow turn. */
-const silenceLimit = 1500;
+/**
+ * Milliseconds that a link without requests may be silent before it is asked:
+ * most links lead to other data centres, where every byte is paid for.
+ */
+const idleSilence = 3000;
+/** Milliseconds for the answer to a probe: the longest way and a slow turn of the loop on the other side. */
+const answerLimit = 1000;
 /** Milliseconds to open a connection. */
 const connectTime = 1000;
 /** Milliseconds between two tries, doubled up to the most. */
@@ -74,6 +79,8 @@
 	let current: PeerChannel | undefined;
 	let nextExchange = 1;
 	let lastHeard = clock.now();
+	/** When the probe without an answer was sent. */
+	let askedAt: number | undefined;
 	let isClosed = false;
 	let pause = firstPause;
 	let retryTimer: Timer | undefined;
@@ -101,6 +108,7 @@
 				isConnecting = false;
 				current = channel;
 				lastHeard = clock.now();
+				askedAt = undefined;
 				pause = firstPause;
 				for (const message of options.hello()) {
 					channel.send(message);
@@ -111,6 +119,7 @@
 			onMessage(message) {
 				if (channel === current) {
 					lastHeard = clock.now();
+					askedAt = undefined;
 				}
 
 				receive(message);
@@ -174,10 +183,18 @@
 			return;
 		}
 
-		const silence = clock.now() - lastHeard;
-		if (silence > silenceLimit) {
+		const now = clock.now();
+		if (askedAt !== undefined && now - askedAt >= answerLimit) {
 			giveUpOn(channel);
-		} else if (silence >= probePeriod / 2) {
+			return;
+		}
+
+		const isUsed = [...exchanges.values()].some(
+			(exchange) => exchange.channel === channel,
+		);
+		const mostSilence = isUsed ? probePeriod / 2 : idleSilence;
+		if (askedAt === undefined && now - lastHeard >= mostSilence) {
+			askedAt = now;
 			channel.send({kind: 'ping'});
 		}
 	};
