fix(mesh): a target's own calls are told by the time they share with their parent

Cause: callers and targets share the VM's address, so every request passed for a call of begun work, and no new work was ever shed. Ruled out: another address (all three nodes looked at had one address only), ids (not documented).

--- a/packages/mesh/__tests__/decisions.spec.ts
+++ b/packages/mesh/__tests__/decisions.spec.ts
@@ -1,6 +1,8 @@
 import {createRandom} from '@egretspoke/shared';
 import {expect} from 'chai';
+import {createInnerCallDetector} from '../src/decisions/inner-calls.js';
 import {createGate, type GateRequest} from '../src/decisions/gate.js';
+import {egretspokePolicy} from '../src/decisions/mesh-policy.js';
 import {createRetryBudget} from '../src/decisions/retry-budget.js';
 import {createShedLevel, shedShare} from '../src/decisions/shed-level.js';
 import {
@@ -76,7 +78,7 @@
 	const fresh: GateRequest = {isInner: false, priority: 0, patience: 300};
 
 	const createFullGate = () => {
-		const gate = createGate<string>(21);
+		const gate = createGate<string>(egretspokePolicy.limitOf(21));
 		for (let index = 0; index < 19; index++) {
 			gate.offer(fresh, `running ${index}`, 0);
 		}
@@ -209,3 +211,43 @@
 		expect(count([doubtful], 'doubtful')).to.equal(300);
 	});
 });
+
+describe('the detector of inner calls', () => {
+	it('takes for a call what expires with a request that the target works on', () => {
+		const detector = createInnerCallDetector();
+		for (let index = 0; index < 20; index++) {
+			detector.begin(1000 + index * 50);
+		}
+
+		const answers = Array.from({length: 20}, (_, index) =>
+			detector.isInner('calls', 1002 + index * 50),
+		);
+		expect(answers.slice(10)).to.not.include(false);
+	});
+
+	it('does not take new requests for calls because some expire with one by chance', () => {
+		// Thirty requests run, and callers send requests with short times of
+		// their own; a third of these hit the end of a running one. Taken for
+		// calls, they would go before work that has begun, and never be shed.
+		const detector = createInnerCallDetector();
+		for (let index = 0; index < 30; index++) {
+			detector.begin(1000 + index * 60);
+		}
+
+		const answers = Array.from({length: 200}, (_, index) =>
+			detector.isInner('new', 1000 + ((index * 37) % 1800)),
+		);
+		expect(answers.filter(Boolean).length).to.be.below(4);
+	});
+
+	it('forgets a request that has ended', () => {
+		const detector = createInnerCallDetector();
+		for (let index = 0; index < 20; index++) {
+			detector.begin(1000);
+			detector.isInner('calls', 1000);
+			detector.end(1000);
+		}
+
+		expect(detector.isInner('calls', 1000)).to.equal(false);
+	});
+});
--- a/packages/mesh/src/caller-listener.ts
+++ b/packages/mesh/src/caller-listener.ts
@@ -25,8 +25,6 @@
 	reporter: MeshReporter;
 	/** The service beside which this node runs, as targets are told. */
 	callerService: () => string;
-	/** Whether that address is the target's own. */
-	isTargetAddress: (address: string | undefined) => boolean;
 	isStopping: () => boolean;
 };
 
@@ -162,7 +160,6 @@
 				arrivedAt,
 				timeLeft:
 					Number.isFinite(timeLeft) && timeLeft > 0 ? timeLeft : undefined,
-				isInner: options.isTargetAddress(request.socket.remoteAddress),
 			},
 			(final) => {
 				isAnswered = true;
--- a/packages/mesh/src/decisions/gate.ts
+++ b/packages/mesh/src/decisions/gate.ts
@@ -44,7 +44,7 @@
 	withdraw(item: T): boolean;
 	/** Takes all that wait. */
 	clear(): T[];
-	setSlots(slots: number): void;
+	setLimit(handedAtOnce: number): void;
 	/** Milliseconds that a new request would wait. */
 	expectedWait(): number;
 	running(): number;
@@ -52,20 +52,14 @@
 	limit(): number;
 };
 
-/**
- * The part of a target's slots that is used. Some targets slow down by a third
- * when nearly all of their slots are taken, which costs more than the slots
- * left free.
- */
-const usedPart = 0.95;
 /** The weight of a new duration in the moving average: about the last 20. */
 const durationWeight = 0.05;
 /** Milliseconds assumed for a request before any has ended. */
 const firstDuration = 30;
 
-/** Creates the admission of a target with so many slots. */
-export function createGate<T>(slots: number): Gate<T> {
-	let limit = limitOf(slots);
+/** Creates the admission of a target that is handed so many requests at once. */
+export function createGate<T>(handedAtOnce: number): Gate<T> {
+	let limit = handedAtOnce;
 	let running = 0;
 	let waitingCount = 0;
 	let meanDuration = firstDuration;
@@ -168,8 +162,8 @@
 			waitingCount = 0;
 			return items;
 		},
-		setSlots(slots) {
-			limit = limitOf(slots);
+		setLimit(changed) {
+			limit = changed;
 		},
 		expectedWait: () => (waitingCount === 0 ? 0 : waitBehind(waitingCount)),
 		running: () => running,
@@ -189,10 +183,6 @@
 	return undefined;
 }
 
-function limitOf(slots: number): number {
-	return Math.max(1, Math.floor(slots * usedPart));
-}
-
 function rankOf({isInner, priority}: GateRequest): number {
 	return isInner ? 0 : priority + 1;
 }
--- a/packages/mesh/src/entry.ts
+++ b/packages/mesh/src/entry.ts
@@ -10,8 +10,8 @@
 import type {Clock, Random} from '@egretspoke/shared';
 import type {DeadlineWheel} from './deadline-wheel.js';
 import type {RetryBudget} from './decisions/retry-budget.js';
-import {shedShare} from './decisions/shed-level.js';
-import {selectTarget} from './decisions/target-selection.js';
+import type {InnerCallDetector} from './decisions/inner-calls.js';
+import type {MeshPolicy} from './decisions/mesh-policy.js';
 import type {Directory, TargetCandidate} from './directory.js';
 import type {
 	HandedRequest,
@@ -37,8 +37,6 @@
 	arrivedAt: number;
 	/** Milliseconds that the caller waits, from its arrival. */
 	timeLeft: number | undefined;
-	/** It comes from the target beside this node. */
-	isInner: boolean;
 };
 
 /** An answer of this node's own. */
@@ -62,6 +60,8 @@
 	directory: Directory;
 	gatekeeper: Gatekeeper;
 	budget: RetryBudget;
+	innerCalls: InnerCallDetector;
+	policy: MeshPolicy;
 	reporter: MeshReporter;
 	isStopping: () => boolean;
 };
@@ -158,12 +158,15 @@
 	route: TableRoute,
 	end: PassageEnd,
 ): () => void {
-	const {clock, random, wheel, directory, gatekeeper, budget, reporter} =
-		options;
+	const {clock, random, wheel, directory, gatekeeper, budget} = options;
+	const {innerCalls, reporter} = options;
 	const service = route.rotation.next();
 	const until =
 		request.arrivedAt +
 		Math.min(route.timeout, request.timeLeft ?? Number.POSITIVE_INFINITY);
+	const isInner =
+		request.timeLeft !== undefined &&
+		innerCalls.isInner(route.name, request.arrivedAt + request.timeLeft);
 	const tried = new Set<string>();
 	/** Targets that got the request. */
 	let arrivals = 0;
@@ -186,6 +189,7 @@
 				status: final.status,
 				route: route.name,
 				service,
+				isInner,
 				arrivals,
 				refusals,
 				waited: Math.round(clock.now() - request.arrivedAt),
@@ -234,16 +238,17 @@
 
 	const attempt = () => {
 		const timeLeft = until - clock.now();
-		const target = selectTarget(listCandidates(), random);
+		const target = options.policy.select(listCandidates(), random);
 		if (!target) {
 			giveUp(arrivals + refusals === 0 ? 'noTarget' : 'noOtherTarget');
 			return;
 		}
 
-		const isNew = !request.isInner && arrivals === 0 && refusals === 0;
+		const isNew = !isInner && arrivals === 0 && refusals === 0;
 		if (
 			isNew &&
-			random.fraction() < shedShare(target.shedLevel, route.tiersBelow)
+			random.fraction() <
+				options.policy.shedShare(target.shedLevel, route.tiersBelow)
 		) {
 			giveUp('shed');
 			return;
@@ -272,7 +277,7 @@
 	};
 
 	const noteDeeperLoad = (load: TargetLoad | undefined) => {
-		if (request.isInner && load) {
+		if (isInner && load) {
 			gatekeeper.noteDeeperLevel(load.shedLevel);
 		}
 	};
@@ -285,12 +290,11 @@
 		body: request.body,
 		service,
 		isIdempotent: route.isIdempotent,
-		isInner: request.isInner,
+		isInner,
 		priority: route.priority,
 		patience: Math.min(
 			timeLeft / 2,
-			route.objective *
-				(request.isInner ? patienceOfInnerCalls : patienceOfNewWork),
+			route.objective * (isInner ? patienceOfInnerCalls : patienceOfNewWork),
 		),
 		timeLeft,
 	});
@@ -299,6 +303,7 @@
 	const takeRetry = (reason: string, node: string): boolean => {
 		const now = clock.now();
 		const isAllowed =
+			options.policy.mayRetry &&
 			arrivals < route.attempts &&
 			until - now >= leastTimeToRetry &&
 			budget.take(service, now, directory.size());
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -9,6 +9,8 @@
 import type {Clock, Timer} from '@egretspoke/shared';
 import type {DeadlineWheel} from './deadline-wheel.js';
 import {createGate, type Gate} from './decisions/gate.js';
+import type {InnerCallDetector} from './decisions/inner-calls.js';
+import type {MeshPolicy} from './decisions/mesh-policy.js';
 import {createShedLevel, shedPeriod} from './decisions/shed-level.js';
 import type {
 	HandedRequest,
@@ -29,6 +31,9 @@
 	wheel: DeadlineWheel;
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
+	policy: MeshPolicy;
+	/** Is told what the target works on. */
+	innerCalls: InnerCallDetector;
 	/** How many priorities the configuration has. */
 	tiers: () => number;
 	/** The target can't be reached or has been replaced; true once it answers again. */
@@ -134,11 +139,14 @@
 
 		job.state = 'running';
 		job.startedAt = now;
+		const expiry = now + timeLeft;
+		options.innerCalls.begin(expiry);
 		let isEnded = false;
 		const end = (duration: number | undefined) => {
 			if (!isEnded) {
 				isEnded = true;
 				removeGuard();
+				options.innerCalls.end(expiry);
 				runGate.finish(duration);
 				startNext();
 			}
@@ -277,14 +285,14 @@
 				known.address !== record.address
 			) {
 				const waiting = gate.clear();
-				gate = createGate<Job>(record.slots);
+				gate = createGate<Job>(options.policy.limitOf(record.slots));
 				replaceClient(record);
 				for (const job of waiting) {
 					refuse(job, 'targetReplaced');
 				}
 			}
 
-			gate.setSlots(record.slots);
+			gate.setLimit(options.policy.limitOf(record.slots));
 			if (record.isLeaving) {
 				for (const job of gate.clear()) {
 					refuse(job, 'targetLeaving');
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,3 +1,4 @@
+export {meshPolicies, type MeshPolicy} from './decisions/mesh-policy.js';
 export * from './header-names.js';
 export * from './mesh-node.js';
 export type {MeshReporter, ReportDetails} from './mesh-reporter.js';
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -4,6 +4,8 @@
 import {createCallerListener} from './caller-listener.js';
 import {createConfigurationFollower} from './configuration-follower.js';
 import {createDeadlineWheel} from './deadline-wheel.js';
+import {egretspokePolicy, type MeshPolicy} from './decisions/mesh-policy.js';
+import {createInnerCallDetector} from './decisions/inner-calls.js';
 import {
 	createRetryBudget,
 	type RetryBudgetOptions,
@@ -55,6 +57,8 @@
 	decodeConfiguration: (value: string) => Result<RoutingConfiguration, string>;
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
+	/** Ours unless another is to be measured beside it. */
+	policy?: MeshPolicy;
 };
 
 /** A node. */
@@ -91,6 +95,7 @@
 /** Creates a node that is not listening yet. */
 export function createMeshNode(options: MeshNodeOptions): MeshNode {
 	const {clock, random, reporter, store, headerNames} = options;
+	const policy = options.policy ?? egretspokePolicy;
 	let {settings} = options;
 	const self: Member = {
 		node: settings.node,
@@ -131,11 +136,14 @@
 		peerListener.tellAll(createState());
 	};
 
+	const innerCalls = createInnerCallDetector();
 	const gatekeeper = createGatekeeper({
+		innerCalls,
 		clock,
 		wheel,
 		headerNames,
 		reporter,
+		policy,
 		tiers: () => routes?.tiers ?? 1,
 		onReachable(reachable) {
 			isReachable = reachable;
@@ -224,6 +232,8 @@
 		directory,
 		gatekeeper,
 		budget: createRetryBudget(settings.retryBudget),
+		policy,
+		innerCalls,
 		reporter,
 		isStopping: () => isStopping,
 	});
@@ -233,7 +243,6 @@
 		headerNames,
 		reporter,
 		callerService: () => settings.service,
-		isTargetAddress: (address) => address === hostOf(settings.targetAddress),
 		isStopping: () => isStopping,
 	});
 	const register = createMemberRegister({
@@ -394,7 +403,3 @@
 		port: Number(address.slice(colon + 1)),
 	};
 }
-
-function hostOf(address: string): string {
-	return splitAddress(address).host;
-}
