--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -286,7 +286,12 @@
 			) {
 				const waiting = gate.clear();
 				gate = createGate<Job>(options.policy.limitOf(record.slots));
-				replaceClient(record);
+				client?.close();
+				client = undefined;
+				if (!record.isLeaving) {
+					replaceClient(record);
+				}
+
 				for (const job of waiting) {
 					refuse(job, 'targetReplaced');
 				}
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -348,7 +348,7 @@
 		announce: async (announcement) =>
 			takeChange(takeAnnouncement(target, announcement)),
 		withdraw: async (withdrawal) =>
-			takeChange(takeWithdrawal(target, withdrawal)),
+			takeChange(takeWithdrawal(target, withdrawal, clock.date().getTime())),
 		applySettings(changed) {
 			settings = changed;
 		},
--- a/packages/mesh/src/target-record.ts
+++ b/packages/mesh/src/target-record.ts
@@ -36,12 +36,15 @@
 
 /** What an announcement changes. */
 export type RecordChange =
-	/** It is older than what is known. */
+	/** It is of another start than the one that is known, which is later. */
 	| {kind: 'stale'}
 	/** Known already, or only its sequence is new. */
 	| {kind: 'same'; record: TargetRecord}
 	| {kind: 'changed'; record: TargetRecord};
 
+/** What a farewell says of a target that never announced itself here. */
+const unknownPart = 'unknown';
+
 /** Takes an announcement. */
 export function takeAnnouncement(
 	known: TargetRecord | undefined,
@@ -71,19 +74,41 @@
 		record.slots !== known.slots ||
 		record.service !== known.service ||
 		record.address !== known.address;
-	if (hasChanged) {
-		return {kind: 'changed', record};
-	}
-
-	return isNewer ? {kind: 'same', record} : {kind: 'stale'};
+	// What was said before is acknowledged again: the first acknowledgement may
+	// have been lost, and a target that has none ends without waiting for its work.
+	return {kind: hasChanged ? 'changed' : 'same', record};
 }
 
-/** Takes a target's farewell. */
+/**
+ * Takes a target's farewell.
+ *
+ * @param now - Milliseconds since 1970. A node that has just started knows no
+ * target yet; a farewell that reaches it then is kept as of this time, so that
+ * an announcement from before it is not believed afterwards.
+ */
 export function takeWithdrawal(
 	known: TargetRecord | undefined,
 	withdrawal: Withdrawal,
+	now: number,
 ): RecordChange {
 	const {targetId, startedAt} = withdrawal;
+	if (!known) {
+		return {
+			kind: 'changed',
+			record: {
+				targetId,
+				startedAt: startedAt ?? now,
+				sequence: Number.MAX_SAFE_INTEGER,
+				service: unknownPart,
+				address: unknownPart,
+				slots: 1,
+				warmUpLeft: 0,
+				isLeaving: true,
+				hasLeft: true,
+			},
+		};
+	}
+
 	const isSameStart = startedAt === undefined || startedAt === known?.startedAt;
 	if (known?.targetId !== targetId || !isSameStart) {
 		return {kind: 'stale'};
