--- a/packages/mesh/__tests__/decisions.spec.ts
+++ b/packages/mesh/__tests__/decisions.spec.ts
@@ -1,5 +1,6 @@
 import {createRandom} from '@egretspoke/shared';
 import {expect} from 'chai';
+import {createFailureShare} from '../src/decisions/failure-share.js';
 import {createInnerCallDetector} from '../src/decisions/inner-calls.js';
 import {createGate, type GateRequest} from '../src/decisions/gate.js';
 import {egretspokePolicy} from '../src/decisions/mesh-policy.js';
@@ -170,6 +171,7 @@
 		node: 'a',
 		isNear: true,
 		occupancy: 0.5,
+		failureShare: 0,
 		isDoubtful: false,
 		...changed,
 	});
@@ -203,6 +205,23 @@
 		expect(count(candidates, 'joined')).to.equal(300);
 	});
 
+	it('avoids a target that fails half of its requests and seems idle for it', () => {
+		const grey = candidate({node: 'grey', occupancy: 0.1, failureShare: 0.5});
+		const candidates = [grey, candidate({node: 'good', occupancy: 0.4})];
+		expect(count(candidates, 'grey')).to.equal(0);
+		expect(
+			count([grey, candidate({node: 'full', occupancy: 0.9})], 'grey'),
+		).to.equal(300);
+	});
+
+	it('takes failures that all targets share for those of a deeper service', () => {
+		const candidates = [
+			candidate({node: 'near', failureShare: 0.6}),
+			candidate({node: 'far', isNear: false, failureShare: 0.6}),
+		];
+		expect(count(candidates, 'near')).to.equal(300);
+	});
+
 	it('takes a doubtful target only when there is no other', () => {
 		const doubtful = candidate({node: 'doubtful', isDoubtful: true});
 		expect(
@@ -251,3 +270,15 @@
 		expect(detector.isInner('calls', 1000)).to.equal(false);
 	});
 });
+
+describe('a share of failures', () => {
+	it('follows the answers, and sinks while none is tried', () => {
+		const share = createFailureShare();
+		for (let index = 0; index < 100; index++) {
+			share.note(index % 2 === 0, 10_000 + index * 10);
+		}
+
+		expect(share.value(11_000)).to.be.within(0.4, 0.6);
+		expect(share.value(14_000)).to.be.below(0.1);
+	});
+});
--- a/packages/mesh/src/decisions/target-selection.ts
+++ b/packages/mesh/src/decisions/target-selection.ts
@@ -19,6 +19,8 @@
 	isNear: boolean;
 	/** Requests in it or waiting for it, as far as known, over what it may run at once. */
 	occupancy: number;
+	/** The share of its latest answers that were failures. */
+	failureShare: number;
 	/** Answers were failures lately, or nothing has been heard of it for a while. */
 	isDoubtful: boolean;
 };
@@ -38,29 +40,44 @@
 ): T | undefined {
 	const trusted = candidates.filter(({isDoubtful}) => !isDoubtful);
 	const usable = trusted.length > 0 ? trusted : candidates;
-	const nearWithRoom = usable.filter(
-		({isNear, occupancy}) => isNear && occupancy < nearOccupancy,
+	const leastFailures = Math.min(
+		...usable.map(({failureShare}) => failureShare),
+	);
+	// Failures that all targets share come from deeper services, and say nothing of one target.
+	const weighed = usable.map((candidate) => ({
+		candidate,
+		weight: candidate.occupancy + candidate.failureShare - leastFailures,
+	}));
+	const nearWithRoom = weighed.filter(
+		({candidate, weight}) => candidate.isNear && weight < nearOccupancy,
 	);
 	return nearWithRoom.length > 0
 		? drawBetter(nearWithRoom, random)
-		: drawBetter(usable, random);
+		: drawBetter(weighed, random);
 }
 
+type Weighed<T> = {candidate: T; weight: number};
+
 function drawBetter<T extends Candidate>(
-	candidates: T[],
+	weighed: Array<Weighed<T>>,
 	random: Random,
 ): T | undefined {
-	if (candidates.length < 2) {
-		return candidates[0];
+	if (weighed.length < 2) {
+		return weighed[0]?.candidate;
 	}
 
-	const first = random.below(candidates.length);
+	const first = random.below(weighed.length);
 	const second =
-		(first + 1 + random.below(candidates.length - 1)) % candidates.length;
-	const [left, right] = [candidates[first]!, candidates[second]!];
-	return weigh(left) <= weigh(right) ? left : right;
+		(first + 1 + random.below(weighed.length - 1)) % weighed.length;
+	const [left, right] = [weighed[first]!, weighed[second]!];
+	return weighWithDistance(left) <= weighWithDistance(right)
+		? left.candidate
+		: right.candidate;
 }
 
-function weigh({occupancy, isNear}: Candidate): number {
-	return occupancy + (isNear ? 0 : distancePenalty);
+function weighWithDistance<T extends Candidate>({
+	candidate,
+	weight,
+}: Weighed<T>): number {
+	return weight + (candidate.isNear ? 0 : distancePenalty);
 }
--- a/packages/mesh/src/directory.ts
+++ b/packages/mesh/src/directory.ts
@@ -100,7 +100,7 @@
 			member,
 			link,
 			state: undefined,
-			load: {occupancy: 0, shedLevel: 0},
+			load: {occupancy: 0, shedLevel: 0, failureShare: 0},
 			outstandingAtReport: 0,
 			failures: 0,
 			doubtfulUntil: 0,
@@ -128,6 +128,7 @@
 		isDoubtful: clock.now() < peer.doubtfulUntil,
 		channel: peer.link,
 		shedLevel: peer.load.shedLevel,
+		failureShare: peer.load.failureShare,
 		note(kind, load) {
 			takeLoad(peer, load);
 			if (kind === 'answered') {
--- a/packages/mesh/src/entry.ts
+++ b/packages/mesh/src/entry.ts
@@ -393,11 +393,12 @@
 const localNode = '';
 
 function createLocalCandidate(gatekeeper: Gatekeeper): TargetCandidate {
-	const {occupancy, shedLevel} = gatekeeper.load();
+	const {occupancy, shedLevel, failureShare} = gatekeeper.load();
 	return {
 		node: localNode,
 		isNear: true,
 		occupancy,
+		failureShare,
 		isDoubtful: false,
 		channel: gatekeeper,
 		shedLevel,
--- a/packages/mesh/src/exchange.ts
+++ b/packages/mesh/src/exchange.ts
@@ -67,6 +67,8 @@
 	occupancy: number;
 	/** What the entries are asked to refuse; see `shed-level.ts`. */
 	shedLevel: number;
+	/** The share of its latest answers that were failures, sinking with time. */
+	failureShare: number;
 };
 
 /** Takes the outcome and the load of the target at that time. */
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -8,6 +8,7 @@
  */
 import type {Clock, Timer} from '@egretspoke/shared';
 import type {DeadlineWheel} from './deadline-wheel.js';
+import {createFailureShare} from './decisions/failure-share.js';
 import {createGate, type Gate} from './decisions/gate.js';
 import type {InnerCallDetector} from './decisions/inner-calls.js';
 import type {MeshPolicy} from './decisions/mesh-policy.js';
@@ -67,6 +68,9 @@
 /** Milliseconds between two renewals of the connections to the target: a check of its health takes no longer. */
 const renewalPeriod = 2000;
 
+/** The status by which a target says that it failed. */
+const failureStatus = 500;
+
 type Job = {
 	request: HandedRequest;
 	/** The instant at which the caller has its final answer. */
@@ -81,6 +85,7 @@
 export function createGatekeeper(options: GatekeeperOptions): Gatekeeper {
 	const {clock, wheel, headerNames, reporter} = options;
 	const ownLevel = createShedLevel();
+	const failures = createFailureShare();
 	let gate: Gate<Job> = createGate<Job>(1);
 	let target: TargetRecord | undefined;
 	let client: TargetClient | undefined;
@@ -96,6 +101,7 @@
 			ownLevel.value(),
 			clock.now() < deeperLevelUntil ? deeperLevel : 0,
 		),
+		failureShare: failures.value(clock.now()),
 	});
 
 	const finish = (job: Job, outcome: Outcome) => {
@@ -190,6 +196,10 @@
 	};
 
 	const noteOutcome = (outcome: Outcome) => {
+		failures.note(
+			outcome.kind !== 'answered' || outcome.status === failureStatus,
+			clock.now(),
+		);
 		if (outcome.kind === 'answered' && !isReachable) {
 			isReachable = true;
 			options.onReachable(true);
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -13,6 +13,7 @@
 import {createDirectory} from './directory.js';
 import {createEntry} from './entry.js';
 import {createGatekeeper} from './gatekeeper.js';
+import type {TargetLoad} from './exchange.js';
 import type {HeaderNames} from './header-names.js';
 import {createMemberRegister} from './member-register.js';
 import type {MeshReporter} from './mesh-reporter.js';
@@ -302,7 +303,11 @@
 		return true;
 	};
 
-	let reported = {occupancy: 0, shedLevel: 0};
+	let reported: TargetLoad = {
+		occupancy: 0,
+		shedLevel: 0,
+		failureShare: 0,
+	};
 	const reportLoad = () => {
 		if (life.signal.aborted) {
 			return;
@@ -312,6 +317,7 @@
 		const change = Math.max(
 			Math.abs(load.occupancy - reported.occupancy),
 			Math.abs(load.shedLevel - reported.shedLevel),
+			Math.abs(load.failureShare - reported.failureShare),
 		);
 		if (change >= reportedChange) {
 			reported = load;
--- a/packages/mesh/src/peer-message.ts
+++ b/packages/mesh/src/peer-message.ts
@@ -33,7 +33,11 @@
 	slots: z.number().positive(),
 });
 
-const loadSchema = z.object({occupancy: z.number(), shedLevel: z.number()});
+const loadSchema = z.object({
+	occupancy: z.number(),
+	shedLevel: z.number(),
+	failureShare: z.number(),
+});
 
 export type Member = z.output<typeof memberSchema>;
 export type TargetState = z.output<typeof targetStateSchema>;
