--- a/packages/mesh/__tests__/decisions.spec.ts
+++ b/packages/mesh/__tests__/decisions.spec.ts
@@ -1,7 +1,7 @@
 import {createRandom} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {createFailureShare} from '../src/decisions/failure-share.js';
-import {createInnerCallDetector} from '../src/decisions/inner-calls.js';
+import {createInnerRoutes} from '../src/decisions/inner-routes.js';
 import {createGate, type GateRequest} from '../src/decisions/gate.js';
 import {egretspokePolicy} from '../src/decisions/mesh-policy.js';
 import {createRetryBudget} from '../src/decisions/retry-budget.js';
@@ -10,6 +10,7 @@
 	selectTarget,
 	type Candidate,
 } from '../src/decisions/target-selection.js';
+import {createTransitDelay} from '../src/decisions/transit-delay.js';
 import {createWeightedRotation} from '../src/decisions/weighted-rotation.js';
 
 describe('a weighted rotation', () => {
@@ -231,43 +232,57 @@
 	});
 });
 
-describe('the detector of inner calls', () => {
-	it('takes for a call what expires with a request that the target works on', () => {
-		const detector = createInnerCallDetector();
-		for (let index = 0; index < 20; index++) {
-			detector.begin(1000 + index * 50);
-		}
+describe('the knowledge of inner routes', () => {
+	const createKnown = () => {
+		const routes = createInnerRoutes('orders');
+		routes.take('history', ['buy', 'look', 'ledger']);
+		routes.take('media', ['buy', 'look', 'queue']);
+		routes.take('board', ['buy', 'look']);
+		return routes;
+	};
 
-		const answers = Array.from({length: 20}, (_, index) =>
-			detector.isInner('calls', 1002 + index * 50),
-		);
-		expect(answers.slice(10)).to.not.include(false);
+	it('takes for calls what only the VMs of one service ask for', () => {
+		const routes = createKnown();
+		expect(routes.isInner('ledger')).to.equal(true);
+		expect(routes.isInner('queue')).to.equal(true);
+		expect(routes.isInner('buy')).to.equal(false);
 	});
 
-	it('does not take new requests for calls because some expire with one by chance', () => {
-		// Thirty requests run, and callers send requests with short times of
-		// their own; a third of these hit the end of a running one. Taken for
-		// calls, they would go before work that has begun, and never be shed.
-		const detector = createInnerCallDetector();
-		for (let index = 0; index < 30; index++) {
-			detector.begin(1000 + index * 60);
-		}
+	it('says nothing of routes that nobody asked for, or while few services are known', () => {
+		expect(createKnown().isInner('new')).to.equal(false);
+		const routes = createInnerRoutes('orders');
+		routes.take('history', ['ledger']);
+		expect(routes.isInner('ledger')).to.equal(false);
+	});
 
-		const answers = Array.from({length: 200}, (_, index) =>
-			detector.isInner('new', 1000 + ((index * 37) % 1800)),
-		);
-		expect(answers.filter(Boolean).length).to.be.below(4);
+	it('has a route told once, and not for single requests', () => {
+		const routes = createKnown();
+		const told = Array.from({length: 10}, () => routes.note('photos'));
+		expect(told.filter(Boolean)).to.have.length(1);
+		expect(told[0]).to.equal(false);
+		expect(routes.asked()).to.deep.equal(['photos']);
+	});
+});
+
+describe('the delay of messages', () => {
+	it('is what a message took beyond the shortest way, whatever the clocks say', () => {
+		// A link is squeezed, and a request lies in it for a second. Its time is
+		// over, but it says that it has most of it left.
+		const transit = createTransitDelay();
+		expect(transit.measure(5000, 100)).to.equal(0);
+		expect(transit.measure(5100, 201)).to.equal(1);
+		expect(transit.measure(5200, 1300)).to.equal(1000);
 	});
 
-	it('forgets a request that has ended', () => {
-		const detector = createInnerCallDetector();
-		for (let index = 0; index < 20; index++) {
-			detector.begin(1000);
-			detector.isInner('calls', 1000);
-			detector.end(1000);
+	it('gets over a sender whose clock has stood still', () => {
+		const transit = createTransitDelay();
+		let delay = 0;
+		for (let time = 0; time < 12_000; time += 100) {
+			const suspended = time > 4000 ? 3000 : 0;
+			delay = transit.measure(time - suspended, time);
 		}
 
-		expect(detector.isInner('calls', 1000)).to.equal(false);
+		expect(delay).to.equal(0);
 	});
 });
 
--- a/packages/mesh/src/directory.ts
+++ b/packages/mesh/src/directory.ts
@@ -36,6 +36,8 @@
 		reply: (message: PeerMessage) => void,
 	) => void;
 	onMalformed: (detail: string) => void;
+	/** A node told its state. */
+	onState: (state: StateMessage) => void;
 	onPeer: (node: string, change: 'up' | 'down') => void;
 };
 
@@ -111,6 +113,7 @@
 	const receive = (peer: Peer, message: PeerMessage) => {
 		if (message.kind === 'state') {
 			peer.state = message;
+			options.onState(message);
 			takeLoad(peer, message.load);
 		} else {
 			options.onMessage(message, (reply) => {
--- a/packages/mesh/src/entry.ts
+++ b/packages/mesh/src/entry.ts
@@ -10,7 +10,7 @@
 import type {Clock, Random} from '@egretspoke/shared';
 import type {DeadlineWheel} from './deadline-wheel.js';
 import type {RetryBudget} from './decisions/retry-budget.js';
-import type {InnerCallDetector} from './decisions/inner-calls.js';
+import type {InnerRoutes} from './decisions/inner-routes.js';
 import type {MeshPolicy} from './decisions/mesh-policy.js';
 import type {Directory, TargetCandidate} from './directory.js';
 import type {
@@ -60,7 +60,9 @@
 	directory: Directory;
 	gatekeeper: Gatekeeper;
 	budget: RetryBudget;
-	innerCalls: InnerCallDetector;
+	innerRoutes: InnerRoutes;
+	/** A route was asked for that the other nodes don't know to be asked for here. */
+	onNewRoute: () => void;
 	policy: MeshPolicy;
 	reporter: MeshReporter;
 	isStopping: () => boolean;
@@ -159,14 +161,16 @@
 	end: PassageEnd,
 ): () => void {
 	const {clock, random, wheel, directory, gatekeeper, budget} = options;
-	const {innerCalls, reporter} = options;
+	const {innerRoutes, reporter} = options;
 	const service = route.rotation.next();
 	const until =
 		request.arrivedAt +
 		Math.min(route.timeout, request.timeLeft ?? Number.POSITIVE_INFINITY);
-	const isInner =
-		request.timeLeft !== undefined &&
-		innerCalls.isInner(route.name, request.arrivedAt + request.timeLeft);
+	const isInner = innerRoutes.isInner(route.name);
+	if (innerRoutes.note(route.name)) {
+		options.onNewRoute();
+	}
+
 	const tried = new Set<string>();
 	/** Targets that got the request. */
 	let arrivals = 0;
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -10,7 +10,6 @@
 import type {DeadlineWheel} from './deadline-wheel.js';
 import {createFailureShare} from './decisions/failure-share.js';
 import {createGate, type Gate} from './decisions/gate.js';
-import type {InnerCallDetector} from './decisions/inner-calls.js';
 import type {MeshPolicy} from './decisions/mesh-policy.js';
 import {createShedLevel, shedPeriod} from './decisions/shed-level.js';
 import type {
@@ -33,8 +32,6 @@
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
 	policy: MeshPolicy;
-	/** Is told what the target works on. */
-	innerCalls: InnerCallDetector;
 	/** How many priorities the configuration has. */
 	tiers: () => number;
 	/** The target can't be reached or has been replaced; true once it answers again. */
@@ -145,14 +142,11 @@
 
 		job.state = 'running';
 		job.startedAt = now;
-		const expiry = now + timeLeft;
-		options.innerCalls.begin(expiry);
 		let isEnded = false;
 		const end = (duration: number | undefined) => {
 			if (!isEnded) {
 				isEnded = true;
 				removeGuard();
-				options.innerCalls.end(expiry);
 				runGate.finish(duration);
 				startNext();
 			}
@@ -247,7 +241,6 @@
 			endpoint: {
 				address: record.address,
 				targetId: record.targetId,
-				connections: record.slots,
 			},
 			headerNames,
 			clock,
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -5,7 +5,7 @@
 import {createConfigurationFollower} from './configuration-follower.js';
 import {createDeadlineWheel} from './deadline-wheel.js';
 import {egretspokePolicy, type MeshPolicy} from './decisions/mesh-policy.js';
-import {createInnerCallDetector} from './decisions/inner-calls.js';
+import {createInnerRoutes} from './decisions/inner-routes.js';
 import {
 	createRetryBudget,
 	type RetryBudgetOptions,
@@ -126,6 +126,8 @@
 			},
 		}),
 		load: gatekeeper.load(),
+		service: settings.service,
+		routes: innerRoutes.asked(),
 	});
 	const createHello = (): PeerMessage => ({
 		kind: 'hello',
@@ -137,9 +139,8 @@
 		peerListener.tellAll(createState());
 	};
 
-	const innerCalls = createInnerCallDetector();
+	const innerRoutes = createInnerRoutes(settings.service);
 	const gatekeeper = createGatekeeper({
-		innerCalls,
 		clock,
 		wheel,
 		headerNames,
@@ -208,6 +209,9 @@
 		hello: () => [createHello()],
 		onMessage: receive,
 		onMalformed,
+		onState({service, routes: asked}) {
+			innerRoutes.take(service, asked);
+		},
 		onPeer(node, change) {
 			if (change === 'up') {
 				reporter.notice('peerConnected', {peer: node});
@@ -217,6 +221,7 @@
 		},
 	});
 	const peerListener = createPeerListener({
+		clock,
 		gatekeeper,
 		greet: () => [createHello(), createState()],
 		onMessage: receive,
@@ -234,7 +239,10 @@
 		gatekeeper,
 		budget: createRetryBudget(settings.retryBudget),
 		policy,
-		innerCalls,
+		innerRoutes,
+		onNewRoute() {
+			tellState();
+		},
 		reporter,
 		isStopping: () => isStopping,
 	});
--- a/packages/mesh/src/peer-channel.ts
+++ b/packages/mesh/src/peer-channel.ts
@@ -1,6 +1,8 @@
 /** One WebSocket between two nodes: frames out once a turn, messages in one by one. */
 import process from 'node:process';
+import type {Clock} from '@egretspoke/shared';
 import type {RawData, WebSocket} from 'ws';
+import {createTransitDelay} from './decisions/transit-delay.js';
 import {decodeFrame, encodeFrame, type PeerMessage} from './peer-message.js';
 
 /** A connection that carries messages. */
@@ -15,7 +17,8 @@
 /** What happens on a channel. */
 export type PeerChannelHandlers = {
 	onOpen(): void;
-	onMessage(message: PeerMessage): void;
+	/** A message, and the milliseconds that it was held up on its way. */
+	onMessage(message: PeerMessage, delay: number): void;
 	onMalformed(detail: string): void;
 	onClose(): void;
 };
@@ -31,8 +34,10 @@
 /** Makes a channel of a WebSocket that is open or still connects. */
 export function createPeerChannel(
 	socket: WebSocket,
+	clock: Clock,
 	handlers: PeerChannelHandlers,
 ): PeerChannel {
+	const transit = createTransitDelay();
 	let queue: PeerMessage[] = [];
 	let isClosed = false;
 	socket.binaryType = 'nodebuffer';
@@ -41,7 +46,7 @@
 		const messages = queue;
 		queue = [];
 		if (socket.readyState === socket.OPEN && messages.length > 0) {
-			socket.send(encodeFrame(messages));
+			socket.send(encodeFrame({sentAt: clock.now(), messages}));
 		}
 	};
 
@@ -63,8 +68,9 @@
 			return;
 		}
 
-		for (const message of frame.value) {
-			handlers.onMessage(message);
+		const delay = transit.measure(frame.value.sentAt, clock.now());
+		for (const message of frame.value.messages) {
+			handlers.onMessage(message, delay);
 		}
 	});
 	socket.on('close', finish);
--- a/packages/mesh/src/peer-link.ts
+++ b/packages/mesh/src/peer-link.ts
@@ -103,7 +103,7 @@
 				mask.fill(0);
 			},
 		});
-		const channel: PeerChannel = createPeerChannel(socket, {
+		const channel: PeerChannel = createPeerChannel(socket, clock, {
 			onOpen() {
 				isConnecting = false;
 				current = channel;
--- a/packages/mesh/src/peer-listener.ts
+++ b/packages/mesh/src/peer-listener.ts
@@ -1,5 +1,6 @@
 /** Takes the links of other nodes: their requests go to the gatekeeper, and changes of state are told to all. */
 import {createServer} from 'node:http';
+import type {Clock} from '@egretspoke/shared';
 import {WebSocketServer} from 'ws';
 import type {CancelAttempt, TargetChannel} from './exchange.js';
 import {
@@ -11,6 +12,7 @@
 
 /** What the listener needs. */
 export type PeerListenerOptions = {
+	clock: Clock;
 	gatekeeper: TargetChannel;
 	/** What to answer to a hello. */
 	greet: () => PeerMessage[];
@@ -45,10 +47,10 @@
 
 	socketServer.on('connection', (socket) => {
 		const running = new Map<number, CancelAttempt>();
-		const channel: PeerChannel = createPeerChannel(socket, {
+		const channel: PeerChannel = createPeerChannel(socket, options.clock, {
 			onOpen: () => undefined,
-			onMessage(message) {
-				receive(channel, running, message);
+			onMessage(message, delay) {
+				receive(channel, running, message, delay);
 			},
 			onMalformed: options.onMalformed,
 			onClose() {
@@ -91,8 +93,10 @@
 		channel: PeerChannel,
 		running: Map<number, CancelAttempt>,
 		message: PeerMessage,
+		delay: number,
 	) => {
 		if (message.kind === 'request') {
+			message.request.timeLeft -= delay;
 			runFor(channel, running, message);
 			return;
 		}
--- a/packages/mesh/src/peer-message.ts
+++ b/packages/mesh/src/peer-message.ts
@@ -57,6 +57,10 @@
 	isStopping: z.boolean(),
 	target: targetStateSchema.optional(),
 	load: loadSchema,
+	/** The service beside which the sender runs. */
+	service: z.string(),
+	/** The routes that were asked for at the sender; see `inner-routes.ts`. */
+	routes: z.array(z.string()),
 });
 
 const configurationSchema = z.object({
@@ -95,13 +99,16 @@
 
 const packr = new Packr({useRecords: false});
 
+/** The messages of one turn, and when they were sent by the sender's steady clock, in milliseconds. */
+export type Frame = {sentAt: number; messages: PeerMessage[]};
+
 /** One frame of messages. */
-export function encodeFrame(messages: PeerMessage[]): Uint8Array {
-	return packr.pack(messages);
+export function encodeFrame({sentAt, messages}: Frame): Uint8Array {
+	return packr.pack([sentAt, messages]);
 }
 
 /** The messages of a frame, or why it is none. */
-export function decodeFrame(bytes: Uint8Array): Result<PeerMessage[], string> {
+export function decodeFrame(bytes: Uint8Array): Result<Frame, string> {
 	let value: unknown;
 	try {
 		value = packr.unpack(bytes);
@@ -111,18 +118,19 @@
 		);
 	}
 
-	if (!Array.isArray(value)) {
-		return err('expected a list of messages');
+	const [sentAt, messages] = Array.isArray(value) ? (value as unknown[]) : [];
+	if (typeof sentAt !== 'number' || !Array.isArray(messages)) {
+		return err('expected a time and a list of messages');
 	}
 
-	for (const message of value as unknown[]) {
+	for (const message of messages as unknown[]) {
 		const fault = findFault(message);
 		if (fault !== undefined) {
 			return err(fault);
 		}
 	}
 
-	return ok(value as PeerMessage[]);
+	return ok({sentAt, messages: messages as PeerMessage[]});
 }
 
 function findFault(message: unknown): string | undefined {
--- a/packages/mesh/src/target-client.ts
+++ b/packages/mesh/src/target-client.ts
@@ -9,17 +9,19 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Clock} from '@egretspoke/shared';
-import {Pool, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {HandedRequest, Outcome, RefusalReason} from './exchange.js';
 import {keepEndToEnd, type HeaderNames} from './header-names.js';
+import {
+	createTargetConnections,
+	type TargetConnection,
+} from './target-connections.js';
 
 /** The target to call. */
 export type TargetEndpoint = {
 	/** `ip:port`. */
 	address: string;
 	targetId: string;
-	/** Connections to hold at most. */
-	connections: number;
 };
 
 /** Calls one target. */
@@ -43,28 +45,18 @@
 	onUnreachable: (detail: string) => void;
 };
 
-/** Milliseconds for a connection to the same machine; a target that takes longer is down. */
-const connectTime = 500;
-/** Milliseconds that an idle connection is kept when the target names no time of its own. */
-const idleTime = 4000;
 /** The largest answer that is held in memory, in bytes. */
 const answerLimit = 64 * 1024 * 1024;
 
 /** Creates the client of a target. */
 export function createTargetClient(options: TargetClientOptions): TargetClient {
 	const {endpoint, headerNames} = options;
-	const pool = new Pool(`http://${endpoint.address}`, {
-		connections: endpoint.connections,
-		pipelining: 1,
-		keepAliveTimeout: idleTime,
-		headersTimeout: 0,
-		bodyTimeout: 0,
-		connect: {timeout: connectTime},
-	});
+	const connections = createTargetConnections(endpoint.address);
 
 	return {
 		run(request, timeLeft, onOutcome) {
-			const exchange = createExchange(request, options, onOutcome);
+			const connection = connections.take();
+			const exchange = createExchange(request, options, connection, onOutcome);
 			const headers = [
 				...request.headers,
 				headerNames.timeLeft,
@@ -72,7 +64,7 @@
 				headerNames.expectedTarget,
 				endpoint.targetId,
 			];
-			pool.dispatch(
+			connection.dispatch(
 				{
 					method: request.method,
 					path: request.path,
@@ -84,7 +76,7 @@
 			return exchange.cancel;
 		},
 		close() {
-			void pool.close();
+			connections.close();
 		},
 	};
 }
@@ -96,6 +88,7 @@
 function createExchange(
 	request: HandedRequest,
 	{headerNames, onReplaced, onUnreachable}: TargetClientOptions,
+	connection: TargetConnection,
 	onOutcome: (outcome: Outcome) => void,
 ): Exchange {
 	let controller: Dispatcher.DispatchController | undefined;
@@ -104,6 +97,7 @@
 	let status = 0;
 	let headers: string[] = [];
 	let isDeclined = false;
+	let isFramed = false;
 	let size = 0;
 	const chunks: Uint8Array[] = [];
 
@@ -143,6 +137,9 @@
 				status = statusCode;
 				isDeclined =
 					received[headerNames.notExecuted] !== undefined || statusCode === 421;
+				isFramed =
+					received['content-length'] !== undefined ||
+					received['transfer-encoding'] !== undefined;
 				headers = flatten(received);
 				const isSuccess = statusCode < 300;
 				if (isSuccess && received[headerNames.signature] === undefined) {
@@ -157,6 +154,13 @@
 				}
 			},
 			onResponseEnd() {
+				const isCut = !isFramed && connection.wasReset();
+				connection.release();
+				if (isCut) {
+					end({kind: 'lost', reason: 'answerCut'});
+					return;
+				}
+
 				if (status === 421) {
 					onReplaced();
 				}
@@ -173,6 +177,7 @@
 				);
 			},
 			onResponseError(_controller, error) {
+				connection.release();
 				if (isWritten) {
 					end({
 						kind: 'lost',
