--- a/packages/mesh/src/target-client.ts
+++ b/packages/mesh/src/target-client.ts
@@ -108,6 +108,23 @@
 		}
 	};
 
+	const endWhole = () => {
+		if (status === 421) {
+			onReplaced();
+		}
+
+		end(
+			isDeclined
+				? {kind: 'declined', status}
+				: {
+						kind: 'answered',
+						status,
+						headers: keepEndToEnd(headers, noHeaders),
+						body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
+					},
+		);
+	};
+
 	const breakOff = (outcome: Outcome) => {
 		end(outcome);
 		controller?.abort(new Error('the answer is not wanted'));
@@ -138,6 +155,7 @@
 				isDeclined =
 					received[headerNames.notExecuted] !== undefined || statusCode === 421;
 				isFramed =
+					hasNoBody(request.method, statusCode) ||
 					received['content-length'] !== undefined ||
 					received['transfer-encoding'] !== undefined;
 				headers = flatten(received);
@@ -154,27 +172,20 @@
 				}
 			},
 			onResponseEnd() {
-				const isCut = !isFramed && connection.wasReset();
-				connection.release();
-				if (isCut) {
-					end({kind: 'lost', reason: 'answerCut'});
+				if (isFramed) {
+					connection.release();
+					endWhole();
 					return;
 				}
 
-				if (status === 421) {
-					onReplaced();
-				}
-
-				end(
-					isDeclined
-						? {kind: 'declined', status}
-						: {
-								kind: 'answered',
-								status,
-								headers: keepEndToEnd(headers, noHeaders),
-								body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
-							},
-				);
+				connection.confirmEnd((wasClosed) => {
+					connection.release();
+					if (wasClosed) {
+						endWhole();
+					} else {
+						end({kind: 'lost', reason: 'answerCut'});
+					}
+				});
 			},
 			onResponseError(_controller, error) {
 				connection.release();
@@ -201,6 +212,11 @@
 	};
 }
 
+/** Answers that end with their headers, whatever these say (RFC 9112, section 6.3). */
+function hasNoBody(method: string, status: number): boolean {
+	return method === 'HEAD' || status === 204 || status === 304;
+}
+
 function flatten(
 	headers: Record<string, string | string[] | undefined>,
 ): string[] {
--- a/packages/mesh/src/target-connections.ts
+++ b/packages/mesh/src/target-connections.ts
@@ -1,11 +1,16 @@
 /**
  * The connections to one target, each for one request at a time.
  *
- * The library's own pool doesn't tell which connection an answer came on. It
- * takes a connection that was reset for an answer's end when the answer states
- * no length; such an answer was cut, and its caller would get half of it as
- * the whole. Here each connection remembers whether it was reset.
+ * An answer that states no length ends with its connection, and is whole only
+ * if that was closed and not reset; else its caller gets half of it as the
+ * whole. Neither the library nor Node tells the two apart: the library takes a
+ * reset for an end, and Node reports an end when the last bytes and the reset
+ * are read in one turn. So each connection remembers a reset that it saw, and
+ * asks the system by a write: a connection that was reset refuses it, one whose
+ * other side was closed takes it. What is written, an empty line, no server
+ * takes for a request (RFC 9112, section 2.2).
  */
+import type {Socket} from 'node:net';
 import {buildConnector, Client, type Dispatcher} from 'undici';
 
 /** A connection, opened when it is first used. */
@@ -14,8 +19,8 @@
 		options: Dispatcher.DispatchOptions,
 		handler: Dispatcher.DispatchHandler,
 	): void;
-	/** Whether its socket ended with an error. */
-	wasReset(): boolean;
+	/** Says whether its end was an ordinary one; to be asked while it is ending. */
+	confirmEnd(onKnown: (wasClosed: boolean) => void): void;
 	/** Its request has ended; it may be used again. */
 	release(): void;
 };
@@ -35,13 +40,18 @@
 
 /** Creates connections to `ip:port`; none is opened yet. */
 export function createTargetConnections(address: string): TargetConnections {
-	const connector = buildConnector({timeout: connectTime});
+	const connector = buildConnector({
+		timeout: connectTime,
+		// Else Node itself refuses all writes after the other side's end.
+		allowHalfOpen: true,
+	});
 	const idle: TargetConnection[] = [];
 	const clients = new Map<TargetConnection, Client>();
 	let isClosed = false;
 
 	const create = (): TargetConnection => {
 		let isReset = false;
+		let socket: Socket | undefined;
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			keepAliveTimeout: idleTime,
@@ -51,7 +61,8 @@
 				isReset = false;
 				connector(options, (...result) => {
 					// Before the library's own listener, so that it is known when that one ends the answer.
-					result[1]?.once('error', () => {
+					socket = result[1] ?? undefined;
+					socket?.once('error', () => {
 						isReset = true;
 					});
 					callback(...result);
@@ -62,7 +73,16 @@
 			dispatch(options, handler) {
 				client.dispatch(options, handler);
 			},
-			wasReset: () => isReset,
+			confirmEnd(onKnown) {
+				if (isReset || !socket || socket.destroyed) {
+					onKnown(false);
+					return;
+				}
+
+				socket.write('\r\n', (error) => {
+					onKnown(!error);
+				});
+			},
 			release() {
 				if (isClosed) {
 					clients.delete(connection);
