feat(mesh): a stopping node serves its target for a moment to those who have no other

The spec of the stop is replaced by two as strict: what another target can run never goes to a stopping one, and what none can is still run for two seconds.

--- a/packages/mesh/src/directory.ts
+++ b/packages/mesh/src/directory.ts
@@ -128,7 +128,9 @@
 		occupancy:
 			peer.load.occupancy +
 			(peer.link.outstanding() - peer.outstandingAtReport) / slots,
-		isDoubtful: clock.now() < peer.doubtfulUntil,
+		// A node that stops still serves for a moment, for those who have no other.
+		isDoubtful:
+			clock.now() < peer.doubtfulUntil || (peer.state?.isStopping ?? false),
 		channel: peer.link,
 		shedLevel: peer.load.shedLevel,
 		failureShare: peer.load.failureShare,
@@ -169,7 +171,6 @@
 					target?.service === service &&
 					!target.isLeaving &&
 					target.isReachable &&
-					!peer.state?.isStopping &&
 					peer.link.isUsable() &&
 					!tried.has(peer.member.node)
 				) {
--- a/packages/mesh/src/entry.ts
+++ b/packages/mesh/src/entry.ts
@@ -229,12 +229,8 @@
 
 	const listCandidates = (): TargetCandidate[] => {
 		const candidates = directory.candidates(service, tried);
-		if (
-			!tried.has(localNode) &&
-			!options.isStopping() &&
-			gatekeeper.serves(service)
-		) {
-			candidates.push(createLocalCandidate(gatekeeper));
+		if (!tried.has(localNode) && gatekeeper.serves(service)) {
+			candidates.push(createLocalCandidate(gatekeeper, options.isStopping()));
 		}
 
 		return candidates;
@@ -396,14 +392,17 @@
 
 const localNode = '';
 
-function createLocalCandidate(gatekeeper: Gatekeeper): TargetCandidate {
+function createLocalCandidate(
+	gatekeeper: Gatekeeper,
+	isDoubtful: boolean,
+): TargetCandidate {
 	const {occupancy, shedLevel, failureShare} = gatekeeper.load();
 	return {
 		node: localNode,
 		isNear: true,
 		occupancy,
 		failureShare,
-		isDoubtful: false,
+		isDoubtful,
 		channel: gatekeeper,
 		shedLevel,
 		note: () => undefined,
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -89,6 +89,14 @@
  * every second and take a node out after two misses.
  */
 const leastStopTime = 2500;
+/**
+ * Milliseconds after the order to stop in which the target still gets work that
+ * has no other target. When nodes are stopped one after the other, faster than
+ * they come back, all targets of a small service are behind stopping nodes at
+ * some moment; refused there, its callers get nothing for seconds. What is
+ * taken in by then has the rest of the grace to end.
+ */
+const lastWorkTime = 2000;
 /** Milliseconds before the end of the grace at which what is left is cut. */
 const stopReserve = 500;
 const stopLookPeriod = 50;
@@ -370,8 +378,10 @@
 			const since = clock.now();
 			isStopping = true;
 			reporter.notice('leaving', {reason: 'planned stop'});
-			gatekeeper.stop();
 			tellState();
+			clock.setTimer(lastWorkTime, () => {
+				gatekeeper.stop();
+			});
 			callerListener.drain();
 			await waitUntilIdle(since);
 			reporter.notice('drained', {cut: entry.open() + gatekeeper.held()});
