--- a/packages/mesh/src/caller-listener.ts
+++ b/packages/mesh/src/caller-listener.ts
@@ -34,7 +34,6 @@
 	applyLimits(limits: CallerLimits): void;
 	/** Takes no new connections and closes those that are idle. */
 	drain(): void;
-	connections(): number;
 	close(): void;
 };
 
@@ -106,6 +105,12 @@
 	});
 
 	const receive = (request: IncomingMessage, response: ServerResponse) => {
+		if (sizeOfHeaders(request.rawHeaders) > limits.headerBytes) {
+			request.resume();
+			response.writeHead(431, {connection: 'close'}).end();
+			return;
+		}
+
 		const arrivedAt = options.clock.now();
 		const chunks: Uint8Array[] = [];
 		let size = 0;
@@ -234,16 +239,20 @@
 		drain() {
 			server.closeIdleConnections();
 		},
-		connections() {
-			let count = 0;
-			server.getConnections((_error, number) => {
-				count = number;
-			});
-			return count;
-		},
 		close() {
 			server.close();
 			server.closeIdleConnections();
 		},
 	};
 }
+
+/** Bytes of the header lines as they were sent: names and values are Latin-1, with a colon, a space and a line end. */
+function sizeOfHeaders(headers: string[]): number {
+	const separators = 4;
+	let size = 0;
+	for (const [index, text] of headers.entries()) {
+		size += text.length + (index % 2 === 0 ? separators : 0);
+	}
+
+	return size;
+}
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -243,7 +243,6 @@
 				targetId: record.targetId,
 			},
 			headerNames,
-			clock,
 			onReplaced() {
 				reporter.notice('meshTargetReplaced', {target: record.targetId});
 				markUnreachable(record);
--- a/packages/mesh/src/member-register.ts
+++ b/packages/mesh/src/member-register.ts
@@ -45,8 +45,6 @@
 	 * process. Resolves when it is stored, or when the time is over.
 	 */
 	keepLeaving(record: TargetRecord): Promise<void>;
-	/** Resolves when the own row has been written for the first time. */
-	isWritten(): boolean;
 };
 
 const table = 'members';
@@ -148,7 +146,6 @@
 			leaving = record;
 			await Promise.race([write(), sleep(clock, keepTime)]);
 		},
-		isWritten: () => isWritten,
 	};
 }
 
--- a/packages/mesh/src/target-client.ts
+++ b/packages/mesh/src/target-client.ts
@@ -8,7 +8,6 @@
  * signature; anything else ends the connection, and the request is lost.
  */
 import {Buffer} from 'node:buffer';
-import type {Clock} from '@egretspoke/shared';
 import type {Dispatcher} from 'undici';
 import type {HandedRequest, Outcome, RefusalReason} from './exchange.js';
 import {keepEndToEnd, type HeaderNames} from './header-names.js';
@@ -39,9 +38,9 @@
 export type TargetClientOptions = {
 	endpoint: TargetEndpoint;
 	headerNames: HeaderNames;
-	clock: Clock;
-	/** The service beside which this node runs, for requests that began here. */
+	/** The target answered that it is another one than the expected. */
 	onReplaced: () => void;
+	/** No connection could be opened. */
 	onUnreachable: (detail: string) => void;
 };
 
