--- a/packages/mesh/__tests__/target-record.spec.ts
+++ b/packages/mesh/__tests__/target-record.spec.ts
@@ -108,6 +108,7 @@
 			{targetId: 'target-1', startedAt: undefined},
 			5000,
 		);
+		expect(change.kind).to.equal('changed');
 		const record = change.kind === 'stale' ? known : change.record;
 		expect(takeAnnouncement(record, announcement).kind).to.equal('stale');
 		const next = {...announcement, targetId: 'target-2', startedAt: 6000};
