--- a/packages/mesh/src/caller-listener.ts
+++ b/packages/mesh/src/caller-listener.ts
@@ -12,9 +12,11 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@egretspoke/shared';
-import type {Entry, FinalAnswer} from './entry.js';
+import type {Entry} from './entry.js';
 import {findHeader, keepEndToEnd, type HeaderNames} from './header-names.js';
+import {listenOn} from './listening.js';
 import type {MeshReporter} from './mesh-reporter.js';
+import type {FinalAnswer} from './passage.js';
 import type {CallerLimits} from './route.js';
 
 /** What the listener needs. */
@@ -30,7 +32,8 @@
 
 /** The listener. */
 export type CallerListener = {
-	listen(host: string, port: number): Promise<number>;
+	/** Listens on `ip:port`; gives the address that it got. */
+	listen(address: string): Promise<string>;
 	applyLimits(limits: CallerLimits): void;
 	/** Takes no new connections and closes those that are idle. */
 	drain(): void;
@@ -44,8 +47,6 @@
 	headerTime: 3000,
 	idleTime: 15_000,
 };
-/** Connections that may wait to be accepted: a burst of callers that each open their own. */
-const backlog = 4096;
 /** The largest headers that are parsed at all; the configured limit is checked after. */
 const mostHeaderBytes = 256 * 1024;
 
@@ -222,15 +223,7 @@
 	};
 
 	return {
-		async listen(host, port) {
-			return new Promise((resolve, reject) => {
-				server.once('error', reject);
-				server.listen(port, host, backlog, () => {
-					const address = server.address();
-					resolve(typeof address === 'object' && address ? address.port : port);
-				});
-			});
-		},
+		listen: async (address) => listenOn(server, address),
 		applyLimits(changed) {
 			limits = changed;
 			server.keepAliveTimeout = changed.idleTime;
--- a/packages/mesh/src/exchange.ts
+++ b/packages/mesh/src/exchange.ts
@@ -51,6 +51,14 @@
 	body: Uint8Array;
 };
 
+/** The status by which a target says that it ran a request and failed. */
+const failureStatus = 500;
+
+/** Whether the answer is the target's own failure. */
+export function isTargetFailure(status: number): boolean {
+	return status === failureStatus;
+}
+
 /** What came of one attempt. */
 export type Outcome =
 	| ({kind: 'answered'} & TargetAnswer)
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -12,13 +12,14 @@
 import {createGate, type Gate} from './decisions/gate.js';
 import type {MeshPolicy} from './decisions/mesh-policy.js';
 import {createShedLevel, shedPeriod} from './decisions/shed-level.js';
-import type {
-	HandedRequest,
-	Outcome,
-	OutcomeHandler,
-	RefusalReason,
-	TargetChannel,
-	TargetLoad,
+import {
+	isTargetFailure,
+	type HandedRequest,
+	type Outcome,
+	type OutcomeHandler,
+	type RefusalReason,
+	type TargetChannel,
+	type TargetLoad,
 } from './exchange.js';
 import type {HeaderNames} from './header-names.js';
 import type {MeshReporter} from './mesh-reporter.js';
@@ -65,9 +66,6 @@
 /** Milliseconds between two renewals of the connections to the target: a check of its health takes no longer. */
 const renewalPeriod = 2000;
 
-/** The status by which a target says that it failed. */
-const failureStatus = 500;
-
 type Job = {
 	request: HandedRequest;
 	/** The instant at which the caller has its final answer. */
@@ -191,7 +189,7 @@
 
 	const noteOutcome = (outcome: Outcome) => {
 		failures.note(
-			outcome.kind !== 'answered' || outcome.status === failureStatus,
+			outcome.kind !== 'answered' || isTargetFailure(outcome.status),
 			clock.now(),
 		);
 		if (outcome.kind === 'answered' && !isReachable) {
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -1,5 +1,6 @@
 export {meshPolicies, type MeshPolicy} from './decisions/mesh-policy.js';
 export * from './header-names.js';
+export {listenOn} from './listening.js';
 export * from './mesh-node.js';
 export type {MeshReporter, ReportDetails} from './mesh-reporter.js';
 export * from './route.js';
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -345,26 +345,21 @@
 
 	return {
 		async start() {
-			const peer = splitAddress(settings.peerAddress);
-			const caller = splitAddress(settings.callerAddress);
-			const [peerPort, callerPort] = await Promise.all([
-				peerListener.listen(peer.host, peer.port),
-				callerListener.listen(caller.host, caller.port),
+			const [peers, callers] = await Promise.all([
+				peerListener.listen(settings.peerAddress),
+				callerListener.listen(settings.callerAddress),
 			]);
-			self.address = `${peer.host}:${peerPort}`;
+			self.address = peers;
 			void follower.run(life.signal);
 			void register.run(life.signal);
 			reportLoad();
-			const addresses = {
-				callers: `${caller.host}:${callerPort}`,
-				peers: self.address,
-			};
 			reporter.notice('meshStarted', {
 				service: settings.service,
 				dataCentre: settings.dataCentre,
-				...addresses,
+				callers,
+				peers,
 			});
-			return addresses;
+			return {callers, peers};
 		},
 		isReady: () => routes !== undefined && !isStopping,
 		announce: async (announcement) =>
@@ -419,11 +414,3 @@
 		});
 	}
 }
-
-function splitAddress(address: string): {host: string; port: number} {
-	const colon = address.lastIndexOf(':');
-	return {
-		host: address.slice(0, colon),
-		port: Number(address.slice(colon + 1)),
-	};
-}
--- /dev/null
+++ b/packages/mesh/src/passage.ts
@@ -0,0 +1,345 @@
+/**
+ * One request's way through the entry: the choice of its targets, what may be
+ * sent again, and its one final answer.
+ *
+ * What must not run twice goes to another target only with proof that the
+ * first one never got it. A refusal with a time to come back says "not run",
+ * so it is given only while no attempt can have run; otherwise the answer is
+ * a failure that promises nothing.
+ */
+import type {Clock, Random} from '@egretspoke/shared';
+import type {DeadlineWheel} from './deadline-wheel.js';
+import type {InnerRoutes} from './decisions/inner-routes.js';
+import type {MeshPolicy} from './decisions/mesh-policy.js';
+import {returnTime} from './decisions/return-time.js';
+import type {RetryBudget} from './decisions/retry-budget.js';
+import type {Directory, TargetCandidate} from './directory.js';
+import {
+	isTargetFailure,
+	type HandedRequest,
+	type Outcome,
+	type TargetAnswer,
+	type TargetLoad,
+} from './exchange.js';
+import type {Gatekeeper} from './gatekeeper.js';
+import type {MeshReporter} from './mesh-reporter.js';
+import type {TableRoute} from './route-table.js';
+
+/** A request as a caller sent it. */
+export type CallerRequest = {
+	requestId: string;
+	method: string;
+	host: string;
+	/** With its query. */
+	path: string;
+	/** End-to-end headers that go on as they are. */
+	headers: string[];
+	body: Uint8Array | undefined;
+	/** When its first byte was read, on the clock. */
+	arrivedAt: number;
+	/** Milliseconds that the caller waits, from its arrival. */
+	timeLeft: number | undefined;
+};
+
+/** An answer of this node's own. */
+export type OwnAnswer = {
+	kind: 'own';
+	status: 404 | 502 | 503 | 504;
+	reason: string;
+	/** Milliseconds after which the caller should come back. */
+	retryAfter?: number;
+};
+
+/** What a caller gets. */
+export type FinalAnswer = ({kind: 'target'} & TargetAnswer) | OwnAnswer;
+
+/** What every passage of a node needs. */
+export type PassageOptions = {
+	clock: Clock;
+	random: Random;
+	wheel: DeadlineWheel;
+	directory: Directory;
+	gatekeeper: Gatekeeper;
+	budget: RetryBudget;
+	innerRoutes: InnerRoutes;
+	/** A route was asked for that the other nodes don't know to be asked for here. */
+	onNewRoute: () => void;
+	policy: MeshPolicy;
+	reporter: MeshReporter;
+	isStopping: () => boolean;
+};
+
+/** Where a passage ends; one of the two is called, once. */
+export type PassageEnd = {
+	answer: (final: FinalAnswer) => void;
+	/** The caller has gone. */
+	onLeft: () => void;
+};
+
+/** Refusals on the way after which the request is refused for good: each costs a hop of its time. */
+const mostRefusals = 3;
+/** The part of a new request's objective that it may wait for a slot; its work and its calls need the rest. */
+const patienceOfNewWork = 0.25;
+/** The same for calls of work that has begun: giving those up wastes what was done already. */
+const patienceOfInnerCalls = 0.6;
+/** Milliseconds below which another attempt has no chance to end in time. */
+const leastTimeToRetry = 20;
+
+/** One request's way through the entry. */
+export function createPassage(
+	options: PassageOptions,
+	request: CallerRequest,
+	route: TableRoute,
+	end: PassageEnd,
+): () => void {
+	const {clock, random, wheel, directory, gatekeeper, budget} = options;
+	const {innerRoutes, reporter} = options;
+	const service = route.rotation.next();
+	const until =
+		request.arrivedAt +
+		Math.min(route.timeout, request.timeLeft ?? Number.POSITIVE_INFINITY);
+	const isInner = innerRoutes.isInner(route.name);
+	if (innerRoutes.note(route.name)) {
+		options.onNewRoute();
+	}
+
+	const tried = new Set<string>();
+	/** Targets that got the request. */
+	let arrivals = 0;
+	let refusals = 0;
+	let mayHaveRun = false;
+	/** A target's own failure, for the caller if no other target does better. */
+	let failure: FinalAnswer | undefined;
+	let isOver = false;
+	let cancelAttempt: () => void = () => undefined;
+
+	const finish = (final: FinalAnswer) => {
+		if (isOver) {
+			return;
+		}
+
+		isOver = true;
+		removeDeadline();
+		if (final.kind === 'own') {
+			reporter.decision('meshOwnAnswer', request.requestId, final.reason, {
+				status: final.status,
+				route: route.name,
+				service,
+				isInner,
+				arrivals,
+				refusals,
+				waited: Math.round(clock.now() - request.arrivedAt),
+			});
+		}
+
+		end.answer(final);
+	};
+
+	const removeDeadline = wheel.add(until, () => {
+		cancelAttempt();
+		finish({kind: 'own', status: 504, reason: 'timeout'});
+	});
+
+	/** The final answer of a request that no target will answer. */
+	const giveUp = (reason: string) => {
+		if (failure) {
+			finish(failure);
+			return;
+		}
+
+		finish(
+			mayHaveRun
+				? {kind: 'own', status: 502, reason}
+				: {
+						kind: 'own',
+						status: 503,
+						reason,
+						retryAfter: returnTime(until - clock.now(), random.fraction()),
+					},
+		);
+	};
+
+	const listCandidates = (): TargetCandidate[] => {
+		const candidates = directory.candidates(service, tried);
+		if (!tried.has(localNode) && gatekeeper.serves(service)) {
+			candidates.push(createLocalCandidate(gatekeeper, options.isStopping()));
+		}
+
+		return candidates;
+	};
+
+	const attempt = () => {
+		const timeLeft = until - clock.now();
+		const target = options.policy.select(listCandidates(), random);
+		if (!target) {
+			giveUp(arrivals + refusals === 0 ? 'noTarget' : 'noOtherTarget');
+			return;
+		}
+
+		const isNew = !isInner && arrivals === 0 && refusals === 0;
+		if (
+			isNew &&
+			random.fraction() <
+				options.policy.shedShare(target.shedLevel, route.tiersBelow)
+		) {
+			giveUp('shed');
+			return;
+		}
+
+		tried.add(target.node);
+		send(target, timeLeft);
+	};
+
+	const send = (target: TargetCandidate, timeLeft: number) => {
+		let isEnded = false;
+		const cancel = target.channel.send(
+			createHanded(timeLeft),
+			(outcome, load) => {
+				isEnded = true;
+				target.note(outcome.kind === 'answered' ? 'answered' : 'failed', load);
+				noteDeeperLoad(load);
+				if (!isOver) {
+					handlers[outcome.kind](outcome as never, target.node, load);
+				}
+			},
+		);
+		if (!isEnded) {
+			cancelAttempt = cancel;
+		}
+	};
+
+	const noteDeeperLoad = (load: TargetLoad | undefined) => {
+		if (isInner && load) {
+			gatekeeper.noteDeeperLevel(load.shedLevel);
+		}
+	};
+
+	const createHanded = (timeLeft: number): HandedRequest => ({
+		requestId: request.requestId,
+		method: request.method,
+		path: request.path,
+		headers: request.headers,
+		body: request.body,
+		service,
+		isIdempotent: route.isIdempotent,
+		isInner,
+		priority: route.priority,
+		patience: Math.min(
+			timeLeft / 2,
+			route.objective * (isInner ? patienceOfInnerCalls : patienceOfNewWork),
+		),
+		timeLeft,
+	});
+
+	/** Whether another target may get it, within the attempts of the route and the shared budget. */
+	const takeRetry = (reason: string, node: string): boolean => {
+		const now = clock.now();
+		const isAllowed =
+			options.policy.mayRetry &&
+			arrivals < route.attempts &&
+			until - now >= leastTimeToRetry &&
+			budget.take(service, now, directory.size());
+		if (isAllowed) {
+			reporter.decision('meshSentAgain', request.requestId, reason, {
+				from: node,
+				arrivals,
+			});
+		}
+
+		return isAllowed;
+	};
+
+	const sendAgain = (reason: string, node: string) => {
+		if (takeRetry(reason, node)) {
+			attempt();
+		} else {
+			giveUp(reason);
+		}
+	};
+
+	const handlers: {
+		[Kind in Outcome['kind']]: (
+			outcome: Extract<Outcome, {kind: Kind}>,
+			node: string,
+			load: TargetLoad | undefined,
+		) => void;
+	} = {
+		answered({status, headers, body}, node, load) {
+			arrivals++;
+			const answer: FinalAnswer = {kind: 'target', status, headers, body};
+			// Most failures come from refused calls while load is shed; repeating the
+			// whole tree of calls would only make more of them.
+			const isWorthRepeating =
+				isTargetFailure(status) && route.isIdempotent && load?.shedLevel === 0;
+			if (isWorthRepeating && takeRetry('targetFailed', node)) {
+				failure = answer;
+				attempt();
+			} else {
+				finish(answer);
+			}
+		},
+		refused({reason}, node) {
+			refusals++;
+			if (refusals >= mostRefusals || until - clock.now() < leastTimeToRetry) {
+				giveUp(reason);
+			} else if (reason === 'noRoom' || reason === 'waitedTooLong') {
+				// Another target gets it only if it is known to have room: else the refusal would be handed around.
+				const hasRoom = listCandidates().some(({occupancy}) => occupancy < 1);
+				if (hasRoom) {
+					attempt();
+				} else {
+					giveUp(reason);
+				}
+			} else {
+				reporter.decision('meshTurnedAway', request.requestId, reason, {
+					from: node,
+				});
+				attempt();
+			}
+		},
+		declined({status}, node) {
+			arrivals++;
+			sendAgain(`declined${status}`, node);
+		},
+		lost({reason}, node) {
+			arrivals++;
+			mayHaveRun = true;
+			if (route.isIdempotent) {
+				sendAgain(reason, node);
+			} else {
+				giveUp(reason);
+			}
+		},
+	};
+
+	budget.countRequest(service, clock.now());
+	attempt();
+	return () => {
+		if (!isOver) {
+			isOver = true;
+			removeDeadline();
+			cancelAttempt();
+			end.onLeft();
+		}
+	};
+}
+
+/** Stands for this node's own target among those that were tried; no node has an empty name. */
+const localNode = '';
+
+function createLocalCandidate(
+	gatekeeper: Gatekeeper,
+	isDoubtful: boolean,
+): TargetCandidate {
+	const {occupancy, shedLevel, failureShare} = gatekeeper.load();
+	return {
+		node: localNode,
+		isNear: true,
+		occupancy,
+		failureShare,
+		isDoubtful,
+		channel: gatekeeper,
+		shedLevel,
+		note: () => undefined,
+	};
+}
--- a/packages/mesh/src/peer-listener.ts
+++ b/packages/mesh/src/peer-listener.ts
@@ -3,6 +3,7 @@
 import type {Clock} from '@egretspoke/shared';
 import {WebSocketServer} from 'ws';
 import type {CancelAttempt, TargetChannel} from './exchange.js';
+import {listenOn} from './listening.js';
 import {
 	createPeerChannel,
 	frameLimit,
@@ -27,7 +28,8 @@
 
 /** The listener. */
 export type PeerListener = {
-	listen(host: string, port: number): Promise<number>;
+	/** Listens on `ip:port`; gives the address that it got. */
+	listen(address: string): Promise<string>;
 	/** Tells every node that has a link to this one. */
 	tellAll(message: PeerMessage): void;
 	close(): void;
@@ -122,15 +124,7 @@
 	};
 
 	return {
-		async listen(host, port) {
-			return new Promise((resolve, reject) => {
-				server.once('error', reject);
-				server.listen(port, host, 4096, () => {
-					const address = server.address();
-					resolve(typeof address === 'object' && address ? address.port : port);
-				});
-			});
-		},
+		listen: async (address) => listenOn(server, address),
 		tellAll(message) {
 			for (const channel of channels) {
 				channel.send(message);
