fix(mesh): the leaving of the next target is kept as well

Cause: whether a leaving had to be stored was asked of the target before, not of the one that leaves; found reading the diff. What a node believes of its target, and the report of its load, are modules of their own now; mesh-node only puts the parts together.

--- /dev/null
+++ b/packages/mesh/src/load-report.ts
@@ -0,0 +1,47 @@
+/** Tells the other nodes when the load of the target beside this one has changed by enough to matter. */
+import type {Clock} from '@egretspoke/shared';
+import type {TargetLoad} from './exchange.js';
+
+/** What the report needs. */
+export type LoadReportOptions = {
+	clock: Clock;
+	/** Ends the report. */
+	signal: AbortSignal;
+	load: () => TargetLoad;
+	/** How many nodes have to be told. */
+	nodes: () => number;
+	report: () => void;
+};
+
+/** Milliseconds between two reports of a changed load to all peers, for each peer: 15 nodes hear every 300 ms. */
+const reportTimePerPeer = 20;
+/** The change of occupancy or level that is worth a report. */
+const reportedChange = 0.2;
+/** Creates a report that has not started. */
+export function createLoadReport(options: LoadReportOptions): {start(): void} {
+	const {clock, signal, nodes, report} = options;
+	let reported: TargetLoad = {occupancy: 0, shedLevel: 0, failureShare: 0};
+	const look = () => {
+		if (signal.aborted) {
+			return;
+		}
+
+		const load = options.load();
+		if (changeBetween(load, reported) >= reportedChange) {
+			reported = load;
+			report();
+		}
+
+		clock.setTimer(reportTimePerPeer * nodes(), look);
+	};
+
+	return {start: look};
+}
+
+function changeBetween(left: TargetLoad, right: TargetLoad): number {
+	return Math.max(
+		Math.abs(left.occupancy - right.occupancy),
+		Math.abs(left.shedLevel - right.shedLevel),
+		Math.abs(left.failureShare - right.failureShare),
+	);
+}
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -13,8 +13,8 @@
 import {createDirectory} from './directory.js';
 import {createEntry} from './entry.js';
 import {createGatekeeper} from './gatekeeper.js';
-import type {TargetLoad} from './exchange.js';
 import type {HeaderNames} from './header-names.js';
+import {createLoadReport} from './load-report.js';
 import {createMemberRegister} from './member-register.js';
 import type {MeshReporter} from './mesh-reporter.js';
 import {createPeerListener} from './peer-listener.js';
@@ -22,14 +22,8 @@
 import type {RoutingConfiguration} from './route.js';
 import {createRouteTable, type RouteTable} from './route-table.js';
 import type {RowAddress, RowStore} from './row-store.js';
-import {
-	takeAnnouncement,
-	takeWithdrawal,
-	type Announcement,
-	type RecordChange,
-	type TargetRecord,
-	type Withdrawal,
-} from './target-record.js';
+import {createTargetBelief} from './target-belief.js';
+import type {Announcement, Withdrawal} from './target-record.js';
 
 /** What a deployment says of one node. */
 export type MeshNodeSettings = {
@@ -80,10 +74,6 @@
 	abort(): void;
 };
 
-/** Milliseconds between two reports of a changed load to all peers, for each peer: 15 nodes hear every 300 ms. */
-const reportTimePerPeer = 20;
-/** The change of occupancy or level that is worth a report. */
-const reportedChange = 0.2;
 /**
  * Milliseconds that a stopping node goes on at least: callers' balancers ask
  * every second and take a node out after two misses.
@@ -115,24 +105,12 @@
 	const life = new AbortController();
 	const wheel = createDeadlineWheel(clock);
 	let routes: RouteTable | undefined;
-	let target: TargetRecord | undefined;
-	let isReachable = true;
 	let isStopping = false;
 
 	const createState = (): StateMessage => ({
 		kind: 'state',
 		isStopping,
-		...(target && {
-			target: {
-				service: target.service,
-				targetId: target.targetId,
-				startedAt: target.startedAt,
-				sequence: target.sequence,
-				isLeaving: target.isLeaving,
-				isReachable,
-				slots: target.slots,
-			},
-		}),
+		target: belief.state(),
 		load: gatekeeper.load(),
 		service: settings.service,
 		routes: innerRoutes.asked(),
@@ -156,8 +134,7 @@
 		policy,
 		tiers: () => routes?.tiers ?? 1,
 		onReachable(reachable) {
-			isReachable = reachable;
-			tellState();
+			belief.setReachable(reachable);
 		},
 	});
 	const follower = createConfigurationFollower({
@@ -248,9 +225,7 @@
 		budget: createRetryBudget(settings.retryBudget),
 		policy,
 		innerRoutes,
-		onNewRoute() {
-			tellState();
-		},
+		onNewRoute: tellState,
 		reporter,
 		isStopping: () => isStopping,
 	});
@@ -272,76 +247,25 @@
 			directory.addMembers(members);
 		},
 		onEarlierLeaving(record) {
-			if (!target || target.startedAt < record.startedAt) {
-				setTarget(record);
-			} else if (target.startedAt === record.startedAt && !target.isLeaving) {
-				setTarget({...target, isLeaving: true});
-			}
+			belief.takeEarlierLeaving(record);
 		},
 	});
 
-	const setTarget = (record: TargetRecord) => {
-		target = record;
-		isReachable = true;
-		gatekeeper.setTarget(record);
-		reporter.notice('meshTargetChanged', {
-			target: record.targetId,
-			service: record.service,
-			address: record.address,
-			startedAt: record.startedAt,
-			state: record.isLeaving ? 'leaving' : 'ready',
-			slots: record.slots,
-		});
-		tellState();
-	};
-
-	const takeChange = async (change: RecordChange): Promise<boolean> => {
-		if (change.kind === 'stale') {
-			return false;
-		}
-
-		const wasLeaving = target?.isLeaving ?? false;
-		if (change.kind === 'changed') {
-			setTarget(change.record);
-		} else {
-			target = change.record;
-			if (!isReachable) {
-				isReachable = true;
-				gatekeeper.setTarget(change.record);
-				tellState();
-			}
-		}
-
-		if (change.record.isLeaving && !wasLeaving) {
-			await register.keepLeaving(change.record);
-		}
-
-		return true;
-	};
-
-	let reported: TargetLoad = {
-		occupancy: 0,
-		shedLevel: 0,
-		failureShare: 0,
-	};
-	const reportLoad = () => {
-		if (life.signal.aborted) {
-			return;
-		}
-
-		const load = gatekeeper.load();
-		const change = Math.max(
-			Math.abs(load.occupancy - reported.occupancy),
-			Math.abs(load.shedLevel - reported.shedLevel),
-			Math.abs(load.failureShare - reported.failureShare),
-		);
-		if (change >= reportedChange) {
-			reported = load;
-			tellState();
-		}
+	const belief = createTargetBelief({
+		clock,
+		gatekeeper,
+		reporter,
+		keepLeaving: async (record) => register.keepLeaving(record),
+		onChange: tellState,
+	});
 
-		clock.setTimer(reportTimePerPeer * directory.size(), reportLoad);
-	};
+	const reportLoad = createLoadReport({
+		clock,
+		signal: life.signal,
+		load: () => gatekeeper.load(),
+		nodes: () => directory.size(),
+		report: tellState,
+	});
 
 	return {
 		async start() {
@@ -352,7 +276,7 @@
 			self.address = peers;
 			void follower.run(life.signal);
 			void register.run(life.signal);
-			reportLoad();
+			reportLoad.start();
 			reporter.notice('meshStarted', {
 				service: settings.service,
 				dataCentre: settings.dataCentre,
@@ -362,10 +286,8 @@
 			return {callers, peers};
 		},
 		isReady: () => routes !== undefined && !isStopping,
-		announce: async (announcement) =>
-			takeChange(takeAnnouncement(target, announcement)),
-		withdraw: async (withdrawal) =>
-			takeChange(takeWithdrawal(target, withdrawal, clock.date().getTime())),
+		announce: async (announcement) => belief.announce(announcement),
+		withdraw: async (withdrawal) => belief.withdraw(withdrawal),
 		applySettings(changed) {
 			settings = changed;
 		},
--- a/packages/mesh/src/peer-message.ts
+++ b/packages/mesh/src/peer-message.ts
@@ -55,7 +55,8 @@
 export const stateSchema = z.object({
 	kind: z.literal('state'),
 	isStopping: z.boolean(),
-	target: targetStateSchema.optional(),
+	/** Undefined while no target is known. */
+	target: targetStateSchema.nullish(),
 	load: loadSchema,
 	/** The service beside which the sender runs. */
 	service: z.string(),
--- /dev/null
+++ b/packages/mesh/src/target-belief.ts
@@ -0,0 +1,119 @@
+/** What this node believes of the target beside it, and whom it tells when that changes. */
+import type {Clock} from '@egretspoke/shared';
+import type {Gatekeeper} from './gatekeeper.js';
+import type {MeshReporter} from './mesh-reporter.js';
+import type {TargetState} from './peer-message.js';
+import {
+	isSameStart,
+	takeAnnouncement,
+	takeWithdrawal,
+	type Announcement,
+	type RecordChange,
+	type TargetRecord,
+	type Withdrawal,
+} from './target-record.js';
+
+/** What the belief needs. */
+export type TargetBeliefOptions = {
+	clock: Clock;
+	gatekeeper: Pick<Gatekeeper, 'setTarget'>;
+	reporter: MeshReporter;
+	/** Keeps a leaving beyond the life of this process. */
+	keepLeaving: (record: TargetRecord) => Promise<void>;
+	/** The other nodes have to know. */
+	onChange: () => void;
+};
+
+/** The belief. */
+export type TargetBelief = {
+	/** Takes what the target says of itself; false when a later start is known. */
+	announce(announcement: Announcement): Promise<boolean>;
+	/** Takes a target's farewell; false when it is none of the known target's. */
+	withdraw(withdrawal: Withdrawal): Promise<boolean>;
+	/** Takes the leaving that an earlier start of this node acknowledged. */
+	takeEarlierLeaving(record: TargetRecord): void;
+	setReachable(isReachable: boolean): void;
+	/** What the other nodes are told; undefined while no target is known. */
+	state(): TargetState | undefined;
+};
+
+/** Creates the belief that there is no target. */
+export function createTargetBelief(options: TargetBeliefOptions): TargetBelief {
+	const {clock, gatekeeper, reporter, onChange} = options;
+	let target: TargetRecord | undefined;
+	let isReachable = true;
+
+	const setTarget = (record: TargetRecord) => {
+		target = record;
+		isReachable = true;
+		gatekeeper.setTarget(record);
+		reporter.notice('meshTargetChanged', {
+			target: record.targetId,
+			service: record.service,
+			address: record.address,
+			startedAt: record.startedAt,
+			state: record.isLeaving ? 'leaving' : 'ready',
+			slots: record.slots,
+		});
+		onChange();
+	};
+
+	/** An announcement without news still shows that the target lives. */
+	const renew = (record: TargetRecord) => {
+		target = record;
+		if (!isReachable) {
+			isReachable = true;
+			gatekeeper.setTarget(record);
+			onChange();
+		}
+	};
+
+	const take = async (change: RecordChange): Promise<boolean> => {
+		if (change.kind === 'stale') {
+			return false;
+		}
+
+		const {record} = change;
+		const isKept =
+			target !== undefined && isSameStart(target, record) && target.isLeaving;
+		if (change.kind === 'changed') {
+			setTarget(record);
+		} else {
+			renew(record);
+		}
+
+		if (record.isLeaving && !isKept) {
+			await options.keepLeaving(record);
+		}
+
+		return true;
+	};
+
+	return {
+		announce: async (announcement) =>
+			take(takeAnnouncement(target, announcement)),
+		withdraw: async (withdrawal) =>
+			take(takeWithdrawal(target, withdrawal, clock.date().getTime())),
+		takeEarlierLeaving(record) {
+			if (!target || target.startedAt < record.startedAt) {
+				setTarget(record);
+			} else if (target.startedAt === record.startedAt && !target.isLeaving) {
+				setTarget({...target, isLeaving: true});
+			}
+		},
+		setReachable(reachable) {
+			isReachable = reachable;
+			onChange();
+		},
+		state: () =>
+			target && {
+				service: target.service,
+				targetId: target.targetId,
+				startedAt: target.startedAt,
+				sequence: target.sequence,
+				isLeaving: target.isLeaving,
+				isReachable,
+				slots: target.slots,
+			},
+	};
+}
--- a/packages/mesh/src/target-client.ts
+++ b/packages/mesh/src/target-client.ts
@@ -44,6 +44,8 @@
 	onUnreachable: (detail: string) => void;
 };
 
+/** The status of a target that is another one than the expected, and did not run the request (RFC 9110, section 15.5.20). */
+const misdirectedStatus = 421;
 /** The largest answer that is held in memory, in bytes. */
 const answerLimit = 64 * 1024 * 1024;
 
@@ -108,7 +110,7 @@
 	};
 
 	const endWhole = () => {
-		if (status === 421) {
+		if (status === misdirectedStatus) {
 			onReplaced();
 		}
 
@@ -152,7 +154,8 @@
 
 				status = statusCode;
 				isDeclined =
-					received[headerNames.notExecuted] !== undefined || statusCode === 421;
+					received[headerNames.notExecuted] !== undefined ||
+					statusCode === misdirectedStatus;
 				isFramed =
 					hasNoBody(request.method, statusCode) ||
 					received['content-length'] !== undefined ||
--- a/packages/mesh/src/target-record.ts
+++ b/packages/mesh/src/target-record.ts
@@ -42,6 +42,11 @@
 	| {kind: 'same'; record: TargetRecord}
 	| {kind: 'changed'; record: TargetRecord};
 
+/** Whether two announcements are of one start of one target. */
+export function isSameStart(left: Announcement, right: Announcement): boolean {
+	return left.startedAt === right.startedAt && left.targetId === right.targetId;
+}
+
 /** What a farewell says of a target that never announced itself here. */
 const unknownPart = 'unknown';
 
@@ -54,10 +59,7 @@
 		return {kind: 'changed', record: {...announcement, hasLeft: false}};
 	}
 
-	const isSameStart =
-		announcement.startedAt === known.startedAt &&
-		announcement.targetId === known.targetId;
-	if (!isSameStart) {
+	if (!isSameStart(known, announcement)) {
 		return {kind: 'stale'};
 	}
 
@@ -109,8 +111,8 @@
 		};
 	}
 
-	const isSameStart = startedAt === undefined || startedAt === known?.startedAt;
-	if (known?.targetId !== targetId || !isSameStart) {
+	const isOtherStart = startedAt !== undefined && startedAt !== known.startedAt;
+	if (known.targetId !== targetId || isOtherStart) {
 		return {kind: 'stale'};
 	}
 
