--- a/packages/benchmark/src/live-benchmark.ts
+++ b/packages/benchmark/src/live-benchmark.ts
@@ -187,6 +187,8 @@
 	const result = await runOpenLoop({
 		dispatcher,
 		origin: `http://${ways[way](processes)}`,
+		method: 'PUT',
+		path: '/work',
 		headers: {'egretspoke-service': liveService},
 		body: new Uint8Array(options.bodySize),
 		rate,
--- a/packages/benchmark/src/open-loop.ts
+++ b/packages/benchmark/src/open-loop.ts
@@ -12,8 +12,10 @@
 export type LoadOptions = {
 	dispatcher: Dispatcher;
 	origin: string;
+	method: 'GET' | 'PUT';
+	path: string;
 	headers: Record<string, string>;
-	body: Uint8Array;
+	body: Uint8Array | undefined;
 	/** Requests a second. */
 	rate: number;
 	/** Seconds. */
@@ -94,13 +96,15 @@
 async function exchange({
 	dispatcher,
 	origin,
+	method,
+	path,
 	headers,
 	body,
 }: LoadOptions): Promise<boolean> {
 	return new Promise((resolve) => {
 		let status = 0;
 		dispatcher.dispatch(
-			{origin, path: '/work', method: 'PUT', headers, body},
+			{origin, path, method, headers, body: body ?? null},
 			{
 				onRequestStart() {
 					// Nothing to do before the answer.
