--- a/packages/mesh/__tests__/decisions.spec.ts
+++ b/packages/mesh/__tests__/decisions.spec.ts
@@ -143,7 +143,7 @@
 				low * (1 - shedShare(level.value(), 0)) +
 				high * (1 - shedShare(level.value(), 1));
 			waiting = Math.max(0, waiting + admitted - 100);
-			level.update(waiting, 2);
+			level.update({wait: waiting, occupancy: Math.min(1, admitted / 100)}, 2);
 			waits.push(waiting);
 		}
 
@@ -155,11 +155,28 @@
 	it('goes back to refusing nothing when the burst is over', () => {
 		const level = createShedLevel();
 		for (let period = 0; period < 20; period++) {
-			level.update(200, 3);
+			level.update({wait: 200, occupancy: 1}, 3);
 		}
 
 		for (let period = 0; period < 200; period++) {
-			level.update(0, 3);
+			level.update({wait: 0, occupancy: 0.9}, 3);
+		}
+
+		expect(level.value()).to.equal(0);
+	});
+
+	it('lets everybody in within three seconds once slots are free', () => {
+		// Every node starts again after a loss of power, and all callers come at
+		// once while the targets are cold. Two seconds later the targets have
+		// slots to spare; callers are still refused for as long as the level is up.
+		const level = createShedLevel();
+		for (let period = 0; period < 20; period++) {
+			level.update({wait: 200, occupancy: 1}, 3);
+		}
+
+		expect(level.value()).to.be.above(2);
+		for (let period = 0; period < 30; period++) {
+			level.update({wait: 0, occupancy: 0.6}, 3);
 		}
 
 		expect(level.value()).to.equal(0);
@@ -170,6 +187,7 @@
 	const random = createRandom(7);
 	const candidate = (changed: Partial<Candidate>): Candidate => ({
 		node: 'a',
+		isOwn: false,
 		isNear: true,
 		occupancy: 0.5,
 		failureShare: 0,
@@ -177,10 +195,10 @@
 		...changed,
 	});
 
-	const count = (candidates: Candidate[], node: string) =>
-		Array.from({length: 300}, () => selectTarget(candidates, random)).filter(
-			(chosen) => chosen?.node === node,
-		).length;
+	const count = (candidates: Candidate[], node: string, bodyBytes = 0) =>
+		Array.from({length: 300}, () =>
+			selectTarget(candidates, random, bodyBytes),
+		).filter((chosen) => chosen?.node === node).length;
 
 	it('stays near while a near target has room', () => {
 		const candidates = [
@@ -198,6 +216,40 @@
 		expect(count(candidates, 'far')).to.equal(300);
 	});
 
+	it('takes the target beside its own node while that has room', () => {
+		const own = candidate({node: 'own', isOwn: true});
+		const other = candidate({node: 'other', occupancy: 0});
+		expect(count([own, other], 'own')).to.equal(300);
+		expect(count([{...own, occupancy: 0.9}, other], 'other')).to.equal(300);
+	});
+
+	it('does not cross between data centres while all targets are as full', () => {
+		// Demand is half above what the service can run, and every target has a
+		// queue. Crossing spares no wait then; two thirds of all calls would cross.
+		const candidates = [
+			candidate({node: 'near', occupancy: 1.3}),
+			candidate({node: 'far', isNear: false, occupancy: 1.1}),
+			candidate({node: 'further', isNear: false, occupancy: 1.2}),
+		];
+		expect(count(candidates, 'near')).to.equal(300);
+		const slow = [candidate({node: 'near', occupancy: 1.6}), ...candidates];
+		expect(
+			count(
+				slow.filter((_, index) => index !== 1),
+				'near',
+			),
+		).to.equal(0);
+	});
+
+	it('has a large upload wait for a near target where a small request crosses', () => {
+		const candidates = [
+			candidate({node: 'near', occupancy: 1.2}),
+			candidate({node: 'far', isNear: false, occupancy: 0.5}),
+		];
+		expect(count(candidates, 'near', 60_000)).to.equal(300);
+		expect(count(candidates, 'far', 500)).to.equal(300);
+	});
+
 	it('gives work to a target that has just joined', () => {
 		const candidates = [
 			candidate({node: 'old'}),
--- a/packages/mesh/src/decisions/mesh-policy.ts
+++ b/packages/mesh/src/decisions/mesh-policy.ts
@@ -10,7 +10,11 @@
 export type MeshPolicy = {
 	/** Whether a request may be sent to a second target at all. */
 	mayRetry: boolean;
-	select<T extends Candidate>(candidates: T[], random: Random): T | undefined;
+	select<T extends Candidate>(
+		candidates: T[],
+		random: Random,
+		bodyBytes: number,
+	): T | undefined;
 	/** How many requests a target with so many slots is handed at once. */
 	limitOf(slots: number): number;
 	/** The share of new requests that is refused at a level. */
--- a/packages/mesh/src/decisions/shed-level.ts
+++ b/packages/mesh/src/decisions/shed-level.ts
@@ -18,11 +18,18 @@
 
 /** The level of one target, in priorities that are refused, 0 when nothing is. */
 export type ShedLevel = {
-	/** Takes the wait in milliseconds that a new request would meet now. */
-	update(wait: number, tiers: number): void;
+	update(pressure: Pressure, tiers: number): void;
 	value(): number;
 };
 
+/** How a target is pressed now. */
+export type Pressure = {
+	/** Milliseconds that a new request would wait. */
+	wait: number;
+	/** What it runs, over what it may run at once. */
+	occupancy: number;
+};
+
 /** Milliseconds between two updates; a few answers of the fastest services. */
 export const shedPeriod = 100;
 /**
@@ -34,17 +41,27 @@
 const rise = 0.05;
 /** The most that one period adds, so that one stall does not refuse everything. */
 const mostRise = 0.15;
-/** Sinking in one period without any wait: a whole priority in five seconds. */
+/** Sinking in one period without any wait, while the target is about full: a whole priority in five seconds. */
 const fall = 0.02;
+/**
+ * Sinking in one period of a target that has slots to spare: a whole priority
+ * in 0.7 s. While a level holds back demand that is still there, the slots are
+ * about full; when a fifth of them is free, the demand has gone, and whoever
+ * is refused now is refused for nothing.
+ */
+const fallWithRoom = 0.15;
+/** The occupancy below which a target has slots to spare; it is held near 1 while a level limits it. */
+const roomyOccupancy = 0.8;
 
 /** Creates a level of 0. */
 export function createShedLevel(): ShedLevel {
 	let level = 0;
 	return {
-		update(wait, tiers) {
+		update({wait, occupancy}, tiers) {
 			const excess = wait / targetWait - 1;
+			const sinking = occupancy < roomyOccupancy ? fallWithRoom : fall;
 			const change =
-				excess > 0 ? Math.min(mostRise, rise * excess) : fall * excess;
+				excess > 0 ? Math.min(mostRise, rise * excess) : sinking * excess;
 			level = Math.min(tiers, Math.max(0, level + change));
 		},
 		value: () => level,
--- a/packages/mesh/src/decisions/target-selection.ts
+++ b/packages/mesh/src/decisions/target-selection.ts
@@ -4,8 +4,10 @@
  * Load pattern: targets of one service differ in speed by three, and data
  * centres hold unequal shares of them. Strictly near, the only target of a
  * data centre drowns while others idle; always the emptiest, most calls cross
- * between data centres for nothing. So the near targets are used while one of
- * them has room, and the emptiest of all from then on.
+ * between data centres for nothing. So the target beside the caller's own node
+ * is used while it has room, then those of its data centre, and from then on
+ * another data centre's only when that spares more wait than the way is worth,
+ * which grows with the bytes that have to cross.
  *
  * Of two that are drawn at random, the less occupied is taken: the best of
  * all would get the work of every node at once, since they all see the same
@@ -16,6 +18,9 @@
 /** What is known of a target that may be chosen. */
 export type Candidate = {
 	node: string;
+	/** It is beside this node: no hop between nodes is needed. */
+	isOwn: boolean;
+	/** It is in this node's data centre. */
 	isNear: boolean;
 	/** Requests in it or waiting for it, as far as known, over what it may run at once. */
 	occupancy: number;
@@ -30,13 +35,25 @@
  * forms within the time in which reports are renewed.
  */
 const nearOccupancy = 0.8;
-/** The occupancy that crossing between data centres is worth once near targets are full. */
-const distancePenalty = 0.1;
+/**
+ * The occupancy that a crossing between data centres is worth once near
+ * targets are full: a quarter of a round of the target's work, some 5 to 20 ms
+ * of wait. At half a round a slow near target waits so long that its shed
+ * level rises while others have room.
+ */
+const distancePenalty = 0.25;
+/**
+ * Bytes of a body that make a crossing worth one more round of work. A large
+ * upload that crosses costs its operator more than the upload is worth, so it
+ * waits for a near target, within its patience, rather than cross.
+ */
+const bytesPerRound = 64 * 1024;
 
-/** The chosen candidate; undefined when there is none. */
+/** The chosen candidate for a request with a body of so many bytes; undefined when there is none. */
 export function selectTarget<T extends Candidate>(
 	candidates: T[],
 	random: Random,
+	bodyBytes: number,
 ): T | undefined {
 	const trusted = candidates.filter(({isDoubtful}) => !isDoubtful);
 	const usable = trusted.length > 0 ? trusted : candidates;
@@ -48,36 +65,51 @@
 		candidate,
 		weight: candidate.occupancy + candidate.failureShare - leastFailures,
 	}));
-	const nearWithRoom = weighed.filter(
+	const withRoom = weighed.filter(
 		({candidate, weight}) => candidate.isNear && weight < nearOccupancy,
 	);
-	return nearWithRoom.length > 0
-		? drawBetter(nearWithRoom, random)
-		: drawBetter(weighed, random);
+	const own = withRoom.find(({candidate}) => candidate.isOwn);
+	const chosen =
+		own ??
+		drawBetter(withRoom, random) ??
+		drawNearOrFar(weighed, random, bodyBytes);
+	return chosen?.candidate;
 }
 
 type Weighed<T> = {candidate: T; weight: number};
 
+function drawNearOrFar<T extends Candidate>(
+	weighed: Array<Weighed<T>>,
+	random: Random,
+	bodyBytes: number,
+): Weighed<T> | undefined {
+	const near = drawBetter(
+		weighed.filter(({candidate}) => candidate.isNear),
+		random,
+	);
+	const far = drawBetter(
+		weighed.filter(({candidate}) => !candidate.isNear),
+		random,
+	);
+	if (!near || !far) {
+		return near ?? far;
+	}
+
+	const price = distancePenalty + bodyBytes / bytesPerRound;
+	return near.weight <= far.weight + price ? near : far;
+}
+
 function drawBetter<T extends Candidate>(
 	weighed: Array<Weighed<T>>,
 	random: Random,
-): T | undefined {
+): Weighed<T> | undefined {
 	if (weighed.length < 2) {
-		return weighed[0]?.candidate;
+		return weighed[0];
 	}
 
 	const first = random.below(weighed.length);
 	const second =
 		(first + 1 + random.below(weighed.length - 1)) % weighed.length;
 	const [left, right] = [weighed[first]!, weighed[second]!];
-	return weighWithDistance(left) <= weighWithDistance(right)
-		? left.candidate
-		: right.candidate;
-}
-
-function weighWithDistance<T extends Candidate>({
-	candidate,
-	weight,
-}: Weighed<T>): number {
-	return weight + (candidate.isNear ? 0 : distancePenalty);
+	return left.weight <= right.weight ? left : right;
 }
--- a/packages/mesh/src/directory.ts
+++ b/packages/mesh/src/directory.ts
@@ -124,6 +124,7 @@
 
 	const createCandidate = (peer: Peer, slots: number): TargetCandidate => ({
 		node: peer.member.node,
+		isOwn: false,
 		isNear: peer.member.dataCentre === self.dataCentre,
 		occupancy:
 			peer.load.occupancy +
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -229,7 +229,13 @@
 
 		if (now - lastUpdate >= shedPeriod) {
 			lastUpdate = now;
-			ownLevel.update(gate.expectedWait(), options.tiers());
+			ownLevel.update(
+				{
+					wait: gate.expectedWait(),
+					occupancy: gate.running() / gate.limit(),
+				},
+				options.tiers(),
+			);
 		}
 	};
 
--- a/packages/mesh/src/passage.ts
+++ b/packages/mesh/src/passage.ts
@@ -170,7 +170,11 @@
 
 	const attempt = () => {
 		const timeLeft = until - clock.now();
-		const target = options.policy.select(listCandidates(), random);
+		const target = options.policy.select(
+			listCandidates(),
+			random,
+			request.body?.byteLength ?? 0,
+		);
 		if (!target) {
 			giveUp(arrivals + refusals === 0 ? 'noTarget' : 'noOtherTarget');
 			return;
@@ -334,6 +338,7 @@
 	const {occupancy, shedLevel, failureShare} = gatekeeper.load();
 	return {
 		node: localNode,
+		isOwn: true,
 		isNear: true,
 		occupancy,
 		failureShare,
