feat(mesh): counters and histograms of a node, served at a port of its own

Requests by route, outcome and reason; time in queue and at the target; attempts by what came of them; store calls without a result; level, members, version. Not there: the added time of a hop and the delay of the event loop. The spec that every metric of the table is shown looks for those of the mesh in the mesh's registry; each is still demanded by name and type.

--- a/packages/mesh/src/directory.ts
+++ b/packages/mesh/src/directory.ts
@@ -50,6 +50,8 @@
 	candidates(service: string, tried: ReadonlySet<string>): TargetCandidate[];
 	/** How many nodes there are, this one counted. */
 	size(): number;
+	/** Nodes whose links can be used. */
+	connected(): number;
 	/** Tells every linked node. */
 	tellAll(message: PeerMessage): void;
 	close(): void;
@@ -182,6 +184,8 @@
 			return found;
 		},
 		size: () => peers.size + 1,
+		connected: () =>
+			[...peers.values()].filter(({link}) => link.isUsable()).length,
 		tellAll(message) {
 			for (const {link} of peers.values()) {
 				link.tell(message);
--- a/packages/mesh/src/entry.ts
+++ b/packages/mesh/src/entry.ts
@@ -50,16 +50,24 @@
 	request: CallerRequest,
 	end: PassageEnd,
 ): () => void {
+	const {clock, metrics} = options;
 	const routes = options.routes();
 	const route = routes?.find(request.host, pathOf(request.path));
 	if (!routes || !route) {
+		const reason = routes ? 'noRoute' : 'noConfiguration';
+		metrics.requestEnded({
+			route: '',
+			outcome: 'refused',
+			reason,
+			duration: clock.now() - request.arrivedAt,
+		});
 		end.answer(
 			routes
-				? {kind: 'own', status: 404, reason: 'noRoute'}
+				? {kind: 'own', status: 404, reason}
 				: {
 						kind: 'own',
 						status: 503,
-						reason: 'noConfiguration',
+						reason,
 						retryAfter: shortReturn,
 					},
 		);
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -6,6 +6,7 @@
  * acknowledged, and that a refusal is true. An entry with an old view of the
  * fleet costs a hop, never a promise.
  */
+import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
 import type {Clock, Timer} from '@egretspoke/shared';
 import type {DeadlineWheel} from './deadline-wheel.js';
 import {createFailureShare} from './decisions/failure-share.js';
@@ -32,6 +33,7 @@
 	wheel: DeadlineWheel;
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
+	metrics: MeshMetrics;
 	policy: MeshPolicy;
 	/** How many priorities the configuration has. */
 	tiers: () => number;
@@ -54,6 +56,10 @@
 	close(): void;
 	/** Requests that run or wait. */
 	held(): number;
+	readings(): Pick<
+		MeshReadings,
+		'inFlight' | 'waiting' | 'limit' | 'shedLevel'
+	>;
 };
 
 /** Milliseconds for an answer to get back to the caller before its time is over. */
@@ -72,13 +78,13 @@
 	until: number;
 	onOutcome: OutcomeHandler;
 	cancelRun?: () => void;
-	startedAt: number;
+	offeredAt: number;
 	state: 'waiting' | 'running' | 'over';
 };
 
 /** Creates a gatekeeper without a target. */
 export function createGatekeeper(options: GatekeeperOptions): Gatekeeper {
-	const {clock, wheel, headerNames, reporter} = options;
+	const {clock, wheel, headerNames, reporter, metrics} = options;
 	const ownLevel = createShedLevel();
 	const failures = createFailureShare();
 	let gate: Gate<Job> = createGate<Job>(1);
@@ -101,6 +107,7 @@
 
 	const finish = (job: Job, outcome: Outcome) => {
 		job.state = 'over';
+		metrics.attemptEnded(outcome.kind);
 		job.onOutcome(outcome, load());
 	};
 
@@ -139,7 +146,7 @@
 		}
 
 		job.state = 'running';
-		job.startedAt = now;
+		metrics.targetStarted(now - job.offeredAt);
 		let isEnded = false;
 		const end = (duration: number | undefined) => {
 			if (!isEnded) {
@@ -159,7 +166,9 @@
 			}
 		});
 		const cancelClient = client.run(job.request, timeLeft, (outcome) => {
-			end(outcome.kind === 'answered' ? clock.now() - now : undefined);
+			const duration = clock.now() - now;
+			metrics.targetEnded(duration);
+			end(outcome.kind === 'answered' ? duration : undefined);
 			noteOutcome(outcome);
 			if (job.state === 'running') {
 				finish(job, outcome);
@@ -323,7 +332,7 @@
 				request,
 				until: now + request.timeLeft,
 				onOutcome,
-				startedAt: now,
+				offeredAt: now,
 				state: 'waiting',
 			};
 			const obstacle = findObstacle(request.service);
@@ -357,6 +366,12 @@
 			client?.close();
 		},
 		held: () => gate.running() + gate.waiting(),
+		readings: () => ({
+			inFlight: gate.running(),
+			waiting: gate.waiting(),
+			limit: gate.limit(),
+			shedLevel: load().shedLevel,
+		}),
 	};
 
 	function giveUp(job: Job): void {
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -1,8 +1,10 @@
 /** One node of the mesh, put together: its listeners, its links and what it keeps up to date. */
+import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
 import type {Clock, Random} from '@egretspoke/shared';
 import type {Result} from 'neverthrow';
 import {createCallerListener} from './caller-listener.js';
 import {createConfigurationFollower} from './configuration-follower.js';
+import {createCountedStore} from './counted-store.js';
 import {createDeadlineWheel} from './deadline-wheel.js';
 import {egretspokePolicy, type MeshPolicy} from './decisions/mesh-policy.js';
 import {createInnerRoutes} from './decisions/inner-routes.js';
@@ -52,6 +54,7 @@
 	decodeConfiguration: (value: string) => Result<RoutingConfiguration, string>;
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
+	metrics: MeshMetrics;
 	/** Ours unless another is to be measured beside it. */
 	policy?: MeshPolicy;
 };
@@ -66,6 +69,8 @@
 	announce(announcement: Announcement): Promise<boolean>;
 	/** Takes a target's farewell. */
 	withdraw(withdrawal: Withdrawal): Promise<boolean>;
+	/** What the node shows to whoever collects its metrics. */
+	readings(): MeshReadings;
 	/** Takes changed settings; addresses of listeners can't change. */
 	applySettings(settings: MeshNodeSettings): void;
 	/** A planned stop; resolves when nothing is in flight, or when the grace is over. */
@@ -93,7 +98,8 @@
 
 /** Creates a node that is not listening yet. */
 export function createMeshNode(options: MeshNodeOptions): MeshNode {
-	const {clock, random, reporter, store, headerNames} = options;
+	const {clock, random, reporter, metrics, headerNames} = options;
+	const store = createCountedStore(options.store, metrics);
 	const policy = options.policy ?? egretspokePolicy;
 	let {settings} = options;
 	const self: Member = {
@@ -131,6 +137,7 @@
 		wheel,
 		headerNames,
 		reporter,
+		metrics,
 		policy,
 		tiers: () => routes?.tiers ?? 1,
 		onReachable(reachable) {
@@ -227,6 +234,7 @@
 		innerRoutes,
 		onNewRoute: tellState,
 		reporter,
+		metrics,
 		isStopping: () => isStopping,
 	});
 	const callerListener = createCallerListener({
@@ -288,6 +296,15 @@
 		isReady: () => routes !== undefined && !isStopping,
 		announce: async (announcement) => belief.announce(announcement),
 		withdraw: async (withdrawal) => belief.withdraw(withdrawal),
+		readings: () => ({
+			...gatekeeper.readings(),
+			configurationVersion: follower.current()?.version ?? 0,
+			isStopping,
+			openRequests: entry.open(),
+			members: directory.size(),
+			peersConnected: directory.connected(),
+			service: settings.service,
+		}),
 		applySettings(changed) {
 			settings = changed;
 		},
--- a/packages/mesh/src/passage.ts
+++ b/packages/mesh/src/passage.ts
@@ -7,6 +7,7 @@
  * so it is given only while no attempt can have run; otherwise the answer is
  * a failure that promises nothing.
  */
+import type {MeshMetrics, MeshOutcome} from '@egretspoke/observability';
 import type {Clock, Random} from '@egretspoke/shared';
 import type {DeadlineWheel} from './deadline-wheel.js';
 import type {InnerRoutes} from './decisions/inner-routes.js';
@@ -66,6 +67,7 @@
 	onNewRoute: () => void;
 	policy: MeshPolicy;
 	reporter: MeshReporter;
+	metrics: MeshMetrics;
 	isStopping: () => boolean;
 };
 
@@ -93,7 +95,7 @@
 	end: PassageEnd,
 ): () => void {
 	const {clock, random, wheel, directory, gatekeeper, budget} = options;
-	const {innerRoutes, reporter} = options;
+	const {innerRoutes, reporter, metrics} = options;
 	const service = route.rotation.next();
 	const until =
 		request.arrivedAt +
@@ -120,6 +122,7 @@
 
 		isOver = true;
 		removeDeadline();
+		note(outcomeOf(final), final.kind === 'own' ? final.reason : '');
 		if (final.kind === 'own') {
 			reporter.decision('meshOwnAnswer', request.requestId, final.reason, {
 				status: final.status,
@@ -135,6 +138,15 @@
 		end.answer(final);
 	};
 
+	const note = (outcome: MeshOutcome, reason: string) => {
+		metrics.requestEnded({
+			route: route.name,
+			outcome,
+			reason,
+			duration: clock.now() - request.arrivedAt,
+		});
+	};
+
 	const removeDeadline = wheel.add(until, () => {
 		cancelAttempt();
 		finish({kind: 'own', status: 504, reason: 'timeout'});
@@ -244,6 +256,7 @@
 			until - now >= leastTimeToRetry &&
 			budget.take(service, now, directory.size());
 		if (isAllowed) {
+			metrics.sentAgain(service);
 			reporter.decision('meshSentAgain', request.requestId, reason, {
 				from: node,
 				arrivals,
@@ -323,11 +336,20 @@
 			isOver = true;
 			removeDeadline();
 			cancelAttempt();
+			note('left', '');
 			end.onLeft();
 		}
 	};
 }
 
+function outcomeOf(final: FinalAnswer): MeshOutcome {
+	if (final.kind === 'own') {
+		return final.status === 503 ? 'refused' : 'unknown';
+	}
+
+	return final.status < 300 ? 'answered' : 'failed';
+}
+
 /** Stands for this node's own target among those that were tried; no node has an empty name. */
 const localNode = '';
 
--- a/packages/observability/__tests__/metrics.spec.ts
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -1,7 +1,9 @@
 import {expect} from 'chai';
 import {
+	createMeshMetrics,
 	createMetrics,
 	metricDefinitions,
+	type MeshReadings,
 	type NodeReadings,
 } from '../src/index.js';
 
@@ -18,6 +20,19 @@
 	target: {service: 'orders', inFlight: 5, waiting: 6, limit: 100, level: 383},
 };
 
+const meshReadings: MeshReadings = {
+	configurationVersion: 7,
+	isStopping: false,
+	openRequests: 3,
+	members: 3,
+	peersConnected: 2,
+	inFlight: 5,
+	waiting: 6,
+	limit: 100,
+	shedLevel: 0.5,
+	service: 'orders',
+};
+
 describe('metrics', () => {
 	it('shows what was recorded and what is read', async () => {
 		const metrics = createMetrics(() => readings);
@@ -54,8 +69,10 @@
 	});
 
 	it('has every metric of the table, under the names of Prometheus', async () => {
-		const text = await createMetrics(() => readings).render();
+		const ownInterface = await createMetrics(() => readings).render();
+		const mesh = await createMeshMetrics().render(meshReadings, 0);
 		for (const {name, type} of Object.values(metricDefinitions)) {
+			const text = name.includes('_mesh_') ? mesh : ownInterface;
 			expect(text).to.contain(`# TYPE ${name} ${type}\n`);
 			expect(name).to.match(/^(?:egretspoke|process)(?:_[a-z]+)+$/u);
 			expect(name.endsWith('_total')).to.equal(type === 'counter');
--- a/packages/observability/src/catalogue-pages.ts
+++ b/packages/observability/src/catalogue-pages.ts
@@ -1,6 +1,7 @@
 /** Renders docs/EVENTS.md and docs/METRICS.md from the two tables. */
 import {listEvents} from './event-catalogue.js';
-import {metricDefinitions, type MetricDefinition} from './metric-catalogue.js';
+import {metricDefinitions} from './metric-catalogue.js';
+import type {MetricDefinition} from './metric-definition.js';
 
 /** A page of the docs and its whole text. */
 export type CataloguePage = {file: string; text: string};
@@ -59,7 +60,7 @@
 		'',
 		generatedNote,
 		'',
-		'Each node serves them at `GET /metrics` of its admin listener. Durations are in seconds, sizes in bytes. A label takes 100 values at most; whatever comes after is counted under `other`.',
+		'Each node serves them at `GET /metrics` of its admin listener; a mesh node, those that begin with `egretspoke_mesh_` and some of the others, at port 9464 of its VM. Durations are in seconds, sizes in bytes. A label takes 100 values at most; whatever comes after is counted under `other`.',
 		'',
 		renderRow(['Name', 'Type', 'Labels', 'What it shows', 'How to read it']),
 		renderRow(['---', '---', '---', '---', '---']),
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -101,4 +101,13 @@
 		meaning: 'The file can not be used; the settings in force stay.',
 		advice: 'Mend the file.',
 	},
+	meshMetricsUnavailable: {
+		code: 2509,
+		level: 'warn',
+		kind: 'notice',
+		template: 'no metrics at {address}: {detail}',
+		meaning:
+			'The address for metrics is taken or not allowed; requests are served without.',
+		advice: 'Free the port on this VM and start the node again.',
+	},
 } as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -0,0 +1,65 @@
+/** The metrics that only a mesh node has. Those that both kinds of node have stand in `metric-catalogue.ts`. */
+import type {MetricDefinition} from './metric-definition.js';
+
+/** The table. */
+export const meshMetricDefinitions = {
+	meshRequests: {
+		name: 'egretspoke_mesh_requests_total',
+		type: 'counter',
+		labels: ['route', 'outcome', 'reason'],
+		help: 'Requests that entered at this node and ended, calls of the target beside it included.',
+		reading:
+			'`answered` is a success, `failed` a failure of the target, `refused` a 503 that has not run, `unknown` a 502 or 504, `left` a caller that went. `reason` is that of event 1601.',
+	},
+	meshRequestDuration: {
+		name: 'egretspoke_mesh_request_duration_seconds',
+		type: 'histogram',
+		labels: ['route'],
+		help: 'Time from the arrival of a request to its answer.',
+		reading: 'All outcomes together; refusals are fast and pull it down.',
+	},
+	meshTargetDuration: {
+		name: 'egretspoke_mesh_target_duration_seconds',
+		type: 'histogram',
+		labels: [],
+		help: 'Time of the target beside this node for a request, calls of its own included.',
+		reading: 'A jump at one target of a service: it has turned slow.',
+	},
+	meshQueueTime: {
+		name: 'egretspoke_mesh_queue_time_seconds',
+		type: 'histogram',
+		labels: [],
+		help: 'Time that requests waited here before the target got them.',
+		reading: 'Above 15 ms for long, the shed level rises.',
+	},
+	meshAttempts: {
+		name: 'egretspoke_mesh_attempts_total',
+		type: 'counter',
+		labels: ['outcome'],
+		help: 'Requests that other nodes and this one brought to the target beside this node, by what came of them.',
+		reading:
+			'`refused` never reached the target; `declined` it says not to have run; of `lost` nobody knows.',
+	},
+	meshShedLevel: {
+		name: 'egretspoke_mesh_shed_level',
+		type: 'gauge',
+		labels: [],
+		help: 'Priorities of new work that the entries are asked to refuse for this target.',
+		reading:
+			'0 in calm times. Above 0 for long: the service, or one that it calls, is too small.',
+	},
+	meshMembers: {
+		name: 'egretspoke_mesh_members',
+		type: 'gauge',
+		labels: [],
+		help: 'Nodes that this one knows, itself included.',
+		reading: 'Nodes that are gone for good stay until their rows are removed.',
+	},
+	meshStoreLost: {
+		name: 'egretspoke_mesh_store_failures_total',
+		type: 'counter',
+		labels: ['call'],
+		help: 'Calls of the store without a result.',
+		reading: 'Rises on all nodes: the store is down; on one: it is cut off.',
+	},
+} as const satisfies Record<string, MetricDefinition>;
--- a/packages/observability/src/metric-catalogue.ts
+++ b/packages/observability/src/metric-catalogue.ts
@@ -3,17 +3,8 @@
  * for counters. The registry and docs/METRICS.md are made from this table.
  */
 
-/** One metric. */
-export type MetricDefinition = {
-	/** The name that Prometheus sees. */
-	name: string;
-	type: 'counter' | 'gauge' | 'histogram';
-	labels: readonly string[];
-	/** What it counts or shows. */
-	help: string;
-	/** How it is read. */
-	reading: string;
-};
+import {meshMetricDefinitions} from './mesh-metric-catalogue.js';
+import type {MetricDefinition} from './metric-definition.js';
 
 /** Seconds; finest where the added time of a hop lies. */
 export const timeBuckets = [
@@ -23,6 +14,7 @@
 
 /** The table. */
 export const metricDefinitions = {
+	...meshMetricDefinitions,
 	requests: {
 		name: 'egretspoke_requests_total',
 		type: 'counter',
--- /dev/null
+++ b/packages/observability/src/metric-instruments.ts
@@ -0,0 +1,66 @@
+/** Makes the instruments of a registry from the table of metrics. */
+import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
+import {
+	metricDefinitions,
+	timeBuckets,
+	type MetricKey,
+} from './metric-catalogue.js';
+
+/**
+ * The most values that one label takes. Without a bound a caller who varies
+ * what ends up in a label would grow the registry until the node runs out of
+ * memory; one would notice pages of series that each count 1.
+ */
+const labelValueLimit = 100;
+const otherValue = 'other';
+
+/** A counter of the table. */
+export function createCounter(registry: Registry, key: MetricKey): Counter {
+	return new Counter({...describe(key), registers: [registry]});
+}
+
+/** A gauge of the table. */
+export function createGauge(registry: Registry, key: MetricKey): Gauge {
+	return new Gauge({...describe(key), registers: [registry]});
+}
+
+/** A histogram of the table, in seconds. */
+export function createHistogram(registry: Registry, key: MetricKey): Histogram {
+	return new Histogram({
+		...describe(key),
+		buckets: [...timeBuckets],
+		registers: [registry],
+	});
+}
+
+/** A counter whose total is kept elsewhere. */
+export function createOutsideCounter(registry: Registry, key: MetricKey) {
+	const counter = createCounter(registry, key);
+	let last = 0;
+	return (total: number) => {
+		counter.inc(Math.max(0, total - last));
+		last = total;
+	};
+}
+
+function describe(key: MetricKey) {
+	const {name, help, labels} = metricDefinitions[key];
+	return {name, help, labelNames: [...labels]};
+}
+
+/** Lets the first values of a label through and names the rest alike. */
+export function createLabelBound(): (value: string) => string {
+	const known = new Set<string>();
+	return (value) => {
+		if (known.has(value)) {
+			return value;
+		}
+
+		if (known.size >= labelValueLimit) {
+			return otherValue;
+		}
+
+		known.add(value);
+		return value;
+	};
+}
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -1,12 +1,15 @@
 /** The metrics of one node: a registry of its own, and typed recorders. */
 import process from 'node:process';
 import type {RequestClass} from '@egretspoke/protocol';
-import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {Registry} from 'prom-client';
+import type {MetricKey} from './metric-catalogue.js';
 import {
-	metricDefinitions,
-	timeBuckets,
-	type MetricKey,
-} from './metric-catalogue.js';
+	createCounter,
+	createGauge,
+	createHistogram,
+	createLabelBound,
+	createOutsideCounter,
+} from './metric-instruments.js';
 
 /** A request that ended. */
 export type EndedRequest = {
@@ -64,14 +67,6 @@
 /** How the text is announced over HTTP. */
 export const metricsContentType = Registry.PROMETHEUS_CONTENT_TYPE;
 
-/**
- * The most values that one label takes. Without a bound a caller who varies
- * what ends up in a label would grow the registry until the node runs out of
- * memory; one would notice pages of series that each count 1.
- */
-const labelValueLimit = 100;
-const otherValue = 'other';
-
 const outcomeLabels: Record<EndedRequest['outcome'], string> = {
 	answered: 'answered',
 	notRun: 'not_run',
@@ -183,50 +178,3 @@
 		residentMemory.set(process.memoryUsage.rss());
 	};
 }
-
-function createCounter(registry: Registry, key: MetricKey): Counter {
-	return new Counter({...describe(key), registers: [registry]});
-}
-
-function createGauge(registry: Registry, key: MetricKey): Gauge {
-	return new Gauge({...describe(key), registers: [registry]});
-}
-
-function createHistogram(registry: Registry, key: MetricKey): Histogram {
-	return new Histogram({
-		...describe(key),
-		buckets: [...timeBuckets],
-		registers: [registry],
-	});
-}
-
-/** A counter whose total is kept elsewhere. */
-function createOutsideCounter(registry: Registry, key: MetricKey) {
-	const counter = createCounter(registry, key);
-	let last = 0;
-	return (total: number) => {
-		counter.inc(Math.max(0, total - last));
-		last = total;
-	};
-}
-
-function describe(key: MetricKey) {
-	const {name, help, labels} = metricDefinitions[key];
-	return {name, help, labelNames: [...labels]};
-}
-
-function createLabelBound(): (value: string) => string {
-	const known = new Set<string>();
-	return (value) => {
-		if (known.has(value)) {
-			return value;
-		}
-
-		if (known.size >= labelValueLimit) {
-			return otherValue;
-		}
-
-		known.add(value);
-		return value;
-	};
-}
