--- a/packages/command/__tests__/operator-commands.spec.ts
+++ b/packages/command/__tests__/operator-commands.spec.ts
@@ -318,6 +318,49 @@
 		});
 	});
 
+	describe('explain from logs', () => {
+		const directory = mkdtempSync(path.join(tmpdir(), 'explain-'));
+		const file = path.join(directory, 'orders-1.jsonl');
+		const entry = {
+			at: '2026-01-01T00:00:10.000Z',
+			event: 1601,
+			name: 'meshOwnAnswer',
+			node: 'orders-1',
+			request: 'abc',
+			message: 'answered 503 by this node: noTarget',
+			details: {service: 'orders'},
+		};
+
+		before(() => {
+			writeFileSync(file, `${JSON.stringify(entry)}\nrubbish\n`);
+		});
+
+		after(() => {
+			rmSync(directory, {recursive: true});
+		});
+
+		it('tells the story of a request without asking a node', async () => {
+			const {code, output} = await run(['explain', 'abc', '--logs', file]);
+			expect(code).to.equal(0);
+			expect(output).to.contain('answered 503 by this node: noTarget');
+			expect(output).to.contain('service=orders');
+			expect(output).to.contain('1 lines could not be read');
+		});
+
+		it('says so when no line is about the request', async () => {
+			const {code, output} = await run(['explain', 'other', '--logs', file]);
+			expect(code).to.equal(1);
+			expect(output).to.contain('no line about request other');
+		});
+
+		it('names the file that it can not read', async () => {
+			const missing = path.join(directory, 'missing');
+			const {code, errors} = await run(['explain', 'abc', '--logs', missing]);
+			expect(code).to.equal(2);
+			expect(errors).to.contain(`cannot read the log ${missing}: ENOENT`);
+		});
+	});
+
 	describe('explain', () => {
 		it('shows each decision with its reason', async () => {
 			const {code, output} = await runAgainst(
--- /dev/null
+++ b/packages/observability/__tests__/log-story.spec.ts
@@ -0,0 +1,67 @@
+import {expect} from 'chai';
+import {createLogStoryReader} from '../src/index.js';
+
+const line = (changed: Record<string, unknown>) =>
+	JSON.stringify({
+		at: '2026-01-01T00:00:10.000Z',
+		level: 'info',
+		event: 1601,
+		name: 'meshOwnAnswer',
+		node: 'orders-1',
+		request: 'abc',
+		message: 'answered 503 by this node: noTarget',
+		...changed,
+	});
+
+const tell = (lines: string[]) => {
+	const reader = createLogStoryReader('abc');
+	for (const each of lines) {
+		reader.take(each);
+	}
+
+	return reader.finish();
+};
+
+describe('the story of a request', () => {
+	it('joins the lines of all nodes in order of time, its calls included', () => {
+		const story = tell([
+			line({at: '2026-01-01T00:00:11.000Z', node: 'orders-2'}),
+			line({request: 'abcdef'}),
+			line({request: 'abc.d', node: 'history-1'}),
+			`orders-3 10.02 ${line({at: '2026-01-01T00:00:09.500Z', node: 'orders-3'})}`,
+		]);
+		expect(story.decisions.map(({node}) => node)).to.deep.equal([
+			'orders-3',
+			'history-1',
+			'orders-2',
+		]);
+	});
+
+	it('adds what the deciding nodes had come to believe just before', () => {
+		const notice = {event: 2103, name: 'peerLost', request: undefined};
+		const story = tell([
+			line({}),
+			line({...notice, at: '2026-01-01T00:00:08.000Z', message: 'lost a'}),
+			line({...notice, at: '2026-01-01T00:00:02.000Z', message: 'long ago'}),
+			line({...notice, node: 'media-1', message: 'elsewhere'}),
+		]);
+		expect(story.beliefs.map(({message}) => message)).to.deep.equal(['lost a']);
+	});
+
+	it('says how many lines are missing or can not be read', () => {
+		const story = tell([
+			line({}),
+			'not a line of ours',
+			'{"at":1}',
+			'',
+			line({
+				event: 2901,
+				name: 'linesDropped',
+				request: undefined,
+				details: {count: 7},
+			}),
+		]);
+		expect(story.linesDropped).to.equal(7);
+		expect(story.unreadable).to.equal(2);
+	});
+});
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -5,6 +5,7 @@
 export * from './event-log.js';
 export * from './log-line.js';
 export * from './log-sink.js';
+export * from './log-story.js';
 export * from './mesh-metrics.js';
 export * from './metric-catalogue.js';
 export type * from './metric-definition.js';
