--- a/packages/mesh/__tests__/peer-message.spec.ts
+++ b/packages/mesh/__tests__/peer-message.spec.ts
@@ -59,6 +59,10 @@
 		outcome,
 		load,
 	}),
+	fc.record({
+		kind: fc.constant('load' as const),
+		load: fc.record({occupancy: share, shedLevel: share, failureShare: share}),
+	}),
 	fc.constant({kind: 'ping' as const}),
 );
 
@@ -86,6 +90,7 @@
 			[1, [{kind: 'hello'}]],
 			[1, [[0, 1]]],
 			[1, [[9, 1]]],
+			[1, [[3, 1, 'two', 3]]],
 			[1, [['toString', 1, 2, 3, 4, 5]]],
 			[1, [[2, 1, null, 'answered', 200]]],
 			[1, [[2, 1, null, 'constructor', 200]]],
--- a/packages/mesh/src/compact-message.ts
+++ b/packages/mesh/src/compact-message.ts
@@ -1,5 +1,5 @@
 /**
- * Requests, outcomes and cancels as lists in place of maps.
+ * Requests, outcomes, cancels and loads as lists in place of maps.
  *
  * They are nearly all that links carry. As maps each spells some fifteen
  * names, which is more than the rest of a small request, and bytes between
@@ -13,8 +13,10 @@
 	TargetLoad,
 } from './exchange.js';
 
-/** A message of one exchange. */
-export type ExchangeMessage =
+/** A message that travels as a list. */
+export type CompactMessage =
+	/** How loaded the sender's target is, when no outcome has told it lately. */
+	| {kind: 'load'; load: TargetLoad}
 	| {kind: 'request'; exchange: number; request: HandedRequest}
 	| {kind: 'cancel'; exchange: number}
 	| {
@@ -24,26 +26,35 @@
 			load: TargetLoad | undefined;
 	  };
 
-type Kind = ExchangeMessage['kind'];
+type Kind = CompactMessage['kind'];
 
 /** The first item of each list. */
-const codes = {request: 0, cancel: 1, outcome: 2} as const satisfies Record<
-	Kind,
-	number
->;
+const codes = {
+	request: 0,
+	cancel: 1,
+	outcome: 2,
+	load: 3,
+} as const satisfies Record<Kind, number>;
 /** The items that a list of each code has at least. */
-const leastLengths = [13, 2, 5];
+const leastLengths = [13, 2, 5, 4];
 
 /** Shares travel as whole thousandths: a fraction takes nine bytes. */
 const shareScale = 1000;
 
+/** Whether a message travels as a list. */
+export function isCompact<T extends {kind: string}>(
+	message: T,
+): message is Extract<T, CompactMessage> {
+	return Object.hasOwn(codes, message.kind);
+}
+
 /** Writes a message as a list. */
-export function toCompact(message: ExchangeMessage): unknown[] {
+export function toCompact(message: CompactMessage): unknown[] {
 	return writers[message.kind](message as never);
 }
 
 const writers: {
-	[K in Kind]: (message: Extract<ExchangeMessage, {kind: K}>) => unknown[];
+	[K in Kind]: (message: Extract<CompactMessage, {kind: K}>) => unknown[];
 } = {
 	request: ({exchange, request}) => [
 		codes.request,
@@ -62,6 +73,7 @@
 		Math.floor(request.timeLeft),
 	],
 	cancel: ({exchange}) => [codes.cancel, exchange],
+	load: ({load}) => [codes.load, ...toThousandths(load)],
 	outcome: ({exchange, outcome, load}) => [
 		codes.outcome,
 		exchange,
@@ -73,7 +85,7 @@
 };
 
 /** Reads a list; undefined when it is none of these messages. */
-export function fromCompact(list: unknown[]): ExchangeMessage | undefined {
+export function fromCompact(list: unknown[]): CompactMessage | undefined {
 	const code = list[0] as number;
 	const reader = readers[code];
 	return reader &&
@@ -83,13 +95,17 @@
 		: undefined;
 }
 
-const readers: Array<(list: unknown[]) => ExchangeMessage | undefined> = [
+const readers: Array<(list: unknown[]) => CompactMessage | undefined> = [
 	readRequest,
 	(list) => ({kind: 'cancel', exchange: list[1] as number}),
 	readOutcome,
+	([, ...load]) =>
+		load.every((share) => typeof share === 'number')
+			? {kind: 'load', load: fromThousandths(load as [number, number, number])}
+			: undefined,
 ];
 
-function readRequest(list: unknown[]): ExchangeMessage | undefined {
+function readRequest(list: unknown[]): CompactMessage | undefined {
 	if (!Array.isArray(list[5]) || typeof list[12] !== 'number') {
 		return undefined;
 	}
@@ -113,7 +129,7 @@
 	};
 }
 
-function readOutcome(list: unknown[]): ExchangeMessage | undefined {
+function readOutcome(list: unknown[]): CompactMessage | undefined {
 	const [, exchange, load, kind, detail, headers, body] = list;
 	const outcome = readOutcomeKind(kind, detail, headers, body);
 	return (
--- a/packages/mesh/src/directory.ts
+++ b/packages/mesh/src/directory.ts
@@ -117,6 +117,8 @@
 			peer.state = message;
 			options.onState(message);
 			takeLoad(peer, message.load);
+		} else if (message.kind === 'load') {
+			takeLoad(peer, message.load);
 		} else {
 			options.onMessage(message, (reply) => {
 				peer.link.tell(reply);
--- a/packages/mesh/src/load-report.ts
+++ b/packages/mesh/src/load-report.ts
@@ -10,7 +10,7 @@
 	load: () => TargetLoad;
 	/** How many nodes have to be told. */
 	nodes: () => number;
-	report: () => void;
+	report: (load: TargetLoad) => void;
 };
 
 /** Milliseconds between two reports of a changed load to all peers, for each peer: 15 nodes hear every 300 ms. */
@@ -29,7 +29,7 @@
 		const load = options.load();
 		if (changeBetween(load, reported) >= reportedChange) {
 			reported = load;
-			report();
+			report(load);
 		}
 
 		clock.setTimer(reportTimePerPeer * nodes(), look);
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -272,7 +272,9 @@
 		signal: life.signal,
 		load: () => gatekeeper.load(),
 		nodes: () => directory.size(),
-		report: tellState,
+		report(load) {
+			peerListener.tellAll({kind: 'load', load});
+		},
 	});
 
 	return {
--- a/packages/mesh/src/peer-message.ts
+++ b/packages/mesh/src/peer-message.ts
@@ -9,7 +9,8 @@
 import {
 	fromCompact,
 	toCompact,
-	type ExchangeMessage,
+	isCompact,
+	type CompactMessage,
 } from './compact-message.js';
 import {
 	routingConfigurationSchema,
@@ -84,7 +85,7 @@
 	/** A version that the sender has; one who lacks it asks for it. */
 	| {kind: 'version'; version: number}
 	| {kind: 'configurationWanted'}
-	| ExchangeMessage
+	| CompactMessage
 	| {kind: 'ping'}
 	| {kind: 'pong'};
 
@@ -106,15 +107,7 @@
 }
 
 function toWire(message: PeerMessage): unknown {
-	return isExchangeMessage(message) ? toCompact(message) : message;
-}
-
-function isExchangeMessage(message: PeerMessage): message is ExchangeMessage {
-	return (
-		message.kind === 'request' ||
-		message.kind === 'outcome' ||
-		message.kind === 'cancel'
-	);
+	return isCompact(message) ? toCompact(message) : message;
 }
 
 /** The messages of a frame, or why it is none. */
@@ -149,7 +142,7 @@
 /** The message, or what is wrong with it. */
 function fromWire(item: unknown): PeerMessage | string {
 	if (Array.isArray(item)) {
-		return fromCompact(item) ?? 'malformed message of an exchange';
+		return fromCompact(item) ?? 'malformed list';
 	}
 
 	if (typeof item !== 'object' || item === null || !('kind' in item)) {
