feat(mesh): a target's own failure that is passed on has its line

Cause: of an incident's first failed request (a payment that its target ended with 500) the logs of all nodes said nothing, and explain could only guess. No decision changes.

--- a/packages/mesh/src/passage.ts
+++ b/packages/mesh/src/passage.ts
@@ -84,6 +84,8 @@
 const patienceOfNewWork = 0.25;
 /** The same for calls of work that has begun: giving those up wastes what was done already. */
 const patienceOfInnerCalls = 0.6;
+/** The least status that tells of a failure on the target's side (RFC 9110, section 15.6). */
+const leastFailureStatus = 500;
 /** Milliseconds below which another attempt has no chance to end in time. */
 const leastTimeToRetry = 20;
 
@@ -110,6 +112,8 @@
 	let arrivals = 0;
 	let refusals = 0;
 	let mayHaveRun = false;
+	/** The node whose target answered last. */
+	let answeredBy = '';
 	/** A target's own failure, for the caller if no other target does better. */
 	let failure: FinalAnswer | undefined;
 	let isOver = false;
@@ -123,19 +127,35 @@
 		isOver = true;
 		removeDeadline();
 		note(outcomeOf(final), final.kind === 'own' ? final.reason : '');
+		report(final);
+
+		end.answer(final);
+	};
+
+	/** An answer that is none of a target's, or a target's failure, has its line; successes have none. */
+	const report = (final: FinalAnswer) => {
+		const facts = {
+			status: final.status,
+			route: route.name,
+			service,
+			isInner,
+			arrivals,
+			refusals,
+			waited: Math.round(clock.now() - request.arrivedAt),
+		};
 		if (final.kind === 'own') {
-			reporter.decision('meshOwnAnswer', request.requestId, final.reason, {
-				status: final.status,
-				route: route.name,
-				service,
-				isInner,
-				arrivals,
-				refusals,
-				waited: Math.round(clock.now() - request.arrivedAt),
+			reporter.decision(
+				'meshOwnAnswer',
+				request.requestId,
+				final.reason,
+				facts,
+			);
+		} else if (final.status >= leastFailureStatus) {
+			reporter.decision('meshTargetFailed', request.requestId, 'targetFailed', {
+				...facts,
+				from: answeredBy === localNode ? 'own' : answeredBy,
 			});
 		}
-
-		end.answer(final);
 	};
 
 	const note = (outcome: MeshOutcome, reason: string) => {
@@ -283,6 +303,7 @@
 	} = {
 		answered({status, headers, body}, node, load) {
 			arrivals++;
+			answeredBy = node;
 			const answer: FinalAnswer = {kind: 'target', status, headers, body};
 			// Most failures come from refused calls while load is shed; repeating the
 			// whole tree of calls would only make more of them.
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -32,6 +32,16 @@
 			'The node beside the chosen target did not hand the request over; another target is chosen.',
 		advice: 'Some while targets join or leave are usual.',
 	},
+	meshTargetFailed: {
+		code: 1604,
+		level: 'info',
+		kind: 'decision',
+		template: "the target's own {status} passed on, from {from}",
+		meaning:
+			'A target ran the request and failed, and it was not or may not be sent again.',
+		advice:
+			'Look for lines about calls whose id begins with this one; without any, the fault is in the target itself.',
+	},
 	meshStarted: {
 		code: 2501,
 		level: 'info',
