--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -301,7 +301,7 @@
 		readings: () => ({
 			...gatekeeper.readings(),
 			configurationVersion: follower.current()?.version ?? 0,
-			isStopping,
+			isLeaving: isStopping,
 			openRequests: entry.open(),
 			members: directory.size(),
 			peersConnected: directory.connected(),
--- a/packages/observability/__tests__/metrics.spec.ts
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -22,7 +22,7 @@
 
 const meshReadings: MeshReadings = {
 	configurationVersion: 7,
-	isStopping: false,
+	isLeaving: false,
 	openRequests: 3,
 	members: 3,
 	peersConnected: 2,
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -1,12 +1,12 @@
 /** The metrics of one mesh node: a registry of its own, and typed recorders. */
-import process from 'node:process';
 import {Registry} from 'prom-client';
 import {
 	createCounter,
 	createGauge,
 	createHistogram,
 	createLabelBound,
-	createOutsideCounter,
+	createProcessGauges,
+	type ProcessReadings,
 } from './metric-instruments.js';
 
 /** How a request ended for its caller. */
@@ -24,13 +24,9 @@
 };
 
 /** What a node shows at the moment when it is asked. */
-export type MeshReadings = {
-	configurationVersion: number;
-	isStopping: boolean;
-	openRequests: number;
-	/** Nodes known, this one included, and links that can be used. */
+export type MeshReadings = Omit<ProcessReadings, 'logLinesDropped'> & {
+	/** Nodes known, this one included. */
 	members: number;
-	peersConnected: number;
 	inFlight: number;
 	waiting: number;
 	limit: number;
@@ -55,7 +51,6 @@
 };
 
 const secondsPerMillisecond = 1e-3;
-const secondsPerMicrosecond = 1e-6;
 
 /** Creates the metrics. */
 export function createMeshMetrics(): RenderedMeshMetrics {
@@ -100,33 +95,20 @@
 }
 
 function createReadingGauges(registry: Registry) {
-	const configurationVersion = createGauge(registry, 'configurationVersion');
-	const leaving = createGauge(registry, 'leaving');
-	const openRequests = createGauge(registry, 'openRequests');
 	const members = createGauge(registry, 'meshMembers');
-	const peersConnected = createGauge(registry, 'peersConnected');
 	const inFlight = createGauge(registry, 'inFlight');
 	const waiting = createGauge(registry, 'waiting');
 	const limit = createGauge(registry, 'concurrencyLimit');
 	const shedLevel = createGauge(registry, 'meshShedLevel');
-	const residentMemory = createGauge(registry, 'residentMemory');
-	const setDropped = createOutsideCounter(registry, 'logLinesDropped');
-	const setProcessorTime = createOutsideCounter(registry, 'processorTime');
+	const updateProcess = createProcessGauges(registry);
 
-	return (readings: MeshReadings, linesDropped: number) => {
+	return (readings: MeshReadings, logLinesDropped: number) => {
 		const {service} = readings;
-		configurationVersion.set(readings.configurationVersion);
-		leaving.set(readings.isStopping ? 1 : 0);
-		openRequests.set(readings.openRequests);
+		updateProcess({...readings, logLinesDropped});
 		members.set(readings.members);
-		peersConnected.set(readings.peersConnected);
 		inFlight.set({service}, readings.inFlight);
 		waiting.set({service}, readings.waiting);
 		limit.set({service}, readings.limit);
 		shedLevel.set(readings.shedLevel);
-		residentMemory.set(process.memoryUsage.rss());
-		setDropped(linesDropped);
-		const {user, system} = process.cpuUsage();
-		setProcessorTime((user + system) * secondsPerMicrosecond);
 	};
 }
--- a/packages/observability/src/metric-instruments.ts
+++ b/packages/observability/src/metric-instruments.ts
@@ -1,4 +1,5 @@
 /** Makes the instruments of a registry from the table of metrics. */
+import process from 'node:process';
 import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 import {
 	metricDefinitions,
@@ -34,7 +35,7 @@
 }
 
 /** A counter whose total is kept elsewhere. */
-export function createOutsideCounter(registry: Registry, key: MetricKey) {
+function createOutsideCounter(registry: Registry, key: MetricKey) {
 	const counter = createCounter(registry, key);
 	let last = 0;
 	return (total: number) => {
@@ -64,3 +65,38 @@
 		return value;
 	};
 }
+
+/** What every kind of node shows of its process. */
+export type ProcessReadings = {
+	configurationVersion: number;
+	isLeaving: boolean;
+	openRequests: number;
+	peersConnected: number;
+	logLinesDropped: number;
+};
+
+const microsecondsPerSecond = 1e6;
+
+/** Creates what shows the process; to be called with new readings for each collection. */
+export function createProcessGauges(
+	registry: Registry,
+): (readings: ProcessReadings) => void {
+	const configurationVersion = createGauge(registry, 'configurationVersion');
+	const leaving = createGauge(registry, 'leaving');
+	const openRequests = createGauge(registry, 'openRequests');
+	const peersConnected = createGauge(registry, 'peersConnected');
+	const residentMemory = createGauge(registry, 'residentMemory');
+	const setDropped = createOutsideCounter(registry, 'logLinesDropped');
+	const setProcessorTime = createOutsideCounter(registry, 'processorTime');
+
+	return (readings) => {
+		configurationVersion.set(readings.configurationVersion);
+		leaving.set(readings.isLeaving ? 1 : 0);
+		openRequests.set(readings.openRequests);
+		peersConnected.set(readings.peersConnected);
+		residentMemory.set(process.memoryUsage.rss());
+		setDropped(readings.logLinesDropped);
+		const {user, system} = process.cpuUsage();
+		setProcessorTime((user + system) / microsecondsPerSecond);
+	};
+}
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -1,5 +1,4 @@
 /** The metrics of one node: a registry of its own, and typed recorders. */
-import process from 'node:process';
 import type {RequestClass} from '@egretspoke/protocol';
 import {Registry} from 'prom-client';
 import type {MetricKey} from './metric-catalogue.js';
@@ -8,7 +7,8 @@
 	createGauge,
 	createHistogram,
 	createLabelBound,
-	createOutsideCounter,
+	createProcessGauges,
+	type ProcessReadings,
 } from './metric-instruments.js';
 
 /** A request that ended. */
@@ -24,17 +24,12 @@
 };
 
 /** What the node shows at the moment when it is asked. */
-export type NodeReadings = {
-	configurationVersion: number;
+export type NodeReadings = ProcessReadings & {
 	isPlatformReachable: boolean;
-	isLeaving: boolean;
-	openRequests: number;
-	peersConnected: number;
 	/** Members by state. */
 	members: Readonly<Record<string, number>>;
 	ledgerKeys: number;
 	ledgerBytes: number;
-	logLinesDropped: number;
 	/** Absent on a node without a target. */
 	target?: {
 		service: string;
@@ -134,28 +129,19 @@
 /** Sets every gauge, and the counters that are kept elsewhere, from one reading. */
 function createReadingGauges(registry: Registry) {
 	const gauge = (key: MetricKey) => createGauge(registry, key);
-	const configurationVersion = gauge('configurationVersion');
 	const platformReachable = gauge('platformReachable');
-	const leaving = gauge('leaving');
-	const openRequests = gauge('openRequests');
-	const peersConnected = gauge('peersConnected');
 	const members = gauge('members');
 	const ledgerKeys = gauge('ledgerKeys');
 	const ledgerBytes = gauge('ledgerBytes');
-	const residentMemory = gauge('residentMemory');
 	const inFlight = gauge('inFlight');
 	const waiting = gauge('waiting');
 	const limit = gauge('concurrencyLimit');
 	const level = gauge('admissionLevel');
-	const setDropped = createOutsideCounter(registry, 'logLinesDropped');
-	const setProcessorTime = createOutsideCounter(registry, 'processorTime');
+	const updateProcess = createProcessGauges(registry);
 
 	return (readings: NodeReadings) => {
-		configurationVersion.set(readings.configurationVersion);
+		updateProcess(readings);
 		platformReachable.set(readings.isPlatformReachable ? 1 : 0);
-		leaving.set(readings.isLeaving ? 1 : 0);
-		openRequests.set(readings.openRequests);
-		peersConnected.set(readings.peersConnected);
 		ledgerKeys.set(readings.ledgerKeys);
 		ledgerBytes.set(readings.ledgerBytes);
 		members.reset();
@@ -171,10 +157,5 @@
 			limit.set({service}, target.limit);
 			level.set({service}, target.level);
 		}
-
-		setDropped(readings.logLinesDropped);
-		const {user, system} = process.cpuUsage();
-		setProcessorTime((user + system) / 1e6);
-		residentMemory.set(process.memoryUsage.rss());
 	};
 }
