--- a/packages/mesh/src/caller-listener.ts
+++ b/packages/mesh/src/caller-listener.ts
@@ -16,7 +16,7 @@
 import {findHeader, keepEndToEnd, type HeaderNames} from './header-names.js';
 import {listenOn} from './listening.js';
 import type {MeshReporter} from './mesh-reporter.js';
-import type {FinalAnswer} from './passage.js';
+import type {FinalAnswer} from './caller-request.js';
 import type {CallerLimits} from './route.js';
 
 /** What the listener needs. */
--- a/packages/mesh/src/entry.ts
+++ b/packages/mesh/src/entry.ts
@@ -1,9 +1,8 @@
 /** Requests of the callers beside this node: finds the route of each and lets it pass. */
+import type {CallerRequest, FinalAnswer} from './caller-request.js';
 import {shortReturn} from './decisions/return-time.js';
 import {
 	createPassage,
-	type CallerRequest,
-	type FinalAnswer,
 	type PassageEnd,
 	type PassageOptions,
 } from './passage.js';
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -9,6 +9,7 @@
 import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
 import type {Clock, Timer} from '@egretspoke/shared';
 import type {DeadlineWheel} from './deadline-wheel.js';
+import {createDeeperLevel} from './decisions/deeper-level.js';
 import {createFailureShare} from './decisions/failure-share.js';
 import {createGate, type Gate} from './decisions/gate.js';
 import type {MeshPolicy} from './decisions/mesh-policy.js';
@@ -76,8 +77,6 @@
  * allow; this is half of it, since a cancel takes a while to arrive.
  */
 const cancelGrace = 250;
-/** Milliseconds that the level seen at deeper services counts after the last call. */
-const deeperLevelTime = 1000;
 
 /** Milliseconds between two renewals of the connections to the target: a check of its health takes no longer. */
 const renewalPeriod = 2000;
@@ -96,22 +95,18 @@
 export function createGatekeeper(options: GatekeeperOptions): Gatekeeper {
 	const {clock, wheel, headerNames, reporter, metrics} = options;
 	const ownLevel = createShedLevel();
+	const deeperLevel = createDeeperLevel();
 	const failures = createFailureShare();
 	let gate: Gate<Job> = createGate<Job>(1);
 	let target: TargetRecord | undefined;
 	let client: TargetClient | undefined;
 	let isStopping = false;
 	let isReachable = true;
-	let deeperLevel = 0;
-	let deeperLevelUntil = 0;
 	let ticker: Timer | undefined;
 
 	const load = (): TargetLoad => ({
 		occupancy: (gate.running() + gate.waiting()) / gate.limit(),
-		shedLevel: Math.max(
-			ownLevel.value(),
-			clock.now() < deeperLevelUntil ? deeperLevel : 0,
-		),
+		shedLevel: Math.max(ownLevel.value(), deeperLevel.value(clock.now())),
 		failureShare: failures.value(clock.now()),
 	});
 
@@ -368,12 +363,7 @@
 			};
 		},
 		noteDeeperLevel(level) {
-			const now = clock.now();
-			deeperLevel =
-				now < deeperLevelUntil
-					? deeperLevel + (level - deeperLevel) / 8
-					: level;
-			deeperLevelUntil = now + deeperLevelTime;
+			deeperLevel.note(level, clock.now());
 		},
 		load,
 		close() {
--- /dev/null
+++ b/packages/mesh/src/local-candidate.ts
@@ -0,0 +1,25 @@
+/** The target beside this node as one that may be chosen. */
+import type {TargetCandidate} from './directory.js';
+import type {Gatekeeper} from './gatekeeper.js';
+
+/** Stands for this node's own target among those that were tried; no node has an empty name. */
+export const localNode = '';
+
+/** Its state as of now; it is doubtful while this node stops. */
+export function createLocalCandidate(
+	gatekeeper: Gatekeeper,
+	isDoubtful: boolean,
+): TargetCandidate {
+	const {occupancy, shedLevel, failureShare} = gatekeeper.load();
+	return {
+		node: localNode,
+		isOwn: true,
+		isNear: true,
+		occupancy,
+		failureShare,
+		isDoubtful,
+		channel: gatekeeper,
+		shedLevel,
+		note: () => undefined,
+	};
+}
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -16,6 +16,8 @@
 import {createEntry} from './entry.js';
 import {createGatekeeper} from './gatekeeper.js';
 import type {HeaderNames} from './header-names.js';
+import {createNewsHandler} from './peer-news.js';
+import {waitUntilIdle} from './planned-stop.js';
 import {createLoadReport} from './load-report.js';
 import {createMemberRegister} from './member-register.js';
 import type {MeshReporter} from './mesh-reporter.js';
@@ -79,11 +81,6 @@
 	abort(): void;
 };
 
-/**
- * Milliseconds that a stopping node goes on at least: callers' balancers ask
- * every second and take a node out after two misses.
- */
-const leastStopTime = 2500;
 /**
  * Milliseconds after the order to stop in which the target still gets work that
  * has no other target. When nodes are stopped one after the other, faster than
@@ -92,10 +89,6 @@
  * taken in by then has the rest of the grace to end.
  */
 const lastWorkTime = 2000;
-/** Milliseconds before the end of the grace at which what is left is cut. */
-const stopReserve = 500;
-const stopLookPeriod = 50;
-
 /** Creates a node that is not listening yet. */
 export function createMeshNode(options: MeshNodeOptions): MeshNode {
 	const {clock, random, reporter, metrics, headerNames} = options;
@@ -160,36 +153,12 @@
 		},
 	});
 
-	/** Handlers of messages that may come on either side of a link. */
-	const receive = (
-		message: PeerMessage,
-		reply: (message: PeerMessage) => void,
-	) => {
-		const current = follower.current();
-		if (message.kind === 'hello') {
-			directory.addMembers(message.members);
-			offerVersion(message.configurationVersion, reply);
-		} else if (message.kind === 'version') {
-			offerVersion(message.version, reply);
-		} else if (message.kind === 'configurationWanted' && current) {
-			reply({kind: 'configuration', configuration: current});
-		} else if (message.kind === 'configuration') {
-			follower.offer(message.configuration);
-		}
-	};
-
-	/** Asks for a version that is newer, and sends one that the other side lacks. */
-	const offerVersion = (
-		version: number,
-		reply: (message: PeerMessage) => void,
-	) => {
-		const current = follower.current();
-		if (version > (current?.version ?? 0)) {
-			reply({kind: 'configurationWanted'});
-		} else if (current && version < current.version) {
-			reply({kind: 'configuration', configuration: current});
-		}
-	};
+	const receive = createNewsHandler({
+		follower,
+		onMembers(members) {
+			directory.addMembers(members);
+		},
+	});
 
 	const onMalformed = (detail: string) => {
 		reporter.notice('malformedMessage', {detail});
@@ -311,7 +280,6 @@
 			settings = changed;
 		},
 		async stop() {
-			const since = clock.now();
 			isStopping = true;
 			reporter.notice('leaving', {reason: 'planned stop'});
 			tellState();
@@ -319,7 +287,10 @@
 				gatekeeper.stop();
 			});
 			callerListener.drain();
-			await waitUntilIdle(since);
+			await waitUntilIdle(clock, settings.grace, () => {
+				callerListener.drain();
+				return entry.open() === 0 && gatekeeper.held() === 0;
+			});
 			reporter.notice('drained', {cut: entry.open() + gatekeeper.held()});
 			abort();
 		},
@@ -334,24 +305,4 @@
 		gatekeeper.close();
 		store.close();
 	}
-
-	async function waitUntilIdle(since: number): Promise<void> {
-		await new Promise<void>((resolve) => {
-			const look = () => {
-				const time = clock.now() - since;
-				const isIdle = entry.open() === 0 && gatekeeper.held() === 0;
-				callerListener.drain();
-				if (
-					(isIdle && time >= leastStopTime) ||
-					time >= settings.grace - stopReserve
-				) {
-					resolve();
-				} else {
-					clock.setTimer(stopLookPeriod, look);
-				}
-			};
-
-			look();
-		});
-	}
 }
--- a/packages/mesh/src/passage.ts
+++ b/packages/mesh/src/passage.ts
@@ -7,8 +7,9 @@
  * so it is given only while no attempt can have run; otherwise the answer is
  * a failure that promises nothing.
  */
-import type {MeshMetrics, MeshOutcome} from '@egretspoke/observability';
+import type {MeshMetrics} from '@egretspoke/observability';
 import type {Clock, Random} from '@egretspoke/shared';
+import type {CallerRequest, FinalAnswer} from './caller-request.js';
 import type {DeadlineWheel} from './deadline-wheel.js';
 import type {InnerRoutes} from './decisions/inner-routes.js';
 import type {MeshPolicy} from './decisions/mesh-policy.js';
@@ -19,41 +20,14 @@
 	isTargetFailure,
 	type HandedRequest,
 	type Outcome,
-	type TargetAnswer,
 	type TargetLoad,
 } from './exchange.js';
 import type {Gatekeeper} from './gatekeeper.js';
+import {createLocalCandidate, localNode} from './local-candidate.js';
 import type {MeshReporter} from './mesh-reporter.js';
+import {createPassageReport} from './passage-report.js';
 import type {TableRoute} from './route-table.js';
 
-/** A request as a caller sent it. */
-export type CallerRequest = {
-	requestId: string;
-	method: string;
-	host: string;
-	/** With its query. */
-	path: string;
-	/** End-to-end headers that go on as they are. */
-	headers: string[];
-	body: Uint8Array | undefined;
-	/** When its first byte was read, on the clock. */
-	arrivedAt: number;
-	/** Milliseconds that the caller waits, from its arrival. */
-	timeLeft: number | undefined;
-};
-
-/** An answer of this node's own. */
-export type OwnAnswer = {
-	kind: 'own';
-	status: 404 | 502 | 503 | 504;
-	reason: string;
-	/** Milliseconds after which the caller should come back. */
-	retryAfter?: number;
-};
-
-/** What a caller gets. */
-export type FinalAnswer = ({kind: 'target'} & TargetAnswer) | OwnAnswer;
-
 /** What every passage of a node needs. */
 export type PassageOptions = {
 	clock: Clock;
@@ -84,8 +58,6 @@
 const patienceOfNewWork = 0.25;
 /** The same for calls of work that has begun: giving those up wastes what was done already. */
 const patienceOfInnerCalls = 0.6;
-/** The least status that tells of a failure on the target's side (RFC 9110, section 15.6). */
-const leastFailureStatus = 500;
 /** Milliseconds below which another attempt has no chance to end in time. */
 const leastTimeToRetry = 20;
 
@@ -107,6 +79,11 @@
 		options.onNewRoute();
 	}
 
+	const report = createPassageReport(options, request, {
+		route: route.name,
+		service,
+		isInner,
+	});
 	const tried = new Set<string>();
 	/** Targets that got the request. */
 	let arrivals = 0;
@@ -126,47 +103,11 @@
 
 		isOver = true;
 		removeDeadline();
-		note(outcomeOf(final), final.kind === 'own' ? final.reason : '');
-		report(final);
+		report.answered(final, {arrivals, refusals, answeredBy});
 
 		end.answer(final);
 	};
 
-	/** An answer that is none of a target's, or a target's failure, has its line; successes have none. */
-	const report = (final: FinalAnswer) => {
-		const facts = {
-			status: final.status,
-			route: route.name,
-			service,
-			isInner,
-			arrivals,
-			refusals,
-			waited: Math.round(clock.now() - request.arrivedAt),
-		};
-		if (final.kind === 'own') {
-			reporter.decision(
-				'meshOwnAnswer',
-				request.requestId,
-				final.reason,
-				facts,
-			);
-		} else if (final.status >= leastFailureStatus) {
-			reporter.decision('meshTargetFailed', request.requestId, 'targetFailed', {
-				...facts,
-				from: answeredBy === localNode ? 'own' : answeredBy,
-			});
-		}
-	};
-
-	const note = (outcome: MeshOutcome, reason: string) => {
-		metrics.requestEnded({
-			route: route.name,
-			outcome,
-			reason,
-			duration: clock.now() - request.arrivedAt,
-		});
-	};
-
 	const removeDeadline = wheel.add(until, () => {
 		cancelAttempt();
 		finish({kind: 'own', status: 504, reason: 'timeout'});
@@ -357,37 +298,8 @@
 			isOver = true;
 			removeDeadline();
 			cancelAttempt();
-			note('left', '');
+			report.left();
 			end.onLeft();
 		}
 	};
 }
-
-function outcomeOf(final: FinalAnswer): MeshOutcome {
-	if (final.kind === 'own') {
-		return final.status === 503 ? 'refused' : 'unknown';
-	}
-
-	return final.status < 300 ? 'answered' : 'failed';
-}
-
-/** Stands for this node's own target among those that were tried; no node has an empty name. */
-const localNode = '';
-
-function createLocalCandidate(
-	gatekeeper: Gatekeeper,
-	isDoubtful: boolean,
-): TargetCandidate {
-	const {occupancy, shedLevel, failureShare} = gatekeeper.load();
-	return {
-		node: localNode,
-		isOwn: true,
-		isNear: true,
-		occupancy,
-		failureShare,
-		isDoubtful,
-		channel: gatekeeper,
-		shedLevel,
-		note: () => undefined,
-	};
-}
