--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -72,10 +72,10 @@
  * wants. When one call of a request fails, its target gives up the others, and
  * each of those targets the calls below it: cut off at once, every such call
  * costs a connection, which takes longer to open again than most of them have
- * left. With every second call to the deepest
- * service failing for three seconds, fifteen targets took 3,091 new connections
- * without this and 494 with it. Half a second is what callers' operators allow;
- * this is half of it, since a cancel takes a while to arrive.
+ * left. With every second call to the deepest service failing for three
+ * seconds, fifteen targets took 3,091 new connections without this and 494 with
+ * it. Half a second is what callers' operators allow; this is half of it, since
+ * a cancel takes a while to arrive.
  */
 const cancelGrace = 250;
 
