--- a/packages/mesh/src/compact-message.ts
+++ b/packages/mesh/src/compact-message.ts
@@ -107,8 +107,31 @@
 			: undefined,
 ];
 
+/** Where a request's list holds what, by type; its headers and its body are looked at apart. */
+const requestTypes = {
+	string: [2, 3, 4, 7],
+	boolean: [8, 9],
+	number: [10, 11, 12],
+} as const;
+
+/**
+ * A part of a wrong type would throw at the target's client after a slot was
+ * taken for it, which is then never free again; one would notice a target
+ * that is called full and runs nothing.
+ */
+function isRequestList(list: unknown[]): boolean {
+	const body = list[6];
+	return (
+		Object.entries(requestTypes).every(([type, positions]) =>
+			positions.every((position) => typeof list[position] === type),
+		) &&
+		Array.isArray(list[5]) &&
+		(body === null || body instanceof Uint8Array)
+	);
+}
+
 function readRequest(list: unknown[]): CompactMessage | undefined {
-	if (!Array.isArray(list[5]) || typeof list[12] !== 'number') {
+	if (!isRequestList(list)) {
 		return undefined;
 	}
 
@@ -126,7 +149,7 @@
 			isInner: list[9] as boolean,
 			priority: list[10] as number,
 			patience: list[11] as number,
-			timeLeft: list[12],
+			timeLeft: list[12] as number,
 		},
 	};
 }
