--- a/packages/command/__tests__/fake-admin.ts
+++ b/packages/command/__tests__/fake-admin.ts
@@ -5,6 +5,7 @@
 import {createSystemClock} from '@egretspoke/shared';
 import {
 	createColour,
+	environmentNames,
 	runProgram,
 	type ExitCode,
 	type Terminal,
@@ -90,3 +91,17 @@
 	const chunks = (await request.toArray()) as Uint8Array[];
 	return chunks.map((chunk) => new TextDecoder().decode(chunk)).join('');
 }
+
+/** Runs one command line against a listener with these answers. */
+export async function runAgainst(
+	answers: Record<string, FakeAnswer>,
+	argumentList: string[],
+	environment: Record<string, string> = {},
+) {
+	const admin = await startFakeAdmin(answers);
+	const result = await run(argumentList, {
+		environment: {[environmentNames.node]: admin.address, ...environment},
+	});
+	await admin.close();
+	return {...result, seen: admin.seen};
+}
--- a/packages/command/src/explain-command.ts
+++ b/packages/command/src/explain-command.ts
@@ -1,23 +1,14 @@
 /** `egretspoke explain`: why was a request routed, queued or refused? */
-import {createReadStream} from 'node:fs';
-import process from 'node:process';
-import {createInterface} from 'node:readline';
-import {
-	createLogStoryReader,
-	type LogEntry,
-	type LogStory,
-	type LogStoryReader,
-} from '@egretspoke/observability';
+import {createLogStoryReader} from '@egretspoke/observability';
 import {explanationSchema, type Explanation} from '@egretspoke/protocol';
 import type {Command} from 'commander';
 import {
 	addJsonOption,
 	addNodeOptions,
-	printJson,
 	type CommandHost,
 	type NodeOptions,
 } from './command-host.js';
-import {exitCodes} from './exit-code.js';
+import {readLogs, renderDetails, showStory} from './log-story-output.js';
 import {queryNode} from './node-query.js';
 import {renderTable, type Column} from './table.js';
 import type {Terminal} from './terminal.js';
@@ -64,85 +55,6 @@
 
 type ExplainOptions = NodeOptions & {logs?: string[]};
 
-/** Reads the files one after the other; gives what can't be read. */
-async function readLogs(
-	reader: LogStoryReader,
-	files: readonly string[],
-): Promise<string | undefined> {
-	for (const file of files) {
-		const input = file === '-' ? process.stdin : createReadStream(file);
-		try {
-			// eslint-disable-next-line no-await-in-loop -- one file after the other.
-			for await (const line of createInterface({input})) {
-				reader.take(line);
-			}
-		} catch (error) {
-			const {code} = error as NodeJS.ErrnoException;
-			return `cannot read the log ${file}: ${code}`;
-		}
-	}
-
-	return undefined;
-}
-
-function showStory(
-	{terminal, finish}: CommandHost,
-	story: LogStory,
-	{json}: {json?: boolean},
-): void {
-	if (json) {
-		printJson(terminal, story);
-	} else {
-		printStory(terminal, story);
-	}
-
-	finish(story.decisions.length > 0 ? exitCodes.done : exitCodes.refused);
-}
-
-function printStory(terminal: Terminal, story: LogStory): void {
-	const {request, decisions, beliefs, linesDropped, unreadable} = story;
-	if (decisions.length === 0) {
-		terminal.write(
-			`no line about request ${request}: its target answered it at the first try, or the log of its entry node is missing\n`,
-		);
-	} else {
-		terminal.write(`request ${request}\n`);
-		terminal.write(renderTable(decisions, entryColumns, terminal.colour));
-	}
-
-	if (beliefs.length > 0) {
-		terminal.write('\nwhat these nodes had come to believe before\n');
-		terminal.write(renderTable(beliefs, entryColumns, terminal.colour));
-	}
-
-	if (linesDropped > 0) {
-		terminal.write(
-			`\nthese nodes dropped ${linesDropped} lines, so decisions may be missing\n`,
-		);
-	}
-
-	if (unreadable > 0) {
-		terminal.write(`\n${unreadable} lines could not be read\n`);
-	}
-}
-
-const entryColumns: Array<Column<LogEntry>> = [
-	{heading: 'AT', cell: ({at}) => at},
-	{heading: 'NODE', cell: ({node}) => node},
-	{heading: 'EVENT', cell: ({event}) => String(event)},
-	{heading: 'REQUEST', cell: ({request}) => request ?? ''},
-	{heading: 'LINE', cell: ({message}) => message},
-	{heading: 'DETAILS', cell: ({details}) => renderDetails(details ?? {})},
-];
-
-function renderDetails(
-	details: Readonly<Record<string, string | number | boolean>>,
-): string {
-	return Object.entries(details)
-		.map(([key, value]) => `${key}=${value}`)
-		.join(' ');
-}
-
 function printExplanation(
 	terminal: Terminal,
 	{request, node, decisions}: Explanation,
--- a/packages/mesh/__tests__/target-record.spec.ts
+++ b/packages/mesh/__tests__/target-record.spec.ts
@@ -74,20 +74,15 @@
 	});
 
 	it('takes a farewell of the known start only', () => {
-		expect(
-			takeWithdrawal(known, {targetId: 'target-1', startedAt: 1000}, 5000).kind,
-		).to.equal('changed');
-		expect(
-			takeWithdrawal(known, {targetId: 'target-1', startedAt: undefined}, 5000)
-				.kind,
-		).to.equal('changed');
-		expect(
-			takeWithdrawal(known, {targetId: 'target-1', startedAt: 900}, 5000).kind,
-		).to.equal('stale');
-		expect(
-			takeWithdrawal(known, {targetId: 'target-0', startedAt: undefined}, 5000)
-				.kind,
-		).to.equal('stale');
+		const farewells = [
+			{targetId: 'target-1', startedAt: 1000, kind: 'changed'},
+			{targetId: 'target-1', startedAt: undefined, kind: 'changed'},
+			{targetId: 'target-1', startedAt: 900, kind: 'stale'},
+			{targetId: 'target-0', startedAt: undefined, kind: 'stale'},
+		];
+		for (const {kind, ...withdrawal} of farewells) {
+			expect(takeWithdrawal(known, withdrawal, 5000).kind).to.equal(kind);
+		}
 	});
 
 	it('acknowledges a leaving again whose first acknowledgement was lost', () => {
--- /dev/null
+++ b/packages/mesh/__tests__/target-selection.spec.ts
@@ -0,0 +1,107 @@
+import {createRandom} from '@egretspoke/shared';
+import {expect} from 'chai';
+import {
+	selectTarget,
+	type Candidate,
+} from '../src/decisions/target-selection.js';
+
+describe('the choice of a target', () => {
+	const random = createRandom(7);
+	const candidate = (changed: Partial<Candidate>): Candidate => ({
+		node: 'a',
+		isOwn: false,
+		isNear: true,
+		occupancy: 0.5,
+		failureShare: 0,
+		isDoubtful: false,
+		...changed,
+	});
+
+	const count = (candidates: Candidate[], node: string, bodyBytes = 0) =>
+		Array.from({length: 300}, () =>
+			selectTarget(candidates, random, bodyBytes),
+		).filter((chosen) => chosen?.node === node).length;
+
+	it('stays near while a near target has room', () => {
+		const candidates = [
+			candidate({node: 'near'}),
+			candidate({node: 'far', isNear: false, occupancy: 0}),
+		];
+		expect(count(candidates, 'near')).to.equal(300);
+	});
+
+	it('goes elsewhere before the only near target is full', () => {
+		const candidates = [
+			candidate({node: 'near', occupancy: 0.95}),
+			candidate({node: 'far', isNear: false, occupancy: 0.3}),
+		];
+		expect(count(candidates, 'far')).to.equal(300);
+	});
+
+	it('takes the target beside its own node while that has room', () => {
+		const own = candidate({node: 'own', isOwn: true});
+		const other = candidate({node: 'other', occupancy: 0});
+		expect(count([own, other], 'own')).to.equal(300);
+		expect(count([{...own, occupancy: 0.9}, other], 'other')).to.equal(300);
+	});
+
+	it('does not cross between data centres while all targets are as full', () => {
+		// Demand is half above what the service can run, and every target has a
+		// queue. Crossing spares no wait then; two thirds of all calls would cross.
+		const candidates = [
+			candidate({node: 'near', occupancy: 1.3}),
+			candidate({node: 'far', isNear: false, occupancy: 1.1}),
+			candidate({node: 'further', isNear: false, occupancy: 1.2}),
+		];
+		expect(count(candidates, 'near')).to.equal(300);
+		const slow = [candidate({node: 'near', occupancy: 1.6}), ...candidates];
+		expect(
+			count(
+				slow.filter((_, index) => index !== 1),
+				'near',
+			),
+		).to.equal(0);
+	});
+
+	it('has a large upload wait for a near target where a small request crosses', () => {
+		const candidates = [
+			candidate({node: 'near', occupancy: 1.2}),
+			candidate({node: 'far', isNear: false, occupancy: 0.5}),
+		];
+		expect(count(candidates, 'near', 60_000)).to.equal(300);
+		expect(count(candidates, 'far', 500)).to.equal(300);
+	});
+
+	it('gives work to a target that has just joined', () => {
+		const candidates = [
+			candidate({node: 'old'}),
+			candidate({node: 'joined', occupancy: 0}),
+		];
+		expect(count(candidates, 'joined')).to.equal(300);
+	});
+
+	it('avoids a target that fails half of its requests and seems idle for it', () => {
+		const grey = candidate({node: 'grey', occupancy: 0.1, failureShare: 0.5});
+		const candidates = [grey, candidate({node: 'good', occupancy: 0.4})];
+		expect(count(candidates, 'grey')).to.equal(0);
+		expect(
+			count([grey, candidate({node: 'full', occupancy: 0.9})], 'grey'),
+		).to.equal(300);
+	});
+
+	it('takes failures that all targets share for those of a deeper service', () => {
+		const candidates = [
+			candidate({node: 'near', failureShare: 0.6}),
+			candidate({node: 'far', isNear: false, failureShare: 0.6}),
+		];
+		expect(count(candidates, 'near')).to.equal(300);
+	});
+
+	it('takes a doubtful target only when there is no other', () => {
+		const doubtful = candidate({node: 'doubtful', isDoubtful: true});
+		expect(
+			count([doubtful, candidate({node: 'good', occupancy: 2})], 'doubtful'),
+		).to.equal(0);
+		expect(count([doubtful], 'doubtful')).to.equal(300);
+	});
+});
--- /dev/null
+++ b/packages/mesh/__tests__/weighted-rotation.spec.ts
@@ -0,0 +1,25 @@
+import {expect} from 'chai';
+import {createWeightedRotation} from '../src/decisions/weighted-rotation.js';
+
+describe('a weighted rotation', () => {
+	it('keeps any run of requests within one request of the weights', () => {
+		const rotation = createWeightedRotation([
+			{service: 'old', weight: 90},
+			{service: 'new', weight: 10},
+		]);
+		for (let run = 0; run < 50; run++) {
+			const taken = Array.from({length: 10}, () => rotation.next());
+			expect(taken.filter((service) => service === 'new')).to.have.length(1);
+		}
+	});
+
+	it('never takes a service of weight 0 beside others', () => {
+		const rotation = createWeightedRotation([
+			{service: 'old', weight: 0},
+			{service: 'new', weight: 5},
+		]);
+		expect(Array.from({length: 5}, () => rotation.next())).to.not.include(
+			'old',
+		);
+	});
+});
--- a/packages/mesh/src/compact-message.ts
+++ b/packages/mesh/src/compact-message.ts
@@ -37,8 +37,6 @@
 	outcome: 2,
 	load: 3,
 } as const satisfies Record<Kind, number>;
-/** The items that a list of each code has at least. */
-const leastLengths = [13, 2, 5, 4];
 
 /** Shares travel as whole thousandths: a fraction takes nine bytes. */
 const shareScale = 1000;
@@ -88,23 +86,26 @@
 
 /** Reads a list; undefined when it is none of these messages. */
 export function fromCompact(list: unknown[]): CompactMessage | undefined {
-	const code = list[0] as number;
-	const reader = readers[code];
+	const reader = readers[list[0] as number];
 	return reader &&
-		list.length >= leastLengths[code]! &&
+		list.length >= reader.leastLength &&
 		typeof list[1] === 'number'
-		? reader(list)
+		? reader.read(list)
 		: undefined;
 }
 
-const readers: Array<(list: unknown[]) => CompactMessage | undefined> = [
-	readRequest,
-	(list) => ({kind: 'cancel', exchange: list[1] as number}),
-	readOutcome,
-	([, ...load]) =>
-		load.every((share) => typeof share === 'number')
-			? {kind: 'load', load: fromThousandths(load as [number, number, number])}
-			: undefined,
+/** A reader for each code, and the items that its list has at least. */
+const readers: Array<{
+	leastLength: number;
+	read: (list: unknown[]) => CompactMessage | undefined;
+}> = [
+	{leastLength: 13, read: readRequest},
+	{
+		leastLength: 2,
+		read: (list) => ({kind: 'cancel', exchange: list[1] as number}),
+	},
+	{leastLength: 5, read: readOutcome},
+	{leastLength: 4, read: readLoad},
 ];
 
 /** Where a request's list holds what, by type; its headers and its body are looked at apart. */
@@ -154,6 +155,12 @@
 	};
 }
 
+function readLoad([, ...load]: unknown[]): CompactMessage | undefined {
+	return load.every((share) => typeof share === 'number')
+		? {kind: 'load', load: fromThousandths(load as [number, number, number])}
+		: undefined;
+}
+
 function readOutcome(list: unknown[]): CompactMessage | undefined {
 	const [, exchange, load, kind, detail, headers, body] = list;
 	const outcome = readOutcomeKind(kind, detail, headers, body);
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -9,7 +9,7 @@
 		labels: ['route', 'outcome', 'reason'],
 		help: 'Requests that entered at this node and ended, calls of the target beside it included.',
 		reading:
-			'`answered` is a success, `failed` a failure of the target, `refused` a 503 that has not run, `unknown` a 502 or 504, `left` a caller that went. `reason` is that of event 1601.',
+			'`answered` is a success, `failed` a failure of the target, `refused` a 503 that has not run or a 404 without a route, `unknown` a 502 or 504, `left` a caller that went. `reason` is that of event 1601.',
 	},
 	meshRequestDuration: {
 		name: 'egretspoke_mesh_request_duration_seconds',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -6,7 +6,10 @@
 	createHistogram,
 	createLabelBound,
 	createProcessGauges,
+	createTargetGauges,
+	secondsPerMillisecond,
 	type ProcessReadings,
+	type TargetReadings,
 } from './metric-instruments.js';
 
 /** How a request ended for its caller. */
@@ -24,15 +27,12 @@
 };
 
 /** What a node shows at the moment when it is asked. */
-export type MeshReadings = Omit<ProcessReadings, 'logLinesDropped'> & {
-	/** Nodes known, this one included. */
-	members: number;
-	inFlight: number;
-	waiting: number;
-	limit: number;
-	shedLevel: number;
-	service: string;
-};
+export type MeshReadings = Omit<ProcessReadings, 'logLinesDropped'> &
+	TargetReadings & {
+		/** Nodes known, this one included. */
+		members: number;
+		shedLevel: number;
+	};
 
 /** The recorders of a node; none of them blocks or throws. */
 export type MeshMetrics = {
@@ -50,8 +50,6 @@
 	render(readings: MeshReadings, linesDropped: number): Promise<string>;
 };
 
-const secondsPerMillisecond = 1e-3;
-
 /** Creates the metrics. */
 export function createMeshMetrics(): RenderedMeshMetrics {
 	const registry = new Registry();
@@ -96,19 +94,14 @@
 
 function createReadingGauges(registry: Registry) {
 	const members = createGauge(registry, 'meshMembers');
-	const inFlight = createGauge(registry, 'inFlight');
-	const waiting = createGauge(registry, 'waiting');
-	const limit = createGauge(registry, 'concurrencyLimit');
 	const shedLevel = createGauge(registry, 'meshShedLevel');
 	const updateProcess = createProcessGauges(registry);
+	const updateTarget = createTargetGauges(registry);
 
 	return (readings: MeshReadings, logLinesDropped: number) => {
-		const {service} = readings;
 		updateProcess({...readings, logLinesDropped});
+		updateTarget(readings);
 		members.set(readings.members);
-		inFlight.set({service}, readings.inFlight);
-		waiting.set({service}, readings.waiting);
-		limit.set({service}, readings.limit);
 		shedLevel.set(readings.shedLevel);
 	};
 }
--- a/packages/observability/src/metric-instruments.ts
+++ b/packages/observability/src/metric-instruments.ts
@@ -76,6 +76,8 @@
 };
 
 const microsecondsPerSecond = 1e6;
+/** Durations are told in milliseconds and shown in seconds. */
+export const secondsPerMillisecond = 1e-3;
 
 /** Creates what shows the process; to be called with new readings for each collection. */
 export function createProcessGauges(
@@ -100,3 +102,28 @@
 		setProcessorTime((user + system) / microsecondsPerSecond);
 	};
 }
+
+/** What every kind of node shows of the target beside it. */
+export type TargetReadings = {
+	service: string;
+	inFlight: number;
+	waiting: number;
+	limit: number;
+};
+
+/** Creates what shows the target; to be called with new readings for each collection. */
+export function createTargetGauges(
+	registry: Registry,
+): (readings: TargetReadings) => void {
+	const gauges = {
+		inFlight: createGauge(registry, 'inFlight'),
+		waiting: createGauge(registry, 'waiting'),
+		limit: createGauge(registry, 'concurrencyLimit'),
+	};
+
+	return ({service, inFlight, waiting, limit}) => {
+		gauges.inFlight.set({service}, inFlight);
+		gauges.waiting.set({service}, waiting);
+		gauges.limit.set({service}, limit);
+	};
+}
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -8,7 +8,10 @@
 	createHistogram,
 	createLabelBound,
 	createProcessGauges,
+	createTargetGauges,
+	secondsPerMillisecond,
 	type ProcessReadings,
+	type TargetReadings,
 } from './metric-instruments.js';
 
 /** A request that ended. */
@@ -31,13 +34,7 @@
 	ledgerKeys: number;
 	ledgerBytes: number;
 	/** Absent on a node without a target. */
-	target?: {
-		service: string;
-		inFlight: number;
-		waiting: number;
-		limit: number;
-		level: number;
-	};
+	target?: TargetReadings & {level: number};
 };
 
 /** Where malformed input came in. */
@@ -96,10 +93,16 @@
 				outcome: outcomeLabels[outcome],
 				error: error ?? '',
 			});
-			duration.observe({role, service: bounded}, rest.duration / 1000);
+			duration.observe(
+				{role, service: bounded},
+				rest.duration * secondsPerMillisecond,
+			);
 		},
 		waited(service, delay) {
-			queueTime.observe({service: boundService(service)}, delay / 1000);
+			queueTime.observe(
+				{service: boundService(service)},
+				delay * secondsPerMillisecond,
+			);
 		},
 		retried(service) {
 			retries.inc({service: boundService(service)});
@@ -133,11 +136,9 @@
 	const members = gauge('members');
 	const ledgerKeys = gauge('ledgerKeys');
 	const ledgerBytes = gauge('ledgerBytes');
-	const inFlight = gauge('inFlight');
-	const waiting = gauge('waiting');
-	const limit = gauge('concurrencyLimit');
 	const level = gauge('admissionLevel');
 	const updateProcess = createProcessGauges(registry);
+	const updateTarget = createTargetGauges(registry);
 
 	return (readings: NodeReadings) => {
 		updateProcess(readings);
@@ -151,11 +152,8 @@
 
 		const {target} = readings;
 		if (target) {
-			const {service} = target;
-			inFlight.set({service}, target.inFlight);
-			waiting.set({service}, target.waiting);
-			limit.set({service}, target.limit);
-			level.set({service}, target.level);
+			updateTarget(target);
+			level.set({service: target.service}, target.level);
 		}
 	};
 }
