fix(mesh): what does not add up is noise, not calls of a rare route

The variance of what does not add up now weighs each second, and only what stands out of the uncertainty is told. A lasting difference in one direction is a change of the graph: what was known then counts less.

--- a/packages/mesh/__tests__/call-profile.spec.ts
+++ b/packages/mesh/__tests__/call-profile.spec.ts
@@ -60,6 +60,42 @@
 		expect(callsOf(profile, 'download', 'state')).to.be.below(0.3);
 	});
 
+	it('puts no calls down to a route because others are slow', () => {
+		// A deeper service is full, and lookups wait for it. In one second many
+		// begin and few calls are made, in another it is the other way round. By
+		// chance that goes with the number of downloads, whose users would be
+		// refused for calls that they don't cause.
+		const profile = createCallProfile();
+		const random = createRandom(11);
+		let waiting = 0;
+		for (let second = 0; second < 30; second++) {
+			const lookups = Math.round(150 * (0.6 + 0.8 * random.fraction()));
+			const downloads = Math.round(14 * random.fraction());
+			const made = Math.round(
+				(waiting + 4 * lookups) * (0.4 + 0.5 * random.fraction()),
+			);
+			waiting += 4 * lookups - made;
+			for (let run = 0; run < lookups; run++) {
+				profile.noteRun('lookup');
+			}
+
+			for (let run = 0; run < downloads; run++) {
+				profile.noteRun('download');
+			}
+
+			for (let call = 0; call < made; call++) {
+				profile.noteCall('state');
+			}
+
+			profile.update();
+			expect(callsOf(profile, 'download', 'state'), `${second} s`).to.be.below(
+				0.3,
+			);
+		}
+
+		expect(callsOf(profile, 'lookup', 'state')).to.be.above(1);
+	});
+
 	it('tells how many calls each of two routes makes to two others', () => {
 		const profile = play(30, {
 			page: {rate: 40, calls: {ledger: 2}},
--- a/packages/mesh/src/decisions/call-profile.ts
+++ b/packages/mesh/src/decisions/call-profile.ts
@@ -10,10 +10,12 @@
  * In each second the target begins so many requests of each route and makes so
  * many calls to each route. The calls are the sum, over the routes that ran, of
  * requests times calls for each request, which recursive least squares solves
- * as the mix changes from second to second. A route is taken to make no calls
- * until its requests show some, so calls are first put down to the routes that
- * run often. What was learnt long ago is forgotten slowly, so that a change of
- * the graph is followed within a minute.
+ * as the mix changes from second to second. Calls are first put down to the
+ * route that runs most often, and to another only as its requests show it:
+ * under overload calls come long after their requests, so what does not add up
+ * counts as noise, and only what stands out of it is told. What was learnt long
+ * ago is forgotten slowly, so that a change of the graph is followed within a
+ * minute.
  */
 
 /** What a request of a route causes at the service where it runs. */
@@ -41,12 +43,16 @@
 const mostRoutes = 12;
 /** The part of what is known that each period leaves; some twenty periods count. */
 const memory = 0.95;
+/** The same while the calls are off in one direction: the graph has changed, and what was known is of little use. */
+const memoryOfChange = 0.7;
 /** The variance of the calls of a request before any was seen. */
 const firstVariance = 4;
 /** The variance that a period has at least, in calls squared. */
 const leastNoise = 4;
 /** The variance for each call made: calls that fall into another period than their request. */
 const noiseOfCall = 0.25;
+/** The weight of the latest period in the noise that was seen. */
+const noiseWeight = 0.2;
 /** The weight of a new duration. */
 const durationWeight = 0.05;
 /** A change of calls for each request that is worth telling. */
@@ -59,6 +65,9 @@
 	counts: number[];
 	/** Calls in this period. */
 	made: number;
+	/** What did not add up lately: its mean, and the mean of its square. */
+	meanError: number;
+	meanSquare: number;
 };
 
 /** Creates the profiles of a target that has run nothing. */
@@ -89,8 +98,10 @@
 				index === routes.length - 1 ? firstVariance : 0,
 			),
 		);
-		for (const estimate of estimates.values()) {
-			estimate.counts.push(0);
+		for (const {counts} of estimates.values()) {
+			if (counts.length > 0) {
+				counts.push(0);
+			}
 		}
 
 		return routes.length - 1;
@@ -110,22 +121,48 @@
 			calls: [...estimates]
 				.map(([called, {counts}]) => ({
 					route: called,
-					count: Math.round(sureCount(index, counts[index]!) * 100) / 100,
+					count: Math.round(sureCount(index, counts[index] ?? 0) * 100) / 100,
 				}))
 				.filter(({count}) => count > 0),
 		}));
 
+	/** Puts the first calls to a route down to the route that ran most. */
+	const assume = (estimate: Estimate) => {
+		const most = Math.max(...begun);
+		const position = begun.indexOf(most);
+		estimate.counts = begun.map((_, index) =>
+			index === position ? estimate.made / most : 0,
+		);
+	};
+
 	const learn = () => {
 		if (begun.every((count) => count === 0)) {
 			return;
 		}
 
+		for (const estimate of estimates.values()) {
+			if (estimate.counts.length === 0) {
+				assume(estimate);
+			}
+		}
+
 		const spread = covariance.map((row) => dot(row, begun));
-		const most = Math.max(...[...estimates.values()].map(({made}) => made), 0);
-		const noise = Math.max(leastNoise, noiseOfCall * most);
-		const scale = noise + dot(begun, spread);
+		const errors = new Map<Estimate, number>();
+		let noise = leastNoise;
 		for (const estimate of estimates.values()) {
 			const error = estimate.made - dot(estimate.counts, begun);
+			errors.set(estimate, error);
+			noise = Math.max(
+				noise,
+				noteError(estimate, error),
+				noiseOfCall * estimate.made,
+			);
+		}
+
+		const hasChanged = [...errors.keys()].some((one) => isOff(one));
+		const kept = hasChanged ? memoryOfChange : memory;
+		const scale = noise + dot(begun, spread);
+		for (const [estimate, error] of errors) {
 			estimate.counts = estimate.counts.map(
 				(count, index) => count + (spread[index]! / scale) * error,
 			);
@@ -136,7 +173,7 @@
 				const known =
 					value - (spread[rowIndex]! * spread[columnIndex]!) / scale;
 				return rowIndex === columnIndex
-					? Math.min(firstVariance, known / memory)
+					? Math.min(firstVariance, known / kept)
 					: known;
 			}),
 		);
@@ -164,7 +201,7 @@
 				return;
 			}
 
-			estimates.set(route, {counts: routes.map(() => 0), made: 1});
+			estimates.set(route, {counts: [], made: 1, meanError: 0, meanSquare: 0});
 		},
 		update() {
 			learn();
@@ -182,6 +219,17 @@
 	};
 }
 
+/** Takes what did not add up; gives its variance. What is off in one direction for long is a change of the graph and no noise. */
+function noteError(estimate: Estimate, error: number): number {
+	estimate.meanError += (error - estimate.meanError) * noiseWeight;
+	estimate.meanSquare += (error * error - estimate.meanSquare) * noiseWeight;
+	return estimate.meanSquare - estimate.meanError * estimate.meanError;
+}
+
+function isOff({meanError, meanSquare}: Estimate): boolean {
+	return meanError * meanError > meanSquare / 2;
+}
+
 function differs(left: RouteProfile[], right: RouteProfile[]): boolean {
 	if (left.length !== right.length) {
 		return true;
--- a/packages/mesh/src/passage-report.ts
+++ b/packages/mesh/src/passage-report.ts
@@ -19,6 +19,8 @@
 	refusals: number;
 	/** The node whose target answered last. */
 	answeredBy: string;
+	/** The share of requests like this one, from 0 to 1, that entries refused at its last try. */
+	shed: number;
 };
 
 /** Tells the end of one request; one of the two is called, once. */
@@ -51,13 +53,14 @@
 	};
 
 	return {
-		answered(final, {arrivals, refusals, answeredBy}) {
+		answered(final, {arrivals, refusals, answeredBy, shed}) {
 			count(outcomeOf(final), final.kind === 'own' ? final.reason : '');
 			const details = {
 				status: final.status,
 				...facts,
 				arrivals,
 				refusals,
+				shed: Math.round(shed * 100) / 100,
 				waited: Math.round(clock.now() - arrivedAt),
 			};
 			if (final.kind === 'own') {
--- a/packages/mesh/src/passage.ts
+++ b/packages/mesh/src/passage.ts
@@ -123,7 +123,7 @@
 
 		isOver = true;
 		removeDeadline();
-		report.answered(final, {arrivals, refusals, answeredBy});
+		report.answered(final, {arrivals, refusals, answeredBy, shed});
 		if (isInner) {
 			gatekeeper.noteCallEnd(arrivals > 1 || isShortOfBudget, isShortOfBudget);
 		}
