refactor(mesh): levels and repeated offers stand apart from the gatekeeper

No decision changes: what the target declines and the levels that the node reports are modules of their own, so that the gatekeeper keeps to admission.

--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -10,24 +10,11 @@
 import type {Clock, Timer} from '@egretspoke/shared';
 import type {DeadlineWheel} from './deadline-wheel.js';
 import type {CallProfile} from './decisions/call-profile.js';
-import {createCallLevel} from './decisions/call-level.js';
-import {createDeeperLevel} from './decisions/deeper-level.js';
 import {createFailureShare} from './decisions/failure-share.js';
 import {createGate, type Gate} from './decisions/gate.js';
 import type {MeshPolicy} from './decisions/mesh-policy.js';
-import {
-	createOfferBudget,
-	partWithCalls,
-	partWithoutCalls,
-	type OfferBudgetOptions,
-} from './decisions/offer-budget.js';
-import {createOwnCalls} from './decisions/own-calls.js';
-import {createRecentShare} from './decisions/recent-share.js';
-import {
-	createShedLevel,
-	leastUnserved,
-	shedPeriod,
-} from './decisions/shed-level.js';
+import type {OfferBudgetOptions} from './decisions/offer-budget.js';
+import {shedPeriod} from './decisions/shed-level.js';
 import {
 	isTargetFailure,
 	type HandedRequest,
@@ -39,7 +26,9 @@
 } from './exchange.js';
 import type {HeaderNames} from './header-names.js';
 import type {MeshReporter} from './mesh-reporter.js';
+import {createRepeatedOffers} from './repeated-offers.js';
 import {createTargetAccess} from './target-access.js';
+import {createTargetLevels} from './target-levels.js';
 import type {TargetRecord} from './target-record.js';
 import {startTargetRun, wayBack, type TargetRun} from './target-run.js';
 
@@ -103,16 +92,13 @@
 /** Creates a gatekeeper without a target. */
 export function createGatekeeper(options: GatekeeperOptions): Gatekeeper {
 	const {clock, wheel, metrics} = options;
-	const ownLevel = createShedLevel();
-	const deeperLevel = createDeeperLevel();
-	const callLevel = createCallLevel();
+	const levels = createTargetLevels(options.policy);
 	const access = createTargetAccess(options);
 	const failures = createFailureShare();
-	/** Offers that the target declined, and requests that ended declined. */
-	const declined = createRecentShare();
-	const unserved = createRecentShare();
-	const budget = createOfferBudget(options.retryBudget);
-	const ownCalls = createOwnCalls();
+	const offers = createRepeatedOffers({
+		policy: options.policy,
+		budget: options.retryBudget,
+	});
 	const {profile} = options;
 	let gate: Gate<Job> = createGate<Job>(1);
 	let target: TargetRecord | undefined;
@@ -121,8 +107,8 @@
 
 	const load = (): TargetLoad => ({
 		occupancy: (gate.running() + gate.waiting()) / gate.limit(),
-		shedLevel: ownLevel.value(),
-		deeperLevel: Math.max(callLevel.value(), deeperLevel.value(clock.now())),
+		shedLevel: levels.own(),
+		deeperLevel: levels.deeper(clock.now()),
 		failureShare: failures.value(clock.now()),
 	});
 
@@ -168,8 +154,7 @@
 
 		job.state = 'running';
 		metrics.targetStarted(now - job.offeredAt);
-		budget.countArrival(job.request.repeatShare, now);
-		ownCalls.noteRun(job.request.repeatShare);
+		offers.noteStart(job.request, now);
 		profile.noteRun(job.request.route);
 		job.run = startTargetRun({
 			clock,
@@ -194,7 +179,7 @@
 				startNext();
 			},
 			onOutcome(outcome) {
-				unserved.note(outcome.kind === 'declined', clock.now());
+				offers.noteEnd(outcome, clock.now());
 				tellRepeats(job, outcome);
 				if (job.state === 'running') {
 					finish(job, outcome);
@@ -208,14 +193,12 @@
 
 	const mayOfferAgain = (job: Job, now: number): boolean => {
 		const isAllowed =
-			options.policy.has('offerAgain') &&
 			job.state === 'running' &&
 			!target?.isLeaving &&
 			(job.run?.repeats() ?? 0) < mostRepeats &&
 			job.until - now >= leastTimeToRepeat &&
-			budget.take(ownCalls.any() ? partWithCalls : partWithoutCalls, now);
+			offers.take(now);
 		if (isAllowed) {
-			ownCalls.noteRepeat();
 			metrics.sentAgain(job.request.service);
 		}
 
@@ -228,7 +211,7 @@
 			outcome.kind !== 'answered' || isTargetFailure(outcome.status),
 			now,
 		);
-		declined.note(outcome.kind === 'declined', now);
+		offers.noteOffer(outcome, now);
 		if (outcome.kind === 'answered') {
 			access.noteAnswer();
 		}
@@ -256,11 +239,9 @@
 
 	/** Runs only while there is something to expire or a level to lower. */
 	const scheduleTick = () => {
+		const now = clock.now();
 		const isIdle =
-			gate.waiting() === 0 &&
-			ownLevel.value() === 0 &&
-			callLevel.isIdle(clock.now()) &&
-			unserved.value(clock.now()) < leastUnserved;
+			gate.waiting() === 0 && levels.isIdle(offers.unserved(now), now);
 		if (ticker !== undefined || isIdle) {
 			return;
 		}
@@ -281,18 +262,16 @@
 
 		if (now - lastUpdate >= shedPeriod) {
 			lastUpdate = now;
-			ownLevel.update(
+			levels.update(
 				{
 					wait: gate.expectedWait(),
 					occupancy: gate.running() / gate.limit(),
-					declined: declined.value(now),
-					unserved: options.policy.has('levelOfDeclined')
-						? unserved.value(now)
-						: 0,
+					declined: offers.declined(now),
+					unserved: offers.unserved(now),
 				},
 				options.tiers(),
+				now,
 			);
-			callLevel.update(options.tiers(), now);
 		}
 	};
 
@@ -365,18 +344,15 @@
 			};
 		},
 		noteDeeperLevel(level) {
-			deeperLevel.note(level, clock.now());
+			levels.noteDeeperLevel(level, clock.now());
 		},
 		noteCall(route) {
-			ownCalls.noteCall();
 			profile.noteCall(route);
-			return ownCalls.repeatShare();
+			return offers.noteCall();
 		},
 		noteCallEnd(wasLost, isUnserved) {
-			if (options.policy.has('levelOfCalls')) {
-				callLevel.note(wasLost, isUnserved, clock.now());
-				scheduleTick();
-			}
+			levels.noteCallEnd(wasLost, isUnserved, clock.now());
+			scheduleTick();
 		},
 		load,
 		close() {
