--- a/packages/mesh/src/passage.ts
+++ b/packages/mesh/src/passage.ts
@@ -178,6 +178,14 @@
 		return candidates;
 	};
 
+	/** The share of new requests like this one that is refused for the target's sake, and for those that it calls. */
+	const shareRefusedAt = ({load}: TargetCandidate): number =>
+		options.policy.shedShare(
+			pressure.levelOf(route.name, service, load),
+			route.tiersBelow,
+			pressure.sliceOf(route.name),
+		);
+
 	const attempt = () => {
 		const timeLeft = until - clock.now();
 		const target = options.policy.select(
@@ -190,12 +198,8 @@
 			return;
 		}
 
+		shed = isInner ? 0 : shareRefusedAt(target);
 		const isNew = !isInner && arrivals === 0 && refusals === 0;
-		shed = options.policy.shedShare(
-			pressure.levelOf(route.name, service, target.load),
-			route.tiersBelow,
-			pressure.sliceOf(route.name),
-		);
 		if (isNew && random.fraction() < shed) {
 			giveUp('shed');
 			return;
