--- a/packages/mesh/src/decisions/call-profile.ts
+++ b/packages/mesh/src/decisions/call-profile.ts
@@ -30,7 +30,8 @@
 /** The profiles at one target. */
 export type CallProfile = {
 	noteRun(route: string): void;
-	noteRunTime(route: string, duration: number): void;
+	/** A request has ended; milliseconds that it took, undefined when it failed. */
+	noteEnd(route: string, duration: number | undefined): void;
 	noteCall(route: string): void;
 	/** To be called in each period; true when the profiles have changed enough to be told. */
 	update(): boolean;
@@ -53,6 +54,12 @@
 const noiseOfCall = 0.25;
 /** The weight of the latest period in the noise that was seen. */
 const noiseWeight = 0.2;
+/**
+ * The part of the requests that may fail in a period that is learnt from. A
+ * request ends with its first call that fails, so while a deep service is ill
+ * the calls are fewer than the graph has, and more again when it recovers.
+ */
+const mostFailed = 0.1;
 /** The weight of a new duration. */
 const durationWeight = 0.05;
 /** A change of calls for each request that is worth telling. */
@@ -78,6 +85,9 @@
 	/** The uncertainty of the counts, the same for each called route. */
 	let covariance: number[][] = [];
 	const estimates = new Map<string, Estimate>();
+	/** Requests of this period. */
+	let ended = 0;
+	let failed = 0;
 	let told: RouteProfile[] = [];
 
 	const positionOf = (route: string): number => {
@@ -147,6 +157,10 @@
 		}
 
 		const spread = covariance.map((row) => dot(row, begun));
+		if (failed > mostFailed * ended) {
+			return;
+		}
+
 		const errors = new Map<Estimate, number>();
 		let noise = leastNoise;
 		for (const estimate of estimates.values()) {
@@ -186,9 +200,11 @@
 				begun[position]!++;
 			}
 		},
-		noteRunTime(route, duration) {
+		noteEnd(route, duration) {
+			ended++;
+			failed += duration === undefined ? 1 : 0;
 			const position = positionOf(route);
-			if (position !== -1) {
+			if (position !== -1 && duration !== undefined) {
 				const known = runTimes[position]!;
 				runTimes[position] =
 					known === 0 ? duration : known + (duration - known) * durationWeight;
@@ -205,6 +221,8 @@
 		},
 		update() {
 			learn();
+			ended = 0;
+			failed = 0;
 			begun.fill(0);
 			for (const estimate of estimates.values()) {
 				estimate.made = 0;
