--- a/packages/mesh/src/decisions/inner-routes.ts
+++ b/packages/mesh/src/decisions/inner-routes.ts
@@ -9,8 +9,8 @@
  * But callers are everywhere, and a call comes only from the services whose
  * targets make it. So nodes tell each other which routes they were asked for:
  * a route that the VMs of at most half of the services ask for is one of
- * calls. Times and addresses were tried and don't tell them apart: calls have
- * times of their own, and callers share the VM's address.
+ * calls. Times and addresses don't tell them apart: calls have times of their
+ * own, and callers share the VM's address.
  */
 
 /** What this node knows of who asks for which route. */
--- a/packages/mesh/src/decisions/target-selection.ts
+++ b/packages/mesh/src/decisions/target-selection.ts
@@ -40,10 +40,8 @@
 /**
  * The occupancy that a crossing between data centres is worth once near
  * targets are full: a quarter of a round of the target's work, some 5 to 20 ms
- * of wait. At half a round a slow near target waits so long that its shed
- * level rises while others have room: 0.559 in place of 0.607 of all requests
- * were served in twelve seconds of 1.8 times the usual load, and as many bytes
- * crossed.
+ * of wait. If it is worth more, a slow near target waits so long that its shed
+ * level rises while others have room.
  */
 const distancePenalty = 0.25;
 /**
