--- a/packages/mesh/src/decisions/call-profile.ts
+++ b/packages/mesh/src/decisions/call-profile.ts
@@ -30,8 +30,7 @@
 /** The profiles at one target. */
 export type CallProfile = {
 	noteRun(route: string): void;
-	/** A request has ended; milliseconds that it took, undefined when it failed. */
-	noteEnd(route: string, duration: number | undefined): void;
+	noteRunTime(route: string, duration: number): void;
 	noteCall(route: string): void;
 	/** To be called in each period; true when the profiles have changed enough to be told. */
 	update(): boolean;
@@ -54,12 +53,6 @@
 const noiseOfCall = 0.25;
 /** The weight of the latest period in the noise that was seen. */
 const noiseWeight = 0.2;
-/**
- * The part of the requests that may fail in a period that is learnt from. A
- * request ends with its first call that fails, so while a deep service is ill
- * the calls are fewer than the graph has, and more again when it recovers.
- */
-const mostFailed = 0.1;
 /** The weight of a new duration. */
 const durationWeight = 0.05;
 /** A change of calls for each request that is worth telling. */
@@ -85,9 +78,6 @@
 	/** The uncertainty of the counts, the same for each called route. */
 	let covariance: number[][] = [];
 	const estimates = new Map<string, Estimate>();
-	/** Requests of this period. */
-	let ended = 0;
-	let failed = 0;
 	let told: RouteProfile[] = [];
 
 	const positionOf = (route: string): number => {
@@ -157,10 +147,6 @@
 		}
 
 		const spread = covariance.map((row) => dot(row, begun));
-		if (failed > mostFailed * ended) {
-			return;
-		}
-
 		const errors = new Map<Estimate, number>();
 		let noise = leastNoise;
 		for (const estimate of estimates.values()) {
@@ -200,11 +186,9 @@
 				begun[position]!++;
 			}
 		},
-		noteEnd(route, duration) {
-			ended++;
-			failed += duration === undefined ? 1 : 0;
+		noteRunTime(route, duration) {
 			const position = positionOf(route);
-			if (position !== -1 && duration !== undefined) {
+			if (position !== -1) {
 				const known = runTimes[position]!;
 				runTimes[position] =
 					known === 0 ? duration : known + (duration - known) * durationWeight;
@@ -221,8 +205,6 @@
 		},
 		update() {
 			learn();
-			ended = 0;
-			failed = 0;
 			begun.fill(0);
 			for (const estimate of estimates.values()) {
 				estimate.made = 0;
--- a/packages/mesh/src/decisions/shed-level.ts
+++ b/packages/mesh/src/decisions/shed-level.ts
@@ -36,9 +36,9 @@
 	wait: number;
 	/** What it runs, over what it may run at once. */
 	occupancy: number;
-	/** The share of the offers to it that it declined. */
+	/** The share of the offers to it that it declined or lost. */
 	declined: number;
-	/** The share of requests that ended declined. */
+	/** The share of requests that ended without the repeat that they needed. */
 	unserved: number;
 };
 
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -62,6 +62,8 @@
 	noteDeeperLevel(level: number): void;
 	/** The target makes a call to the route; gives the share, from 0 to 1, of its work that is a repeat. */
 	noteCall(route: string): number;
+	/** A call of the target has ended; whether it needed another target, and did not get one since the budget was spent. */
+	noteCallEnd(wasLost: boolean, isUnserved: boolean): void;
 	load(): TargetLoad;
 	/** Closes the connections to the target. */
 	close(): void;
@@ -170,14 +172,14 @@
 			onFreed(duration) {
 				metrics.targetEnded(clock.now() - now);
 				runGate.finish(duration);
+				if (duration !== undefined) {
+					profile.noteRunTime(job.request.route, duration);
+				}
+
 				startNext();
 			},
 			onOutcome(outcome) {
 				offers.noteEnd(outcome, clock.now());
-				profile.noteEnd(
-					job.request.route,
-					isWell(outcome) ? clock.now() - now : undefined,
-				);
 				tellRepeats(job, outcome);
 				if (job.state === 'running') {
 					finish(job, outcome);
@@ -205,16 +207,16 @@
 
 	const noteOffer = (outcome: Outcome) => {
 		const now = clock.now();
-		failures.note(!isWell(outcome), now);
+		failures.note(
+			outcome.kind !== 'answered' || isTargetFailure(outcome.status),
+			now,
+		);
 		offers.noteOffer(outcome, now);
 		if (outcome.kind === 'answered') {
 			access.noteAnswer();
 		}
 	};
 
-	const isWell = (outcome: Outcome) =>
-		outcome.kind === 'answered' && !isTargetFailure(outcome.status);
-
 	const tellRepeats = ({request, run}: Job, outcome: Outcome) => {
 		const repeats = run?.repeats() ?? 0;
 		if (repeats > 0) {
@@ -237,8 +239,9 @@
 
 	/** Runs only while there is something to expire or a level to lower. */
 	const scheduleTick = () => {
+		const now = clock.now();
 		const isIdle =
-			gate.waiting() === 0 && levels.isIdle(offers.unserved(clock.now()));
+			gate.waiting() === 0 && levels.isIdle(offers.unserved(now), now);
 		if (ticker !== undefined || isIdle) {
 			return;
 		}
@@ -267,6 +270,7 @@
 					unserved: offers.unserved(now),
 				},
 				options.tiers(),
+				now,
 			);
 		}
 	};
@@ -346,6 +350,10 @@
 			profile.noteCall(route);
 			return offers.noteCall();
 		},
+		noteCallEnd(wasLost, isUnserved) {
+			levels.noteCallEnd(wasLost, isUnserved, clock.now());
+			scheduleTick();
+		},
 		load,
 		close() {
 			access.close();
--- a/packages/mesh/src/passage.ts
+++ b/packages/mesh/src/passage.ts
@@ -106,6 +106,8 @@
 	let refusals = 0;
 	/** The share of requests like this one that is refused now. */
 	let shed = 0;
+	/** It was not sent again since the budget for repeats was spent. */
+	let isShortOfBudget = false;
 	let mayHaveRun = false;
 	/** The node whose target answered last. */
 	let answeredBy = '';
@@ -122,6 +124,10 @@
 		isOver = true;
 		removeDeadline();
 		report.answered(final, {arrivals, refusals, answeredBy, shed});
+		if (isInner) {
+			gatekeeper.noteCallEnd(arrivals > 1 || isShortOfBudget, isShortOfBudget);
+		}
+
 		end.answer(final);
 	};
 
@@ -250,7 +256,9 @@
 	const takeFromBudget = (now: number): boolean => {
 		const makesCalls = options.graph.makesCalls(route.name, service) ?? true;
 		const part = makesCalls ? partOfTree : partOfLeaf;
-		return budget.take(service, now, directory.size(), part);
+		const isTaken = budget.take(service, now, directory.size(), part);
+		isShortOfBudget ||= !isTaken;
+		return isTaken;
 	};
 
 	/** Whether another target may get it, within the attempts of the route and the shared budget. */
