feat(mesh): a target's crash, and the requests that it had, in logs and metrics

Nothing told which requests a target held when it ended, nor that two requests repeat one another, so the hypotheses on the incident could not be told apart.

The hash of request-sample.ts and the ledger's fingerprint move to shared, where the identity of a request uses both.

--- a/packages/command/src/log-story-output.ts
+++ b/packages/command/src/log-story-output.ts
@@ -49,7 +49,8 @@
 }
 
 function printStory(terminal: Terminal, story: LogStory): void {
-	const {request, decisions, beliefs, linesDropped, unreadable} = story;
+	const {request, decisions, repeats, beliefs} = story;
+	const {linesDropped, unreadable} = story;
 	if (decisions.length === 0) {
 		terminal.write(
 			`no line about request ${request}: its target answered it at the first try, or the log of its entry node is missing\n`,
@@ -59,6 +60,11 @@
 		terminal.write(renderTable(decisions, entryColumns, terminal.colour));
 	}
 
+	if (repeats.length > 0) {
+		terminal.write('\nthe same request under other ids\n');
+		terminal.write(renderTable(repeats, entryColumns, terminal.colour));
+	}
+
 	if (beliefs.length > 0) {
 		terminal.write('\nwhat these nodes had come to believe before\n');
 		terminal.write(renderTable(beliefs, entryColumns, terminal.colour));
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -1,5 +1,4 @@
 export * from './attempt-at-most-once.js';
 export * from './attempt-ticket.js';
-export * from './fingerprint.js';
 export * from './ledger.js';
 export type * from './ledger-decision.js';
--- a/packages/mesh/src/exchange.ts
+++ b/packages/mesh/src/exchange.ts
@@ -42,6 +42,8 @@
 /** Why nobody knows whether a target ran a request. */
 export type LossReason =
 	| 'connectionLost'
+	/** Its target crashed while it had it. */
+	| 'targetCrashed'
 	| 'answerCut'
 	| 'answerForeign'
 	| 'answerUnsigned'
@@ -74,6 +76,14 @@
 	/** It may have run, or may still run. */
 	| {kind: 'lost'; reason: LossReason};
 
+/** Whether the connection to the target broke under a request. */
+export function isConnectionLoss(outcome: Outcome): boolean {
+	return (
+		outcome.kind === 'lost' &&
+		(outcome.reason === 'connectionLost' || outcome.reason === 'answerCut')
+	);
+}
+
 /** How loaded a target is. */
 export type TargetLoad = {
 	/** Requests in it or waiting for it, over what it may run at once. */
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -8,6 +8,11 @@
  */
 import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
 import type {Clock, Timer} from '@egretspoke/shared';
+import {
+	createCrashWatch,
+	type CrashWatch,
+	type WatchedRun,
+} from './crash-watch.js';
 import type {DeadlineWheel} from './deadline-wheel.js';
 import type {CallProfile} from './decisions/call-profile.js';
 import {createFailureShare} from './decisions/failure-share.js';
@@ -17,6 +22,7 @@
 import {createRunTime} from './decisions/run-time.js';
 import {shedPeriod} from './decisions/shed-level.js';
 import {
+	isConnectionLoss,
 	isTargetFailure,
 	type HandedRequest,
 	type Outcome,
@@ -26,6 +32,7 @@
 	type TargetLoad,
 } from './exchange.js';
 import type {HeaderNames} from './header-names.js';
+import {probeListening} from './listening-probe.js';
 import type {MeshReporter} from './mesh-reporter.js';
 import {createRepeatedOffers} from './repeated-offers.js';
 import {createTargetAccess} from './target-access.js';
@@ -74,8 +81,7 @@
 const mostRepeats = 6;
 /** Milliseconds below which another offer has no chance to end in time. */
 const leastTimeToRepeat = 20;
-type Job = {
-	request: HandedRequest;
+type Job = WatchedRun & {
 	/** The instant at which the caller has its final answer. */
 	until: number;
 	onOutcome: OutcomeHandler;
@@ -88,7 +94,12 @@
 export function createGatekeeper(options: GatekeeperOptions): Gatekeeper {
 	const {clock, wheel, metrics} = options;
 	const levels = createTargetLevels(options.policy);
-	const access = createTargetAccess(options);
+	const access = createTargetAccess({
+		...options,
+		onRefused() {
+			watch.refused();
+		},
+	});
 	const failures = createFailureShare();
 	const runTime = createRunTime();
 	const offers = createRepeatedOffers({
@@ -101,6 +112,20 @@
 	let isStopping = false;
 	let ticker: Timer | undefined;
 
+	const watchTarget = (): CrashWatch<Job> =>
+		createCrashWatch<Job>({
+			...options,
+			isLeaving: () => target?.isLeaving ?? true,
+			probe(onResult) {
+				if (target) {
+					probeListening(target.address, onResult);
+				} else {
+					onResult(true);
+				}
+			},
+		});
+	let watch = watchTarget();
+
 	const load = (): TargetLoad => ({
 		occupancy: (gate.running() + gate.waiting()) / gate.limit(),
 		shedLevel: levels.own(),
@@ -149,6 +174,10 @@
 		}
 
 		job.state = 'running';
+		job.startedAt = now;
+		const runWatch = watch;
+		let lastOffer: Outcome | undefined;
+		runWatch.started(job);
 		metrics.targetStarted(now - job.offeredAt);
 		offers.noteStart(job.request, now);
 		profile.noteRun(job.request.route);
@@ -163,9 +192,14 @@
 				access.isReachable() &&
 				mayOfferAgain(job, clock.now()),
 			onOffer(outcome) {
+				lastOffer = outcome;
 				noteOffer(outcome);
 			},
 			onFreed(duration) {
+				if (!lastOffer || !isConnectionLoss(lastOffer)) {
+					runWatch.ended(job);
+				}
+
 				metrics.targetEnded(clock.now() - now);
 				runGate.finish(duration);
 				noteRunTime(clock.now() - now, duration !== undefined);
@@ -178,9 +212,17 @@
 			onOutcome(outcome) {
 				offers.noteEnd(outcome, clock.now());
 				tellRepeats(job, outcome);
-				if (job.state === 'running') {
-					finish(job, outcome);
+				if (!isConnectionLoss(outcome)) {
+					finishRun(job, outcome);
+					return;
 				}
+
+				runWatch.lost(job, (hasCrashed) => {
+					finishRun(
+						job,
+						hasCrashed ? {kind: 'lost', reason: 'targetCrashed'} : outcome,
+					);
+				});
 			},
 			onSilent() {
 				access.renew();
@@ -188,6 +230,12 @@
 		});
 	};
 
+	const finishRun = (job: Job, outcome: Outcome) => {
+		if (job.state === 'running') {
+			finish(job, outcome);
+		}
+	};
+
 	/** A run that was given up says at least that it takes longer. */
 	const noteRunTime = (elapsed: number, isWhole: boolean) => {
 		const now = clock.now();
@@ -294,6 +342,8 @@
 				known.address !== record.address
 			) {
 				const waiting = gate.clear();
+				watch.refused();
+				watch = watchTarget();
 				gate = createGate<Job>(options.policy.limitOf(record.slots));
 				access.close();
 				if (!record.isLeaving) {
@@ -326,6 +376,7 @@
 				until: now + request.timeLeft,
 				onOutcome,
 				offeredAt: now,
+				startedAt: now,
 				state: 'waiting',
 			};
 			const obstacle = findObstacle(request.service);
--- a/packages/mesh/src/target-access.ts
+++ b/packages/mesh/src/target-access.ts
@@ -12,6 +12,8 @@
 	reporter: MeshReporter;
 	/** The target can't be reached or has been replaced; true once it answers again. */
 	onReachable: (isReachable: boolean) => void;
+	/** A connection could not be opened. */
+	onRefused: () => void;
 };
 
 /** The access to one target after the other. */
@@ -67,6 +69,9 @@
 				}
 
 				markUnreachable(record);
+				if (isCurrent(record)) {
+					options.onRefused();
+				}
 			},
 		});
 	};
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -5,7 +5,6 @@
  */
 import {
 	attemptAtMostOnce,
-	fingerprintRequest,
 	type AttemptHandler,
 	type Ledger,
 } from '@egretspoke/ledger';
@@ -17,7 +16,7 @@
 	type Outcome,
 } from '@egretspoke/protocol';
 import type {RoutingPolicy} from '@egretspoke/decisions';
-import type {Clock} from '@egretspoke/shared';
+import {fingerprintRequest, type Clock} from '@egretspoke/shared';
 import type {AttemptSender} from './attempt-sender.js';
 import {createAttempts} from './attempts.js';
 import type {
--- a/packages/observability/__tests__/log-story.spec.ts
+++ b/packages/observability/__tests__/log-story.spec.ts
@@ -48,6 +48,21 @@
 		expect(story.beliefs.map(({message}) => message)).to.deep.equal(['lost a']);
 	});
 
+	it('adds the decisions on the same request under other ids', () => {
+		const under = (identity: string, request: string, at: string) =>
+			line({event: 1607, request, at, details: {identity}});
+		const story = tell([
+			under('same', 'abc', '2026-01-01T00:00:11.000Z'),
+			under('same', 'second', '2026-01-01T00:00:10.500Z'),
+			under('same', 'first', '2026-01-01T00:00:09.000Z'),
+			under('another', 'third', '2026-01-01T00:00:09.000Z'),
+		]);
+		expect(story.repeats.map(({request}) => request)).to.deep.equal([
+			'first',
+			'second',
+		]);
+	});
+
 	it('says how many lines are missing or can not be read', () => {
 		const story = tell([
 			line({}),
--- a/packages/observability/src/log-story.ts
+++ b/packages/observability/src/log-story.ts
@@ -1,7 +1,8 @@
 /**
  * The story of one request, put together from the JSON lines of many nodes:
- * what was decided about it and about the calls that were made for it, and
- * what the nodes concerned had come to believe shortly before.
+ * what was decided about it and about the calls that were made for it, about
+ * the same request under other ids, and what the nodes concerned had come to
+ * believe shortly before.
  */
 import {z} from 'zod';
 
@@ -26,6 +27,8 @@
 	request: string;
 	/** Decisions on the request and on the calls made for it, in order of time. */
 	decisions: LogEntry[];
+	/** Decisions on the same request under other ids, in order of time; see event 1607. */
+	repeats: LogEntry[];
 	/** What the nodes that decided had come to believe before, in order of time. */
 	beliefs: LogEntry[];
 	/** Lines that these nodes report as dropped; with any, decisions may be missing. */
@@ -49,6 +52,7 @@
 /** Creates a reader for the request with that id. */
 export function createLogStoryReader(request: string): LogStoryReader {
 	const decisions: LogEntry[] = [];
+	const identified: LogEntry[] = [];
 	const notices: LogEntry[] = [];
 	let unreadable = 0;
 
@@ -65,15 +69,21 @@
 				notices.push(entry);
 			} else if (isAbout(entry, request)) {
 				decisions.push(entry);
+			} else if (identityOf(entry) !== undefined) {
+				identified.push(entry);
 			}
 		},
 		finish() {
 			decisions.sort(byTime);
+			const identities = new Set(decisions.map((entry) => identityOf(entry)));
 			const nodes = new Set(decisions.map(({node}) => node));
 			const concerned = notices.filter(({node}) => nodes.has(node));
 			return {
 				request,
 				decisions,
+				repeats: identified
+					.filter((entry) => identities.has(identityOf(entry)))
+					.sort(byTime),
 				beliefs: listBeliefs(concerned, decisions),
 				linesDropped: sumDropped(concerned),
 				unreadable,
@@ -105,6 +115,11 @@
 	);
 }
 
+/** What repeats of a request under other ids share, where a line tells it. */
+function identityOf({details}: LogEntry): string | undefined {
+	return details?.identity === undefined ? undefined : String(details.identity);
+}
+
 function listBeliefs(notices: LogEntry[], decisions: LogEntry[]): LogEntry[] {
 	const [first] = decisions;
 	const last = decisions.at(-1);
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -61,6 +61,17 @@
 		advice:
 			'Many with `unknownKey` after a change: callers still use a key that was taken away. Many with `quotaExceeded` of one caller: it sends more than its workspace may.',
 	},
+	meshCrashedUnder: {
+		code: 1607,
+		level: 'info',
+		kind: 'decision',
+		isNotable: true,
+		template: 'its target crashed while it ran',
+		meaning:
+			'The target had this request when its process ended unannounced. `identity` is the same for repeats of the request under other ids, `ran` the milliseconds that the target had it.',
+		advice:
+			'An identity that comes back at one crash after the other names the request that causes them.',
+	},
 	meshStarted: {
 		code: 2501,
 		level: 'info',
@@ -139,4 +150,14 @@
 			'The address for metrics is taken or not allowed; requests are served without.',
 		advice: 'Free the port on this VM and start the node again.',
 	},
+	meshTargetCrashed: {
+		code: 2510,
+		level: 'warn',
+		kind: 'notice',
+		template: 'the target crashed with {requests} requests',
+		meaning:
+			'Every request at the target was lost and it takes no connection, without having announced its leaving.',
+		advice:
+			'Look at the target; lines 1607 of this moment name the requests that it had.',
+	},
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -55,6 +55,14 @@
 		help: 'Nodes that this one knows, itself included.',
 		reading: 'Nodes that are gone for good stay until their rows are removed.',
 	},
+	meshTargetCrashes: {
+		name: 'egretspoke_mesh_target_crashes_total',
+		type: 'counter',
+		labels: [],
+		help: 'Crashes of the target beside this node, noticed by its connections.',
+		reading:
+			'Rises at many nodes of one service within seconds: one request may crash each target that runs it, see event 1607.',
+	},
 	meshStoreLost: {
 		name: 'egretspoke_mesh_store_failures_total',
 		type: 'counter',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -42,6 +42,7 @@
 	targetStarted(queued: number): void;
 	targetEnded(duration: number): void;
 	sentAgain(service: string): void;
+	targetCrashed(): void;
 	storeFailed(call: string): void;
 };
 
@@ -59,6 +60,7 @@
 	const targetDuration = createHistogram(registry, 'meshTargetDuration');
 	const attempts = createCounter(registry, 'meshAttempts');
 	const retries = createCounter(registry, 'retries');
+	const crashes = createCounter(registry, 'meshTargetCrashes');
 	const storeFailures = createCounter(registry, 'meshStoreLost');
 	const update = createReadingGauges(registry);
 	const boundRoute = createLabelBound();
@@ -82,6 +84,9 @@
 		sentAgain(service) {
 			retries.inc({service: boundService(service)});
 		},
+		targetCrashed() {
+			crashes.inc();
+		},
 		storeFailed(call) {
 			storeFailures.inc({call});
 		},
--- a/packages/observability/src/request-sample.ts
+++ b/packages/observability/src/request-sample.ts
@@ -1,14 +1,10 @@
 /** Chooses by request id, so that all nodes of a chain log the same requests. */
 
+import {hashText} from '@egretspoke/shared';
+
 const hashRange = 2 ** 32;
-const fnvOffset = 0x81_1c_9d_c5;
-const fnvPrime = 0x01_00_01_93;
 
-/**
- * Creates the choice for a share from 0 to 1.
- * The hash is FNV-1a of 32 bits, finished as in MurmurHash3 so that ids which
- * differ in their last character only still spread.
- */
+/** Creates the choice for a share from 0 to 1. */
 export function createRequestSample(
 	share: number,
 ): (request: string) => boolean {
@@ -19,17 +15,3 @@
 	const threshold = share * hashRange;
 	return (request) => hashText(request) < threshold;
 }
-
-/* eslint-disable no-bitwise -- hashes are made of bit operations. */
-function hashText(text: string): number {
-	let hash = fnvOffset;
-	for (let index = 0; index < text.length; index++) {
-		// eslint-disable-next-line unicorn/prefer-code-point -- any part of the text does for a hash, and this is the cheapest.
-		hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
-	}
-
-	hash = Math.imul(hash ^ (hash >>> 16), 0x85_eb_ca_6b);
-	hash = Math.imul(hash ^ (hash >>> 13), 0xc2_b2_ae_35);
-	return (hash ^ (hash >>> 16)) >>> 0;
-}
-/* eslint-enable no-bitwise */
--- /dev/null
+++ b/packages/quarantine/src/index.ts
@@ -0,0 +1,2 @@
+export * from './crash-detector.js';
+export * from './request-identity.js';
--- a/packages/ledger/src/fingerprint.ts
+++ b/packages/shared/src/fingerprint.ts
@@ -9,11 +9,7 @@
 	body: Uint8Array;
 };
 
-/**
- * SHA-256 over the parts, in hexadecimal. What goes wrong without it: two
- * requests that share a key by mistake, or two callers with the same key,
- * would be given each other's answer. The caller is told `KeyReused` instead.
- */
+/** SHA-256 over the parts, in hexadecimal. */
 export function fingerprintRequest(parts: FingerprintParts): string {
 	const {caller, method, path, body} = parts;
 	return createHash('sha256')
