fix(mesh): a request that crashes every target that runs it is put in quarantine

Callers saw all targets of a service end within half a second, again and again for a quarter of a minute, with all that these ran: up to 0.9 of its requests refused or failed. A caller repeated one request that ended each target which began it.

Cause: each attempt was judged by itself. Nothing recognised that it repeated an earlier one under another id, at another node, and nothing remembered under what targets had crashed.

Why this holds: nodes count the crashes under one identity (method, host, path, body, workspace), where a crash counts only if the run began after the one before was known, and an answer of any target clears. From the second crash on such requests run one at a time at a target, so that the third is put down to one of them. After it no node gives the request to a target, and its caller is told 502 at once: it has run. Counts go over links, by gossip, and to a row of each node in the store, for nodes that are cut off or start again.

--- a/packages/mesh/__tests__/peer-message.spec.ts
+++ b/packages/mesh/__tests__/peer-message.spec.ts
@@ -21,6 +21,7 @@
 	isNearItsEnd: fc.boolean(),
 	route: fc.string(),
 	repeatShare: fc.integer({min: 0, max: 1000}).map((value) => value / 1000),
+	crashes: fc.nat(9),
 	priority: fc.nat(5),
 	patience: fc.nat(5000),
 	timeLeft: fc.nat(6000),
@@ -55,6 +56,13 @@
 	{nil: undefined},
 );
 const message: fc.Arbitrary<PeerMessage> = fc.oneof(
+	fc.record({
+		kind: fc.constant('suspects' as const),
+		suspects: fc.array(
+			fc.tuple(fc.string({minLength: 1, maxLength: 64}), fc.nat(9), fc.nat(9)),
+			{maxLength: 3},
+		),
+	}),
 	fc.record({
 		kind: fc.constant('request' as const),
 		exchange: fc.nat(),
@@ -147,6 +155,7 @@
 						isNearItsEnd: true,
 						route: 'read',
 						repeatShare: 0,
+						crashes: 0,
 						priority: 2,
 						patience: 180.25,
 						timeLeft: 4950.125,
--- a/packages/mesh/__tests__/peer-news.spec.ts
+++ b/packages/mesh/__tests__/peer-news.spec.ts
@@ -31,6 +31,7 @@
 			onMembers: () => undefined,
 			onQuotaUse: () => undefined,
 			onQuotaGrant: () => undefined,
+			onSuspects: () => undefined,
 		});
 		const told: Array<{from: number; message: PeerMessage}> = [];
 		return {
--- /dev/null
+++ b/packages/mesh/__tests__/suspect-fleet.ts
@@ -0,0 +1,256 @@
+/**
+ * A fleet on a virtual clock whose targets crash under one request: what each
+ * node knows of it, links that can be cut, and the store that all share.
+ */
+import {createRandom, createVirtualClock} from '@egretspoke/shared';
+import {identifyRequest, isQuarantined} from '@egretspoke/quarantine';
+import {createGossip} from '../src/gossip.js';
+import {partsOf} from '../src/request-parts.js';
+import type {PeerLink} from '../src/peer-link.js';
+import type {Member, PeerMessage} from '../src/peer-message.js';
+import {createSuspectRegister} from '../src/suspect-register.js';
+import {createSuspects, toMessage, type Suspects} from '../src/suspects.js';
+import {createRowStoreStandIn} from './row-store-stand-in.js';
+
+/** How a fleet is laid out. */
+export type SuspectFleetOptions = {
+	nodes: number;
+	dataCentres: number;
+	/** Other nodes that a node is linked to. */
+	links: number;
+	seed: number;
+};
+
+/** Milliseconds from one node to another. */
+const wayTime = 3;
+/** Milliseconds between two looks of a follower at the store. */
+const feedTime = 100;
+/** Milliseconds from the start of the request to the crash, and until the target is back. */
+const crashTime = 100;
+const downTime = 1500;
+/** Targets that one attempt of a caller may reach. */
+const attempts = 2;
+
+type FleetNode = {
+	member: Member;
+	suspects: Suspects;
+	life: AbortController;
+	linked: Set<string>;
+	isTargetUp: boolean;
+};
+
+const deadly = {
+	method: 'GET',
+	path: '/read/deadly',
+	headers: ['Host', 'shop.example'],
+	body: undefined,
+};
+
+const headerNames = {workspace: 'workspace'};
+const identity = identifyRequest(partsOf(deadly, headerNames));
+
+/** Creates a fleet that knows nothing of the request. */
+export function createSuspectFleet(options: SuspectFleetOptions) {
+	const clock = createVirtualClock();
+	const random = createRandom(options.seed);
+	const store = createRowStoreStandIn(
+		async () =>
+			new Promise((resolve) => {
+				clock.setTimer(feedTime, () => {
+					resolve();
+				});
+			}),
+	);
+	const nodes = new Map<string, FleetNode>();
+	const crashes: number[] = [];
+	let bytes = 0;
+	let isCut: (from: Member, to: Member) => boolean = () => false;
+
+	const members = Array.from({length: options.nodes}, (_, index): Member => ({
+		node: `node-${index}`,
+		address: `10.0.0.${index}:7620`,
+		dataCentre: `centre-${index % options.dataCentres}`,
+		service: 'any',
+		startedAt: 1,
+	}));
+
+	const reach = (from: FleetNode): FleetNode[] =>
+		[...from.linked].flatMap((name) => {
+			const to = nodes.get(name);
+			return to && !isCut(from.member, to.member) ? [to] : [];
+		});
+
+	const deliver = (to: FleetNode, message: PeerMessage) => {
+		bytes += JSON.stringify(message).length;
+		clock.setTimer(wayTime, () => {
+			if (message.kind === 'suspects' && nodes.get(to.member.node) === to) {
+				to.suspects.take(message);
+			}
+		});
+	};
+
+	const createLink = (to: FleetNode): PeerLink => ({
+		isUsable: () => true,
+		isSilent: () => false,
+		outstanding: () => 0,
+		send: () => () => undefined,
+		tell(message) {
+			deliver(to, message);
+		},
+		retryNow: () => undefined,
+		probe: () => undefined,
+		close: () => undefined,
+	});
+
+	const start = (member: Member, linked: Set<string>) => {
+		const life = new AbortController();
+		const gossip = createGossip({
+			clock,
+			random: random.fork(),
+			self: member,
+			links: () =>
+				reach(node).map((to) => ({
+					member: to.member,
+					link: createLink(to),
+				})),
+			toMessage,
+		});
+		const reporter = {notice: () => undefined, decision: () => undefined};
+		const register = createSuspectRegister({
+			store,
+			node: member.node,
+			clock,
+			random: random.fork(),
+			reporter,
+			// As feed-followers.ts has it: some nodes for all, and whoever reaches none of them.
+			isFollower: () =>
+				Number(member.node.slice(5)) < 5 ||
+				!reach(node).some((to) => Number(to.member.node.slice(5)) < 5),
+			onSuspects(suspects) {
+				node.suspects.takeStored(suspects);
+			},
+		});
+		const node: FleetNode = {
+			member,
+			life,
+			linked,
+			isTargetUp: true,
+			suspects: createSuspects({
+				clock,
+				headerNames,
+				reporter,
+				tellAll(message) {
+					for (const to of reach(node)) {
+						deliver(to, message);
+					}
+				},
+				gossip: () => gossip,
+				register: () => register,
+			}),
+		};
+		nodes.set(member.node, node);
+		void register.run(life.signal);
+		for (const to of reach(node)) {
+			for (const message of to.suspects.greeting()) {
+				deliver(node, message);
+			}
+		}
+	};
+
+	const linkAll = () => {
+		const linked = new Map(
+			members.map(({node}) => [node, new Set<string>()] as const),
+		);
+		for (const {node} of members) {
+			for (let count = 0; count < options.links / 2; count++) {
+				const other = members[random.below(members.length)]!.node;
+				if (other !== node) {
+					linked.get(node)!.add(other);
+					linked.get(other)!.add(node);
+				}
+			}
+		}
+
+		return linked;
+	};
+
+	for (const [name, linked] of linkAll()) {
+		start(
+			members.find(({node}) => node === name)!,
+			linked,
+		);
+	}
+
+	/** One attempt of a caller, from the entry on. */
+	const send = (from: FleetNode, reached = 0) => {
+		const known = from.suspects.lookUp(deadly);
+		const targets = [from, ...reach(from)].filter(({isTargetUp}) => isTargetUp);
+		if (targets.length === 0 || (known && isQuarantined(known))) {
+			return;
+		}
+
+		const to = targets[random.below(targets.length)]!;
+		const sent = Math.max(reached, known?.crashes ?? 0);
+		clock.setTimer(wayTime, () => {
+			const suspect = to.suspects.lookUp(deadly);
+			if (!to.isTargetUp || (suspect && isQuarantined(suspect))) {
+				return;
+			}
+
+			const startedAt = clock.now();
+			clock.setTimer(crashTime, () => {
+				if (to.isTargetUp) {
+					crash(to, startedAt, sent);
+					if (reached + 1 < attempts) {
+						clock.setTimer(wayTime, () => {
+							send(from, reached + 1);
+						});
+					}
+				}
+			});
+		});
+	};
+
+	const crash = (node: FleetNode, startedAt: number, sent: number) => {
+		crashes.push(clock.now());
+		node.isTargetUp = false;
+		node.suspects.noteCrash([{identity, startedAt, crashes: sent}]);
+		clock.setTimer(downTime, () => {
+			node.isTargetUp = true;
+		});
+	};
+
+	return {
+		clock,
+		crashes,
+		members,
+		store,
+		bytes: () => bytes,
+		/** A caller repeats the request at nodes drawn at random. */
+		async repeat(perSecond: number, until: number) {
+			while (clock.now() < until) {
+				const gap = (-Math.log(1 - random.fraction()) * 1000) / perSecond;
+				// eslint-disable-next-line no-await-in-loop -- time goes on by steps.
+				await clock.runTo(clock.now() + gap);
+				const {node} = members[random.below(members.length)]!;
+				send(nodes.get(node)!);
+			}
+		},
+		cut(isNowCut: (from: Member, to: Member) => boolean) {
+			isCut = isNowCut;
+		},
+		/** Ends nodes, which start again with nothing in mind. */
+		restart(isConcerned: (member: Member) => boolean) {
+			for (const member of members.filter((one) => isConcerned(one))) {
+				const {linked, life} = nodes.get(member.node)!;
+				life.abort();
+				start(member, linked);
+			}
+		},
+		close() {
+			for (const {life} of nodes.values()) {
+				life.abort();
+			}
+		},
+	};
+}
--- a/packages/mesh/src/compact-message.ts
+++ b/packages/mesh/src/compact-message.ts
@@ -72,6 +72,7 @@
 		Math.round(request.repeatShare * shareScale),
 		request.route,
 		request.isNearItsEnd,
+		request.crashes,
 	],
 	cancel: ({exchange}) => [codes.cancel, exchange],
 	load: ({load}) => [codes.load, ...toNumbers(load)],
@@ -100,7 +101,7 @@
 	leastLength: number;
 	read: (list: unknown[]) => CompactMessage | undefined;
 }> = [
-	{leastLength: 16, read: readRequest},
+	{leastLength: 17, read: readRequest},
 	{
 		leastLength: 2,
 		read: (list) => ({kind: 'cancel', exchange: list[1] as number}),
@@ -113,7 +114,7 @@
 const requestTypes = {
 	string: [2, 3, 4, 7, 14],
 	boolean: [8, 9, 15],
-	number: [10, 11, 12, 13],
+	number: [10, 11, 12, 13, 16],
 } as const;
 
 /**
@@ -155,6 +156,7 @@
 			repeatShare: (list[13] as number) / shareScale,
 			route: list[14] as string,
 			isNearItsEnd: list[15] as boolean,
+			crashes: list[16] as number,
 		},
 	};
 }
--- a/packages/mesh/src/configuration-follower.ts
+++ b/packages/mesh/src/configuration-follower.ts
@@ -17,6 +17,7 @@
 	StoredRow,
 	StoreFailure,
 } from './row-store.js';
+import {followTable} from './table-feed.js';
 
 /** What a follower needs. */
 export type ConfigurationFollowerOptions = {
@@ -48,19 +49,8 @@
 	run(signal: AbortSignal): Promise<void>;
 };
 
-/**
- * Milliseconds that a call of the feed waits for a change. A feed whose
- * connection has gone silent is noticed only when this is over, so each node
- * draws its own, and the calls of the fleet are spread: one of them is always
- * young, and its node tells the others.
- */
-const shortestWait = 6000;
-const longestWait = 10_000;
 /** Milliseconds between two looks at whether this node is to follow. */
-const turnPeriod = 1000;
-/** Milliseconds after a failed call before the next, and their most. */
-const firstPause = 200;
-const longestPause = 1000;
+export const turnPeriod = 1000;
 
 /** Creates a follower that knows no configuration. */
 export function createConfigurationFollower(
@@ -155,40 +145,22 @@
 			take(configuration, 'peer');
 		},
 		async run(signal) {
-			let position: number | undefined;
-			let pause = firstPause;
 			await waitForPeers(signal);
-			for (;;) {
-				// eslint-disable-next-line no-await-in-loop -- calls only while it is this node's turn.
-				await waitForTurn(signal);
-				if (signal.aborted) {
-					return;
-				}
-
-				const wait =
-					shortestWait + random.fraction() * (longestWait - shortestWait);
-				// eslint-disable-next-line no-await-in-loop -- each call starts where the last one ended.
-				const result = await (position === undefined
-					? store.read(row.table)
-					: store.changes(row.table, position, wait));
-				noteStore(result.isErr() ? result.error : undefined);
-				tellFollowing();
-				if (result.isOk()) {
-					position = result.value.version;
-					pause = firstPause;
-					takeRows(result.value.rows);
-					continue;
-				}
-
-				if (result.error.kind === 'forgotten') {
-					position = undefined;
-					continue;
-				}
-
-				// eslint-disable-next-line no-await-in-loop -- a pause between two tries.
-				await sleep(clock, pause * (0.5 + random.fraction()), signal);
-				pause = Math.min(longestPause, pause * 2);
-			}
+			await followTable(
+				{
+					store,
+					table: row.table,
+					clock,
+					random,
+					waitForTurn,
+					onRows: takeRows,
+					onCalled(failure) {
+						noteStore(failure);
+						tellFollowing();
+					},
+				},
+				signal,
+			);
 		},
 	};
 }
--- a/packages/mesh/src/crash-watch.ts
+++ b/packages/mesh/src/crash-watch.ts
@@ -4,6 +4,8 @@
 	createCrashDetector,
 	identifyRequest,
 	type CrashDetector,
+	type CrashedRun,
+	type Suspect,
 } from '@egretspoke/quarantine';
 import type {Clock} from '@egretspoke/shared';
 import type {HandedRequest} from './exchange.js';
@@ -28,6 +30,8 @@
 	probe: (onResult: (isListening: boolean) => void) => void;
 	/** Whether the end of the target was announced. */
 	isLeaving: () => boolean;
+	/** The target crashed with these runs; gives what is known now of the suspects that this changed. */
+	onCrash: (runs: CrashedRun[]) => Suspect[];
 };
 
 /** The watch over one start of the target. */
@@ -41,8 +45,8 @@
 	refused(): void;
 };
 
-/** Requests of one crash that are told of, the latest first; a crash follows soon after what caused it. */
-const mostTold = 128;
+/** Requests of one crash that come under suspicion, the latest first; a crash follows soon after what caused it. */
+const mostNoted = 128;
 
 /** Creates the watch over a target that runs nothing. */
 export function createCrashWatch<Run extends WatchedRun>(
@@ -51,22 +55,34 @@
 	const {clock, headerNames, metrics, reporter} = options;
 	const callbacks = new Map<Run, (hasCrashed: boolean) => void>();
 
-	const tellCrash = (runs: Run[]) => {
-		const now = clock.now();
+	const noteCrash = (runs: Run[]) => {
 		const latest = runs
 			.toSorted((left, right) => right.startedAt - left.startedAt)
-			.slice(0, mostTold);
+			.slice(0, mostNoted);
+		const crashed = latest.map(({request, startedAt}) => ({
+			identity: identifyRequest(partsOf(request, headerNames)),
+			startedAt,
+			crashes: request.crashes,
+		}));
 		metrics.targetCrashed();
 		reporter.notice('meshTargetCrashed', {requests: runs.length});
-		for (const {request, startedAt} of latest) {
+		const crashes = new Map(
+			options
+				.onCrash(crashed)
+				.map((suspect) => [suspect.identity, suspect.crashes]),
+		);
+		const now = clock.now();
+		for (const [index, {request, startedAt}] of latest.entries()) {
+			const {identity} = crashed[index]!;
 			reporter.decision(
 				'meshCrashedUnder',
 				request.requestId,
 				'targetCrashed',
 				{
-					identity: identifyRequest(partsOf(request, headerNames)),
+					identity,
 					route: request.route,
 					ran: Math.round(now - startedAt),
+					crashes: crashes.get(identity) ?? 0,
 				},
 			);
 		}
@@ -78,7 +94,7 @@
 		onVerdict(lost, isEnded) {
 			const hasCrashed = isEnded && !options.isLeaving();
 			if (hasCrashed) {
-				tellCrash(lost);
+				noteCrash(lost);
 			}
 
 			for (const run of lost) {
--- a/packages/mesh/src/directory.ts
+++ b/packages/mesh/src/directory.ts
@@ -77,6 +77,8 @@
 	size(): number;
 	/** Nodes whose links can be used. */
 	connected(): number;
+	/** The same, with their links. */
+	linked(): Array<Pick<Peer, 'member' | 'link'>>;
 	/** Tells every linked node. */
 	tellAll(message: PeerMessage): void;
 	close(): void;
@@ -249,6 +251,7 @@
 		tellOne: links.tellOne,
 		size: () => known.size() + 1,
 		connected: () => links.usable().length,
+		linked: links.usable,
 		tellAll: links.tellAll,
 		close() {
 			news.close();
--- a/packages/mesh/src/exchange.ts
+++ b/packages/mesh/src/exchange.ts
@@ -19,6 +19,8 @@
 	isNearItsEnd: boolean;
 	/** 1 when another target got it before; for a call, the share of its caller's work that is a repeat. */
 	repeatShare: number;
+	/** Targets that crashed under this request, as far as its entry knows. */
+	crashes: number;
 	priority: number;
 	/** Milliseconds that it may wait for a slot. */
 	patience: number;
@@ -36,6 +38,8 @@
 	| 'noRoom'
 	| 'waitedTooLong'
 	| 'noTimeLeft'
+	/** It crashes the targets that run it. */
+	| 'quarantined'
 	| 'nodeStopping'
 	| 'linkDown';
 
--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -7,6 +7,11 @@
  * fleet costs a hop, never a promise.
  */
 import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
+import {
+	createIsolation,
+	isIsolated,
+	isQuarantined,
+} from '@egretspoke/quarantine';
 import type {Clock, Timer} from '@egretspoke/shared';
 import {
 	createCrashWatch,
@@ -35,6 +40,7 @@
 import {probeListening} from './listening-probe.js';
 import type {MeshReporter} from './mesh-reporter.js';
 import {createRepeatedOffers} from './repeated-offers.js';
+import type {Suspects} from './suspects.js';
 import {createTargetAccess} from './target-access.js';
 import {createTargetLevels} from './target-levels.js';
 import type {TargetRecord} from './target-record.js';
@@ -52,6 +58,8 @@
 	profile: CallProfile;
 	/** The bound on repeats at a service, over all nodes. */
 	retryBudget: OfferBudgetOptions;
+	/** Requests under which targets crashed. */
+	suspects: Pick<Suspects, 'lookUp' | 'noteCrash' | 'noteAnswer'>;
 	/** The target can't be reached or has been replaced; true once it answers again. */
 	onReachable: (isReachable: boolean) => void;
 };
@@ -92,7 +100,8 @@
 
 /** Creates a gatekeeper without a target. */
 export function createGatekeeper(options: GatekeeperOptions): Gatekeeper {
-	const {clock, wheel, metrics} = options;
+	const {clock, wheel, metrics, suspects} = options;
+	const isolation = createIsolation<Job>();
 	const levels = createTargetLevels(options.policy);
 	const access = createTargetAccess({
 		...options,
@@ -116,6 +125,13 @@
 		createCrashWatch<Job>({
 			...options,
 			isLeaving: () => target?.isLeaving ?? true,
+			onCrash(runs) {
+				for (const job of isolation.takeOut(() => true)) {
+					refuse(job, 'targetUnreachable');
+				}
+
+				return suspects.noteCrash(runs);
+			},
 			probe(onResult) {
 				if (target) {
 					probeListening(target.address, onResult);
@@ -173,6 +189,11 @@
 			return;
 		}
 
+		if (!mayRunWithOthers(job)) {
+			gate.finish(undefined);
+			return;
+		}
+
 		job.state = 'running';
 		job.startedAt = now;
 		const runWatch = watch;
@@ -193,11 +214,12 @@
 				mayOfferAgain(job, clock.now()),
 			onOffer(outcome) {
 				lastOffer = outcome;
-				noteOffer(outcome);
+				noteOffer(job, outcome);
 			},
 			onFreed(duration) {
 				if (!lastOffer || !isConnectionLoss(lastOffer)) {
 					runWatch.ended(job);
+					leaveIsolation(job);
 				}
 
 				metrics.targetEnded(clock.now() - now);
@@ -218,6 +240,7 @@
 				}
 
 				runWatch.lost(job, (hasCrashed) => {
+					leaveIsolation(job);
 					finishRun(
 						job,
 						hasCrashed ? {kind: 'lost', reason: 'targetCrashed'} : outcome,
@@ -230,6 +253,25 @@
 		});
 	};
 
+	/** Refuses a request that crashes targets, and keeps one that may do so until another such one has ended. */
+	const mayRunWithOthers = (job: Job): boolean => {
+		const suspect = suspects.lookUp(job.request);
+		if (suspect && isQuarantined(suspect)) {
+			refuse(job, 'quarantined');
+			return false;
+		}
+
+		const crashes = Math.max(suspect?.crashes ?? 0, job.request.crashes);
+		return !isIsolated({crashes}) || isolation.enter(job);
+	};
+
+	const leaveIsolation = (job: Job) => {
+		const next = isolation.leave(job);
+		if (next) {
+			admit(next);
+		}
+	};
+
 	const finishRun = (job: Job, outcome: Outcome) => {
 		if (job.state === 'running') {
 			finish(job, outcome);
@@ -258,7 +300,7 @@
 		return isAllowed;
 	};
 
-	const noteOffer = (outcome: Outcome) => {
+	const noteOffer = ({request}: Job, outcome: Outcome) => {
 		const now = clock.now();
 		failures.note(
 			outcome.kind !== 'answered' || isTargetFailure(outcome.status),
@@ -267,6 +309,7 @@
 		offers.noteOffer(outcome, now);
 		if (outcome.kind === 'answered') {
 			access.noteAnswer();
+			suspects.noteAnswer(request);
 		}
 	};
 
@@ -290,10 +333,21 @@
 		scheduleTick();
 	};
 
+	const admit = (job: Job) => {
+		const decision = gate.offer(job.request, job, clock.now());
+		if (decision === 'refuse') {
+			refuse(job, 'noRoom');
+		} else if (decision === 'run') {
+			start(job);
+		}
+	};
+
 	/** Runs only while there is something to expire or a level to lower. */
 	const scheduleTick = () => {
 		const now = clock.now();
-		const isIdle = gate.waiting() === 0 && levels.isIdle(offers.unserved(now));
+		const isIdle =
+			gate.waiting() + isolation.waiting() === 0 &&
+			levels.isIdle(offers.unserved(now));
 		if (ticker !== undefined || isIdle) {
 			return;
 		}
@@ -308,7 +362,9 @@
 	let lastUpdate = 0;
 	const tick = () => {
 		const now = clock.now();
-		for (const job of gate.expire(now)) {
+		const isOverdue = ({offeredAt, request}: Job) =>
+			offeredAt + request.patience < now;
+		for (const job of [...gate.expire(now), ...isolation.takeOut(isOverdue)]) {
 			refuse(job, 'waitedTooLong');
 		}
 
@@ -326,9 +382,23 @@
 		}
 	};
 
+	const isKnownStart = (record: TargetRecord) =>
+		target?.targetId === record.targetId &&
+		target.startedAt === record.startedAt &&
+		target.address === record.address;
+
+	const takeWaiting = (): Job[] => [
+		...gate.clear(),
+		...isolation.takeOut(() => true),
+	];
+
 	return {
 		setTarget(record) {
-			const known = target;
+			const isOtherStart = record !== undefined && !isKnownStart(record);
+			if (isOtherStart) {
+				watch.refused();
+			}
+
 			target = record;
 			if (!record) {
 				return;
@@ -336,13 +406,8 @@
 
 			// Each announcement says that the target lives; the next request shows whether it is reached.
 			access.assumeReachable();
-			if (
-				known?.targetId !== record.targetId ||
-				known.startedAt !== record.startedAt ||
-				known.address !== record.address
-			) {
-				const waiting = gate.clear();
-				watch.refused();
+			if (isOtherStart) {
+				const waiting = takeWaiting();
 				watch = watchTarget();
 				gate = createGate<Job>(options.policy.limitOf(record.slots));
 				access.close();
@@ -357,7 +422,7 @@
 
 			gate.setLimit(options.policy.limitOf(record.slots));
 			if (record.isLeaving) {
-				for (const job of gate.clear()) {
+				for (const job of takeWaiting()) {
 					refuse(job, 'targetLeaving');
 				}
 			}
@@ -365,7 +430,7 @@
 		serves: (service) => findObstacle(service) === undefined,
 		stop() {
 			isStopping = true;
-			for (const job of gate.clear()) {
+			for (const job of takeWaiting()) {
 				refuse(job, 'nodeStopping');
 			}
 		},
@@ -385,13 +450,7 @@
 				return () => undefined;
 			}
 
-			const decision = gate.offer(request, job, now);
-			if (decision === 'refuse') {
-				refuse(job, 'noRoom');
-			} else if (decision === 'run') {
-				start(job);
-			}
-
+			admit(job);
 			scheduleTick();
 			return () => {
 				giveUp(job);
@@ -405,7 +464,7 @@
 		close() {
 			access.close();
 		},
-		held: () => gate.running() + gate.waiting(),
+		held: () => gate.running() + gate.waiting() + isolation.waiting(),
 		readings: () => ({
 			inFlight: gate.running(),
 			waiting: gate.waiting(),
@@ -418,6 +477,7 @@
 		if (job.state === 'waiting') {
 			job.state = 'over';
 			gate.withdraw(job);
+			isolation.withdraw(job);
 		} else if (job.state === 'running') {
 			job.state = 'over';
 			// Work that may not be repeated is left to end: cutting it off spares nothing that its caller could still get.
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -18,6 +18,7 @@
 import {createDirectory} from './directory.js';
 import {createEntry} from './entry.js';
 import {createGatekeeper} from './gatekeeper.js';
+import {createGossip} from './gossip.js';
 import type {HeaderNames} from './header-names.js';
 import {createNewsHandler} from './peer-news.js';
 import {waitUntilIdle} from './planned-stop.js';
@@ -34,6 +35,8 @@
 import {createRoutePressure} from './route-pressure.js';
 import {createRouteTable, type RouteTable} from './route-table.js';
 import type {RowAddress, RowStore} from './row-store.js';
+import {createSuspectRegister} from './suspect-register.js';
+import {createSuspects, toMessage} from './suspects.js';
 import {createTicker} from './ticker.js';
 import {createTargetBelief} from './target-belief.js';
 import type {Announcement, Withdrawal} from './target-record.js';
@@ -148,6 +151,18 @@
 		peerListener.tellAll(ownNews.state());
 	};
 
+	const suspects = createSuspects({
+		clock,
+		headerNames,
+		reporter,
+		tellAll(message) {
+			directory.tellAll(message);
+			peerListener.tellAll(message);
+		},
+		gossip: () => suspectNews,
+		register: () => suspectRegister,
+	});
+
 	const gatekeeper = createGatekeeper({
 		clock,
 		wheel,
@@ -156,6 +171,7 @@
 		metrics,
 		policy,
 		retryBudget: settings.retryBudget,
+		suspects,
 		profile,
 		onReachable(reachable) {
 			belief.setReachable(reachable);
@@ -189,6 +205,7 @@
 		onMembers(members) {
 			directory.addMembers(members, 'peer');
 		},
+		onSuspects: suspects.take,
 		onQuotaUse(message, reply) {
 			quotas.takeUse(message, reply);
 		},
@@ -215,7 +232,7 @@
 		random: random.fork(),
 		ticker,
 		self,
-		hello: () => [ownNews.hello()],
+		hello: () => [ownNews.hello(), ...suspects.greeting()],
 		onMessage: receive,
 		onMalformed,
 		onProfiles(peer, {service, profiles}) {
@@ -236,10 +253,31 @@
 	const peerListener = createPeerListener({
 		clock,
 		gatekeeper,
-		greet: () => [ownNews.hello(), ownNews.state(), ownNews.profiles()],
+		greet: () => [
+			ownNews.hello(),
+			ownNews.state(),
+			ownNews.profiles(),
+			...suspects.greeting(),
+		],
 		onMessage: receive,
 		onMalformed,
 	});
+	const suspectNews = createGossip({
+		clock,
+		random: random.fork(),
+		self,
+		links: directory.linked,
+		toMessage,
+	});
+	const suspectRegister = createSuspectRegister({
+		store,
+		node: self.node,
+		clock,
+		random: random.fork(),
+		reporter,
+		isFollower: () => isFeedFollower(self.node, directory.feedPeers()),
+		onSuspects: suspects.takeStored,
+	});
 	const pressure = createRoutePressure({
 		clock,
 		graph,
@@ -287,6 +325,7 @@
 		innerRoutes,
 		graph,
 		pressure,
+		suspects,
 		onNewRoute() {
 			newRoutes.note();
 		},
@@ -345,10 +384,12 @@
 			self.address = peers;
 			void follower.run(life.signal);
 			void register.run(life.signal);
+			void suspectRegister.run(life.signal);
 			ticker.schedule(versionPeriod, tellVersion);
 			reportLoad.start();
 			learning.start();
 			quotas.start(ticker);
+			suspects.start(ticker);
 			reporter.notice('meshStarted', {
 				service: settings.service,
 				dataCentre: settings.dataCentre,
@@ -394,6 +435,7 @@
 	function abort(): void {
 		life.abort();
 		newRoutes.close();
+		suspectNews.close();
 		callerListener.close();
 		peerListener.close();
 		directory.close();
--- a/packages/mesh/src/passage.ts
+++ b/packages/mesh/src/passage.ts
@@ -8,6 +8,7 @@
  * a failure that promises nothing.
  */
 import type {MeshMetrics} from '@egretspoke/observability';
+import {isQuarantined, type Suspect} from '@egretspoke/quarantine';
 import type {Clock, Random} from '@egretspoke/shared';
 import type {CallerRequest, FinalAnswer} from './caller-request.js';
 import type {DeadlineWheel} from './deadline-wheel.js';
@@ -28,6 +29,7 @@
 import {createPassageReport} from './passage-report.js';
 import type {RoutePressure} from './route-pressure.js';
 import type {TableRoute} from './route-table.js';
+import type {Suspects} from './suspects.js';
 
 /** What every passage of a node needs. */
 export type PassageOptions = {
@@ -40,6 +42,8 @@
 	innerRoutes: InnerRoutes;
 	graph: CallGraph;
 	pressure: RoutePressure;
+	/** Requests under which targets crashed. */
+	suspects: Pick<Suspects, 'lookUp'>;
 	/** A route was asked for that the other nodes don't know to be asked for here. */
 	onNewRoute: () => void;
 	policy: MeshPolicy;
@@ -108,6 +112,8 @@
 	/** Targets that got the request. */
 	let arrivals = 0;
 	let refusals = 0;
+	/** Targets that crashed while they had the request. */
+	let crashes = 0;
 	/** The share of requests like this one that is refused now. */
 	let shed = 0;
 	let mayHaveRun = false;
@@ -180,7 +186,22 @@
 	const shareRefused = (): number =>
 		options.policy.has('shedNew') ? pressure.shareRefused(work) : 0;
 
+	/** It has run, under this id or another one, so nobody may be told that it has not. */
+	const refuseQuarantined = (suspect?: Suspect) => {
+		metrics.requestQuarantined();
+		reporter.decision('meshQuarantined', request.requestId, 'quarantined', {
+			...(suspect && {identity: suspect.identity, crashes: suspect.crashes}),
+		});
+		finish({kind: 'own', status: 502, reason: 'quarantined'});
+	};
+
 	const attempt = () => {
+		const suspect = options.suspects.lookUp(request);
+		if (suspect && isQuarantined(suspect)) {
+			refuseQuarantined(suspect);
+			return;
+		}
+
 		const isNew = !isInner && arrivals === 0 && refusals === 0;
 		if (isNew) {
 			shed = shareRefused();
@@ -206,13 +227,17 @@
 		}
 
 		tried.add(target.node);
-		send(target, timeLeft);
+		send(target, timeLeft, Math.max(crashes, suspect?.crashes ?? 0));
 	};
 
-	const send = (target: TargetCandidate, timeLeft: number) => {
+	const send = (
+		target: TargetCandidate,
+		timeLeft: number,
+		knownCrashes: number,
+	) => {
 		let isEnded = false;
 		const cancel = target.channel.send(
-			createHanded(timeLeft),
+			createHanded(timeLeft, knownCrashes),
 			(outcome, load) => {
 				isEnded = true;
 				target.note(outcome.kind === 'answered' ? 'answered' : 'failed', load);
@@ -226,7 +251,10 @@
 		}
 	};
 
-	const createHanded = (timeLeft: number): HandedRequest => ({
+	const createHanded = (
+		timeLeft: number,
+		knownCrashes: number,
+	): HandedRequest => ({
 		requestId: request.requestId,
 		method: request.method,
 		path: request.path,
@@ -238,6 +266,7 @@
 		isNearItsEnd,
 		route: route.name,
 		repeatShare: arrivals > 0 ? 1 : repeatShareOfCall,
+		crashes: knownCrashes,
 		priority: urgency,
 		patience: Math.min(
 			timeLeft / 2,
@@ -304,7 +333,12 @@
 		},
 		refused({reason}, node) {
 			refusals++;
-			if (refusals >= mostRefusals || until - clock.now() < leastTimeToRetry) {
+			if (reason === 'quarantined') {
+				refuseQuarantined(options.suspects.lookUp(request));
+			} else if (
+				refusals >= mostRefusals ||
+				until - clock.now() < leastTimeToRetry
+			) {
 				giveUp(reason);
 			} else if (reason === 'noRoom' || reason === 'waitedTooLong') {
 				// Another target gets it only if it is known to have room: else the refusal would be handed around.
@@ -328,6 +362,7 @@
 		lost({reason}, node) {
 			arrivals++;
 			mayHaveRun = true;
+			crashes += reason === 'targetCrashed' ? 1 : 0;
 			if (route.isIdempotent) {
 				sendAgain(reason, node);
 			} else {
--- a/packages/mesh/src/peer-message.ts
+++ b/packages/mesh/src/peer-message.ts
@@ -117,6 +117,19 @@
 	grants: z.array(z.tuple([z.string(), z.number(), z.number()])),
 });
 
+/** A suspect as a list: its identity, its round and its crashes; see `@egretspoke/quarantine`. */
+export const suspectTupleSchema = z.tuple([
+	z.string().min(1).max(64),
+	z.number().int().nonnegative(),
+	z.number().int().nonnegative(),
+]);
+
+/** Requests under which targets crashed, as far as the receiver may not know. */
+export const suspectsSchema = z.object({
+	kind: z.literal('suspects'),
+	suspects: z.array(suspectTupleSchema),
+});
+
 const configurationSchema = z.object({
 	kind: z.literal('configuration'),
 	configuration: routingConfigurationSchema,
@@ -128,6 +141,8 @@
 export type ProfilesMessage = z.output<typeof profilesSchema>;
 export type QuotaUseMessage = z.output<typeof quotaUseSchema>;
 export type QuotaGrantMessage = z.output<typeof quotaGrantSchema>;
+export type SuspectTuple = z.output<typeof suspectTupleSchema>;
+export type SuspectsMessage = z.output<typeof suspectsSchema>;
 
 /** Every message of a link. */
 export type PeerMessage =
@@ -137,6 +152,7 @@
 	| ProfilesMessage
 	| QuotaUseMessage
 	| QuotaGrantMessage
+	| SuspectsMessage
 	| {kind: 'configuration'; configuration: RoutingConfiguration}
 	/** A version that the sender has; one who lacks it asks for it. */
 	| {kind: 'version'; version: number}
@@ -153,6 +169,7 @@
 	profiles: profilesSchema,
 	quotaUse: quotaUseSchema,
 	quotaGrant: quotaGrantSchema,
+	suspects: suspectsSchema,
 	configuration: configurationSchema,
 };
 
--- a/packages/mesh/src/peer-news.ts
+++ b/packages/mesh/src/peer-news.ts
@@ -6,6 +6,7 @@
 	PeerMessage,
 	QuotaGrantMessage,
 	QuotaUseMessage,
+	SuspectsMessage,
 } from './peer-message.js';
 
 type Reply = (message: PeerMessage) => void;
@@ -20,6 +21,8 @@
 	onQuotaUse: (message: QuotaUseMessage, reply: Reply) => void;
 	/** Somebody grants shares of quotas. */
 	onQuotaGrant: (message: QuotaGrantMessage) => void;
+	/** Somebody told of requests under which targets crashed. */
+	onSuspects: (message: SuspectsMessage) => void;
 	/** Somebody told of members. */
 	onMembers: (members: Member[]) => void;
 };
@@ -78,6 +81,7 @@
 		},
 		quotaUse: options.onQuotaUse,
 		quotaGrant: options.onQuotaGrant,
+		suspects: options.onSuspects,
 		version({version}, reply) {
 			compareVersions(version, reply);
 		},
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -68,10 +68,21 @@
 		isNotable: true,
 		template: 'its target crashed while it ran',
 		meaning:
-			'The target had this request when its process ended unannounced. `identity` is the same for repeats of the request under other ids, `ran` the milliseconds that the target had it.',
+			'The target had this request when its process ended unannounced. `identity` is the same for repeats of the request under other ids, `ran` the milliseconds that the target had it, `crashes` how many are put down to it so far.',
 		advice:
 			'An identity that comes back at one crash after the other names the request that causes them.',
 	},
+	meshQuarantined: {
+		code: 1608,
+		level: 'info',
+		kind: 'decision',
+		isNotable: true,
+		template: 'not given to any target: it crashes those that run it',
+		meaning:
+			'Targets crashed under this request, whatever its id, one after the other, and none answered it. No target gets it any more; it has run, so its caller is not told that it has not.',
+		advice:
+			'`egretspoke explain` shows the crashes under the same `identity`, in lines 1607. Mend the service; the request is let in again when it has not come for an hour.',
+	},
 	meshStarted: {
 		code: 2501,
 		level: 'info',
@@ -160,4 +171,13 @@
 		advice:
 			'Look at the target; lines 1607 of this moment name the requests that it had.',
 	},
+	meshRequestQuarantined: {
+		code: 2511,
+		level: 'warn',
+		kind: 'notice',
+		template: 'request {identity} is in quarantine after {crashes} crashes',
+		meaning:
+			'This node has learnt, by its own target, a peer or the store, that the request crashes the targets that run it.',
+		advice: 'Look for line 1607 with this identity, which names its route.',
+	},
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -63,6 +63,14 @@
 		reading:
 			'Rises at many nodes of one service within seconds: one request may crash each target that runs it, see event 1607.',
 	},
+	meshQuarantined: {
+		name: 'egretspoke_mesh_quarantined_total',
+		type: 'counter',
+		labels: [],
+		help: 'Requests that entered at this node and were given to no target, since they crash those that run them.',
+		reading:
+			'Above 0: a caller repeats a request that crashes targets; events 1607 and 1608 name it.',
+	},
 	meshStoreLost: {
 		name: 'egretspoke_mesh_store_failures_total',
 		type: 'counter',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -43,6 +43,7 @@
 	targetEnded(duration: number): void;
 	sentAgain(service: string): void;
 	targetCrashed(): void;
+	requestQuarantined(): void;
 	storeFailed(call: string): void;
 };
 
@@ -61,6 +62,7 @@
 	const attempts = createCounter(registry, 'meshAttempts');
 	const retries = createCounter(registry, 'retries');
 	const crashes = createCounter(registry, 'meshTargetCrashes');
+	const quarantined = createCounter(registry, 'meshQuarantined');
 	const storeFailures = createCounter(registry, 'meshStoreLost');
 	const update = createReadingGauges(registry);
 	const boundRoute = createLabelBound();
@@ -87,6 +89,9 @@
 		targetCrashed() {
 			crashes.inc();
 		},
+		requestQuarantined() {
+			quarantined.inc();
+		},
 		storeFailed(call) {
 			storeFailures.inc({call});
 		},
--- /dev/null
+++ b/packages/quarantine/__tests__/suspect-table.spec.ts
@@ -0,0 +1,170 @@
+import {expect} from 'chai';
+import {
+	createSuspectTable,
+	identifyRequest,
+	isIsolated,
+	isQuarantined,
+	memoryTime,
+	type RequestParts,
+	type SuspectTable,
+} from '../src/index.js';
+
+const partsOf = (name: string): RequestParts => ({
+	caller: '',
+	method: 'GET',
+	host: 'shop.example',
+	path: `/read/${name}`,
+	body: new Uint8Array(),
+});
+const identityOf = (name: string) => identifyRequest(partsOf(name));
+const run = (name: string, startedAt: number, crashes = 0) => ({
+	identity: identityOf(name),
+	startedAt,
+	crashes,
+});
+const lookUp = (table: SuspectTable, name: string, now = 0) =>
+	table.lookUp(`/read/${name}`, () => partsOf(name), now);
+const crashesOf = (table: SuspectTable, name: string) =>
+	lookUp(table, name)?.crashes ?? 0;
+
+describe('a request that crashes each target that runs it', () => {
+	it('is isolated after the second crash and in quarantine after the third', () => {
+		const table = createSuspectTable();
+		for (const [index, level] of [
+			[1, {isolated: false, quarantined: false}],
+			[2, {isolated: true, quarantined: false}],
+			[3, {isolated: true, quarantined: true}],
+		] as const) {
+			table.noteCrash([run('deadly', index * 1000)], index * 1000 + 100);
+			const suspect = lookUp(table, 'deadly')!;
+			expect(isIsolated(suspect)).to.equal(level.isolated);
+			expect(isQuarantined(suspect)).to.equal(level.quarantined);
+		}
+	});
+
+	it('is counted by what its sender knew where news have not come', () => {
+		const table = createSuspectTable();
+		table.noteCrash([run('deadly', 0, 2)], 100);
+		expect(crashesOf(table, 'deadly')).to.equal(3);
+	});
+
+	it('alone takes the blame once it is isolated', () => {
+		const table = createSuspectTable();
+		table.noteCrash([run('deadly', 0, 1)], 100);
+		table.noteCrash([run('deadly', 200), run('other', 200, 1)], 300);
+		expect(crashesOf(table, 'deadly')).to.equal(3);
+		expect(crashesOf(table, 'other')).to.equal(0);
+	});
+});
+
+describe('a request that was merely at a target when it crashed', () => {
+	// Guards against a quarantine by targets that are killed at the same moment.
+	it('counts targets that crash together once', () => {
+		const table = createSuspectTable();
+		for (let target = 0; target < 5; target++) {
+			table.noteCrash([run('popular', 0)], 100 + target);
+		}
+
+		expect(crashesOf(table, 'popular')).to.equal(1);
+	});
+
+	// Guards against a quarantine of what many callers ask for while targets crash one after the other.
+	it('is cleared by an answer', () => {
+		const table = createSuspectTable();
+		for (let crash = 0; crash < 9; crash++) {
+			table.noteCrash([run('popular', crash * 1000)], crash * 1000 + 100);
+			table.clear(identityOf('popular'), crash * 1000 + 200);
+		}
+
+		expect(lookUp(table, 'popular')).to.equal(undefined);
+	});
+
+	it('stays cleared when an older report comes late', () => {
+		const table = createSuspectTable();
+		const reports = table.noteCrash([run('popular', 0, 2)], 100);
+		table.clear(identityOf('popular'), 200);
+		expect(table.merge(reports, 300)).to.deep.equal([]);
+		expect(lookUp(table, 'popular')).to.equal(undefined);
+	});
+
+	it('can come under suspicion again after it was cleared', () => {
+		const table = createSuspectTable();
+		table.noteCrash([run('changed', 0)], 100);
+		table.clear(identityOf('changed'), 200);
+		table.noteCrash([run('changed', 300)], 400);
+		expect(crashesOf(table, 'changed')).to.equal(1);
+	});
+});
+
+describe('what nodes tell each other of suspects', () => {
+	it('is the same in whatever order it comes, and as often as it comes', () => {
+		const identity = identityOf('deadly');
+		const reports = [
+			{identity, round: 0, crashes: 3},
+			{identity, round: 1, crashes: 0},
+			{identity, round: 1, crashes: 1},
+		];
+		for (const order of [reports, [...reports].reverse()]) {
+			const table = createSuspectTable();
+			for (const report of [...order, ...order]) {
+				table.merge([report], 0);
+			}
+
+			expect(table.list(9)).to.deep.equal([{identity, round: 1, crashes: 1}]);
+		}
+	});
+
+	it('is passed on only when it is new', () => {
+		const table = createSuspectTable();
+		const report = {identity: identityOf('deadly'), round: 0, crashes: 2};
+		expect(table.merge([report], 0)).to.deep.equal([report]);
+		expect(table.merge([report], 0)).to.deep.equal([]);
+	});
+
+	it('begins with those of most crashes', () => {
+		const table = createSuspectTable();
+		table.noteCrash([run('bystander', 0)], 100);
+		table.noteCrash([run('deadly', 0, 2)], 100);
+		expect(table.list(1)).to.deep.equal([
+			{identity: identityOf('deadly'), round: 0, crashes: 3},
+		]);
+	});
+});
+
+describe('the memory of suspects', () => {
+	it('ends when a request has not come for long, and not while it comes', () => {
+		const table = createSuspectTable();
+		table.noteCrash([run('deadly', 0, 2), run('gone', 0, 2)], 100);
+		lookUp(table, 'deadly', memoryTime);
+		table.expire(memoryTime + 200);
+		expect(lookUp(table, 'gone')).to.equal(undefined);
+		expect(crashesOf(table, 'deadly')).to.equal(3);
+	});
+
+	it('is bounded, and keeps what is in quarantine longest', () => {
+		const table = createSuspectTable();
+		table.noteCrash([run('deadly', 0, 2)], 100);
+		for (let crash = 0; crash < 100; crash++) {
+			const runs = Array.from({length: 100}, (_, index) =>
+				run(`${crash}-${index}`, crash),
+			);
+			table.noteCrash(runs, crash);
+		}
+
+		expect(table.list(20_000)).to.have.length(1000);
+		expect(crashesOf(table, 'deadly')).to.equal(3);
+	});
+
+	it('asks for no digest of requests on other paths', () => {
+		const table = createSuspectTable();
+		table.noteCrash([run('deadly', 0)], 100);
+		const suspect = table.lookUp(
+			'/read/other',
+			() => {
+				throw new Error('not to be identified');
+			},
+			0,
+		);
+		expect(suspect).to.equal(undefined);
+	});
+});
--- a/packages/quarantine/src/crash-detector.ts
+++ b/packages/quarantine/src/crash-detector.ts
@@ -75,8 +75,9 @@
 		});
 	};
 
+	/** A busy process may not have noticed the last ends by now. */
 	const settle = () => {
-		if (exposed.size > 0) {
+		if (exposed.size > undecided.length) {
 			decide(false);
 		} else {
 			probe();
