refactor(quarantine): one quarantine for both kinds of node; events and metrics of both

The knowledge of one node, the watch over a target's crashes and the probe of a listening port are not the mesh's own: our own interface needs them too. The events keep their numbers; the counters are egretspoke_target_crashes_total and egretspoke_quarantined_total. Behaviour unchanged.

--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -8,16 +8,14 @@
  */
 import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
 import {
+	createCrashWatch,
 	createIsolation,
 	isIsolated,
 	isQuarantined,
-} from '@egretspoke/quarantine';
-import type {Clock, Timer} from '@egretspoke/shared';
-import {
-	createCrashWatch,
 	type CrashWatch,
-	type WatchedRun,
-} from './crash-watch.js';
+} from '@egretspoke/quarantine';
+import {probeListening, type Clock, type Timer} from '@egretspoke/shared';
+import {reportCrash, type WatchedRun} from './crash-report.js';
 import type {DeadlineWheel} from './deadline-wheel.js';
 import type {CallProfile} from './decisions/call-profile.js';
 import {createFailureShare} from './decisions/failure-share.js';
@@ -37,7 +35,6 @@
 	type TargetLoad,
 } from './exchange.js';
 import type {HeaderNames} from './header-names.js';
-import {probeListening} from './listening-probe.js';
 import type {MeshReporter} from './mesh-reporter.js';
 import {createRepeatedOffers} from './repeated-offers.js';
 import type {Suspects} from './suspects.js';
@@ -123,14 +120,15 @@
 
 	const watchTarget = (): CrashWatch<Job> =>
 		createCrashWatch<Job>({
-			...options,
+			clock,
 			isLeaving: () => target?.isLeaving ?? true,
-			onCrash(runs) {
+			onCrash(jobs, lost) {
 				for (const job of isolation.takeOut(() => true)) {
 					refuse(job, 'targetUnreachable');
 				}
 
-				return suspects.noteCrash(runs);
+				const {noteCrash} = suspects;
+				reportCrash({...options, noteCrash}, jobs, lost);
 			},
 			probe(onResult) {
 				if (target) {
--- a/packages/mesh/src/passage.ts
+++ b/packages/mesh/src/passage.ts
@@ -189,7 +189,7 @@
 	/** It has run, under this id or another one, so nobody may be told that it has not. */
 	const refuseQuarantined = (suspect?: Suspect) => {
 		metrics.requestQuarantined();
-		reporter.decision('meshQuarantined', request.requestId, 'quarantined', {
+		reporter.decision('quarantined', request.requestId, 'quarantined', {
 			...(suspect && {identity: suspect.identity, crashes: suspect.crashes}),
 		});
 		finish({kind: 'own', status: 502, reason: 'quarantined'});
--- a/packages/mesh/src/suspects.ts
+++ b/packages/mesh/src/suspects.ts
@@ -1,13 +1,9 @@
-/**
- * What this node knows of requests that crash targets, from its own target,
- * from its peers and from the store, and whom it tells.
- */
+/** The quarantine of a mesh node: by requests as they are handed over, over links, gossip and the store. */
 import {
-	createSuspectTable,
-	isIsolated,
-	isQuarantined,
-	type CrashedRun,
-	type RequestIdentity,
+	createQuarantine,
+	expiryPeriod,
+	renewalPeriod,
+	type Quarantine,
 	type Suspect,
 } from '@egretspoke/quarantine';
 import type {Clock} from '@egretspoke/shared';
@@ -21,7 +17,7 @@
 import {toSuspect, toTuple} from './suspect-tuple.js';
 import type {Ticker} from './ticker.js';
 
-/** What the knowledge needs. */
+/** What the quarantine needs. */
 export type SuspectsOptions = {
 	clock: Clock;
 	headerNames: Pick<HeaderNames, 'workspace'>;
@@ -33,17 +29,12 @@
 };
 
 /** The parts of a request by which it is known. */
-export type KnownRequest = Pick<
-	HandedRequest,
-	'method' | 'path' | 'headers' | 'body'
->;
+type KnownRequest = Pick<HandedRequest, 'method' | 'path' | 'headers' | 'body'>;
 
-/** The knowledge. */
-export type Suspects = {
+/** The quarantine. */
+export type Suspects = Pick<Quarantine, 'noteCrash'> & {
 	/** What is known of the request; undefined when no target crashed under it. */
 	lookUp(request: KnownRequest): Suspect | undefined;
-	/** The target beside this node crashed; gives what is known now of the suspects that this changed. */
-	noteCrash(runs: CrashedRun[]): Suspect[];
 	/** The target beside this node answered the request. */
 	noteAnswer(request: KnownRequest): void;
 	/** Takes what a peer told. */
@@ -55,96 +46,45 @@
 	start(ticker: Ticker): void;
 };
 
-/** Suspects in one message to a newly linked node. */
-const mostInGreeting = 128;
-/** Milliseconds between two looks for suspects to forget. */
-const expiryPeriod = 10_000;
-/** Milliseconds after which requests in quarantine that still come are written again, so that their rows stay young. */
-const renewalPeriod = 900_000;
-
-/** Creates the knowledge of a node that has heard of nothing. */
+/** Creates the quarantine of a node that has heard of nothing. */
 export function createSuspects(options: SuspectsOptions): Suspects {
-	const {clock, headerNames, reporter} = options;
-	const table = createSuspectTable();
-	/** Requests in quarantine that came here since their rows were written last. */
-	const refused = new Map<RequestIdentity, Suspect>();
-
-	const tellQuarantined = (suspects: readonly Suspect[]) => {
-		for (const {identity, crashes} of suspects.filter((suspect) =>
-			isQuarantined(suspect),
-		)) {
-			reporter.notice('meshRequestQuarantined', {identity, crashes});
-		}
-	};
-
-	const spread = (suspects: Suspect[]) => {
-		if (suspects.length > 0) {
+	const {headerNames, reporter} = options;
+	const quarantine = createQuarantine({
+		clock: options.clock,
+		spread(suspects) {
 			options.tellAll(toMessage(suspects));
-			options.register().note(suspects);
-		}
-	};
-
-	const merge = (told: Suspect[]) => {
-		const news = table.merge(told, clock.now());
-		tellQuarantined(news);
-		for (const suspect of news) {
-			options.gossip().add(suspect);
-		}
-	};
-
-	return {
-		lookUp(request) {
-			const suspect = table.lookUp(
-				request.path,
-				() => partsOf(request, headerNames),
-				clock.now(),
-			);
-			if (suspect && isQuarantined(suspect)) {
-				refused.set(suspect.identity, suspect);
+		},
+		passOn(suspects) {
+			for (const suspect of suspects) {
+				options.gossip().add(suspect);
 			}
-
-			return suspect;
 		},
-		noteCrash(runs) {
-			const changed = table.noteCrash(runs, clock.now());
-			tellQuarantined(changed);
-			spread(changed);
-			return changed;
+		keep(suspects) {
+			options.register().note(suspects);
 		},
-		noteAnswer(request) {
-			const suspect = table.lookUp(
-				request.path,
-				() => partsOf(request, headerNames),
-				clock.now(),
-			);
-			if (!suspect) {
-				return;
-			}
+		onQuarantined({identity, crashes}) {
+			reporter.notice('requestQuarantined', {identity, crashes});
+		},
+	});
 
-			const isKnownElsewhere = isIsolated(suspect);
-			const cleared = table.clear(suspect.identity, clock.now());
-			if (cleared && isKnownElsewhere) {
-				spread([cleared]);
-			}
+	return {
+		noteCrash: quarantine.noteCrash,
+		lookUp: (request) =>
+			quarantine.lookUp(request.path, () => partsOf(request, headerNames)),
+		noteAnswer(request) {
+			quarantine.noteAnswer(request.path, () => partsOf(request, headerNames));
 		},
 		take({suspects}) {
-			merge(suspects.map((tuple) => toSuspect(tuple)));
+			quarantine.take(suspects.map((tuple) => toSuspect(tuple)));
 		},
-		takeStored: merge,
+		takeStored: quarantine.take,
 		greeting() {
-			const suspects = table.list(mostInGreeting);
+			const suspects = quarantine.list();
 			return suspects.length === 0 ? [] : [toMessage(suspects)];
 		},
 		start(ticker) {
-			ticker.schedule(expiryPeriod, () => {
-				table.expire(clock.now());
-			});
-			ticker.schedule(renewalPeriod, () => {
-				if (refused.size > 0) {
-					options.register().note([...refused.values()]);
-					refused.clear();
-				}
-			});
+			ticker.schedule(expiryPeriod, quarantine.expire);
+			ticker.schedule(renewalPeriod, quarantine.renew);
 		},
 	};
 }
--- a/packages/observability/src/decision-events.ts
+++ b/packages/observability/src/decision-events.ts
@@ -138,4 +138,26 @@
 		meaning: 'The caller has its one final answer.',
 		advice: 'Nothing to do.',
 	},
+	crashedUnder: {
+		code: 1607,
+		level: 'info',
+		kind: 'decision',
+		isNotable: true,
+		template: 'its target crashed while it ran',
+		meaning:
+			'The target had this request when its process ended unannounced. `identity` is the same for repeats of the request under other ids, `ran` the milliseconds that the target had it, `crashes` how many are put down to it so far.',
+		advice:
+			'An identity that comes back at one crash after the other names the request that causes them.',
+	},
+	quarantined: {
+		code: 1608,
+		level: 'info',
+		kind: 'decision',
+		isNotable: true,
+		template: 'not given to any target: it crashes those that run it',
+		meaning:
+			'Targets crashed under this request, whatever its id, one after the other, and none answered it. No target gets it any more; it has run, so its caller is not told that it has not.',
+		advice:
+			'`egretspoke explain` shows the crashes under the same `identity`, in lines 1607. Mend the service; the request is let in again when it has not come for an hour.',
+	},
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -1,7 +1,7 @@
 /** The events of a mesh node: its target, the store, and what became of requests. */
 import type {EventDefinition} from './event-definition.js';
 
-/** Decisions 16xx, notices 25xx. */
+/** Decisions 16xx, notices 25xx; some of these numbers are events of both kinds of node. */
 export const meshEvents = {
 	meshOwnAnswer: {
 		code: 1601,
@@ -61,28 +61,6 @@
 		advice:
 			'Many with `unknownKey` after a change: callers still use a key that was taken away. Many with `quotaExceeded` of one caller: it sends more than its workspace may.',
 	},
-	meshCrashedUnder: {
-		code: 1607,
-		level: 'info',
-		kind: 'decision',
-		isNotable: true,
-		template: 'its target crashed while it ran',
-		meaning:
-			'The target had this request when its process ended unannounced. `identity` is the same for repeats of the request under other ids, `ran` the milliseconds that the target had it, `crashes` how many are put down to it so far.',
-		advice:
-			'An identity that comes back at one crash after the other names the request that causes them.',
-	},
-	meshQuarantined: {
-		code: 1608,
-		level: 'info',
-		kind: 'decision',
-		isNotable: true,
-		template: 'not given to any target: it crashes those that run it',
-		meaning:
-			'Targets crashed under this request, whatever its id, one after the other, and none answered it. No target gets it any more; it has run, so its caller is not told that it has not.',
-		advice:
-			'`egretspoke explain` shows the crashes under the same `identity`, in lines 1607. Mend the service; the request is let in again when it has not come for an hour.',
-	},
 	meshStarted: {
 		code: 2501,
 		level: 'info',
@@ -161,23 +139,4 @@
 			'The address for metrics is taken or not allowed; requests are served without.',
 		advice: 'Free the port on this VM and start the node again.',
 	},
-	meshTargetCrashed: {
-		code: 2510,
-		level: 'warn',
-		kind: 'notice',
-		template: 'the target crashed with {requests} requests',
-		meaning:
-			'Every request at the target was lost and it takes no connection, without having announced its leaving.',
-		advice:
-			'Look at the target; lines 1607 of this moment name the requests that it had.',
-	},
-	meshRequestQuarantined: {
-		code: 2511,
-		level: 'warn',
-		kind: 'notice',
-		template: 'request {identity} is in quarantine after {crashes} crashes',
-		meaning:
-			'This node has learnt, by its own target, a peer or the store, that the request crashes the targets that run it.',
-		advice: 'Look for line 1607 with this identity, which names its route.',
-	},
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -55,22 +55,6 @@
 		help: 'Nodes that this one knows, itself included.',
 		reading: 'Nodes that are gone for good stay until their rows are removed.',
 	},
-	meshTargetCrashes: {
-		name: 'egretspoke_mesh_target_crashes_total',
-		type: 'counter',
-		labels: [],
-		help: 'Crashes of the target beside this node, noticed by its connections.',
-		reading:
-			'Rises at many nodes of one service within seconds: one request may crash each target that runs it, see event 1607.',
-	},
-	meshQuarantined: {
-		name: 'egretspoke_mesh_quarantined_total',
-		type: 'counter',
-		labels: [],
-		help: 'Requests that entered at this node and were given to no target, since they crash those that run them.',
-		reading:
-			'Above 0: a caller repeats a request that crashes targets; events 1607 and 1608 name it.',
-	},
 	meshStoreLost: {
 		name: 'egretspoke_mesh_store_failures_total',
 		type: 'counter',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -61,8 +61,8 @@
 	const targetDuration = createHistogram(registry, 'meshTargetDuration');
 	const attempts = createCounter(registry, 'meshAttempts');
 	const retries = createCounter(registry, 'retries');
-	const crashes = createCounter(registry, 'meshTargetCrashes');
-	const quarantined = createCounter(registry, 'meshQuarantined');
+	const crashes = createCounter(registry, 'targetCrashes');
+	const quarantined = createCounter(registry, 'quarantined');
 	const storeFailures = createCounter(registry, 'meshStoreLost');
 	const update = createReadingGauges(registry);
 	const boundRoute = createLabelBound();
--- a/packages/observability/src/metric-catalogue.ts
+++ b/packages/observability/src/metric-catalogue.ts
@@ -185,6 +185,22 @@
 		help: 'Resident memory of the process.',
 		reading: 'Flat under a steady load.',
 	},
+	targetCrashes: {
+		name: 'egretspoke_target_crashes_total',
+		type: 'counter',
+		labels: [],
+		help: 'Crashes of the target beside this node, noticed by its connections.',
+		reading:
+			'Rises at many nodes of one service within seconds: one request may crash each target that runs it, see event 1607.',
+	},
+	quarantined: {
+		name: 'egretspoke_quarantined_total',
+		type: 'counter',
+		labels: [],
+		help: 'Requests that entered at this node and were given to no target, since they crash those that run them.',
+		reading:
+			'Above 0: a caller repeats a request that crashes targets; events 1607 and 1608 name it.',
+	},
 } as const satisfies Record<string, MetricDefinition>;
 
 /** A metric's key in the table. */
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -52,6 +52,8 @@
 	lateAnswer(): void;
 	childRestarted(child: string): void;
 	suspended(): void;
+	targetCrashed(): void;
+	requestQuarantined(): void;
 	/** The text that Prometheus collects. */
 	render(): Promise<string>;
 };
@@ -77,6 +79,8 @@
 	const lateAnswers = createCounter(registry, 'lateAnswers');
 	const childRestarts = createCounter(registry, 'childRestarts');
 	const suspensions = createCounter(registry, 'suspensions');
+	const crashes = createCounter(registry, 'targetCrashes');
+	const quarantined = createCounter(registry, 'quarantined');
 	const update = createReadingGauges(registry);
 	const boundService = createLabelBound();
 	const boundKind = createLabelBound();
@@ -122,6 +126,12 @@
 		suspended() {
 			suspensions.inc();
 		},
+		targetCrashed() {
+			crashes.inc();
+		},
+		requestQuarantined() {
+			quarantined.inc();
+		},
 		async render() {
 			update(read());
 			return registry.metrics();
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -204,4 +204,23 @@
 		meaning: 'Lines came faster than they could be written.',
 		advice: 'Lower logs.sample, or read the output faster.',
 	},
+	targetCrashed: {
+		code: 2510,
+		level: 'warn',
+		kind: 'notice',
+		template: 'the target crashed with {requests} requests',
+		meaning:
+			'Every request at the target was lost and it takes no connection, without having announced its leaving.',
+		advice:
+			'Look at the target; lines 1607 of this moment name the requests that it had.',
+	},
+	requestQuarantined: {
+		code: 2511,
+		level: 'warn',
+		kind: 'notice',
+		template: 'request {identity} is in quarantine after {crashes} crashes',
+		meaning:
+			'This node has learnt, by its own target, a peer or the store, that the request crashes the targets that run it.',
+		advice: 'Look for line 1607 with this identity, which names its route.',
+	},
 } as const satisfies Record<string, EventDefinition>;
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -1,5 +1,12 @@
-export * from './crash-detector.js';
+export {createCrashDetector, settleTime} from './crash-detector.js';
+export * from './crash-watch.js';
 export * from './isolation.js';
+export * from './quarantine.js';
 export * from './request-identity.js';
 export * from './suspect.js';
-export * from './suspect-table.js';
+export {
+	createSuspectTable,
+	memoryTime,
+	type CrashedRun,
+	type SuspectTable,
+} from './suspect-table.js';
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -4,6 +4,7 @@
 export * from './duration.js';
 export * from './finding.js';
 export * from './fingerprint.js';
+export * from './listening-probe.js';
 export * from './nearest-key.js';
 export * from './random.js';
 export * from './settings-reader.js';
