--- a/packages/mesh/src/peer-message.ts
+++ b/packages/mesh/src/peer-message.ts
@@ -3,6 +3,7 @@
  * turn of the event loop, so that many small messages cost one system call.
  */
 import {type Buffer} from 'node:buffer';
+import {suspectTupleSchema} from '@egretspoke/quarantine';
 import {Packr} from 'msgpackr';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
@@ -117,13 +118,6 @@
 	grants: z.array(z.tuple([z.string(), z.number(), z.number()])),
 });
 
-/** A suspect as a list: its identity, its round and its crashes; see `@egretspoke/quarantine`. */
-export const suspectTupleSchema = z.tuple([
-	z.string().min(1).max(64),
-	z.number().int().nonnegative(),
-	z.number().int().nonnegative(),
-]);
-
 /** Requests under which targets crashed, as far as the receiver may not know. */
 export const suspectsSchema = z.object({
 	kind: z.literal('suspects'),
@@ -141,7 +135,6 @@
 export type ProfilesMessage = z.output<typeof profilesSchema>;
 export type QuotaUseMessage = z.output<typeof quotaUseSchema>;
 export type QuotaGrantMessage = z.output<typeof quotaGrantSchema>;
-export type SuspectTuple = z.output<typeof suspectTupleSchema>;
 export type SuspectsMessage = z.output<typeof suspectsSchema>;
 
 /** Every message of a link. */
--- a/packages/mesh/src/suspect-register.ts
+++ b/packages/mesh/src/suspect-register.ts
@@ -6,26 +6,16 @@
  * know them all the same. A few nodes follow the table and tell the rest.
  */
 import {
-	memoryTime,
-	isQuarantined,
-	type RequestIdentity,
+	createNotedSuspects,
+	readNoted,
 	type Suspect,
 } from '@egretspoke/quarantine';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
-import {z} from 'zod';
 import {turnPeriod} from './configuration-follower.js';
 import type {MeshReporter} from './mesh-reporter.js';
-import {suspectTupleSchema} from './peer-message.js';
 import type {RowStore, StoredRow} from './row-store.js';
-import {toSuspect, toTuple} from './suspect-tuple.js';
 import {followTable} from './table-feed.js';
 
-/** What a row holds: when it was written, in milliseconds since 1970, and what its node noted. */
-const rowSchema = z.object({
-	at: z.number(),
-	suspects: z.array(suspectTupleSchema),
-});
-
 /** What a register needs. */
 export type SuspectRegisterOptions = {
 	store: RowStore;
@@ -49,8 +39,6 @@
 };
 
 const table = 'suspects';
-/** Suspects in one row at most. */
-const mostInRow = 128;
 /** Milliseconds after its start in which a node hears from its peers whether it is to follow. */
 const startDelay = 1000;
 /** Milliseconds before another try of a write that failed. */
@@ -61,30 +49,14 @@
 	options: SuspectRegisterOptions,
 ): SuspectRegister {
 	const {store, node, clock, random, reporter} = options;
-	let noted = new Map<RequestIdentity, Suspect>();
+	const noted = createNotedSuspects(clock);
 	let version = 0;
 	let isDirty = false;
 	let isWriting = false;
 
-	/** Within the bound, those in quarantine first, then the latest. */
-	const trim = () => {
-		const latestFirst = [...noted.values()].reverse();
-		const kept = latestFirst
-			.sort(
-				(left, right) =>
-					Number(isQuarantined(right)) - Number(isQuarantined(left)),
-			)
-			.slice(0, mostInRow);
-		noted = new Map(
-			kept.reverse().map((suspect) => [suspect.identity, suspect]),
-		);
-	};
-
 	const writeOnce = async (): Promise<boolean> => {
-		const at = clock.date().getTime();
-		const suspects = [...noted.values()].map((suspect) => toTuple(suspect));
 		const result = await store.write(
-			{table, key: node, value: JSON.stringify({at, suspects})},
+			{table, key: node, value: noted.toText()},
 			version,
 		);
 		if (result.isOk()) {
@@ -93,26 +65,14 @@
 		}
 
 		if (result.error.kind === 'conflict') {
-			version = result.error.current?.version ?? 0;
-			keepEarlier(result.error.current);
+			const {current} = result.error;
+			version = current?.version ?? 0;
+			noted.keepEarlier(current ? decode(current) : []);
 		}
 
 		return false;
 	};
 
-	/** An earlier start of this node noted them; they stay. */
-	const keepEarlier = (row: StoredRow | undefined) => {
-		const earlier = row ? decode(row) : [];
-		noted = new Map([
-			...earlier.map((suspect): [string, Suspect] => [
-				suspect.identity,
-				suspect,
-			]),
-			...noted,
-		]);
-		trim();
-	};
-
 	const write = async (signal: AbortSignal) => {
 		if (isWriting) {
 			return;
@@ -133,17 +93,13 @@
 		isWriting = false;
 	};
 
-	const decode = (row: StoredRow): Suspect[] => {
-		const value = readRow(row.value);
-		if (!value) {
-			reporter.notice('meshRowMalformed', {key: row.key});
-			return [];
+	const decode = ({key, value}: StoredRow): Suspect[] => {
+		const suspects = readNoted(value, clock);
+		if (!suspects) {
+			reporter.notice('meshRowMalformed', {key});
 		}
 
-		const age = clock.date().getTime() - value.at;
-		return age > memoryTime
-			? []
-			: value.suspects.map((tuple) => toSuspect(tuple));
+		return suspects ?? [];
 	};
 
 	const waitForTurn = async (signal: AbortSignal) => {
@@ -156,12 +112,7 @@
 	let life: AbortSignal | undefined;
 	return {
 		note(suspects) {
-			for (const suspect of suspects) {
-				noted.delete(suspect.identity);
-				noted.set(suspect.identity, suspect);
-			}
-
-			trim();
+			noted.note(suspects);
 			isDirty = true;
 			if (life) {
 				void write(life);
@@ -190,12 +141,3 @@
 		},
 	};
 }
-
-function readRow(value: string): z.output<typeof rowSchema> | undefined {
-	try {
-		const parsed = rowSchema.safeParse(JSON.parse(value));
-		return parsed.success ? parsed.data : undefined;
-	} catch {
-		return undefined;
-	}
-}
--- a/packages/mesh/src/suspects.ts
+++ b/packages/mesh/src/suspects.ts
@@ -3,6 +3,8 @@
 	createQuarantine,
 	expiryPeriod,
 	renewalPeriod,
+	toSuspect,
+	toTuple,
 	type Quarantine,
 	type Suspect,
 } from '@egretspoke/quarantine';
@@ -14,7 +16,6 @@
 import type {PeerMessage, SuspectsMessage} from './peer-message.js';
 import {partsOf} from './request-parts.js';
 import type {SuspectRegister} from './suspect-register.js';
-import {toSuspect, toTuple} from './suspect-tuple.js';
 import type {Ticker} from './ticker.js';
 
 /** What the quarantine needs. */
