--- a/packages/mesh/src/gatekeeper.ts
+++ b/packages/mesh/src/gatekeeper.ts
@@ -196,7 +196,7 @@
 		job.startedAt = now;
 		const runWatch = watch;
 		let lastOffer: Outcome | undefined;
-		runWatch.started(job);
+		const ordinal = runWatch.started();
 		metrics.targetStarted(now - job.offeredAt);
 		offers.noteStart(job.request, now);
 		profile.noteRun(job.request.route);
@@ -216,7 +216,7 @@
 			},
 			onFreed(duration) {
 				if (!lastOffer || !isConnectionLoss(lastOffer)) {
-					runWatch.ended(job);
+					runWatch.ended(ordinal);
 					leaveIsolation(job);
 				}
 
@@ -237,7 +237,7 @@
 					return;
 				}
 
-				runWatch.lost(job, (hasCrashed) => {
+				runWatch.lost(job, ordinal, (hasCrashed) => {
 					leaveIsolation(job);
 					finishRun(
 						job,
--- a/packages/quarantine/__tests__/crash-detector.spec.ts
+++ b/packages/quarantine/__tests__/crash-detector.spec.ts
@@ -17,6 +17,7 @@
 			verdicts.push([lost, hasCrashed]);
 		},
 	});
+	const ordinals = new Map<string, number>();
 	return {
 		clock,
 		detector,
@@ -24,12 +25,15 @@
 		probes: () => probes,
 		start(...runs: string[]) {
 			for (const run of runs) {
-				detector.started(run);
+				ordinals.set(run, detector.started());
 			}
 		},
+		end(run: string) {
+			detector.ended(ordinals.get(run)!);
+		},
 		lose(...runs: string[]) {
 			for (const run of runs) {
-				detector.lost(run);
+				detector.lost(run, ordinals.get(run)!);
 			}
 		},
 	};
@@ -46,12 +50,14 @@
 	});
 
 	it('is found when a new request is refused, also for those whose ends are noticed later', () => {
-		const {start, lose, detector, verdicts} = createWatch({isListening: true});
+		const {start, end, lose, detector, verdicts} = createWatch({
+			isListening: true,
+		});
 		start('a', 'b');
 		lose('a');
-		detector.started('new');
+		start('new');
 		detector.refused();
-		detector.ended('new');
+		end('new');
 		lose('b');
 		expect(verdicts).to.deep.equal([
 			[['a'], true],
@@ -69,10 +75,10 @@
 	});
 
 	it('is found when the last of the others ends by an answer that was under way', () => {
-		const {start, lose, detector, verdicts} = createWatch({isListening: false});
+		const {start, end, lose, verdicts} = createWatch({isListening: false});
 		start('a', 'b');
 		lose('a');
-		detector.ended('b');
+		end('b');
 		expect(verdicts).to.deep.equal([[['a'], true]]);
 	});
 });
--- a/packages/quarantine/src/crash-detector.ts
+++ b/packages/quarantine/src/crash-detector.ts
@@ -18,13 +18,17 @@
 	onVerdict: (lost: Run[], hasCrashed: boolean) => void;
 };
 
+/** The place of a run among all of one start of a target, in the order in which they began. */
+export type RunOrdinal = number;
+
 /** Watches the runs of one start of one target. */
 export type CrashDetector<Run> = {
-	started(run: Run): void;
+	/** A run begins; gives the ordinal by which its end is told. */
+	started(): RunOrdinal;
 	/** The run ended otherwise than by a lost connection. */
-	ended(run: Run): void;
+	ended(ordinal: RunOrdinal): void;
 	/** The run's connection was lost; the verdict follows, at once or within `settleTime`. */
-	lost(run: Run): void;
+	lost(run: Run, ordinal: RunOrdinal): void;
 	/** The target refused a connection. */
 	refused(): void;
 };
@@ -37,9 +41,14 @@
 	options: CrashDetectorOptions<Run>,
 ): CrashDetector<Run> {
 	const {clock} = options;
-	const running = new Set<Run>();
-	/** Runs that a crash would have ended, and that haven't ended yet. */
-	let exposed = new Set<Run>();
+	// Counts in place of a set of runs: a busy set is copied as it grows, and its
+	// copies keep ended requests alive until the next full garbage collection.
+	let running = 0;
+	let nextOrdinal: RunOrdinal = 0;
+	/** Runs that a crash would have ended are those before this one. */
+	let firstUnexposed: RunOrdinal = 0;
+	/** How many of them haven't ended yet. */
+	let exposed = 0;
 	/** Lost runs without a verdict. */
 	let undecided: Run[] = [];
 	let hasCrashed = false;
@@ -53,7 +62,8 @@
 		undecided = [];
 		hasCrashed = verdict;
 		if (!verdict) {
-			exposed.clear();
+			firstUnexposed = 0;
+			exposed = 0;
 		}
 
 		if (lost.length > 0) {
@@ -77,40 +87,46 @@
 
 	/** A busy process may not have noticed the last ends by now. */
 	const settle = () => {
-		if (exposed.size > undecided.length) {
+		if (exposed > undecided.length) {
 			decide(false);
 		} else {
 			probe();
 		}
 	};
 
-	const forget = (run: Run) => {
-		running.delete(run);
-		exposed.delete(run);
-		if (undecided.length > 0 && exposed.size === 0) {
+	const countEnd = (ordinal: RunOrdinal) => {
+		running--;
+		if (ordinal < firstUnexposed) {
+			exposed--;
+		}
+
+		if (undecided.length > 0 && exposed === 0) {
 			probe();
 		}
 	};
 
 	return {
-		started(run) {
-			running.add(run);
+		started() {
+			running++;
+			return nextOrdinal++;
 		},
-		ended: forget,
-		lost(run) {
-			if (hasCrashed && exposed.delete(run)) {
-				running.delete(run);
+		ended: countEnd,
+		lost(run, ordinal) {
+			if (hasCrashed && ordinal < firstUnexposed) {
+				countEnd(ordinal);
 				options.onVerdict([run], true);
 				return;
 			}
 
 			if (undecided.length === 0) {
-				exposed = new Set(running);
+				hasCrashed = false;
+				firstUnexposed = nextOrdinal;
+				exposed = running;
 				timer = clock.setTimer(settleTime, settle);
 			}
 
 			undecided.push(run);
-			forget(run);
+			countEnd(ordinal);
 		},
 		refused() {
 			if (undecided.length > 0) {
--- a/packages/quarantine/src/crash-watch.ts
+++ b/packages/quarantine/src/crash-watch.ts
@@ -3,6 +3,7 @@
 	createCrashDetector,
 	type CrashDetector,
 	type CrashDetectorOptions,
+	type RunOrdinal,
 } from './crash-detector.js';
 
 /** A run that can be put in order of time. */
@@ -28,7 +29,11 @@
 	'started' | 'ended' | 'refused'
 > & {
 	/** The run's connection was lost; calls back soon with whether the target crashed. */
-	lost(run: Run, onVerdict: (hasCrashed: boolean) => void): void;
+	lost(
+		run: Run,
+		ordinal: RunOrdinal,
+		onVerdict: (hasCrashed: boolean) => void,
+	): void;
 };
 
 /** Requests of one crash that come under suspicion, the latest first; a crash follows soon after what caused it. */
@@ -62,9 +67,9 @@
 	return {
 		started: detector.started,
 		ended: detector.ended,
-		lost(run, onVerdict) {
+		lost(run, ordinal, onVerdict) {
 			callbacks.set(run, onVerdict);
-			detector.lost(run);
+			detector.lost(run, ordinal);
 		},
 		refused: detector.refused,
 	};
