fix(node): requests that crash targets are put in quarantine by our own interface too

The fault was the same there as on the users' platform: for requests without a key, and for those whose callers take a new key each time, nothing remembered under what targets had crashed.

The ingress tells a crash from a lost connection as the mesh's gatekeeper does, runs one suspect at a time, and answers what is in quarantine as "unknown", 502 Quarantined, never as not run. News go to all members at a crash, on by gossip, and to a row of each node that all read every five seconds. sample moves from control to shared.

--- a/packages/control/src/catch-up.ts
+++ b/packages/control/src/catch-up.ts
@@ -13,9 +13,8 @@
  * 100 KB a second of the busiest one.
  */
 import type {Member} from '@egretspoke/protocol';
-import type {Clock, Random} from '@egretspoke/shared';
+import {sample, type Clock, type Random} from '@egretspoke/shared';
 import {newsLimits, type MembershipTiming} from './membership-timing.js';
-import {sample} from './probe-order.js';
 
 /** Notes returns and acts on them. */
 export type CatchUp = {
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -39,3 +39,4 @@
 export * from './plan-warnings.js';
 export type * from './probe-exchange.js';
 export * from './seed-rows.js';
+export * from './suspect-rows.js';
--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -13,6 +13,7 @@
 } from '@egretspoke/protocol';
 import {
 	createSubject,
+	sample,
 	sleep,
 	type Clock,
 	type Random,
@@ -35,7 +36,7 @@
 } from './membership-timing.js';
 import {announceChange, reincarnate, type OwnChange} from './own-record.js';
 import {createProbeExchange, type SendProbe} from './probe-exchange.js';
-import {createProbeOrder, sample} from './probe-order.js';
+import {createProbeOrder} from './probe-order.js';
 
 /** What membership needs. */
 export type MembershipOptions = {
--- a/packages/control/src/probe-exchange.ts
+++ b/packages/control/src/probe-exchange.ts
@@ -1,6 +1,6 @@
 /** Sends one probe and takes in its acknowledgement; the rounds made of several. */
 import type {AcknowledgementMessage, ProbeMessage} from '@egretspoke/protocol';
-import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import {sample, sleep, type Clock, type Random} from '@egretspoke/shared';
 import type {MemberView} from './member-view.js';
 import {
 	newsLimits,
@@ -8,7 +8,6 @@
 	spreadWidth,
 	type MembershipTiming,
 } from './membership-timing.js';
-import {sample} from './probe-order.js';
 
 /** Sends a probe to a peer listener; undefined when no acknowledgement came. Never rejects. */
 export type SendProbe = (
--- a/packages/control/src/probe-order.ts
+++ b/packages/control/src/probe-order.ts
@@ -3,7 +3,7 @@
  * bounds the time until a dead member is probed (SWIM, section 4.3). Members
  * under suspicion elsewhere go first, which is the indirect check.
  */
-import type {Random} from '@egretspoke/shared';
+import {shuffle, type Random} from '@egretspoke/shared';
 
 /** Gives the next node to probe. */
 export type ProbeOrder = {
@@ -36,19 +36,3 @@
 		},
 	};
 }
-
-/** So many of the values, each equally likely. */
-export function sample<T>(values: T[], count: number, random: Random): T[] {
-	return shuffle(values, random).slice(0, count);
-}
-
-/** A shuffled copy (Fisher and Yates). */
-function shuffle<T>(values: T[], random: Random): T[] {
-	const copy = [...values];
-	for (let index = copy.length - 1; index > 0; index--) {
-		const other = random.below(index + 1);
-		[copy[index], copy[other]] = [copy[other]!, copy[index]!];
-	}
-
-	return copy;
-}
--- /dev/null
+++ b/packages/control/src/suspect-rows.ts
@@ -0,0 +1,115 @@
+/**
+ * The rows by which requests that crash targets are known beyond the life of a
+ * node, and between data centres that are cut off from each other: one row a
+ * node with what it found out itself, read by all now and then.
+ */
+import {
+	createNotedSuspects,
+	readNoted,
+	type Suspect,
+} from '@egretspoke/quarantine';
+import type {Platform} from '@egretspoke/storage';
+import {sleep, type Clock, type Random} from '@egretspoke/shared';
+
+/** What the rows need. */
+export type SuspectRowsOptions = {
+	platform: Pick<Platform, 'table'>;
+	clock: Clock;
+	random: Random;
+	node: string;
+	/** Suspects that other nodes noted, or an earlier start of this one. */
+	onSuspects: (suspects: Suspect[]) => void;
+};
+
+/** The rows. */
+export type SuspectRows = {
+	/** Keeps suspects beyond the life of this process. */
+	note(suspects: readonly Suspect[]): void;
+	/** Writes what was noted and reads what others noted, until the signal aborts. */
+	run(signal: AbortSignal): Promise<void>;
+};
+
+const suspectPrefix = 'suspects/';
+/** Milliseconds between two readings, by a fifth more or less. */
+const readPeriod = 5000;
+/** Milliseconds before another try of a write that failed. */
+const retryPause = 500;
+
+/** Creates the rows; nothing is read before `run`. */
+export function createSuspectRows(options: SuspectRowsOptions): SuspectRows {
+	const {platform, clock, random} = options;
+	const noted = createNotedSuspects(clock);
+	const key = `${suspectPrefix}${options.node}`;
+	let life: AbortSignal | undefined;
+	let isDirty = false;
+	let isWriting = false;
+
+	const write = async (signal: AbortSignal) => {
+		if (isWriting) {
+			return;
+		}
+
+		isWriting = true;
+		while (isDirty && !signal.aborted) {
+			isDirty = false;
+			// eslint-disable-next-line no-await-in-loop -- one write after the other.
+			const rows = await platform.table.transact([
+				{kind: 'put', key, value: noted.toText()},
+			]);
+			if (rows.isErr()) {
+				isDirty = true;
+				// eslint-disable-next-line no-await-in-loop -- a pause between two tries.
+				await sleep(clock, retryPause * (0.5 + random.fraction()), signal);
+			}
+		}
+
+		isWriting = false;
+	};
+
+	/** The own row counts at the first reading only: an earlier start wrote it. */
+	const read = async (isFirst: boolean): Promise<boolean> => {
+		const rows = await platform.table.list(suspectPrefix);
+		if (rows.isErr()) {
+			return false;
+		}
+
+		for (const row of rows.value) {
+			const suspects = readNoted(row.value, clock) ?? [];
+			if (row.key !== key || isFirst) {
+				options.onSuspects(suspects);
+			}
+
+			if (row.key === key && isFirst) {
+				noted.keepEarlier(suspects);
+			}
+		}
+
+		return true;
+	};
+
+	return {
+		note(suspects) {
+			noted.note(suspects);
+			isDirty = true;
+			if (life) {
+				void write(life);
+			}
+		},
+		async run(signal) {
+			life = signal;
+			let isFirst = true;
+			while (!signal.aborted) {
+				// eslint-disable-next-line no-await-in-loop -- one reading after the other.
+				const isRead = await read(isFirst);
+				if (isFirst && isRead) {
+					isFirst = false;
+					void write(signal);
+				}
+
+				const wait = readPeriod * (0.8 + 0.4 * random.fraction());
+				// eslint-disable-next-line no-await-in-loop -- a pause between two readings.
+				await sleep(clock, wait, signal);
+			}
+		},
+	};
+}
--- a/packages/faults/src/fake-node.ts
+++ b/packages/faults/src/fake-node.ts
@@ -1,5 +1,10 @@
 /** A node's whole core and control over the fakes, as a process that can end and start again. */
-import {createControl, classify, type Control} from '@egretspoke/control';
+import {
+	createControl,
+	createSuspectRows,
+	classify,
+	type Control,
+} from '@egretspoke/control';
 import {egretspokePolicy} from '@egretspoke/decisions';
 import type {Recorder} from '@egretspoke/history';
 import {
@@ -62,6 +67,7 @@
 	const supervisor = createSupervisor(clock, ({error}) => {
 		throw error;
 	});
+	const platform = gatePlatform(options.platform, gate);
 	const core: NodeCore = createNodeCore({
 		clock,
 		random: random.fork(),
@@ -71,6 +77,9 @@
 		transport: network.attach(endpoint),
 		supervisor,
 		reporter: silentReporter,
+		keepSuspects(suspects) {
+			suspectRows.note(suspects);
+		},
 		attemptHandler: options.handlers.attempt,
 		ledger: {
 			capacity: options.ledgerKeys,
@@ -104,13 +113,22 @@
 		clock,
 		random: random.fork(),
 		acceptance: options.handlers.acceptance,
-		platform: gatePlatform(options.platform, gate),
+		platform,
 		peers: options.peers.filter((address) => address !== name),
 		send: async (address, probe, signal) =>
 			core.peers.probe(address, probe, signal),
 		requestBody: async (address) =>
 			core.peers.requestConfiguration(address, supervisor.signal),
 	});
+	const suspectRows = createSuspectRows({
+		platform,
+		clock,
+		random: random.fork(),
+		node: name,
+		onSuspects(suspects) {
+			core.quarantine.takeStored(suspects);
+		},
+	});
 	void control.configuration.accepted.observe(({version}) => {
 		recorder.record({kind: 'versionTaken', node: name, incarnation, version});
 	});
@@ -129,6 +147,7 @@
 	core.announce({announcement, client: gateTarget(target, gate)});
 	control.announceTarget(announcement);
 	void control.start(supervisor.signal);
+	void suspectRows.run(supervisor.signal);
 	return {
 		gate,
 		core,
@@ -148,6 +167,7 @@
 	return {
 		send: async (request, timeLeft, signal) =>
 			gate.hold(client.send(request, timeLeft, signal)),
+		isListening: async () => gate.hold(client.isListening()),
 	};
 }
 
--- a/packages/faults/src/fake-target.ts
+++ b/packages/faults/src/fake-target.ts
@@ -13,6 +13,8 @@
 	unreachable: number;
 	lost: number;
 	cut: number;
+	/** The path of requests that crash the target. */
+	crashedBy?: string;
 };
 
 /** A target with its switches. */
@@ -33,6 +35,8 @@
 };
 
 const connectDelay = 0.3;
+/** Milliseconds until a target that has crashed is back. */
+const downTime = 1500;
 /** Bounds of a healthy run in milliseconds. */
 const run = {shortest: 2, longest: 40};
 
@@ -48,6 +52,7 @@
 	const faults = {...noTargetFaults};
 	let killing = new AbortController();
 	let running = 0;
+	let isDown = false;
 
 	const happens = (share: number) => random.fraction() < share;
 
@@ -65,6 +70,10 @@
 			target: name,
 			idempotent: request.idempotent,
 		});
+		if (request.path === faults.crashedBy) {
+			clock.setTimer(run.shortest, crash);
+		}
+
 		running++;
 		const duration =
 			run.shortest + random.fraction() * (run.longest - run.shortest);
@@ -86,14 +95,28 @@
 				};
 	};
 
+	const killRunning = () => {
+		killing.abort();
+		killing = new AbortController();
+	};
+
+	const crash = () => {
+		isDown = true;
+		killRunning();
+		clock.setTimer(downTime, () => {
+			isDown = false;
+		});
+	};
+
 	return {
 		faults,
 		client: {
+			isListening: async () => !isDown,
 			async send(request, _timeLeft, signal) {
 				const mark = readMark(request.headers);
 				recorder.record({kind: 'handedOver', ...mark, node: name});
 				await sleep(clock, connectDelay);
-				if (happens(faults.unreachable)) {
+				if (isDown || happens(faults.unreachable)) {
 					return {kind: 'unreachable', detail: 'refused'};
 				}
 
@@ -104,9 +127,6 @@
 				return runRequest(request, signal);
 			},
 		},
-		killRunning() {
-			killing.abort();
-			killing = new AbortController();
-		},
+		killRunning,
 	};
 }
--- a/packages/node/__tests__/chain-attempts.spec.ts
+++ b/packages/node/__tests__/chain-attempts.spec.ts
@@ -95,6 +95,7 @@
 			transport: attach({node, incarnation: 1, dataCentre: 'gh-coast-1'}),
 			supervisor: createSupervisor(clock, () => undefined),
 			reporter: silentReporter,
+			keepSuspects: () => undefined,
 			ledger: {capacity: 10, bytesCapacity: 1000, maximumLifetime: 60_000},
 			control: {
 				classify: () => ({
@@ -114,6 +115,7 @@
 		core.announce({
 			announcement,
 			client: {
+				isListening: async () => true,
 				async send(request) {
 					if (layer === depth) {
 						tally.reached++;
--- a/packages/node/__tests__/entry.spec.ts
+++ b/packages/node/__tests__/entry.spec.ts
@@ -13,6 +13,7 @@
 import {createEntry} from '../src/entry.js';
 import {silentReporter} from '../src/node-reporter.js';
 import {createRunningRequests} from '../src/running-requests.js';
+import {createLoneQuarantine} from './lone-quarantine.js';
 
 const refusedElsewhere = refuseNotRun(
 	acceptCertifiedRefusal('peer'),
@@ -64,6 +65,7 @@
 		}),
 		running: createRunningRequests(),
 		reporter: silentReporter,
+		quarantine: createLoneQuarantine(clock),
 		classify: () => ({
 			requestClass: 'normal',
 			idempotent,
--- a/packages/node/__tests__/ingress.spec.ts
+++ b/packages/node/__tests__/ingress.spec.ts
@@ -5,6 +5,7 @@
 import {createIngress} from '../src/ingress.js';
 import {silentReporter} from '../src/node-reporter.js';
 import {createRunningRequests} from '../src/running-requests.js';
+import {createLoneQuarantine} from './lone-quarantine.js';
 
 const serviceTime = 20;
 const never = new AbortController().signal;
@@ -37,6 +38,7 @@
 			random: createRandom(1),
 		}),
 		target: {
+			isListening: async () => true,
 			async send({id}) {
 				ran.push(id);
 				await sleep(clock, serviceTime);
@@ -49,6 +51,7 @@
 		announcement: {service: 'orders', slots, connections: 10},
 		running: createRunningRequests(),
 		reporter: silentReporter,
+		quarantine: createLoneQuarantine(clock),
 		refusalOf: () => undefined,
 	});
 	const run = async (id: string, signal = never) => {
--- /dev/null
+++ b/packages/node/__tests__/lone-quarantine.ts
@@ -0,0 +1,21 @@
+/** The quarantine of a node without others, for specs of its parts. */
+import {createRandom, type Clock} from '@egretspoke/shared';
+import {
+	createNodeQuarantine,
+	type NodeQuarantine,
+} from '../src/node-quarantine.js';
+import {silentReporter} from '../src/node-reporter.js';
+
+/** Creates the quarantine; it tells nobody and keeps nothing. */
+export function createLoneQuarantine(clock: Clock): NodeQuarantine {
+	return createNodeQuarantine({
+		clock,
+		random: createRandom(1),
+		reporter: silentReporter,
+		self: 'vm-1',
+		members: () => [],
+		tell: () => undefined,
+		keep: () => undefined,
+		signal: AbortSignal.abort(),
+	});
+}
--- a/packages/node/src/attempt-idempotent.ts
+++ b/packages/node/src/attempt-idempotent.ts
@@ -3,7 +3,7 @@
  * tried after a definite refusal and after a lost answer alike.
  */
 import {createAttemptTicket} from '@egretspoke/ledger';
-import {admitUnknown, type Outcome} from '@egretspoke/protocol';
+import {admitUnknown, ErrorCode, type Outcome} from '@egretspoke/protocol';
 import {createAttempts, type AttemptsContext} from './attempts.js';
 import type {EntryCall} from './request-chain.js';
 
@@ -31,6 +31,10 @@
 		// A later refusal says nothing about an earlier attempt whose answer
 		// was lost: "not run" would be a lie about the request.
 		mayHaveRun ||= outcome.kind === 'unknown';
+		if (outcome.refusal.code === ErrorCode.Quarantined) {
+			attempts.finish();
+			return outcome;
+		}
 
 		// eslint-disable-next-line no-await-in-loop -- the back-off comes before the next attempt.
 		const refusal = await attempts.retry(outcome.refusal, signal);
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -32,6 +32,7 @@
 import {readOperation} from './call-facts.js';
 import {reportKey} from './key-report.js';
 import {createLinkedAbort, type LinkedAbort} from './linked-abort.js';
+import type {NodeQuarantine} from './node-quarantine.js';
 import type {NodeReporter} from './node-reporter.js';
 import {
 	createEntryCall,
@@ -53,6 +54,8 @@
 	attemptHandler?: AttemptHandler;
 	running: RunningRequests;
 	reporter: NodeReporter;
+	/** Requests under which targets crashed. */
+	quarantine: NodeQuarantine;
 	/** Undefined for a service that nobody configured or announced. */
 	classify(
 		service: string,
@@ -131,6 +134,10 @@
 
 		const startedAt = clock.now();
 		const {request, allotment} = call.value;
+		if (context.quarantine.bars(request)) {
+			return end(incoming, refuseUnknown(ErrorCode.Quarantined));
+		}
+
 		const priority = allotment && context.priorityOf(request.id);
 		if (priority !== undefined) {
 			request.priority = priority;
@@ -286,6 +293,10 @@
 				return refuseHere(barred, 0);
 			}
 
+			if (context.quarantine.bars(request)) {
+				return refuseUnknown(ErrorCode.Quarantined);
+			}
+
 			const deadline = clock.now() + request.timeLeft;
 			const call = {request, operation: readOperation(request), deadline};
 			const caller = createLinkedAbort(signal);
--- a/packages/node/src/http-target-client.ts
+++ b/packages/node/src/http-target-client.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {Agent, type Dispatcher} from 'undici';
 import {headerNames, type CallRequest} from '@egretspoke/protocol';
+import {probeListening} from '@egretspoke/shared';
 import type {TargetClient, TargetResult} from './target-client.js';
 
 /** What the client needs to know. */
@@ -50,6 +51,10 @@
 			};
 			return dispatch(agent, exchange, signal);
 		},
+		isListening: async () =>
+			new Promise((resolve) => {
+				probeListening(options.address, resolve);
+			}),
 		async close() {
 			await agent.close();
 		},
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -3,7 +3,9 @@
  * entry, passes the admission here and is handed over at most once.
  */
 import {
+	admitUnknown,
 	createHandOverTicket,
+	createRefusal,
 	ErrorCode,
 	type CallRequest,
 	type HandOverTicket,
@@ -16,12 +18,16 @@
 	CallFacts,
 	Completion,
 } from '@egretspoke/decisions';
+import {isIsolated} from '@egretspoke/quarantine';
 import type {Clock} from '@egretspoke/shared';
 import {readFacts} from './call-facts.js';
 import {createIdleCounter} from './idle-counter.js';
+import {createIsolatedTurns} from './isolated-turns.js';
+import type {NodeQuarantine} from './node-quarantine.js';
 import type {NodeReporter} from './node-reporter.js';
 import type {RunningRequests} from './running-requests.js';
 import type {TargetClient} from './target-client.js';
+import {createTargetWatch} from './target-watch.js';
 import {readCompletion, readOutcome} from './target-outcome.js';
 import {refuseTicket} from './ticket-refusal.js';
 import {createTurnQueue} from './turn-queue.js';
@@ -34,6 +40,8 @@
 	announcement: TargetAnnouncement;
 	running: RunningRequests;
 	reporter: NodeReporter;
+	/** Requests under which targets crashed. */
+	quarantine: NodeQuarantine;
 	/** A reason for which nothing new may run now: a pause beyond the lease. */
 	refusalOf(): ErrorCode | undefined;
 };
@@ -63,6 +71,8 @@
 	const {clock, admission, reporter} = context;
 	const turns = createTurnQueue(clock, admission);
 	const idle = createIdleCounter();
+	const watch = createTargetWatch(context, () => isLeaving);
+	const isolated = createIsolatedTurns();
 	let attempts = 0;
 	let isLeaving = false;
 
@@ -98,10 +108,9 @@
 			callsMade: new Map(),
 			signal,
 		});
-		const result = await context.target.send(
-			request,
-			facts.deadline - startedAt,
-			signal,
+		const timeLeft = facts.deadline - startedAt;
+		const result = await watch.run(request, signal, async () =>
+			context.target.send(request, timeLeft, signal),
 		);
 		context.running.remove(request.id);
 		const duration = clock.now() - startedAt;
@@ -118,48 +127,75 @@
 	const findObstacle = () =>
 		isLeaving ? ErrorCode.Leaving : context.refusalOf();
 
-	return {
-		async run(request, signal) {
-			const now = clock.now();
-			const ticket = createHandOverTicket();
-			const facts: CallFacts = {
-				...readFacts(request, now),
-				id: `${request.id}#${attempts++}`,
-			};
-			const barred = signal.aborted ? ErrorCode.CallerGone : findObstacle();
-			if (barred !== undefined) {
-				reporter.decide({
-					name: 'admissionRefused',
-					request: request.id,
-					reason: ErrorCode[barred],
-				});
-				return refuseTicket(ticket, {code: barred, retryAfter: elsewhereDelay});
-			}
+	/** One of those that may crash the target runs at a time; what crashes it for sure isn't run. */
+	const runApart = async (
+		request: CallRequest,
+		signal: AbortSignal,
+	): Promise<Outcome> => {
+		const turn = await isolated.enter(signal);
+		if (!turn) {
+			return refuseTicket(createHandOverTicket(), {
+				code: ErrorCode.CallerGone,
+				retryAfter: 0,
+			});
+		}
+
+		const outcome = context.quarantine.bars(request)
+			? admitUnknown(createRefusal(ErrorCode.Quarantined))
+			: await runAdmitted(request, signal);
+		turn.leave();
+		return outcome;
+	};
 
-			const decision = admission.arrive(facts, now);
+	const runAdmitted: Ingress['run'] = async (request, signal) => {
+		const now = clock.now();
+		const ticket = createHandOverTicket();
+		const facts: CallFacts = {
+			...readFacts(request, now),
+			id: `${request.id}#${attempts++}`,
+		};
+		const barred = signal.aborted ? ErrorCode.CallerGone : findObstacle();
+		if (barred !== undefined) {
 			reporter.decide({
-				name: admissionNames[decision.kind],
+				name: 'admissionRefused',
 				request: request.id,
-				reason: decision.reason,
+				reason: ErrorCode[barred],
 			});
-			if (decision.kind === 'refuse') {
-				return refuseTicket(ticket, decision);
-			}
+			return refuseTicket(ticket, {code: barred, retryAfter: elsewhereDelay});
+		}
 
-			if (decision.kind === 'wait') {
-				const turn = await turns.wait(facts, signal);
-				reporter.decide({
-					name: turn.kind === 'dispatch' ? 'dispatched' : 'admissionRefused',
-					request: request.id,
-					reason: turn.reason,
-				});
-				if (turn.kind === 'refuse') {
-					return refuseTicket(ticket, turn);
-				}
+		const decision = admission.arrive(facts, now);
+		reporter.decide({
+			name: admissionNames[decision.kind],
+			request: request.id,
+			reason: decision.reason,
+		});
+		if (decision.kind === 'refuse') {
+			return refuseTicket(ticket, decision);
+		}
+
+		if (decision.kind === 'wait') {
+			const turn = await turns.wait(facts, signal);
+			reporter.decide({
+				name: turn.kind === 'dispatch' ? 'dispatched' : 'admissionRefused',
+				request: request.id,
+				reason: turn.reason,
+			});
+			if (turn.kind === 'refuse') {
+				return refuseTicket(ticket, turn);
 			}
+		}
+
+		reporter.waited(request.service, clock.now() - now);
+		return dispatch(request, facts, ticket, signal);
+	};
 
-			reporter.waited(request.service, clock.now() - now);
-			return dispatch(request, facts, ticket, signal);
+	return {
+		async run(request, signal) {
+			const suspect = context.quarantine.lookUp(request);
+			return suspect && isIsolated(suspect)
+				? runApart(request, signal)
+				: runAdmitted(request, signal);
 		},
 		leave() {
 			isLeaving = true;
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -30,6 +30,7 @@
 	type Policy,
 } from '@egretspoke/decisions';
 import type {Clock, Random} from '@egretspoke/shared';
+import type {Suspect} from '@egretspoke/quarantine';
 import {createAttemptSender} from './attempt-sender.js';
 import {createEntry, type Entry} from './entry.js';
 import {refuseHere, refuseUnknown} from './entry-refusal.js';
@@ -39,6 +40,7 @@
 import {readOperation} from './call-facts.js';
 import {createIngress, type Ingress} from './ingress.js';
 import type {PeerTransport} from './message-channel.js';
+import {createNodeQuarantine, type NodeQuarantine} from './node-quarantine.js';
 import type {NodeReporter} from './node-reporter.js';
 import {createPauseWatch} from './pause-watch.js';
 import {createPeers, type Peers} from './peers.js';
@@ -79,6 +81,8 @@
 	reporter: NodeReporter;
 	control: CoreControl;
 	ledger: Omit<LedgerOptions, 'clock'>;
+	/** Keeps requests that crash targets beyond the life of this process. */
+	keepSuspects: (suspects: Suspect[]) => void;
 	/** How the home handles a key; only tests take another than `attemptAtMostOnce`. */
 	attemptHandler?: AttemptHandler;
 };
@@ -94,6 +98,7 @@
 	entry: Entry;
 	peers: Peers;
 	ledger: Ledger;
+	quarantine: NodeQuarantine;
 	/** Requests in progress here, of callers and of other nodes, each counted once. */
 	open(): number;
 	/** Undefined until the target has announced itself. */
@@ -135,6 +140,19 @@
 		return control.isSuspended() ? ErrorCode.NodeSuspended : undefined;
 	};
 
+	const quarantine = createNodeQuarantine({
+		clock,
+		random: context.random.fork(),
+		reporter,
+		self: self.node,
+		members: () => control.members(),
+		tell(address, message) {
+			void peers.tell(address, message);
+		},
+		keep: context.keepSuspects,
+		signal: supervisor.signal,
+	});
+
 	let ingress: TargetIngress | undefined;
 	const fromPeers = createIdleCounter();
 
@@ -181,6 +199,8 @@
 			},
 			probe: (message) => control.receiveProbe(message),
 			configurationBody: () => control.configurationBody(),
+			takeSuspects: quarantine.take,
+			greeting: quarantine.greeting,
 		},
 	});
 
@@ -207,6 +227,7 @@
 		...(context.attemptHandler && {attemptHandler: context.attemptHandler}),
 		running,
 		reporter,
+		quarantine,
 		refusalOf,
 		keyLifetime: context.ledger.maximumLifetime,
 		possibleAge: pauses.possibleAge,
@@ -233,11 +254,13 @@
 			ingress = createTargetIngress(context, target, {
 				running,
 				below,
+				quarantine,
 				refusalOf,
 			});
 		},
 		peers,
 		ledger,
+		quarantine,
 		open: () => entry.open() + fromPeers.count(),
 		isServed: (service) => directory.isServed(service),
 		membersChanged() {
@@ -270,13 +293,14 @@
 type IngressParts = {
 	running: RunningRequests;
 	below: LevelsBelow;
+	quarantine: NodeQuarantine;
 	refusalOf: () => ErrorCode | undefined;
 };
 
 function createTargetIngress(
 	{clock, dataCentre, policy, random, reporter}: NodeCoreContext,
 	{announcement, client}: CoreTarget,
-	{running, below, refusalOf}: IngressParts,
+	{running, below, quarantine, refusalOf}: IngressParts,
 ): TargetIngress {
 	const admission: AdmissionPolicy = policy.createAdmission({
 		below,
@@ -294,6 +318,7 @@
 			announcement,
 			running,
 			reporter,
+			quarantine,
 			refusalOf,
 		}),
 	};
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -13,6 +13,8 @@
 	| 'admissionRefused'
 	| 'dispatched'
 	| 'targetEnded'
+	| 'crashedUnder'
+	| 'quarantined'
 	| 'keyRepeated'
 	| 'keyRefused'
 	| 'homePassed'
@@ -44,6 +46,8 @@
 	| {name: 'memberChanged'; node: string; state: string}
 	| {name: 'configurationRefused'; version: number; detail: string}
 	| {name: 'runningOnDefaults'}
+	| {name: 'targetCrashed'; requests: number}
+	| {name: 'requestQuarantined'; identity: string; crashes: number}
 	| {name: 'platformReachable'}
 	| {name: 'platformUnreachable'; detail: string};
 
--- a/packages/node/src/observing-reporter.ts
+++ b/packages/node/src/observing-reporter.ts
@@ -48,6 +48,9 @@
 	suspended(metrics) {
 		metrics.suspended();
 	},
+	targetCrashed(metrics) {
+		metrics.targetCrashed();
+	},
 };
 
 /** The decisions that are counted besides being logged. */
@@ -60,6 +63,9 @@
 	retryRefused(metrics, service) {
 		metrics.retryRefused(service);
 	},
+	quarantined(metrics) {
+		metrics.requestQuarantined();
+	},
 };
 
 /** Creates the reporter. */
--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -9,6 +9,7 @@
 	type ConfigurationBodyMessage,
 	type Message,
 	type ProbeMessage,
+	type SuspectsMessage,
 	admitUnknown,
 } from '@egretspoke/protocol';
 import {
@@ -25,6 +26,10 @@
 	call(message: CallMessage, signal: AbortSignal): Promise<ExchangeResult>;
 	probe(message: ProbeMessage): AcknowledgementMessage;
 	configurationBody(): ConfigurationBodyMessage | undefined;
+	/** Takes what a peer knows of requests that crash targets. */
+	takeSuspects(message: SuspectsMessage): void;
+	/** The same for a peer that has just been reached; undefined when there is nothing. */
+	greeting(): SuspectsMessage | undefined;
 };
 
 /** A peer over an open channel. */
@@ -44,6 +49,7 @@
 	requestConfiguration(
 		signal: AbortSignal,
 	): Promise<ConfigurationBodyMessage | undefined>;
+	tell(message: SuspectsMessage): void;
 	/** Serves the peer until the channel closes. */
 	serve(): Promise<void>;
 	close(reason: string): void;
@@ -136,6 +142,9 @@
 				settle(message);
 			}
 		},
+		suspects(message) {
+			services.takeSuspects(message);
+		},
 	};
 
 	const closeAll = () => {
@@ -197,7 +206,15 @@
 				}
 			});
 		},
+		tell(message) {
+			channel.send(message);
+		},
 		async serve() {
+			const greeting = services.greeting();
+			if (greeting) {
+				channel.send(greeting);
+			}
+
 			try {
 				for await (const message of channel.receive()) {
 					received++;
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -9,6 +9,7 @@
 	CallRequest,
 	ConfigurationBodyMessage,
 	ProbeMessage,
+	SuspectsMessage,
 } from '@egretspoke/protocol';
 import {createTicks, type Clock} from '@egretspoke/shared';
 import {notSent, type ExchangeResult} from './exchange-table.js';
@@ -41,6 +42,8 @@
 		address: string,
 		signal: AbortSignal,
 	): Promise<ConfigurationBodyMessage | undefined>;
+	/** Tells a peer, if it can be reached. */
+	tell(address: string, message: SuspectsMessage): Promise<void>;
 	count(): number;
 	close(): void;
 };
@@ -205,6 +208,10 @@
 			const connection = await connect(address);
 			return connection?.requestConfiguration(signal);
 		},
+		async tell(address, message) {
+			const connection = await connect(address);
+			connection?.tell(message);
+		},
 		count: () => byNode.size,
 		close() {
 			for (const {connection} of all) {
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -6,11 +6,12 @@
 import {
 	classify,
 	createControl,
+	createSuspectRows,
 	type Control,
 	type ControlOptions,
 } from '@egretspoke/control';
 import {egretspokePolicy, type Policy} from '@egretspoke/decisions';
-import {createHttpPlatform} from '@egretspoke/storage';
+import {createHttpPlatform, type Platform} from '@egretspoke/storage';
 import type {Home, Member} from '@egretspoke/protocol';
 import {
 	createRandom,
@@ -84,6 +85,16 @@
 	const peer = await listenOn(transport, settings.listeners.peer);
 	const policy = options.policy ?? egretspokePolicy;
 
+	const platform = createPlatform(settings, clock);
+	const suspectRows = createSuspectRows({
+		platform,
+		clock,
+		random: random.fork(),
+		node,
+		onSuspects(suspects) {
+			core.quarantine.takeStored(suspects);
+		},
+	});
 	const core: NodeCore = createNodeCore({
 		clock,
 		random,
@@ -98,6 +109,7 @@
 			bytesCapacity: limits.ledgerBytes,
 			maximumLifetime: limits.keyLifetime,
 		},
+		keepSuspects: suspectRows.note,
 		control: createCoreControl(
 			() => control,
 			(service) => core.isServed(service),
@@ -119,7 +131,7 @@
 	const callerAddress = await listenOn(caller, settings.listeners.caller);
 	const member = createMember(settings, self, {peer, caller: callerAddress});
 	const control = createControl(
-		readControlOptions(settings, {clock, random, core, member}),
+		readControlOptions(settings, {clock, random, core, member, platform}),
 	);
 	parts.control = control;
 	parts.core = core;
@@ -135,6 +147,7 @@
 	});
 	const adminAddress = await listenOn(admin, settings.listeners.admin);
 	followControl(control, core, instruments.reporter);
+	void suspectRows.run(supervisor.signal);
 	await control.start(supervisor.signal);
 	if (control.configuration.source() === 'defaults') {
 		reporter.notice({name: 'runningOnDefaults'});
@@ -248,28 +261,21 @@
 	};
 }
 
-type ControlParts = Pick<ControlOptions, 'clock' | 'random'> & {
+type ControlParts = Pick<ControlOptions, 'clock' | 'random' | 'platform'> & {
 	core: NodeCore;
 	member: Member;
 };
 
 function readControlOptions(
 	settings: NodeSettings,
-	{clock, random, core, member}: ControlParts,
+	{clock, random, core, member, platform}: ControlParts,
 ): ControlOptions {
-	const {platform, peers, timings} = settings;
+	const {peers, timings} = settings;
 	return {
 		self: member,
 		clock,
 		random: random.fork(),
-		platform: createHttpPlatform({
-			address: platform.address,
-			timeout: platform.timeout,
-			clock,
-			...(platform.credential !== undefined && {
-				credential: platform.credential,
-			}),
-		}),
+		platform,
 		peers,
 		timing: {lease: timings.lease, probePeriod: timings.probe},
 		readPeriod: timings.configurationRead,
@@ -278,11 +284,22 @@
 		requestBody: async (address) =>
 			core.peers.requestConfiguration(
 				address,
-				AbortSignal.timeout(platform.timeout),
+				AbortSignal.timeout(settings.platform.timeout),
 			),
 	};
 }
 
+function createPlatform({platform}: NodeSettings, clock: Clock): Platform {
+	return createHttpPlatform({
+		address: platform.address,
+		timeout: platform.timeout,
+		clock,
+		...(platform.credential !== undefined && {
+			credential: platform.credential,
+		}),
+	});
+}
+
 type Listening = {listen(host: string, port: number): Promise<number>};
 
 async function listenOn(listener: Listening, address: string): Promise<string> {
--- a/packages/node/src/target-client.ts
+++ b/packages/node/src/target-client.ts
@@ -20,4 +20,6 @@
 		timeLeft: number,
 		signal: AbortSignal,
 	): Promise<TargetResult>;
+	/** Whether the target takes connections; true when that can't be told. */
+	isListening(): Promise<boolean>;
 };
--- /dev/null
+++ b/packages/node/src/target-watch.ts
@@ -0,0 +1,83 @@
+/** Watches the runs at the target for its crashes, and notes under what it crashed. */
+import type {CallRequest} from '@egretspoke/protocol';
+import {createCrashWatch, identifyRequest} from '@egretspoke/quarantine';
+import type {IngressContext} from './ingress.js';
+import {partsOf} from './node-quarantine.js';
+import type {TargetResult} from './target-client.js';
+
+/** The watch over one target. */
+export type TargetWatch = {
+	/** Resolves with the result, once it is known whether a lost one is due to a crash. */
+	run(
+		request: CallRequest,
+		signal: AbortSignal,
+		send: () => Promise<TargetResult>,
+	): Promise<TargetResult>;
+};
+
+type Run = {request: CallRequest; startedAt: number};
+
+/** Creates the watch over a target that runs nothing. */
+export function createTargetWatch(
+	{
+		clock,
+		quarantine,
+		reporter,
+		target,
+	}: Pick<IngressContext, 'clock' | 'quarantine' | 'reporter' | 'target'>,
+	isLeaving: () => boolean,
+): TargetWatch {
+	const watch = createCrashWatch<Run>({
+		clock,
+		isLeaving,
+		async probe(onResult) {
+			onResult(await target.isListening());
+		},
+		onCrash(runs, lost) {
+			reporter.notice({name: 'targetCrashed', requests: lost});
+			const now = clock.now();
+			const crashed = runs.map(({request, startedAt}) => ({
+				identity: identifyRequest(partsOf(request)),
+				startedAt,
+				crashes: 0,
+			}));
+			quarantine.noteCrash(crashed);
+			for (const [index, {request, startedAt}] of runs.entries()) {
+				reporter.decide({
+					name: 'crashedUnder',
+					request: request.id,
+					reason: 'targetCrashed',
+					details: {
+						identity: crashed[index]!.identity,
+						ran: Math.round(now - startedAt),
+						crashes: quarantine.lookUp(request)?.crashes ?? 0,
+					},
+				});
+			}
+		},
+	});
+
+	return {
+		async run(request, signal, send) {
+			const run = {request, startedAt: clock.now()};
+			const ordinal = watch.started();
+			const result = await send();
+			const isLost = result.kind === 'lost' || result.kind === 'cut';
+			if (isLost && !signal.aborted) {
+				await new Promise((resolve) => {
+					watch.lost(run, ordinal, resolve);
+				});
+				return result;
+			}
+
+			watch.ended(ordinal);
+			if (result.kind === 'unreachable') {
+				watch.refused();
+			} else if (result.kind === 'answer') {
+				quarantine.noteAnswer(request);
+			}
+
+			return result;
+		},
+	};
+}
--- a/packages/protocol/src/error-code.ts
+++ b/packages/protocol/src/error-code.ts
@@ -37,6 +37,7 @@
 	DeadlineWhileRunning = 303,
 	HomeUnreachable = 304,
 	OutcomeForgotten = 305,
+	Quarantined = 306,
 	Internal = 500,
 }
 
@@ -209,6 +210,12 @@
 		advice: 'ask the service for the result',
 		status: 410,
 	},
+	[ErrorCode.Quarantined]: {
+		message: 'the request has run, and crashes the targets that run it',
+		advice:
+			'do not repeat it; operators: `egretspoke explain` names the crashes',
+		status: 502,
+	},
 	[ErrorCode.Internal]: {
 		message: 'the node failed while handling the request',
 		advice: 'report the request id to the operators',
--- a/packages/protocol/src/message.ts
+++ b/packages/protocol/src/message.ts
@@ -3,6 +3,7 @@
  * encoded by msgpackr. A sender may add fields that a receiver doesn't know;
  * a changed meaning takes a new protocol version.
  */
+import {suspectTupleSchema} from '@egretspoke/quarantine';
 import {z} from 'zod';
 import {loadReportSchema} from './load-report.js';
 import {memberSchema} from './member.js';
@@ -123,6 +124,12 @@
 	text: z.string(),
 });
 
+/** Requests under which targets crashed, as far as the receiver may not know. */
+export const suspectsSchema = z.object({
+	type: z.literal('suspects'),
+	suspects: z.array(suspectTupleSchema),
+});
+
 /** Every message that may follow the handshake. */
 export const messageSchema = z.discriminatedUnion('type', [
 	helloSchema,
@@ -134,6 +141,7 @@
 	acknowledgementSchema,
 	configurationRequestSchema,
 	configurationBodySchema,
+	suspectsSchema,
 ]);
 
 export type CallRequest = z.infer<typeof callRequestSchema>;
@@ -142,4 +150,5 @@
 export type ProbeMessage = z.infer<typeof probeSchema>;
 export type AcknowledgementMessage = z.infer<typeof acknowledgementSchema>;
 export type ConfigurationBodyMessage = z.infer<typeof configurationBodySchema>;
+export type SuspectsMessage = z.infer<typeof suspectsSchema>;
 export type Message = z.infer<typeof messageSchema>;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -7,6 +7,7 @@
 export * from './listening-probe.js';
 export * from './nearest-key.js';
 export * from './random.js';
+export * from './sample.js';
 export * from './settings-reader.js';
 export * from './size.js';
 export * from './stream.js';
