--- a/packages/benchmark/src/decision-benchmark.ts
+++ b/packages/benchmark/src/decision-benchmark.ts
@@ -14,6 +14,7 @@
 	type RoutingDecision,
 	type RoutingPolicy,
 } from '@egretspoke/decisions';
+import {toMedian} from './median.js';
 
 /** Median nanoseconds of each decision. */
 export type DecisionCosts = {
@@ -72,8 +73,8 @@
 	}
 
 	return {
-		choose: toMedian(choose, batchSize),
-		learn: toMedian(learn, batchSize),
+		choose: toMedian(choose.slice(warmUps), batchSize),
+		learn: toMedian(learn.slice(warmUps), batchSize),
 	};
 }
 
@@ -128,8 +129,8 @@
 	}
 
 	return {
-		arrive: toMedian(arrive, batchSize),
-		finish: toMedian(finish, endedOfBatch),
+		arrive: toMedian(arrive.slice(warmUps), batchSize),
+		finish: toMedian(finish.slice(warmUps), endedOfBatch),
 	};
 }
 
@@ -178,12 +179,3 @@
 		state: 'active',
 	};
 }
-
-/** The median batch without the warm-ups, in nanoseconds for one decision. */
-function toMedian(durations: number[], decisions: number): number {
-	const counted = durations
-		.slice(warmUps)
-		.toSorted((left, right) => left - right);
-	const median = counted[Math.floor(counted.length / 2)] ?? 0;
-	return Math.round((median * 1e6) / decisions);
-}
--- a/packages/benchmark/src/decisions-main.ts
+++ b/packages/benchmark/src/decisions-main.ts
@@ -1,7 +1,8 @@
 /** The command line of the benchmark of decisions. */
 import process from 'node:process';
 import {Command} from 'commander';
-import {measureDecisions, type DecisionCosts} from './decision-benchmark.js';
+import {measureDecisions} from './decision-benchmark.js';
+import {measureQuarantine} from './quarantine-cost.js';
 
 /** The targets of today and those of the two-year size. */
 const sizes = [26, 570];
@@ -21,21 +22,22 @@
 	targets,
 	nanoseconds: measureDecisions(targets),
 }));
+const quarantine = measureQuarantine();
 process.stdout.write(
 	json
-		? `${JSON.stringify({decisions: costs})}\n`
-		: costs.map((cost) => format(cost)).join(''),
+		? `${JSON.stringify({decisions: costs, quarantine})}\n`
+		: [
+				...costs.map(
+					({targets, nanoseconds}) =>
+						`${targets} targets: ${format(nanoseconds, ' ns')}`,
+				),
+				`quarantine: ${format(quarantine, ' ns')}`,
+			].join(''),
 );
 
-function format({
-	targets,
-	nanoseconds,
-}: {
-	targets: number;
-	nanoseconds: DecisionCosts;
-}): string {
-	const parts = Object.entries(nanoseconds).map(
-		([decision, cost]) => `${decision} ${cost} ns`,
+function format(costs: Record<string, number>, unit: string): string {
+	const parts = Object.entries(costs).map(
+		([name, cost]) => `${name} ${cost}${unit}`,
 	);
-	return `${targets} targets: ${parts.join(', ')}\n`;
+	return `${parts.join(', ')}\n`;
 }
--- /dev/null
+++ b/packages/benchmark/src/quarantine-cost.ts
@@ -0,0 +1,96 @@
+/** What the look into the quarantine costs a request, in nanoseconds. */
+import {performance} from 'node:perf_hooks';
+import {createVirtualClock} from '@egretspoke/shared';
+import {
+	createQuarantine,
+	identifyRequest,
+	type Quarantine,
+	type RequestParts,
+} from '@egretspoke/quarantine';
+import {toMedian} from './median.js';
+
+/** Median nanoseconds of a look. */
+export type QuarantineCosts = {
+	/** While no target has crashed. */
+	lookWhenEmpty: number;
+	/** Beside suspects on other paths. */
+	lookOnOtherPath: number;
+	/** At a suspect without a body, and with one of 50 kB. */
+	lookAtSuspect: number;
+	lookAtLargeSuspect: number;
+};
+
+const batches = 2000;
+const batchSize = 50;
+const largeBody = 50_000;
+/** Crashes and requests of each that fill a quarantine. */
+const fillingCrashes = 12;
+const requestsOfCrash = 128;
+
+/** Measures. */
+export function measureQuarantine(): QuarantineCosts {
+	const empty = createLoneQuarantine();
+	const full = createLoneQuarantine();
+	for (let crash = 0; crash < fillingCrashes; crash++) {
+		crashUnder(full, (index) => createParts(`${crash}-${index}`));
+	}
+
+	const small = createParts('suspect');
+	const large = {...small, body: new Uint8Array(largeBody)};
+	crashUnder(full, (index) => (index === 0 ? small : large));
+	const other = createParts('other');
+	return {
+		lookWhenEmpty: measureLook(empty, other),
+		lookOnOtherPath: measureLook(full, other),
+		lookAtSuspect: measureLook(full, small),
+		lookAtLargeSuspect: measureLook(full, large),
+	};
+}
+
+function createLoneQuarantine(): Quarantine {
+	const ignore = () => undefined;
+	return createQuarantine({
+		clock: createVirtualClock(),
+		spread: ignore,
+		passOn: ignore,
+		keep: ignore,
+		onQuarantined: ignore,
+	});
+}
+
+function createParts(name: string): RequestParts {
+	return {
+		caller: '',
+		method: 'GET',
+		host: 'shop.example',
+		path: `/read/${name}?page=5&sort=new`,
+		body: new Uint8Array(),
+	};
+}
+
+function crashUnder(
+	quarantine: Quarantine,
+	partsOf: (index: number) => RequestParts,
+): void {
+	quarantine.noteCrash(
+		Array.from({length: requestsOfCrash}, (_, index) => ({
+			identity: identifyRequest(partsOf(index)),
+			startedAt: 0,
+			crashes: 0,
+		})),
+	);
+}
+
+function measureLook(quarantine: Quarantine, parts: RequestParts): number {
+	const durations: number[] = [];
+	for (let batch = 0; batch < batches; batch++) {
+		const begin = performance.now();
+		for (let index = 0; index < batchSize; index++) {
+			quarantine.lookUp(parts.path, parts.body.byteLength, () => parts);
+		}
+
+		durations.push(performance.now() - begin);
+	}
+
+	return toMedian(durations, batchSize);
+}
--- a/packages/control/src/suspect-rows.ts
+++ b/packages/control/src/suspect-rows.ts
@@ -5,6 +5,7 @@
  */
 import {
 	createNotedSuspects,
+	createRowWriter,
 	readNoted,
 	type Suspect,
 } from '@egretspoke/quarantine';
@@ -32,39 +33,23 @@
 const suspectPrefix = 'suspects/';
 /** Milliseconds between two readings, by a fifth more or less. */
 const readPeriod = 5000;
-/** Milliseconds before another try of a write that failed. */
-const retryPause = 500;
 
 /** Creates the rows; nothing is read before `run`. */
 export function createSuspectRows(options: SuspectRowsOptions): SuspectRows {
 	const {platform, clock, random} = options;
 	const noted = createNotedSuspects(clock);
 	const key = `${suspectPrefix}${options.node}`;
-	let life: AbortSignal | undefined;
-	let isDirty = false;
-	let isWriting = false;
 
-	const write = async (signal: AbortSignal) => {
-		if (isWriting) {
-			return;
-		}
-
-		isWriting = true;
-		while (isDirty && !signal.aborted) {
-			isDirty = false;
-			// eslint-disable-next-line no-await-in-loop -- one write after the other.
+	const writer = createRowWriter({
+		clock,
+		random,
+		async write() {
 			const rows = await platform.table.transact([
 				{kind: 'put', key, value: noted.toText()},
 			]);
-			if (rows.isErr()) {
-				isDirty = true;
-				// eslint-disable-next-line no-await-in-loop -- a pause between two tries.
-				await sleep(clock, retryPause * (0.5 + random.fraction()), signal);
-			}
-		}
-
-		isWriting = false;
-	};
+			return rows.isOk();
+		},
+	});
 
 	/** The own row counts at the first reading only: an earlier start wrote it. */
 	const read = async (isFirst: boolean): Promise<boolean> => {
@@ -90,20 +75,16 @@
 	return {
 		note(suspects) {
 			noted.note(suspects);
-			isDirty = true;
-			if (life) {
-				void write(life);
-			}
+			writer.request();
 		},
 		async run(signal) {
-			life = signal;
 			let isFirst = true;
 			while (!signal.aborted) {
 				// eslint-disable-next-line no-await-in-loop -- one reading after the other.
 				const isRead = await read(isFirst);
 				if (isFirst && isRead) {
 					isFirst = false;
-					void write(signal);
+					writer.start(signal);
 				}
 
 				const wait = readPeriod * (0.8 + 0.4 * random.fraction());
--- a/packages/mesh/src/suspect-register.ts
+++ b/packages/mesh/src/suspect-register.ts
@@ -7,6 +7,7 @@
  */
 import {
 	createNotedSuspects,
+	createRowWriter,
 	readNoted,
 	type Suspect,
 } from '@egretspoke/quarantine';
@@ -41,8 +42,6 @@
 const table = 'suspects';
 /** Milliseconds after its start in which a node hears from its peers whether it is to follow. */
 const startDelay = 1000;
-/** Milliseconds before another try of a write that failed. */
-const retryPause = 500;
 
 /** Creates a register. */
 export function createSuspectRegister(
@@ -51,8 +50,6 @@
 	const {store, node, clock, random, reporter} = options;
 	const noted = createNotedSuspects(clock);
 	let version = 0;
-	let isDirty = false;
-	let isWriting = false;
 
 	const writeOnce = async (): Promise<boolean> => {
 		const result = await store.write(
@@ -73,26 +70,6 @@
 		return false;
 	};
 
-	const write = async (signal: AbortSignal) => {
-		if (isWriting) {
-			return;
-		}
-
-		isWriting = true;
-		while (isDirty && !signal.aborted) {
-			isDirty = false;
-			// eslint-disable-next-line no-await-in-loop -- one write after the other, each with the version before it.
-			const isDone = await writeOnce();
-			if (!isDone) {
-				isDirty = true;
-				// eslint-disable-next-line no-await-in-loop -- a pause between two tries.
-				await sleep(clock, retryPause * random.fraction(), signal);
-			}
-		}
-
-		isWriting = false;
-	};
-
 	const decode = ({key, value}: StoredRow): Suspect[] => {
 		const suspects = readNoted(value, clock);
 		if (!suspects) {
@@ -109,18 +86,15 @@
 		}
 	};
 
-	let life: AbortSignal | undefined;
+	const writer = createRowWriter({clock, random, write: writeOnce});
+
 	return {
 		note(suspects) {
 			noted.note(suspects);
-			isDirty = true;
-			if (life) {
-				void write(life);
-			}
+			writer.request();
 		},
 		async run(signal) {
-			life = signal;
-			void write(signal);
+			writer.start(signal);
 			await sleep(clock, startDelay, signal);
 			await followTable(
 				{
--- a/packages/mesh/src/suspects.ts
+++ b/packages/mesh/src/suspects.ts
@@ -71,9 +71,13 @@
 	return {
 		noteCrash: quarantine.noteCrash,
 		lookUp: (request) =>
-			quarantine.lookUp(request.path, () => partsOf(request, headerNames)),
+			quarantine.lookUp(request.path, request.body?.byteLength ?? 0, () =>
+				partsOf(request, headerNames),
+			),
 		noteAnswer(request) {
-			quarantine.noteAnswer(request.path, () => partsOf(request, headerNames));
+			quarantine.noteAnswer(request.path, request.body?.byteLength ?? 0, () =>
+				partsOf(request, headerNames),
+			);
 		},
 		take({suspects}) {
 			quarantine.take(suspects.map((tuple) => toSuspect(tuple)));
--- a/packages/node/src/node-quarantine.ts
+++ b/packages/node/src/node-quarantine.ts
@@ -89,7 +89,7 @@
 	void createTicks(clock, renewalPeriod, signal).observe(quarantine.renew);
 
 	const lookUp = (call: KnownCall) =>
-		quarantine.lookUp(call.path, () => partsOf(call));
+		quarantine.lookUp(call.path, call.body.byteLength, () => partsOf(call));
 
 	return {
 		lookUp,
@@ -110,7 +110,9 @@
 		},
 		noteCrash: quarantine.noteCrash,
 		noteAnswer(call) {
-			quarantine.noteAnswer(call.path, () => partsOf(call));
+			quarantine.noteAnswer(call.path, call.body.byteLength, () =>
+				partsOf(call),
+			);
 		},
 		take({suspects}) {
 			quarantine.take(suspects.map((tuple) => toSuspect(tuple)));
--- a/packages/quarantine/__tests__/request-identity.spec.ts
+++ b/packages/quarantine/__tests__/request-identity.spec.ts
@@ -1,6 +1,10 @@
 import {expect} from 'chai';
-import {hashText} from '@egretspoke/shared';
-import {identifyRequest, pathHashOf, type RequestParts} from '../src/index.js';
+import {
+	hashQuickly,
+	identifyRequest,
+	quickHashOf,
+	type RequestParts,
+} from '../src/index.js';
 
 const parts: RequestParts = {
 	caller: 'gulf',
@@ -28,11 +32,13 @@
 		});
 	}
 
-	it('begins with the hash of the path', () => {
-		expect(pathHashOf(identifyRequest(parts))).to.equal(hashText(parts.path));
+	it('begins with the quick hash', () => {
+		expect(quickHashOf(identifyRequest(parts))).to.equal(
+			hashQuickly(parts.path, parts.body.byteLength),
+		);
 	});
 
-	it('of another writer has no path', () => {
-		expect(pathHashOf('?')).to.equal(0);
+	it('of another writer has no quick hash', () => {
+		expect(quickHashOf('?')).to.equal(0);
 	});
 });
--- a/packages/quarantine/__tests__/suspect-table.spec.ts
+++ b/packages/quarantine/__tests__/suspect-table.spec.ts
@@ -23,7 +23,7 @@
 	crashes,
 });
 const lookUp = (table: SuspectTable, name: string, now = 0) =>
-	table.lookUp(`/read/${name}`, () => partsOf(name), now);
+	table.lookUp(`/read/${name}`, 0, () => partsOf(name), now);
 const crashesOf = (table: SuspectTable, name: string) =>
 	lookUp(table, name)?.crashes ?? 0;
 
@@ -155,16 +155,16 @@
 		expect(crashesOf(table, 'deadly')).to.equal(3);
 	});
 
-	it('asks for no digest of requests on other paths', () => {
+	it('asks for no digest of requests on other paths or with bodies of other lengths', () => {
 		const table = createSuspectTable();
 		table.noteCrash([run('deadly', 0)], 100);
-		const suspect = table.lookUp(
-			'/read/other',
-			() => {
-				throw new Error('not to be identified');
-			},
-			0,
+		const refuseDigest = () => {
+			throw new Error('not to be identified');
+		};
+
+		expect(table.lookUp('/read/other', 0, refuseDigest, 0)).to.equal(undefined);
+		expect(table.lookUp('/read/deadly', 9, refuseDigest, 0)).to.equal(
+			undefined,
 		);
-		expect(suspect).to.equal(undefined);
 	});
 });
--- a/packages/quarantine/src/index.ts
+++ b/packages/quarantine/src/index.ts
@@ -4,6 +4,7 @@
 export * from './noted-suspects.js';
 export * from './quarantine.js';
 export * from './request-identity.js';
+export * from './row-writer.js';
 export * from './suspect.js';
 export {
 	createSuspectTable,
--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -20,11 +20,19 @@
 /** The quarantine of one node. */
 export type Quarantine = {
 	/** What is known of the request; undefined when no target crashed under it. */
-	lookUp(path: string, partsOf: () => RequestParts): Suspect | undefined;
+	lookUp(
+		path: string,
+		bodyLength: number,
+		partsOf: () => RequestParts,
+	): Suspect | undefined;
 	/** The target beside this node crashed; gives what is known now of the suspects that this changed. */
 	noteCrash(runs: CrashedRun[]): Suspect[];
 	/** The target beside this node answered the request. */
-	noteAnswer(path: string, partsOf: () => RequestParts): void;
+	noteAnswer(
+		path: string,
+		bodyLength: number,
+		partsOf: () => RequestParts,
+	): void;
 	/** Takes what other nodes know. */
 	take(told: readonly Suspect[]): void;
 	/** What a node that has just been reached has to know. */
@@ -64,12 +72,15 @@
 		}
 	};
 
-	const lookUp = (path: string, partsOf: () => RequestParts) =>
-		table.lookUp(path, partsOf, clock.now());
+	const lookUp = (
+		path: string,
+		bodyLength: number,
+		partsOf: () => RequestParts,
+	) => table.lookUp(path, bodyLength, partsOf, clock.now());
 
 	return {
-		lookUp(path, partsOf) {
-			const suspect = lookUp(path, partsOf);
+		lookUp(path, bodyLength, partsOf) {
+			const suspect = lookUp(path, bodyLength, partsOf);
 			if (suspect && isQuarantined(suspect)) {
 				refused.set(suspect.identity, suspect);
 			}
@@ -82,8 +93,8 @@
 			publish(changed);
 			return changed;
 		},
-		noteAnswer(path, partsOf) {
-			const suspect = lookUp(path, partsOf);
+		noteAnswer(path, bodyLength, partsOf) {
+			const suspect = lookUp(path, bodyLength, partsOf);
 			if (!suspect) {
 				return;
 			}
--- a/packages/quarantine/src/suspect-table.ts
+++ b/packages/quarantine/src/suspect-table.ts
@@ -14,10 +14,10 @@
  * that far. From the second crash on a request runs beside no other such one,
  * and takes the blame alone.
  */
-import {hashText} from '@egretspoke/shared';
 import {
+	hashQuickly,
 	identifyRequest,
-	pathHashOf,
+	quickHashOf,
 	type RequestIdentity,
 	type RequestParts,
 } from './request-identity.js';
@@ -36,6 +36,7 @@
 	/** What is known of the request; undefined when no target crashed under it. */
 	lookUp(
 		path: string,
+		bodyLength: number,
 		partsOf: () => RequestParts,
 		now: number,
 	): Suspect | undefined;
@@ -66,26 +67,26 @@
 /** Creates a table without suspects. */
 export function createSuspectTable(): SuspectTable {
 	const entries = new Map<RequestIdentity, Entry>();
-	/** How many suspects with crashes each path has, by its hash. */
-	const paths = new Map<number, number>();
+	/** How many suspects with crashes have each quick hash. */
+	const quickHashes = new Map<number, number>();
 
-	const countPath = ({identity, crashes}: Suspect, change: number) => {
+	const countHash = ({identity, crashes}: Suspect, change: number) => {
 		if (crashes === 0) {
 			return;
 		}
 
-		const hash = pathHashOf(identity);
-		const count = (paths.get(hash) ?? 0) + change;
+		const hash = quickHashOf(identity);
+		const count = (quickHashes.get(hash) ?? 0) + change;
 		if (count > 0) {
-			paths.set(hash, count);
+			quickHashes.set(hash, count);
 		} else {
-			paths.delete(hash);
+			quickHashes.delete(hash);
 		}
 	};
 
 	const remove = (entry: Entry) => {
 		entries.delete(entry.identity);
-		countPath(entry, -1);
+		countHash(entry, -1);
 	};
 
 	const makeRoom = () => {
@@ -110,7 +111,7 @@
 		}
 
 		entries.set(suspect.identity, {...suspect, learntAt: now, seenAt: now});
-		countPath(suspect, 1);
+		countHash(suspect, 1);
 		return suspect;
 	};
 
@@ -123,8 +124,11 @@
 	};
 
 	return {
-		lookUp(path, partsOf, now) {
-			if (paths.size === 0 || !paths.has(hashText(path))) {
+		lookUp(path, bodyLength, partsOf, now) {
+			if (
+				quickHashes.size === 0 ||
+				!quickHashes.has(hashQuickly(path, bodyLength))
+			) {
 				return undefined;
 			}
 
