--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -127,7 +127,10 @@
 	const findObstacle = () =>
 		isLeaving ? ErrorCode.Leaving : context.refusalOf();
 
-	/** One of those that may crash the target runs at a time; what crashes it for sure isn't run. */
+	const refuseQuarantined = () =>
+		admitUnknown(createRefusal(ErrorCode.Quarantined));
+
+	/** One of those that may crash the target runs at a time. */
 	const runApart = async (
 		request: CallRequest,
 		signal: AbortSignal,
@@ -140,8 +143,9 @@
 			});
 		}
 
+		// The one before it may have been the same request.
 		const outcome = context.quarantine.bars(request)
-			? admitUnknown(createRefusal(ErrorCode.Quarantined))
+			? refuseQuarantined()
 			: await runAdmitted(request, signal);
 		turn.leave();
 		return outcome;
@@ -193,9 +197,13 @@
 	return {
 		async run(request, signal) {
 			const suspect = context.quarantine.lookUp(request);
-			return suspect && isIsolated(suspect)
-				? runApart(request, signal)
-				: runAdmitted(request, signal);
+			if (!suspect || !isIsolated(suspect)) {
+				return runAdmitted(request, signal);
+			}
+
+			return context.quarantine.bars(request)
+				? refuseQuarantined()
+				: runApart(request, signal);
 		},
 		leave() {
 			isLeaving = true;
--- /dev/null
+++ b/packages/quarantine/__tests__/noted-suspects.spec.ts
@@ -0,0 +1,72 @@
+import {createVirtualClock} from '@egretspoke/shared';
+import {expect} from 'chai';
+import {
+	createNotedSuspects,
+	memoryTime,
+	readNoted,
+	type Suspect,
+} from '../src/index.js';
+
+const suspect = (identity: string, crashes = 1): Suspect => ({
+	identity,
+	round: 0,
+	crashes,
+});
+
+describe('the suspects that a node keeps in the store', () => {
+	it('are read as they were written', () => {
+		const clock = createVirtualClock();
+		const noted = createNotedSuspects(clock);
+		noted.note([suspect('a'), suspect('b', 3)]);
+		noted.note([suspect('a', 2)]);
+		expect(readNoted(noted.toText(), clock)).to.deep.equal([
+			suspect('b', 3),
+			suspect('a', 2),
+		]);
+	});
+
+	it('are bounded, those in quarantine kept first, then the latest', () => {
+		const clock = createVirtualClock();
+		const noted = createNotedSuspects(clock);
+		noted.note([suspect('deadly', 3)]);
+		for (let index = 0; index < 1000; index++) {
+			noted.note([suspect(`bystander-${index}`)]);
+		}
+
+		const read = readNoted(noted.toText(), clock)!;
+		expect(read).to.have.length(128);
+		expect(read).to.deep.include(suspect('deadly', 3));
+		expect(read).to.deep.include(suspect('bystander-999'));
+	});
+
+	it('stay when the node starts again, behind what it has noted since', () => {
+		const clock = createVirtualClock();
+		const noted = createNotedSuspects(clock);
+		noted.note([suspect('a', 2)]);
+		noted.keepEarlier([suspect('a'), suspect('b', 3)]);
+		expect(readNoted(noted.toText(), clock)).to.deep.equal([
+			suspect('a', 2),
+			suspect('b', 3),
+		]);
+	});
+
+	it('are forgotten when their text is old', () => {
+		const clock = createVirtualClock();
+		const noted = createNotedSuspects(clock);
+		noted.note([suspect('a', 3)]);
+		const text = noted.toText();
+		clock.advanceTo(memoryTime + 1);
+		expect(readNoted(text, clock)).to.deep.equal([]);
+	});
+
+	for (const text of [
+		'rubbish',
+		'{}',
+		'{"at":0,"suspects":[["",0,1]]}',
+		'{"at":0,"suspects":[["a",-1,1]]}',
+	]) {
+		it(`are none of ${text}`, () => {
+			expect(readNoted(text, createVirtualClock())).to.equal(undefined);
+		});
+	}
+});
--- a/packages/quarantine/src/row-writer.ts
+++ b/packages/quarantine/src/row-writer.ts
@@ -27,7 +27,13 @@
 	let isDirty = false;
 	let isWriting = false;
 
-	const writeAll = async (signal: AbortSignal) => {
+	/** The flag falls in the same turn in which the last state is found written: a change in between would wait for the next one. */
+	const run = async (signal: AbortSignal) => {
+		if (isWriting) {
+			return;
+		}
+
+		isWriting = true;
 		while (isDirty && !signal.aborted) {
 			isDirty = false;
 			// eslint-disable-next-line no-await-in-loop -- one write after the other.
@@ -38,24 +44,20 @@
 				await sleep(clock, retryPause * (0.5 + random.fraction()), signal);
 			}
 		}
-	};
 
-	const run = async () => {
-		if (life && !isWriting) {
-			isWriting = true;
-			await writeAll(life);
-			isWriting = false;
-		}
+		isWriting = false;
 	};
 
 	return {
 		request() {
 			isDirty = true;
-			void run();
+			if (life) {
+				void run(life);
+			}
 		},
 		start(signal) {
 			life = signal;
-			void run();
+			void run(signal);
 		},
 	};
 }
