feat(mesh): read the rate limit that a target names, and log its changes

Nothing in logs or metrics showed whether a node knows of the limit that a target names in its answers. The client of the target now reads it, in the order in which the requests started; lines 2512 and 2513 and a gauge show it. A malformed value leaves the previous limit in force: it still shows that the target is in need. No decision depends on it yet.

--- a/packages/mesh/src/header-names.ts
+++ b/packages/mesh/src/header-names.ts
@@ -18,6 +18,10 @@
 	signature: string;
 	/** Present when the target did not run the request. */
 	notExecuted: string;
+	/** The requests per second that the target accepts from all nodes together. */
+	rateLimit: string;
+	/** Present in all answers of a target that is leaving. */
+	leaving: string;
 };
 
 /** Headers that concern one connection only (RFC 9110, section 7.6.1). */
--- a/packages/mesh/src/target-access.ts
+++ b/packages/mesh/src/target-access.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@egretspoke/shared';
 import type {HeaderNames} from './header-names.js';
 import type {MeshReporter} from './mesh-reporter.js';
+import type {TargetNotice} from './target-notice.js';
 import {createTargetClient, type TargetClient} from './target-client.js';
 import type {TargetRecord} from './target-record.js';
 
@@ -12,6 +13,8 @@
 	reporter: MeshReporter;
 	/** Called with false when the target is unreachable or was replaced, with true once it answers again. */
 	onReachable: (isReachable: boolean) => void;
+	/** An answer of the current target arrived; `ordinal` increases with the start of each request. */
+	onNotice: (notice: TargetNotice, ordinal: number) => void;
 	/** A connection could not be opened. */
 	onConnectionRefused: () => void;
 };
@@ -48,6 +51,7 @@
 	let client: TargetClient | undefined;
 	let isReachable = true;
 	let renewedAt = Number.NEGATIVE_INFINITY;
+	let ordinal = 0;
 
 	const open = (record: TargetRecord) => {
 		client?.close();
@@ -55,6 +59,12 @@
 		client = createTargetClient({
 			endpoint: {address: record.address, targetId: record.targetId},
 			headerNames,
+			nextOrdinal: () => ++ordinal,
+			onNotice(notice, ordinalOfRequest) {
+				if (isCurrent(record)) {
+					options.onNotice(notice, ordinalOfRequest);
+				}
+			},
 			onReplaced() {
 				reporter.notice('meshTargetReplaced', {target: record.targetId});
 				markUnreachable(record);
--- a/packages/mesh/src/target-client.ts
+++ b/packages/mesh/src/target-client.ts
@@ -11,6 +11,7 @@
 import type {Dispatcher} from 'undici';
 import type {ForwardedRequest, Outcome, RefusalReason} from './exchange.js';
 import {filterEndToEnd, type HeaderNames} from './header-names.js';
+import {readTargetNotice, type TargetNotice} from './target-notice.js';
 import {
 	createTargetConnections,
 	type TargetConnection,
@@ -42,6 +43,10 @@
 	onReplaced: () => void;
 	/** No connection could be opened. */
 	onUnreachable: (detail: string) => void;
+	/** Returns the ordinal of the next request to the target. */
+	nextOrdinal: () => number;
+	/** An answer arrived; `ordinal` is that of its request. */
+	onNotice: (notice: TargetNotice, ordinal: number) => void;
 };
 
 /** The status of a target that is not the expected one and did not run the request (RFC 9110, section 15.5.20). */
@@ -88,10 +93,12 @@
 
 function createExchange(
 	request: ForwardedRequest,
-	{headerNames, onReplaced, onUnreachable}: TargetClientOptions,
+	options: TargetClientOptions,
 	connection: TargetConnection,
 	onOutcome: (outcome: Outcome) => void,
 ): Exchange {
+	const {headerNames, onReplaced, onUnreachable} = options;
+	const ordinal = options.nextOrdinal();
 	let controller: Dispatcher.DispatchController | undefined;
 	let isOver = false;
 	let isWritten = false;
@@ -164,6 +171,12 @@
 				const isSuccess = statusCode < 300;
 				if (isSuccess && received[headerNames.signature] === undefined) {
 					abortExchange({kind: 'lost', reason: 'answerUnsigned'});
+					return;
+				}
+
+				// An answer of another target says nothing about this one.
+				if (status !== misdirectedStatus) {
+					options.onNotice(readTargetNotice(received, headerNames), ordinal);
 				}
 			},
 			onResponseData(_controller, chunk) {
--- a/packages/mesh/src/target-dispatcher.ts
+++ b/packages/mesh/src/target-dispatcher.ts
@@ -44,6 +44,7 @@
 import type {Suspects} from './suspects.js';
 import {createTargetAccess} from './target-access.js';
 import {createTargetShedLevel} from './target-shed-level.js';
+import {createTargetRate} from './target-rate.js';
 import type {TargetRecord} from './target-record.js';
 import {startTargetRun, responseMargin, type TargetRun} from './target-run.js';
 
@@ -82,7 +83,7 @@
 	openRequests(): number;
 	readings(): Pick<
 		MeshReadings,
-		'inFlight' | 'waiting' | 'limit' | 'shedLevel'
+		'inFlight' | 'waiting' | 'limit' | 'rateLimit' | 'shedLevel'
 	>;
 };
 
@@ -106,8 +107,12 @@
 	const {clock, wheel, metrics, suspects} = options;
 	const isolation = createIsolation<PendingRequest>();
 	const targetShedLevel = createTargetShedLevel(options.policy);
+	const rate = createTargetRate(options);
 	const access = createTargetAccess({
 		...options,
+		onNotice(notice, ordinal) {
+			rate.apply(notice, ordinal);
+		},
 		onConnectionRefused() {
 			watch.refused();
 		},
@@ -418,6 +423,7 @@
 			if (isNewIncarnation) {
 				const waiting = removeWaiting();
 				watch = createTargetWatch();
+				rate.reset(record.targetId);
 				admission = createTargetAdmission<PendingRequest>(
 					options.policy.limitOf(record.slots),
 				);
@@ -473,6 +479,7 @@
 		},
 		load,
 		close() {
+			rate.close();
 			access.close();
 		},
 		openRequests: () =>
@@ -481,6 +488,7 @@
 			inFlight: admission.running(),
 			waiting: admission.waiting(),
 			limit: admission.limit(),
+			rateLimit: rate.limit(),
 			shedLevel: targetShedLevel.own(),
 		}),
 	};
--- /dev/null
+++ b/packages/mesh/src/target-notice.ts
@@ -0,0 +1,47 @@
+/** What a target states about itself in the headers of each answer. */
+import type {HeaderNames} from './header-names.js';
+
+/** The rate limit in one answer. */
+export type RateLimitNotice =
+	/** The target accepts requests at any rate. */
+	| {kind: 'unlimited'}
+	/** Requests per second that the target accepts from all nodes together. */
+	| {kind: 'limited'; perSecond: number}
+	| {kind: 'malformed'; text: string};
+
+/** The statements of one answer. */
+export type TargetNotice = {
+	rateLimit: RateLimitNotice;
+	/** The target is leaving and accepts no further requests. */
+	isLeaving: boolean;
+};
+
+/** Received headers; repeated ones are lists. */
+type ReceivedHeaders = Record<string, string | string[] | undefined>;
+
+const decimalNumber = /^(?:\d+(?:\.\d*)?|\.\d+)$/;
+/** The value of the leaving header of a target that leaves. */
+const leavingValue = '1';
+
+/** Reads the statements from the headers of an answer. */
+export function readTargetNotice(
+	headers: ReceivedHeaders,
+	names: Pick<HeaderNames, 'rateLimit' | 'leaving'>,
+): TargetNotice {
+	return {
+		rateLimit: readRateLimit(headers[names.rateLimit]),
+		isLeaving: [headers[names.leaving]].flat().includes(leavingValue),
+	};
+}
+
+function readRateLimit(value: string | string[] | undefined): RateLimitNotice {
+	if (value === undefined) {
+		return {kind: 'unlimited'};
+	}
+
+	const text = Array.isArray(value) ? value.join(', ') : value.trim();
+	const perSecond = decimalNumber.test(text) ? Number(text) : Number.NaN;
+	return Number.isFinite(perSecond)
+		? {kind: 'limited', perSecond}
+		: {kind: 'malformed', text};
+}
--- a/packages/observability/__tests__/metrics.spec.ts
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -30,6 +30,7 @@
 	waiting: 6,
 	limit: 100,
 	shedLevel: 0.5,
+	rateLimit: undefined,
 	service: 'orders',
 };
 
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -130,6 +130,27 @@
 		meaning: 'The file cannot be used; the settings in force stay.',
 		advice: 'Correct the file.',
 	},
+	meshRateLimitChanged: {
+		code: 2512,
+		level: 'info',
+		kind: 'notice',
+		template:
+			'rate limit of target {target} {change}: {limit} a second, before {previous} for {previousAge} ms',
+		meaning:
+			'The target stated in its answers how many requests a second it accepts from all nodes together, or stopped stating it. At most one line a second.',
+		advice:
+			'The target is in need: find out why. Requests beyond the limit go to the other targets of its service.',
+	},
+	meshRateLimitMalformed: {
+		code: 2513,
+		level: 'warn',
+		kind: 'notice',
+		template:
+			'target {target} stated the rate limit {value}, which is no decimal number; {limit} stays in force',
+		meaning:
+			'The header is repeated, negative, infinite or not a number. At most one line a second.',
+		advice: 'Correct the target.',
+	},
 	meshMetricsUnavailable: {
 		code: 2509,
 		level: 'warn',
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -48,6 +48,14 @@
 		reading:
 			'0 under normal load. Above 0 for a long time: the service, or one that it calls, lacks capacity.',
 	},
+	meshRateLimit: {
+		name: 'egretspoke_mesh_target_rate_limit',
+		type: 'gauge',
+		labels: [],
+		help: 'Requests per second that the target beside this node accepts from all nodes together, as its answers state; -1 without a limit.',
+		reading:
+			'A limit: the target is in need, and the other targets of its service take the rest. The rate of `egretspoke_mesh_target_duration_seconds_count` stays below it.',
+	},
 	meshMembers: {
 		name: 'egretspoke_mesh_members',
 		type: 'gauge',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -32,6 +32,8 @@
 		/** Number of known nodes, this one included. */
 		members: number;
 		shedLevel: number;
+		/** Requests per second that the local target accepts; undefined or infinite without a limit. */
+		rateLimit: number | undefined;
 	};
 
 /** Records the metrics of a node; no method blocks or throws. */
@@ -103,9 +105,13 @@
 	};
 }
 
+/** The value of the gauge while the target names no rate limit; 0 is a limit. */
+const noRateLimit = -1;
+
 function createReadingGauges(registry: Registry) {
 	const members = createGauge(registry, 'meshMembers');
 	const shedLevel = createGauge(registry, 'meshShedLevel');
+	const rateLimit = createGauge(registry, 'meshRateLimit');
 	const updateProcess = createProcessGauges(registry);
 	const updateTarget = createTargetGauges(registry);
 
@@ -114,5 +120,10 @@
 		updateTarget(readings);
 		members.set(readings.members);
 		shedLevel.set(readings.shedLevel);
+		rateLimit.set(
+			readings.rateLimit === undefined || !Number.isFinite(readings.rateLimit)
+				? noRateLimit
+				: readings.rateLimit,
+		);
 	};
 }
