fix(mesh): keep a target within the rate limit that it names

What callers and operators saw: a target in need names in its answers how many requests a second it takes from all nodes together, and got two to three times as many (102 in 4 s at 11.6 a second, 75 allowed).

Cause: the limit passed through the client of the target to the caller like any other header. The only bound of a target was the number of requests that run at once, and no decision had a rate as its input.

All requests to a target pass its own node, so that node counts them, with a token bucket that every request takes from, repeated offers included; the queue in front of it is the one that exists, by priority. Its load reports carry the limit and its use, and the use falls with time without further reports. Entry nodes choose other targets while the limit is used up; a request waits for the rate only if no other target has room, and is sent on without a retry otherwise. The shed level of a service comes from its targets without a limit as long as there is one; once all are limited, their own queues drive it as before, so the entries refuse by priority before any work is done.

A node that has restarted knows nothing of earlier answers. The nodes that know of a limit tell it as soon as it reports a target without one, before they send it any request.

--- a/packages/experiment/src/chain/chain-model.ts
+++ b/packages/experiment/src/chain/chain-model.ts
@@ -240,9 +240,9 @@
 		target.admission.finish(duration);
 		onEnd(true);
 		for (
-			let next = target.admission.next();
+			let next = target.admission.next(clock.now());
 			next;
-			next = target.admission.next()
+			next = target.admission.next(clock.now())
 		) {
 			run(clock, random, target, next);
 		}
@@ -255,7 +255,7 @@
 	}
 
 	level.update({
-		wait: admission.expectedWait(),
+		wait: admission.expectedWait(now),
 		occupancy: admission.running() / admission.limit(),
 		arriving: admission.takeArrivals() / shedPeriod,
 		declined: 0,
--- a/packages/mesh/__tests__/peer-updates.spec.ts
+++ b/packages/mesh/__tests__/peer-updates.spec.ts
@@ -32,6 +32,7 @@
 			onQuotaUse: () => undefined,
 			onQuotaGrant: () => undefined,
 			onSuspects: () => undefined,
+			onTargetMemory: () => undefined,
 		});
 		const sent: Array<{from: number; message: PeerMessage}> = [];
 		return {
--- a/packages/mesh/__tests__/target-admission.spec.ts
+++ b/packages/mesh/__tests__/target-admission.spec.ts
@@ -39,7 +39,7 @@
 		admission.offer(newRequest, 'new', 0);
 		admission.offer(innerCall, 'call', 0);
 		admission.finish(30);
-		expect(admission.next()).to.equal('call');
+		expect(admission.next(0)).to.equal('call');
 	});
 
 	it('refuses a request immediately when its expected wait exceeds its maximum', () => {
@@ -67,6 +67,6 @@
 		admission.offer(newRequest, 'left', 0);
 		expect(admission.withdraw('left')).to.equal(true);
 		admission.finish(30);
-		expect(admission.next()).to.equal(undefined);
+		expect(admission.next(0)).to.equal(undefined);
 	});
 });
--- a/packages/mesh/__tests__/target-selection.spec.ts
+++ b/packages/mesh/__tests__/target-selection.spec.ts
@@ -12,6 +12,7 @@
 		isLocal: false,
 		isNear: true,
 		occupancy: 0.5,
+		isRateLimited: false,
 		failureShare: 0,
 		runTime: 100,
 		isDoubtful: false,
--- a/packages/mesh/src/compact-message.ts
+++ b/packages/mesh/src/compact-message.ts
@@ -10,6 +10,7 @@
 	ForwardedRequest,
 	LossReason,
 	Outcome,
+	RateLoad,
 	RefusalReason,
 	TargetLoad,
 } from './exchange.js';
@@ -214,8 +215,21 @@
 	}
 }
 
-/** Ratios in thousandths, and the run time in milliseconds. */
-type LoadNumbers = [number, number, number, number];
+/**
+ * Ratios in thousandths, the run time in milliseconds, and the rate limit in
+ * requests per second with its occupancy in thousandths.
+ */
+type LoadNumbers = [
+	occupancy: number,
+	shedLevel: number,
+	failureShare: number,
+	runTime: number,
+	rateLimit?: number,
+	rateOccupancy?: number,
+];
+
+/** Stands for an infinite rate limit, which takes nine bytes as a number. */
+const unlimited = -1;
 
 function toNumbers(load: TargetLoad): LoadNumbers {
 	return [
@@ -223,19 +237,38 @@
 		Math.round(load.shedLevel * ratioScale),
 		Math.round(load.failureShare * ratioScale),
 		Math.round(load.runTime),
+		...toRateNumbers(load.rate),
 	];
 }
 
+function toRateNumbers(rate: RateLoad | undefined): [number?, number?] {
+	if (!rate) {
+		return [];
+	}
+
+	return rate.limit === Number.POSITIVE_INFINITY
+		? [unlimited]
+		: [rate.limit, Math.round(rate.occupancy * ratioScale)];
+}
+
 function fromNumbers([
 	occupancy,
 	shedLevel,
 	failureShare,
 	runTime,
+	rateLimit,
+	rateOccupancy = 0,
 ]: LoadNumbers): TargetLoad {
 	return {
 		occupancy: occupancy / ratioScale,
 		shedLevel: shedLevel / ratioScale,
 		failureShare: failureShare / ratioScale,
 		runTime,
+		...(rateLimit !== undefined && {
+			rate: {
+				limit: rateLimit === unlimited ? Number.POSITIVE_INFINITY : rateLimit,
+				occupancy: rateOccupancy / ratioScale,
+			},
+		}),
 	};
 }
--- a/packages/mesh/src/decisions/target-admission.ts
+++ b/packages/mesh/src/decisions/target-admission.ts
@@ -2,12 +2,14 @@
  * Admission control for one target: decides whether a request runs, waits or is
  * refused.
  *
- * Load pattern: a burst above what the target can run at once. A saturated
+ * Load pattern: a burst above what the target can run at once, or accepts per second. A saturated
  * target may stop answering, and work in its own queue can't be withdrawn or
  * reordered. So no more requests are handed over than it runs at once, and the
  * rest is queued here or refused.
  */
 
+import type {RateLimiter} from './rate-limiter.js';
+
 /** The properties of a request that admission depends on. */
 export type AdmissionRequest = {
 	/** It is a call of a running request, or a new request that makes no calls. */
@@ -39,7 +41,7 @@
 	/** Records that a running request has ended; its duration is undefined when it doesn't reflect the target's speed. */
 	finish(duration: number | undefined): void;
 	/** Removes the next request to run from the queue; undefined when none waits or no slot is free. */
-	next(): T | undefined;
+	next(now: number): T | undefined;
 	/** Removes the requests whose maximum wait has passed. */
 	expire(now: number): T[];
 	/** Removes a request from the queue; false when it isn't queued. */
@@ -51,20 +53,30 @@
 	/** The work offered since the last call, in milliseconds that the target needs for it at full use. */
 	takeArrivals(): number;
 	/** The estimated wait of a new request, in milliseconds. */
-	expectedWait(): number;
+	expectedWait(now: number): number;
 	running(): number;
 	waiting(): number;
 	limit(): number;
 };
 
+/** The rate limit of the target. */
+export type AdmissionRate = Pick<RateLimiter, 'perSecond' | 'waitTime'>;
+
+const unlimitedRate: AdmissionRate = {
+	perSecond: () => Number.POSITIVE_INFINITY,
+	waitTime: () => 0,
+};
+
 /** The weight of a new duration in the moving average, which covers about the last 20. */
 const durationWeight = 0.05;
 /** The duration that is assumed before any request has ended, in milliseconds. */
 const initialDuration = 30;
+const millisecondsPerSecond = 1000;
 
 /** Creates the admission control of a target that runs up to `concurrencyLimit` requests at once. */
 export function createTargetAdmission<T>(
 	concurrencyLimit: number,
+	rate: AdmissionRate = unlimitedRate,
 ): TargetAdmission<T> {
 	let limit = concurrencyLimit;
 	let running = 0;
@@ -80,7 +92,16 @@
 		waitingCount--;
 	};
 
-	const waitBehind = (ahead: number) => ((ahead + 1) * meanDuration) / limit;
+	const timePerSlot = () => meanDuration / limit;
+	const timePerToken = () => millisecondsPerSecond / rate.perSecond();
+
+	const waitBehind = (ahead: number, now: number) =>
+		Math.max(
+			(ahead + 1) * timePerSlot(),
+			rate.waitTime(now) + ahead * timePerToken(),
+		);
+
+	const hasRoom = (now: number) => running < limit && rate.waitTime(now) === 0;
 
 	const countAhead = (rank: number): number => {
 		let ahead = 0;
@@ -93,14 +114,16 @@
 
 	return {
 		offer(request, item, now) {
-			offered++;
-			if (running < limit && waitingCount === 0) {
+			if (waitingCount === 0 && hasRoom(now)) {
+				offered++;
 				running++;
 				return 'run';
 			}
 
+			// A request that isn't to wait here is sent to another target, so it is no demand for this one.
+			offered += request.maxWait > 0 ? 1 : 0;
 			const rank = rankOf(request);
-			if (waitBehind(countAhead(rank)) > request.maxWait) {
+			if (waitBehind(countAhead(rank), now) > request.maxWait) {
 				return 'refuse';
 			}
 
@@ -121,8 +144,8 @@
 				meanDuration += durationWeight * (duration - meanDuration);
 			}
 		},
-		next() {
-			if (running >= limit || waitingCount === 0) {
+		next(now) {
+			if (waitingCount === 0 || !hasRoom(now)) {
 				return undefined;
 			}
 
@@ -175,11 +198,12 @@
 			limit = concurrencyLimit;
 		},
 		takeArrivals() {
-			const work = (offered * meanDuration) / limit;
+			const work = offered * Math.max(timePerSlot(), timePerToken());
 			offered = 0;
 			return work;
 		},
-		expectedWait: () => (waitingCount === 0 ? 0 : waitBehind(waitingCount)),
+		expectedWait: (now) =>
+			waitingCount === 0 ? 0 : waitBehind(waitingCount, now),
 		running: () => running,
 		waiting: () => waitingCount,
 		limit: () => limit,
--- a/packages/mesh/src/decisions/target-selection.ts
+++ b/packages/mesh/src/decisions/target-selection.ts
@@ -16,8 +16,10 @@
 	isLocal: boolean;
 	/** It is in the same data centre as this node. */
 	isNear: boolean;
-	/** Requests running or queued there, as far as known, divided by what it may run at once. */
+	/** Requests running or queued there, as far as known, divided by what it may run at once; with a rate limit, the use of that if it is higher. */
 	occupancy: number;
+	/** It has named a rate limit. */
+	isRateLimited: boolean;
 	/** The ratio of its recent answers that were failures. */
 	failureShare: number;
 	/** The recent duration of its runs, in milliseconds; 0 when unknown. */
--- a/packages/mesh/src/desired-links.ts
+++ b/packages/mesh/src/desired-links.ts
@@ -114,7 +114,7 @@
 			const target = usableTarget(peer, service);
 			if (
 				target &&
-				estimateOccupancy(peer, target.slots) < nearOccupancyThreshold
+				estimateOccupancy(peer, target.slots, now) < nearOccupancyThreshold
 			) {
 				isFull = false;
 				isNearFull &&= !isNear(peer.member);
--- a/packages/mesh/src/directory.ts
+++ b/packages/mesh/src/directory.ts
@@ -7,6 +7,8 @@
  */
 import type {Clock, Random} from '@egretspoke/shared';
 import type {FeedPeer} from './decisions/feed-followers.js';
+import {levelOfService, type TargetLevel} from './decisions/service-level.js';
+import {isRateLimited, type TargetLoad} from './exchange.js';
 import {createKnownMembers} from './known-members.js';
 import {createMemberGossip} from './member-gossip.js';
 import {
@@ -24,6 +26,7 @@
 } from './peer-message.js';
 import {probeInterval} from './peer-link.js';
 import {createPeerLinks} from './peer-links.js';
+import {createTargetMemory} from './target-memory.js';
 import type {Ticker} from './ticker.js';
 import {createDesiredLinks} from './desired-links.js';
 
@@ -61,8 +64,8 @@
 	recordHello(member: Member): void;
 	/** Remote targets of the service that are available and not yet tried. */
 	candidates(service: string, tried: ReadonlySet<string>): TargetCandidate[];
-	/** The mean shed level of the linked targets, by service. */
-	shedLevels(): Map<string, number>;
+	/** The shed level of each service with linked targets, and of the own one; see `service-level.ts`. */
+	shedLevels(ownLoad: TargetLoad): Map<string, number>;
 	/** The nodes with usable links, and whether each follows the feed. */
 	feedPeers(): FeedPeer[];
 	/** All known members except this node. */
@@ -110,6 +113,7 @@
 		peers,
 		pinned: options.pinned,
 	});
+	const targetMemory = createTargetMemory();
 	const memberGossip = createMemberGossip({
 		clock,
 		random,
@@ -129,6 +133,22 @@
 		return isExpected;
 	};
 
+	const reportMemory = (peer: Peer, {target, load}: StateMessage) => {
+		const unknown =
+			target && targetMemory.compare(peer.member.node, target, load.rate);
+		if (unknown) {
+			peer.link.sendMessage(unknown);
+		}
+	};
+
+	const recordLoad = (peer: Peer, load: TargetLoad | undefined) => {
+		applyLoad(peer, load, clock.now());
+		const target = peer.state?.target;
+		if (target) {
+			targetMemory.recordRate(peer.member.node, target, load?.rate);
+		}
+	};
+
 	/** Handlers of messages about the peer itself; all other messages may arrive on either side of a link. */
 	const handlers: {
 		[Kind in PeerMessage['kind']]?: (
@@ -142,10 +162,11 @@
 		state(peer, message) {
 			peer.state = message;
 			options.onState(message);
-			applyLoad(peer, message.load);
+			applyLoad(peer, message.load, clock.now());
+			reportMemory(peer, message);
 		},
 		load(peer, {load}) {
-			applyLoad(peer, load);
+			recordLoad(peer, load);
 		},
 		hello(peer, message) {
 			if (checkIdentity(peer, message.member)) {
@@ -221,26 +242,36 @@
 				const target = usableTarget(peer, service);
 				if (target && !tried.has(peer.member.node)) {
 					found.push(
-						createPeerCandidate(peer, target.slots, self.dataCentre, clock),
+						createPeerCandidate({
+							peer,
+							slots: target.slots,
+							dataCentre: self.dataCentre,
+							clock,
+							onLoad: recordLoad,
+						}),
 					);
 				}
 			}
 
 			return found;
 		},
-		shedLevels() {
-			const levels = new Map<string, number[]>();
+		shedLevels(ownLoad) {
+			const linked = new Map<string, TargetLevel[]>([[self.service, []]]);
 			for (const {state, load} of peers.values()) {
 				const service = state?.target?.service;
 				if (service !== undefined) {
-					const listed = levels.get(service) ?? [];
-					listed.push(load.shedLevel);
-					levels.set(service, listed);
+					const listed = linked.get(service) ?? [];
+					listed.push(toTargetLevel(load));
+					linked.set(service, listed);
 				}
 			}
 
+			const own = toTargetLevel(ownLoad);
 			return new Map(
-				[...levels].map(([service, values]) => [service, mean(values)]),
+				[...linked].map(([service, levels]) => [
+					service,
+					levelOfService(levels, service === self.service ? own : undefined),
+				]),
 			);
 		},
 		feedPeers: () =>
@@ -265,6 +296,6 @@
 	};
 }
 
-function mean(values: number[]): number {
-	return values.reduce((sum, value) => sum + value, 0) / values.length;
+function toTargetLevel(load: TargetLoad): TargetLevel {
+	return {shedLevel: load.shedLevel, isRateLimited: isRateLimited(load)};
 }
--- a/packages/mesh/src/exchange.ts
+++ b/packages/mesh/src/exchange.ts
@@ -36,6 +36,8 @@
 	| 'targetUnreachable'
 	| 'targetReplaced'
 	| 'noRoom'
+	/** The target has named a rate limit, and the request would have had to wait too long for it. */
+	| 'rateLimited'
 	| 'waitedTooLong'
 	| 'noTimeLeft'
 	/** It crashes the targets that run it. */
@@ -88,6 +90,14 @@
 	);
 }
 
+/** The rate limit that a target names, and its use. */
+export type RateLoad = {
+	/** Requests per second from all nodes together, infinite without a limit. */
+	limit: number;
+	/** Its use by recent and waiting requests; from 1 on, the next request has to wait. */
+	occupancy: number;
+};
+
 /** The load of a target. */
 export type TargetLoad = {
 	/** Running and waiting requests, divided by the concurrency limit. */
@@ -98,8 +108,15 @@
 	failureShare: number;
 	/** Recent run time of a request in milliseconds, 0 if unknown; see `run-time.ts`. */
 	runTime: number;
+	/** Absent while the node knows no answer of the target. */
+	rate?: RateLoad | undefined;
 };
 
+/** Whether the target has named a rate limit. */
+export function isRateLimited({rate}: TargetLoad): boolean {
+	return rate !== undefined && rate.limit < Number.POSITIVE_INFINITY;
+}
+
 /** The load of a target that has not reported yet. */
 export const idleLoad: TargetLoad = {
 	occupancy: 0,
--- a/packages/mesh/src/load-report.ts
+++ b/packages/mesh/src/load-report.ts
@@ -50,6 +50,7 @@
 		threshold: number,
 	) => Math.abs(load[kind] - reported[kind]) >= threshold;
 	return (
+		load.rate?.limit !== reported.rate?.limit ||
 		isChanged('shedLevel', minReportedLevelChange) ||
 		(load.shedLevel === 0 && reported.shedLevel > 0) ||
 		isChanged('failureShare', minReportedChange) ||
--- a/packages/mesh/src/local-candidate.ts
+++ b/packages/mesh/src/local-candidate.ts
@@ -1,5 +1,6 @@
 /** The local target as a candidate of target selection. */
 import type {TargetCandidate} from './directory.js';
+import {isRateLimited} from './exchange.js';
 import type {TargetDispatcher} from './target-dispatcher.js';
 
 /** The node name of the local target among the tried ones; no node has an empty name. */
@@ -15,7 +16,8 @@
 		node: localNode,
 		isLocal: true,
 		isNear: true,
-		occupancy: load.occupancy,
+		occupancy: Math.max(load.occupancy, load.rate?.occupancy ?? 0),
+		isRateLimited: isRateLimited(load),
 		failureShare: load.failureShare,
 		runTime: load.runTime,
 		isDoubtful,
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -210,6 +210,9 @@
 			directory.addMembers(members, 'peer');
 		},
 		onSuspects: suspects.receive,
+		onTargetMemory(message) {
+			dispatcher.adoptRateLimit(message, message.rateLimit);
+		},
 		onQuotaUse(message, reply) {
 			quotas.receiveUse(message, reply);
 		},
@@ -286,15 +289,7 @@
 		clock,
 		graph,
 		policy,
-		levels() {
-			const levels = directory.shedLevels();
-			const {shedLevel} = dispatcher.load();
-			levels.set(
-				settings.service,
-				Math.max(shedLevel, levels.get(settings.service) ?? 0),
-			);
-			return levels;
-		},
+		levels: () => directory.shedLevels(dispatcher.load()),
 	});
 	const profileUpdates = createProfileUpdates({
 		clock,
--- a/packages/mesh/src/peer-message.ts
+++ b/packages/mesh/src/peer-message.ts
@@ -46,6 +46,15 @@
 	shedLevel: z.number(),
 	failureShare: z.number(),
 	runTime: z.number().nonnegative(),
+	rate: z
+		.object({
+			/** May be infinite, which `z.number` rejects. */
+			limit: z.custom<number>(
+				(value) => typeof value === 'number' && value >= 0,
+			),
+			occupancy: z.number(),
+		})
+		.optional(),
 });
 
 export type Member = z.output<typeof memberSchema>;
@@ -124,6 +133,15 @@
 	suspects: z.array(suspectTupleSchema),
 });
 
+/** What the sender knows of the receiver's target from earlier answers; see `target-memory.ts`. */
+export const targetMemorySchema = z.object({
+	kind: z.literal('targetMemory'),
+	targetId: z.string(),
+	startedAt: z.number(),
+	/** Requests per second that the target accepts. */
+	rateLimit: z.number().nonnegative(),
+});
+
 const configurationSchema = z.object({
 	kind: z.literal('configuration'),
 	configuration: routingConfigurationSchema,
@@ -136,6 +154,7 @@
 export type QuotaUseMessage = z.output<typeof quotaUseSchema>;
 export type QuotaGrantMessage = z.output<typeof quotaGrantSchema>;
 export type SuspectsMessage = z.output<typeof suspectsSchema>;
+export type TargetMemoryMessage = z.output<typeof targetMemorySchema>;
 
 /** Any message on a link. */
 export type PeerMessage =
@@ -146,6 +165,7 @@
 	| QuotaUseMessage
 	| QuotaGrantMessage
 	| SuspectsMessage
+	| TargetMemoryMessage
 	| {kind: 'configuration'; configuration: RoutingConfiguration}
 	/** Configuration version that the sender has; receivers with an older one request it. */
 	| {kind: 'version'; version: number}
@@ -163,6 +183,7 @@
 	quotaUse: quotaUseSchema,
 	quotaGrant: quotaGrantSchema,
 	suspects: suspectsSchema,
+	targetMemory: targetMemorySchema,
 	configuration: configurationSchema,
 };
 
--- a/packages/mesh/src/peer-updates.ts
+++ b/packages/mesh/src/peer-updates.ts
@@ -7,6 +7,7 @@
 	QuotaGrantMessage,
 	QuotaUseMessage,
 	SuspectsMessage,
+	TargetMemoryMessage,
 } from './peer-message.js';
 
 type Reply = (message: PeerMessage) => void;
@@ -23,6 +24,8 @@
 	onQuotaGrant: (message: QuotaGrantMessage) => void;
 	/** Called when a node reports requests under which targets crashed. */
 	onSuspects: (message: SuspectsMessage) => void;
+	/** Called when a node reports what it knows of the local target. */
+	onTargetMemory: (message: TargetMemoryMessage) => void;
 	/** Called when a node reports members. */
 	onMembers: (members: Member[]) => void;
 };
@@ -84,6 +87,7 @@
 		quotaUse: options.onQuotaUse,
 		quotaGrant: options.onQuotaGrant,
 		suspects: options.onSuspects,
+		targetMemory: options.onTargetMemory,
 		version({version}, reply) {
 			compareVersions(version, reply);
 		},
--- a/packages/mesh/src/peer.ts
+++ b/packages/mesh/src/peer.ts
@@ -1,7 +1,13 @@
 /** Another node that this one is linked to: its state, its load, and its target as a routing candidate. */
 import type {Clock} from '@egretspoke/shared';
 import type {Candidate} from './decisions/target-selection.js';
-import {idleLoad, type TargetChannel, type TargetLoad} from './exchange.js';
+import {burstOf} from './decisions/rate-limiter.js';
+import {
+	idleLoad,
+	isRateLimited,
+	type TargetChannel,
+	type TargetLoad,
+} from './exchange.js';
 import type {PeerLink} from './peer-link.js';
 import type {Member, StateMessage, TargetState} from './peer-message.js';
 
@@ -17,6 +23,8 @@
 	undesiredSince: number | undefined;
 	state: StateMessage | undefined;
 	load: TargetLoad;
+	/** Time of the load report. */
+	loadAt: number;
 	/** This node's requests without an outcome at the time of the load report. */
 	outstandingAtReport: number;
 	/** Consecutive failures. */
@@ -42,6 +50,7 @@
 const linkSetupTimeout = 3000;
 /** Milliseconds within which a node that ended has usually restarted. */
 const restartTimeout = 1000;
+const millisecondsPerSecond = 1000;
 
 /** Creates a peer without reported state or load. */
 export function createPeer(member: Member, link: PeerLink, now: number): Peer {
@@ -53,6 +62,7 @@
 		undesiredSince: undefined,
 		state: undefined,
 		load: idleLoad,
+		loadAt: now,
 		outstandingAtReport: 0,
 		failures: 0,
 		doubtfulUntil: 0,
@@ -93,34 +103,72 @@
 	);
 }
 
-/** Estimates the requests that the target runs or that wait for it, divided by its slots. */
+/** Estimates how much of its slots or of its rate limit the target uses, whichever is more. */
 export function estimateOccupancy(
-	{load, link, outstandingAtReport}: Peer,
+	peer: Peer,
 	slots: number,
+	now: number,
 ): number {
-	return load.occupancy + (link.outstanding() - outstandingAtReport) / slots;
+	const {load, link, outstandingAtReport} = peer;
+	const sentSince = link.outstanding() - outstandingAtReport;
+	return Math.max(
+		load.occupancy + sentSince / slots,
+		estimateRateOccupancy(peer, sentSince, now),
+	);
+}
+
+/** The use of a rate limit falls with time, also without a report. */
+function estimateRateOccupancy(
+	{load: {rate}, loadAt}: Peer,
+	sentSince: number,
+	now: number,
+): number {
+	if (!rate || rate.limit === Number.POSITIVE_INFINITY) {
+		return 0;
+	}
+
+	const allowedSince = (rate.limit * (now - loadAt)) / millisecondsPerSecond;
+	return rate.occupancy + (sentSince - allowedSince) / burstOf(rate.limit);
 }
 
 /** Applies a load report of the peer's target. */
-export function applyLoad(peer: Peer, load: TargetLoad | undefined): void {
+export function applyLoad(
+	peer: Peer,
+	load: TargetLoad | undefined,
+	now: number,
+): void {
 	if (load) {
 		peer.load = load;
+		peer.loadAt = now;
 		peer.outstandingAtReport = peer.link.outstanding();
 	}
 }
 
-/** Creates a routing candidate for the peer's target, for a node in the given data centre. */
-export function createPeerCandidate(
-	peer: Peer,
-	slots: number,
-	dataCentre: string,
-	clock: Clock,
-): TargetCandidate {
+/** Options of `createPeerCandidate`. */
+export type PeerCandidateOptions = {
+	peer: Peer;
+	slots: number;
+	/** The data centre of this node. */
+	dataCentre: string;
+	clock: Clock;
+	/** Receives the load that an outcome reports. */
+	onLoad: (peer: Peer, load: TargetLoad | undefined) => void;
+};
+
+/** Creates a routing candidate for the peer's target. */
+export function createPeerCandidate({
+	peer,
+	slots,
+	dataCentre,
+	clock,
+	onLoad,
+}: PeerCandidateOptions): TargetCandidate {
 	return {
 		node: peer.member.node,
 		isLocal: false,
 		isNear: peer.member.dataCentre === dataCentre,
-		occupancy: estimateOccupancy(peer, slots),
+		occupancy: estimateOccupancy(peer, slots, clock.now()),
+		isRateLimited: isRateLimited(peer.load),
 		// A stopping node still accepts requests for a moment, for callers that have no other target.
 		isDoubtful:
 			clock.now() < peer.doubtfulUntil ||
@@ -130,7 +178,7 @@
 		failureShare: peer.load.failureShare,
 		runTime: peer.load.runTime,
 		recordOutcome(kind, load) {
-			applyLoad(peer, load);
+			onLoad(peer, load);
 			if (kind === 'answered') {
 				peer.failures = 0;
 			} else if (++peer.failures >= doubtThreshold) {
--- a/packages/mesh/src/request-forwarding.ts
+++ b/packages/mesh/src/request-forwarding.ts
@@ -26,6 +26,7 @@
 	isTargetFailure,
 	type ForwardedRequest,
 	type Outcome,
+	type RefusalReason,
 } from './exchange.js';
 import type {TargetDispatcher} from './target-dispatcher.js';
 import {createLocalCandidate, localNode} from './local-candidate.js';
@@ -83,6 +84,25 @@
 /** Minimum time left for another attempt, in milliseconds; with less it can't complete in time. */
 const minTimeToRetry = 20;
 
+/** Whether a target refused a request because it was full; others may have room. */
+function isRoomRefusal(reason: RefusalReason): boolean {
+	return (
+		reason === 'noRoom' ||
+		reason === 'rateLimited' ||
+		reason === 'waitedTooLong'
+	);
+}
+
+function hasRoom({occupancy}: TargetCandidate): boolean {
+	return occupancy < 1;
+}
+
+/** Returns the targets without a rate limit; all if each has one. */
+function preferUnlimited(candidates: TargetCandidate[]): TargetCandidate[] {
+	const unlimited = candidates.filter(({isRateLimited}) => !isRateLimited);
+	return unlimited.length > 0 ? unlimited : candidates;
+}
+
 /**
  * Forwards a request to a target of its route.
  *
@@ -125,6 +145,10 @@
 	/** The share of requests of this kind that is currently shed. */
 	let shed = 0;
 	let mayHaveRun = false;
+	/** A target refused it because of its rate limit, so that the others are tried first. */
+	let wasRateLimited = false;
+	/** Whether the request may wait at the current target. */
+	let mayWait = true;
 	/** The node of the last target that answered. */
 	let answeredBy = '';
 	/** A target's failure answer, returned if no retry succeeds. */
@@ -187,9 +211,21 @@
 			candidates.push(createLocalCandidate(dispatcher, options.isStopping()));
 		}
 
-		return candidates;
+		return wasRateLimited ? preferUnlimited(candidates) : candidates;
 	};
 
+	/**
+	 * Only if another target is known to have room; otherwise the request would be
+	 * refused by one target after the other. A target without a rate limit is
+	 * tried in any case after one with a limit, which may be far less full.
+	 */
+	const mayTryAnother = (): boolean =>
+		!mayWait ||
+		listCandidates().some(
+			(candidate) =>
+				hasRoom(candidate) || (wasRateLimited && !candidate.isRateLimited),
+		);
+
 	/** The share of new requests of this kind that is shed to protect the services they need. */
 	const shareRefused = (): number =>
 		options.policy.has('shedNew') ? pressure.shareRefused(work) : 0;
@@ -220,8 +256,9 @@
 		}
 
 		const timeLeft = until - clock.now();
+		const candidates = listCandidates();
 		const target = options.policy.select(
-			listCandidates(),
+			candidates,
 			random,
 			request.body?.byteLength ?? 0,
 		);
@@ -235,6 +272,13 @@
 		}
 
 		tried.add(target.node);
+		// The first attempt waits for the rate of a target only if no other target has room.
+		mayWait =
+			!target.isRateLimited ||
+			refusals > 0 ||
+			!candidates.some(
+				(candidate) => candidate !== target && hasRoom(candidate),
+			);
 		send(target, timeLeft, Math.max(crashes, suspect?.crashes ?? 0));
 	};
 
@@ -262,6 +306,13 @@
 		}
 	};
 
+	const maxWaitOf = (timeLeft: number) =>
+		Math.min(
+			timeLeft / 2,
+			route.objective *
+				(isNearCompletion ? maxWaitRatioNearCompletion : maxWaitRatioOfNewWork),
+		);
+
 	const createForwardedRequest = (
 		timeLeft: number,
 		knownCrashes: number,
@@ -279,11 +330,7 @@
 		repeatShare: arrivals > 0 ? 1 : repeatShareOfCall,
 		crashes: knownCrashes,
 		priority: urgency,
-		maxWait: Math.min(
-			timeLeft / 2,
-			route.objective *
-				(isNearCompletion ? maxWaitRatioNearCompletion : maxWaitRatioOfNewWork),
-		),
+		maxWait: mayWait ? maxWaitOf(timeLeft) : 0,
 		timeLeft,
 	});
 
@@ -352,11 +399,9 @@
 				until - clock.now() < minTimeToRetry
 			) {
 				giveUp(reason);
-			} else if (reason === 'noRoom' || reason === 'waitedTooLong') {
-				// Try another target only if one is known to have room; otherwise the
-				// request would be refused by one target after the other.
-				const hasRoom = listCandidates().some(({occupancy}) => occupancy < 1);
-				if (hasRoom) {
+			} else if (isRoomRefusal(reason)) {
+				wasRateLimited ||= reason === 'rateLimited';
+				if (mayTryAnother()) {
 					attempt();
 				} else {
 					giveUp(reason);
--- a/packages/mesh/src/target-dispatcher.ts
+++ b/packages/mesh/src/target-dispatcher.ts
@@ -74,6 +74,11 @@
 	serves(service: string): boolean;
 	/** Refuses all waiting and new requests, because the node is stopping. */
 	stop(): void;
+	/** Applies a rate limit that another node knows from earlier answers of this incarnation. */
+	adoptRateLimit(
+		incarnation: Pick<TargetRecord, 'targetId' | 'startedAt'>,
+		perSecond: number,
+	): void;
 	/** Records a call of the target to the route; returns the share, from 0 to 1, of the target's work that is a repeat. */
 	recordCall(route: string): number;
 	load(): TargetLoad;
@@ -112,6 +117,7 @@
 		...options,
 		onNotice(notice, ordinal) {
 			rate.apply(notice, ordinal);
+			startNext();
 		},
 		onConnectionRefused() {
 			watch.refused();
@@ -152,12 +158,17 @@
 		});
 	let watch = createTargetWatch();
 
-	const load = (): TargetLoad => ({
-		occupancy: (admission.running() + admission.waiting()) / admission.limit(),
-		shedLevel: targetShedLevel.own(),
-		failureShare: failures.value(clock.now()),
-		runTime: runTime.value(clock.now()),
-	});
+	const load = (): TargetLoad => {
+		const rateLoad = rate.load(admission.waiting());
+		return {
+			occupancy:
+				(admission.running() + admission.waiting()) / admission.limit(),
+			shedLevel: targetShedLevel.own(),
+			failureShare: failures.value(clock.now()),
+			runTime: runTime.value(clock.now()),
+			...(rateLoad && {rate: rateLoad}),
+		};
+	};
 
 	const finish = (pending: PendingRequest, outcome: Outcome) => {
 		pending.state = 'over';
@@ -204,6 +215,7 @@
 			return;
 		}
 
+		rate.take();
 		pending.state = 'running';
 		pending.startedAt = now;
 		const runWatch = watch;
@@ -302,8 +314,10 @@
 			!target?.isLeaving &&
 			(pending.run?.repeats() ?? 0) < maxRepeats &&
 			pending.until - now >= minTimeToRepeat &&
+			rate.waitTime(now) === 0 &&
 			offers.take(now);
 		if (isAllowed) {
+			rate.take();
 			metrics.retried(pending.request.service);
 		}
 
@@ -336,17 +350,21 @@
 	};
 
 	const startNext = () => {
-		for (let pending = admission.next(); pending; pending = admission.next()) {
+		const takeNext = () => admission.next(clock.now());
+		for (let pending = takeNext(); pending; pending = takeNext()) {
 			start(pending);
 		}
 
 		scheduleTick();
 	};
 
+	const findRoomReason = (): RefusalReason =>
+		rate.waitTime(clock.now()) > 0 ? 'rateLimited' : 'noRoom';
+
 	const admit = (pending: PendingRequest) => {
 		const decision = admission.offer(pending.request, pending, clock.now());
 		if (decision === 'refuse') {
-			refuse(pending, 'noRoom');
+			refuse(pending, findRoomReason());
 		} else if (decision === 'run') {
 			start(pending);
 		}
@@ -386,13 +404,20 @@
 			lastLevelUpdate = now;
 			const declined = offers.declined(now);
 			targetShedLevel.update({
-				wait: admission.expectedWait(),
-				occupancy: admission.running() / admission.limit(),
+				wait: admission.expectedWait(now),
+				occupancy: Math.max(
+					admission.running() / admission.limit(),
+					rate.load(0)?.occupancy ?? 0,
+				),
 				arriving: ((1 - declined) * admission.takeArrivals()) / elapsed,
 				declined,
 				unserved: offers.unserved(now),
 			});
 		}
+
+		if (rate.perSecond() < Number.POSITIVE_INFINITY) {
+			startNext();
+		}
 	};
 
 	const isKnownIncarnation = (record: TargetRecord) =>
@@ -426,6 +451,7 @@
 				rate.reset(record.targetId);
 				admission = createTargetAdmission<PendingRequest>(
 					options.policy.limitOf(record.slots),
+					rate,
 				);
 				access.close();
 				if (!record.isLeaving) {
@@ -473,6 +499,11 @@
 				giveUp(pending);
 			};
 		},
+		adoptRateLimit({targetId, startedAt}, perSecond) {
+			if (target?.targetId === targetId && target.startedAt === startedAt) {
+				rate.adopt(perSecond);
+			}
+		},
 		recordCall(route) {
 			profile.recordCall(route);
 			return offers.recordCall();
--- a/packages/mesh/src/target-rate.ts
+++ b/packages/mesh/src/target-rate.ts
@@ -1,24 +1,33 @@
-/** Tracks the rate limit of the local target, and logs its changes. */
+/** Keeps the requests to the local target within the rate limit that it names, and logs its changes. */
 import type {Clock} from '@egretspoke/shared';
 import {createKnownRateLimit} from './decisions/known-rate-limit.js';
+import {burstOf, createRateLimiter} from './decisions/rate-limiter.js';
+import type {AdmissionRate} from './decisions/target-admission.js';
+import type {RateLoad} from './exchange.js';
 import type {MeshReporter} from './mesh-reporter.js';
 import type {TargetNotice} from './target-notice.js';
 import {createThrottledUpdates} from './throttled-updates.js';
 
-/** Dependencies of the tracking. */
+/** Dependencies of the rate. */
 export type TargetRateOptions = {
 	clock: Clock;
 	reporter: Pick<MeshReporter, 'notice'>;
 };
 
 /** The rate limit of the current target. */
-export type TargetRate = {
+export type TargetRate = AdmissionRate & {
 	/** Starts without a limit, because the target is a new incarnation. */
 	reset(targetId: string): void;
 	/** Applies the notice in an answer; `ordinal` increases with the start of each request at the target. */
 	apply(notice: TargetNotice, ordinal: number): void;
+	/** Applies a limit that another node knows from earlier answers; the lowest one holds until the next answer. */
+	adopt(perSecond: number): void;
+	/** Counts a request that the target gets. */
+	take(): void;
 	/** Requests per second, infinite without a limit; undefined before any answer. */
 	limit(): number | undefined;
+	/** The limit and its use with this number of waiting requests; undefined before any answer. */
+	load(waiting: number): RateLoad | undefined;
 	close(): void;
 };
 
@@ -27,18 +36,21 @@
 /** Maximum length of a malformed value in a log line. */
 const maxLoggedText = 40;
 
-/** Creates the tracking without a target. */
+/** Creates a rate without a target. */
 export function createTargetRate({
 	clock,
 	reporter,
 }: TargetRateOptions): TargetRate {
 	let target = '';
 	let known = createKnownRateLimit();
+	let adopted: number | undefined;
+	let limiter = createRateLimiter();
 	let changedAt = clock.now();
 	let logged = Number.POSITIVE_INFINITY;
 	let malformed = '';
 
-	const limitOrInfinity = () => known.value() ?? Number.POSITIVE_INFINITY;
+	const currentLimit = () => known.value() ?? adopted;
+	const limitOrInfinity = () => currentLimit() ?? Number.POSITIVE_INFINITY;
 
 	const logChange = () => {
 		const limit = limitOrInfinity();
@@ -75,25 +87,57 @@
 		},
 	});
 
+	const update = (previous: number) => {
+		const limit = limitOrInfinity();
+		if (limit !== previous) {
+			limiter.setLimit(limit, clock.now());
+		}
+
+		if (limit !== logged) {
+			changes.schedule();
+		}
+	};
+
 	return {
+		perSecond: () => limiter.perSecond(),
+		waitTime: (now) => limiter.waitTime(now),
+		take() {
+			limiter.take(clock.now());
+		},
 		reset(targetId) {
 			target = targetId;
 			known = createKnownRateLimit();
+			adopted = undefined;
+			limiter = createRateLimiter();
 			logged = Number.POSITIVE_INFINITY;
 			changedAt = clock.now();
 		},
 		apply({rateLimit}, ordinal) {
+			const previous = limitOrInfinity();
 			known.apply(rateLimit, ordinal);
 			if (rateLimit.kind === 'malformed') {
 				malformed = rateLimit.text;
 				malformedNotices.schedule();
 			}
 
-			if (limitOrInfinity() !== logged) {
-				changes.schedule();
+			update(previous);
+		},
+		adopt(perSecond) {
+			const previous = limitOrInfinity();
+			adopted = Math.min(perSecond, adopted ?? perSecond);
+			update(previous);
+		},
+		limit: currentLimit,
+		load(waiting) {
+			const limit = currentLimit();
+			if (limit === undefined) {
+				return undefined;
 			}
+
+			const used = limiter.occupancy(clock.now());
+			const occupancy = used + waiting / burstOf(limiter.perSecond());
+			return {limit, occupancy};
 		},
-		limit: () => known.value(),
 		close() {
 			changes.close();
 			malformedNotices.close();
