fix(mesh): a target that states in its answers that it is leaving gets no more requests

What callers saw: a target that leaves without an announcement went on getting a third of all requests, until it ended with them.

Cause: as with the rate limit, the header passed through to the caller and was an input of no decision; a target left only by its announcement.

The node of the target now treats the statement like an announced leaving: final for this incarnation, told to all linked nodes before the answer is passed on, stored. Nodes that know of a leaving report it to a node that doesn't, for instance after a restart while the store was down.

--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -177,6 +177,12 @@
 		retryBudget: settings.retryBudget,
 		suspects,
 		profile,
+		onLeaving() {
+			const incarnation = targetTracker.incarnation();
+			if (incarnation) {
+				targetTracker.recordLeaving(incarnation);
+			}
+		},
 		onReachable(reachable) {
 			targetTracker.setReachable(reachable);
 		},
@@ -211,7 +217,13 @@
 		},
 		onSuspects: suspects.receive,
 		onTargetMemory(message) {
-			dispatcher.adoptRateLimit(message, message.rateLimit);
+			if (message.rateLimit !== undefined) {
+				dispatcher.adoptRateLimit(message, message.rateLimit);
+			}
+
+			if (message.isLeaving) {
+				targetTracker.recordLeaving(message);
+			}
 		},
 		onQuotaUse(message, reply) {
 			quotas.receiveUse(message, reply);
--- a/packages/mesh/src/peer-message.ts
+++ b/packages/mesh/src/peer-message.ts
@@ -138,8 +138,9 @@
 	kind: z.literal('targetMemory'),
 	targetId: z.string(),
 	startedAt: z.number(),
-	/** Requests per second that the target accepts. */
-	rateLimit: z.number().nonnegative(),
+	/** Requests per second that the target accepts; absent without a known limit. */
+	rateLimit: z.number().nonnegative().optional(),
+	isLeaving: z.boolean(),
 });
 
 const configurationSchema = z.object({
--- a/packages/mesh/src/target-dispatcher.ts
+++ b/packages/mesh/src/target-dispatcher.ts
@@ -45,7 +45,11 @@
 import {createTargetAccess} from './target-access.js';
 import {createTargetShedLevel} from './target-shed-level.js';
 import {createTargetRate} from './target-rate.js';
-import type {TargetRecord} from './target-record.js';
+import {
+	isSameIncarnation,
+	type Incarnation,
+	type TargetRecord,
+} from './target-record.js';
 import {startTargetRun, responseMargin, type TargetRun} from './target-run.js';
 
 /** Dependencies of a dispatcher. */
@@ -62,6 +66,8 @@
 	retryBudget: OfferBudgetOptions;
 	/** Registry of requests during which targets crashed. */
 	suspects: Pick<Suspects, 'lookUp' | 'recordCrash' | 'recordAnswer'>;
+	/** Called when the target states in an answer that it is leaving. */
+	onLeaving: () => void;
 	/** Called with false when the target is unreachable or was replaced, with true once it answers again. */
 	onReachable: (isReachable: boolean) => void;
 };
@@ -75,10 +81,7 @@
 	/** Refuses all waiting and new requests, because the node is stopping. */
 	stop(): void;
 	/** Applies a rate limit that another node knows from earlier answers of this incarnation. */
-	adoptRateLimit(
-		incarnation: Pick<TargetRecord, 'targetId' | 'startedAt'>,
-		perSecond: number,
-	): void;
+	adoptRateLimit(incarnation: Incarnation, perSecond: number): void;
 	/** Records a call of the target to the route; returns the share, from 0 to 1, of the target's work that is a repeat. */
 	recordCall(route: string): number;
 	load(): TargetLoad;
@@ -117,6 +120,10 @@
 		...options,
 		onNotice(notice, ordinal) {
 			rate.apply(notice, ordinal);
+			if (notice.isLeaving) {
+				options.onLeaving();
+			}
+
 			startNext();
 		},
 		onConnectionRefused() {
@@ -499,8 +506,8 @@
 				giveUp(pending);
 			};
 		},
-		adoptRateLimit({targetId, startedAt}, perSecond) {
-			if (target?.targetId === targetId && target.startedAt === startedAt) {
+		adoptRateLimit(incarnation, perSecond) {
+			if (target && isSameIncarnation(target, incarnation)) {
 				rate.adopt(perSecond);
 			}
 		},
--- a/packages/mesh/src/target-memory.ts
+++ b/packages/mesh/src/target-memory.ts
@@ -1,14 +1,13 @@
 /**
  * Remembers what targets of other nodes stated in their answers.
  *
- * A node that restarts knows nothing of its target's earlier answers, and its
- * target may be in need all the same. The nodes that returned such answers to
- * their callers report them to it before they send it further requests.
+ * A node that restarts knows nothing of its target's earlier answers, but the
+ * target may still be in need, or leaving. The nodes that returned such answers
+ * to their callers report them to it before they send it further requests.
  */
 import type {RateLoad} from './exchange.js';
 import type {TargetMemoryMessage, TargetState} from './peer-message.js';
-
-type Incarnation = Pick<TargetState, 'targetId' | 'startedAt'>;
+import {isSameIncarnation, type Incarnation} from './target-record.js';
 
 /** What is known of the targets of other nodes. */
 export type TargetMemory = {
@@ -31,48 +30,65 @@
 	size(): number;
 };
 
-type Statements = Incarnation & {
-	/** Requests per second, infinite without a limit. */
-	rateLimit: number;
+type Statements = {
+	incarnation: Incarnation;
+	/** Requests per second; undefined without a limit. */
+	rateLimit: number | undefined;
+	isLeaving: boolean;
 };
 
 /** Creates a memory without targets. */
 export function createTargetMemory(): TargetMemory {
 	const byNode = new Map<string, Statements>();
 
-	/** Returns the statements of this incarnation; those of an earlier one don't apply. */
-	const find = (node: string, {targetId, startedAt}: Incarnation) => {
+	/** Returns the statements of this incarnation; those of another one don't apply to it. */
+	const find = (node: string, incarnation: Incarnation): Statements => {
 		const known = byNode.get(node);
-		return known?.targetId === targetId && known.startedAt === startedAt
+		return known && isSameIncarnation(known.incarnation, incarnation)
 			? known
-			: undefined;
+			: {incarnation, rateLimit: undefined, isLeaving: false};
 	};
 
-	const recordRate: TargetMemory['recordRate'] = (node, target, rate) => {
-		if (!rate) {
-			return;
-		}
-
-		if (rate.limit === Number.POSITIVE_INFINITY) {
+	const store = (node: string, statements: Statements) => {
+		if (statements.rateLimit === undefined && !statements.isLeaving) {
 			byNode.delete(node);
-			return;
+		} else {
+			byNode.set(node, statements);
 		}
-
-		const {targetId, startedAt} = target;
-		byNode.set(node, {targetId, startedAt, rateLimit: rate.limit});
 	};
 
 	return {
 		compare(node, target, rate) {
+			const {targetId, startedAt} = target;
 			const known = find(node, target);
-			if (!known) {
-				byNode.delete(node);
+			const isLeaving = known.isLeaving || target.isLeaving;
+			const rateLimit = rate ? finiteLimit(rate) : known.rateLimit;
+			store(node, {
+				incarnation: {targetId, startedAt},
+				rateLimit,
+				isLeaving,
+			});
+			const isUnknownLimit = !rate && rateLimit !== undefined;
+			return isUnknownLimit || isLeaving !== target.isLeaving
+				? {
+						kind: 'targetMemory',
+						targetId,
+						startedAt,
+						isLeaving,
+						...(isUnknownLimit && {rateLimit}),
+					}
+				: undefined;
+		},
+		recordRate(node, incarnation, rate) {
+			if (rate) {
+				const known = find(node, incarnation);
+				store(node, {...known, rateLimit: finiteLimit(rate)});
 			}
-
-			recordRate(node, target, rate);
-			return known && !rate ? {kind: 'targetMemory', ...known} : undefined;
 		},
-		recordRate,
 		size: () => byNode.size,
 	};
 }
+
+function finiteLimit({limit}: RateLoad): number | undefined {
+	return limit === Number.POSITIVE_INFINITY ? undefined : limit;
+}
--- a/packages/mesh/src/target-record.ts
+++ b/packages/mesh/src/target-record.ts
@@ -27,6 +27,9 @@
 /** A target's announcement. */
 export type Announcement = z.output<typeof announcementSchema>;
 
+/** Identifies one run of a target: its id, and when it started. */
+export type Incarnation = Pick<Announcement, 'targetId' | 'startedAt'>;
+
 /** A target's notice that it has ended or is about to end. */
 export type Withdrawal = {targetId: string; startedAt: number | undefined};
 
@@ -43,8 +46,8 @@
 
 /** Whether two announcements belong to the same incarnation of the same target. */
 export function isSameIncarnation(
-	left: Announcement,
-	right: Announcement,
+	left: Incarnation,
+	right: Incarnation,
 ): boolean {
 	return left.startedAt === right.startedAt && left.targetId === right.targetId;
 }
--- a/packages/mesh/src/target-tracker.ts
+++ b/packages/mesh/src/target-tracker.ts
@@ -8,6 +8,7 @@
 	applyAnnouncement,
 	applyWithdrawal,
 	type Announcement,
+	type Incarnation,
 	type RecordChange,
 	type TargetRecord,
 	type Withdrawal,
@@ -32,6 +33,10 @@
 	withdraw(withdrawal: Withdrawal): Promise<boolean>;
 	/** Restores a leaving that this node acknowledged before its restart. */
 	restoreLeaving(record: TargetRecord): void;
+	/** Applies that this incarnation is leaving, as its answers or other nodes state. */
+	recordLeaving(incarnation: Incarnation): void;
+	/** Returns the current incarnation; undefined while no target is known. */
+	incarnation(): Incarnation | undefined;
 	setReachable(isReachable: boolean): void;
 	/** The state as sent to other nodes; undefined while no target is known. */
 	state(): TargetState | undefined;
@@ -105,6 +110,19 @@
 				setTarget({...target, isLeaving: true});
 			}
 		},
+		recordLeaving(incarnation) {
+			if (
+				!target ||
+				target.isLeaving ||
+				!isSameIncarnation(target, incarnation)
+			) {
+				return;
+			}
+
+			reporter.notice('meshTargetLeaves', {target: target.targetId});
+			void apply({kind: 'changed', record: {...target, isLeaving: true}});
+		},
+		incarnation: () => target,
 		setReachable(reachable) {
 			isReachable = reachable;
 			onChange();
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -151,6 +151,15 @@
 			'The header is repeated, negative, infinite or not a number. At most one line a second.',
 		advice: 'Correct the target.',
 	},
+	meshTargetLeaves: {
+		code: 2514,
+		level: 'info',
+		kind: 'notice',
+		template: 'target {target} states in its answers that it is leaving',
+		meaning:
+			'The target receives no further requests, although it may not have announced that it is leaving. After a restart of this node, another node may have reported it.',
+		advice: 'Nothing to do.',
+	},
 	meshMetricsUnavailable: {
 		code: 2509,
 		level: 'warn',
