--- a/packages/mesh/src/target-access.ts
+++ b/packages/mesh/src/target-access.ts
@@ -17,6 +17,8 @@
 	onNotice: (notice: TargetNotice, ordinal: number) => void;
 	/** A connection could not be opened. */
 	onConnectionRefused: () => void;
+	/** Defaults to the HTTP client. */
+	createClient?: typeof createTargetClient;
 };
 
 /** The access to the current local target. */
@@ -47,6 +49,7 @@
 /** Creates an access without a target. */
 export function createTargetAccess(options: TargetAccessOptions): TargetAccess {
 	const {clock, headerNames, reporter} = options;
+	const {createClient = createTargetClient} = options;
 	let current: TargetRecord | undefined;
 	let client: TargetClient | undefined;
 	let isReachable = true;
@@ -56,7 +59,7 @@
 	const open = (record: TargetRecord) => {
 		client?.close();
 		current = record;
-		client = createTargetClient({
+		client = createClient({
 			endpoint: {address: record.address, targetId: record.targetId},
 			headerNames,
 			nextOrdinal: () => ++ordinal,
--- a/packages/mesh/src/target-dispatcher.ts
+++ b/packages/mesh/src/target-dispatcher.ts
@@ -42,6 +42,7 @@
 import type {MeshReporter} from './mesh-reporter.js';
 import {createRepeatedOffers} from './repeated-offers.js';
 import type {Suspects} from './suspects.js';
+import type {createTargetClient} from './target-client.js';
 import {createTargetAccess} from './target-access.js';
 import {createTargetShedLevel} from './target-shed-level.js';
 import {createTargetRate} from './target-rate.js';
@@ -66,6 +67,8 @@
 	retryBudget: OfferBudgetOptions;
 	/** Registry of requests during which targets crashed. */
 	suspects: Pick<Suspects, 'lookUp' | 'recordCrash' | 'recordAnswer'>;
+	/** Defaults to the HTTP client. */
+	createClient?: typeof createTargetClient;
 	/** Called when the target states in an answer that it is leaving. */
 	onLeaving: () => void;
 	/** Called with false when the target is unreachable or was replaced, with true once it answers again. */
