--- a/packages/mesh/__tests__/quota-exchange.spec.ts
+++ b/packages/mesh/__tests__/quota-exchange.spec.ts
@@ -135,6 +135,56 @@
 		}
 	}
 
+	describe('when demand rises in the second of a partition', () => {
+		type Cut = {
+			/** Whether the node is partitioned from some or all others. */
+			isAffected: (member: Member) => boolean;
+			isCut: (from: Member, to: Member) => boolean;
+		};
+
+		const isInCentre = ({dataCentre}: Member) => dataCentre === 'centre-1';
+		const isAlone = (member: Member) => indexOf(member) % 3 === 0;
+		const partitions: Record<string, Cut> = {
+			'a data centre': {
+				isAffected: isInCentre,
+				isCut: (from, to) => isInCentre(from) !== isInCentre(to),
+			},
+			'a third of the nodes, each by itself': {
+				isAffected: isAlone,
+				isCut: (from, to) => isAlone(from) || isAlone(to),
+			},
+		};
+
+		for (const nodes of [6, 15, 61]) {
+			for (const rate of [8, 240]) {
+				for (const [name, {isAffected, isCut}] of Object.entries(partitions)) {
+					// Guards against a burst and a surge that each side admits before it can know of the partition.
+					it(`hold: ${rate} a second, ${nodes} nodes, ${name}`, () => {
+						for (const seed of [1, 2, 3]) {
+							for (const weightOf of [
+								() => 1,
+								(member: Member) => (isAffected(member) ? 1 : 0),
+							]) {
+								const fleet = createQuotaFleet({
+									nodes,
+									dataCentres: 3,
+									workspace: workspaceOf(rate),
+									seed,
+								});
+								fleet.ask(rate * 0.6, 8000, weightOf);
+								fleet.cut(isCut);
+								fleet.ask(rate * 4, 20_000, weightOf);
+								expect(maxWithin(fleet.requests, window)).to.be.at.most(
+									maxAllowed(rate),
+								);
+							}
+						}
+					});
+				}
+			}
+		}
+	});
+
 	it('hold at a lower limit one window after the change', () => {
 		const fleet = createQuotaFleet({
 			nodes: 61,
