fix(mesh): a partitioned node no longer raises its part of a quota by its own grants

What callers and operators saw: nodes that are cut off one by one admit up to twice a workspace's quota for as long as the partition lasts, when the demand rises in the second of the cut.

Cause: a node's part is its own rate divided by the total of the last grant. Its allocator, perhaps the node itself, grants for 1.2 s after the cut, with the unreachable nodes' last reports. The node's own rate rises meanwhile and the others' doesn't, so its part grows towards 1, at every node alike. The part is now that of a grant before the partition, so that the parts add up to 1.

--- a/packages/mesh/src/decisions/quota-allocation.ts
+++ b/packages/mesh/src/decisions/quota-allocation.ts
@@ -33,8 +33,8 @@
 
 /** Milliseconds after its start within which an allocator has too few reports to grant anything. */
 const learningDuration = 1200;
-/** Milliseconds without a report after which a reporter counts as silent. */
-const reportTimeout = 1200;
+/** Milliseconds without a report after which a reporter counts as silent; an allocator may still grant for as long after a partition. */
+export const reportTimeout = 1200;
 /** The averaging time of a reporter's demand, in milliseconds. */
 const averagingTime = 2500;
 /**
--- a/packages/mesh/src/decisions/quota-share.ts
+++ b/packages/mesh/src/decisions/quota-share.ts
@@ -8,6 +8,7 @@
  * within its quota, and nothing is refused then.
  */
 import type {Random} from '@egretspoke/shared';
+import {reportTimeout} from './quota-allocation.js';
 
 /** The quota of a workspace. */
 export type Quota = {
@@ -52,6 +53,8 @@
 
 /** Milliseconds without a message of an allocator after which a node spends a fixed part. */
 const allocatorTimeout = 1000;
+/** Milliseconds for which the parts of earlier grants are kept. */
+const partMemory = 2 * reportTimeout;
 /** The averaging time of the requests at this node, in milliseconds. */
 const averagingTime = 2500;
 /** The minimum retry time of a refused caller, in milliseconds. */
@@ -77,6 +80,8 @@
 	grantedAt: number;
 	/** The fraction of the workspace's requests that this node received, as of the last grant; undefined before any. */
 	part: number | undefined;
+	/** The parts as of recent grants, oldest first. */
+	recentParts: Array<{part: number; at: number}>;
 	/** The accumulated fraction of a request that may be admitted, below 1. */
 	credit: number;
 	/** The token bucket of this node's part. */
@@ -116,6 +121,7 @@
 				share: 1,
 				grantedAt: Number.NEGATIVE_INFINITY,
 				part: undefined,
+				recentParts: [],
 				credit: random.fraction(),
 				bucket: {tokens: Number.POSITIVE_INFINITY, at: now},
 				isFixed: false,
@@ -137,7 +143,7 @@
 	 * already.
 	 */
 	const isWithinPart = (account: Account, quota: Quota, now: number) => {
-		const part = account.part ?? equalPart();
+		const part = settledPart(account) ?? equalPart();
 		if (!account.isFixed) {
 			account.isFixed = true;
 			account.bucket = {tokens: random.fraction(), at: now};
@@ -147,6 +153,14 @@
 		return fill(account.bucket, now, part * quota.rate, max) >= 1;
 	};
 
+	/**
+	 * The part as of a grant before the partition. Until the allocators count the
+	 * unreachable nodes as silent, they still grant, and the part of a node whose
+	 * demand rises would grow at the expense of nodes that don't know of it.
+	 */
+	const settledPart = ({recentParts}: Account): number | undefined =>
+		recentParts.findLast(({at}) => at <= contactAt - reportTimeout)?.part;
+
 	/** Limits a sudden increase of demand until the allocators have received reports of it. */
 	const isWithinSurge = (account: Account, quota: Quota, now: number) => {
 		account.isFixed = false;
@@ -231,6 +245,12 @@
 						requested > 0
 							? Math.min(1, account.requestRate / requested)
 							: undefined;
+					account.recentParts = account.recentParts.filter(
+						({at}) => now - at <= partMemory,
+					);
+					if (account.part !== undefined) {
+						account.recentParts.push({part: account.part, at: now});
+					}
 				}
 			}
 		},
