fix(mesh): each side of a partition spends only its own part of a quota's burst

What operators saw: with a data centre cut off in the second in which its demand rises, a workspace gets up to 1,748 requests in 5 s of 1,604 allowed.

Cause: until an allocator counts the nodes of the other side as silent, 1.2 s, it spends the whole burst, and the rate that their last reports leave. Both sides do. Then it drops what is left of the burst, but what it has admitted beyond its side's part counts as no debt. When a reporter becomes silent, the level is now set to what it would be if only the part of the live reporters had been theirs in the last 5 s; a workspace within its quota has no debt then.

--- a/packages/mesh/src/decisions/quota-allocation.ts
+++ b/packages/mesh/src/decisions/quota-allocation.ts
@@ -54,6 +54,8 @@
 const repaymentTime = 1000;
 /** The maximum debt, in seconds of the rate: older excess lies outside every window. */
 const maxDebt = 5;
+/** Milliseconds for which the admitted requests of a period are kept. */
+const periodMemory = 5000;
 /** Requests that a workspace may send beyond its burst: reports of a few requests arrive unevenly. */
 const tolerance = 3;
 /** The demand below which a workspace is dropped, in requests per second. */
@@ -74,7 +76,18 @@
 };
 
 type Sum = Omit<QuotaUse, 'workspace'>;
-type Account = {level: number; requested: number; share: number};
+type Account = {
+	level: number;
+	requested: number;
+	share: number;
+	/** The rate that was reserved for silent reporters. */
+	reserved: number;
+	/** What was admitted in recent periods, oldest first. */
+	periods: Period[];
+};
+
+/** The requests that each reporter admitted in one period, per second. */
+type Period = {from: number; seconds: number; admitted: Map<string, number>};
 
 /** Creates the allocation of a node without reports. */
 export function createQuotaAllocation(startedAt: number): QuotaAllocation {
@@ -121,9 +134,58 @@
 		return sum;
 	};
 
+	/** What each live reporter admits. */
+	const listAdmitted = ({workspace}: Quota, now: number) => {
+		const admitted = new Map<string, number>();
+		for (const [name, {at, demands}] of reports) {
+			const rate = demands.get(workspace)?.admitted ?? 0;
+			if (rate > 0 && now - at < reportTimeout) {
+				admitted.set(name, rate);
+			}
+		}
+
+		return admitted;
+	};
+
+	/**
+	 * The level of the live reporters if only their part of the quota had been
+	 * theirs from the start. Until the others count as silent, both sides of a
+	 * partition admit as if they knew of each other's use.
+	 */
+	const levelOfLive = (
+		{rate, burst}: Quota,
+		{reserved, periods}: Pick<Account, 'reserved' | 'periods'>,
+		now: number,
+	): number => {
+		const part = Math.max(0, 1 - reserved / rate);
+		const max = part * (burst + tolerance);
+		let level = max;
+		for (const {seconds, admitted} of periods) {
+			let admittedByLive = 0;
+			for (const [name, perSecond] of admitted) {
+				const isLive = now - (reports.get(name)?.at ?? 0) < reportTimeout;
+				admittedByLive += isLive ? perSecond : 0;
+			}
+
+			level = Math.min(max, level + seconds * (part * rate - admittedByLive));
+		}
+
+		return level;
+	};
+
 	const account = (quota: Quota, now: number): Account => {
 		const {requested, admitted, reserved} = sumOf(quota, () => true, now);
-		const level = accounts.get(quota.workspace)?.level ?? tolerance;
+		const known = accounts.get(quota.workspace);
+		const periods = (known?.periods ?? []).filter(
+			({from}) => now - from < periodMemory,
+		);
+		const isPartitioned = reserved > (known?.reserved ?? 0) + minDemand;
+		const level = Math.min(
+			known?.level ?? tolerance,
+			isPartitioned
+				? levelOfLive(quota, {reserved, periods}, now)
+				: Number.POSITIVE_INFINITY,
+		);
 		const rate = Math.max(0, quota.rate - reserved);
 		const elapsed = (now - updatedAt) / millisecondsPerSecond;
 		const changed = level + elapsed * (rate - admitted);
@@ -132,8 +194,15 @@
 		const bounded = Math.max(-maxDebt * quota.rate, Math.min(max, changed));
 		const repayment = (bounded * millisecondsPerSecond) / repaymentTime;
 		const fits = Math.max(0, rate + repayment);
+		periods.push({
+			from: updatedAt,
+			seconds: elapsed,
+			admitted: listAdmitted(quota, now),
+		});
 		return {
 			level: bounded,
+			reserved,
+			periods,
 			requested: meanOf(quota.workspace),
 			share: requested <= fits ? 1 : fits / requested,
 		};
