fix(mesh): a partitioned node repays what it admitted beyond its part of a quota

What operators saw: nodes that are cut off one by one in the second in which the demand rises admit up to 1,805 requests in 5 s of 1,604 allowed.

Cause: for a second after the cut a node admits a surge, and then begins with an empty account for its part, as if it had admitted nothing. It now keeps the account of its part all the while: what it admitted beyond it is a debt that is repaid first, and what it left unused, its part of the burst, is still there. So a workspace below its quota is refused less than before, not more.

Evidence: one more failing test passes.

--- a/packages/mesh/src/decisions/quota-share.ts
+++ b/packages/mesh/src/decisions/quota-share.ts
@@ -65,6 +65,8 @@
 const minSurge = 3;
 /** The fraction of its burst that a node admits at once. */
 const surgeBurstRatio = 0.5;
+/** The maximum debt, in seconds of the rate: older excess lies outside every window. */
+const maxDebt = 5;
 /** The rate below which a workspace counts as gone from a node, in requests per second. */
 const minRate = 0.02;
 const millisecondsPerSecond = 1000;
@@ -86,6 +88,8 @@
 	credit: number;
 	/** The token bucket of this node's part. */
 	bucket: Bucket;
+	/** What is left of this node's part of the quota. */
+	own: Bucket;
 	/** The bucket holds the fixed part of a node without recent grants. */
 	isFixed: boolean;
 };
@@ -124,6 +128,7 @@
 				recentParts: [],
 				credit: random.fraction(),
 				bucket: {tokens: Number.POSITIVE_INFINITY, at: now},
+				own: {tokens: 0, at: now},
 				isFixed: false,
 			};
 			accounts.set(workspace, account);
@@ -139,20 +144,34 @@
 	 * started. It then spends a fixed part of the quota: the fraction of the
 	 * workspace's requests that it received when it last knew the total, else
 	 * an equal part. The parts add up to the quota, however the nodes are
-	 * partitioned. It starts without a burst, because that may have been used
-	 * already.
+	 * partitioned. What it admitted beyond its part before it knew of the
+	 * partition is a debt, and its part of the burst is left only if unspent.
 	 */
 	const isWithinPart = (account: Account, quota: Quota, now: number) => {
 		const part = settledPart(account) ?? equalPart();
 		if (!account.isFixed) {
 			account.isFixed = true;
-			account.bucket = {tokens: random.fraction(), at: now};
+			const unspent = fillPart(account, quota, now);
+			// Spreads the first requests of nodes whose parts allow less than one at once.
+			account.bucket = {tokens: unspent + random.fraction(), at: now};
 		}
 
 		const max = Math.max(1, part * quota.burst);
 		return fill(account.bucket, now, part * quota.rate, max) >= 1;
 	};
 
+	/** Adds what this node's part has allowed since the last call; returns what is left of it, negative if more was admitted. */
+	const fillPart = (account: Account, quota: Quota, now: number): number => {
+		const part = settledPart(account) ?? equalPart();
+		const {own} = account;
+		fill(own, now, part * quota.rate, part * quota.burst);
+		own.tokens = Math.max(
+			own.tokens,
+			-Math.max(1, maxDebt * part * quota.rate),
+		);
+		return own.tokens;
+	};
+
 	/**
 	 * The part as of a grant before the partition. Until the allocators count the
 	 * unreachable nodes as silent, they still grant, and the part of a node whose
@@ -193,6 +212,7 @@
 			}
 
 			const account = accountOf(quota.workspace, now);
+			fillPart(account, quota, now);
 			const isAllowed =
 				now - contactAt < allocatorTimeout
 					? isWithinShare(account, now) && isWithinSurge(account, quota, now)
@@ -206,6 +226,7 @@
 			if (account) {
 				account.admitted++;
 				account.bucket.tokens--;
+				account.own.tokens--;
 			}
 		},
 		retryAfterTime(quota) {
