--- a/packages/mesh/src/decisions/rate-limiter.ts
+++ b/packages/mesh/src/decisions/rate-limiter.ts
@@ -30,7 +30,7 @@
  * The minimum rate, in requests per second. The end of a limit shows only in an
  * answer, so a target that accepts nothing still gets a request now and then.
  */
-export const minRequestRate = 0.2;
+const minRequestRate = 0.2;
 const millisecondsPerSecond = 1000;
 
 /** The requests beyond the next one that a target with this limit may get at once. */
--- a/packages/mesh/src/decisions/target-admission.ts
+++ b/packages/mesh/src/decisions/target-admission.ts
@@ -2,10 +2,10 @@
  * Admission control for one target: decides whether a request runs, waits or is
  * refused.
  *
- * Load pattern: a burst above what the target can run at once, or accepts per second. A saturated
- * target may stop answering, and work in its own queue can't be withdrawn or
- * reordered. So no more requests are handed over than it runs at once, and the
- * rest is queued here or refused.
+ * Load pattern: a burst above what the target can run at once, or more requests
+ * a second than it accepts. A saturated target may stop answering, and work in
+ * its own queue can't be withdrawn or reordered. So no more requests are handed
+ * over than it runs at once and accepts, and the rest is queued here or refused.
  */
 
 import type {RateLimiter} from './rate-limiter.js';
@@ -16,7 +16,7 @@
 	isNearCompletion: boolean;
 	/** 0 is the highest priority. */
 	priority: number;
-	/** The maximum time that it may wait here, in milliseconds. */
+	/** The maximum time that it may wait here, in milliseconds; 0 if it runs at once or not at all. */
 	maxWait: number;
 };
 
--- a/packages/mesh/src/exchange.ts
+++ b/packages/mesh/src/exchange.ts
@@ -22,7 +22,7 @@
 	/** Known crashes of targets while they ran this request. */
 	crashes: number;
 	priority: number;
-	/** Maximum wait for a slot, in milliseconds. */
+	/** Maximum wait for a slot or for the rate limit of the target, in milliseconds; 0 if it may not wait. */
 	maxWait: number;
 	/** Milliseconds until the deadline of the final answer, at the time of sending. */
 	timeLeft: number;
--- a/packages/mesh/src/request-forwarding.ts
+++ b/packages/mesh/src/request-forwarding.ts
@@ -216,8 +216,8 @@
 
 	/**
 	 * Only if another target is known to have room; otherwise the request would be
-	 * refused by one target after the other. A target without a rate limit is
-	 * tried in any case after one with a limit, which may be far less full.
+	 * refused by one target after the other. After a refusal because of a rate
+	 * limit, a target without one is tried in any case: it may have a short queue.
 	 */
 	const mayTryAnother = (): boolean =>
 		!mayWait ||
