--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -79,11 +79,11 @@
 	requestId: 'request-id',
 	timeLeft: 'time-left',
 	expectedTarget: 'expected-target',
-	callerService: 'caller-service',
+	callerService: 'calling-service',
 	workspaceKey: 'workspace-key',
 	workspace: 'workspace',
 	signature: 'signature',
-	notExecuted: 'not-executed',
+	notExecuted: 'declined',
 	rateLimit: 'rate-limit',
 	leaving: 'leaving',
 };
