--- a/packages/mesh/__tests__/call-profile.spec.ts
+++ b/packages/mesh/__tests__/call-profile.spec.ts
@@ -3,7 +3,7 @@
 import {
 	createCallProfile,
 	type CallProfile,
-} from '../src/decisions/call-profile.js';
+} from '../src/decisions/admission/call-profile.js';
 
 describe('call profile', () => {
 	type SimulatedRoutes = Record<
--- a/packages/mesh/__tests__/configuration-follower.spec.ts
+++ b/packages/mesh/__tests__/configuration-follower.spec.ts
@@ -1,8 +1,8 @@
 import {createRandom, createVirtualClock, sleep} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {ok} from 'neverthrow';
-import {createConfigurationFollower} from '../src/configuration-follower.js';
-import type {RoutingConfiguration} from '../src/route.js';
+import {createConfigurationFollower} from '../src/configuration/configuration-follower.js';
+import type {RoutingConfiguration} from '../src/configuration/route.js';
 import {createRowStoreStandIn} from './row-store-stand-in.js';
 
 const row = {table: 'settings', key: 'newest'};
--- a/packages/mesh/__tests__/deadline-wheel.spec.ts
+++ b/packages/mesh/__tests__/deadline-wheel.spec.ts
@@ -1,6 +1,6 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {createDeadlineWheel, wheelTick} from '../src/deadline-wheel.js';
+import {createDeadlineWheel, wheelTick} from '../src/timing/deadline-wheel.js';
 
 describe('createDeadlineWheel', () => {
 	const add = (
--- a/packages/mesh/__tests__/desired-links.spec.ts
+++ b/packages/mesh/__tests__/desired-links.spec.ts
@@ -1,11 +1,11 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {idleLoad} from '../src/exchange.js';
-import {createKnownMembers} from '../src/known-members.js';
-import {createPeer, type Peer} from '../src/peer.js';
-import type {PeerLink} from '../src/peer-link.js';
-import type {Member} from '../src/peer-message.js';
-import {createDesiredLinks} from '../src/desired-links.js';
+import {idleLoad} from '../src/links/exchange.js';
+import {createKnownMembers} from '../src/members/known-members.js';
+import {createPeer, type Peer} from '../src/links/peer.js';
+import type {PeerLink} from '../src/links/peer-link.js';
+import type {Member} from '../src/links/peer-message.js';
+import {createDesiredLinks} from '../src/members/desired-links.js';
 
 const members = Array.from({length: 40}, (_, index): Member => ({
 	node: `node-${index}`,
--- a/packages/mesh/__tests__/directory.spec.ts
+++ b/packages/mesh/__tests__/directory.spec.ts
@@ -3,15 +3,15 @@
 import {createRandom, createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {WebSocketServer} from 'ws';
-import {createDirectory, type Directory} from '../src/directory.js';
-import {idleLoad} from '../src/exchange.js';
+import {createDirectory, type Directory} from '../src/members/directory.js';
+import {idleLoad} from '../src/links/exchange.js';
 import {
 	encodeFrame,
 	type Member,
 	type PeerMessage,
 	type StateMessage,
-} from '../src/peer-message.js';
-import {createTicker} from '../src/ticker.js';
+} from '../src/links/peer-message.js';
+import {createTicker} from '../src/timing/ticker.js';
 
 const self: Member = {
 	node: 'self',
--- a/packages/mesh/__tests__/failure-share.spec.ts
+++ b/packages/mesh/__tests__/failure-share.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createFailureShare} from '../src/decisions/failure-share.js';
+import {createFailureShare} from '../src/decisions/routing/failure-share.js';
 
 describe('failure share', () => {
 	it('follows the answers, and decays without answers', () => {
--- a/packages/mesh/__tests__/feed-followers.spec.ts
+++ b/packages/mesh/__tests__/feed-followers.spec.ts
@@ -4,7 +4,7 @@
 	feedStartDelay,
 	isFeedFollower,
 	type FeedPeer,
-} from '../src/decisions/feed-followers.js';
+} from '../src/decisions/routing/feed-followers.js';
 
 /** Lets every node of a fleet decide repeatedly until the result is stable; returns the followers. */
 function settle(size: number, links: number): Set<string> {
--- a/packages/mesh/__tests__/inner-routes.spec.ts
+++ b/packages/mesh/__tests__/inner-routes.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createInnerRoutes} from '../src/decisions/inner-routes.js';
+import {createInnerRoutes} from '../src/decisions/admission/inner-routes.js';
 
 describe('inner routes', () => {
 	const createRoutes = () => {
--- a/packages/mesh/__tests__/load-report.spec.ts
+++ b/packages/mesh/__tests__/load-report.spec.ts
@@ -1,7 +1,7 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {idleLoad, type TargetLoad} from '../src/exchange.js';
-import {createLoadReport} from '../src/load-report.js';
+import {idleLoad, type TargetLoad} from '../src/links/exchange.js';
+import {createLoadReport} from '../src/target/load-report.js';
 
 describe('createLoadReport', () => {
 	function reportsOf(loads: TargetLoad[], listeners = 10) {
--- a/packages/mesh/__tests__/member-gossip.spec.ts
+++ b/packages/mesh/__tests__/member-gossip.spec.ts
@@ -1,9 +1,9 @@
 import {createRandom, createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {createKnownMembers} from '../src/known-members.js';
-import {createMemberGossip} from '../src/member-gossip.js';
-import type {PeerLink} from '../src/peer-link.js';
-import type {Member, PeerMessage} from '../src/peer-message.js';
+import {createKnownMembers} from '../src/members/known-members.js';
+import {createMemberGossip} from '../src/members/member-gossip.js';
+import type {PeerLink} from '../src/links/peer-link.js';
+import type {Member, PeerMessage} from '../src/links/peer-message.js';
 
 const dataCentres = 5;
 const linksOfNode = 24;
--- a/packages/mesh/__tests__/member-register.spec.ts
+++ b/packages/mesh/__tests__/member-register.spec.ts
@@ -1,8 +1,8 @@
 import {createRandom, createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {createMemberRegister} from '../src/member-register.js';
-import type {Member} from '../src/peer-message.js';
-import type {TargetRecord} from '../src/target-record.js';
+import {createMemberRegister} from '../src/members/member-register.js';
+import type {Member} from '../src/links/peer-message.js';
+import type {TargetRecord} from '../src/target/target-record.js';
 import {
 	createRowStoreStandIn,
 	type RowStoreStandIn,
--- a/packages/mesh/__tests__/offer-budget.spec.ts
+++ b/packages/mesh/__tests__/offer-budget.spec.ts
@@ -4,7 +4,7 @@
 	createOfferBudget,
 	nonLeafOfferShare,
 	leafOfferShare,
-} from '../src/decisions/offer-budget.js';
+} from '../src/decisions/repeats/offer-budget.js';
 
 const options = {ratio: 0.2, window: 10_000};
 /** Repeats that operators allow in each window regardless of load. */
--- a/packages/mesh/__tests__/peer-link.spec.ts
+++ b/packages/mesh/__tests__/peer-link.spec.ts
@@ -3,8 +3,8 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {WebSocketServer, type WebSocket} from 'ws';
-import {createPeerLink, type PeerLink} from '../src/peer-link.js';
-import {encodeFrame} from '../src/peer-message.js';
+import {createPeerLink, type PeerLink} from '../src/links/peer-link.js';
+import {encodeFrame} from '../src/links/peer-message.js';
 
 describe('the link to a node that has become silent', () => {
 	let server: WebSocketServer;
--- a/packages/mesh/__tests__/peer-message.spec.ts
+++ b/packages/mesh/__tests__/peer-message.spec.ts
@@ -5,7 +5,7 @@
 	decodeFrame,
 	encodeFrame,
 	type PeerMessage,
-} from '../src/peer-message.js';
+} from '../src/links/peer-message.js';
 
 const share = fc.integer({min: 0, max: 5000}).map((value) => value / 1000);
 const bytes = fc.uint8Array({maxLength: 40});
--- a/packages/mesh/__tests__/peer-subset.spec.ts
+++ b/packages/mesh/__tests__/peer-subset.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createNameRank} from '../src/decisions/name-rank.js';
+import {createNameRank} from '../src/decisions/routing/name-rank.js';
 import {
 	activeSubsetSize,
 	chooseSubset,
@@ -7,7 +7,7 @@
 	idleSubsetSize,
 	rankMembers,
 	type SubsetMember,
-} from '../src/decisions/peer-subset.js';
+} from '../src/decisions/routing/peer-subset.js';
 
 type FleetMember = {node: string; dataCentre: number};
 
--- a/packages/mesh/__tests__/peer-updates.spec.ts
+++ b/packages/mesh/__tests__/peer-updates.spec.ts
@@ -1,8 +1,8 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import type {PeerMessage} from '../src/peer-message.js';
-import {createUpdateHandler} from '../src/peer-updates.js';
-import type {RoutingConfiguration} from '../src/route.js';
+import type {PeerMessage} from '../src/links/peer-message.js';
+import {createUpdateHandler} from '../src/links/peer-updates.js';
+import type {RoutingConfiguration} from '../src/configuration/route.js';
 
 describe('updates on a link', () => {
 	const configurationOf = (version: number): RoutingConfiguration => ({
--- a/packages/mesh/__tests__/quota-exchange.spec.ts
+++ b/packages/mesh/__tests__/quota-exchange.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import type {Member} from '../src/peer-message.js';
+import type {Member} from '../src/links/peer-message.js';
 import {createQuotaFleet, maxWithin} from './quota-fleet.js';
 
 /** Milliseconds of the window in which a quota must hold, and the tolerance beyond it. */
--- a/packages/mesh/__tests__/quota-fleet.ts
+++ b/packages/mesh/__tests__/quota-fleet.ts
@@ -1,12 +1,12 @@
 /** A fleet of quota exchanges on a virtual clock, with links that can be cut, and the callers of one workspace. */
 import {createRandom, createVirtualClock} from '@egretspoke/shared';
-import type {Member, PeerMessage} from '../src/peer-message.js';
+import type {Member, PeerMessage} from '../src/links/peer-message.js';
 import {
 	createQuotaExchange,
 	type QuotaExchange,
-} from '../src/quota-exchange.js';
-import {createTicker} from '../src/ticker.js';
-import type {Workspace} from '../src/workspace.js';
+} from '../src/quotas/quota-exchange.js';
+import {createTicker} from '../src/timing/ticker.js';
+import type {Workspace} from '../src/quotas/workspace.js';
 
 /** The result of one request. */
 export type PlayedRequest = {at: number; isAdmitted: boolean};
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -8,33 +8,36 @@
 	createVirtualClock,
 	type Random,
 } from '@egretspoke/shared';
-import {createDeadlineWheel} from '../src/deadline-wheel.js';
-import {createCallGraph} from '../src/decisions/call-graph.js';
-import {createCallProfile} from '../src/decisions/call-profile.js';
-import {createInnerRoutes} from '../src/decisions/inner-routes.js';
+import {createDeadlineWheel} from '../src/timing/deadline-wheel.js';
+import {createCallGraph} from '../src/decisions/admission/call-graph.js';
+import {createCallProfile} from '../src/decisions/admission/call-profile.js';
+import {createInnerRoutes} from '../src/decisions/admission/inner-routes.js';
 import {egretspokePolicy} from '../src/decisions/mesh-policy.js';
-import {createRetryBudget} from '../src/decisions/retry-budget.js';
-import {levelOfService} from '../src/decisions/service-level.js';
-import type {Directory} from '../src/directory.js';
-import {isRateLimited, type TargetLoad} from '../src/exchange.js';
-import {createLoadReport} from '../src/load-report.js';
+import {createRetryBudget} from '../src/decisions/repeats/retry-budget.js';
+import {levelOfService} from '../src/decisions/admission/service-level.js';
+import type {Directory} from '../src/members/directory.js';
+import {isRateLimited, type TargetLoad} from '../src/links/exchange.js';
+import {createLoadReport} from '../src/target/load-report.js';
 import {
 	applyLoad,
 	createPeer,
 	createPeerCandidate,
 	usableTarget,
 	type Peer,
-} from '../src/peer.js';
-import type {PeerLink} from '../src/peer-link.js';
-import type {Member} from '../src/peer-message.js';
-import {forwardRequest} from '../src/request-forwarding.js';
-import {createRoutePressure} from '../src/route-pressure.js';
-import {createRouteTable} from '../src/route-table.js';
-import type {TargetClient, TargetClientOptions} from '../src/target-client.js';
+} from '../src/links/peer.js';
+import type {PeerLink} from '../src/links/peer-link.js';
+import type {Member} from '../src/links/peer-message.js';
+import {forwardRequest} from '../src/entry/request-forwarding.js';
+import {createRoutePressure} from '../src/entry/route-pressure.js';
+import {createRouteTable} from '../src/configuration/route-table.js';
+import type {
+	TargetClient,
+	TargetClientOptions,
+} from '../src/target/target-client.js';
 import {
 	createTargetDispatcher,
 	type TargetDispatcher,
-} from '../src/target-dispatcher.js';
+} from '../src/target/target-dispatcher.js';
 
 /** Size and load of a fleet. */
 export type RateLimitFleetOptions = {
--- a/packages/mesh/__tests__/recent-ratio.spec.ts
+++ b/packages/mesh/__tests__/recent-ratio.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createRecentRatio} from '../src/decisions/recent-ratio.js';
+import {createRecentRatio} from '../src/decisions/repeats/recent-ratio.js';
 
 describe('recent ratio', () => {
 	it('covers only a short window', () => {
--- a/packages/mesh/__tests__/retry-after-time.spec.ts
+++ b/packages/mesh/__tests__/retry-after-time.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {retryAfterTime} from '../src/decisions/retry-after-time.js';
+import {retryAfterTime} from '../src/decisions/repeats/retry-after-time.js';
 
 describe('the retry time of refused callers', () => {
 	const caller = {timeLeft: 5000, objective: 1200, refused: 0};
--- a/packages/mesh/__tests__/retry-budget.spec.ts
+++ b/packages/mesh/__tests__/retry-budget.spec.ts
@@ -1,7 +1,7 @@
 import {createRandom} from '@egretspoke/shared';
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {createRetryBudget} from '../src/decisions/retry-budget.js';
+import {createRetryBudget} from '../src/decisions/repeats/retry-budget.js';
 
 describe('retry budget', () => {
 	const options = {ratio: 0.2, allowance: 48, window: 10_000};
--- a/packages/mesh/__tests__/route-table.spec.ts
+++ b/packages/mesh/__tests__/route-table.spec.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
-import {createRouteTable} from '../src/route-table.js';
-import type {Route} from '../src/route.js';
-import {digestKey} from '../src/workspace.js';
+import {createRouteTable} from '../src/configuration/route-table.js';
+import type {Route} from '../src/configuration/route.js';
+import {digestKey} from '../src/quotas/workspace.js';
 
 const route = (changed: Partial<Route>): Route => ({
 	name: 'route',
--- a/packages/mesh/__tests__/row-store-stand-in.ts
+++ b/packages/mesh/__tests__/row-store-stand-in.ts
@@ -1,6 +1,6 @@
 /** An in-memory store that counts its calls, for specs of modules that read or write the store. */
 import {err, ok} from 'neverthrow';
-import type {RowStore, StoredRow} from '../src/row-store.js';
+import type {RowStore, StoredRow} from '../src/configuration/row-store.js';
 
 /** The store, with its rows and the number of calls so far. */
 export type RowStoreStandIn = RowStore & {
--- a/packages/mesh/__tests__/run-time.spec.ts
+++ b/packages/mesh/__tests__/run-time.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createRunTime} from '../src/decisions/run-time.js';
+import {createRunTime} from '../src/decisions/routing/run-time.js';
 
 describe('run time', () => {
 	const recordRuns = (
--- a/packages/mesh/__tests__/shed-level.spec.ts
+++ b/packages/mesh/__tests__/shed-level.spec.ts
@@ -1,6 +1,12 @@
 import {expect} from 'chai';
-import {createShedLevel, type ShedLevel} from '../src/decisions/shed-level.js';
-import {orderLoad, shareRefused} from '../src/decisions/shed-order.js';
+import {
+	createShedLevel,
+	type ShedLevel,
+} from '../src/decisions/admission/shed-level.js';
+import {
+	orderLoad,
+	shareRefused,
+} from '../src/decisions/admission/shed-order.js';
 
 describe('shed level', () => {
 	const healthy = {declined: 0, unserved: 0};
--- a/packages/mesh/__tests__/shed-order.spec.ts
+++ b/packages/mesh/__tests__/shed-order.spec.ts
@@ -2,9 +2,12 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {egretspokePolicy} from '../src/decisions/mesh-policy.js';
-import {createCallGraph} from '../src/decisions/call-graph.js';
-import {createRoutePressure} from '../src/route-pressure.js';
-import {orderLoad, shareRefused} from '../src/decisions/shed-order.js';
+import {createCallGraph} from '../src/decisions/admission/call-graph.js';
+import {createRoutePressure} from '../src/entry/route-pressure.js';
+import {
+	orderLoad,
+	shareRefused,
+} from '../src/decisions/admission/shed-order.js';
 
 describe('the order in which requests are refused', () => {
 	it('refuses what costs the full service most before what costs it least', () => {
--- a/packages/mesh/__tests__/suspect-fleet.ts
+++ b/packages/mesh/__tests__/suspect-fleet.ts
@@ -4,12 +4,16 @@
  */
 import {createRandom, createVirtualClock} from '@egretspoke/shared';
 import {identifyRequest, isQuarantined} from '@egretspoke/quarantine';
-import {createGossip} from '../src/gossip.js';
-import {partsOf} from '../src/request-parts.js';
-import type {PeerLink} from '../src/peer-link.js';
-import type {Member, PeerMessage} from '../src/peer-message.js';
-import {createSuspectRegister} from '../src/suspect-register.js';
-import {createSuspects, toMessage, type Suspects} from '../src/suspects.js';
+import {createGossip} from '../src/members/gossip.js';
+import {partsOf} from '../src/entry/request-parts.js';
+import type {PeerLink} from '../src/links/peer-link.js';
+import type {Member, PeerMessage} from '../src/links/peer-message.js';
+import {createSuspectRegister} from '../src/suspects/suspect-register.js';
+import {
+	createSuspects,
+	toMessage,
+	type Suspects,
+} from '../src/suspects/suspects.js';
 import {createRowStoreStandIn} from './row-store-stand-in.js';
 
 /** Size and topology of a fleet. */
--- a/packages/mesh/__tests__/target-admission.spec.ts
+++ b/packages/mesh/__tests__/target-admission.spec.ts
@@ -2,7 +2,7 @@
 import {
 	createTargetAdmission,
 	type AdmissionRequest,
-} from '../src/decisions/target-admission.js';
+} from '../src/decisions/admission/target-admission.js';
 import {egretspokePolicy} from '../src/decisions/mesh-policy.js';
 
 describe('target admission', () => {
--- a/packages/mesh/__tests__/target-calls.spec.ts
+++ b/packages/mesh/__tests__/target-calls.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createTargetCalls} from '../src/decisions/target-calls.js';
+import {createTargetCalls} from '../src/decisions/admission/target-calls.js';
 
 describe('target calls', () => {
 	it('are assumed until enough requests without calls are recorded', () => {
--- a/packages/mesh/__tests__/target-memory.spec.ts
+++ b/packages/mesh/__tests__/target-memory.spec.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
-import type {TargetState} from '../src/peer-message.js';
-import {createTargetMemory} from '../src/target-memory.js';
+import type {TargetState} from '../src/links/peer-message.js';
+import {createTargetMemory} from '../src/target/target-memory.js';
 
 describe('the memory of the targets of other nodes', () => {
 	const target = (overrides: Partial<TargetState> = {}): TargetState => ({
--- a/packages/mesh/__tests__/target-notice.spec.ts
+++ b/packages/mesh/__tests__/target-notice.spec.ts
@@ -1,6 +1,9 @@
 import {expect} from 'chai';
-import {createKnownRateLimit} from '../src/decisions/known-rate-limit.js';
-import {readTargetNotice, type RateLimitNotice} from '../src/target-notice.js';
+import {createKnownRateLimit} from '../src/decisions/admission/known-rate-limit.js';
+import {
+	readTargetNotice,
+	type RateLimitNotice,
+} from '../src/target/target-notice.js';
 
 const names = {rateLimit: 'rate-limit', leaving: 'leaving'};
 
--- a/packages/mesh/__tests__/target-rate.spec.ts
+++ b/packages/mesh/__tests__/target-rate.spec.ts
@@ -1,7 +1,7 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import type {RateLimitNotice} from '../src/target-notice.js';
-import {createTargetRate} from '../src/target-rate.js';
+import type {RateLimitNotice} from '../src/target/target-notice.js';
+import {createTargetRate} from '../src/target/target-rate.js';
 
 describe('the rate limit of the local target', () => {
 	function createRate() {
--- a/packages/mesh/__tests__/target-record.spec.ts
+++ b/packages/mesh/__tests__/target-record.spec.ts
@@ -4,7 +4,7 @@
 	applyWithdrawal,
 	type Announcement,
 	type TargetRecord,
-} from '../src/target-record.js';
+} from '../src/target/target-record.js';
 
 const announcement: Announcement = {
 	targetId: 'target-1',
--- a/packages/mesh/__tests__/target-selection.spec.ts
+++ b/packages/mesh/__tests__/target-selection.spec.ts
@@ -3,7 +3,7 @@
 import {
 	selectTarget,
 	type Candidate,
-} from '../src/decisions/target-selection.js';
+} from '../src/decisions/routing/target-selection.js';
 
 describe('target selection', () => {
 	const random = createRandom(7);
--- a/packages/mesh/__tests__/throttled-updates.spec.ts
+++ b/packages/mesh/__tests__/throttled-updates.spec.ts
@@ -1,6 +1,6 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {createThrottledUpdates} from '../src/throttled-updates.js';
+import {createThrottledUpdates} from '../src/timing/throttled-updates.js';
 
 describe('throttled updates', () => {
 	function createUpdates(maxInterval: number) {
--- a/packages/mesh/__tests__/ticker.spec.ts
+++ b/packages/mesh/__tests__/ticker.spec.ts
@@ -1,6 +1,6 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {createTicker, tickInterval} from '../src/ticker.js';
+import {createTicker, tickInterval} from '../src/timing/ticker.js';
 
 describe('periodic work', () => {
 	it('runs at its intervals, on one timer, until the node stops', () => {
--- a/packages/mesh/__tests__/transit-delay.spec.ts
+++ b/packages/mesh/__tests__/transit-delay.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createTransitDelay} from '../src/decisions/transit-delay.js';
+import {createTransitDelay} from '../src/decisions/routing/transit-delay.js';
 
 describe('transit delay', () => {
 	it('is the time beyond the fastest message, whatever the offset of the clocks', () => {
--- a/packages/mesh/__tests__/weighted-rotation.spec.ts
+++ b/packages/mesh/__tests__/weighted-rotation.spec.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {createWeightedRotation} from '../src/decisions/weighted-rotation.js';
+import {createWeightedRotation} from '../src/decisions/routing/weighted-rotation.js';
 
 describe('weighted rotation', () => {
 	it('keeps any sequence of requests within one request of the weights', () => {
--- a/packages/mesh/src/configuration-follower.ts
+++ b/packages/mesh/src/configuration/configuration-follower.ts
@@ -9,7 +9,7 @@
  */
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
 import type {Result} from 'neverthrow';
-import type {MeshReporter} from './mesh-reporter.js';
+import type {MeshReporter} from '../mesh-reporter.js';
 import type {RoutingConfiguration} from './route.js';
 import type {
 	RowAddress,
--- a/packages/mesh/src/route-table.ts
+++ b/packages/mesh/src/configuration/route-table.ts
@@ -2,9 +2,9 @@
 import {
 	createWeightedRotation,
 	type WeightedRotation,
-} from './decisions/weighted-rotation.js';
+} from '../decisions/routing/weighted-rotation.js';
+import {digestKey, type Workspace} from '../quotas/workspace.js';
 import type {Route, RoutingConfiguration} from './route.js';
-import {digestKey, type Workspace} from './workspace.js';
 
 /** A route with its service rotation. */
 export type TableRoute = Route & {
--- a/packages/mesh/src/route.ts
+++ b/packages/mesh/src/configuration/route.ts
@@ -3,7 +3,7 @@
  * the limits for callers. Types are inferred from the schemas.
  */
 import {z} from 'zod';
-import {workspacesSchema} from './workspace.js';
+import {workspacesSchema} from '../quotas/workspace.js';
 
 const milliseconds = z.number().positive();
 
--- a/packages/mesh/src/decisions/known-rate-limit.ts
+++ b/packages/mesh/src/decisions/admission/known-rate-limit.ts
@@ -6,7 +6,7 @@
  * a request that started earlier is not newer, so it must neither restore a
  * limit that has ended nor replace a lower one.
  */
-import type {RateLimitNotice} from '../target-notice.js';
+import type {RateLimitNotice} from '../../target/target-notice.js';
 
 /** The limit of one incarnation. */
 export type KnownRateLimit = {
--- a/packages/mesh/src/decisions/mesh-policy.ts
+++ b/packages/mesh/src/decisions/mesh-policy.ts
@@ -5,7 +5,7 @@
  */
 import type {Random} from '@egretspoke/shared';
 import {err, ok, type Result} from 'neverthrow';
-import {selectTarget, type Candidate} from './target-selection.js';
+import {selectTarget, type Candidate} from './routing/target-selection.js';
 
 /** Mechanisms that can be disabled by name, each with its effect. */
 export const mechanisms = {
--- a/packages/mesh/src/decisions/weighted-rotation.ts
+++ b/packages/mesh/src/decisions/routing/weighted-rotation.ts
@@ -6,7 +6,7 @@
  * fifth move. So this is a smooth weighted round-robin: any sequence of
  * requests is within one request of the weights.
  */
-import type {WeightedService} from '../route.js';
+import type {WeightedService} from '../../configuration/route.js';
 
 /** Selects the service of the next request. */
 export type WeightedRotation = {next(): string};
--- a/packages/mesh/src/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -13,17 +13,17 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock} from '@egretspoke/shared';
-import type {Entry} from './entry.js';
 import {
 	findHeader,
 	findOnlyHeader,
 	filterEndToEnd,
 	type HeaderNames,
-} from './header-names.js';
-import {listenOn} from './listening.js';
-import type {MeshReporter} from './mesh-reporter.js';
+} from '../configuration/header-names.js';
+import {listenOn} from '../listening.js';
+import type {MeshReporter} from '../mesh-reporter.js';
+import type {CallerLimits} from '../configuration/route.js';
 import type {FinalAnswer} from './caller-request.js';
-import type {CallerLimits} from './route.js';
+import type {Entry} from './entry.js';
 
 /** Dependencies of the listener. */
 export type CallerListenerOptions = {
--- a/packages/mesh/src/caller-request.ts
+++ b/packages/mesh/src/entry/caller-request.ts
@@ -1,5 +1,5 @@
 /** Requests of callers and their final answers. */
-import type {TargetAnswer} from './exchange.js';
+import type {TargetAnswer} from '../links/exchange.js';
 
 /** A request of a caller. */
 export type CallerRequest = {
--- a/packages/mesh/src/entry.ts
+++ b/packages/mesh/src/entry/entry.ts
@@ -2,17 +2,17 @@
  * The entry of a node: finds the route and the workspace of each caller's
  * request, enforces quotas and forwards what is admitted.
  */
-import type {CallerRequest, FinalAnswer, OwnAnswer} from './caller-request.js';
-import {shortRetryAfter} from './decisions/retry-after-time.js';
+import {shortRetryAfter} from '../decisions/repeats/retry-after-time.js';
+import type {HeaderNames} from '../configuration/header-names.js';
+import type {QuotaExchange} from '../quotas/quota-exchange.js';
+import type {RouteTable, TableRoute} from '../configuration/route-table.js';
+import type {Workspace} from '../quotas/workspace.js';
 import {
 	forwardRequest,
 	type ForwardingCallbacks,
 	type ForwardingOptions,
 } from './request-forwarding.js';
-import type {HeaderNames} from './header-names.js';
-import type {QuotaExchange} from './quota-exchange.js';
-import type {RouteTable, TableRoute} from './route-table.js';
-import type {Workspace} from './workspace.js';
+import type {CallerRequest, FinalAnswer, OwnAnswer} from './caller-request.js';
 
 /** Dependencies of an entry. */
 export type EntryOptions = ForwardingOptions & {
--- a/packages/mesh/src/forwarding-report.ts
+++ b/packages/mesh/src/entry/forwarding-report.ts
@@ -5,9 +5,9 @@
  */
 import type {MeshMetrics, MeshOutcome} from '@egretspoke/observability';
 import type {Clock} from '@egretspoke/shared';
+import type {MeshReporter} from '../mesh-reporter.js';
 import type {CallerRequest, FinalAnswer} from './caller-request.js';
 import {localNode} from './local-candidate.js';
-import type {MeshReporter} from './mesh-reporter.js';
 
 /** Details known on arrival; logged with the request. */
 export type ForwardingFacts = {
--- a/packages/mesh/src/local-candidate.ts
+++ b/packages/mesh/src/entry/local-candidate.ts
@@ -1,7 +1,7 @@
 /** The local target as a candidate of target selection. */
-import type {TargetCandidate} from './directory.js';
-import {isRateLimited} from './exchange.js';
-import type {TargetDispatcher} from './target-dispatcher.js';
+import type {TargetCandidate} from '../members/directory.js';
+import {isRateLimited} from '../links/exchange.js';
+import type {TargetDispatcher} from '../target/target-dispatcher.js';
 
 /** The node name of the local target among the tried ones; no node has an empty name. */
 export const localNode = '';
--- a/packages/mesh/src/profile-updates.ts
+++ b/packages/mesh/src/entry/profile-updates.ts
@@ -1,9 +1,12 @@
 /** Updates the call profile of the target and the route pressure periodically, and announces changed profiles. */
 import type {Clock} from '@egretspoke/shared';
-import {profilePeriod, type CallProfile} from './decisions/call-profile.js';
-import {createThrottledUpdates} from './throttled-updates.js';
+import {
+	profilePeriod,
+	type CallProfile,
+} from '../decisions/admission/call-profile.js';
+import {createThrottledUpdates} from '../timing/throttled-updates.js';
+import type {Ticker} from '../timing/ticker.js';
 import {pressureRefreshInterval, type RoutePressure} from './route-pressure.js';
-import type {Ticker} from './ticker.js';
 
 /** Dependencies of the updates. */
 export type ProfileUpdatesOptions = {
--- a/packages/mesh/src/request-forwarding.ts
+++ b/packages/mesh/src/entry/request-forwarding.ts
@@ -10,31 +10,31 @@
 import type {MeshMetrics} from '@egretspoke/observability';
 import {isQuarantined, type Suspect} from '@egretspoke/quarantine';
 import type {Clock, Random} from '@egretspoke/shared';
-import type {CallerRequest, FinalAnswer} from './caller-request.js';
-import type {DeadlineWheel} from './deadline-wheel.js';
-import type {CallGraph} from './decisions/call-graph.js';
-import type {InnerRoutes} from './decisions/inner-routes.js';
-import type {MeshPolicy} from './decisions/mesh-policy.js';
-import {retryAfterTime} from './decisions/retry-after-time.js';
+import type {DeadlineWheel} from '../timing/deadline-wheel.js';
+import type {CallGraph} from '../decisions/admission/call-graph.js';
+import type {InnerRoutes} from '../decisions/admission/inner-routes.js';
+import type {MeshPolicy} from '../decisions/mesh-policy.js';
+import {retryAfterTime} from '../decisions/repeats/retry-after-time.js';
 import {
 	leafRetryShare,
 	nonLeafRetryShare,
 	type RetryBudget,
-} from './decisions/retry-budget.js';
-import type {Directory, TargetCandidate} from './directory.js';
+} from '../decisions/repeats/retry-budget.js';
+import type {Directory, TargetCandidate} from '../members/directory.js';
 import {
 	isTargetFailure,
 	type ForwardedRequest,
 	type Outcome,
 	type RefusalReason,
-} from './exchange.js';
-import type {TargetDispatcher} from './target-dispatcher.js';
-import {createLocalCandidate, localNode} from './local-candidate.js';
-import type {MeshReporter} from './mesh-reporter.js';
-import {createForwardingReport} from './forwarding-report.js';
+} from '../links/exchange.js';
+import type {TargetDispatcher} from '../target/target-dispatcher.js';
+import type {MeshReporter} from '../mesh-reporter.js';
+import type {TableRoute} from '../configuration/route-table.js';
+import type {Suspects} from '../suspects/suspects.js';
 import type {RoutePressure} from './route-pressure.js';
-import type {TableRoute} from './route-table.js';
-import type {Suspects} from './suspects.js';
+import {createForwardingReport} from './forwarding-report.js';
+import {createLocalCandidate, localNode} from './local-candidate.js';
+import type {CallerRequest, FinalAnswer} from './caller-request.js';
 
 /** Dependencies shared by all forwarded requests of a node. */
 export type ForwardingOptions = {
--- a/packages/mesh/src/request-parts.ts
+++ b/packages/mesh/src/entry/request-parts.ts
@@ -1,7 +1,7 @@
 /** The parts of a forwarded request that identify it across repeats. */
 import type {RequestParts} from '@egretspoke/quarantine';
-import type {ForwardedRequest} from './exchange.js';
-import {findHeader, type HeaderNames} from './header-names.js';
+import type {ForwardedRequest} from '../links/exchange.js';
+import {findHeader, type HeaderNames} from '../configuration/header-names.js';
 
 const noBody = new Uint8Array();
 
--- a/packages/mesh/src/route-pressure.ts
+++ b/packages/mesh/src/entry/route-pressure.ts
@@ -3,15 +3,15 @@
  * shed levels reported by targets and the call graph.
  */
 import type {Clock} from '@egretspoke/shared';
-import type {CallGraph} from './decisions/call-graph.js';
-import type {MeshPolicy} from './decisions/mesh-policy.js';
+import type {CallGraph} from '../decisions/admission/call-graph.js';
+import type {MeshPolicy} from '../decisions/mesh-policy.js';
 import {
 	orderLoad,
 	shareRefused,
 	wholeLoad,
 	type LoadDemand,
 	type ShedSlice,
-} from './decisions/shed-order.js';
+} from '../decisions/admission/shed-order.js';
 
 /** Dependencies of the route pressure. */
 export type RoutePressureOptions = {
--- a/packages/mesh/src/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -2,7 +2,7 @@
 import process from 'node:process';
 import type {Clock} from '@egretspoke/shared';
 import type {RawData, WebSocket} from 'ws';
-import {createTransitDelay} from './decisions/transit-delay.js';
+import {createTransitDelay} from '../decisions/routing/transit-delay.js';
 import {decodeFrame, encodeFrame, type PeerMessage} from './peer-message.js';
 
 /** A connection that carries messages. */
--- a/packages/mesh/src/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -2,8 +2,8 @@
 import {createServer} from 'node:http';
 import type {Clock} from '@egretspoke/shared';
 import {WebSocketServer} from 'ws';
+import {listenOn} from '../listening.js';
 import type {CancelAttempt, TargetChannel} from './exchange.js';
-import {listenOn} from './listening.js';
 import {
 	createPeerChannel,
 	frameLimit,
--- a/packages/mesh/src/peer-message.ts
+++ b/packages/mesh/src/links/peer-message.ts
@@ -7,16 +7,16 @@
 import {Packr} from 'msgpackr';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {
+	routingConfigurationSchema,
+	type RoutingConfiguration,
+} from '../configuration/route.js';
 import {
 	fromCompact,
 	toCompact,
 	isCompact,
 	type CompactMessage,
 } from './compact-message.js';
-import {
-	routingConfigurationSchema,
-	type RoutingConfiguration,
-} from './route.js';
 
 /** Identity and address of a node, as other nodes need them to link to it. */
 export const memberSchema = z.object({
--- a/packages/mesh/src/peer-updates.ts
+++ b/packages/mesh/src/links/peer-updates.ts
@@ -1,6 +1,6 @@
 /** Handles updates that may arrive on either side of a link, such as members and configuration versions. */
 import type {Clock, Timer} from '@egretspoke/shared';
-import type {ConfigurationFollower} from './configuration-follower.js';
+import type {ConfigurationFollower} from '../configuration/configuration-follower.js';
 import type {
 	Member,
 	PeerMessage,
--- a/packages/mesh/src/peer.ts
+++ b/packages/mesh/src/links/peer.ts
@@ -1,7 +1,7 @@
 /** Another node that this one is linked to: its state, its load, and its target as a routing candidate. */
 import type {Clock} from '@egretspoke/shared';
-import type {Candidate} from './decisions/target-selection.js';
-import {burstOf} from './decisions/rate-limiter.js';
+import type {Candidate} from '../decisions/routing/target-selection.js';
+import {burstOf} from '../decisions/admission/rate-limiter.js';
 import {
 	idleLoad,
 	isRateLimited,
--- a/packages/mesh/src/desired-links.ts
+++ b/packages/mesh/src/members/desired-links.ts
@@ -1,6 +1,6 @@
 /** Selects the members that this node links to, per service, by demand, occupancy and reachability. */
 import type {Clock} from '@egretspoke/shared';
-import {createNameRank} from './decisions/name-rank.js';
+import {createNameRank} from '../decisions/routing/name-rank.js';
 import {
 	chooseSubset,
 	createAdaptiveSize,
@@ -8,16 +8,16 @@
 	type AdaptiveSize,
 	type SubsetMember,
 	type SubsetSize,
-} from './decisions/peer-subset.js';
-import {nearOccupancyThreshold} from './decisions/target-selection.js';
-import type {KnownMembers} from './known-members.js';
+} from '../decisions/routing/peer-subset.js';
+import {nearOccupancyThreshold} from '../decisions/routing/target-selection.js';
 import {
 	estimateOccupancy,
 	isExpectedToServe,
 	usableTarget,
 	type Peer,
-} from './peer.js';
-import type {Member} from './peer-message.js';
+} from '../links/peer.js';
+import type {Member} from '../links/peer-message.js';
+import type {KnownMembers} from './known-members.js';
 
 /** Options of `createDesiredLinks`. */
 export type DesiredLinksOptions = {
--- a/packages/mesh/src/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -6,31 +6,34 @@
  * (`peer-subset.ts`), so that their number doesn't grow with the fleet.
  */
 import type {Clock, Random} from '@egretspoke/shared';
-import type {FeedPeer} from './decisions/feed-followers.js';
-import {levelOfService, type TargetLevel} from './decisions/service-level.js';
-import {isRateLimited, type TargetLoad} from './exchange.js';
-import {createKnownMembers} from './known-members.js';
-import {createMemberGossip} from './member-gossip.js';
+import type {FeedPeer} from '../decisions/routing/feed-followers.js';
+import {
+	levelOfService,
+	type TargetLevel,
+} from '../decisions/admission/service-level.js';
+import {isRateLimited, type TargetLoad} from '../links/exchange.js';
 import {
 	createPeerCandidate,
 	applyLoad,
 	usableTarget,
 	type Peer,
 	type TargetCandidate,
-} from './peer.js';
+} from '../links/peer.js';
 import type {
 	Member,
 	PeerMessage,
 	ProfilesMessage,
 	StateMessage,
-} from './peer-message.js';
-import {probeInterval} from './peer-link.js';
-import {createPeerLinks} from './peer-links.js';
-import {createTargetMemory} from './target-memory.js';
-import type {Ticker} from './ticker.js';
+} from '../links/peer-message.js';
+import {probeInterval} from '../links/peer-link.js';
+import {createPeerLinks} from '../links/peer-links.js';
+import {createTargetMemory} from '../target/target-memory.js';
+import type {Ticker} from '../timing/ticker.js';
+import {createMemberGossip} from './member-gossip.js';
+import {createKnownMembers} from './known-members.js';
 import {createDesiredLinks} from './desired-links.js';
 
-export type {TargetCandidate} from './peer.js';
+export type {TargetCandidate} from '../links/peer.js';
 
 /** Dependencies of a directory. */
 export type DirectoryOptions = {
--- a/packages/mesh/src/gossip.ts
+++ b/packages/mesh/src/members/gossip.ts
@@ -4,8 +4,8 @@
  * node has to send them to all others.
  */
 import type {Clock, Random, Timer} from '@egretspoke/shared';
-import type {Peer} from './peer.js';
-import type {Member, PeerMessage} from './peer-message.js';
+import type {Peer} from '../links/peer.js';
+import type {Member, PeerMessage} from '../links/peer-message.js';
 
 /** Options of `createGossip`. */
 export type GossipOptions<Item> = {
--- a/packages/mesh/src/known-members.ts
+++ b/packages/mesh/src/members/known-members.ts
@@ -1,5 +1,5 @@
 /** Tracks every member that this node was notified of, linked or not. */
-import type {Member} from './peer-message.js';
+import type {Member} from '../links/peer-message.js';
 
 /** The known members, without this node. */
 export type KnownMembers = {
--- a/packages/mesh/src/member-gossip.ts
+++ b/packages/mesh/src/members/member-gossip.ts
@@ -1,6 +1,6 @@
 /** Gossip of new members. A node that the gossip does not reach reads the member from the store. */
+import type {Member} from '../links/peer-message.js';
 import {createGossip, type Gossip, type GossipOptions} from './gossip.js';
-import type {Member} from './peer-message.js';
 
 /** Options of `createMemberGossip`. */
 export type MemberGossipOptions = Omit<GossipOptions<Member>, 'toMessage'>;
--- a/packages/mesh/src/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -6,11 +6,14 @@
  */
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
 import {z} from 'zod';
+import type {MeshReporter} from '../mesh-reporter.js';
+import {memberSchema, type Member} from '../links/peer-message.js';
+import type {RowStore, StoredRow} from '../configuration/row-store.js';
+import {
+	announcementSchema,
+	type TargetRecord,
+} from '../target/target-record.js';
 import {isSamePlace} from './known-members.js';
-import type {MeshReporter} from './mesh-reporter.js';
-import {memberSchema, type Member} from './peer-message.js';
-import type {RowStore, StoredRow} from './row-store.js';
-import {announcementSchema, type TargetRecord} from './target-record.js';
 
 /** Content of a row: the member, and the last leaving target that it acknowledged. */
 const rowSchema = z.object({
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -2,44 +2,53 @@
 import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
 import type {Clock, Random} from '@egretspoke/shared';
 import type {Result} from 'neverthrow';
-import {createCallerListener} from './caller-listener.js';
-import {createConfigurationFollower} from './configuration-follower.js';
-import {createCountedStore} from './counted-store.js';
-import {createDeadlineWheel} from './deadline-wheel.js';
+import {createCallerListener} from './entry/caller-listener.js';
+import {createConfigurationFollower} from './configuration/configuration-follower.js';
+import {createCountedStore} from './configuration/counted-store.js';
+import {createDeadlineWheel} from './timing/deadline-wheel.js';
 import {egretspokePolicy, type MeshPolicy} from './decisions/mesh-policy.js';
-import {createCallGraph} from './decisions/call-graph.js';
-import {createCallProfile} from './decisions/call-profile.js';
-import {feedStartDelay, isFeedFollower} from './decisions/feed-followers.js';
-import {createInnerRoutes} from './decisions/inner-routes.js';
+import {createCallGraph} from './decisions/admission/call-graph.js';
+import {createCallProfile} from './decisions/admission/call-profile.js';
+import {
+	feedStartDelay,
+	isFeedFollower,
+} from './decisions/routing/feed-followers.js';
+import {createInnerRoutes} from './decisions/admission/inner-routes.js';
 import {
 	createRetryBudget,
 	type RetryBudgetOptions,
-} from './decisions/retry-budget.js';
-import {createDirectory} from './directory.js';
-import {createEntry} from './entry.js';
-import {createTargetDispatcher} from './target-dispatcher.js';
-import {createGossip} from './gossip.js';
-import type {HeaderNames} from './header-names.js';
-import {createUpdateHandler} from './peer-updates.js';
-import {waitUntilIdle} from './graceful-shutdown.js';
-import {createProfileUpdates} from './profile-updates.js';
-import {createLoadReport} from './load-report.js';
-import {createMemberRegister} from './member-register.js';
+} from './decisions/repeats/retry-budget.js';
+import {createDirectory} from './members/directory.js';
+import {createEntry} from './entry/entry.js';
+import {createTargetDispatcher} from './target/target-dispatcher.js';
+import {createGossip} from './members/gossip.js';
+import type {HeaderNames} from './configuration/header-names.js';
+import {createUpdateHandler} from './links/peer-updates.js';
+import {waitUntilIdle} from './timing/graceful-shutdown.js';
+import {createProfileUpdates} from './entry/profile-updates.js';
+import {createLoadReport} from './target/load-report.js';
+import {createMemberRegister} from './members/member-register.js';
 import type {MeshReporter} from './mesh-reporter.js';
-import {createLocalStateMessages} from './local-state.js';
-import {createThrottledUpdates} from './throttled-updates.js';
-import {createQuotaExchange, type QuotaTolerance} from './quota-exchange.js';
-import {createPeerListener} from './peer-listener.js';
-import type {Member} from './peer-message.js';
-import type {RoutingConfiguration} from './route.js';
-import {createRoutePressure} from './route-pressure.js';
-import {createRouteTable, type RouteTable} from './route-table.js';
-import type {RowAddress, RowStore} from './row-store.js';
-import {createSuspectRegister} from './suspect-register.js';
-import {createSuspects, toMessage} from './suspects.js';
-import {createTicker} from './ticker.js';
-import {createTargetTracker} from './target-tracker.js';
-import type {Announcement, Withdrawal} from './target-record.js';
+import {createLocalStateMessages} from './target/local-state.js';
+import {createThrottledUpdates} from './timing/throttled-updates.js';
+import {
+	createQuotaExchange,
+	type QuotaTolerance,
+} from './quotas/quota-exchange.js';
+import {createPeerListener} from './links/peer-listener.js';
+import type {Member} from './links/peer-message.js';
+import type {RoutingConfiguration} from './configuration/route.js';
+import {createRoutePressure} from './entry/route-pressure.js';
+import {
+	createRouteTable,
+	type RouteTable,
+} from './configuration/route-table.js';
+import type {RowAddress, RowStore} from './configuration/row-store.js';
+import {createSuspectRegister} from './suspects/suspect-register.js';
+import {createSuspects, toMessage} from './suspects/suspects.js';
+import {createTicker} from './timing/ticker.js';
+import {createTargetTracker} from './target/target-tracker.js';
+import type {Announcement, Withdrawal} from './target/target-record.js';
 
 /** Settings of one node in a deployment. */
 export type MeshNodeSettings = {
--- a/packages/mesh/src/quota-exchange.ts
+++ b/packages/mesh/src/quotas/quota-exchange.ts
@@ -6,21 +6,21 @@
  * reports and can replace it.
  */
 import type {Clock, Random} from '@egretspoke/shared';
-import {createNameRank} from './decisions/name-rank.js';
-import {createQuotaAllocation} from './decisions/quota-allocation.js';
+import {createNameRank} from '../decisions/routing/name-rank.js';
+import {createQuotaAllocation} from '../decisions/quotas/quota-allocation.js';
 import {
 	createQuotaShare,
 	type Quota,
 	type QuotaUse,
-} from './decisions/quota-share.js';
-import type {Directory} from './directory.js';
+} from '../decisions/quotas/quota-share.js';
+import type {Directory} from '../members/directory.js';
 import type {
 	Member,
 	PeerMessage,
 	QuotaGrantMessage,
 	QuotaUseMessage,
-} from './peer-message.js';
-import type {Ticker} from './ticker.js';
+} from '../links/peer-message.js';
+import type {Ticker} from '../timing/ticker.js';
 import type {Workspace} from './workspace.js';
 
 /** How far the requests of a workspace may exceed its quota within any window. */
--- a/packages/mesh/src/suspect-register.ts
+++ b/packages/mesh/src/suspects/suspect-register.ts
@@ -12,10 +12,10 @@
 	type Suspect,
 } from '@egretspoke/quarantine';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
-import {followerCheckInterval} from './configuration-follower.js';
-import type {MeshReporter} from './mesh-reporter.js';
-import type {RowStore, StoredRow} from './row-store.js';
-import {followTable} from './table-feed.js';
+import {followerCheckInterval} from '../configuration/configuration-follower.js';
+import type {MeshReporter} from '../mesh-reporter.js';
+import type {RowStore, StoredRow} from '../configuration/row-store.js';
+import {followTable} from '../configuration/table-feed.js';
 
 /** Options of `createSuspectRegister`. */
 export type SuspectRegisterOptions = {
--- a/packages/mesh/src/suspects.ts
+++ b/packages/mesh/src/suspects/suspects.ts
@@ -9,14 +9,14 @@
 	type Suspect,
 } from '@egretspoke/quarantine';
 import type {Clock} from '@egretspoke/shared';
-import type {ForwardedRequest} from './exchange.js';
-import type {Gossip} from './gossip.js';
-import type {HeaderNames} from './header-names.js';
-import type {MeshReporter} from './mesh-reporter.js';
-import type {PeerMessage, SuspectsMessage} from './peer-message.js';
-import {partsOf} from './request-parts.js';
+import type {ForwardedRequest} from '../links/exchange.js';
+import type {Gossip} from '../members/gossip.js';
+import type {HeaderNames} from '../configuration/header-names.js';
+import type {MeshReporter} from '../mesh-reporter.js';
+import type {PeerMessage, SuspectsMessage} from '../links/peer-message.js';
+import {partsOf} from '../entry/request-parts.js';
+import type {Ticker} from '../timing/ticker.js';
 import type {SuspectRegister} from './suspect-register.js';
-import type {Ticker} from './ticker.js';
 
 /** Options of `createSuspects`. */
 export type SuspectsOptions = {
--- a/packages/mesh/src/crash-report.ts
+++ b/packages/mesh/src/target/crash-report.ts
@@ -7,10 +7,10 @@
 	type TimedRun,
 } from '@egretspoke/quarantine';
 import type {Clock} from '@egretspoke/shared';
-import type {ForwardedRequest} from './exchange.js';
-import type {HeaderNames} from './header-names.js';
-import type {MeshReporter} from './mesh-reporter.js';
-import {partsOf} from './request-parts.js';
+import type {ForwardedRequest} from '../links/exchange.js';
+import type {HeaderNames} from '../configuration/header-names.js';
+import type {MeshReporter} from '../mesh-reporter.js';
+import {partsOf} from '../entry/request-parts.js';
 
 /** A request running at the target. */
 export type WatchedRun = TimedRun & {request: ForwardedRequest};
--- a/packages/mesh/src/load-report.ts
+++ b/packages/mesh/src/target/load-report.ts
@@ -1,6 +1,6 @@
 /** Reports the load of the local target to the other nodes when it has changed significantly. */
 import type {Clock} from '@egretspoke/shared';
-import {idleLoad, type TargetLoad} from './exchange.js';
+import {idleLoad, type TargetLoad} from '../links/exchange.js';
 
 /** Dependencies of the report. */
 export type LoadReportOptions = {
--- a/packages/mesh/src/local-state.ts
+++ b/packages/mesh/src/target/local-state.ts
@@ -1,14 +1,14 @@
 /** Creates the messages in which a node reports its state to the nodes that are linked to it. */
-import type {CallProfile} from './decisions/call-profile.js';
-import type {InnerRoutes} from './decisions/inner-routes.js';
-import type {ConfigurationFollower} from './configuration-follower.js';
-import type {TargetDispatcher} from './target-dispatcher.js';
+import type {CallProfile} from '../decisions/admission/call-profile.js';
+import type {InnerRoutes} from '../decisions/admission/inner-routes.js';
+import type {ConfigurationFollower} from '../configuration/configuration-follower.js';
 import type {
 	HelloMessage,
 	Member,
 	ProfilesMessage,
 	StateMessage,
-} from './peer-message.js';
+} from '../links/peer-message.js';
+import type {TargetDispatcher} from './target-dispatcher.js';
 import type {TargetTracker} from './target-tracker.js';
 
 /** Sources of the messages, which are read whenever a message is created. */
--- a/packages/mesh/src/repeated-offers.ts
+++ b/packages/mesh/src/target/repeated-offers.ts
@@ -1,14 +1,14 @@
 /** Tracks which requests the local target declines, and limits repeated offers of them. */
-import type {MeshPolicy} from './decisions/mesh-policy.js';
+import type {MeshPolicy} from '../decisions/mesh-policy.js';
 import {
 	createOfferBudget,
 	nonLeafOfferShare,
 	leafOfferShare,
 	type OfferBudgetOptions,
-} from './decisions/offer-budget.js';
-import {createTargetCalls} from './decisions/target-calls.js';
-import {createRecentRatio} from './decisions/recent-ratio.js';
-import type {ForwardedRequest, Outcome} from './exchange.js';
+} from '../decisions/repeats/offer-budget.js';
+import {createTargetCalls} from '../decisions/admission/target-calls.js';
+import {createRecentRatio} from '../decisions/repeats/recent-ratio.js';
+import type {ForwardedRequest, Outcome} from '../links/exchange.js';
 
 /** Dependencies of the offers. */
 export type RepeatedOffersOptions = {
--- a/packages/mesh/src/target-access.ts
+++ b/packages/mesh/src/target/target-access.ts
@@ -1,7 +1,7 @@
 /** Manages the client of the local target and tracks whether the target is reachable. */
 import type {Clock} from '@egretspoke/shared';
-import type {HeaderNames} from './header-names.js';
-import type {MeshReporter} from './mesh-reporter.js';
+import type {HeaderNames} from '../configuration/header-names.js';
+import type {MeshReporter} from '../mesh-reporter.js';
 import type {TargetNotice} from './target-notice.js';
 import {createTargetClient, type TargetClient} from './target-client.js';
 import type {TargetRecord} from './target-record.js';
--- a/packages/mesh/src/target-client.ts
+++ b/packages/mesh/src/target/target-client.ts
@@ -9,8 +9,15 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Dispatcher} from 'undici';
-import type {ForwardedRequest, Outcome, RefusalReason} from './exchange.js';
-import {filterEndToEnd, type HeaderNames} from './header-names.js';
+import type {
+	ForwardedRequest,
+	Outcome,
+	RefusalReason,
+} from '../links/exchange.js';
+import {
+	filterEndToEnd,
+	type HeaderNames,
+} from '../configuration/header-names.js';
 import {readTargetNotice, type TargetNotice} from './target-notice.js';
 import {
 	createTargetConnections,
--- a/packages/mesh/src/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -16,18 +16,17 @@
 	type CrashWatch,
 } from '@egretspoke/quarantine';
 import {probeListening, type Clock, type Timer} from '@egretspoke/shared';
-import {reportCrash, type WatchedRun} from './crash-report.js';
-import type {DeadlineWheel} from './deadline-wheel.js';
-import type {CallProfile} from './decisions/call-profile.js';
-import {createFailureShare} from './decisions/failure-share.js';
+import type {DeadlineWheel} from '../timing/deadline-wheel.js';
+import type {CallProfile} from '../decisions/admission/call-profile.js';
+import {createFailureShare} from '../decisions/routing/failure-share.js';
 import {
 	createTargetAdmission,
 	type TargetAdmission,
-} from './decisions/target-admission.js';
-import type {MeshPolicy} from './decisions/mesh-policy.js';
-import type {OfferBudgetOptions} from './decisions/offer-budget.js';
-import {createRunTime} from './decisions/run-time.js';
-import {shedPeriod} from './decisions/shed-level.js';
+} from '../decisions/admission/target-admission.js';
+import type {MeshPolicy} from '../decisions/mesh-policy.js';
+import type {OfferBudgetOptions} from '../decisions/repeats/offer-budget.js';
+import {createRunTime} from '../decisions/routing/run-time.js';
+import {shedPeriod} from '../decisions/admission/shed-level.js';
 import {
 	isConnectionLoss,
 	isTargetFailure,
@@ -37,11 +36,12 @@
 	type RefusalReason,
 	type TargetChannel,
 	type TargetLoad,
-} from './exchange.js';
-import type {HeaderNames} from './header-names.js';
-import type {MeshReporter} from './mesh-reporter.js';
+} from '../links/exchange.js';
+import type {HeaderNames} from '../configuration/header-names.js';
+import type {MeshReporter} from '../mesh-reporter.js';
+import type {Suspects} from '../suspects/suspects.js';
 import {createRepeatedOffers} from './repeated-offers.js';
-import type {Suspects} from './suspects.js';
+import {reportCrash, type WatchedRun} from './crash-report.js';
 import type {createTargetClient} from './target-client.js';
 import {createTargetAccess} from './target-access.js';
 import {createTargetShedLevel} from './target-shed-level.js';
--- a/packages/mesh/src/target-memory.ts
+++ b/packages/mesh/src/target/target-memory.ts
@@ -5,8 +5,8 @@
  * target may still be in need, or leaving. The nodes that returned such answers
  * to their callers report them to it before they send it further requests.
  */
-import type {RateLoad} from './exchange.js';
-import type {TargetMemoryMessage, TargetState} from './peer-message.js';
+import type {RateLoad} from '../links/exchange.js';
+import type {TargetMemoryMessage, TargetState} from '../links/peer-message.js';
 import {isSameIncarnation, type Incarnation} from './target-record.js';
 
 /** What is known of the targets of other nodes. */
--- a/packages/mesh/src/target-notice.ts
+++ b/packages/mesh/src/target/target-notice.ts
@@ -1,5 +1,5 @@
 /** What a target states about itself in the headers of each answer. */
-import type {HeaderNames} from './header-names.js';
+import type {HeaderNames} from '../configuration/header-names.js';
 
 /** The rate limit in one answer. */
 export type RateLimitNotice =
--- a/packages/mesh/src/target-rate.ts
+++ b/packages/mesh/src/target/target-rate.ts
@@ -1,12 +1,15 @@
 /** Keeps the requests to the local target within the rate limit that it names, and logs its changes. */
 import type {Clock} from '@egretspoke/shared';
-import {createKnownRateLimit} from './decisions/known-rate-limit.js';
-import {burstOf, createRateLimiter} from './decisions/rate-limiter.js';
-import type {AdmissionRate} from './decisions/target-admission.js';
-import type {RateLoad} from './exchange.js';
-import type {MeshReporter} from './mesh-reporter.js';
+import {createKnownRateLimit} from '../decisions/admission/known-rate-limit.js';
+import {
+	burstOf,
+	createRateLimiter,
+} from '../decisions/admission/rate-limiter.js';
+import type {AdmissionRate} from '../decisions/admission/target-admission.js';
+import type {RateLoad} from '../links/exchange.js';
+import type {MeshReporter} from '../mesh-reporter.js';
+import {createThrottledUpdates} from '../timing/throttled-updates.js';
 import type {TargetNotice} from './target-notice.js';
-import {createThrottledUpdates} from './throttled-updates.js';
 
 /** Dependencies of the rate. */
 export type TargetRateOptions = {
--- a/packages/mesh/src/target-run.ts
+++ b/packages/mesh/src/target/target-run.ts
@@ -4,8 +4,8 @@
  * passed.
  */
 import type {Clock} from '@egretspoke/shared';
-import type {DeadlineWheel} from './deadline-wheel.js';
-import type {ForwardedRequest, Outcome} from './exchange.js';
+import type {DeadlineWheel} from '../timing/deadline-wheel.js';
+import type {ForwardedRequest, Outcome} from '../links/exchange.js';
 import type {TargetClient} from './target-client.js';
 
 /** Dependencies of a run. */
--- a/packages/mesh/src/target-shed-level.ts
+++ b/packages/mesh/src/target/target-shed-level.ts
@@ -1,10 +1,10 @@
 /** The shed level that this node reports for its local target. */
-import type {MeshPolicy} from './decisions/mesh-policy.js';
+import type {MeshPolicy} from '../decisions/mesh-policy.js';
 import {
 	createShedLevel,
 	maxUnserved,
 	type Pressure,
-} from './decisions/shed-level.js';
+} from '../decisions/admission/shed-level.js';
 
 /** The shed level of the local target. */
 export type TargetShedLevel = {
--- a/packages/mesh/src/target-tracker.ts
+++ b/packages/mesh/src/target/target-tracker.ts
@@ -1,8 +1,8 @@
 /** Tracks the state of the local target and publishes its changes. */
 import type {Clock} from '@egretspoke/shared';
+import type {MeshReporter} from '../mesh-reporter.js';
+import type {TargetState} from '../links/peer-message.js';
 import type {TargetDispatcher} from './target-dispatcher.js';
-import type {MeshReporter} from './mesh-reporter.js';
-import type {TargetState} from './peer-message.js';
 import {
 	isSameIncarnation,
 	applyAnnouncement,
