perf(platform): start the node from a bundle with a code cache

Cause: a start took 0.3 s of processor time for loading alone. A profile shows a third in Node's own modules that libraries require and the node never uses (http2, tls, zlib, child_process and others), an eighth in the ESM facades of built-in modules, and a quarter in compiling the bundle; what the first calls run was compiled after that.

Change: the bundle is CommonJS, built-in modules that are seldom used are loaded on first use, and a training run at build time (three linked nodes in one process) writes V8's code cache.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,11 +1,18 @@
 /**
- * Bundles the node program into one file. A start then reads one file instead
- * of about a hundred modules, and skips parts of libraries that the node never
- * uses; loading them would take most of the processor time of a start.
+ * Bundles the node program into one file, and adds a code cache. A start then
+ * reads one file instead of about a hundred modules, compiles nothing that the
+ * training run has compiled, and skips parts of libraries and of Node that the
+ * node never uses; loading them would take most of the processor time of a start.
  */
+import {execFileSync} from 'node:child_process';
+import {readFileSync} from 'node:fs';
 import path from 'node:path';
+import process from 'node:process';
 import {build} from 'esbuild';
 
+const program = 'target/egretspoke-program.cjs';
+const loader = 'target/egretspoke.cjs';
+
 /** Library modules, by path suffix, and their replacements. */
 const leanModules = {
 	// Excludes fetch, WebSocket, mocks and caches.
@@ -21,6 +28,42 @@
 	// Excludes metrics of Node's cluster module.
 	'prom-client/lib/cluster.js': 'module.exports = undefined;',
 	'prom-client/lib/pushgateway.js': 'module.exports = undefined;',
+	// Without the native decoder of long strings, which messages between nodes don't have.
+	'msgpackr-extract/index.js': 'module.exports = undefined;',
+};
+
+/** Modules of Node that libraries require but the node uses rarely or never, loaded on first use. */
+const lazyBuiltins = [
+	'child_process',
+	'cluster',
+	'dgram',
+	'http2',
+	'https',
+	'os',
+	'perf_hooks',
+	'tls',
+	'v8',
+	'worker_threads',
+	'zlib',
+];
+
+const lazyBuiltinModules = {
+	name: 'lazy-builtin-modules',
+	setup({onResolve, onLoad}) {
+		const pattern = new RegExp(`^(node:)?(${lazyBuiltins.join('|')})$`);
+		onResolve({filter: pattern}, ({path: name, namespace}) =>
+			namespace === 'lazy-builtin'
+				? undefined
+				: {path: name.replace('node:', ''), namespace: 'lazy-builtin'},
+		);
+		onLoad({filter: /.*/, namespace: 'lazy-builtin'}, ({path: name}) => ({
+			contents: `
+				let loaded;
+				const load = () => loaded ??= require(${JSON.stringify('node:')} + ${JSON.stringify(name)});
+				module.exports = new Proxy({}, {get: (_, key) => load()[key], has: (_, key) => key in load()});
+			`,
+		}));
+	},
 };
 
 const leanLibraries = {
@@ -44,18 +87,38 @@
 	},
 };
 
-await build({
-	entryPoints: ['platform/src/main.ts'],
-	outfile: 'target/egretspoke.mjs',
+const common = {
 	bundle: true,
 	minifySyntax: true,
 	platform: 'node',
 	target: 'node20',
-	format: 'esm',
+	// Not ESM, for which Node has no code cache and evaluates each getter of the built-in modules.
+	format: 'cjs',
 	conditions: ['source'],
-	plugins: [leanLibraries],
-	// Bundled CommonJS modules load Node's built-in modules with `require`.
-	banner: {
-		js: "import {createRequire as createBundleRequire} from 'node:module'; const require = createBundleRequire(import.meta.url);",
-	},
+};
+
+await build({
+	...common,
+	entryPoints: ['platform/src/program.ts'],
+	outfile: program,
+	// Replaces `import.meta.url`, from which msgpackr derives a `require`.
+	define: {'import.meta.url': '__filename'},
+	plugins: [leanLibraries, lazyBuiltinModules],
 });
+await build({
+	...common,
+	entryPoints: ['platform/src/loader.ts'],
+	outfile: loader,
+});
+writeCodeCache();
+
+/** Runs the program once with the flags of the deployment, since V8 rejects a cache that was made with others. */
+function writeCodeCache() {
+	const [, flags] = /^run = "node (.*) \S+"$/m.exec(
+		readFileSync('deploy/system.toml', 'utf8'),
+	);
+	execFileSync(process.execPath, [...flags.split(' '), loader], {
+		env: {...process.env, EGRETSPOKE_WRITE_CODE_CACHE: '1'},
+		stdio: 'inherit',
+	});
+}
