feat(mesh): pass the workspace of new work to the route pressure

Decisions about new work are to respect the shares of workspaces, and so far knew only its route, service and priority. `NewWork` has the field `workspace`, the name of the request's workspace, undefined without workspaces and for public routes. No decision reads it yet.

--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -350,6 +350,7 @@
 				{
 					route: routes.findRoute('shop.example', path)!,
 					urgency: isImportant ? 0 : 1,
+					workspace: undefined,
 					onAdmitted: () => undefined,
 				},
 				{
--- a/packages/mesh/__tests__/shed-order.spec.ts
+++ b/packages/mesh/__tests__/shed-order.spec.ts
@@ -98,6 +98,7 @@
 		route,
 		service,
 		priority: 2,
+		workspace: undefined,
 	});
 
 	/** Pages call records twice, records call state four times; commands run at the device itself, downloads make no calls. */
--- a/packages/mesh/src/entry/entry.ts
+++ b/packages/mesh/src/entry/entry.ts
@@ -89,7 +89,7 @@
 	return forwardRequest(
 		options,
 		request,
-		{route, urgency, onAdmitted},
+		{route, urgency, workspace: workspace?.name, onAdmitted},
 		callbacks,
 	);
 }
--- a/packages/mesh/src/entry/request-forwarding.ts
+++ b/packages/mesh/src/entry/request-forwarding.ts
@@ -31,7 +31,7 @@
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {TableRoute} from '../configuration/route-table.js';
 import type {Suspects} from '../suspects/suspects.js';
-import type {RoutePressure} from './route-pressure.js';
+import type {NewWork, RoutePressure} from './route-pressure.js';
 import {createForwardingReport} from './forwarding-report.js';
 import {createLocalCandidate, localNode} from './local-candidate.js';
 import type {CallerRequest, FinalAnswer} from './caller-request.js';
@@ -61,6 +61,8 @@
 export type ForwardingRoute = {
 	route: TableRoute;
 	urgency: number;
+	/** The name of the workspace that sent the request; undefined without workspaces and for public routes. */
+	workspace: string | undefined;
 	/** Called before the first attempt. */
 	onAdmitted: () => void;
 };
@@ -111,7 +113,7 @@
 export function forwardRequest(
 	options: ForwardingOptions,
 	request: CallerRequest,
-	{route, urgency, onAdmitted}: ForwardingRoute,
+	{route, urgency, workspace, onAdmitted}: ForwardingRoute,
 	callbacks: ForwardingCallbacks,
 ): () => void {
 	const {clock, random, wheel, directory, dispatcher, budget} = options;
@@ -121,7 +123,12 @@
 		request.arrivedAt +
 		Math.min(route.timeout, request.timeLeft ?? Number.POSITIVE_INFINITY);
 	const isInner = innerRoutes.isInner(route.name);
-	const work = {route: route.name, service, priority: urgency};
+	const work: NewWork = {
+		route: route.name,
+		service,
+		priority: urgency,
+		workspace,
+	};
 	const isNearCompletion =
 		isInner ||
 		(options.policy.has('nearEndFirst') &&
--- a/packages/mesh/src/entry/route-pressure.ts
+++ b/packages/mesh/src/entry/route-pressure.ts
@@ -29,6 +29,8 @@
 	service: string;
 	/** 0 is the highest. */
 	priority: number;
+	/** The name of the workspace that sent it; undefined without workspaces and for public routes. */
+	workspace: string | undefined;
 };
 
 /** The overload of services, as it applies to the requests of one entry node. */
