perf(observability): record the metrics of mesh requests in series

prom-client checks, sorts and concatenates the labels of each value, which costs four label sets per call; in a profile of cold nodes metrics took 3 % of the processor time. The request path now increments counters and appends durations to lists of their series, which are passed on in batches.

--- a/packages/observability/__tests__/metrics.spec.ts
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -101,4 +101,59 @@
 		expect(series).to.have.length(101);
 		expect(text).to.contain('kind="other"} 900');
 	});
+
+	it('renders each value of a mesh node once, however many there are', async () => {
+		// Values are passed on in batches. A batch that is passed on twice, or not at
+		// all, shows as a rate that differs from the one of the callers.
+		const metrics = createMeshMetrics();
+		const end = (route: string, reason: string) => {
+			metrics.requestEnded({
+				route,
+				outcome: reason === '' ? 'answered' : 'refused',
+				reason,
+				duration: 20,
+			});
+			metrics.attemptEnded('answered');
+			metrics.targetStarted(3);
+		};
+
+		for (let index = 0; index < 1000; index++) {
+			end('read', index % 4 === 0 ? 'shed' : '');
+		}
+
+		await metrics.render(meshReadings, 0);
+		end('read', '');
+		const text = await metrics.render(meshReadings, 0);
+		const lines = text.split('\n');
+		for (const line of [
+			'egretspoke_mesh_requests_total{route="read",outcome="answered",reason=""} 751',
+			'egretspoke_mesh_requests_total{route="read",outcome="refused",reason="shed"} 250',
+			'egretspoke_mesh_request_duration_seconds_count{route="read"} 1001',
+			'egretspoke_mesh_request_duration_seconds_bucket{le="0.025",route="read"} 1001',
+			'egretspoke_mesh_attempts_total{outcome="answered"} 1001',
+			'egretspoke_mesh_queue_time_seconds_count 1001',
+		]) {
+			expect(lines).to.include(line);
+		}
+	});
+
+	it('limits the series that the routes of a mesh node can create', async () => {
+		// A configuration with thousands of routes would otherwise grow the registry
+		// by a histogram for each of them.
+		const metrics = createMeshMetrics();
+		for (let index = 0; index < 1000; index++) {
+			metrics.requestEnded({
+				route: `route-${index}`,
+				outcome: 'answered',
+				reason: '',
+				duration: 1,
+			});
+		}
+
+		const text = await metrics.render(meshReadings, 0);
+		expect(text.match(/^egretspoke_mesh_requests_total\{/gmu)).to.have.length(
+			101,
+		);
+		expect(text).to.contain('route="other",outcome="answered",reason=""} 900');
+	});
 });
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -1,5 +1,6 @@
 /** The metrics of one mesh node: its own registry and typed functions that record values. */
-import {Registry} from 'prom-client';
+import {Registry, type Counter, type Histogram} from 'prom-client';
+import {CounterSeries, DurationSeries, SeriesMap} from './metric-series.js';
 import {
 	createCounter,
 	createGauge,
@@ -68,23 +69,31 @@
 	const quarantined = createCounter(registry, 'quarantined');
 	const storeFailures = createCounter(registry, 'meshStoreFailures');
 	const update = createReadingGauges(registry);
-	const limitRoute = createLabelLimiter();
+	const requestSeries = createRequestSeries(requests, duration);
+	const queueTimes = new DurationSeries(queueTime, {}, secondsPerMillisecond);
+	const targetDurations = new DurationSeries(
+		targetDuration,
+		{},
+		secondsPerMillisecond,
+	);
+	const attemptSeries = new SeriesMap<CounterSeries>();
 	const limitService = createLabelLimiter();
 
 	return {
-		requestEnded({route, outcome, reason, duration: time}) {
-			const routeLabel = limitRoute(route);
-			requests.inc({route: routeLabel, outcome, reason});
-			duration.observe({route: routeLabel}, time * secondsPerMillisecond);
+		requestEnded(request) {
+			requestSeries.record(request);
 		},
 		attemptEnded(outcome) {
-			attempts.inc({outcome});
+			const series =
+				attemptSeries.get(outcome) ??
+				attemptSeries.add(outcome, new CounterSeries(attempts, {outcome}));
+			series.increment();
 		},
 		targetStarted(queued) {
-			queueTime.observe(queued * secondsPerMillisecond);
+			queueTimes.record(queued);
 		},
 		targetEnded(time) {
-			targetDuration.observe(time * secondsPerMillisecond);
+			targetDurations.record(time);
 		},
 		retried(service) {
 			retries.inc({service: limitService(service)});
@@ -100,11 +109,74 @@
 		},
 		async render(readings, linesDropped) {
 			update(readings, linesDropped);
+			requestSeries.flush();
+			attemptSeries.flush();
+			queueTimes.flush();
+			targetDurations.flush();
 			return registry.metrics();
 		},
 	};
 }
 
+/** The series of the requests of one route. */
+type RouteSeries = {
+	durations: DurationSeries;
+	/** By outcome and reason. */
+	counts: SeriesMap<CounterSeries>;
+	flush(): void;
+};
+
+/** Creates the series of ended requests. */
+function createRequestSeries(requests: Counter, duration: Histogram) {
+	const limitRoute = createLabelLimiter();
+	const byRoute = new SeriesMap<RouteSeries>();
+
+	const createSeries = (route: string): RouteSeries => {
+		const durations = new DurationSeries(
+			duration,
+			{route},
+			secondsPerMillisecond,
+		);
+		const counts = new SeriesMap<CounterSeries>();
+		return {
+			durations,
+			counts,
+			flush() {
+				durations.flush();
+				counts.flush();
+			},
+		};
+	};
+
+	/** Routes beyond the limit of label values share one series. */
+	const seriesOfNewRoute = (route: string): RouteSeries => {
+		const label = limitRoute(route);
+		return byRoute.get(label) ?? byRoute.add(label, createSeries(label));
+	};
+
+	return {
+		record({route, outcome, reason, duration: time}: EndedMeshRequest) {
+			const {durations, counts} = byRoute.get(route) ?? seriesOfNewRoute(route);
+			const key = reason === '' ? outcome : `${outcome} ${reason}`;
+			const count =
+				counts.get(key) ??
+				counts.add(
+					key,
+					new CounterSeries(requests, {
+						route: limitRoute(route),
+						outcome,
+						reason,
+					}),
+				);
+			count.increment();
+			durations.record(time);
+		},
+		flush() {
+			byRoute.flush();
+		},
+	};
+}
+
 /** The value of the gauge while the target names no rate limit; 0 is a limit. */
 const noRateLimit = -1;
 
