feat(mesh): count the demand for lost targets at the remaining ones at once

Cause: when a deep service loses targets, the remaining ones ask for a shed level only after their queues have grown; the requests admitted until then fail midway and fill the middle services.

Change: entry nodes keep the demand that each linked target reported last. While targets are lost, the level of the service is at least 1 - remaining capacity / demand; it falls at once as targets return. One lost target of a service of which only a part is linked isn't counted. The mechanism is `lostCapacity`.

--- a/packages/mesh/__tests__/completion-chance.spec.ts
+++ b/packages/mesh/__tests__/completion-chance.spec.ts
@@ -19,9 +19,15 @@
 	runTime,
 	simulateDecliningFleet,
 	windowLength,
-	type FleetKind,
 	type FleetWindow,
 } from './declining-fleet.js';
+import {
+	failedShare,
+	kinds,
+	runsPerSecond,
+	servedWorth,
+	shareOf,
+} from './declining-load.js';
 
 describe('load report', () => {
 	it('of a node of an earlier version states no declined share', () => {
@@ -130,80 +136,10 @@
 	});
 });
 
-const kinds: FleetKind[] = [
-	{
-		route: 'commit',
-		first: 'middle',
-		priority: 0,
-		perSecond: 40,
-		calls: 8,
-		worth: 3,
-	},
-	{
-		route: 'page',
-		first: 'middle',
-		priority: 2,
-		perSecond: 100,
-		calls: 4,
-		worth: 1,
-	},
-	{
-		route: 'single',
-		first: 'middle',
-		priority: 2,
-		perSecond: 60,
-		calls: 1,
-		worth: 1,
-	},
-	{
-		route: 'direct',
-		first: 'deep',
-		priority: 1,
-		perSecond: 40,
-		calls: 0,
-		worth: 2,
-	},
-	{
-		route: 'plain',
-		first: 'middle',
-		priority: 2,
-		perSecond: 100,
-		calls: 0,
-		worth: 1,
-	},
-];
 const targets = 4;
-const runsPerSecond = kinds.reduce(
-	(sum, {first, perSecond, calls}) =>
-		sum + perSecond * (calls + (first === 'deep' ? 1 : 0)),
-	0,
-);
 const start = 22_000;
 const end = start + 8500;
 
-const worthOf = (
-	window: FleetWindow,
-	countOf: (counts: {requested: number; whole: number}) => number,
-) =>
-	kinds.reduce(
-		(sum, {route, worth}) =>
-			sum + worth * countOf(window.get(route) ?? {requested: 0, whole: 0}),
-		0,
-	);
-const servedWorth = (window: FleetWindow) =>
-	worthOf(window, ({whole}) => whole) /
-	worthOf(window, ({requested}) => requested);
-const shareOf = (window: FleetWindow, route: string) => {
-	const {whole, requested} = window.get(route)!;
-	return whole / requested;
-};
-
-const failedShare = (windows: FleetWindow[]) => {
-	const all = windows.flatMap((window) => [...window.values()]);
-	const failed = all.reduce((sum, counts) => sum + counts.failed, 0);
-	return failed / all.reduce((sum, {whole}) => sum + whole, failed);
-};
-
 /**
  * The feasible share of the worth. Plain requests are all served and direct
  * ones by the share that isn't declined. Repeats of 0.18 per run make a part of
--- a/packages/mesh/__tests__/declining-fleet.ts
+++ b/packages/mesh/__tests__/declining-fleet.ts
@@ -10,7 +10,6 @@
 	type VirtualClock,
 } from '@egretspoke/shared';
 import {createCallGraph} from '../src/decisions/admission/call-graph.js';
-import {findDecliningServices} from '../src/decisions/admission/service-declines.js';
 import {levelOfService} from '../src/decisions/admission/service-level.js';
 import {shedPeriod} from '../src/decisions/admission/shed-level.js';
 import {
@@ -23,6 +22,7 @@
 	pressureRefreshInterval,
 	type RoutePressure,
 } from '../src/entry/route-pressure.js';
+import {createServiceStates} from '../src/entry/service-states.js';
 import type {LinkedTarget} from '../src/links/peer.js';
 import {idleLoad} from '../src/links/exchange.js';
 import {
@@ -55,8 +55,10 @@
 	/** Slots of each deep target; it runs a call in `runTime`. */
 	slots: number;
 	reportDelay: number;
-	/** The share of offers that a deep target declines. */
-	declinedAt: (now: number, target: number) => number;
+	/** The share of offers that a deep target declines; 0 by default. */
+	declinedAt?: (now: number, target: number) => number;
+	/** The speed of a deep target, 0 while it is lost; 1 by default. */
+	speedAt?: (now: number, target: number) => number;
 	duration: number;
 	policy: Pick<MeshPolicy, 'has'>;
 	seed: number;
@@ -75,6 +77,8 @@
 const requestTimeout = 4000;
 const maxWait = 250;
 const middleTargets = 4;
+/** Limits the time for which work stays at a target that is lost. */
+const minSpeed = 0.1;
 /** Milliseconds in which a target declines an offer. */
 const declineTime = 1;
 const millisecondsPerSecond = 1000;
@@ -89,6 +93,7 @@
 
 type Target = {
 	index: number;
+	isDeep: boolean;
 	admission: TargetAdmission<Work>;
 	offers: RepeatedOffers;
 	level: TargetShedLevel;
@@ -98,10 +103,10 @@
 export function simulateDecliningFleet(
 	options: DecliningFleetOptions,
 ): FleetWindow[] {
-	const {kinds, policy} = options;
+	const {kinds, policy, declinedAt = () => 0, speedAt = () => 1} = options;
 	const clock = createVirtualClock();
 	const random = createRandom(options.seed);
-	const deep = createTargets(options.targets, options.slots, policy);
+	const deep = createTargets(options.targets, options.slots, policy, true);
 	const middleSlots = Math.ceil(
 		sum(
 			kinds.map(
@@ -113,18 +118,31 @@
 			middleTargets /
 			0.6,
 	);
-	const middle = createTargets(middleTargets, middleSlots, policy);
+	const middle = createTargets(middleTargets, middleSlots, policy, false);
 	const windows: FleetWindow[] = [];
 	let reported: LinkedTarget[] = [];
 	const entries = Array.from({length: options.entries}, () =>
 		createEntry(clock, kinds, policy, () => reported),
 	);
 
+	const isUp = ({isDeep, index}: Target) =>
+		!isDeep || speedAt(clock.now(), index) > 0;
+
 	const offer = (targets: Target[], work: Work) => {
-		const [left, right] = [draw(targets, random), draw(targets, random)];
+		const usable = targets.filter((target) => isUp(target));
+		if (usable.length === 0) {
+			work.onEnd(false);
+			return;
+		}
+
+		const [left, right] = [draw(usable, random), draw(usable, random)];
 		const target = loadOf(left) <= loadOf(right) ? left : right;
 		const decision = target.admission.offer(
-			{isNearCompletion: work.isInner, priority: work.kind.priority, maxWait},
+			{
+				isNearCompletion: work.isInner || work.kind.calls === 0,
+				priority: work.kind.priority,
+				maxWait,
+			},
 			work,
 			clock.now(),
 		);
@@ -152,12 +170,19 @@
 		}
 
 		const isDeclined =
-			random.fraction() < options.declinedAt(clock.now(), target.index);
+			random.fraction() < declinedAt(clock.now(), target.index);
 		const duration = isDeclined
 			? declineTime
-			: runTime * (0.4 - 0.6 * Math.log(1 - random.fraction()));
+			: (runTime * (0.4 - 0.6 * Math.log(1 - random.fraction()))) /
+				Math.max(minSpeed, speedAt(clock.now(), target.index));
 		clock.setTimer(duration, () => {
 			const now = clock.now();
+			if (!isUp(target)) {
+				free(target, undefined);
+				work.onEnd(false);
+				return;
+			}
+
 			const outcome = isDeclined
 				? {kind: 'declined' as const, status: 503}
 				: {
@@ -259,8 +284,8 @@
 	const update = () => {
 		const now = clock.now();
 		const loads = [
-			...deep.map((target) => updateTarget(target, 'deep', now)),
-			...middle.map((target) => updateTarget(target, 'middle', now)),
+			...deep.map((target) => updateTarget(target, isUp(target), now)),
+			...middle.map((target) => updateTarget(target, true, now)),
 		];
 		clock.setTimer(options.reportDelay, () => {
 			reported = loads;
@@ -277,9 +302,11 @@
 	count: number,
 	slots: number,
 	policy: Pick<MeshPolicy, 'has'>,
+	isDeep: boolean,
 ): Target[] {
 	return Array.from({length: count}, (_, index) => ({
 		index,
+		isDeep,
 		admission: createTargetAdmission<Work>(slots),
 		offers: createRepeatedOffers({
 			policy,
@@ -316,18 +343,16 @@
 		clock,
 		graph,
 		policy,
-		levels: () =>
-			new Map(
-				['middle', 'deep'].map((service) => [
-					service,
-					levelOfService(
-						reported()
-							.filter((target) => target.service === service)
-							.map(({shedLevel}) => ({shedLevel, isRateLimited: false})),
-					),
-				]),
-			),
-		declining: () => findDecliningServices(reported()),
+		...createServiceStates({
+			clock,
+			policy,
+			directory: {
+				targets: reported,
+				membersOf: () => 0,
+				shedLevels: () => meanLevels(reported()),
+			},
+			dispatcher: {load: () => idleLoad, target: () => []},
+		}),
 	});
 	const refresh = () => {
 		pressure.refresh();
@@ -338,9 +363,23 @@
 	return pressure;
 }
 
+/** The mean level of each service, as the directory calculates it. */
+function meanLevels(reported: LinkedTarget[]): Map<string, number> {
+	return new Map(
+		['middle', 'deep'].map((service) => [
+			service,
+			levelOfService(
+				reported
+					.filter((target) => target.service === service)
+					.map(({shedLevel}) => ({shedLevel, isRateLimited: false})),
+			),
+		]),
+	);
+}
+
 function updateTarget(
-	{admission, offers, level}: Target,
-	service: string,
+	{index, isDeep, admission, offers, level}: Target,
+	isUsable: boolean,
 	now: number,
 ): LinkedTarget {
 	for (const work of admission.expire(now)) {
@@ -358,7 +397,10 @@
 	});
 	return {
 		...idleLoad,
-		service,
+		node: `${isDeep ? 'deep' : 'middle'} ${index}`,
+		service: isDeep ? 'deep' : 'middle',
+		isUsable,
+		occupancy: (admission.running() + admission.waiting()) / admission.limit(),
 		slots: admission.limit(),
 		shedLevel: level.own(),
 		declined: offers.reportedDeclined(now),
--- a/packages/mesh/src/decisions/mesh-policy.ts
+++ b/packages/mesh/src/decisions/mesh-policy.ts
@@ -13,6 +13,8 @@
 	levelOfDeclined: 'the shed level rises while requests end declined',
 	completionChance:
 		'requests whose calls are declined too often are refused by the repeats that are left for them, and the level for declined requests applies only to them',
+	lostCapacity:
+		'the demand for lost targets counts for the remaining ones of their service at once',
 	levelByRoute:
 		'the shed level of a service applies only to requests that need it',
 	dearFirst:
--- /dev/null
+++ b/packages/mesh/src/entry/service-states.ts
@@ -0,0 +1,66 @@
+/** Reads the state of the services from the linked targets and the local one. */
+import type {Clock} from '@egretspoke/shared';
+import type {DecliningService} from '../decisions/admission/completion-chance.js';
+import {createCapacityLevels} from '../decisions/admission/service-capacity.js';
+import {findDecliningServices} from '../decisions/admission/service-declines.js';
+import type {MeshPolicy} from '../decisions/mesh-policy.js';
+import type {LinkedTarget} from '../links/peer.js';
+import type {Directory} from '../members/directory.js';
+import type {TargetDispatcher} from '../target/target-dispatcher.js';
+import {localNode} from './local-candidate.js';
+
+/** Dependencies of the service states. */
+export type ServiceStatesOptions = {
+	clock: Clock;
+	policy: Pick<MeshPolicy, 'has'>;
+	directory: Pick<Directory, 'shedLevels' | 'targets' | 'membersOf'>;
+	dispatcher: Pick<TargetDispatcher, 'load' | 'target'>;
+};
+
+/** The state of all services as the route pressure reads it. */
+export type ServiceStates = {
+	/** The shed level of each service, raised for lost targets. */
+	levels(): Map<string, number>;
+	/** The services that decline calls. */
+	declining(): ReadonlyMap<string, DecliningService>;
+};
+
+/** Creates the states of a node. */
+export function createServiceStates({
+	clock,
+	policy,
+	directory,
+	dispatcher,
+}: ServiceStatesOptions): ServiceStates {
+	const capacity = createCapacityLevels();
+	const listTargets = (): LinkedTarget[] => [
+		...directory.targets(),
+		...dispatcher.target().map((own) => ({...own, node: localNode})),
+	];
+
+	return {
+		levels() {
+			const levels = directory.shedLevels(dispatcher.load());
+			if (policy.has('lostCapacity')) {
+				raiseLevels(
+					levels,
+					capacity.update(listTargets(), directory.membersOf, clock.now()),
+				);
+			}
+
+			return levels;
+		},
+		declining: () =>
+			findDecliningServices(listTargets().filter(({isUsable}) => isUsable)),
+	};
+}
+
+/** Raises each level to the other one of the same service. */
+export function raiseLevels(
+	levels: Map<string, number>,
+	others: ReadonlyMap<string, number>,
+): void {
+	for (const [service, level] of others) {
+		levels.set(service, Math.max(level, levels.get(service) ?? 0));
+	}
+}
--- a/packages/mesh/src/links/peer.ts
+++ b/packages/mesh/src/links/peer.ts
@@ -84,18 +84,27 @@
 }
 
 /** A linked target with its reported load. */
-export type LinkedTarget = TargetLoad & {service: string; slots: number};
+export type LinkedTarget = TargetLoad & {
+	node: string;
+	service: string;
+	slots: number;
+	/** It accepts requests now. */
+	isUsable: boolean;
+};
 
-/** Returns the targets of the peers that accept requests now. */
+/** Returns the targets of the peers; those of which the peer reports none now are listed by the service of the member. */
 export function listTargets(peers: Iterable<Peer>): LinkedTarget[] {
 	const found: LinkedTarget[] = [];
 	for (const peer of peers) {
-		const service = peer.state?.target?.service;
-		const target =
-			service === undefined ? undefined : usableTarget(peer, service);
-		if (target) {
-			found.push({...peer.load, service: target.service, slots: target.slots});
-		}
+		const service = peer.state?.target?.service ?? peer.member.service;
+		const target = usableTarget(peer, service);
+		found.push({
+			...peer.load,
+			node: peer.member.node,
+			service,
+			slots: target?.slots ?? 0,
+			isUsable: target !== undefined,
+		});
 	}
 
 	return found;
--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -71,8 +71,10 @@
 	candidates(service: string, tried: ReadonlySet<string>): TargetCandidate[];
 	/** The shed level of each service with linked targets, and of the own one; see `service-level.ts`. */
 	shedLevels(ownLoad: TargetLoad): Map<string, number>;
-	/** The usable linked targets of all services. */
+	/** The linked targets of all services. */
 	targets(): LinkedTarget[];
+	/** The number of known members of the service, except this node. */
+	membersOf(service: string): number;
 	/** The nodes with usable links, and whether each follows the feed. */
 	feedPeers(): FeedPeer[];
 	/** All known members except this node. */
@@ -282,6 +284,7 @@
 			);
 		},
 		targets: () => listTargets(peers.values()),
+		membersOf: (service) => known.of(service).length,
 		feedPeers: () =>
 			links.usable().map(({member, state}) => ({
 				node: member.node,
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -38,8 +38,8 @@
 import {createPeerListener} from './links/peer-listener.js';
 import type {Member} from './links/peer-message.js';
 import type {RoutingConfiguration} from './configuration/route.js';
-import {findDecliningServices} from './decisions/admission/service-declines.js';
 import {createRoutePressure} from './entry/route-pressure.js';
+import {createServiceStates} from './entry/service-states.js';
 import {
 	createRouteTable,
 	type RouteTable,
@@ -311,9 +311,7 @@
 		clock,
 		graph,
 		policy,
-		levels: () => directory.shedLevels(dispatcher.load()),
-		declining: () =>
-			findDecliningServices([...directory.targets(), ...dispatcher.target()]),
+		...createServiceStates({clock, policy, directory, dispatcher}),
 	});
 	const profileUpdates = createProfileUpdates({
 		clock,
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -89,8 +89,8 @@
 	/** Records a call of the target to the route; returns the share, from 0 to 1, of the target's work that is a repeat. */
 	recordCall(route: string): number;
 	load(): TargetLoad;
-	/** The local target as the entry nodes see it; empty while it accepts no requests. */
-	target(): LinkedTarget[];
+	/** The local target as the entry nodes see it; empty while none is known. */
+	target(): Array<Omit<LinkedTarget, 'node'>>;
 	/** Closes the connections to the target. */
 	close(): void;
 	/** Number of running and waiting requests. */
@@ -526,8 +526,15 @@
 		},
 		load,
 		target: () =>
-			target && findRefusalReason(target.service) === undefined
-				? [{...load(), service: target.service, slots: target.slots}]
+			target
+				? [
+						{
+							...load(),
+							service: target.service,
+							slots: target.slots,
+							isUsable: findRefusalReason(target.service) === undefined,
+						},
+					]
 				: [],
 		close() {
 			rate.close();
