feat(mesh): show services that decline calls or have lost targets; later returns while nearly all is refused

Cause: operators couldn't tell from the log why a healthy looking service was shed. While nearly all requests of a kind are refused, callers were sent back after 0.3 s at the earliest, within a trouble that lasts for seconds, and most callers return only once.

Change: events 2520 and 2521 at the beginning and the end of each trouble at an entry node, three gauges, and retry times in the later half of what the caller can wait while at least 0.9 of its kind is refused.

--- a/packages/mesh/__tests__/declining-fleet.ts
+++ b/packages/mesh/__tests__/declining-fleet.ts
@@ -352,6 +352,7 @@
 				shedLevels: () => meanLevels(reported()),
 			},
 			dispatcher: {load: () => idleLoad, target: () => []},
+			reporter: {notice: () => undefined},
 		}),
 	});
 	const refresh = () => {
--- a/packages/mesh/__tests__/retry-after-time.spec.ts
+++ b/packages/mesh/__tests__/retry-after-time.spec.ts
@@ -23,6 +23,7 @@
 		// A deep service declines most of its work for seconds. Callers that retry
 		// within half a second are refused again, and have no attempt left.
 		expect(retryAfterTime({...caller, refused: 1}, 0.999)).to.be.above(1600);
+		expect(retryAfterTime({...caller, refused: 1}, 0)).to.be.above(800);
 	});
 
 	it('is a fraction of the time left of callers with little time', () => {
--- a/packages/mesh/src/decisions/repeats/retry-after-time.ts
+++ b/packages/mesh/src/decisions/repeats/retry-after-time.ts
@@ -5,7 +5,8 @@
  * for all, the refused requests arrive as the next burst and are refused again.
  * Near the end of their objective, retries are admitted but answered too late
  * to be useful. So the times are spread from a short minimum to half of the
- * objective.
+ * objective. While nearly all are refused, the cause lasts for seconds, and the
+ * times are spread over the later half of what the caller can wait.
  */
 
 /** The retry time for a short overload, in milliseconds. */
@@ -26,6 +27,13 @@
 /** The maximum retry time as a fraction of the time that the caller has left. */
 const maxTimeLeftRatio = 1 / 3;
 
+/**
+ * The minimum retry time while nearly all requests are refused, as a fraction of
+ * the maximum: most callers return once, and a return within the trouble is
+ * their last.
+ */
+const minLateRatio = 0.5;
+
 /** What determines the retry time of a caller; times in milliseconds. */
 export type CallerTime = {
 	/** Time until the caller gives up. */
@@ -47,9 +55,10 @@
 		shortRetryAfter,
 		objective * minObjectiveRatio,
 	);
-	const latest =
-		refused < nearlyAllRatio
-			? Math.min(max, objective * maxObjectiveRatio)
-			: max;
+	if (refused >= nearlyAllRatio) {
+		return max * (minLateRatio + (1 - minLateRatio) * fraction);
+	}
+
+	const latest = Math.min(max, objective * maxObjectiveRatio);
 	return earliest + Math.max(0, latest - earliest) * fraction;
 }
--- a/packages/mesh/src/entry/service-states.ts
+++ b/packages/mesh/src/entry/service-states.ts
@@ -1,13 +1,19 @@
 /** Reads the state of the services from the linked targets and the local one. */
+import type {MeshReadings} from '@egretspoke/observability';
 import type {Clock} from '@egretspoke/shared';
-import type {DecliningService} from '../decisions/admission/completion-chance.js';
+import {
+	completionLevel,
+	type DecliningService,
+} from '../decisions/admission/completion-chance.js';
 import {createCapacityLevels} from '../decisions/admission/service-capacity.js';
 import {findDecliningServices} from '../decisions/admission/service-declines.js';
 import type {MeshPolicy} from '../decisions/mesh-policy.js';
 import type {LinkedTarget} from '../links/peer.js';
+import type {MeshReporter} from '../mesh-reporter.js';
 import type {Directory} from '../members/directory.js';
 import type {TargetDispatcher} from '../target/target-dispatcher.js';
 import {localNode} from './local-candidate.js';
+import {createServiceTrouble} from './service-trouble.js';
 
 /** Dependencies of the service states. */
 export type ServiceStatesOptions = {
@@ -15,6 +21,7 @@
 	policy: Pick<MeshPolicy, 'has'>;
 	directory: Pick<Directory, 'shedLevels' | 'targets' | 'membersOf'>;
 	dispatcher: Pick<TargetDispatcher, 'load' | 'target'>;
+	reporter: Pick<MeshReporter, 'notice'>;
 };
 
 /** The state of all services as the route pressure reads it. */
@@ -23,6 +30,7 @@
 	levels(): Map<string, number>;
 	/** The services that decline calls. */
 	declining(): ReadonlyMap<string, DecliningService>;
+	readings(): Pick<MeshReadings, 'completionLevel' | 'lostCapacityLevel'>;
 };
 
 /** Creates the states of a node. */
@@ -31,8 +39,10 @@
 	policy,
 	directory,
 	dispatcher,
+	reporter,
 }: ServiceStatesOptions): ServiceStates {
 	const capacity = createCapacityLevels();
+	const trouble = createServiceTrouble({clock, reporter});
 	const listTargets = (): LinkedTarget[] => [
 		...directory.targets(),
 		...dispatcher.target().map((own) => ({...own, node: localNode})),
@@ -42,16 +52,31 @@
 		levels() {
 			const levels = directory.shedLevels(dispatcher.load());
 			if (policy.has('lostCapacity')) {
-				raiseLevels(
-					levels,
-					capacity.update(listTargets(), directory.membersOf, clock.now()),
+				const raised = capacity.update(
+					listTargets(),
+					directory.membersOf,
+					clock.now(),
 				);
+				trouble.record('lostTargets', raised);
+				raiseLevels(levels, raised);
 			}
 
 			return levels;
 		},
-		declining: () =>
-			findDecliningServices(listTargets().filter(({isUsable}) => isUsable)),
+		declining() {
+			const services = findDecliningServices(
+				listTargets().filter(({isUsable}) => isUsable),
+			);
+			const levels = [...services].map(
+				([service, declines]) => [service, completionLevel(declines)] as const,
+			);
+			trouble.record('declines', new Map(levels));
+			return services;
+		},
+		readings: () => ({
+			completionLevel: trouble.level('declines'),
+			lostCapacityLevel: trouble.level('lostTargets'),
+		}),
 	};
 }
 
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -307,12 +307,14 @@
 		isFollower: () => isFeedFollower(self.node, directory.feedPeers()),
 		onSuspects: suspects.applyStored,
 	});
-	const pressure = createRoutePressure({
+	const services = createServiceStates({
 		clock,
-		graph,
 		policy,
-		...createServiceStates({clock, policy, directory, dispatcher}),
+		directory,
+		dispatcher,
+		reporter,
 	});
+	const pressure = createRoutePressure({clock, graph, policy, ...services});
 	const profileUpdates = createProfileUpdates({
 		clock,
 		ticker,
@@ -424,6 +426,7 @@
 		withdraw: async (withdrawal) => targetTracker.withdraw(withdrawal),
 		readings: () => ({
 			...dispatcher.readings(),
+			...services.readings(),
 			configurationVersion: follower.current()?.version ?? 0,
 			isLeaving: isStopping,
 			openRequests: entry.open(),
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -97,7 +97,7 @@
 	openRequests(): number;
 	readings(): Pick<
 		MeshReadings,
-		'inFlight' | 'waiting' | 'limit' | 'rateLimit' | 'shedLevel'
+		'inFlight' | 'waiting' | 'limit' | 'rateLimit' | 'shedLevel' | 'declined'
 	>;
 };
 
@@ -548,6 +548,7 @@
 			limit: admission.limit(),
 			rateLimit: rate.limit(),
 			shedLevel: targetShedLevel.own(),
+			declined: offers.reportedDeclined(clock.now()),
 		}),
 	};
 
--- a/packages/observability/__tests__/metrics.spec.ts
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -31,6 +31,9 @@
 	limit: 100,
 	shedLevel: 0.5,
 	rateLimit: undefined,
+	declined: 0.25,
+	completionLevel: 0,
+	lostCapacityLevel: 0,
 	service: 'orders',
 };
 
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -160,6 +160,28 @@
 			'The target receives no further requests, although it may not have announced that it is leaving. After a restart of this node, another node may have reported it.',
 		advice: 'Nothing to do.',
 	},
+	meshServiceDeclines: {
+		code: 2520,
+		level: 'info',
+		kind: 'notice',
+		template:
+			'{service} declines calls, {change}: up to {level} of its calls cannot complete',
+		meaning:
+			'The targets of the service decline so many calls that the allowed repeats do not suffice. This entry refuses requests that make calls there, by priority and cost, as `shed`. `duration` is in milliseconds.',
+		advice:
+			'Find out why the targets decline calls; `egretspoke_mesh_declined_ratio` shows which ones do.',
+	},
+	meshServiceLostTargets: {
+		code: 2521,
+		level: 'info',
+		kind: 'notice',
+		template:
+			'{service} has lost targets, {change}: up to {level} of its demand has no capacity',
+		meaning:
+			'The remaining targets cannot take the demand that the lost ones reported. This entry refuses the excess, as `shed`. `duration` is in milliseconds.',
+		advice:
+			'Restore the targets; lines 2103, 2502 and 2504 before it name them.',
+	},
 	meshMetricsUnavailable: {
 		code: 2509,
 		level: 'warn',
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -48,6 +48,30 @@
 		reading:
 			'0 under normal load. Above 0 for a long time: the service, or one that it calls, lacks capacity.',
 	},
+	meshDeclined: {
+		name: 'egretspoke_mesh_declined_ratio',
+		type: 'gauge',
+		labels: [],
+		help: 'Share of recent offers that the target beside this node declined, within the last second.',
+		reading:
+			'0 under normal load. Above 0.1 at all targets of a service: requests that make several calls there are refused at the entries.',
+	},
+	meshCompletionLevel: {
+		name: 'egretspoke_mesh_completion_level',
+		type: 'gauge',
+		labels: [],
+		help: 'Maximum share of the calls to a service that the allowed repeats cannot complete, over all services; as of the last request at this entry.',
+		reading:
+			'Above 0: requests that make calls to a declining service are refused here by this level, see event 2520.',
+	},
+	meshLostCapacityLevel: {
+		name: 'egretspoke_mesh_lost_capacity_level',
+		type: 'gauge',
+		labels: [],
+		help: 'Maximum share of the demand for a service that its remaining targets cannot take, over all services; as of the last request at this entry.',
+		reading:
+			'Above 0: a service has lost targets, see event 2521; more targets lower it at once.',
+	},
 	meshRateLimit: {
 		name: 'egretspoke_mesh_target_rate_limit',
 		type: 'gauge',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -32,6 +32,11 @@
 		/** Number of known nodes, this one included. */
 		members: number;
 		shedLevel: number;
+		/** The share of recent offers that the local target declined. */
+		declined: number;
+		/** The maximum levels over all services for declined calls and for lost targets. */
+		completionLevel: number;
+		lostCapacityLevel: number;
 		/** Requests per second that the local target accepts; undefined or infinite without a limit. */
 		rateLimit: number | undefined;
 	};
@@ -111,6 +116,9 @@
 function createReadingGauges(registry: Registry) {
 	const members = createGauge(registry, 'meshMembers');
 	const shedLevel = createGauge(registry, 'meshShedLevel');
+	const declined = createGauge(registry, 'meshDeclined');
+	const completionLevel = createGauge(registry, 'meshCompletionLevel');
+	const lostCapacityLevel = createGauge(registry, 'meshLostCapacityLevel');
 	const rateLimit = createGauge(registry, 'meshRateLimit');
 	const updateProcess = createProcessGauges(registry);
 	const updateTarget = createTargetGauges(registry);
@@ -120,6 +128,9 @@
 		updateTarget(readings);
 		members.set(readings.members);
 		shedLevel.set(readings.shedLevel);
+		declined.set(readings.declined);
+		completionLevel.set(readings.completionLevel);
+		lostCapacityLevel.set(readings.lostCapacityLevel);
 		rateLimit.set(
 			readings.rateLimit === undefined || !Number.isFinite(readings.rateLimit)
 				? noRateLimit
