--- a/packages/mesh/src/links/peer.ts
+++ b/packages/mesh/src/links/peer.ts
@@ -83,6 +83,33 @@
 		: undefined;
 }
 
+/** A linked target with its reported load. */
+export type LinkedTarget = TargetLoad & {
+	node: string;
+	service: string;
+	slots: number;
+	/** It accepts requests now. */
+	isUsable: boolean;
+};
+
+/** Returns the targets of the peers; those of which the peer reports none now are listed by the service of the member. */
+export function listTargets(peers: Iterable<Peer>): LinkedTarget[] {
+	const found: LinkedTarget[] = [];
+	for (const peer of peers) {
+		const service = peer.state?.target?.service ?? peer.member.service;
+		const target = usableTarget(peer, service);
+		found.push({
+			...peer.load,
+			node: peer.member.node,
+			service,
+			slots: target?.slots ?? 0,
+			isUsable: target !== undefined,
+		});
+	}
+
+	return found;
+}
+
 /** Whether the peer counts as serving the service: it does, or still has time to connect or to restart. */
 export function isExpectedToServe(
 	peer: Peer,
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -39,6 +39,7 @@
 import type {Member} from './links/peer-message.js';
 import type {RoutingConfiguration} from './configuration/route.js';
 import {createRoutePressure} from './entry/route-pressure.js';
+import {createServiceStates} from './entry/service-states.js';
 import {
 	createRouteTable,
 	type RouteTable,
@@ -306,12 +307,14 @@
 		isFollower: () => isFeedFollower(self.node, directory.feedPeers()),
 		onSuspects: suspects.applyStored,
 	});
-	const pressure = createRoutePressure({
+	const services = createServiceStates({
 		clock,
-		graph,
 		policy,
-		levels: () => directory.shedLevels(dispatcher.load()),
+		directory,
+		dispatcher,
+		reporter,
 	});
+	const pressure = createRoutePressure({clock, graph, policy, ...services});
 	const profileUpdates = createProfileUpdates({
 		clock,
 		ticker,
@@ -423,6 +426,7 @@
 		withdraw: async (withdrawal) => targetTracker.withdraw(withdrawal),
 		readings: () => ({
 			...dispatcher.readings(),
+			...services.readings(),
 			configurationVersion: follower.current()?.version ?? 0,
 			isLeaving: isStopping,
 			openRequests: entry.open(),
