refactor(mesh): move the shared types of quotas into a module of their own

quota-allocation.ts and quota-share.ts imported each other: one the types of the other, the other its report timeout. Both now import quota-types.ts.

--- a/packages/mesh/src/decisions/quotas/quota-allocation.ts
+++ b/packages/mesh/src/decisions/quotas/quota-allocation.ts
@@ -7,7 +7,12 @@
  * them. So the nodes of a data centre report to one of them, the allocator,
  * which grants each workspace one ratio for all nodes.
  */
-import type {Quota, QuotaGrant, QuotaUse} from './quota-share.js';
+import {
+	reportTimeout,
+	type Quota,
+	type QuotaGrant,
+	type QuotaUse,
+} from './quota-types.js';
 
 /** The source of a report: a node of the allocator's data centre, or another data centre as a whole. */
 export type Reporter = {kind: 'node' | 'dataCentre'; name: string};
@@ -35,8 +40,6 @@
 
 /** Milliseconds after its start within which an allocator has too few reports to grant anything. */
 const learningDuration = 1200;
-/** Milliseconds without a report after which a reporter counts as silent; an allocator may still grant for as long after a partition. */
-export const reportTimeout = 1200;
 /** The averaging time of a reporter's demand, in milliseconds. */
 const averagingTime = 2500;
 /**
--- a/packages/mesh/src/decisions/quotas/quota-share.ts
+++ b/packages/mesh/src/decisions/quotas/quota-share.ts
@@ -8,34 +8,12 @@
  * within its quota, and nothing is refused then.
  */
 import type {Random} from '@egretspoke/shared';
-import {reportTimeout} from './quota-allocation.js';
-
-/** The quota of a workspace. */
-export type Quota = {
-	workspace: string;
-	/** Requests per second. */
-	rate: number;
-	/** Requests beyond the rate that may arrive at once. */
-	burst: number;
-};
-
-/** The requests of a workspace at a node or a data centre: the demand without a quota, and what was admitted; in requests per second. */
-export type QuotaUse = {
-	workspace: string;
-	requested: number;
-	admitted: number;
-	/** What nodes without recent reports may admit; 0 for a single node. */
-	reserved: number;
-};
-
-/** A grant of an allocator. */
-export type QuotaGrant = {
-	workspace: string;
-	/** The demand over all nodes, in requests per second. */
-	requested: number;
-	/** The ratio of the demand, from 0 to 1, that may be admitted. */
-	share: number;
-};
+import {
+	reportTimeout,
+	type Quota,
+	type QuotaGrant,
+	type QuotaUse,
+} from './quota-types.js';
 
 /** One node's part of the quotas; times are in milliseconds of the steady clock. */
 export type QuotaShare = {
--- a/packages/mesh/src/quotas/quota-exchange.ts
+++ b/packages/mesh/src/quotas/quota-exchange.ts
@@ -8,11 +8,8 @@
 import type {Clock, Random} from '@egretspoke/shared';
 import {createNameRank} from '../decisions/routing/name-rank.js';
 import {createQuotaAllocation} from '../decisions/quotas/quota-allocation.js';
-import {
-	createQuotaShare,
-	type Quota,
-	type QuotaUse,
-} from '../decisions/quotas/quota-share.js';
+import {createQuotaShare} from '../decisions/quotas/quota-share.js';
+import type {Quota, QuotaUse} from '../decisions/quotas/quota-types.js';
 import type {Directory} from '../members/directory.js';
 import type {
 	Member,
