refactor(mesh): move the choice of allocators out of the quota exchange

createQuotaExchange also ranked the nodes of each data centre and chose the allocators and the pinned links.

--- a/packages/mesh/__tests__/quota-fleet.ts
+++ b/packages/mesh/__tests__/quota-fleet.ts
@@ -5,6 +5,7 @@
 	createQuotaExchange,
 	type QuotaExchange,
 } from '../src/quotas/quota-exchange.js';
+import {createAllocators} from '../src/quotas/allocators.js';
 import {createTicker} from '../src/timing/ticker.js';
 import type {Workspace} from '../src/quotas/workspace.js';
 
@@ -78,17 +79,19 @@
 
 	const start = (member: Member) => {
 		const controller = new AbortController();
+		const directory = () => ({
+			members: () => members.filter((other) => other !== member),
+			isLinked: (to: string) => isLinked(member, to),
+			send(to: string, message: PeerMessage) {
+				deliver(node, to, message);
+			},
+		});
 		const exchange = createQuotaExchange({
 			clock,
 			random: random.fork(),
 			self: member,
-			directory: () => ({
-				members: () => members.filter((other) => other !== member),
-				isLinked: (to) => isLinked(member, to),
-				send(to, message) {
-					deliver(node, to, message);
-				},
-			}),
+			directory,
+			allocators: createAllocators({self: member, directory}),
 			isMembershipKnown: () => true,
 			workspaces: () => workspaces,
 			tolerance: {window: 5000, overage: 0.1, slack: 20},
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -35,6 +35,7 @@
 	createQuotaExchange,
 	type QuotaTolerance,
 } from './quotas/quota-exchange.js';
+import {createAllocators} from './quotas/allocators.js';
 import {createPeerListener} from './links/peer-listener.js';
 import type {Member} from './links/peer-message.js';
 import type {RoutingConfiguration} from './configuration/route.js';
@@ -241,11 +242,13 @@
 			quotas.receiveGrant(message);
 		},
 	});
+	const allocators = createAllocators({self, directory: () => directory});
 	const quotas = createQuotaExchange({
 		clock,
 		random: random.fork(),
 		self,
 		directory: () => directory,
+		allocators,
 		isMembershipKnown: () => isMembershipKnown,
 		workspaces: () => follower.current()?.workspaces ?? [],
 		tolerance: settings.quotaTolerance,
--- a/packages/mesh/src/quotas/quota-exchange.ts
+++ b/packages/mesh/src/quotas/quota-exchange.ts
@@ -1,12 +1,8 @@
 /**
- * Exchanges the usage and the grants of workspace quotas between nodes.
- *
- * The first reachable nodes of a data centre, in an order common to all nodes,
- * are its allocators: the first one grants, the second one receives the same
- * reports and can replace it.
+ * Exchanges the usage and the grants of workspace quotas between nodes and
+ * their allocators (`allocators.ts`).
  */
 import type {Clock, Random} from '@egretspoke/shared';
-import {createNameRank} from '../decisions/routing/name-rank.js';
 import {createQuotaAllocation} from '../decisions/quotas/quota-allocation.js';
 import {createQuotaShare} from '../decisions/quotas/quota-share.js';
 import type {Quota, QuotaUse} from '../decisions/quotas/quota-types.js';
@@ -18,6 +14,7 @@
 	QuotaUseMessage,
 } from '../links/peer-message.js';
 import type {Ticker} from '../timing/ticker.js';
+import type {Allocators} from './allocators.js';
 import type {Workspace} from './workspace.js';
 
 /** How far the requests of a workspace may exceed its quota within any window. */
@@ -35,7 +32,8 @@
 	clock: Clock;
 	random: Random;
 	self: Member;
-	directory: () => Pick<Directory, 'members' | 'isLinked' | 'send'>;
+	directory: () => Pick<Directory, 'members' | 'send'>;
+	allocators: Allocators;
 	/** Whether the register of members has been read. */
 	isMembershipKnown: () => boolean;
 	workspaces: () => readonly Workspace[];
@@ -62,11 +60,6 @@
 
 /** Milliseconds between two reports. */
 const reportInterval = 400;
-/** Nodes of each data centre that receive its reports. */
-const allocatorCount = 2;
-/** Nodes with pinned links, per data centre, so that replacements are linked when an allocator stops. */
-const pinnedLocalCount = 4;
-const pinnedRemoteCount = 2;
 
 /** Fractions of the tolerance that are granted; the rest covers reports that arrive late. */
 const grantedOverageRatio = 0.5;
@@ -75,13 +68,11 @@
 const spreadBurstRatio = 0.5;
 const millisecondsPerSecond = 1000;
 
-const rankOf = createNameRank('quota');
-
 /** Creates an exchange that has not started. */
 export function createQuotaExchange(
 	options: QuotaExchangeOptions,
 ): QuotaExchange {
-	const {clock, self, directory} = options;
+	const {clock, self, directory, allocators} = options;
 	const startedAt = clock.now();
 	const allocation = createQuotaAllocation(startedAt);
 	const share = createQuotaShare({
@@ -114,38 +105,6 @@
 			.workspaces()
 			.flatMap((workspace) => (workspace.rate > 0 ? [toQuota(workspace)] : []));
 
-	/** Sorts the nodes of a data centre by their precedence as allocators. */
-	const rankNodes = (
-		members: readonly Member[],
-		dataCentre: string,
-	): string[] =>
-		members
-			.filter((member) => member.dataCentre === dataCentre)
-			.map(({node}) => node)
-			.toSorted((left, right) => rankOf(left) - rankOf(right));
-
-	/** Cached until the next exchange, because members change rarely but are needed for each message. */
-	let localNodes: string[] = [self.node];
-	const updateLocalNodes = () => {
-		localNodes = rankNodes([...directory().members(), self], self.dataCentre);
-	};
-
-	const isSelfOrLinked = (node: string) =>
-		node === self.node || directory().isLinked(node);
-
-	const listAllocators = (ranked: string[]): string[] =>
-		ranked.filter((node) => isSelfOrLinked(node)).slice(0, allocatorCount);
-
-	const otherDataCentres = (): Set<string> => {
-		const names = new Set(
-			directory()
-				.members()
-				.map(({dataCentre}) => dataCentre),
-		);
-		names.delete(self.dataCentre);
-		return names;
-	};
-
 	/**
 	 * Only while a majority of the nodes of the data centre report to this one,
 	 * because an isolated node would otherwise grant itself whole quotas.
@@ -153,7 +112,7 @@
 	const mayGrant = (now: number): boolean =>
 		options.isMembershipKnown() &&
 		allocation.isSettled(now) &&
-		allocation.reportingNodes(now) * 2 > localNodes.length;
+		allocators.isMajority(allocation.reportingNodes(now));
 
 	/** Limited workspaces are granted to every node: otherwise each would admit its first request of one. */
 	const listGranted = (reported: string[]): Set<string> =>
@@ -186,17 +145,14 @@
 	 */
 	const sendTotals = () => {
 		const uses = toTuples(allocation.sums(clock.now()));
-		const members = directory().members();
-		for (const dataCentre of otherDataCentres()) {
-			for (const allocator of listAllocators(rankNodes(members, dataCentre))) {
-				directory().send(allocator, {
-					kind: 'quotaUse',
-					node: self.node,
-					dataCentre: self.dataCentre,
-					wantsGrant: false,
-					uses,
-				});
-			}
+		for (const allocator of allocators.remote()) {
+			directory().send(allocator, {
+				kind: 'quotaUse',
+				node: self.node,
+				dataCentre: self.dataCentre,
+				wantsGrant: false,
+				uses,
+			});
 		}
 	};
 
@@ -206,16 +162,16 @@
 			return;
 		}
 
-		updateLocalNodes();
+		allocators.update();
 		const now = clock.now();
 		allocation.update(quotas, now);
 		const uses = share.uses(now);
-		const allocators = listAllocators(localNodes);
-		for (const [index, allocator] of allocators.entries()) {
+		const local = allocators.local();
+		for (const [index, allocator] of local.entries()) {
 			reportTo(allocator, uses, index === 0);
 		}
 
-		if (allocators[0] === self.node && mayGrant(now)) {
+		if (local[0] === self.node && mayGrant(now)) {
 			sendTotals();
 		}
 	};
@@ -226,24 +182,10 @@
 			share.recordAdmitted(toQuota(workspace));
 		},
 		retryAfterTime: (workspace) => share.retryAfterTime(toQuota(workspace)),
-		pinned() {
-			if (!options.workspaces().some(({rate}) => rate > 0)) {
-				return [];
-			}
-
-			updateLocalNodes();
-			const pinned = localNodes.slice(0, pinnedLocalCount);
-			if (localNodes.slice(0, allocatorCount).includes(self.node)) {
-				const members = directory().members();
-				for (const dataCentre of otherDataCentres()) {
-					pinned.push(
-						...rankNodes(members, dataCentre).slice(0, pinnedRemoteCount),
-					);
-				}
-			}
-
-			return pinned;
-		},
+		pinned: () =>
+			options.workspaces().some(({rate}) => rate > 0)
+				? allocators.pinned()
+				: [],
 		receiveUse({node, dataCentre, wantsGrant, uses}, reply) {
 			const now = clock.now();
 			allocation.report(
