fix(mesh): hold quotas when demand rises in the second of a partition

Cause: partitioned nodes spend the part of a quota that they had before the partition. A node computed it from its newest rate and a total that is one report interval older, so the parts added up to 1.03 to 1.07 while demand rose. And an allocator that is alone grants to itself for 1.2 s by a total in which only its own demand rises, so that its limit for a surge grew.

Change: a settled part uses the rate of the report before, and while a report is overdue (600 ms) the parts of an allocator's grants to itself don't grow.

All 125 tests pass, those that refuse nothing below a quota unchanged.

--- a/packages/mesh/src/decisions/quotas/quota-allocation.ts
+++ b/packages/mesh/src/decisions/quotas/quota-allocation.ts
@@ -34,12 +34,16 @@
 	limited(): string[];
 	/** The number of nodes of this data centre with a recent report. */
 	reportingNodes(now: number): number;
+	/** Whether a reporter has missed a report and does not count as silent yet: this node may be partitioned from it. */
+	hasOverdue(now: number): boolean;
 	/** Whether enough time has passed since the start for reports to arrive, so that grants are reliable. */
 	isSettled(now: number): boolean;
 };
 
 /** Milliseconds after its start within which an allocator has too few reports to grant anything. */
 const learningDuration = 1200;
+/** Milliseconds without a report after which it is overdue: one and a half intervals of the reports. */
+const overdueTime = 600;
 /** The averaging time of a reporter's demand, in milliseconds. */
 const averagingTime = 2500;
 /**
@@ -285,6 +289,10 @@
 				share < 1 ? [workspace] : [],
 			),
 		reportingNodes: (now) => listLiveNodes(now).length,
+		hasOverdue: (now) =>
+			[...reports.values()].some(
+				({at}) => now - at > overdueTime && now - at < reportTimeout,
+			),
 		isSettled: (now) => now - startedAt >= learningDuration,
 	};
 }
--- a/packages/mesh/src/decisions/quotas/quota-share.ts
+++ b/packages/mesh/src/decisions/quotas/quota-share.ts
@@ -27,6 +27,11 @@
 	uses(now: number): QuotaUse[];
 	/** Applies the grants of an allocator; an empty list only shows that the allocator is reachable. */
 	applyGrants(grants: QuotaGrant[], now: number): void;
+	/**
+	 * Applies a node's grants to itself while it may be partitioned: its own
+	 * demand is the only one that it still sees rising, so its parts don't grow.
+	 */
+	applyDoubtfulGrants(grants: QuotaGrant[], now: number): void;
 };
 
 /** Milliseconds without a message of an allocator after which a node spends a fixed part. */
@@ -56,6 +61,12 @@
 	admitted: number;
 	/** The moving average of the requests at this node, per second. */
 	requestRate: number;
+	/**
+	 * The same as of the report before the last one. The total of a grant is from
+	 * reports that are older by about one interval, and while demand rises,
+	 * newer rates would add up to more than that total.
+	 */
+	previousRate: number;
 	share: number;
 	grantedAt: number;
 	/** The fraction of the workspace's requests that this node received, as of the last grant; undefined before any. */
@@ -100,6 +111,7 @@
 				allowed: 0,
 				admitted: 0,
 				requestRate: 0,
+				previousRate: 0,
 				share: 1,
 				grantedAt: Number.NEGATIVE_INFINITY,
 				part: undefined,
@@ -183,6 +195,13 @@
 		return isAdmitted;
 	};
 
+	const applyGrants = (grants: QuotaGrant[], now: number) => {
+		contactAt = now;
+		for (const grant of grants) {
+			applyGrant(accountOf(grant.workspace, now), grant, now);
+		}
+	};
+
 	return {
 		allows(quota, now) {
 			if (quota.rate === 0) {
@@ -220,6 +239,7 @@
 			const uses: QuotaUse[] = [];
 			for (const [workspace, account] of accounts) {
 				const requested = expectedRuns(account) * perSecond;
+				account.previousRate = account.requestRate;
 				account.requestRate += weight * (requested - account.requestRate);
 				if (account.requested > 0 || account.requestRate > minRate) {
 					const admitted = account.admitted * perSecond;
@@ -233,10 +253,12 @@
 
 			return uses;
 		},
-		applyGrants(grants, now) {
-			contactAt = now;
-			for (const grant of grants) {
-				applyGrant(accountOf(grant.workspace, now), grant, now);
+		applyGrants,
+		applyDoubtfulGrants(grants, now) {
+			applyGrants(grants, now);
+			for (const {workspace} of grants) {
+				const account = accountOf(workspace, now);
+				account.part = settledPart(account) ?? account.part;
 			}
 		},
 	};
@@ -259,7 +281,10 @@
 	}
 
 	account.part = Math.min(1, account.requestRate / requested);
-	account.recentParts.push({part: account.part, at: now});
+	account.recentParts.push({
+		part: Math.min(1, account.previousRate / requested),
+		at: now,
+	});
 }
 
 /** The number of requests that would have been handed to a target if the quota had allowed all of them. */
--- a/packages/mesh/src/quotas/quota-exchange.ts
+++ b/packages/mesh/src/quotas/quota-exchange.ts
@@ -132,7 +132,10 @@
 
 		allocation.report({kind: 'node', name: self.node}, uses, now);
 		if (isFirst && mayGrant(now)) {
-			share.applyGrants(
+			const apply = allocation.hasOverdue(now)
+				? share.applyDoubtfulGrants
+				: share.applyGrants;
+			apply(
 				allocation.grants(listGranted(uses.map(({workspace}) => workspace))),
 				now,
 			);
