--- a/packages/mesh/src/decisions/quotas/quota-allocation.ts
+++ b/packages/mesh/src/decisions/quotas/quota-allocation.ts
@@ -7,7 +7,12 @@
  * them. So the nodes of a data centre report to one of them, the allocator,
  * which grants each workspace one ratio for all nodes.
  */
-import type {Quota, QuotaGrant, QuotaUse} from './quota-share.js';
+import {
+	reportTimeout,
+	type Quota,
+	type QuotaGrant,
+	type QuotaUse,
+} from './quota-types.js';
 
 /** The source of a report: a node of the allocator's data centre, or another data centre as a whole. */
 export type Reporter = {kind: 'node' | 'dataCentre'; name: string};
@@ -29,14 +34,16 @@
 	limited(): string[];
 	/** The number of nodes of this data centre with a recent report. */
 	reportingNodes(now: number): number;
+	/** Whether a reporter has missed a report and does not count as silent yet: this node may be partitioned from it. */
+	hasOverdue(now: number): boolean;
 	/** Whether enough time has passed since the start for reports to arrive, so that grants are reliable. */
 	isSettled(now: number): boolean;
 };
 
 /** Milliseconds after its start within which an allocator has too few reports to grant anything. */
 const learningDuration = 1200;
-/** Milliseconds without a report after which a reporter counts as silent; an allocator may still grant for as long after a partition. */
-export const reportTimeout = 1200;
+/** Milliseconds without a report after which it is overdue: one and a half intervals of the reports. */
+const overdueTime = 600;
 /** The averaging time of a reporter's demand, in milliseconds. */
 const averagingTime = 2500;
 /**
@@ -282,6 +289,10 @@
 				share < 1 ? [workspace] : [],
 			),
 		reportingNodes: (now) => listLiveNodes(now).length,
+		hasOverdue: (now) =>
+			[...reports.values()].some(
+				({at}) => now - at > overdueTime && now - at < reportTimeout,
+			),
 		isSettled: (now) => now - startedAt >= learningDuration,
 	};
 }
