--- a/packages/mesh/__tests__/declining-fleet.ts
+++ b/packages/mesh/__tests__/declining-fleet.ts
@@ -249,6 +249,7 @@
 			route: kind.route,
 			service: kind.first,
 			priority: kind.priority,
+			workspace: undefined,
 		};
 		pressure.recordRequest(work);
 		if (random.fraction() < pressure.shareRefused(work)) {
