perf(mesh): the target client over a socket and Node's own parser

Change: a pool over net.Socket. Listeners and parser belong to the connection, the exchange is a field; one write for head and small body; reads go to one buffer (onread) and to the parser of Node (llhttp), which delivers all headers in one callback; headers are read and filtered in one pass; idle connections share one timer. As before, a request waits for the check phase before it uses an idle connection, so that ends and late bytes that have arrived are read first. A 304 that states the length of the absent body is now accepted (RFC 9110, section 15.4.5); undici rejected it.

--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
+import {createVirtualClock, type VirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import type {HeaderNames} from '../src/configuration/header-names.js';
 import type {ForwardedRequest, Outcome} from '../src/links/exchange.js';
@@ -67,6 +68,7 @@
 describe('the target client', () => {
 	let target: RawTarget;
 	let client: TargetClient;
+	let clock: VirtualClock;
 	let replaced: number;
 	let unreachable: string[];
 	let leaving: boolean[];
@@ -75,6 +77,7 @@
 		createTargetClient({
 			endpoint: {address, targetId: 'target-1'},
 			headerNames,
+			clock,
 			onReplaced() {
 				replaced++;
 			},
@@ -89,6 +92,7 @@
 
 	beforeEach(async () => {
 		target = await startRawTarget();
+		clock = createVirtualClock();
 		client = createClient(target.address);
 		replaced = 0;
 		unreachable = [];
@@ -225,6 +229,10 @@
 			expect(await outcomeOf(`${status}`)).to.equal(`${status} `);
 		}
 
+		// The length of the body that a 200 would have had (RFC 9110, section 15.4.5).
+		answerWith(({id}) => `HTTP/1.1 304 Not Modified\r\n${lines(id)}`);
+		expect(await outcomeOf('unmodified')).to.equal('304 ');
+
 		await connectionOfNext();
 	});
 
@@ -433,6 +441,33 @@
 			expect(await connectionOfNext()).to.equal(2);
 		});
 
+		it('are closed after the idle time that the target states, less a margin', async () => {
+			// A request sent when the target is about to close would be lost with its
+			// connection. The last one is released a second later and closed later.
+			const held: RawRequest[] = [];
+			target.setBehaviour((request) => held.push(request));
+			const running = new Map(['a', 'b', 'c'].map((id) => [id, run(id)]));
+			await waitUntil(() => held.length === 3);
+			const release = async ({socket, id}: RawRequest) => {
+				socket.write(createAnswer(id, 'x', ['Keep-Alive: timeout=5']));
+				await running.get(id);
+			};
+
+			await release(held[0]!);
+			await release(held[1]!);
+			clock.advanceTo(1000);
+			await release(held[2]!);
+			clock.advanceTo(2999);
+			expect(target.connections.size).to.equal(3);
+			clock.advanceTo(3000);
+			await waitUntil(() => target.connections.size === 1);
+			clock.advanceTo(3999);
+			expect(target.connections.has(held[2]!.socket)).to.equal(true);
+			clock.advanceTo(4000);
+			await waitUntil(() => target.connections.size === 0);
+			expect(clock.pending()).to.equal(0);
+		});
+
 		it('that the target has closed while idle cost no request', async () => {
 			// After a stall the node finds the end and the next request at once.
 			await run('a');
--- a/packages/mesh/src/configuration/header-names.ts
+++ b/packages/mesh/src/configuration/header-names.ts
@@ -66,8 +66,13 @@
 
 const plainOptions = new Set(['close', 'keep-alive']);
 
+/** Whether the header with the lower-case name concerns one connection only. */
+export function isConnectionHeader(name: string): boolean {
+	return connectionHeaders.has(name);
+}
+
 /** Lists the headers named by the `Connection` header, which apply to this connection only. */
-function listNamed(
+export function listNamed(
 	value: string,
 	known: Set<string> | undefined,
 ): Set<string> | undefined {
@@ -79,7 +84,8 @@
 	return names.length === 0 ? known : new Set([...(known ?? []), ...names]);
 }
 
-function dropNamed(headers: string[], names: Set<string>): string[] {
+/** Returns the headers without those that a `Connection` header names. */
+export function dropNamed(headers: string[], names: Set<string>): string[] {
 	return headers.filter(
 		(_, index) => !names.has(headers[index - (index % 2)]!.toLowerCase()),
 	);
--- /dev/null
+++ b/packages/mesh/src/target/response-parser.ts
@@ -0,0 +1,116 @@
+/**
+ * Node's own HTTP parser (llhttp), for responses.
+ *
+ * Node's HTTP client around it creates streams, listeners and header objects for
+ * each request. Nodes of a mesh are cold, so that code costs more than the
+ * parser does. The module that exports the parser is not documented; the version
+ * of Node that deployments run is fixed, and the specs of the target client fail
+ * if its interface changes.
+ */
+import {maxHeaderSize} from 'node:http';
+import {createRequire} from 'node:module';
+
+/** Receives the parts of responses, in this order. */
+export type ResponseHandler = {
+	/** The first byte of a response arrived. */
+	onBegin(): void;
+	/** Headers are complete; returns whether the response has no body, regardless of its framing. */
+	onHead(
+		status: number,
+		headers: string[],
+		options: {isUpgrade: boolean; isKeptAlive: boolean},
+	): boolean;
+	/** Receives a copy of a part of the body. */
+	onBody(part: Uint8Array): void;
+	onComplete(): void;
+};
+
+/** A parser of the responses of one connection. */
+export type ResponseParser = {
+	/** Parses received bytes; returns whether they are valid. */
+	parse(bytes: Uint8Array): boolean;
+	/** Ends a response without a length; returns whether the end is valid here. */
+	finish(): boolean;
+	/** Frees the parser; no other function may be called afterwards. */
+	close(): void;
+};
+
+/** The interface of Node's parser, as far as it is used; callbacks are stored at the keys of their kinds. */
+type NodeParser = Record<number, (...values: never[]) => unknown> & {
+	initialize(
+		type: number,
+		resource: Record<string, unknown>,
+		maxHeaderBytes: number,
+	): void;
+	execute(bytes: Uint8Array): number | Error;
+	finish(): Error | undefined;
+	close(): void;
+};
+type NodeParserClass = (new () => NodeParser) &
+	Record<
+		| 'RESPONSE'
+		| 'kOnMessageBegin'
+		| 'kOnHeaders'
+		| 'kOnHeadersComplete'
+		| 'kOnBody'
+		| 'kOnMessageComplete',
+		number
+	>;
+
+// eslint-disable-next-line @typescript-eslint/naming-convention -- a class.
+const {HTTPParser: Parser} = createRequire(import.meta.url)(
+	'node:_http_common',
+) as {HTTPParser: NodeParserClass};
+
+/** Results of the callback for headers: parse the body, or expect none. */
+const bodyFollows = 0;
+const noBodyFollows = 1;
+
+/** Creates the parser of a connection. */
+export function createResponseParser(handler: ResponseHandler): ResponseParser {
+	const parser = new Parser();
+	/** Headers that were delivered early, because there are more than Node's parser collects. */
+	let earlyHeaders: string[] = [];
+	parser.initialize(Parser.RESPONSE, {}, maxHeaderSize);
+	parser[Parser.kOnMessageBegin] = () => {
+		earlyHeaders = [];
+		handler.onBegin();
+	};
+
+	// Also called with the trailers, which are dropped.
+	parser[Parser.kOnHeaders] = (headers: string[]) => {
+		earlyHeaders.push(...headers);
+	};
+
+	/* eslint-disable max-params -- the parser's interface. */
+	parser[Parser.kOnHeadersComplete] = (
+		_major: number,
+		_minor: number,
+		headers: string[] | undefined,
+		_method: undefined,
+		_url: undefined,
+		status: number,
+		_statusText: string,
+		isUpgrade: boolean,
+		isKeptAlive: boolean,
+	) =>
+		handler.onHead(status, headers ?? earlyHeaders, {isUpgrade, isKeptAlive})
+			? noBodyFollows
+			: bodyFollows;
+	/* eslint-enable max-params */
+	parser[Parser.kOnBody] = (part: Uint8Array) => {
+		handler.onBody(part);
+	};
+
+	parser[Parser.kOnMessageComplete] = () => {
+		handler.onComplete();
+	};
+
+	return {
+		parse: (bytes) => typeof parser.execute(bytes) === 'number',
+		finish: () => parser.finish() === undefined,
+		close() {
+			parser.close();
+		},
+	};
+}
--- a/packages/mesh/src/target/target-access.ts
+++ b/packages/mesh/src/target/target-access.ts
@@ -62,6 +62,7 @@
 		client = createClient({
 			endpoint: {address: record.address, targetId: record.targetId},
 			headerNames,
+			clock,
 			nextOrdinal: () => ++ordinal,
 			onNotice(notice, ordinalOfRequest) {
 				if (isCurrent(record)) {
--- a/packages/mesh/src/target/target-client.ts
+++ b/packages/mesh/src/target/target-client.ts
@@ -8,20 +8,22 @@
  * signature. Otherwise the connection is closed and the request counts as lost.
  */
 import {Buffer} from 'node:buffer';
-import type {Dispatcher} from 'undici';
+import type {Clock} from '@egretspoke/shared';
 import type {
 	ForwardedRequest,
 	Outcome,
 	RefusalReason,
 } from '../links/exchange.js';
 import {
-	filterEndToEnd,
+	dropNamed,
+	isConnectionHeader,
+	listNamed,
 	type HeaderNames,
 } from '../configuration/header-names.js';
-import {readTargetNotice, type TargetNotice} from './target-notice.js';
+import {createTargetNotice, type TargetNotice} from './target-notice.js';
 import {
 	createTargetConnections,
-	type TargetConnection,
+	type HttpExchange,
 } from './target-connections.js';
 
 /** The target to call. */
@@ -46,6 +48,7 @@
 export type TargetClientOptions = {
 	endpoint: TargetEndpoint;
 	headerNames: HeaderNames;
+	clock: Clock;
 	/** The target answered that it is not the expected one. */
 	onReplaced: () => void;
 	/** No connection could be opened. */
@@ -61,32 +64,43 @@
 /** Maximum size of an answer's body, which is buffered in memory, in bytes. */
 const maxAnswerBytes = 64 * 1024 * 1024;
 
+/** Maximum idle time of a connection in milliseconds, unless the target states one. */
+const defaultIdleTime = 4000;
+/** Milliseconds before the end of the idle time that the target states; a request sent later could meet the close. */
+const idleMargin = 2000;
+/** Maximum idle time that a target can state, in milliseconds. */
+const maxIdleTime = 600_000;
+/** Methods whose requests state the length of their body even if it is empty (RFC 9110, section 8.6). */
+const methodsWithBody = new Set(['PATCH', 'POST', 'PUT']);
+/** Characters that would end a header, or that Latin-1 cannot represent. */
+const invalidText = /[^\t\u0020-\u007E\u0080-\u00FF]/;
+const invalidPath = /[^\u0021-\u00FF]/;
+
 /** Creates the client of a target. */
 export function createTargetClient(options: TargetClientOptions): TargetClient {
-	const {endpoint, headerNames} = options;
-	const connections = createTargetConnections(endpoint.address);
+	const {endpoint, headerNames, clock} = options;
+	const connections = createTargetConnections(endpoint.address, clock);
+	const readHeaders = createHeaderReader(headerNames);
 
 	return {
 		run(request, timeLeft, onOutcome) {
-			const connection = connections.take();
-			const exchange = createExchange(request, options, connection, onOutcome);
-			const headers = [
-				...request.headers,
-				headerNames.timeLeft,
-				String(Math.floor(timeLeft)),
-				headerNames.expectedTarget,
-				endpoint.targetId,
-			];
-			connection.dispatch(
-				{
-					method: request.method,
-					path: request.path,
-					headers,
-					body: request.body ? toBuffer(request.body) : null,
-				},
-				exchange.handler,
+			const ordinal = options.nextOrdinal();
+			if (!isValid(request)) {
+				onOutcome(unreachable);
+				return () => undefined;
+			}
+
+			const exchange = createExchange(
+				{request, ordinal, head: createHead(request, timeLeft, options)},
+				options,
+				readHeaders,
+				onOutcome,
 			);
-			return exchange.cancel;
+			connections.send(exchange);
+			return () => {
+				exchange.isCancelled = true;
+				exchange.abort?.();
+			};
 		},
 		close() {
 			connections.close();
@@ -94,166 +108,238 @@
 	};
 }
 
-type Exchange = {handler: Dispatcher.DispatchHandler; cancel: () => void};
+const unreachable: Outcome = {
+	kind: 'refused',
+	reason: 'targetUnreachable' satisfies RefusalReason,
+};
 
-const noHeaders: ReadonlySet<string> = new Set();
+/** Whether the parts of the request can be written without a second reading. */
+function isValid({method, path, headers}: ForwardedRequest): boolean {
+	return (
+		!invalidPath.test(method) &&
+		!invalidPath.test(path) &&
+		!invalidText.test(headers.join(''))
+	);
+}
 
-function createExchange(
-	request: ForwardedRequest,
-	options: TargetClientOptions,
-	connection: TargetConnection,
-	onOutcome: (outcome: Outcome) => void,
-): Exchange {
-	const {headerNames, onReplaced, onUnreachable} = options;
-	const ordinal = options.nextOrdinal();
-	let controller: Dispatcher.DispatchController | undefined;
-	let isOver = false;
-	let isWritten = false;
-	let status = 0;
-	let headers: string[] = [];
-	let isDeclined = false;
-	let isFramed = false;
-	let size = 0;
-	const chunks: Uint8Array[] = [];
+function createHead(
+	{method, path, headers, body}: ForwardedRequest,
+	timeLeft: number,
+	{endpoint, headerNames}: TargetClientOptions,
+): string {
+	let head = `${method} ${path} HTTP/1.1\r\nConnection: ${method === 'HEAD' ? 'close' : 'keep-alive'}\r\n`;
+	let hasHost = false;
+	for (let index = 0; index < headers.length; index += 2) {
+		const name = headers[index]!;
+		hasHost ||= name.length === 4 && name.toLowerCase() === 'host';
+		head += `${name}: ${headers[index + 1]!}\r\n`;
+	}
+
+	if (!hasHost) {
+		head += `Host: ${endpoint.address}\r\n`;
+	}
+
+	const length = body?.byteLength ?? 0;
+	if (length > 0 || methodsWithBody.has(method)) {
+		head += `Content-Length: ${length}\r\n`;
+	}
+
+	return `${head}${headerNames.timeLeft}: ${Math.floor(timeLeft)}\r\n${headerNames.expectedTarget}: ${endpoint.targetId}\r\n\r\n`;
+}
+
+/** What is read from the headers of an answer. */
+type AnswerHeaders = {
+	/** End-to-end headers, names and values alternating. */
+	endToEnd: string[];
+	/** Undefined if missing or repeated. */
+	requestId: string | undefined;
+	isSigned: boolean;
+	isNotExecuted: boolean;
+	idleTime: number;
+	/** Repeated headers are joined with a comma (RFC 9110, section 5.3). */
+	rateLimit: string | undefined;
+	leaving: string[] | undefined;
+};
+
+/** Returns a function that reads the headers of an answer in one pass. */
+function createHeaderReader(
+	names: HeaderNames,
+): (headers: string[]) => AnswerHeaders {
+	/** What a header with the lower-case name changes. */
+	const readers = new Map<string, (read: AnswerHeaders, value: string) => void>(
+		[
+			[
+				names.signature,
+				(read) => {
+					read.isSigned = true;
+				},
+			],
+			[
+				names.notExecuted,
+				(read) => {
+					read.isNotExecuted = true;
+				},
+			],
+			[
+				names.rateLimit,
+				(read, value) => {
+					read.rateLimit =
+						read.rateLimit === undefined
+							? value
+							: `${read.rateLimit}, ${value}`;
+				},
+			],
+			[
+				names.leaving,
+				(read, value) => {
+					read.leaving = [...(read.leaving ?? []), value];
+				},
+			],
+			[
+				'keep-alive',
+				(read, value) => {
+					read.idleTime = readIdleTime(value);
+				},
+			],
+		],
+	);
 
-	const end = (outcome: Outcome) => {
-		if (!isOver) {
-			isOver = true;
-			onOutcome(outcome);
+	return (headers) => {
+		const read: AnswerHeaders = {
+			endToEnd: [],
+			requestId: undefined,
+			isSigned: false,
+			isNotExecuted: false,
+			idleTime: defaultIdleTime,
+			rateLimit: undefined,
+			leaving: undefined,
+		};
+		let named: Set<string> | undefined;
+		let ids = 0;
+		for (let index = 0; index < headers.length; index += 2) {
+			const name = headers[index]!.toLowerCase();
+			const value = headers[index + 1]!;
+			if (name === names.requestId) {
+				ids++;
+				read.requestId = ids === 1 ? value : undefined;
+			} else if (name === 'connection') {
+				named = listNamed(value, named);
+			} else {
+				readers.get(name)?.(read, value);
+			}
+
+			if (!isConnectionHeader(name)) {
+				read.endToEnd.push(headers[index]!, value);
+			}
 		}
-	};
 
-	const endComplete = () => {
-		if (status === misdirectedStatus) {
-			onReplaced();
+		if (named) {
+			read.endToEnd = dropNamed(read.endToEnd, named);
 		}
 
-		end(
-			isDeclined
-				? {kind: 'declined', status}
-				: {
-						kind: 'answered',
-						status,
-						headers: filterEndToEnd(headers, noHeaders),
-						body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
-					},
-		);
+		return read;
 	};
+}
 
-	const abortExchange = (outcome: Outcome) => {
-		end(outcome);
-		controller?.abort(new Error('answer rejected'));
-	};
+/** Returns how long a connection may idle, in milliseconds, by the `Keep-Alive` header; 0 or less if it may not. */
+function readIdleTime(value: string): number {
+	const seconds = /timeout=(\d+)/.exec(value)?.[1];
+	return seconds === undefined
+		? defaultIdleTime
+		: Math.min(Number(seconds) * 1000 - idleMargin, maxIdleTime);
+}
 
-	return {
-		handler: {
-			onRequestStart(started) {
-				controller = started;
-				if (isOver) {
-					started.abort(new Error('request cancelled before it was sent'));
-					return;
-				}
+function createExchange(
+	{
+		request,
+		ordinal,
+		head,
+	}: {request: ForwardedRequest; ordinal: number; head: string},
+	options: TargetClientOptions,
+	readHeaders: (headers: string[]) => AnswerHeaders,
+	onOutcome: (outcome: Outcome) => void,
+): HttpExchange {
+	let status = 0;
+	let answer: AnswerHeaders | undefined;
+	let size = 0;
+	let body: Uint8Array = noBody;
+	let parts: Uint8Array[] | undefined;
 
-				isWritten = true;
-			},
-			onResponseStart(_controller, statusCode, received) {
-				if (statusCode < 200) {
-					return;
-				}
+	return {
+		head,
+		body: request.body?.byteLength ? request.body : undefined,
+		isHeadRequest: request.method === 'HEAD',
+		isCancelled: false,
+		abort: undefined,
+		idleTime: defaultIdleTime,
+		onHead(received, headers) {
+			const read = readHeaders(headers);
+			if (read.requestId !== request.requestId) {
+				onOutcome({kind: 'lost', reason: 'answerForeign'});
+				return false;
+			}
 
-				if (received[headerNames.requestId] !== request.requestId) {
-					abortExchange({kind: 'lost', reason: 'answerForeign'});
-					return;
-				}
+			if (received < 300 && !read.isSigned) {
+				onOutcome({kind: 'lost', reason: 'answerUnsigned'});
+				return false;
+			}
 
-				status = statusCode;
-				isDeclined =
-					received[headerNames.notExecuted] !== undefined ||
-					statusCode === misdirectedStatus;
-				isFramed =
-					hasNoBody(request.method, statusCode) ||
-					received['content-length'] !== undefined ||
-					received['transfer-encoding'] !== undefined;
-				headers = flatten(received);
-				const isSuccess = statusCode < 300;
-				if (isSuccess && received[headerNames.signature] === undefined) {
-					abortExchange({kind: 'lost', reason: 'answerUnsigned'});
-					return;
-				}
+			status = received;
+			answer = read;
+			this.idleTime = read.idleTime;
+			// An answer of another target says nothing about this one.
+			if (status !== misdirectedStatus) {
+				options.onNotice(
+					createTargetNotice(read.rateLimit, read.leaving),
+					ordinal,
+				);
+			}
 
-				// An answer of another target says nothing about this one.
-				if (status !== misdirectedStatus) {
-					options.onNotice(readTargetNotice(received, headerNames), ordinal);
-				}
-			},
-			onResponseData(_controller, chunk) {
-				size += chunk.length;
-				chunks.push(chunk);
-				if (size > maxAnswerBytes) {
-					abortExchange({kind: 'lost', reason: 'answerCut'});
-				}
-			},
-			onResponseEnd() {
-				if (isFramed) {
-					connection.release();
-					endComplete();
-					return;
-				}
+			return true;
+		},
+		onBody(part) {
+			size += part.byteLength;
+			if (size > maxAnswerBytes) {
+				onOutcome({kind: 'lost', reason: 'answerCut'});
+				return false;
+			}
 
-				connection.checkCleanClose((wasClosed) => {
-					connection.release();
-					if (wasClosed) {
-						endComplete();
-					} else {
-						end({kind: 'lost', reason: 'answerCut'});
-					}
-				});
-			},
-			onResponseError(_controller, error) {
-				connection.release();
-				if (isWritten) {
-					end({
-						kind: 'lost',
-						reason: status === 0 ? 'connectionLost' : 'answerCut',
-					});
-					return;
-				}
+			if (size === part.byteLength) {
+				body = part;
+			} else {
+				parts ??= [body];
+				parts.push(part);
+			}
 
-				const reason: RefusalReason = 'targetUnreachable';
-				if (!isOver) {
-					onUnreachable(error.message);
-				}
+			return true;
+		},
+		onComplete() {
+			if (status === misdirectedStatus) {
+				options.onReplaced();
+			}
 
-				end({kind: 'refused', reason});
-			},
+			onOutcome(
+				answer!.isNotExecuted || status === misdirectedStatus
+					? {kind: 'declined', status}
+					: {
+							kind: 'answered',
+							status,
+							headers: answer!.endToEnd,
+							body: parts ? Buffer.concat(parts) : body,
+						},
+			);
 		},
-		cancel() {
-			isOver = true;
-			controller?.abort(new Error('caller disconnected'));
+		onLost() {
+			onOutcome({
+				kind: 'lost',
+				reason: status === 0 ? 'connectionLost' : 'answerCut',
+			});
+		},
+		onUnreachable(detail) {
+			options.onUnreachable(detail);
+			onOutcome(unreachable);
 		},
 	};
 }
 
-/** Whether an answer has no body, regardless of its framing headers (RFC 9112, section 6.3). */
-function hasNoBody(method: string, status: number): boolean {
-	return method === 'HEAD' || status === 204 || status === 304;
-}
-
-function flatten(
-	headers: Record<string, string | string[] | undefined>,
-): string[] {
-	const flat: string[] = [];
-	for (const [name, value] of Object.entries(headers)) {
-		for (const item of Array.isArray(value) ? value : [value ?? '']) {
-			flat.push(name, item);
-		}
-	}
-
-	return flat;
-}
-
-/** Converts bytes to the `Buffer` that `undici` requires, without copying. */
-// eslint-disable-next-line @typescript-eslint/no-restricted-types -- the library's type.
-function toBuffer(bytes: Uint8Array): Buffer {
-	return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
-}
+const noBody = new Uint8Array();
--- a/packages/mesh/src/target/target-connections.ts
+++ b/packages/mesh/src/target/target-connections.ts
@@ -1,110 +1,399 @@
 /**
- * The connection pool of one target; each connection carries one request at a
+ * The connection pool of one target; each connection carries one exchange at a
  * time.
  *
- * An answer without a length ends with its connection and is complete only if
- * that was closed, not reset; otherwise a truncated answer would pass as whole.
+ * A connection is used again only if everything that it delivered belongs to its
+ * exchanges. An answer without a length ends with its connection and is complete
+ * only if that was closed, not reset; otherwise a truncated answer would pass as
+ * whole.
  */
-import type {Socket} from 'node:net';
-import {buildConnector, Client, type Dispatcher} from 'undici';
-
-/** A connection, opened on first use. */
-export type TargetConnection = {
-	dispatch(
-		options: Dispatcher.DispatchOptions,
-		handler: Dispatcher.DispatchHandler,
-	): void;
-	/** Checks whether the connection was closed without a reset; to be called while it is ending. */
-	checkCleanClose(onResult: (wasClosed: boolean) => void): void;
-	/** Returns the connection to the pool after its request has ended. */
-	release(): void;
+import {Buffer} from 'node:buffer';
+import {connect} from 'node:net';
+import type {Clock, Timer} from '@egretspoke/shared';
+import {createResponseParser} from './response-parser.js';
+
+/** A request and the receiver of its response. */
+export type HttpExchange = {
+	/** Request line and headers, in Latin-1. */
+	head: string;
+	body: Uint8Array | undefined;
+	isHeadRequest: boolean;
+	/** Whether the request was cancelled; the pool stops calling the exchange. */
+	isCancelled: boolean;
+	/** Closes the connection that carries the exchange; undefined while there is none. */
+	abort: (() => void) | undefined;
+	/** Maximum idle time of the connection after the response, in milliseconds, as stated in its headers. */
+	idleTime: number;
+	/** The final status and the headers arrived; returns whether the response is accepted. */
+	onHead(status: number, headers: string[]): boolean;
+	/** Returns whether the response is accepted. */
+	onBody(part: Uint8Array): boolean;
+	/** The response is complete. */
+	onComplete(): void;
+	/** The connection was lost after the request was sent. */
+	onLost(): void;
+	/** No connection could be opened; the request was not sent. */
+	onUnreachable(detail: string): void;
 };
 
 /** A pool of connections. */
 export type TargetConnections = {
-	/** Takes the most recently used idle connection, or creates one. */
-	take(): TargetConnection;
-	/** Closes idle connections now, and the others when they are released. */
+	/** Sends the request over the most recently used idle connection, or over a new one. */
+	send(exchange: HttpExchange): void;
+	/** Closes idle connections now, and the others when their exchanges end. */
+	close(): void;
+};
+
+/** A connection that can be closed or used again. */
+type Connection = {
+	/** The time, on the clock, from which the connection is not used again. */
+	idleUntil: number;
+	start(exchange: HttpExchange): void;
 	close(): void;
 };
 
 /** Timeout for connecting to the local machine, in milliseconds; a target that takes longer is down. */
 const connectTimeout = 500;
-/** Keep-alive timeout of an idle connection, in milliseconds, unless the target sends one. */
-const idleTime = 4000;
+/** Milliseconds without traffic until the system checks whether the other side still exists. */
+const probeDelay = 60_000;
+/** Maximum size of a body that is copied behind its head to be sent in one write, in bytes. */
+const maxCopiedBytes = 16 * 1024;
+/** Bytes read at once; more than a usual answer, so that it is read and parsed in one step. */
+const readBytes = 64 * 1024;
+
+/**
+ * Receives the bytes of all connections. POSIX systems read after a connection
+ * is readable and hand the bytes over at once, and the parser copies the bodies.
+ */
+const readBuffer = Buffer.allocUnsafeSlow(readBytes);
 
 /** Creates a pool of connections to `ip:port`; none is opened yet. */
-export function createTargetConnections(address: string): TargetConnections {
-	const connector = buildConnector({
-		timeout: connectTimeout,
-		// Otherwise Node rejects all writes after the other side has ended.
-		allowHalfOpen: true,
-	});
-	const idle: TargetConnection[] = [];
-	const clients = new Map<TargetConnection, Client>();
+export function createTargetConnections(
+	address: string,
+	clock: Clock,
+): TargetConnections {
+	const url = URL.canParse(`http://${address}`)
+		? new URL(`http://${address}`)
+		: undefined;
+	const idle: Connection[] = [];
+	/** Requests that wait until the bytes that have arrived on idle connections are read. */
+	let waiting: HttpExchange[] = [];
+	let sweepTimer: Timer | undefined;
 	let isClosed = false;
 
-	const create = (): TargetConnection => {
-		// Resets are recorded here, because `undici` treats a reset as an end. Node itself reports an end when the
-		// last bytes and the reset are read in the same tick, so `checkCleanClose` also probes with a write.
-		let isReset = false;
-		let socket: Socket | undefined;
-		const client = new Client(`http://${address}`, {
-			pipelining: 1,
-			keepAliveTimeout: idleTime,
-			headersTimeout: 0,
-			bodyTimeout: 0,
-			connect(options, callback) {
-				isReset = false;
-				connector(options, (...result) => {
-					// Registered before `undici`'s own listener, so that the reset is recorded before that one ends the answer.
-					socket = result[1] ?? undefined;
-					socket?.once('error', () => {
-						isReset = true;
-					});
-					callback(...result);
-				});
-			},
-		});
-		const connection: TargetConnection = {
-			dispatch(options, handler) {
-				client.dispatch(options, handler);
-			},
-			checkCleanClose(onResult) {
-				if (isReset || !socket || socket.destroyed) {
-					onResult(false);
-					return;
-				}
+	const removeIdle = (connection: Connection) => {
+		const index = idle.lastIndexOf(connection);
+		if (index !== -1) {
+			idle.splice(index, 1);
+		}
+	};
+
+	const release = (connection: Connection, idleTime: number) => {
+		if (isClosed) {
+			connection.close();
+			return;
+		}
+
+		connection.idleUntil = clock.now() + idleTime;
+		idle.push(connection);
+		sweepTimer ??= clock.setTimer(idleTime, sweep);
+	};
+
+	/** Closes the connections that were idle for too long. */
+	const sweep = () => {
+		sweepTimer = undefined;
+		const now = clock.now();
+		const expired = idle.filter(({idleUntil}) => idleUntil <= now);
+		for (const connection of expired) {
+			connection.close();
+		}
+
+		if (idle.length > 0) {
+			const next = Math.min(...idle.map(({idleUntil}) => idleUntil));
+			sweepTimer = clock.setTimer(next - now, sweep);
+		}
+	};
+
+	const takeIdle = (): Connection | undefined => {
+		for (
+			let connection = idle.pop();
+			connection !== undefined;
+			connection = idle.pop()
+		) {
+			if (connection.idleUntil > clock.now()) {
+				return connection;
+			}
+
+			connection.close();
+		}
 
-				// The write fails after a reset, but succeeds if the other side closed.
-				// Servers ignore an empty line (RFC 9112, section 2.2).
-				socket.write('\r\n', (error) => {
-					onResult(!error);
-				});
-			},
-			release() {
-				if (isClosed) {
-					clients.delete(connection);
-					void client.close();
+		return undefined;
+	};
+
+	const sendWaiting = () => {
+		const exchanges = waiting;
+		waiting = [];
+		for (const exchange of exchanges) {
+			if (!exchange.isCancelled) {
+				const connection = takeIdle();
+				if (connection) {
+					connection.start(exchange);
 				} else {
-					idle.push(connection);
+					open(exchange);
 				}
-			},
-		};
-		clients.set(connection, client);
-		return connection;
+			}
+		}
+	};
+
+	const open = (first: HttpExchange) => {
+		if (!url) {
+			first.onUnreachable(`invalid address ${address}`);
+			return;
+		}
+
+		openConnection(first, {
+			host: url.hostname.replaceAll(/[[\]]/g, ''),
+			port: url.port === '' ? 80 : Number(url.port),
+			clock,
+			release,
+			removeIdle,
+		});
 	};
 
 	return {
-		take: () => idle.pop() ?? create(),
+		send(exchange) {
+			if (idle.length === 0) {
+				open(exchange);
+				return;
+			}
+
+			// After a stall, the end of an idle connection or late bytes on it are read in the same iteration of the
+			// event loop as the request. Sent at once, the request would be lost with the connection.
+			if (waiting.length === 0) {
+				setImmediate(sendWaiting);
+			}
+
+			waiting.push(exchange);
+		},
 		close() {
 			isClosed = true;
-			for (const connection of idle) {
-				void clients.get(connection)?.close();
-				clients.delete(connection);
+			sweepTimer?.cancel();
+			sweepTimer = undefined;
+			for (const connection of idle.splice(0)) {
+				connection.close();
 			}
+		},
+	};
+}
+
+/** What a connection needs of its pool. */
+type ConnectionOptions = {
+	host: string;
+	port: number;
+	clock: Clock;
+	release: (connection: Connection, idleTime: number) => void;
+	removeIdle: (connection: Connection) => void;
+};
+
+/** Opens a connection for an exchange. */
+function openConnection(first: HttpExchange, options: ConnectionOptions): void {
+	const {clock} = options;
+	let exchange: HttpExchange | undefined = first;
+	let isOpen = false;
+	let isReset = false;
+	/** Whether the headers of the final response were accepted. */
+	let isAccepted = false;
+	let isComplete = false;
+	/** Whether the connection delivered bytes that belong to no exchange. */
+	let hasExtraBytes = false;
+	let isKeptAlive = false;
+
+	const parser = createResponseParser({
+		onBegin() {
+			hasExtraBytes ||= isComplete || exchange === undefined;
+		},
+		onHead(status, headers, head) {
+			if (hasExtraBytes || exchange === undefined) {
+				return true;
+			}
+
+			// The request asked neither to continue nor for another protocol, so what follows is no answer to it.
+			if (status === 100 || head.isUpgrade) {
+				lose();
+				return true;
+			}
+
+			if (status < 200) {
+				return false;
+			}
+
+			const current = exchange;
+			if (!current.onHead(status, headers)) {
+				close();
+				return true;
+			}
+
+			// Receivers of the headers may have cancelled the exchange.
+			isAccepted = exchange === current;
+			isKeptAlive = head.isKeptAlive;
+			return current.isHeadRequest;
+		},
+		onBody(part) {
+			if (!hasExtraBytes && exchange?.onBody(part) === false) {
+				close();
+			}
+		},
+		onComplete() {
+			isComplete ||= isAccepted && !hasExtraBytes;
+		},
+	});
+
+	const receive = (size: number): boolean => {
+		const isValid = parser.parse(readBuffer.subarray(0, size));
+		if (isComplete && exchange) {
+			complete(isValid);
+		} else if (!isValid || hasExtraBytes) {
+			lose();
+		}
+
+		return true;
+	};
+
+	/** Ends an exchange whose response has a length. */
+	const complete = (isValid: boolean) => {
+		const ended = exchange!;
+		const isReusable =
+			isValid &&
+			isKeptAlive &&
+			!hasExtraBytes &&
+			ended.idleTime > 0 &&
+			// Some servers send a body in response to HEAD.
+			!ended.isHeadRequest &&
+			// The next request would wait behind a body that the target may never read.
+			socket.writableLength === 0;
+		detach();
+		if (isReusable) {
+			options.release(connection, ended.idleTime);
+		} else {
+			close();
+		}
+
+		ended.onComplete();
+	};
+
+	const detach = () => {
+		if (exchange) {
+			exchange.abort = undefined;
+		}
+
+		exchange = undefined;
+		isAccepted = false;
+		isComplete = false;
+	};
+
+	const close = () => {
+		detach();
+		options.removeIdle(connection);
+		socket.destroy();
+	};
+
+	/** Closes the connection; its exchange is lost. */
+	const lose = (detail = 'closed') => {
+		const lost = exchange;
+		close();
+		if (isOpen) {
+			lost?.onLost();
+		} else {
+			lost?.onUnreachable(detail);
+		}
+	};
+
+	/** Checks that the connection was closed without a reset, then ends an exchange whose response has no length. */
+	const completeAtClose = () => {
+		const ended = exchange!;
+		if (isReset) {
+			lose();
+			return;
+		}
+
+		// Node reports an end when the last bytes and the reset are read in the same tick. A write fails after a reset,
+		// but succeeds if the other side closed. Servers ignore an empty line (RFC 9112, section 2.2).
+		socket.write('\r\n', (error) => {
+			if (exchange !== ended) {
+				return;
+			}
+
+			if (!error && !isReset) {
+				close();
+				ended.onComplete();
+				return;
+			}
+
+			lose();
+		});
+	};
+
+	const socket = connect({
+		host: options.host,
+		port: options.port,
+		noDelay: true,
+		keepAlive: true,
+		keepAliveInitialDelay: probeDelay,
+		// Otherwise Node rejects all writes after the other side has ended.
+		allowHalfOpen: true,
+		onread: {buffer: readBuffer, callback: receive},
+	});
+	const connectTimer = clock.setTimer(connectTimeout, () => {
+		lose('connect timeout');
+	});
+	socket.on('connect', () => {
+		connectTimer.cancel();
+		isOpen = true;
+		if (exchange) {
+			write(exchange);
+		}
+	});
+	socket.on('end', () => {
+		if (exchange && parser.finish() && isComplete) {
+			completeAtClose();
+		} else {
+			lose();
+		}
+	});
+	socket.on('error', (error) => {
+		isReset = true;
+		lose(error.message);
+	});
+	socket.on('close', () => {
+		connectTimer.cancel();
+		lose();
+		parser.close();
+	});
+
+	const write = ({head, body}: HttpExchange) => {
+		if (body === undefined) {
+			socket.write(head, 'latin1');
+		} else if (body.byteLength <= maxCopiedBytes) {
+			const bytes = Buffer.allocUnsafe(head.length + body.byteLength);
+			bytes.write(head, 'latin1');
+			bytes.set(body, head.length);
+			socket.write(bytes);
+		} else {
+			socket.cork();
+			socket.write(head, 'latin1');
+			socket.write(body);
+			socket.uncork();
+		}
+	};
 
-			idle.length = 0;
+	const connection: Connection = {
+		idleUntil: 0,
+		start(next) {
+			exchange = next;
+			next.abort = close;
+			write(next);
 		},
+		close,
 	};
+	first.abort = close;
 }
--- a/packages/mesh/src/target/target-notice.ts
+++ b/packages/mesh/src/target/target-notice.ts
@@ -27,10 +27,20 @@
 export function readTargetNotice(
 	headers: ReceivedHeaders,
 	names: Pick<HeaderNames, 'rateLimit' | 'leaving'>,
+): TargetNotice {
+	return createTargetNotice(headers[names.rateLimit], headers[names.leaving]);
+}
+
+/** Reads the statements from the values of their headers; repeated ones are lists. */
+export function createTargetNotice(
+	rateLimit: string | string[] | undefined,
+	leaving: string | string[] | undefined,
 ): TargetNotice {
 	return {
-		rateLimit: readRateLimit(headers[names.rateLimit]),
-		isLeaving: [headers[names.leaving]].flat().includes(leavingValue),
+		rateLimit: readRateLimit(rateLimit),
+		isLeaving: Array.isArray(leaving)
+			? leaving.includes(leavingValue)
+			: leaving === leavingValue,
 	};
 }
 
