perf(mesh): one record per request, and candidates kept between requests

Each request created some 15 closures and a handler table at its entry node, ten more at the node of its target, and a new object for each candidate of each attempt. On cold nodes each of them is executed by the interpreter.

A request is now one record with fixed fields: Forwarding at the entry, PendingRequest and TargetRun at the target's node. They are deadlines of the wheel themselves. The functions that decide about them stand at module level: attempt-candidates, retry-decisions, own-answers; the outcome handlers are one table. A request that is shed or quarantined is answered before the record, the deadline and the candidates are created. Candidates are stable objects, updated for each selection from a list per service that is rebuilt when links or states change, and a selection creates no object per candidate. The order of decisions and of random draws is unchanged.

The specs of the wheel and the directory and the fleet of rate limits use the changed interfaces; their expectations are the same. The fleet uses the list of candidates of the nodes instead of one of its own.

--- a/packages/mesh/__tests__/deadline-wheel.spec.ts
+++ b/packages/mesh/__tests__/deadline-wheel.spec.ts
@@ -1,16 +1,25 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {createDeadlineWheel, wheelTick} from '../src/timing/deadline-wheel.js';
+import {
+	CallbackDeadline,
+	createDeadlineWheel,
+	wheelTick,
+} from '../src/timing/deadline-wheel.js';
 
 describe('createDeadlineWheel', () => {
 	const add = (
 		wheel: ReturnType<typeof createDeadlineWheel>,
 		at: number,
 		onDeadline: (at: number) => void,
-	) =>
-		wheel.add(at, () => {
+	) => {
+		const deadline = new CallbackDeadline(() => {
 			onDeadline(at);
 		});
+		wheel.add(at, deadline);
+		return () => {
+			wheel.remove(deadline);
+		};
+	};
 
 	it('fires deadlines in order, at most a tick late', () => {
 		const clock = createVirtualClock();
@@ -54,7 +63,7 @@
 			},
 		});
 		for (let request = 0; request < 100; request++) {
-			const remove = wheel.add(clock.now() + 5000, () => undefined);
+			const remove = add(wheel, clock.now() + 5000, () => undefined);
 			clock.advanceTo(clock.now() + 50);
 			remove();
 		}
@@ -75,4 +84,24 @@
 		clock.advanceTo(60_000);
 		expect(called).to.deep.equal([100, 200, 5000]);
 	});
+
+	it('keeps the other deadlines of a tick when one of them is cancelled', () => {
+		// Objects are linked to each other. If a cancelled one broke the list, the
+		// requests after it would never time out, and their callers would wait forever.
+		const clock = createVirtualClock();
+		const wheel = createDeadlineWheel(clock);
+		const called: number[] = [];
+		const removals = [101, 102, 103, 104, 105].map((at) =>
+			add(wheel, at, () => {
+				called.push(at);
+				removals[3]!();
+			}),
+		);
+		removals[0]!();
+		removals[2]!();
+		removals[2]!();
+		clock.advanceTo(1000);
+		expect(called).to.deep.equal([102, 105]);
+		removals[1]!();
+	});
 });
--- a/packages/mesh/__tests__/directory.spec.ts
+++ b/packages/mesh/__tests__/directory.spec.ts
@@ -99,9 +99,9 @@
 			stateOf('reads'),
 		]);
 		await open([member]);
-		const found = directory.candidates('reads', new Set());
+		const found = directory.candidates('reads', []);
 		expect(found.map(({node}) => node)).to.deep.equal(['node-1']);
-		expect(directory.candidates('writes', new Set())).to.have.length(0);
+		expect(directory.candidates('writes', [])).to.have.length(0);
 	});
 
 	it('replaces a member when another node answers at its address', async () => {
@@ -116,7 +116,7 @@
 		]);
 		await open([gone]);
 		expect(
-			directory.candidates('reads', new Set()).map(({node}) => node),
+			directory.candidates('reads', []).map(({node}) => node),
 		).to.deep.equal(['node-found']);
 		expect(directory.size()).to.equal(2);
 	});
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -18,16 +18,14 @@
 import type {Directory} from '../src/members/directory.js';
 import {isRateLimited, type TargetLoad} from '../src/links/exchange.js';
 import {createLoadReport} from '../src/target/load-report.js';
-import {
-	applyLoad,
-	createPeer,
-	createPeerCandidate,
-	usableTarget,
-	type Peer,
-} from '../src/links/peer.js';
+import {applyLoad, createPeer, type Peer} from '../src/links/peer.js';
 import type {PeerLink} from '../src/links/peer-link.js';
 import type {Member} from '../src/links/peer-message.js';
-import {forwardRequest} from '../src/entry/request-forwarding.js';
+import {createServiceCandidates} from '../src/members/service-candidates.js';
+import {
+	createForwardingContext,
+	forwardRequest,
+} from '../src/entry/request-forwarding.js';
 import {createRoutePressure} from '../src/entry/route-pressure.js';
 import {createRouteTable} from '../src/configuration/route-table.js';
 import type {
@@ -258,22 +256,16 @@
 		wheel,
 		random: entryRandom,
 	}: EntryOptions) => {
+		const candidates = createServiceCandidates(peers, {
+			dataCentre: member.dataCentre,
+			clock,
+			onLoad(from, load) {
+				applyLoad(from, load, clock.now());
+			},
+		});
 		const directory: Pick<Directory, 'candidates' | 'size'> = {
 			size: () => options.nodes,
-			candidates: (_service, tried) =>
-				[...peers.values()]
-					.filter(({member: {node}}) => !tried.has(node))
-					.map((peer) =>
-						createPeerCandidate({
-							peer,
-							slots: usableTarget(peer, service)!.slots,
-							dataCentre: member.dataCentre,
-							clock,
-							onLoad(from, load) {
-								applyLoad(from, load, clock.now());
-							},
-						}),
-					),
+			candidates: candidates.list,
 		};
 		const graph = createCallGraph();
 		graph.setProfiles(
@@ -311,11 +303,11 @@
 		};
 
 		refresh();
-		const forwarding = {
+		const forwarding = createForwardingContext({
 			clock,
 			random: entryRandom,
 			wheel,
-			directory: directory as Directory,
+			directory,
 			dispatcher,
 			budget: createRetryBudget(
 				{ratio: 0.2, allowance: 48, window: 10_000},
@@ -329,8 +321,9 @@
 			policy: egretspokePolicy,
 			reporter,
 			metrics,
+			quotas: {recordAdmitted: () => undefined},
 			isStopping: () => false,
-		};
+		});
 		return (isImportant: boolean) => {
 			const name = isImportant ? 'important' : 'ordinary';
 			const path = `/${name}/1`;
@@ -351,10 +344,9 @@
 					route: routes.findRoute('shop.example', path)!,
 					urgency: isImportant ? 0 : 1,
 					workspace: undefined,
-					onAdmitted: () => undefined,
 				},
-				{
-					answer(final) {
+				(final) => {
+					if (final) {
 						ended.push({
 							at: clock.now(),
 							isImportant,
@@ -362,8 +354,7 @@
 							reason: 'reason' in final ? final.reason : '',
 							retryAfter: 'retryAfter' in final ? final.retryAfter : undefined,
 						});
-					},
-					onLeft: () => undefined,
+					}
 				},
 			);
 		};
--- a/packages/mesh/src/decisions/routing/target-selection.ts
+++ b/packages/mesh/src/decisions/routing/target-selection.ts
@@ -64,31 +64,86 @@
 	random: Random,
 	bodyBytes: number,
 ): T | undefined {
-	const trusted = candidates.filter(({isDoubtful}) => !isDoubtful);
-	const usable = trusted.length > 0 ? trusted : candidates;
-	const minFailures = Math.min(...usable.map(({failureShare}) => failureShare));
-	const minRunTime = Math.min(
-		...usable.map(({runTime}) => runTime || Number.POSITIVE_INFINITY),
-	);
-	// Failures and run time that all targets share come from deeper services and don't distinguish the targets.
-	const weighted = usable.map((candidate) => ({
-		candidate,
-		weight:
-			candidate.occupancy +
-			candidate.failureShare -
-			minFailures +
-			slownessOf(candidate.runTime, minRunTime),
-	}));
-	const withRoom = weighted.filter(
-		({candidate, weight}) =>
-			candidate.isNear && weight < nearOccupancyThreshold,
+	const field = compare(candidates);
+	const {local} = field;
+	if (local && field.weigh(local) < nearOccupancyThreshold) {
+		return local;
+	}
+
+	const withRoom: T[] = [];
+	const near: T[] = [];
+	const far: T[] = [];
+	for (const candidate of candidates) {
+		if (!field.isEligible(candidate)) {
+			continue;
+		}
+
+		(candidate.isNear ? near : far).push(candidate);
+		if (candidate.isNear && field.weigh(candidate) < nearOccupancyThreshold) {
+			withRoom.push(candidate);
+		}
+	}
+
+	return (
+		drawBetter(withRoom, field, random) ??
+		chooseNearOrFar(
+			// Near and far targets are drawn separately: in a common draw, a third of the
+			// pairs are two far targets, and most calls of a full service would cross
+			// needlessly.
+			drawBetter(near, field, random),
+			drawBetter(far, field, random),
+			field,
+			bodyBytes,
+		)
 	);
-	const own = withRoom.find(({candidate}) => candidate.isLocal);
-	const chosen =
-		own ??
-		drawBetter(withRoom, random) ??
-		drawNearOrFar(weighted, random, bodyBytes);
-	return chosen?.candidate;
+}
+
+/** What the candidates of one selection have in common. */
+class Field<T extends Candidate> {
+	/** Whether doubtful candidates are skipped, because there are others. */
+	hasTrusted = false;
+	local: T | undefined = undefined;
+	minFailures = Number.POSITIVE_INFINITY;
+	minRunTime = Number.POSITIVE_INFINITY;
+
+	isEligible({isDoubtful}: T): boolean {
+		return !(isDoubtful && this.hasTrusted);
+	}
+
+	/**
+	 * The occupancy of a candidate, increased by what is bad about it alone:
+	 * failures and run time that all targets share come from deeper services and
+	 * don't distinguish the targets.
+	 */
+	weigh({occupancy, failureShare, runTime}: T): number {
+		return (
+			occupancy +
+			failureShare -
+			this.minFailures +
+			slownessOf(runTime, this.minRunTime)
+		);
+	}
+}
+
+function compare<T extends Candidate>(candidates: T[]): Field<T> {
+	const field = new Field<T>();
+	for (const {isDoubtful} of candidates) {
+		field.hasTrusted ||= !isDoubtful;
+	}
+
+	for (const candidate of candidates) {
+		if (field.isEligible(candidate)) {
+			const {failureShare, runTime, isLocal} = candidate;
+			field.minFailures = Math.min(field.minFailures, failureShare);
+			field.minRunTime = Math.min(
+				field.minRunTime,
+				runTime || Number.POSITIVE_INFINITY,
+			);
+			field.local = isLocal ? candidate : field.local;
+		}
+	}
+
+	return field;
 }
 
 function slownessOf(runTime: number, minRunTime: number): number {
@@ -96,31 +151,18 @@
 	return factor > 1 ? slownessCost * Math.log2(factor) : 0;
 }
 
-type Weighted<T> = {candidate: T; weight: number};
-
-/**
- * Draws near and far targets separately: in a common draw, a third of the pairs
- * are two far targets, and most calls of a full service would cross needlessly.
- */
-function drawNearOrFar<T extends Candidate>(
-	weighted: Array<Weighted<T>>,
-	random: Random,
+function chooseNearOrFar<T extends Candidate>(
+	near: T | undefined,
+	far: T | undefined,
+	field: Field<T>,
 	bodyBytes: number,
-): Weighted<T> | undefined {
-	const near = drawBetter(
-		weighted.filter(({candidate}) => candidate.isNear),
-		random,
-	);
-	const far = drawBetter(
-		weighted.filter(({candidate}) => !candidate.isNear),
-		random,
-	);
+): T | undefined {
 	if (!near || !far) {
 		return near ?? far;
 	}
 
 	const crossingCost = crossingPenalty + bodyBytes / bytesPerPenalty;
-	return near.weight <= far.weight + crossingCost ? near : far;
+	return field.weigh(near) <= field.weigh(far) + crossingCost ? near : far;
 }
 
 /**
@@ -129,16 +171,17 @@
  * (Mitzenmacher, "The Power of Two Choices", 2001).
  */
 function drawBetter<T extends Candidate>(
-	weighted: Array<Weighted<T>>,
+	candidates: T[],
+	field: Field<T>,
 	random: Random,
-): Weighted<T> | undefined {
-	if (weighted.length < 2) {
-		return weighted[0];
+): T | undefined {
+	const count = candidates.length;
+	if (count < 2) {
+		return candidates[0];
 	}
 
-	const first = random.below(weighted.length);
-	const second =
-		(first + 1 + random.below(weighted.length - 1)) % weighted.length;
-	const [left, right] = [weighted[first]!, weighted[second]!];
-	return left.weight <= right.weight ? left : right;
+	const first = random.below(count);
+	const second = (first + 1 + random.below(count - 1)) % count;
+	const [left, right] = [candidates[first]!, candidates[second]!];
+	return field.weigh(left) <= field.weigh(right) ? left : right;
 }
--- a/packages/mesh/src/entry/entry.ts
+++ b/packages/mesh/src/entry/entry.ts
@@ -5,13 +5,14 @@
 import {shortRetryAfter} from '../decisions/repeats/retry-after-time.js';
 import type {HeaderNames} from '../configuration/header-names.js';
 import type {QuotaExchange} from '../quotas/quota-exchange.js';
-import type {RouteTable, TableRoute} from '../configuration/route-table.js';
-import type {Workspace} from '../quotas/workspace.js';
-import {
-	forwardRequest,
-	type ForwardingCallbacks,
-	type ForwardingOptions,
-} from './request-forwarding.js';
+import type {RouteTable} from '../configuration/route-table.js';
+import {createForwardingContext, forwardRequest} from './request-forwarding.js';
+import type {
+	EndHandler,
+	ForwardingContext,
+	ForwardingOptions,
+	ForwardingRoute,
+} from './forwarding.js';
 import type {CallerRequest, FinalAnswer, OwnAnswer} from './caller-request.js';
 
 /** Dependencies of an entry. */
@@ -34,64 +35,47 @@
 
 /** Creates an entry. */
 export function createEntry(options: EntryOptions): Entry {
+	const context = createForwardingContext(options);
 	let open = 0;
 	return {
 		handle(request, answer) {
 			open++;
-			return handleRequest(options, request, {
-				answer(final) {
-					open--;
+			return handleRequest(options, context, request, (final) => {
+				open--;
+				if (final) {
 					answer(final);
-				},
-				onLeft() {
-					open--;
-				},
+				}
 			});
 		},
 		open: () => open,
 	};
 }
 
-/** An admitted request: its route, workspace and urgency. */
-type Admission = {
-	kind: 'admitted';
-	route: TableRoute;
-	workspace: Workspace | undefined;
-	urgency: number;
-};
+/** An admitted request. */
+type Admission = ForwardingRoute & {kind: 'admitted'};
 
 /** A rejected request: its route and the answer to its caller. */
 type Rejection = {kind: 'rejected'; route: string; answer: OwnAnswer};
 
 function handleRequest(
 	options: EntryOptions,
+	context: ForwardingContext,
 	request: CallerRequest,
-	callbacks: ForwardingCallbacks,
+	onEnd: EndHandler,
 ): () => void {
 	const admission = admit(options, request);
 	if (admission.kind === 'rejected') {
 		reject(options, request, admission);
-		callbacks.answer(admission.answer);
+		onEnd(admission.answer);
 		return () => undefined;
 	}
 
-	const {route, workspace, urgency} = admission;
+	const {workspace} = admission;
 	if (workspace) {
 		request.headers.push(options.headerNames.workspace, workspace.name);
 	}
 
-	const onAdmitted = () => {
-		if (workspace) {
-			options.quotas.recordAdmitted(workspace);
-		}
-	};
-
-	return forwardRequest(
-		options,
-		request,
-		{route, urgency, workspace: workspace?.name, onAdmitted},
-		callbacks,
-	);
+	return forwardRequest(context, request, admission, onEnd);
 }
 
 function admit(
--- a/packages/mesh/src/entry/forwarding-report.ts
+++ b/packages/mesh/src/entry/forwarding-report.ts
@@ -8,78 +8,90 @@
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {CallerRequest, FinalAnswer} from './caller-request.js';
 import {localNode} from './local-candidate.js';
+import type {NewWork} from './route-pressure.js';
 
-/** Details known on arrival; logged with the request. */
-export type ForwardingFacts = {
-	route: string;
-	service: string;
-	isInner: boolean;
+/** Dependencies of the reports. */
+export type ReportOptions = {
+	clock: Clock;
+	reporter: MeshReporter;
+	metrics: MeshMetrics;
 };
 
-/** The attempts of a request, at its end. */
-export type ForwardingAttempts = {
+/** A request at its end. */
+export type EndedRequest = {
+	request: Pick<CallerRequest, 'requestId' | 'arrivedAt'>;
+	work: NewWork;
+	isInner: boolean;
 	/** Attempts that reached a target. */
 	arrivals: number;
 	/** Attempts that the target's node refused. */
 	refusals: number;
 	/** The node of the last target that answered. */
 	answeredBy: string;
-	/** The share of requests of this kind, from 0 to 1, that entry nodes shed at its last attempt. */
+	/** The share of requests of this kind, from 0 to 1, that entry nodes shed on its arrival. */
 	shed: number;
 };
 
-/** Reports the end of one request; exactly one of the methods is called, once. */
-export type ForwardingReport = {
-	answered(final: FinalAnswer, attempts: ForwardingAttempts): void;
-	/** The caller disconnected. */
-	left(): void;
-};
-
 /** The lowest status of a server error (RFC 9110, section 15.6). */
 const minServerErrorStatus = 500;
 
-/** Creates the report of a request on its arrival. */
-export function createForwardingReport(
-	{
-		clock,
-		reporter,
-		metrics,
-	}: {clock: Clock; reporter: MeshReporter; metrics: MeshMetrics},
-	{requestId, arrivedAt}: CallerRequest,
-	facts: ForwardingFacts,
-): ForwardingReport {
-	const count = (outcome: MeshOutcome, reason: string) => {
-		metrics.requestEnded({
-			route: facts.route,
-			outcome,
-			reason,
-			duration: clock.now() - arrivedAt,
+/** Reports a request that was answered. */
+export function reportAnswer(
+	options: ReportOptions,
+	ended: EndedRequest,
+	final: FinalAnswer,
+): void {
+	const {clock, metrics, reporter} = options;
+	const {requestId, arrivedAt} = ended.request;
+	const duration = clock.now() - arrivedAt;
+	metrics.requestEnded({
+		route: ended.work.route,
+		outcome: outcomeOf(final),
+		reason: final.kind === 'own' ? final.reason : '',
+		duration,
+	});
+	if (final.kind === 'own') {
+		reporter.decision(
+			'meshOwnAnswer',
+			requestId,
+			final.reason,
+			detailsOf(ended, final.status, duration),
+		);
+	} else if (final.status >= minServerErrorStatus) {
+		reporter.decision('meshTargetFailed', requestId, 'targetFailed', {
+			...detailsOf(ended, final.status, duration),
+			from: ended.answeredBy === localNode ? 'own' : ended.answeredBy,
 		});
-	};
+	}
+}
+
+/** Reports a request whose caller disconnected. */
+export function reportLeft(
+	{clock, metrics}: ReportOptions,
+	{request, work}: EndedRequest,
+): void {
+	metrics.requestEnded({
+		route: work.route,
+		outcome: 'left',
+		reason: '',
+		duration: clock.now() - request.arrivedAt,
+	});
+}
 
+function detailsOf(
+	{work, isInner, arrivals, refusals, shed}: EndedRequest,
+	status: number,
+	duration: number,
+) {
 	return {
-		answered(final, {arrivals, refusals, answeredBy, shed}) {
-			count(outcomeOf(final), final.kind === 'own' ? final.reason : '');
-			const details = {
-				status: final.status,
-				...facts,
-				arrivals,
-				refusals,
-				shed: Math.round(shed * 100) / 100,
-				waited: Math.round(clock.now() - arrivedAt),
-			};
-			if (final.kind === 'own') {
-				reporter.decision('meshOwnAnswer', requestId, final.reason, details);
-			} else if (final.status >= minServerErrorStatus) {
-				reporter.decision('meshTargetFailed', requestId, 'targetFailed', {
-					...details,
-					from: answeredBy === localNode ? 'own' : answeredBy,
-				});
-			}
-		},
-		left() {
-			count('left', '');
-		},
+		status,
+		route: work.route,
+		service: work.service,
+		isInner,
+		arrivals,
+		refusals,
+		shed: Math.round(shed * 100) / 100,
+		waited: Math.round(duration),
 	};
 }
 
--- a/packages/mesh/src/entry/local-candidate.ts
+++ b/packages/mesh/src/entry/local-candidate.ts
@@ -6,22 +6,31 @@
 /** The node name of the local target among the tried ones; no node has an empty name. */
 export const localNode = '';
 
-/** Creates the candidate with its current load; it is doubtful while this node is stopping. */
-export function createLocalCandidate(
-	dispatcher: TargetDispatcher,
-	isDoubtful: boolean,
-): TargetCandidate {
-	const load = dispatcher.load();
-	return {
-		node: localNode,
-		isLocal: true,
-		isNear: true,
-		occupancy: Math.max(load.occupancy, load.rate?.occupancy ?? 0),
-		isRateLimited: isRateLimited(load),
-		failureShare: load.failureShare,
-		runTime: load.runTime,
-		isDoubtful,
-		channel: dispatcher,
-		recordOutcome: () => undefined,
-	};
+/** The candidate of a node's own target; the same object for all requests. */
+export class LocalCandidate implements TargetCandidate {
+	readonly node = localNode;
+	isLocal = true;
+	isNear = true;
+	occupancy = 0;
+	isRateLimited = false;
+	failureShare = 0;
+	runTime = 0;
+	isDoubtful = false;
+
+	constructor(readonly channel: TargetDispatcher) {}
+
+	/** Applies the current load; the target is doubtful while this node is stopping. */
+	update(isStopping: boolean): void {
+		const load = this.channel.load();
+		this.occupancy = Math.max(load.occupancy, load.rate?.occupancy ?? 0);
+		this.isRateLimited = isRateLimited(load);
+		this.failureShare = load.failureShare;
+		this.runTime = load.runTime;
+		this.isDoubtful = isStopping;
+	}
+
+	/** The outcomes are known from the load. */
+	recordOutcome(): void {
+		// Nothing to record.
+	}
 }
--- a/packages/mesh/src/links/peer.ts
+++ b/packages/mesh/src/links/peer.ts
@@ -144,10 +144,8 @@
 	}
 }
 
-/** Options of `createPeerCandidate`. */
-export type PeerCandidateOptions = {
-	peer: Peer;
-	slots: number;
+/** What the candidates of a node share. */
+export type PeerCandidateContext = {
 	/** The data centre of this node. */
 	dataCentre: string;
 	clock: Clock;
@@ -155,36 +153,59 @@
 	onLoad: (peer: Peer, load: TargetLoad | undefined) => void;
 };
 
-/** Creates a routing candidate for the peer's target. */
-export function createPeerCandidate({
-	peer,
-	slots,
-	dataCentre,
-	clock,
-	onLoad,
-}: PeerCandidateOptions): TargetCandidate {
-	return {
-		node: peer.member.node,
-		isLocal: false,
-		isNear: peer.member.dataCentre === dataCentre,
-		occupancy: estimateOccupancy(peer, slots, clock.now()),
-		isRateLimited: isRateLimited(peer.load),
+/** The target of a peer as a candidate; the same object for all requests, updated before each selection. */
+export class PeerCandidate implements TargetCandidate {
+	readonly node: string;
+	isLocal = false;
+	readonly isNear: boolean;
+	readonly channel: TargetChannel;
+	occupancy = 0;
+	isRateLimited = false;
+	failureShare = 0;
+	runTime = 0;
+	isDoubtful = false;
+
+	constructor(
+		private readonly context: PeerCandidateContext,
+		private readonly peer: Peer,
+	) {
+		this.node = peer.member.node;
+		this.isNear = peer.member.dataCentre === context.dataCentre;
+		this.channel = peer.link;
+	}
+
+	/** Applies the current load; returns false if the target accepts no requests of the service. */
+	update(service: string, now: number): boolean {
+		const {peer} = this;
+		const target = usableTarget(peer, service);
+		if (!target) {
+			return false;
+		}
+
+		const {load} = peer;
+		this.occupancy = estimateOccupancy(peer, target.slots, now);
+		this.isRateLimited = isRateLimited(load);
+		this.failureShare = load.failureShare;
+		this.runTime = load.runTime;
 		// A stopping node still accepts requests for a moment, for callers that have no other target.
-		isDoubtful:
-			clock.now() < peer.doubtfulUntil ||
+		this.isDoubtful =
+			now < peer.doubtfulUntil ||
 			(peer.state?.isStopping ?? false) ||
-			peer.link.isSilent(),
-		channel: peer.link,
-		failureShare: peer.load.failureShare,
-		runTime: peer.load.runTime,
-		recordOutcome(kind, load) {
-			onLoad(peer, load);
-			if (kind === 'answered') {
-				peer.failures = 0;
-			} else if (++peer.failures >= doubtThreshold) {
-				peer.failures = 0;
-				peer.doubtfulUntil = clock.now() + doubtDuration;
-			}
-		},
-	};
+			peer.link.isSilent();
+		return true;
+	}
+
+	recordOutcome(
+		kind: 'answered' | 'failed',
+		load: TargetLoad | undefined,
+	): void {
+		const {peer, context} = this;
+		context.onLoad(peer, load);
+		if (kind === 'answered') {
+			peer.failures = 0;
+		} else if (++peer.failures >= doubtThreshold) {
+			peer.failures = 0;
+			peer.doubtfulUntil = context.clock.now() + doubtDuration;
+		}
+	}
 }
--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -12,13 +12,7 @@
 	type TargetLevel,
 } from '../decisions/admission/service-level.js';
 import {isRateLimited, type TargetLoad} from '../links/exchange.js';
-import {
-	createPeerCandidate,
-	applyLoad,
-	usableTarget,
-	type Peer,
-	type TargetCandidate,
-} from '../links/peer.js';
+import {applyLoad, type Peer, type TargetCandidate} from '../links/peer.js';
 import type {
 	Member,
 	PeerMessage,
@@ -32,6 +26,7 @@
 import {createMemberGossip} from './member-gossip.js';
 import {createKnownMembers} from './known-members.js';
 import {createDesiredLinks} from './desired-links.js';
+import {createServiceCandidates} from './service-candidates.js';
 
 export type {TargetCandidate} from '../links/peer.js';
 
@@ -65,8 +60,8 @@
 	addMembers(members: Member[], source: MemberSource): void;
 	/** Records a member that sent a hello: it is alive, even if it was considered gone. */
 	recordHello(member: Member): void;
-	/** Remote targets of the service that are available and not yet tried. */
-	candidates(service: string, tried: ReadonlySet<string>): TargetCandidate[];
+	/** Remote targets of the service that are available and not yet tried; the list is valid until the next call. */
+	candidates(service: string, tried: readonly string[]): TargetCandidate[];
 	/** The shed level of each service with linked targets, and of the own one; see `service-level.ts`. */
 	shedLevels(ownLoad: TargetLoad): Map<string, number>;
 	/** The nodes with usable links, and whether each follows the feed. */
@@ -130,6 +125,7 @@
 		if (!isExpected) {
 			known.remove(peer.member.node);
 			links.drop(peer);
+			candidates.invalidate();
 			addMembers([found], 'peer');
 		}
 
@@ -152,6 +148,12 @@
 		}
 	};
 
+	const candidates = createServiceCandidates(peers, {
+		dataCentre: self.dataCentre,
+		clock,
+		onLoad: recordLoad,
+	});
+
 	/** Handlers of messages about the peer itself; all other messages may arrive on either side of a link. */
 	const handlers: {
 		[Kind in PeerMessage['kind']]?: (
@@ -164,6 +166,7 @@
 		},
 		state(peer, message) {
 			peer.state = message;
+			candidates.invalidate();
 			options.onState(message);
 			applyLoad(peer, message.load, clock.now());
 			reportMemory(peer, message);
@@ -201,6 +204,7 @@
 			hasNew = true;
 			if (peer) {
 				links.drop(peer);
+				candidates.invalidate();
 			}
 
 			if (source === 'peer') {
@@ -224,6 +228,7 @@
 		}
 
 		links.closeUndesired(desired);
+		candidates.invalidate();
 	};
 
 	ticker.schedule(subsetRefreshInterval, refresh);
@@ -240,42 +245,31 @@
 				refresh();
 			}
 
-			const found: TargetCandidate[] = [];
-			for (const peer of peers.values()) {
-				const target = usableTarget(peer, service);
-				if (target && !tried.has(peer.member.node)) {
-					found.push(
-						createPeerCandidate({
-							peer,
-							slots: target.slots,
-							dataCentre: self.dataCentre,
-							clock,
-							onLoad: recordLoad,
-						}),
-					);
-				}
-			}
-
-			return found;
+			return candidates.list(service, tried);
 		},
 		shedLevels(ownLoad) {
 			const linked = new Map<string, TargetLevel[]>([[self.service, []]]);
 			for (const {state, load} of peers.values()) {
 				const service = state?.target?.service;
 				if (service !== undefined) {
-					const listed = linked.get(service) ?? [];
+					let listed = linked.get(service);
+					if (!listed) {
+						listed = [];
+						linked.set(service, listed);
+					}
+
 					listed.push(toTargetLevel(load));
-					linked.set(service, listed);
 				}
 			}
 
 			const own = toTargetLevel(ownLoad);
-			return new Map(
-				[...linked].map(([service, levels]) => [
-					service,
-					levelOfService(levels, service === self.service ? own : undefined),
-				]),
-			);
+			const levels = new Map<string, number>();
+			for (const [service, targets] of linked) {
+				const isOwn = service === self.service;
+				levels.set(service, levelOfService(targets, isOwn ? own : undefined));
+			}
+
+			return levels;
 		},
 		feedPeers: () =>
 			links.usable().map(({member, state}) => ({
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -32,7 +32,6 @@
 	isTargetFailure,
 	type ForwardedRequest,
 	type Outcome,
-	type OutcomeHandler,
 	type RefusalReason,
 	type TargetChannel,
 	type TargetLoad,
@@ -41,7 +40,8 @@
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {Suspects} from '../suspects/suspects.js';
 import {createRepeatedOffers} from './repeated-offers.js';
-import {reportCrash, type WatchedRun} from './crash-report.js';
+import {reportCrash} from './crash-report.js';
+import {PendingRequest} from './pending-request.js';
 import type {createTargetClient} from './target-client.js';
 import {createTargetAccess} from './target-access.js';
 import {createTargetShedLevel} from './target-shed-level.js';
@@ -51,7 +51,11 @@
 	type Incarnation,
 	type TargetRecord,
 } from './target-record.js';
-import {startTargetRun, responseMargin, type TargetRun} from './target-run.js';
+import {
+	TargetRun,
+	responseMargin,
+	type TargetRunContext,
+} from './target-run.js';
 
 /** Dependencies of a dispatcher. */
 export type TargetDispatcherOptions = {
@@ -102,14 +106,6 @@
 const maxRepeats = 6;
 /** Minimum time left for another offer, in milliseconds; with less it can't complete in time. */
 const minTimeToRepeat = 20;
-type PendingRequest = WatchedRun & {
-	/** Deadline of the final answer to the caller, on the clock. */
-	until: number;
-	onOutcome: OutcomeHandler;
-	run?: TargetRun;
-	offeredAt: number;
-	state: 'waiting' | 'running' | 'over';
-};
 
 /** Creates a dispatcher without a target. */
 export function createTargetDispatcher(
@@ -169,21 +165,20 @@
 	let watch = createTargetWatch();
 
 	const load = (): TargetLoad => {
-		const rateLoad = rate.load(admission.waiting());
+		const now = clock.now();
+		const waiting = admission.waiting();
 		return {
-			occupancy:
-				(admission.running() + admission.waiting()) / admission.limit(),
+			occupancy: (admission.running() + waiting) / admission.limit(),
 			shedLevel: targetShedLevel.own(),
-			failureShare: failures.value(clock.now()),
-			runTime: runTime.value(clock.now()),
-			...(rateLoad && {rate: rateLoad}),
+			failureShare: failures.value(now),
+			runTime: runTime.value(now),
+			rate: rate.load(waiting),
 		};
 	};
 
 	const finish = (pending: PendingRequest, outcome: Outcome) => {
-		pending.state = 'over';
 		metrics.attemptEnded(outcome.kind);
-		pending.onOutcome(outcome, load());
+		pending.finish(outcome, load());
 	};
 
 	const refuse = (pending: PendingRequest, reason: RefusalReason) => {
@@ -212,7 +207,6 @@
 
 	const start = (pending: PendingRequest) => {
 		const now = clock.now();
-		const runAdmission = admission;
 		const client = access.client();
 		if (pending.until - now - responseMargin < 1 || !client) {
 			admission.finish(undefined);
@@ -228,60 +222,66 @@
 		rate.take();
 		pending.state = 'running';
 		pending.startedAt = now;
-		const runWatch = watch;
-		let lastOffer: Outcome | undefined;
-		const ordinal = runWatch.started();
+		pending.admission = admission;
+		pending.watch = watch;
+		pending.ordinal = watch.started();
 		metrics.targetStarted(now - pending.offeredAt);
 		offers.recordStart(pending.request, now);
 		profile.recordRun(pending.request.route);
-		pending.run = startTargetRun({
-			clock,
-			wheel,
-			client,
-			request: pending.request,
-			until: pending.until,
-			mayOfferAgain: () =>
-				access.client() === client &&
+		pending.run = new TargetRun(runs, client, pending);
+		pending.run.start();
+	};
+
+	const runs: TargetRunContext<PendingRequest> = {
+		clock,
+		wheel,
+		events: {
+			mayOfferAgain: (run) =>
+				access.client() === run.client &&
 				access.isReachable() &&
-				mayOfferAgain(pending, clock.now()),
-			onOffer(outcome) {
-				lastOffer = outcome;
-				recordOffer(pending, outcome);
+				mayOfferAgain(run, clock.now()),
+			onOffer({item}, outcome) {
+				recordOffer(item, outcome);
 			},
-			onFreed(duration) {
+			onFreed({item, lastOffer}, duration) {
 				if (!lastOffer || !isConnectionLoss(lastOffer)) {
-					runWatch.ended(ordinal);
-					leaveIsolation(pending);
+					item.watch!.ended(item.ordinal);
+					leaveIsolation(item);
 				}
 
-				metrics.targetEnded(clock.now() - now);
-				runAdmission.finish(duration);
-				recordRunTime(clock.now() - now, duration !== undefined);
+				const elapsed = clock.now() - item.startedAt;
+				metrics.targetEnded(elapsed);
+				item.admission!.finish(duration);
+				recordRunTime(elapsed, duration !== undefined);
 				if (duration !== undefined) {
-					profile.recordRunTime(pending.request.route, duration);
+					profile.recordRunTime(item.request.route, duration);
 				}
 
 				startNext();
 			},
-			onOutcome(outcome) {
+			onOutcome({item, repeats}, outcome) {
 				offers.recordEnd(outcome, clock.now());
-				reportRepeats(pending, outcome);
-				if (!isConnectionLoss(outcome)) {
-					finishRun(pending, outcome);
-					return;
+				reportRepeats(item, repeats, outcome);
+				if (isConnectionLoss(outcome)) {
+					awaitVerdict(item, outcome);
+				} else {
+					finishRun(item, outcome);
 				}
-
-				runWatch.lost(pending, ordinal, (hasCrashed) => {
-					leaveIsolation(pending);
-					finishRun(
-						pending,
-						hasCrashed ? {kind: 'lost', reason: 'targetCrashed'} : outcome,
-					);
-				});
 			},
 			onUnresponsive() {
 				access.renew();
 			},
+		},
+	};
+
+	/** Finishes a request whose connection was lost, once it is known whether the target crashed. */
+	const awaitVerdict = (pending: PendingRequest, outcome: Outcome) => {
+		pending.watch!.lost(pending, pending.ordinal, (hasCrashed) => {
+			leaveIsolation(pending);
+			finishRun(
+				pending,
+				hasCrashed ? {kind: 'lost', reason: 'targetCrashed'} : outcome,
+			);
 		});
 	};
 
@@ -318,17 +318,20 @@
 		}
 	};
 
-	const mayOfferAgain = (pending: PendingRequest, now: number): boolean => {
+	const mayOfferAgain = (
+		{item, repeats}: TargetRun<PendingRequest>,
+		now: number,
+	): boolean => {
 		const isAllowed =
-			pending.state === 'running' &&
+			item.state === 'running' &&
 			!target?.isLeaving &&
-			(pending.run?.repeats() ?? 0) < maxRepeats &&
-			pending.until - now >= minTimeToRepeat &&
+			repeats < maxRepeats &&
+			item.until - now >= minTimeToRepeat &&
 			rate.waitTime(now) === 0 &&
 			offers.take(now);
 		if (isAllowed) {
 			rate.take();
-			metrics.retried(pending.request.service);
+			metrics.retried(item.request.service);
 		}
 
 		return isAllowed;
@@ -347,8 +350,11 @@
 		}
 	};
 
-	const reportRepeats = ({request, run}: PendingRequest, outcome: Outcome) => {
-		const repeats = run?.repeats() ?? 0;
+	const reportRepeats = (
+		{request}: PendingRequest,
+		repeats: number,
+		outcome: Outcome,
+	) => {
 		if (repeats > 0) {
 			options.reporter.decision(
 				'meshOfferedAgain',
@@ -360,9 +366,10 @@
 	};
 
 	const startNext = () => {
-		const takeNext = () => admission.next(clock.now());
-		for (let pending = takeNext(); pending; pending = takeNext()) {
+		let pending = admission.next(clock.now());
+		while (pending) {
 			start(pending);
+			pending = admission.next(clock.now());
 		}
 
 		scheduleTick();
@@ -488,15 +495,7 @@
 			}
 		},
 		send(request, onOutcome) {
-			const now = clock.now();
-			const pending: PendingRequest = {
-				request,
-				until: now + request.timeLeft,
-				onOutcome,
-				offeredAt: now,
-				startedAt: now,
-				state: 'waiting',
-			};
+			const pending = new PendingRequest(request, onOutcome, clock.now());
 			const refusalReason = findRefusalReason(request.service);
 			if (refusalReason) {
 				refuse(pending, refusalReason);
--- a/packages/mesh/src/target/target-run.ts
+++ b/packages/mesh/src/target/target-run.ts
@@ -4,36 +4,40 @@
  * passed.
  */
 import type {Clock} from '@egretspoke/shared';
-import type {DeadlineWheel} from '../timing/deadline-wheel.js';
+import {
+	CallbackDeadline,
+	Deadline,
+	type DeadlineWheel,
+} from '../timing/deadline-wheel.js';
 import type {ForwardedRequest, Outcome} from '../links/exchange.js';
 import type {TargetClient} from './target-client.js';
 
-/** Dependencies of a run. */
-export type TargetRunOptions = {
-	clock: Clock;
-	wheel: DeadlineWheel;
-	client: TargetClient;
-	request: ForwardedRequest;
+/** A request that can be run. */
+export type RunnableRequest = {
+	readonly request: ForwardedRequest;
 	/** Deadline of the final answer to the caller, on the clock. */
-	until: number;
+	readonly until: number;
+};
+
+/** Receives the events of all runs of a dispatcher. */
+export type TargetRunEvents<Item extends RunnableRequest> = {
 	/** Whether a request that the target declined may be offered to it again. */
-	mayOfferAgain: () => boolean;
+	mayOfferAgain(run: TargetRun<Item>): boolean;
 	/** Receives the outcome of each offer. */
-	onOffer: (outcome: Outcome) => void;
+	onOffer(run: TargetRun<Item>, outcome: Outcome): void;
 	/** The slot was released; receives the duration of the last offer in milliseconds, undefined unless the target answered it. */
-	onFreed: (duration: number | undefined) => void;
+	onFreed(run: TargetRun<Item>, duration: number | undefined): void;
 	/** Receives the outcome of the request; not called once a cancel has ended the run. */
-	onOutcome: (outcome: Outcome) => void;
+	onOutcome(run: TargetRun<Item>, outcome: Outcome): void;
 	/** The target did not respond before the run was cut off. */
-	onUnresponsive: () => void;
+	onUnresponsive(): void;
 };
 
-/** A request that runs at the target. */
-export type TargetRun = {
-	/** Aborts the run after a grace period, because the caller disconnected. */
-	cancel(): void;
-	/** Number of offers after the first. */
-	repeats(): number;
+/** Dependencies shared by all runs of a dispatcher. */
+export type TargetRunContext<Item extends RunnableRequest> = {
+	clock: Clock;
+	wheel: DeadlineWheel;
+	events: TargetRunEvents<Item>;
 };
 
 /** Milliseconds reserved for returning the answer to the caller before its deadline. */
@@ -50,56 +54,92 @@
  */
 const cancelGrace = 250;
 
-/** Sends a request to the target. */
-export function startTargetRun(options: TargetRunOptions): TargetRun {
-	const {clock, wheel, client, request, until} = options;
-	let isFreed = false;
-	let repeats = 0;
-	let cancelOffer: () => void = () => undefined;
-	let removeCancel: () => void = () => undefined;
+const nothing = () => undefined;
+
+/** A request that runs at the target; as a deadline, it is the time at which the run is cut off. */
+export class TargetRun<Item extends RunnableRequest> extends Deadline {
+	/** Number of offers after the first. */
+	repeats = 0;
+	/** The outcome of the last offer. */
+	lastOffer: Outcome | undefined = undefined;
+	private isFreed = false;
+	private offeredAt = 0;
+	private cancelOffer: () => void = nothing;
+	private cancelDeadline: Deadline | undefined = undefined;
+
+	constructor(
+		private readonly context: TargetRunContext<Item>,
+		readonly client: TargetClient,
+		readonly item: Item,
+	) {
+		super();
+	}
+
+	/** Sends the request to the target. */
+	start(): void {
+		this.context.wheel.add(this.item.until + overrunGrace, this);
+		this.offer();
+	}
 
-	const free = (duration: number | undefined) => {
-		if (isFreed) {
+	/** Aborts the run after a grace period, because the caller disconnected. */
+	cancel(): void {
+		const {clock, wheel} = this.context;
+		this.cancelDeadline = new CallbackDeadline(() => {
+			this.cancelOffer();
+			this.free(undefined);
+		});
+		wheel.add(clock.now() + cancelGrace, this.cancelDeadline);
+	}
+
+	onDeadline(): void {
+		const {events} = this.context;
+		this.cancelOffer();
+		this.free(undefined);
+		events.onUnresponsive();
+		events.onOutcome(this, {kind: 'lost', reason: 'noAnswerInTime'});
+	}
+
+	private offer(): void {
+		const {item, context} = this;
+		this.offeredAt = context.clock.now();
+		const timeLeft = item.until - this.offeredAt - responseMargin;
+		this.cancelOffer = this.client.run(item.request, timeLeft, (outcome) => {
+			this.endOffer(outcome);
+		});
+	}
+
+	private endOffer(outcome: Outcome): void {
+		const {clock, events} = this.context;
+		this.lastOffer = outcome;
+		events.onOffer(this, outcome);
+		if (
+			outcome.kind === 'declined' &&
+			!this.isFreed &&
+			events.mayOfferAgain(this)
+		) {
+			this.repeats++;
+			this.offer();
 			return;
 		}
 
-		isFreed = true;
-		removeCutOff();
-		removeCancel();
-		options.onFreed(duration);
-	};
-
-	const removeCutOff = wheel.add(until + overrunGrace, () => {
-		cancelOffer();
-		free(undefined);
-		options.onUnresponsive();
-		options.onOutcome({kind: 'lost', reason: 'noAnswerInTime'});
-	});
-
-	const offer = () => {
-		const offeredAt = clock.now();
-		const timeLeft = until - offeredAt - responseMargin;
-		cancelOffer = client.run(request, timeLeft, (outcome) => {
-			options.onOffer(outcome);
-			if (outcome.kind === 'declined' && !isFreed && options.mayOfferAgain()) {
-				repeats++;
-				offer();
-				return;
-			}
-
-			free(outcome.kind === 'answered' ? clock.now() - offeredAt : undefined);
-			options.onOutcome(outcome);
-		});
-	};
-
-	offer();
-	return {
-		cancel() {
-			removeCancel = wheel.add(clock.now() + cancelGrace, () => {
-				cancelOffer();
-				free(undefined);
-			});
-		},
-		repeats: () => repeats,
-	};
+		this.free(
+			outcome.kind === 'answered' ? clock.now() - this.offeredAt : undefined,
+		);
+		events.onOutcome(this, outcome);
+	}
+
+	private free(duration: number | undefined): void {
+		if (this.isFreed) {
+			return;
+		}
+
+		const {wheel, events} = this.context;
+		this.isFreed = true;
+		wheel.remove(this);
+		if (this.cancelDeadline) {
+			wheel.remove(this.cancelDeadline);
+		}
+
+		events.onFreed(this, duration);
+	}
 }
--- a/packages/mesh/src/timing/deadline-wheel.ts
+++ b/packages/mesh/src/timing/deadline-wheel.ts
@@ -13,15 +13,67 @@
  */
 export const wheelTick = 40;
 
-/** Runs callbacks at deadlines, up to one tick late. */
+/**
+ * Something with a deadline. The wheel links the objects themselves, so that
+ * setting and cancelling a deadline allocates nothing.
+ */
+export abstract class Deadline {
+	/** The neighbours in the list of the tick; undefined while no deadline is set. */
+	previous: Deadline | undefined = undefined;
+	next: Deadline | undefined = undefined;
+	tick = 0;
+
+	/** Called once, up to one tick after the deadline. */
+	abstract onDeadline(): void;
+}
+
+/** Calls objects at their deadlines, up to one tick late. */
 export type DeadlineWheel = {
-	/** Schedules a callback at a time on the clock; returns a function that cancels it. */
-	add(at: number, callback: () => void): () => void;
+	/** Sets the deadline of an object, which must not have another one, to a time on the clock. */
+	add(at: number, deadline: Deadline): void;
+	/** Cancels a deadline; does nothing if it has fired or was cancelled. */
+	remove(deadline: Deadline): void;
 };
 
+/** A deadline that calls a function. */
+export class CallbackDeadline extends Deadline {
+	constructor(private readonly callback: () => void) {
+		super();
+	}
+
+	onDeadline(): void {
+		this.callback();
+	}
+}
+
+/** The deadlines of one tick: the head of a circular list. */
+class TickList extends Deadline {
+	constructor() {
+		super();
+		this.previous = this;
+		this.next = this;
+	}
+
+	/** The head itself when the list is empty. */
+	first(): Deadline {
+		return this.next!;
+	}
+
+	onDeadline(): void {
+		for (
+			let deadline = this.first();
+			deadline !== this;
+			deadline = this.first()
+		) {
+			unlink(deadline);
+			deadline.onDeadline();
+		}
+	}
+}
+
 /** Creates a wheel on the clock. */
 export function createDeadlineWheel(clock: Clock): DeadlineWheel {
-	const slots = new Map<number, Set<() => void>>();
+	const lists = new Map<number, TickList>();
 	let timer: Timer | undefined;
 	/** The tick at which the timer fires. */
 	let timerTick = Number.POSITIVE_INFINITY;
@@ -40,45 +92,64 @@
 	const setTimerForNext = () => {
 		timer = undefined;
 		timerTick = Number.POSITIVE_INFINITY;
-		if (slots.size > 0) {
-			setTimerFor(Math.min(...slots.keys()));
+		if (lists.size > 0) {
+			setTimerFor(Math.min(...lists.keys()));
 		}
 	};
 
 	const fire = () => {
 		lastTick = Math.max(lastTick, Math.floor(clock.now() / wheelTick));
-		const due = [...slots.keys()]
+		const due = [...lists.keys()]
 			.filter((tick) => tick <= lastTick)
 			.toSorted((left, right) => left - right);
 		for (const tick of due) {
-			const callbacks = slots.get(tick);
-			slots.delete(tick);
-			for (const callback of callbacks ?? []) {
-				callback();
-			}
+			const list = lists.get(tick);
+			lists.delete(tick);
+			list?.onDeadline();
 		}
 	};
 
 	return {
-		add(at, callback) {
+		add(at, deadline) {
 			const tick = Math.max(lastTick + 1, Math.ceil(at / wheelTick));
-			let callbacks = slots.get(tick);
-			if (!callbacks) {
-				callbacks = new Set();
-				slots.set(tick, callbacks);
+			let list = lists.get(tick);
+			if (!list) {
+				list = new TickList();
+				lists.set(tick, list);
 			}
 
-			callbacks.add(callback);
+			deadline.tick = tick;
+			link(deadline, list);
 			if (tick < timerTick) {
 				setTimerFor(tick);
 			}
+		},
+		remove(deadline) {
+			if (!deadline.next) {
+				return;
+			}
 
-			return () => {
-				callbacks.delete(callback);
-				if (callbacks.size === 0) {
-					slots.delete(tick);
-				}
-			};
+			unlink(deadline);
+			const list = lists.get(deadline.tick);
+			if (list?.first() === list) {
+				lists.delete(deadline.tick);
+			}
 		},
 	};
 }
+
+/** Appends a deadline to a list. */
+function link(deadline: Deadline, list: TickList): void {
+	const last = list.previous!;
+	deadline.previous = last;
+	deadline.next = list;
+	last.next = deadline;
+	list.previous = deadline;
+}
+
+function unlink(deadline: Deadline): void {
+	deadline.previous!.next = deadline.next;
+	deadline.next!.previous = deadline.previous;
+	deadline.previous = undefined;
+	deadline.next = undefined;
+}
