--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -389,11 +389,14 @@
 
 	/** The timer runs only while requests wait or the shed level may change. */
 	const scheduleTick = () => {
-		const now = clock.now();
+		if (ticker !== undefined) {
+			return;
+		}
+
 		const isIdle =
 			admission.waiting() + isolation.waiting() === 0 &&
-			targetShedLevel.isIdle(offers.unserved(now));
-		if (ticker !== undefined || isIdle) {
+			targetShedLevel.isIdle(offers.unserved(clock.now()));
+		if (isIdle) {
 			return;
 		}
 
