--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -33,7 +33,6 @@
 	isTargetFailure,
 	type ForwardedRequest,
 	type Outcome,
-	type OutcomeHandler,
 	type RefusalReason,
 	type TargetChannel,
 	type TargetLoad,
@@ -42,7 +41,8 @@
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {Suspects} from '../suspects/suspects.js';
 import {createRepeatedOffers} from './repeated-offers.js';
-import {reportCrash, type WatchedRun} from './crash-report.js';
+import {reportCrash} from './crash-report.js';
+import {PendingRequest} from './pending-request.js';
 import type {createTargetClient} from './target-client.js';
 import {createTargetAccess} from './target-access.js';
 import {createTargetShedLevel} from './target-shed-level.js';
@@ -52,7 +52,11 @@
 	type Incarnation,
 	type TargetRecord,
 } from './target-record.js';
-import {startTargetRun, responseMargin, type TargetRun} from './target-run.js';
+import {
+	TargetRun,
+	responseMargin,
+	type TargetRunContext,
+} from './target-run.js';
 
 /** Dependencies of a dispatcher. */
 export type TargetDispatcherOptions = {
@@ -105,14 +109,6 @@
 export const maxRepeats = 10;
 /** Minimum time left for another offer, in milliseconds; with less it can't complete in time. */
 const minTimeToRepeat = 20;
-type PendingRequest = WatchedRun & {
-	/** Deadline of the final answer to the caller, on the clock. */
-	until: number;
-	onOutcome: OutcomeHandler;
-	run?: TargetRun;
-	offeredAt: number;
-	state: 'waiting' | 'running' | 'over';
-};
 
 /** Creates a dispatcher without a target. */
 export function createTargetDispatcher(
@@ -172,24 +168,23 @@
 	let watch = createTargetWatch();
 
 	const load = (): TargetLoad => {
-		const rateLoad = rate.load(admission.waiting());
+		const now = clock.now();
+		const waiting = admission.waiting();
 		return {
-			occupancy:
-				(admission.running() + admission.waiting()) / admission.limit(),
+			occupancy: (admission.running() + waiting) / admission.limit(),
 			shedLevel: targetShedLevel.own(),
-			failureShare: failures.value(clock.now()),
-			runTime: runTime.value(clock.now()),
-			declined: offers.reportedDeclined(clock.now()),
+			failureShare: failures.value(now),
+			runTime: runTime.value(now),
+			declined: offers.reportedDeclined(now),
 			declineLevel: targetShedLevel.ofDeclines(),
 			demand: targetShedLevel.demand(admission.running() / admission.limit()),
-			...(rateLoad && {rate: rateLoad}),
+			rate: rate.load(waiting),
 		};
 	};
 
 	const finish = (pending: PendingRequest, outcome: Outcome) => {
-		pending.state = 'over';
 		metrics.attemptEnded(outcome.kind);
-		pending.onOutcome(outcome, load());
+		pending.finish(outcome, load());
 	};
 
 	const refuse = (pending: PendingRequest, reason: RefusalReason) => {
@@ -218,7 +213,6 @@
 
 	const start = (pending: PendingRequest) => {
 		const now = clock.now();
-		const runAdmission = admission;
 		const client = access.client();
 		if (pending.until - now - responseMargin < 1 || !client) {
 			admission.finish(undefined);
@@ -234,60 +228,66 @@
 		rate.take();
 		pending.state = 'running';
 		pending.startedAt = now;
-		const runWatch = watch;
-		let lastOffer: Outcome | undefined;
-		const ordinal = runWatch.started();
+		pending.admission = admission;
+		pending.watch = watch;
+		pending.ordinal = watch.started();
 		metrics.targetStarted(now - pending.offeredAt);
 		offers.recordStart(pending.request, now);
 		profile.recordRun(pending.request.route);
-		pending.run = startTargetRun({
-			clock,
-			wheel,
-			client,
-			request: pending.request,
-			until: pending.until,
-			mayOfferAgain: () =>
-				access.client() === client &&
+		pending.run = new TargetRun(runs, client, pending);
+		pending.run.start();
+	};
+
+	const runs: TargetRunContext<PendingRequest> = {
+		clock,
+		wheel,
+		events: {
+			mayOfferAgain: (run) =>
+				access.client() === run.client &&
 				access.isReachable() &&
-				mayOfferAgain(pending, clock.now()),
-			onOffer(outcome) {
-				lastOffer = outcome;
-				recordOffer(pending, outcome);
+				mayOfferAgain(run, clock.now()),
+			onOffer({item}, outcome) {
+				recordOffer(item, outcome);
 			},
-			onFreed(duration) {
+			onFreed({item, lastOffer}, duration) {
 				if (!lastOffer || !isConnectionLoss(lastOffer)) {
-					runWatch.ended(ordinal);
-					leaveIsolation(pending);
+					item.watch!.ended(item.ordinal);
+					leaveIsolation(item);
 				}
 
-				metrics.targetEnded(clock.now() - now);
-				runAdmission.finish(duration);
-				recordRunTime(clock.now() - now, duration !== undefined);
+				const elapsed = clock.now() - item.startedAt;
+				metrics.targetEnded(elapsed);
+				item.admission!.finish(duration);
+				recordRunTime(elapsed, duration !== undefined);
 				if (duration !== undefined) {
-					profile.recordRunTime(pending.request.route, duration);
+					profile.recordRunTime(item.request.route, duration);
 				}
 
 				startNext();
 			},
-			onOutcome(outcome) {
-				offers.recordEnd(pending.request, outcome, clock.now());
-				reportRepeats(pending, outcome);
-				if (!isConnectionLoss(outcome)) {
-					finishRun(pending, outcome);
-					return;
+			onOutcome({item, repeats}, outcome) {
+				offers.recordEnd(item.request, outcome, clock.now());
+				reportRepeats(item, repeats, outcome);
+				if (isConnectionLoss(outcome)) {
+					awaitVerdict(item, outcome);
+				} else {
+					finishRun(item, outcome);
 				}
-
-				runWatch.lost(pending, ordinal, (hasCrashed) => {
-					leaveIsolation(pending);
-					finishRun(
-						pending,
-						hasCrashed ? {kind: 'lost', reason: 'targetCrashed'} : outcome,
-					);
-				});
 			},
 			onUnresponsive() {
 				access.renew();
 			},
+		},
+	};
+
+	/** Finishes a request whose connection was lost, once it is known whether the target crashed. */
+	const awaitVerdict = (pending: PendingRequest, outcome: Outcome) => {
+		pending.watch!.lost(pending, pending.ordinal, (hasCrashed) => {
+			leaveIsolation(pending);
+			finishRun(
+				pending,
+				hasCrashed ? {kind: 'lost', reason: 'targetCrashed'} : outcome,
+			);
 		});
 	};
 
@@ -324,17 +324,20 @@
 		}
 	};
 
-	const mayOfferAgain = (pending: PendingRequest, now: number): boolean => {
+	const mayOfferAgain = (
+		{item, repeats}: TargetRun<PendingRequest>,
+		now: number,
+	): boolean => {
 		const isAllowed =
-			pending.state === 'running' &&
+			item.state === 'running' &&
 			!target?.isLeaving &&
-			(pending.run?.repeats() ?? 0) < maxRepeats &&
-			pending.until - now >= minTimeToRepeat &&
+			repeats < maxRepeats &&
+			item.until - now >= minTimeToRepeat &&
 			rate.waitTime(now) === 0 &&
-			offers.take(pending.request, now);
+			offers.take(item.request, now);
 		if (isAllowed) {
 			rate.take();
-			metrics.retried(pending.request.service);
+			metrics.retried(item.request.service);
 		}
 
 		return isAllowed;
@@ -353,8 +356,11 @@
 		}
 	};
 
-	const reportRepeats = ({request, run}: PendingRequest, outcome: Outcome) => {
-		const repeats = run?.repeats() ?? 0;
+	const reportRepeats = (
+		{request}: PendingRequest,
+		repeats: number,
+		outcome: Outcome,
+	) => {
 		if (repeats > 0) {
 			options.reporter.decision(
 				'meshOfferedAgain',
@@ -366,9 +372,10 @@
 	};
 
 	const startNext = () => {
-		const takeNext = () => admission.next(clock.now());
-		for (let pending = takeNext(); pending; pending = takeNext()) {
+		let pending = admission.next(clock.now());
+		while (pending) {
 			start(pending);
+			pending = admission.next(clock.now());
 		}
 
 		scheduleTick();
@@ -388,11 +395,14 @@
 
 	/** The timer runs only while requests wait or the shed level may change. */
 	const scheduleTick = () => {
-		const now = clock.now();
+		if (ticker !== undefined) {
+			return;
+		}
+
 		const isIdle =
 			admission.waiting() + isolation.waiting() === 0 &&
-			targetShedLevel.isIdle(offers.unserved(now));
-		if (ticker !== undefined || isIdle) {
+			targetShedLevel.isIdle(offers.unserved(clock.now()));
+		if (isIdle) {
 			return;
 		}
 
@@ -494,15 +504,7 @@
 			}
 		},
 		send(request, onOutcome) {
-			const now = clock.now();
-			const pending: PendingRequest = {
-				request,
-				until: now + request.timeLeft,
-				onOutcome,
-				offeredAt: now,
-				startedAt: now,
-				state: 'waiting',
-			};
+			const pending = new PendingRequest(request, onOutcome, clock.now());
 			const refusalReason = findRefusalReason(request.service);
 			if (refusalReason) {
 				refuse(pending, refusalReason);
