test(mesh): specs of the listener for callers over raw connections

Pipelined requests, the parts read from headers, bodies with all byte values around the sizes at which they are written differently, limits, refusals and disconnects had no spec of the listener by itself.

--- /dev/null
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -0,0 +1,273 @@
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect, type Socket} from 'node:net';
+import {createVirtualClock} from '@egretspoke/shared';
+import {expect} from 'chai';
+import {
+	createCallerListener,
+	type CallerListener,
+} from '../src/entry/caller-listener.js';
+import type {CallerRequest, FinalAnswer} from '../src/entry/caller-request.js';
+
+/** A request at the entry, and its answer. */
+type Received = {
+	request: CallerRequest;
+	answer: (final: FinalAnswer) => void;
+	hasLeft: boolean;
+};
+
+const succeed = (body: Uint8Array): FinalAnswer => ({
+	kind: 'target',
+	status: 200,
+	headers: ['X-Name', 'gr\u00FC\u00DF'],
+	body,
+});
+
+describe('the listener for callers', () => {
+	let listener: CallerListener;
+	let received: Received[];
+	let hasWorkspaces: boolean;
+	let isStopping: boolean;
+	let caller: Socket;
+	let text: string;
+
+	beforeEach(async () => {
+		received = [];
+		hasWorkspaces = true;
+		isStopping = false;
+		text = '';
+		listener = createCallerListener({
+			entry: {
+				handle(request, answer) {
+					const entry: Received = {request, answer, hasLeft: false};
+					received.push(entry);
+					if (request.path === '/refused') {
+						answer({
+							kind: 'own',
+							status: 503,
+							reason: 'noRoom',
+							retryAfter: 1500,
+						});
+					}
+
+					return () => {
+						entry.hasLeft = true;
+					};
+				},
+				open: () => 0,
+			},
+			clock: createVirtualClock(),
+			headerNames: {
+				requestId: 'request-id',
+				timeLeft: 'time-left',
+				expectedTarget: 'expected-target',
+				callerService: 'from-service',
+				workspaceKey: 'workspace-key',
+				workspace: 'workspace',
+				signature: 'signed',
+				notExecuted: 'not-run',
+				rateLimit: 'rate',
+				leaving: 'is-leaving',
+			},
+			reporter: {notice: () => undefined, decision: () => undefined},
+			callerService: () => 'orders',
+			hasWorkspaces: () => hasWorkspaces,
+			isStopping: () => isStopping,
+		});
+		listener.applyLimits({
+			headerBytes: 1000,
+			bodyBytes: 100_000,
+			headerTime: 3000,
+			idleTime: 15_000,
+		});
+		const address = await listener.listen('127.0.0.1:0');
+		caller = connect(Number(address.split(':')[1]), '127.0.0.1');
+		caller.on('data', (chunk) => {
+			text += chunk.toString('latin1');
+		});
+		await once(caller, 'connect');
+	});
+
+	afterEach(() => {
+		caller.destroy();
+		listener.close();
+	});
+
+	const waitUntil = async (condition: () => boolean) => {
+		for (let attempt = 0; attempt < 1000 && !condition(); attempt++) {
+			// eslint-disable-next-line no-await-in-loop -- polling interval.
+			await new Promise((resolve) => {
+				setTimeout(resolve, 5);
+			});
+		}
+
+		expect(condition(), 'the condition within 5 s').to.equal(true);
+	};
+
+	const send = async (
+		line: string,
+		lines: string[] = [],
+		body = '',
+	): Promise<Received> => {
+		const count = received.length;
+		caller.write(
+			[`${line} HTTP/1.1`, 'Host: shop.example', ...lines, '', body].join(
+				'\r\n',
+			),
+			'latin1',
+		);
+		await waitUntil(() => received.length > count);
+		return received.at(-1)!;
+	};
+
+	it('passes the parts of a request on, without the headers that only nodes set', async () => {
+		const {request} = await send('GET /work?x=1', [
+			'Request-Id: a',
+			'Request-Id: b',
+			'TIME-LEFT: 900',
+			'Workspace-Key: key',
+			'Workspace: forged',
+			'From-Service: forged',
+			'Expected-Target: forged',
+			'Connection: keep-alive, X-Hop',
+			'X-Hop: 1',
+			'X-Text: gr\u00FC\u00DF',
+		]);
+		expect(request).to.deep.equal({
+			requestId: 'a',
+			method: 'GET',
+			host: 'shop.example',
+			path: '/work?x=1',
+			headers: [
+				'Host',
+				'shop.example',
+				'Request-Id',
+				'a',
+				'Request-Id',
+				'b',
+				'X-Text',
+				'gr\u00FC\u00DF',
+				'from-service',
+				'orders',
+			],
+			body: undefined,
+			workspaceKey: 'key',
+			arrivedAt: 0,
+			timeLeft: 900,
+		});
+	});
+
+	it('accepts a workspace key only once', async () => {
+		// A proxy and a node could otherwise take different keys for the caller's.
+		const {request} = await send('GET /', [
+			'Workspace-Key: a',
+			'workspace-key: b',
+		]);
+		expect(request.workspaceKey).to.equal(undefined);
+	});
+
+	it('forwards a key header of the application without workspaces', async () => {
+		hasWorkspaces = false;
+		const {request} = await send('GET /', ['Workspace-Key: a']);
+		expect(request.headers).to.include.members(['Workspace-Key', 'a']);
+	});
+
+	// A conversion of bytes to text must keep each of the 256 values.
+	const allBytes = Buffer.from(Array.from({length: 256}, (_, value) => value));
+	const returnBody = async (size: number) => {
+		const body = Buffer.alloc(size, allBytes);
+		const {answer} = await send('GET /');
+		answer(succeed(body));
+		await waitUntil(
+			() =>
+				text !== '' &&
+				text.split('\r\n\r\n', 1)[0]!.length + 4 + size <= text.length,
+		);
+		const [head] = text.split('\r\n\r\n', 1);
+		expect(head).to.include(`Content-Length: ${size}\r\n`);
+		expect(head).to.include('X-Name: gr\u00FC\u00DF\r\n');
+		const received = text.slice(head!.length + 4);
+		expect(received === body.toString('latin1')).to.equal(true);
+	};
+
+	for (const size of [0, 1, 256, 5000, 70_000, 300_000]) {
+		it(`returns a body of ${size} bytes unchanged`, async () =>
+			returnBody(size));
+	}
+
+	it('buffers bodies and rejects those above the limit', async () => {
+		const bytes = '\u0000\u00FFbody';
+		const {request, answer} = await send(
+			'POST /',
+			['Content-Length: 6'],
+			bytes,
+		);
+		expect(Buffer.from(request.body!).toString('latin1')).to.equal(bytes);
+		answer(succeed(Buffer.from('x')));
+		const chunked = await send(
+			'POST /',
+			['Transfer-Encoding: chunked'],
+			'3\r\none\r\n4\r\n two\r\n0\r\n\r\n',
+		);
+		expect(Buffer.from(chunked.request.body!).toString()).to.equal('one two');
+		chunked.answer(succeed(Buffer.from('x')));
+		await waitUntil(() => text.split('HTTP/1.1 200').length === 3);
+		caller.write(
+			`POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100001\r\n\r\n${'x'.repeat(100_001)}`,
+		);
+		await waitUntil(() => text.includes('HTTP/1.1 413'));
+		expect(received).to.have.length(2);
+	});
+
+	it('rejects headers above the limit', async () => {
+		caller.write(
+			`GET / HTTP/1.1\r\nHost: x\r\nX-Long: ${'x'.repeat(1000)}\r\n\r\n`,
+		);
+		await waitUntil(() => text.includes('HTTP/1.1 431'));
+		expect(received).to.have.length(0);
+	});
+
+	it('answers pipelined requests in their order', async () => {
+		caller.write(
+			'GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\nGET /refused HTTP/1.1\r\nHost: x\r\n\r\n',
+		);
+		await waitUntil(() => received.length === 3);
+		received[1]!.answer(succeed(Buffer.from('second')));
+		received[0]!.answer(succeed(Buffer.from('first')));
+		await waitUntil(() => text.includes('noRoom'));
+		expect(text).to.match(/^HTTP\/1.1 200 [^]*first[^]*200 [^]*second[^]*503 /);
+	});
+
+	it('writes refusals with the time of the retry', async () => {
+		await send('GET /refused');
+		await waitUntil(() => text.includes('noRoom\n'));
+		expect(text).to.match(/^HTTP\/1.1 503 [^]*Retry-After: 1\.500\r\n/);
+		expect(text).to.match(/Content-Length: 7\r\n/);
+	});
+
+	it('sends no body in response to HEAD', async () => {
+		const {answer} = await send('HEAD /');
+		answer(succeed(Buffer.alloc(0)));
+		await waitUntil(() => text.endsWith('\r\n\r\n'));
+		expect(text).to.match(/^HTTP\/1.1 200 /);
+	});
+
+	it('closes connections after their answers while the node stops', async () => {
+		const {answer} = await send('GET /');
+		isStopping = true;
+		answer(succeed(Buffer.from('x')));
+		await waitUntil(() => caller.readableEnded);
+		expect(text).to.match(/Connection: close\r\n/);
+	});
+
+	it('reports the disconnect of a caller for its open requests only', async () => {
+		const first = await send('GET /1');
+		first.answer(succeed(Buffer.from('x')));
+		await waitUntil(() => text !== '');
+		const second = await send('GET /2');
+		caller.destroy();
+		await waitUntil(() => second.hasLeft);
+		expect(first.hasLeft).to.equal(false);
+		second.answer(succeed(Buffer.from('x')));
+	});
+});
