--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -259,9 +259,10 @@
 
 				startNext();
 			},
-			onOutcome({item, repeats}, outcome) {
+			onOutcome(run, outcome) {
+				const {item} = run;
 				offers.recordEnd(outcome, clock.now());
-				reportRepeats(item, repeats, outcome);
+				reportRepeats(options.reporter, run, outcome);
 				if (isConnectionLoss(outcome)) {
 					awaitVerdict(item, outcome);
 				} else {
@@ -350,21 +351,6 @@
 		}
 	};
 
-	const reportRepeats = (
-		{request}: PendingRequest,
-		repeats: number,
-		outcome: Outcome,
-	) => {
-		if (repeats > 0) {
-			options.reporter.decision(
-				'meshOfferedAgain',
-				request.requestId,
-				outcome.kind,
-				{repeats},
-			);
-		}
-	};
-
 	const startNext = () => {
 		let pending = admission.next(clock.now());
 		while (pending) {
@@ -551,3 +537,15 @@
 		}
 	}
 }
+
+function reportRepeats(
+	reporter: MeshReporter,
+	{item: {request}, repeats}: TargetRun<PendingRequest>,
+	outcome: Outcome,
+): void {
+	if (repeats > 0) {
+		reporter.decision('meshOfferedAgain', request.requestId, outcome.kind, {
+			repeats,
+		});
+	}
+}
