perf(mesh): fewer probes and load reports on links

The nodes of a fleet received 30 to 100 probes in 5 s at 20 calls a second, because the silence before a request counted: on a link with few requests, nearly each was probed at the next tick. Silence now counts from the request on. Idle links that are due soon are probed in one turn, so that their answers arrive together. Load reports skip links whose last outcome or state carried about the same load, and with 25 links and more they use the ticker instead of a timer of their own.

--- a/packages/mesh/__tests__/desired-links.spec.ts
+++ b/packages/mesh/__tests__/desired-links.spec.ts
@@ -23,7 +23,7 @@
 		outstanding: () => 0,
 		sendMessage: () => undefined,
 		retryNow: () => undefined,
-		probe: () => undefined,
+		probe: () => false,
 		close: () => undefined,
 	};
 }
--- a/packages/mesh/__tests__/load-report.spec.ts
+++ b/packages/mesh/__tests__/load-report.spec.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import {idleLoad, type TargetLoad} from '../src/links/exchange.js';
 import {createLoadReport} from '../src/target/load-report.js';
+import {createTicker} from '../src/timing/ticker.js';
 
 describe('createLoadReport', () => {
 	function reportsOf(loads: TargetLoad[], listeners = 10) {
@@ -12,6 +13,7 @@
 		createLoadReport({
 			clock,
 			signal: life.signal,
+			ticker: createTicker(clock, life.signal),
 			load: () => current,
 			listeners: () => listeners,
 			report(load) {
--- a/packages/mesh/__tests__/member-gossip.spec.ts
+++ b/packages/mesh/__tests__/member-gossip.spec.ts
@@ -26,7 +26,7 @@
 		outstanding: () => 0,
 		sendMessage,
 		retryNow: () => undefined,
-		probe: () => undefined,
+		probe: () => false,
 		close: () => undefined,
 	};
 }
--- a/packages/mesh/__tests__/peer-link.spec.ts
+++ b/packages/mesh/__tests__/peer-link.spec.ts
@@ -4,7 +4,26 @@
 import {expect} from 'chai';
 import {WebSocketServer, type WebSocket} from 'ws';
 import {createPeerLink, type PeerLink} from '../src/links/peer-link.js';
-import {encodeFrame} from '../src/links/peer-message.js';
+import type {ForwardedRequest} from '../src/links/exchange.js';
+import {decodeFrame, encodeFrame} from '../src/links/peer-message.js';
+
+const request: ForwardedRequest = {
+	requestId: 'id',
+	method: 'GET',
+	path: '/x',
+	headers: [],
+	body: undefined,
+	route: 'read',
+	service: 'orders',
+	isIdempotent: true,
+	isInner: false,
+	isNearCompletion: false,
+	repeatShare: 0,
+	crashes: 0,
+	priority: 0,
+	maxWait: 0,
+	timeLeft: 5000,
+};
 
 describe('the link to a node that has become silent', () => {
 	let server: WebSocketServer;
@@ -59,4 +78,50 @@
 		await received;
 		expect(link.isSilent()).to.equal(false);
 	});
+
+	it('is probed for the silence since a request, not for the silence before it', async () => {
+		// A link with few requests is silent most of the time. If the silence before
+		// a request counted, nearly every request would cause a probe, which wakes
+		// up both nodes. If none counted, a request on a dead link would wait until
+		// its deadline.
+		const clock = createVirtualClock();
+		const {port} = server.address() as AddressInfo;
+		const kinds: string[] = [];
+		let onKind: () => void = () => undefined;
+		server.on('connection', (peer: WebSocket) => {
+			peer.on('message', (data: Uint8Array) => {
+				const {messages} = decodeFrame(data)._unsafeUnwrap();
+				kinds.push(...messages.map(({kind}) => kind));
+				onKind();
+			});
+		});
+		await new Promise<void>((resolve) => {
+			link = createPeerLink({
+				address: `127.0.0.1:${port}`,
+				clock,
+				hello: () => [],
+				onMessage: () => undefined,
+				onMalformed: () => undefined,
+				onChange() {
+					resolve();
+				},
+			});
+		});
+		clock.advanceTo(2000);
+		link.send(request, () => undefined);
+		clock.advanceTo(2050);
+		link.probe();
+		clock.advanceTo(2250);
+		expect(link.isSilent()).to.equal(false);
+		const probed = new Promise<void>((resolve) => {
+			onKind = () => {
+				if (kinds.includes('ping')) {
+					resolve();
+				}
+			};
+		});
+		link.probe();
+		await probed;
+		expect(kinds).to.deep.equal(['request', 'ping']);
+	});
 });
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -18,6 +18,7 @@
 import type {Directory} from '../src/members/directory.js';
 import {isRateLimited, type TargetLoad} from '../src/links/exchange.js';
 import {createLoadReport} from '../src/target/load-report.js';
+import {createTicker} from '../src/timing/ticker.js';
 import {
 	applyLoad,
 	createPeer,
@@ -192,7 +193,7 @@
 			},
 			sendMessage: () => undefined,
 			retryNow: () => undefined,
-			probe: () => undefined,
+			probe: () => false,
 			close: () => undefined,
 		};
 	};
@@ -398,9 +399,11 @@
 	}
 
 	for (const {member, dispatcher} of nodes) {
+		const {signal} = new AbortController();
 		createLoadReport({
 			clock,
-			signal: new AbortController().signal,
+			signal,
+			ticker: createTicker(clock, signal),
 			load: () => dispatcher.load(),
 			listeners: () => options.nodes - 1,
 			report(load) {
--- a/packages/mesh/__tests__/suspect-fleet.ts
+++ b/packages/mesh/__tests__/suspect-fleet.ts
@@ -102,7 +102,7 @@
 			deliver(to, message);
 		},
 		retryNow: () => undefined,
-		probe: () => undefined,
+		probe: () => false,
 		close: () => undefined,
 	});
 
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -46,20 +46,26 @@
 	/** Number of requests without an outcome. */
 	outstanding(): number;
 	sendMessage(message: PeerMessage): void;
-	/** Sends a probe if the peer has been silent, and abandons the connection after the answer timeout; called every `probeInterval`. */
-	probe(): void;
+	/**
+	 * Sends a probe if the peer has been silent, and abandons the connection
+	 * after the answer timeout; called every `probeInterval`. Returns whether it
+	 * probed a link without pending requests.
+	 *
+	 * @param idleTimeout - Milliseconds without a message after which such a link is probed.
+	 */
+	probe(idleTimeout?: number): boolean;
 	/** Connects now instead of after the backoff. */
 	retryNow(): void;
 	close(): void;
 };
 
-/** Milliseconds between two calls of `probe`; a link with pending requests is probed after half of it without a message. */
+/** Milliseconds between two calls of `probe`; a link is probed after half of it without a message while a request is pending. */
 export const probeInterval = 200;
 /**
  * Milliseconds without a message after which a link without pending requests is
  * probed: most links lead to other data centres, and that traffic is billed.
  */
-const idleProbeTimeout = 3000;
+export const idleProbeTimeout = 3000;
 /** Milliseconds after which the answer to a probe is late: many times the latency between data centres, plus a usual turn of the event loop. */
 const lateAnswer = 100;
 /** Milliseconds to wait for the answer to a probe: the highest latency plus a slow turn of the peer's event loop. */
@@ -84,6 +90,8 @@
 	let current: PeerChannel | undefined;
 	let nextExchange = 1;
 	let lastReceivedAt = clock.now();
+	/** Time since which requests have been pending without interruption. */
+	let pendingSince = lastReceivedAt;
 	/** Send time of the unanswered probe. */
 	let probedAt: number | undefined;
 	let isClosed = false;
@@ -182,24 +190,34 @@
 		}
 	};
 
-	const probe = () => {
+	const probe = (idleTimeout = idleProbeTimeout): boolean => {
 		const channel = current;
 		if (!channel) {
-			return;
+			return false;
 		}
 
 		const now = clock.now();
-		if (probedAt !== undefined && now - probedAt >= answerTimeout) {
-			abandon(channel);
-			return;
+		if (probedAt !== undefined) {
+			if (now - probedAt >= answerTimeout) {
+				abandon(channel);
+			}
+
+			return false;
 		}
 
-		const maxSilence =
-			exchanges.size > 0 ? probeInterval / 2 : idleProbeTimeout;
-		if (probedAt === undefined && now - lastReceivedAt >= maxSilence) {
+		// The silence before a request says nothing about its answer: nearly every
+		// request on a link with few of them would cause a probe, and each probe
+		// wakes up both nodes.
+		const isIdle = exchanges.size === 0;
+		const isDue = isIdle
+			? now - lastReceivedAt >= idleTimeout
+			: now - Math.max(lastReceivedAt, pendingSince) >= probeInterval / 2;
+		if (isDue) {
 			probedAt = now;
 			channel.send({kind: 'ping'});
 		}
+
+		return isDue && isIdle;
 	};
 
 	/**
@@ -230,6 +248,10 @@
 				return () => undefined;
 			}
 
+			if (exchanges.size === 0) {
+				pendingSince = clock.now();
+			}
+
 			exchanges.set(exchange, {request, onOutcome, channel});
 			return () => {
 				if (exchanges.delete(exchange)) {
--- a/packages/mesh/src/links/peer-links.ts
+++ b/packages/mesh/src/links/peer-links.ts
@@ -1,7 +1,7 @@
 /** Manages the links that this node opens to other nodes. */
 import type {Clock, Random} from '@egretspoke/shared';
 import {createPeer, type Peer} from './peer.js';
-import {createPeerLink} from './peer-link.js';
+import {createPeerLink, idleProbeTimeout} from './peer-link.js';
 import type {Member, PeerMessage} from './peer-message.js';
 
 /** Options of `createPeerLinks`. */
@@ -102,8 +102,17 @@
 			}
 		},
 		probe() {
+			let hasProbedIdle = false;
 			for (const {link} of peers.values()) {
-				link.probe();
+				hasProbedIdle = link.probe() || hasProbedIdle;
+			}
+
+			if (hasProbedIdle) {
+				// Links that are due soon are probed in the same turn. The answers arrive
+				// together and wake this node up once; each alone would wake it up again.
+				for (const {link} of peers.values()) {
+					link.probe(idleProbeTimeout / 2);
+				}
 			}
 		},
 		broadcast(message) {
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -3,7 +3,13 @@
 import type {Clock} from '@egretspoke/shared';
 import {WebSocketServer} from 'ws';
 import {listenOn} from '../listening.js';
-import type {CancelAttempt, TargetChannel} from './exchange.js';
+import {isSignificantChange} from '../target/load-report.js';
+import {
+	idleLoad,
+	type CancelAttempt,
+	type TargetChannel,
+	type TargetLoad,
+} from './exchange.js';
 import {
 	createPeerChannel,
 	frameLimit,
@@ -31,11 +37,22 @@
 	listen(address: string): Promise<string>;
 	/** Sends a message to every node that is linked to this one. */
 	broadcast(message: PeerMessage): void;
+	/** Sends the load of the target to the nodes that have not learnt it from a recent outcome. */
+	reportLoad(load: TargetLoad): void;
 	/** Number of nodes that are linked to this one. */
 	linkCount(): number;
 	close(): void;
 };
 
+/** A link of another node. */
+type IncomingLink = {
+	channel: PeerChannel;
+	/** The requests without an outcome, by exchange. */
+	running: Map<number, CancelAttempt>;
+	/** The load that was sent last. */
+	load: TargetLoad;
+};
+
 /** Creates a listener that is not listening yet. */
 export function createPeerListener(options: PeerListenerOptions): PeerListener {
 	const server = createServer((_request, response) => {
@@ -46,59 +63,57 @@
 		maxPayload: frameLimit,
 		perMessageDeflate: false,
 	});
-	const channels = new Set<PeerChannel>();
+	const links = new Set<IncomingLink>();
 
 	socketServer.on('connection', (socket) => {
-		const running = new Map<number, CancelAttempt>();
-		const channel: PeerChannel = createPeerChannel(socket, options.clock, {
+		const channel = createPeerChannel(socket, options.clock, {
 			onOpen: () => undefined,
 			onMessage(message, delay) {
-				receive(channel, running, message, delay);
+				receive(link, message, delay);
 			},
 			onMalformed: options.onMalformed,
 			onClose() {
-				channels.delete(channel);
+				links.delete(link);
 				// The outcomes can no longer be delivered.
-				for (const cancel of running.values()) {
+				for (const cancel of link.running.values()) {
 					cancel();
 				}
 			},
 		});
-		channels.add(channel);
+		const link: IncomingLink = {channel, running: new Map(), load: idleLoad};
+		links.add(link);
 	});
 
 	/** Dispatches a request of the node at the other end. */
 	const dispatch = (
-		channel: PeerChannel,
-		running: Map<number, CancelAttempt>,
+		link: IncomingLink,
 		{exchange, request}: Extract<PeerMessage, {kind: 'request'}>,
 	) => {
 		let hasOutcome = false;
 		const cancel = options.dispatcher.send(request, (outcome, load) => {
 			hasOutcome = true;
-			running.delete(exchange);
-			channel.send({kind: 'outcome', exchange, outcome, load});
+			link.running.delete(exchange);
+			link.load = load ?? link.load;
+			link.channel.send({kind: 'outcome', exchange, outcome, load});
 		});
 		if (!hasOutcome) {
-			running.set(exchange, cancel);
+			link.running.set(exchange, cancel);
 		}
 	};
 
-	const sendInitialMessages = (channel: PeerChannel) => {
-		for (const message of options.initialMessages()) {
-			channel.send(message);
+	const send = (link: IncomingLink, message: PeerMessage) => {
+		if (message.kind === 'state') {
+			link.load = message.load;
 		}
+
+		link.channel.send(message);
 	};
 
-	const receive = (
-		channel: PeerChannel,
-		running: Map<number, CancelAttempt>,
-		message: PeerMessage,
-		delay: number,
-	) => {
+	const receive = (link: IncomingLink, message: PeerMessage, delay: number) => {
+		const {channel, running} = link;
 		if (message.kind === 'request') {
 			message.request.timeLeft -= delay;
-			dispatch(channel, running, message);
+			dispatch(link, message);
 			return;
 		}
 
@@ -114,7 +129,9 @@
 		}
 
 		if (message.kind === 'hello') {
-			sendInitialMessages(channel);
+			for (const initial of options.initialMessages()) {
+				send(link, initial);
+			}
 		}
 
 		options.onMessage(message, (reply) => {
@@ -125,13 +142,22 @@
 	return {
 		listen: async (address) => listenOn(server, address),
 		broadcast(message) {
-			for (const channel of channels) {
-				channel.send(message);
+			for (const link of links) {
+				send(link, message);
+			}
+		},
+		reportLoad(load) {
+			const message: PeerMessage = {kind: 'load', load};
+			for (const link of links) {
+				if (isSignificantChange(load, link.load)) {
+					link.load = load;
+					link.channel.send(message);
+				}
 			}
 		},
-		linkCount: () => channels.size,
+		linkCount: () => links.size,
 		close() {
-			for (const channel of channels) {
+			for (const {channel} of links) {
 				channel.close();
 			}
 
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -388,11 +388,10 @@
 	const reportLoad = createLoadReport({
 		clock,
 		signal: lifetime.signal,
+		ticker,
 		load: () => dispatcher.load(),
 		listeners: () => peerListener.linkCount(),
-		report(load) {
-			peerListener.broadcast({kind: 'load', load});
-		},
+		report: peerListener.reportLoad,
 	});
 
 	return {
--- a/packages/mesh/src/target/load-report.ts
+++ b/packages/mesh/src/target/load-report.ts
@@ -1,12 +1,14 @@
 /** Reports the load of the local target to the other nodes when it has changed significantly. */
 import type {Clock} from '@egretspoke/shared';
 import {idleLoad, type TargetLoad} from '../links/exchange.js';
+import {tickInterval, type Ticker} from '../timing/ticker.js';
 
 /** Dependencies of the report. */
 export type LoadReportOptions = {
 	clock: Clock;
 	/** Stops the report. */
 	signal: AbortSignal;
+	ticker: Ticker;
 	load: () => TargetLoad;
 	/** Number of nodes that receive each report. */
 	listeners: () => number;
@@ -24,8 +26,11 @@
 
 /** Creates a report that has not started. */
 export function createLoadReport(options: LoadReportOptions): {start(): void} {
-	const {clock, signal, listeners, report} = options;
+	const {clock, signal, ticker, listeners, report} = options;
 	let reported = idleLoad;
+	/** When the ticker runs the next check; infinite if a timer does. */
+	let dueAt = Number.POSITIVE_INFINITY;
+
 	const check = () => {
 		if (signal.aborted) {
 			return;
@@ -37,23 +42,40 @@
 			report(load);
 		}
 
-		clock.setTimer(reportIntervalPerListener * Math.max(1, listeners()), check);
+		const interval = reportIntervalPerListener * Math.max(1, listeners());
+		if (interval < tickInterval) {
+			dueAt = Number.POSITIVE_INFINITY;
+			clock.setTimer(interval, check);
+		} else {
+			// Rounded to whole ticks, at which the node wakes up in any case.
+			dueAt = clock.now() + interval - tickInterval / 2;
+		}
 	};
 
-	return {start: check};
+	return {
+		start() {
+			ticker.schedule(tickInterval, () => {
+				if (clock.now() >= dueAt) {
+					check();
+				}
+			});
+			check();
+		},
+	};
 }
 
-function isSignificantChange(load: TargetLoad, reported: TargetLoad): boolean {
+/** Whether a load differs so much from the last reported one that entry nodes should know. */
+export function isSignificantChange(
+	load: TargetLoad,
+	reported: TargetLoad,
+): boolean {
 	const isBusy = Math.max(load.occupancy, reported.occupancy) >= busyOccupancy;
-	const isChanged = (
-		kind: 'occupancy' | 'shedLevel' | 'failureShare',
-		threshold: number,
-	) => Math.abs(load[kind] - reported[kind]) >= threshold;
 	return (
 		load.rate?.limit !== reported.rate?.limit ||
-		isChanged('shedLevel', minReportedLevelChange) ||
+		Math.abs(load.shedLevel - reported.shedLevel) >= minReportedLevelChange ||
 		(load.shedLevel === 0 && reported.shedLevel > 0) ||
-		isChanged('failureShare', minReportedChange) ||
-		(isBusy && isChanged('occupancy', minReportedChange))
+		Math.abs(load.failureShare - reported.failureShare) >= minReportedChange ||
+		(isBusy &&
+			Math.abs(load.occupancy - reported.occupancy) >= minReportedChange)
 	);
 }
