perf(mesh): load reports on demand, and one write per frame on links

A resting target needs no timer for its load report: the check runs with the requests of other nodes and at the ticks. Reports are compared with what each link was last sent, so that a peak that an outcome carried is corrected. Frames get their WebSocket header in the buffer of the payload and are written once; ws wrote header and payload as two buffers. Requests and outcomes are checked and read without iterators and closures.

--- a/packages/mesh/__tests__/load-report.spec.ts
+++ b/packages/mesh/__tests__/load-report.spec.ts
@@ -10,15 +10,22 @@
 		const life = new AbortController();
 		const reported: TargetLoad[] = [];
 		let current = idleLoad;
+		const receivers = new Set(
+			Array.from({length: listeners}, (_, index) => ({
+				load: idleLoad,
+				report(load: TargetLoad) {
+					if (index === 0) {
+						reported.push(load);
+					}
+				},
+			})),
+		);
 		createLoadReport({
 			clock,
 			signal: life.signal,
 			ticker: createTicker(clock, life.signal),
 			load: () => current,
-			listeners: () => listeners,
-			report(load) {
-				reported.push(load);
-			},
+			receivers: () => receivers,
 		}).start();
 		for (const load of loads) {
 			current = load;
@@ -57,4 +64,32 @@
 			reportsOf(loads, 200).length,
 		);
 	});
+
+	it('corrects a load that a node learnt from an outcome, but repeats none', () => {
+		// An outcome that carries a short peak is the last message to its node for
+		// a while. Without a correction, the node would avoid the target, or shed
+		// requests for it, until the next outcome.
+		const clock = createVirtualClock();
+		const {signal} = new AbortController();
+		const sent: string[] = [];
+		const createReceiver = (name: string, load: TargetLoad) => ({
+			load,
+			report({shedLevel}: TargetLoad) {
+				sent.push(`${name} ${shedLevel}`);
+			},
+		});
+		const receivers = new Set([
+			createReceiver('without outcome', idleLoad),
+			createReceiver('after a peak', {...idleLoad, shedLevel: 0.8}),
+		]);
+		createLoadReport({
+			clock,
+			signal,
+			ticker: createTicker(clock, signal),
+			load: () => idleLoad,
+			receivers: () => receivers,
+		}).start();
+		clock.advanceTo(1000);
+		expect(sent).to.deep.equal(['after a peak 0']);
+	});
 });
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -16,7 +16,11 @@
 import {createRetryBudget} from '../src/decisions/repeats/retry-budget.js';
 import {levelOfService} from '../src/decisions/admission/service-level.js';
 import type {Directory} from '../src/members/directory.js';
-import {isRateLimited, type TargetLoad} from '../src/links/exchange.js';
+import {
+	idleLoad,
+	isRateLimited,
+	type TargetLoad,
+} from '../src/links/exchange.js';
 import {createLoadReport} from '../src/target/load-report.js';
 import {createTicker} from '../src/timing/ticker.js';
 import {
@@ -400,22 +404,29 @@
 
 	for (const {member, dispatcher} of nodes) {
 		const {signal} = new AbortController();
+		const receivers = new Set(
+			nodes.flatMap(({peers}) => {
+				const peer = peers.get(member.node);
+				return peer
+					? [
+							{
+								load: idleLoad,
+								report(load: TargetLoad) {
+									clock.setTimer(linkLatency, () => {
+										applyLoad(peer, load, clock.now());
+									});
+								},
+							},
+						]
+					: [];
+			}),
+		);
 		createLoadReport({
 			clock,
 			signal,
 			ticker: createTicker(clock, signal),
 			load: () => dispatcher.load(),
-			listeners: () => options.nodes - 1,
-			report(load) {
-				clock.setTimer(linkLatency, () => {
-					for (const {peers} of nodes) {
-						const peer = peers.get(member.node);
-						if (peer) {
-							applyLoad(peer, load, clock.now());
-						}
-					}
-				});
-			},
+			receivers: () => receivers,
 		}).start();
 	}
 
--- a/packages/mesh/src/links/compact-message.ts
+++ b/packages/mesh/src/links/compact-message.ts
@@ -78,14 +78,26 @@
 	],
 	cancel: ({exchange}) => [codes.cancel, exchange],
 	load: ({load}) => [codes.load, ...toNumbers(load)],
-	outcome: ({exchange, outcome, load}) => [
-		codes.outcome,
-		exchange,
-		load ? toNumbers(load) : null,
-		outcome.kind,
-		'reason' in outcome ? outcome.reason : outcome.status,
-		...(outcome.kind === 'answered' ? [outcome.headers, outcome.body] : []),
-	],
+	outcome({exchange, outcome, load}) {
+		const numbers = load ? toNumbers(load) : null;
+		return outcome.kind === 'answered'
+			? [
+					codes.outcome,
+					exchange,
+					numbers,
+					outcome.kind,
+					outcome.status,
+					outcome.headers,
+					outcome.body,
+				]
+			: [
+					codes.outcome,
+					exchange,
+					numbers,
+					outcome.kind,
+					outcome.kind === 'declined' ? outcome.status : outcome.reason,
+				];
+	},
 };
 
 /** Decodes a list; returns undefined if it is none of these messages. */
@@ -112,13 +124,6 @@
 	{minLength: 5, read: readLoad},
 ];
 
-/** Positions in a request's list, by type; headers and body are checked separately. */
-const requestTypes = {
-	string: [2, 3, 4, 7, 14],
-	boolean: [8, 9, 15],
-	number: [10, 11, 12, 13, 16],
-} as const;
-
 /**
  * An item of a wrong type would throw in the target's client after the request
  * has taken a slot, which would never be released: the target would be reported
@@ -127,11 +132,21 @@
 function isRequestList(list: unknown[]): boolean {
 	const body = list[6];
 	return (
-		Object.entries(requestTypes).every(([type, positions]) =>
-			positions.every((position) => typeof list[position] === type),
-		) &&
+		typeof list[2] === 'string' &&
+		typeof list[3] === 'string' &&
+		typeof list[4] === 'string' &&
 		Array.isArray(list[5]) &&
-		(body === null || body instanceof Uint8Array)
+		(body === null || body instanceof Uint8Array) &&
+		typeof list[7] === 'string' &&
+		typeof list[8] === 'boolean' &&
+		typeof list[9] === 'boolean' &&
+		typeof list[10] === 'number' &&
+		typeof list[11] === 'number' &&
+		typeof list[12] === 'number' &&
+		typeof list[13] === 'number' &&
+		typeof list[14] === 'string' &&
+		typeof list[15] === 'boolean' &&
+		typeof list[16] === 'number'
 	);
 }
 
@@ -170,12 +185,12 @@
 }
 
 function readOutcome(list: unknown[]): CompactMessage | undefined {
-	const [, exchange, load, kind, detail, headers, body] = list;
-	const outcome = readOutcomeKind(kind, detail, headers, body);
+	const load = list[2];
+	const outcome = readOutcomeKind(list[3], list[4], list[5], list[6]);
 	return (
 		outcome && {
 			kind: 'outcome',
-			exchange: exchange as number,
+			exchange: list[1] as number,
 			outcome,
 			load: Array.isArray(load) ? fromNumbers(load as LoadNumbers) : undefined,
 		}
--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -1,9 +1,11 @@
 /** One WebSocket between two nodes: sends one frame per event loop turn, and passes received messages on one by one. */
+import type {Socket} from 'node:net';
 import process from 'node:process';
 import type {Clock} from '@egretspoke/shared';
 import type {RawData, WebSocket} from 'ws';
 import {createTransitDelay} from '../decisions/routing/transit-delay.js';
 import {decodeFrame, encodeFrame, type PeerMessage} from './peer-message.js';
+import {addFrameHeader, maxHeaderLength} from './socket-frame.js';
 
 /** A connection that carries messages. */
 export type PeerChannel = {
@@ -31,13 +33,19 @@
 /** Maximum size of a frame in bytes; a frame holds all bodies of one event loop turn. */
 export const frameLimit = 256 * 1024 * 1024;
 
-/** Creates a channel over a WebSocket that is open or connecting. */
+/**
+ * Creates a channel over a WebSocket.
+ *
+ * @param connection - The connection of an accepted WebSocket; undefined for one that this node opens.
+ */
 export function createPeerChannel(
 	socket: WebSocket,
+	connection: Socket | undefined,
 	clock: Clock,
 	handlers: PeerChannelHandlers,
 ): PeerChannel {
 	const transit = createTransitDelay();
+	const isClient = connection === undefined;
 	let queue: PeerMessage[] = [];
 	let isClosed = false;
 	socket.binaryType = 'nodebuffer';
@@ -46,7 +54,10 @@
 		const messages = queue;
 		queue = [];
 		if (socket.readyState === socket.OPEN && messages.length > 0) {
-			socket.send(encodeFrame({sentAt: clock.now(), messages}));
+			const frame = {sentAt: clock.now(), messages};
+			connection?.write(
+				addFrameHeader(encodeFrame(frame, maxHeaderLength), isClient),
+			);
 		}
 	};
 
@@ -57,6 +68,9 @@
 		}
 	};
 
+	socket.on('upgrade', (response) => {
+		connection = response.socket;
+	});
 	socket.on('open', () => {
 		handlers.onOpen();
 	});
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -110,13 +110,8 @@
 			perMessageDeflate: false,
 			handshakeTimeout: connectTimeout,
 			maxPayload: frameLimit,
-			// The peers of a deployment share a private network; masking only protects the proxies of browsers.
-			generateMask(mask) {
-				// An all-zero mask leaves the payload unchanged.
-				mask.fill(0);
-			},
 		});
-		const channel: PeerChannel = createPeerChannel(socket, clock, {
+		const channel: PeerChannel = createPeerChannel(socket, undefined, clock, {
 			onOpen() {
 				isConnecting = false;
 				current = channel;
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -3,13 +3,8 @@
 import type {Clock} from '@egretspoke/shared';
 import {WebSocketServer} from 'ws';
 import {listenOn} from '../listening.js';
-import {isSignificantChange} from '../target/load-report.js';
-import {
-	idleLoad,
-	type CancelAttempt,
-	type TargetChannel,
-	type TargetLoad,
-} from './exchange.js';
+import type {LoadReceiver} from '../target/load-report.js';
+import {idleLoad, type CancelAttempt, type TargetChannel} from './exchange.js';
 import {
 	createPeerChannel,
 	frameLimit,
@@ -29,28 +24,26 @@
 		reply: (message: PeerMessage) => void,
 	) => void;
 	onMalformed: (detail: string) => void;
+	/** Called after a request of another node was dispatched. */
+	onRequest: () => void;
 };
 
 /** The listener for links of other nodes. */
 export type PeerListener = {
+	/** The nodes that are linked to this one. */
+	links: ReadonlySet<LoadReceiver>;
 	/** Listens on `ip:port`; resolves with the bound address. */
 	listen(address: string): Promise<string>;
 	/** Sends a message to every node that is linked to this one. */
 	broadcast(message: PeerMessage): void;
-	/** Sends the load of the target to the nodes that have not learnt it from a recent outcome. */
-	reportLoad(load: TargetLoad): void;
-	/** Number of nodes that are linked to this one. */
-	linkCount(): number;
 	close(): void;
 };
 
 /** A link of another node. */
-type IncomingLink = {
+type IncomingLink = LoadReceiver & {
 	channel: PeerChannel;
 	/** The requests without an outcome, by exchange. */
 	running: Map<number, CancelAttempt>;
-	/** The load that was sent last. */
-	load: TargetLoad;
 };
 
 /** Creates a listener that is not listening yet. */
@@ -65,8 +58,8 @@
 	});
 	const links = new Set<IncomingLink>();
 
-	socketServer.on('connection', (socket) => {
-		const channel = createPeerChannel(socket, options.clock, {
+	socketServer.on('connection', (socket, request) => {
+		const channel = createPeerChannel(socket, request.socket, options.clock, {
 			onOpen: () => undefined,
 			onMessage(message, delay) {
 				receive(link, message, delay);
@@ -80,7 +73,14 @@
 				}
 			},
 		});
-		const link: IncomingLink = {channel, running: new Map(), load: idleLoad};
+		const link: IncomingLink = {
+			channel,
+			running: new Map(),
+			load: idleLoad,
+			report(load) {
+				channel.send({kind: 'load', load});
+			},
+		};
 		links.add(link);
 	});
 
@@ -99,6 +99,8 @@
 		if (!hasOutcome) {
 			link.running.set(exchange, cancel);
 		}
+
+		options.onRequest();
 	};
 
 	const send = (link: IncomingLink, message: PeerMessage) => {
@@ -146,16 +148,7 @@
 				send(link, message);
 			}
 		},
-		reportLoad(load) {
-			const message: PeerMessage = {kind: 'load', load};
-			for (const link of links) {
-				if (isSignificantChange(load, link.load)) {
-					link.load = load;
-					link.channel.send(message);
-				}
-			}
-		},
-		linkCount: () => links.size,
+		links,
 		close() {
 			for (const {channel} of links) {
 				channel.close();
--- a/packages/mesh/src/links/peer-message.ts
+++ b/packages/mesh/src/links/peer-message.ts
@@ -4,7 +4,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {suspectTupleSchema} from '@egretspoke/quarantine';
-import {Packr} from 'msgpackr';
+import {Packr, RESERVE_START_SPACE} from 'msgpackr';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {
@@ -193,9 +193,19 @@
 /** The messages of one event loop turn, and when they were sent, in milliseconds of the sender's monotonic clock. */
 export type Frame = {sentAt: number; messages: PeerMessage[]};
 
-/** Encodes a frame. */
-export function encodeFrame({sentAt, messages}: Frame): Uint8Array {
-	return packr.pack([sentAt, messages.map((message) => toWire(message))]);
+/**
+ * Encodes a frame.
+ *
+ * @param reserved - Number of unused bytes in front of it.
+ */
+export function encodeFrame(
+	{sentAt, messages}: Frame,
+	reserved = 0,
+): Uint8Array {
+	return packr.pack(
+		[sentAt, messages.map((message) => toWire(message))],
+		RESERVE_START_SPACE + reserved,
+	);
 }
 
 function toWire(message: PeerMessage): unknown {
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -289,6 +289,9 @@
 		],
 		onMessage: receive,
 		onMalformed,
+		onRequest() {
+			reportLoad.recordRequest();
+		},
 	});
 	const suspectGossip = createGossip({
 		clock,
@@ -390,8 +393,7 @@
 		signal: lifetime.signal,
 		ticker,
 		load: () => dispatcher.load(),
-		listeners: () => peerListener.linkCount(),
-		report: peerListener.reportLoad,
+		receivers: () => peerListener.links,
 	});
 
 	return {
--- a/packages/mesh/src/target/load-report.ts
+++ b/packages/mesh/src/target/load-report.ts
@@ -1,6 +1,6 @@
 /** Reports the load of the local target to the other nodes when it has changed significantly. */
 import type {Clock} from '@egretspoke/shared';
-import {idleLoad, type TargetLoad} from '../links/exchange.js';
+import type {TargetLoad} from '../links/exchange.js';
 import {tickInterval, type Ticker} from '../timing/ticker.js';
 
 /** Dependencies of the report. */
@@ -10,9 +10,14 @@
 	signal: AbortSignal;
 	ticker: Ticker;
 	load: () => TargetLoad;
-	/** Number of nodes that receive each report. */
-	listeners: () => number;
-	report: (load: TargetLoad) => void;
+	receivers: () => ReadonlySet<LoadReceiver>;
+};
+
+/** A node that receives reports. */
+export type LoadReceiver = {
+	/** The load that was last sent to it, by any message: outcomes and states carry it as well. */
+	load: TargetLoad;
+	report(load: TargetLoad): void;
 };
 
 /** Interval between reports per listener, in milliseconds: with 50 listeners, each receives one every 400 ms at most. */
@@ -24,11 +29,17 @@
 /** Occupancy below which a target has free slots in any case; changes below it are reported only with outcomes of requests. */
 const busyOccupancy = 0.5;
 
+/** The reports of a node's load. */
+export type LoadReport = {
+	start(): void;
+	/** Checks the load if a check is due; called for each request of another node. */
+	recordRequest(): void;
+};
+
 /** Creates a report that has not started. */
-export function createLoadReport(options: LoadReportOptions): {start(): void} {
-	const {clock, signal, ticker, listeners, report} = options;
-	let reported = idleLoad;
-	/** When the ticker runs the next check; infinite if a timer does. */
+export function createLoadReport(options: LoadReportOptions): LoadReport {
+	const {clock, signal, ticker} = options;
+	/** From when on a request or a tick causes the next check; infinite if a timer does. */
 	let dueAt = Number.POSITIVE_INFINITY;
 
 	const check = () => {
@@ -37,38 +48,51 @@
 		}
 
 		const load = options.load();
-		if (isSignificantChange(load, reported)) {
-			reported = load;
-			report(load);
+		const receivers = options.receivers();
+		for (const receiver of receivers) {
+			if (isSignificantChange(load, receiver.load)) {
+				receiver.load = load;
+				receiver.report(load);
+			}
 		}
 
-		const interval = reportIntervalPerListener * Math.max(1, listeners());
-		if (interval < tickInterval) {
+		const interval = reportIntervalPerListener * Math.max(1, receivers.size);
+		if (interval < tickInterval && !isResting(load)) {
 			dueAt = Number.POSITIVE_INFINITY;
 			clock.setTimer(interval, check);
 		} else {
 			// Rounded to whole ticks, at which the node wakes up in any case.
-			dueAt = clock.now() + interval - tickInterval / 2;
+			const rounding = interval < tickInterval ? 0 : tickInterval / 2;
+			dueAt = clock.now() + interval - rounding;
+		}
+	};
+
+	const checkIfDue = () => {
+		if (clock.now() >= dueAt) {
+			check();
 		}
 	};
 
 	return {
 		start() {
-			ticker.schedule(tickInterval, () => {
-				if (clock.now() >= dueAt) {
-					check();
-				}
-			});
+			ticker.schedule(tickInterval, checkIfDue);
 			check();
 		},
+		recordRequest: checkIfDue,
 	};
 }
 
+/** Whether a load with free slots changes significantly only after further requests; it doesn't by itself. */
+function isResting({occupancy, shedLevel, failureShare}: TargetLoad): boolean {
+	return (
+		occupancy < busyOccupancy &&
+		shedLevel === 0 &&
+		failureShare < minReportedChange
+	);
+}
+
 /** Whether a load differs so much from the last reported one that entry nodes should know. */
-export function isSignificantChange(
-	load: TargetLoad,
-	reported: TargetLoad,
-): boolean {
+function isSignificantChange(load: TargetLoad, reported: TargetLoad): boolean {
 	const isBusy = Math.max(load.occupancy, reported.occupancy) >= busyOccupancy;
 	return (
 		load.rate?.limit !== reported.rate?.limit ||
