--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -16,8 +16,13 @@
 import {createRetryBudget} from '../src/decisions/repeats/retry-budget.js';
 import {levelOfService} from '../src/decisions/admission/service-level.js';
 import type {Directory} from '../src/members/directory.js';
-import {isRateLimited, type TargetLoad} from '../src/links/exchange.js';
+import {
+	idleLoad,
+	isRateLimited,
+	type TargetLoad,
+} from '../src/links/exchange.js';
 import {createLoadReport} from '../src/target/load-report.js';
+import {createTicker} from '../src/timing/ticker.js';
 import {applyLoad, createPeer, type Peer} from '../src/links/peer.js';
 import type {PeerLink} from '../src/links/peer-link.js';
 import type {Member} from '../src/links/peer-message.js';
@@ -190,7 +195,7 @@
 			},
 			sendMessage: () => undefined,
 			retryNow: () => undefined,
-			probe: () => undefined,
+			probe: () => false,
 			close: () => undefined,
 		};
 	};
@@ -390,21 +395,30 @@
 	}
 
 	for (const {member, dispatcher} of nodes) {
+		const {signal} = new AbortController();
+		const receivers = new Set(
+			nodes.flatMap(({peers}) => {
+				const peer = peers.get(member.node);
+				return peer
+					? [
+							{
+								load: idleLoad,
+								report(load: TargetLoad) {
+									clock.setTimer(linkLatency, () => {
+										applyLoad(peer, load, clock.now());
+									});
+								},
+							},
+						]
+					: [];
+			}),
+		);
 		createLoadReport({
 			clock,
-			signal: new AbortController().signal,
+			signal,
+			ticker: createTicker(clock, signal),
 			load: () => dispatcher.load(),
-			listeners: () => options.nodes - 1,
-			report(load) {
-				clock.setTimer(linkLatency, () => {
-					for (const {peers} of nodes) {
-						const peer = peers.get(member.node);
-						if (peer) {
-							applyLoad(peer, load, clock.now());
-						}
-					}
-				});
-			},
+			receivers: () => receivers,
 		}).start();
 	}
 
--- a/packages/mesh/__tests__/service-candidates.spec.ts
+++ b/packages/mesh/__tests__/service-candidates.spec.ts
@@ -39,7 +39,7 @@
 			isSilent: () => false,
 			outstanding: () => 0,
 			sendMessage: () => undefined,
-			probe: () => undefined,
+			probe: () => false,
 			retryNow: () => undefined,
 			close: () => undefined,
 		};
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -293,6 +293,9 @@
 		],
 		onMessage: receive,
 		onMalformed,
+		onRequest() {
+			reportLoad.recordRequest();
+		},
 	});
 	const suspectGossip = createGossip({
 		clock,
@@ -394,11 +397,9 @@
 	const reportLoad = createLoadReport({
 		clock,
 		signal: lifetime.signal,
+		ticker,
 		load: () => dispatcher.load(),
-		listeners: () => peerListener.linkCount(),
-		report(load) {
-			peerListener.broadcast({kind: 'load', load});
-		},
+		receivers: () => peerListener.links,
 	});
 
 	return {
