feat(mesh): limit the slots that routes take while they wait for a slow service

Cause: when a deep service becomes slow, requests that call it hold the slots of the middle service several times as long. The middle service is full, and its shed level and its queue apply to requests that never call the slow service.

Change: the admission of a target learns the usual and the recent run time of each route. A route that is at least twice as slow as usual, while others are not, gets no more than its usual share of the slots while others wait; no slot stays free. The part of the shed level that such routes cause is reported apart and applies to requests that make calls at the service. The mechanism is `bulkhead`, the event 2522.

--- a/packages/mesh/__tests__/declining-fleet.ts
+++ b/packages/mesh/__tests__/declining-fleet.ts
@@ -9,6 +9,10 @@
 	type Random,
 	type VirtualClock,
 } from '@egretspoke/shared';
+import {
+	createBulkhead,
+	type Bulkhead,
+} from '../src/decisions/admission/bulkhead.js';
 import {createCallGraph} from '../src/decisions/admission/call-graph.js';
 import {levelOfService} from '../src/decisions/admission/service-level.js';
 import {shedPeriod} from '../src/decisions/admission/shed-level.js';
@@ -94,6 +98,7 @@
 type Target = {
 	index: number;
 	isDeep: boolean;
+	bulkhead: Bulkhead | undefined;
 	admission: TargetAdmission<Work>;
 	offers: RepeatedOffers;
 	level: TargetShedLevel;
@@ -142,6 +147,7 @@
 				isNearCompletion: work.isInner || work.kind.calls === 0,
 				priority: work.kind.priority,
 				maxWait,
+				route: work.isInner ? 'call' : work.kind.route,
 			},
 			work,
 			clock.now(),
@@ -153,8 +159,12 @@
 		}
 	};
 
-	const free = (target: Target, duration: number | undefined) => {
-		target.admission.finish(duration);
+	const free = (
+		target: Target,
+		{isInner, kind}: Work,
+		duration: number | undefined,
+	) => {
+		target.admission.finish(duration, isInner ? 'call' : kind.route);
 		for (
 			let next = target.admission.next(clock.now());
 			next;
@@ -178,7 +188,7 @@
 		clock.setTimer(duration, () => {
 			const now = clock.now();
 			if (!isUp(target)) {
-				free(target, undefined);
+				free(target, work, undefined);
 				work.onEnd(false);
 				return;
 			}
@@ -203,7 +213,7 @@
 			}
 
 			target.offers.recordEnd(work, outcome, now);
-			free(target, isDeclined ? undefined : duration);
+			free(target, work, isDeclined ? undefined : duration);
 			work.onEnd(!isDeclined);
 		});
 	};
@@ -212,7 +222,7 @@
 		const startedAt = clock.now();
 		let left = work.kind.calls;
 		const end = (isServed: boolean) => {
-			free(target, clock.now() - startedAt);
+			free(target, work, clock.now() - startedAt);
 			work.onEnd(isServed);
 		};
 
@@ -304,16 +314,20 @@
 	policy: Pick<MeshPolicy, 'has'>,
 	isDeep: boolean,
 ): Target[] {
-	return Array.from({length: count}, (_, index) => ({
-		index,
-		isDeep,
-		admission: createTargetAdmission<Work>(slots),
-		offers: createRepeatedOffers({
-			policy,
-			budget: {ratio: 0.2, window: 10_000},
-		}),
-		level: createTargetShedLevel(policy),
-	}));
+	return Array.from({length: count}, (_, index) => {
+		const bulkhead = policy.has('bulkhead') ? createBulkhead() : undefined;
+		return {
+			index,
+			isDeep,
+			bulkhead,
+			admission: createTargetAdmission<Work>(slots, undefined, bulkhead),
+			offers: createRepeatedOffers({
+				policy,
+				budget: {ratio: 0.2, window: 10_000},
+			}),
+			level: createTargetShedLevel(policy),
+		};
+	});
 }
 
 /** Creates the pressure of an entry node that knows the call graph. */
@@ -379,7 +393,7 @@
 }
 
 function updateTarget(
-	{index, isDeep, admission, offers, level}: Target,
+	{index, isDeep, bulkhead, admission, offers, level}: Target,
 	isUsable: boolean,
 	now: number,
 ): LinkedTarget {
@@ -389,13 +403,16 @@
 
 	const declined = offers.declined(now);
 	const occupancy = admission.running() / admission.limit();
-	level.update({
-		wait: admission.expectedWait(now),
-		occupancy,
-		arriving: ((1 - declined) * admission.takeArrivals()) / shedPeriod,
-		declined,
-		unserved: offers.unserved(now),
-	});
+	level.update(
+		{
+			wait: admission.expectedWait(now),
+			occupancy,
+			arriving: ((1 - declined) * admission.takeArrivals()) / shedPeriod,
+			declined,
+			unserved: offers.unserved(now),
+		},
+		bulkhead?.takeHeldShare() ?? 0,
+	);
 	return {
 		...idleLoad,
 		node: `${isDeep ? 'deep' : 'middle'} ${index}`,
@@ -406,6 +423,7 @@
 		shedLevel: level.own(),
 		declined: offers.reportedDeclined(now),
 		declineLevel: level.ofDeclines(),
+		heldLevel: level.ofHeld(),
 		demand: level.demand(occupancy),
 	};
 }
--- a/packages/mesh/src/decisions/admission/call-graph.ts
+++ b/packages/mesh/src/decisions/admission/call-graph.ts
@@ -19,6 +19,8 @@
 	isKnown(route: string, service: string): boolean;
 	/** Returns the cost function for that service, from the current profiles. */
 	costsOf(other: string): CostAt;
+	/** Like `costsOf`, but only for runs that make calls there. */
+	heldCostsOf(other: string): CostAt;
 	/** Returns the function for the calls of one request to that service, below the first service, from the current profiles. */
 	callsTo(other: string): CallsAt;
 };
@@ -141,6 +143,10 @@
 		},
 		costsOf: (other) =>
 			createCosts(({runTime}, service) => (service === other ? runTime : 0)),
+		heldCostsOf: (other) =>
+			createCosts(({runTime, calls}, service) =>
+				service === other && sum(calls.values()) >= minCalls ? runTime : 0,
+			),
 		callsTo(other) {
 			const runsAt = createCosts((_, service) => (service === other ? 1 : 0));
 			return (route, service) =>
--- a/packages/mesh/src/decisions/admission/target-admission.ts
+++ b/packages/mesh/src/decisions/admission/target-admission.ts
@@ -8,6 +8,7 @@
  * over than it runs at once and accepts, and the rest is queued here or refused.
  */
 
+import type {Bulkhead} from './bulkhead.js';
 import type {RateLimiter} from './rate-limiter.js';
 
 /** The properties of a request that admission depends on. */
@@ -18,6 +19,8 @@
 	priority: number;
 	/** The maximum time that it may wait here, in milliseconds; 0 if it runs at once or not at all. */
 	maxWait: number;
+	/** Absent if its slots aren't counted by route. */
+	route?: string;
 };
 
 type Waiting<T> = {
@@ -39,7 +42,7 @@
 	 */
 	offer(request: AdmissionRequest, item: T, now: number): AdmissionDecision;
 	/** Records that a running request has ended; its duration is undefined when it doesn't reflect the target's speed. */
-	finish(duration: number | undefined): void;
+	finish(duration: number | undefined, route?: string): void;
 	/** Removes the next request to run from the queue; undefined when none waits or no slot is free. */
 	next(now: number): T | undefined;
 	/** Removes the requests whose maximum wait has passed. */
@@ -77,6 +80,7 @@
 export function createTargetAdmission<T>(
 	concurrencyLimit: number,
 	rate: AdmissionRate = unlimitedRate,
+	bulkhead?: Bulkhead,
 ): TargetAdmission<T> {
 	let limit = concurrencyLimit;
 	let running = 0;
@@ -103,6 +107,51 @@
 
 	const hasRoom = (now: number) => running < limit && rate.waitTime(now) === 0;
 
+	const startRun = ({route}: AdmissionRequest) => {
+		running++;
+		if (route !== undefined) {
+			bulkhead?.recordStart(route);
+		}
+	};
+
+	/** The first waiting request, in the order of the queues, that is eligible. */
+	const findFirst = (
+		isEligible: (request: AdmissionRequest) => boolean,
+	): Waiting<T> | undefined => {
+		for (const queue of ranks) {
+			while (queue?.[0]?.isGone) {
+				queue.shift();
+			}
+
+			const entry = queue?.find(
+				({isGone, request}) => !isGone && isEligible(request),
+			);
+			if (entry) {
+				return entry;
+			}
+		}
+
+		return undefined;
+	};
+
+	/** Undefined if all routes that wait have their shares; then the first one runs, so that no slot stays free. */
+	const findWithinShare = (): Waiting<T> | undefined => {
+		if (!bulkhead) {
+			return undefined;
+		}
+
+		const overShare = new Map<string, boolean>();
+		return findFirst(({route = ''}) => {
+			let isOver = overShare.get(route);
+			if (isOver === undefined) {
+				isOver = bulkhead.isOverShare(route, limit);
+				overShare.set(route, isOver);
+			}
+
+			return !isOver;
+		});
+	};
+
 	const countAhead = (rank: number): number => {
 		let ahead = 0;
 		for (let index = 0; index <= rank; index++) {
@@ -114,9 +163,14 @@
 
 	return {
 		offer(request, item, now) {
+			const {route} = request;
+			if (route !== undefined) {
+				bulkhead?.recordOffer(route);
+			}
+
 			if (waitingCount === 0 && hasRoom(now)) {
 				offered++;
-				running++;
+				startRun(request);
 				return 'run';
 			}
 
@@ -138,8 +192,12 @@
 			waitingCount++;
 			return 'wait';
 		},
-		finish(duration) {
+		finish(duration, route) {
 			running--;
+			if (route !== undefined) {
+				bulkhead?.recordEnd(route, duration);
+			}
+
 			if (duration !== undefined) {
 				meanDuration += durationWeight * (duration - meanDuration);
 			}
@@ -149,16 +207,13 @@
 				return undefined;
 			}
 
-			for (const queue of ranks) {
-				const entry = queue && removeFirst(queue);
-				if (entry) {
-					remove(entry);
-					running++;
-					return entry.item;
-				}
+			const entry = findWithinShare() ?? findFirst(() => true);
+			if (entry) {
+				remove(entry);
+				startRun(entry.request);
 			}
 
-			return undefined;
+			return entry?.item;
 		},
 		expire(now) {
 			const expired: T[] = [];
@@ -210,17 +265,6 @@
 	};
 }
 
-/** Removes entries until it finds one that is still queued; returns that one. */
-function removeFirst<T>(queue: Array<Waiting<T>>): Waiting<T> | undefined {
-	for (let entry = queue.shift(); entry; entry = queue.shift()) {
-		if (!entry.isGone) {
-			return entry;
-		}
-	}
-
-	return undefined;
-}
-
 /**
  * The position of a request's queue; each queue is in order of arrival. First
  * come calls of requests that already run and new requests that make no further
--- a/packages/mesh/src/decisions/mesh-policy.ts
+++ b/packages/mesh/src/decisions/mesh-policy.ts
@@ -13,6 +13,8 @@
 	levelOfDeclined: 'the shed level rises while requests end declined',
 	completionChance:
 		'requests whose calls are declined too often are refused by the repeats that are left for them, and the level for declined requests applies only to them',
+	bulkhead:
+		'routes that wait for other services get no more than their share of the slots while others wait, and are shed first for their wait',
 	lostCapacity:
 		'the demand for lost targets counts for the remaining ones of their service at once',
 	levelByRoute:
--- a/packages/mesh/src/entry/route-pressure.ts
+++ b/packages/mesh/src/entry/route-pressure.ts
@@ -14,6 +14,7 @@
 	type ShedSlice,
 } from '../decisions/admission/shed-order.js';
 import {createCompletionPressure} from './completion-pressure.js';
+import {createHeldPressure} from './held-pressure.js';
 
 /** Dependencies of the route pressure. */
 export type RoutePressureOptions = {
@@ -24,6 +25,8 @@
 	levels: () => Map<string, number>;
 	/** Services that decline calls; none by default. */
 	declining?: () => ReadonlyMap<string, DecliningService>;
+	/** The levels of services for the requests that make calls there; none by default. */
+	heldLevels?: () => ReadonlyMap<string, number>;
 };
 
 /** The properties of new work that decide whether it is shed. */
@@ -76,6 +79,7 @@
 	policy,
 	levels,
 	declining,
+	heldLevels,
 }: RoutePressureOptions): RoutePressure {
 	const recentWork = new Map<string, RecentWork>();
 	/** The shed order by overloaded service, computed on demand. */
@@ -140,6 +144,10 @@
 		pressures.push(createCompletionPressure({graph, declining, recentWork}));
 	}
 
+	if (heldLevels && policy.has('bulkhead')) {
+		pressures.push(createHeldPressure({graph, heldLevels, recentWork}));
+	}
+
 	return {
 		recordRequest(work) {
 			const kind = kindOf(work);
--- a/packages/mesh/src/entry/service-states.ts
+++ b/packages/mesh/src/entry/service-states.ts
@@ -30,7 +30,12 @@
 	levels(): Map<string, number>;
 	/** The services that decline calls. */
 	declining(): ReadonlyMap<string, DecliningService>;
-	readings(): Pick<MeshReadings, 'completionLevel' | 'lostCapacityLevel'>;
+	/** The mean levels above 0 of services for the requests that make calls there. */
+	heldLevels(): ReadonlyMap<string, number>;
+	readings(): Pick<
+		MeshReadings,
+		'completionLevel' | 'lostCapacityLevel' | 'heldLevel'
+	>;
 };
 
 /** Creates the states of a node. */
@@ -73,13 +78,38 @@
 			trouble.record('declines', new Map(levels));
 			return services;
 		},
+		heldLevels() {
+			const levels = meanHeldLevels(listTargets());
+			trouble.record('waits', levels);
+			return levels;
+		},
 		readings: () => ({
 			completionLevel: trouble.level('declines'),
 			lostCapacityLevel: trouble.level('lostTargets'),
+			heldLevel: trouble.level('waits'),
 		}),
 	};
 }
 
+function meanHeldLevels(targets: LinkedTarget[]): Map<string, number> {
+	const sums = new Map<string, {level: number; slots: number}>();
+	for (const {service, slots, heldLevel, isUsable} of targets) {
+		const sum = sums.get(service) ?? {level: 0, slots: 0};
+		sum.slots += isUsable ? slots : 0;
+		sum.level += isUsable ? slots * heldLevel : 0;
+		sums.set(service, sum);
+	}
+
+	const levels = new Map<string, number>();
+	for (const [service, {level, slots}] of sums) {
+		if (level > 0) {
+			levels.set(service, level / slots);
+		}
+	}
+
+	return levels;
+}
+
 /** Raises each level to the other one of the same service. */
 export function raiseLevels(
 	levels: Map<string, number>,
--- a/packages/mesh/src/entry/service-trouble.ts
+++ b/packages/mesh/src/entry/service-trouble.ts
@@ -1,4 +1,4 @@
-/** Logs when this entry node begins to refuse requests because a service declines calls or has lost targets, and when that ends. */
+/** Logs when this entry node begins to refuse requests because a service declines calls, has lost targets or is full of work that waits for others, and when that ends. */
 import type {Clock} from '@egretspoke/shared';
 import type {MeshReporter} from '../mesh-reporter.js';
 
@@ -6,6 +6,7 @@
 const events = {
 	declines: 'meshServiceDeclines',
 	lostTargets: 'meshServiceLostTargets',
+	waits: 'meshServiceWaits',
 } as const;
 
 /** The kind of trouble of a service. */
@@ -39,7 +40,11 @@
 	reporter: Pick<MeshReporter, 'notice'>;
 }): ServiceTrouble {
 	const troubles = new Map<string, Trouble>();
-	const levelOf: Record<TroubleKind, number> = {declines: 0, lostTargets: 0};
+	const levelOf: Record<TroubleKind, number> = {
+		declines: 0,
+		lostTargets: 0,
+		waits: 0,
+	};
 
 	const log = ({kind, service, maxLevel}: Trouble, duration: number) => {
 		reporter.notice(events[kind], {
--- a/packages/mesh/src/links/compact-message.ts
+++ b/packages/mesh/src/links/compact-message.ts
@@ -217,7 +217,7 @@
 
 /**
  * Ratios in thousandths, the run time in milliseconds, and the rate limit in
- * requests per second with its occupancy in thousandths. The last three are
+ * requests per second with its occupancy in thousandths. The last four are
  * sent only while a rate is known, which is from the first answer on: a node of
  * an earlier version would take any placeholder for a rate limit.
  */
@@ -231,6 +231,7 @@
 	declined?: number,
 	declineLevel?: number,
 	demand?: number,
+	heldLevel?: number,
 ];
 
 /** Stands for an infinite rate limit, which takes nine bytes as a number. */
@@ -256,11 +257,12 @@
 		: [rate.limit, Math.round(rate.occupancy * ratioScale)];
 }
 
-function toDemandNumbers(load: TargetLoad): [number, number, number] {
+function toDemandNumbers(load: TargetLoad): [number, number, number, number] {
 	return [
 		Math.round(load.declined * ratioScale),
 		Math.round(load.declineLevel * ratioScale),
 		Math.round(load.demand * ratioScale),
+		Math.round(load.heldLevel * ratioScale),
 	];
 }
 
@@ -274,6 +276,7 @@
 	declined = 0,
 	declineLevel = 0,
 	demand = 0,
+	heldLevel = 0,
 ]: LoadNumbers): TargetLoad {
 	return {
 		occupancy: occupancy / ratioScale,
@@ -283,6 +286,7 @@
 		declined: declined / ratioScale,
 		declineLevel: declineLevel / ratioScale,
 		demand: demand / ratioScale,
+		heldLevel: heldLevel / ratioScale,
 		...(rateLimit !== undefined && {
 			rate: {
 				limit: rateLimit === unlimited ? Number.POSITIVE_INFINITY : rateLimit,
--- a/packages/mesh/src/links/exchange.ts
+++ b/packages/mesh/src/links/exchange.ts
@@ -112,6 +112,8 @@
 	declined: number;
 	/** How much of the load whose calls reach the target entry nodes are to shed because calls end declined; see `completion-chance.ts`. */
 	declineLevel: number;
+	/** The same for the load of requests that make calls at the target and wait for them; see `bulkhead.ts`. */
+	heldLevel: number;
 	/** The demand for the target before shedding, as a multiple of its capacity. */
 	demand: number;
 	/** Absent while the node knows no answer of the target. */
@@ -131,6 +133,7 @@
 	runTime: 0,
 	declined: 0,
 	declineLevel: 0,
+	heldLevel: 0,
 	demand: 0,
 };
 
--- a/packages/mesh/src/links/peer-message.ts
+++ b/packages/mesh/src/links/peer-message.ts
@@ -49,6 +49,7 @@
 	declined: z.number().default(0),
 	declineLevel: z.number().default(0),
 	demand: z.number().default(0),
+	heldLevel: z.number().default(0),
 	rate: z
 		.object({
 			/** May be infinite, which `z.number` rejects. */
--- a/packages/mesh/src/target/load-report.ts
+++ b/packages/mesh/src/target/load-report.ts
@@ -49,13 +49,20 @@
 	const isBusy = Math.max(load.occupancy, reported.occupancy) >= busyOccupancy;
 	const isChanged = (
 		kind:
-			'occupancy' | 'shedLevel' | 'failureShare' | 'declined' | 'declineLevel',
+			| 'occupancy'
+			| 'shedLevel'
+			| 'failureShare'
+			| 'declined'
+			| 'declineLevel'
+			| 'heldLevel',
 		threshold: number,
 	) => Math.abs(load[kind] - reported[kind]) >= threshold;
 	return (
 		load.rate?.limit !== reported.rate?.limit ||
 		isChanged('shedLevel', minReportedLevelChange) ||
 		(load.shedLevel === 0 && reported.shedLevel > 0) ||
+		isChanged('heldLevel', minReportedLevelChange) ||
+		(load.heldLevel === 0 && reported.heldLevel > 0) ||
 		isChanged('failureShare', minReportedChange) ||
 		isChanged('declined', minReportedDeclinedChange) ||
 		(load.declined === 0 && reported.declined > 0) ||
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -18,6 +18,10 @@
 import {probeListening, type Clock, type Timer} from '@egretspoke/shared';
 import type {DeadlineWheel} from '../timing/deadline-wheel.js';
 import type {CallProfile} from '../decisions/admission/call-profile.js';
+import {
+	createBulkhead,
+	type Bulkhead,
+} from '../decisions/admission/bulkhead.js';
 import {createFailureShare} from '../decisions/routing/failure-share.js';
 import {
 	createTargetAdmission,
@@ -143,6 +147,7 @@
 		budget: options.retryBudget,
 	});
 	const {profile} = options;
+	let bulkhead: Bulkhead | undefined;
 	let admission: TargetAdmission<PendingRequest> =
 		createTargetAdmission<PendingRequest>(1);
 	let target: TargetRecord | undefined;
@@ -181,6 +186,7 @@
 			runTime: runTime.value(clock.now()),
 			declined: offers.reportedDeclined(clock.now()),
 			declineLevel: targetShedLevel.ofDeclines(),
+			heldLevel: targetShedLevel.ofHeld(),
 			demand: targetShedLevel.demand(admission.running() / admission.limit()),
 			...(rateLoad && {rate: rateLoad}),
 		};
@@ -221,13 +227,13 @@
 		const runAdmission = admission;
 		const client = access.client();
 		if (pending.until - now - responseMargin < 1 || !client) {
-			admission.finish(undefined);
+			admission.finish(undefined, pending.request.route);
 			refuse(pending, client ? 'noTimeLeft' : 'noTarget');
 			return;
 		}
 
 		if (!mayRunNow(pending)) {
-			admission.finish(undefined);
+			admission.finish(undefined, pending.request.route);
 			return;
 		}
 
@@ -261,7 +267,7 @@
 				}
 
 				metrics.targetEnded(clock.now() - now);
-				runAdmission.finish(duration);
+				runAdmission.finish(duration, pending.request.route);
 				recordRunTime(clock.now() - now, duration !== undefined);
 				if (duration !== undefined) {
 					profile.recordRunTime(pending.request.route, duration);
@@ -419,16 +425,19 @@
 		if (elapsed >= shedPeriod) {
 			lastLevelUpdate = now;
 			const declined = offers.declined(now);
-			targetShedLevel.update({
-				wait: admission.expectedWait(now),
-				occupancy: Math.max(
-					admission.running() / admission.limit(),
-					rate.load(0)?.occupancy ?? 0,
-				),
-				arriving: ((1 - declined) * admission.takeArrivals()) / elapsed,
-				declined,
-				unserved: offers.unserved(now),
-			});
+			targetShedLevel.update(
+				{
+					wait: admission.expectedWait(now),
+					occupancy: Math.max(
+						admission.running() / admission.limit(),
+						rate.load(0)?.occupancy ?? 0,
+					),
+					arriving: ((1 - declined) * admission.takeArrivals()) / elapsed,
+					declined,
+					unserved: offers.unserved(now),
+				},
+				bulkhead?.takeHeldShare() ?? 0,
+			);
 		}
 
 		if (rate.perSecond() < Number.POSITIVE_INFINITY) {
@@ -465,9 +474,13 @@
 				const waiting = removeWaiting();
 				watch = createTargetWatch();
 				rate.reset(record.targetId);
+				bulkhead = options.policy.has('bulkhead')
+					? createBulkhead()
+					: undefined;
 				admission = createTargetAdmission<PendingRequest>(
 					options.policy.limitOf(record.slots),
 					rate,
+					bulkhead,
 				);
 				access.close();
 				if (!record.isLeaving) {
--- a/packages/observability/__tests__/metrics.spec.ts
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -34,6 +34,7 @@
 	declined: 0.25,
 	completionLevel: 0,
 	lostCapacityLevel: 0,
+	heldLevel: 0,
 	service: 'orders',
 };
 
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -182,6 +182,17 @@
 		advice:
 			'Restore the targets; lines 2103, 2502 and 2504 before it name them.',
 	},
+	meshServiceWaits: {
+		code: 2522,
+		level: 'info',
+		kind: 'notice',
+		template:
+			'{service} is full of requests that wait for other services, {change}: up to {level} of them refused',
+		meaning:
+			'Some routes take at least twice their usual time at the service, others do not, and its slots are taken. This entry refuses requests that make calls there before others, as `shed`. `duration` is in milliseconds.',
+		advice:
+			'Look for the slow service among those that the route calls; the named service itself needs no more targets.',
+	},
 	meshMetricsUnavailable: {
 		code: 2509,
 		level: 'warn',
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -72,6 +72,14 @@
 		reading:
 			'Above 0: a service has lost targets, see event 2521; more targets lower it at once.',
 	},
+	meshHeldLevel: {
+		name: 'egretspoke_mesh_held_level',
+		type: 'gauge',
+		labels: [],
+		help: 'Maximum share of the requests that make calls at a service that is refused because they hold its slots while they wait, over all services; as of the last request at this entry.',
+		reading:
+			'Above 0: a service below is slow, see event 2522; other requests of the full service are still admitted.',
+	},
 	meshRateLimit: {
 		name: 'egretspoke_mesh_target_rate_limit',
 		type: 'gauge',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -37,6 +37,8 @@
 		/** The maximum levels over all services for declined calls and for lost targets. */
 		completionLevel: number;
 		lostCapacityLevel: number;
+		/** The maximum level over all services for requests that wait there for other services. */
+		heldLevel: number;
 		/** Requests per second that the local target accepts; undefined or infinite without a limit. */
 		rateLimit: number | undefined;
 	};
@@ -119,6 +121,7 @@
 	const declined = createGauge(registry, 'meshDeclined');
 	const completionLevel = createGauge(registry, 'meshCompletionLevel');
 	const lostCapacityLevel = createGauge(registry, 'meshLostCapacityLevel');
+	const heldLevel = createGauge(registry, 'meshHeldLevel');
 	const rateLimit = createGauge(registry, 'meshRateLimit');
 	const updateProcess = createProcessGauges(registry);
 	const updateTarget = createTargetGauges(registry);
@@ -131,6 +134,7 @@
 		declined.set(readings.declined);
 		completionLevel.set(readings.completionLevel);
 		lostCapacityLevel.set(readings.lostCapacityLevel);
+		heldLevel.set(readings.heldLevel);
 		rateLimit.set(
 			readings.rateLimit === undefined || !Number.isFinite(readings.rateLimit)
 				? noRateLimit
