perf(mesh): read the capacity of services in one pass over the targets

Cause: the levels for lost targets grouped and filtered the linked targets up to twenty times a second, and each state listed them anew.

Change: one pass with sums per service, and one list for all states that are read at a time.

--- a/packages/mesh/src/decisions/admission/service-capacity.ts
+++ b/packages/mesh/src/decisions/admission/service-capacity.ts
@@ -49,36 +49,80 @@
 const spareOccupancy = 0.9;
 const millisecondsPerSecond = 1000;
 
+type KnownTarget = {
+	slots: number;
+	demand: number;
+	/** The update in which it was listed last. */
+	listedIn: number;
+};
+
 type Known = {
 	/** Slots that are needed for the demand, of targets that were usable or are lost. */
 	needed: number;
 	/** The last usable state of each target. */
-	targets: Map<string, {slots: number; demand: number}>;
-	updatedAt: number;
+	targets: Map<string, KnownTarget>;
+	/** Sums over the listed targets of one update. */
+	sums: Sums;
 };
 
-/** Creates the levels of a node that knows no targets. */
+type Sums = {
+	listed: number;
+	usable: number;
+	lost: number;
+	/** Slots of usable targets: all, needed for the reported demand, and occupied. */
+	capacity: number;
+	reported: number;
+	occupied: number;
+};
+
+const createSums = (): Sums => ({
+	listed: 0,
+	usable: 0,
+	lost: 0,
+	capacity: 0,
+	reported: 0,
+	occupied: 0,
+});
+
+/**
+ * Creates the levels of a node that knows no targets. An update passes once
+ * over the targets, since it runs up to twenty times a second.
+ */
 export function createCapacityLevels(): CapacityLevels {
 	const services = new Map<string, Known>();
+	let updates = 0;
+	let updatedAt = 0;
+
+	const knownOf = (service: string): Known => {
+		let known = services.get(service);
+		if (!known) {
+			known = {needed: 0, targets: new Map(), sums: createSums()};
+			services.set(service, known);
+		}
+
+		return known;
+	};
+
 	return {
 		update(targets, membersOf, now) {
+			updates++;
+			const elapsed = (now - updatedAt) / millisecondsPerSecond;
+			updatedAt = now;
+			for (const target of targets) {
+				countTarget(knownOf(target.service), target, updates);
+			}
+
 			const levels = new Map<string, number>();
-			for (const [service, listed] of groupByService(targets)) {
-				const known = services.get(service) ?? {
-					needed: 0,
-					targets: new Map(),
-					updatedAt: now,
-				};
-				services.set(service, known);
-				const level = updateService(
-					known,
-					listed,
-					listed.length < membersOf(service),
-					now,
-				);
+			for (const [service, known] of services) {
+				const isSubset = known.sums.listed < membersOf(service);
+				forgetUnlisted(known, updates);
+				updateNeeded(known, isSubset, elapsed);
+				const level = levelOf(known, isSubset);
 				if (level > 0) {
 					levels.set(service, level);
 				}
+
+				known.sums = createSums();
 			}
 
 			return levels;
@@ -86,80 +130,75 @@
 	};
 }
 
-/**
- * Updates what is known of a service and returns its level.
- *
- * @param isSubset - The service has targets that aren't linked. One lost target
- * of a few linked ones says little about the service then, so it isn't counted.
- */
-function updateService(
+function countTarget(
 	known: Known,
-	listed: readonly CapacityTarget[],
-	isSubset: boolean,
-	now: number,
-): number {
-	forgetUnlisted(known, listed);
-	const usable = listed.filter(({isUsable}) => isUsable);
-	const lost = listed.filter(
-		({isUsable, node}) => !isUsable && known.targets.has(node),
-	);
-	for (const {node, slots, demand} of usable) {
-		// A target that is linked in place of a lost one brings its own demand.
-		known.needed += known.targets.has(node) ? 0 : slots * demand;
-		known.targets.set(node, {slots, demand});
+	{node, slots, demand, occupancy, isUsable}: CapacityTarget,
+	update: number,
+): void {
+	const {sums} = known;
+	const target = known.targets.get(node);
+	sums.listed++;
+	if (target) {
+		target.listedIn = update;
 	}
 
-	const elapsed = (now - known.updatedAt) / millisecondsPerSecond;
-	known.updatedAt = now;
-	const reported = sum(usable.map(({slots, demand}) => slots * demand));
-	if (lost.length <= (isSubset ? 1 : 0)) {
-		known.needed = reported;
-		return 0;
+	if (!isUsable) {
+		sums.lost += target ? 1 : 0;
+		return;
 	}
 
-	const capacity = sum(usable.map(({slots}) => slots));
-	const occupied = sum(usable.map(({slots, occupancy}) => slots * occupancy));
-	const hasSpare = capacity > 0 && occupied < spareOccupancy * capacity;
-	known.needed = Math.max(
-		reported,
-		known.needed * (1 - (hasSpare ? correctionPerSecond * elapsed : 0)),
-	);
-	const level = 1 - (usedCapacity * capacity) / Math.max(1, known.needed);
-	return Math.min(maxLevel, Math.max(0, level));
+	sums.usable++;
+	sums.capacity += slots;
+	sums.reported += slots * demand;
+	sums.occupied += slots * occupancy;
+	if (target) {
+		target.slots = slots;
+		target.demand = demand;
+	} else {
+		// A target that is linked in place of a lost one brings its own demand.
+		known.needed += slots * demand;
+		known.targets.set(node, {slots, demand, listedIn: update});
+	}
 }
 
 /** A target that is no longer linked takes its part of the demand with it: other nodes' links show it. */
-function forgetUnlisted(known: Known, listed: readonly CapacityTarget[]): void {
-	const nodes = new Set(listed.map(({node}) => node));
-	for (const [node, {slots, demand}] of known.targets) {
-		if (!nodes.has(node)) {
+function forgetUnlisted(known: Known, update: number): void {
+	const {usable, lost} = known.sums;
+	if (known.targets.size === usable + lost) {
+		return;
+	}
+
+	for (const [node, {slots, demand, listedIn}] of known.targets) {
+		if (listedIn !== update) {
 			known.targets.delete(node);
 			known.needed = Math.max(0, known.needed - slots * demand);
 		}
 	}
 }
 
-function groupByService(
-	targets: readonly CapacityTarget[],
-): Map<string, CapacityTarget[]> {
-	const groups = new Map<string, CapacityTarget[]>();
-	for (const target of targets) {
-		const group = groups.get(target.service);
-		if (group) {
-			group.push(target);
-		} else {
-			groups.set(target.service, [target]);
-		}
+/** One lost target of a few linked ones says little about a service with more targets, so it isn't counted. */
+function hasLost({sums}: Known, isSubset: boolean): boolean {
+	return sums.lost > (isSubset ? 1 : 0);
+}
+
+function updateNeeded(known: Known, isSubset: boolean, elapsed: number): void {
+	const {capacity, reported, occupied} = known.sums;
+	if (!hasLost(known, isSubset)) {
+		known.needed = reported;
+		return;
 	}
 
-	return groups;
+	const hasSpare = capacity > 0 && occupied < spareOccupancy * capacity;
+	const kept = hasSpare ? 1 - Math.min(1, correctionPerSecond * elapsed) : 1;
+	known.needed = Math.max(reported, known.needed * kept);
 }
 
-function sum(values: number[]): number {
-	let total = 0;
-	for (const value of values) {
-		total += value;
+function levelOf(known: Known, isSubset: boolean): number {
+	if (!hasLost(known, isSubset)) {
+		return 0;
 	}
 
-	return total;
+	const level =
+		1 - (usedCapacity * known.sums.capacity) / Math.max(1, known.needed);
+	return Math.min(maxLevel, Math.max(0, level));
 }
--- a/packages/mesh/src/entry/service-states.ts
+++ b/packages/mesh/src/entry/service-states.ts
@@ -38,6 +38,9 @@
 	>;
 };
 
+/** Milliseconds for which the list of targets is used: the route pressure reads all states in a row, at most every 50 ms. */
+const listDuration = 10;
+
 /** Creates the states of a node. */
 export function createServiceStates({
 	clock,
@@ -48,10 +51,20 @@
 }: ServiceStatesOptions): ServiceStates {
 	const capacity = createCapacityLevels();
 	const trouble = createServiceTrouble({clock, reporter});
-	const listTargets = (): LinkedTarget[] => [
-		...directory.targets(),
-		...dispatcher.target().map((own) => ({...own, node: localNode})),
-	];
+	let targets: LinkedTarget[] = [];
+	let listedAt = Number.NEGATIVE_INFINITY;
+	const listTargets = (): LinkedTarget[] => {
+		const now = clock.now();
+		if (now - listedAt >= listDuration) {
+			listedAt = now;
+			targets = directory.targets();
+			for (const own of dispatcher.target()) {
+				targets.push({...own, node: localNode});
+			}
+		}
+
+		return targets;
+	};
 
 	return {
 		levels() {
