refactor(mesh): the levels and the bulkhead of a target in one module

Cause: createTargetDispatcher had grown by the levels, and the offers by route had no bound while no request waits.

Change: target-shed-level.ts owns the bulkhead and returns what is reported; counts of offers are halved at 1,000.

--- a/packages/mesh/__tests__/bulkhead.spec.ts
+++ b/packages/mesh/__tests__/bulkhead.spec.ts
@@ -112,10 +112,14 @@
 	// is full then; its level applied to requests that never call the slow service.
 	const start = 10_000;
 	const utilization = 0.7;
-	const simulate = (policy: typeof egretspokePolicy, reportDelay = 200) =>
+	const simulate = (
+		policy: typeof egretspokePolicy,
+		reportDelay = 200,
+		entries = 6,
+	) =>
 		simulateDecliningFleet({
 			kinds,
-			entries: 6,
+			entries,
 			targets: 3,
 			slots: Math.ceil((runsPerSecond * runTime) / 1000 / 3 / utilization),
 			reportDelay,
@@ -127,9 +131,14 @@
 	const duringOf = (windows: ReturnType<typeof simulate>) =>
 		windows.slice((start + 2000) / windowLength, (start + 6000) / windowLength);
 
-	for (const reportDelay of [20, 200]) {
-		it(`serves requests that do not need it, with reports after ${reportDelay} ms`, () => {
-			const windows = simulate(egretspokePolicy, reportDelay);
+	for (const [entries, reportDelay] of [
+		[6, 20],
+		[6, 200],
+		[3, 800],
+		[200, 200],
+	] as const) {
+		it(`serves requests that do not need it, with ${entries} entry nodes that hear after ${reportDelay} ms`, () => {
+			const windows = simulate(egretspokePolicy, reportDelay, entries);
 			for (const window of duringOf(windows)) {
 				expect(shareOf(window, 'plain')).to.be.above(0.97);
 				// A third of the speed at 0.7 is the capacity for 0.48 of the runs; in the
--- a/packages/mesh/__tests__/declining-fleet.ts
+++ b/packages/mesh/__tests__/declining-fleet.ts
@@ -9,10 +9,6 @@
 	type Random,
 	type VirtualClock,
 } from '@egretspoke/shared';
-import {
-	createBulkhead,
-	type Bulkhead,
-} from '../src/decisions/admission/bulkhead.js';
 import {createCallGraph} from '../src/decisions/admission/call-graph.js';
 import {levelOfService} from '../src/decisions/admission/service-level.js';
 import {shedPeriod} from '../src/decisions/admission/shed-level.js';
@@ -98,7 +94,6 @@
 type Target = {
 	index: number;
 	isDeep: boolean;
-	bulkhead: Bulkhead | undefined;
 	admission: TargetAdmission<Work>;
 	offers: RepeatedOffers;
 	level: TargetShedLevel;
@@ -315,17 +310,20 @@
 	isDeep: boolean,
 ): Target[] {
 	return Array.from({length: count}, (_, index) => {
-		const bulkhead = policy.has('bulkhead') ? createBulkhead() : undefined;
+		const level = createTargetShedLevel(policy);
 		return {
 			index,
 			isDeep,
-			bulkhead,
-			admission: createTargetAdmission<Work>(slots, undefined, bulkhead),
+			admission: createTargetAdmission<Work>(
+				slots,
+				undefined,
+				level.renewBulkhead(),
+			),
 			offers: createRepeatedOffers({
 				policy,
 				budget: {ratio: 0.2, window: 10_000},
 			}),
-			level: createTargetShedLevel(policy),
+			level,
 		};
 	});
 }
@@ -393,7 +391,7 @@
 }
 
 function updateTarget(
-	{index, isDeep, bulkhead, admission, offers, level}: Target,
+	{index, isDeep, admission, offers, level}: Target,
 	isUsable: boolean,
 	now: number,
 ): LinkedTarget {
@@ -403,16 +401,13 @@
 
 	const declined = offers.declined(now);
 	const occupancy = admission.running() / admission.limit();
-	level.update(
-		{
-			wait: admission.expectedWait(now),
-			occupancy,
-			arriving: ((1 - declined) * admission.takeArrivals()) / shedPeriod,
-			declined,
-			unserved: offers.unserved(now),
-		},
-		bulkhead?.takeHeldShare() ?? 0,
-	);
+	level.update({
+		wait: admission.expectedWait(now),
+		occupancy,
+		arriving: ((1 - declined) * admission.takeArrivals()) / shedPeriod,
+		declined,
+		unserved: offers.unserved(now),
+	});
 	return {
 		...idleLoad,
 		node: `${isDeep ? 'deep' : 'middle'} ${index}`,
@@ -420,11 +415,8 @@
 		isUsable,
 		occupancy: (admission.running() + admission.waiting()) / admission.limit(),
 		slots: admission.limit(),
-		shedLevel: level.own(),
+		...level.load(occupancy),
 		declined: offers.reportedDeclined(now),
-		declineLevel: level.ofDeclines(),
-		heldLevel: level.ofHeld(),
-		demand: level.demand(occupancy),
 	};
 }
 
--- a/packages/mesh/src/decisions/admission/bulkhead.ts
+++ b/packages/mesh/src/decisions/admission/bulkhead.ts
@@ -35,6 +35,8 @@
 const heldRatio = 2;
 /** Decay factor of the counts of offers per call of `takeHeldShare`, which makes a window of about a second with `shedPeriod`. */
 const offerMemory = 0.9;
+/** Offers of a route at which all counts are halved, since nothing else decays them while no request waits. */
+const maxOffers = 1000;
 /** Decayed offers from which a route counts in the comparison with others. */
 const minOffers = 0.5;
 
@@ -80,7 +82,13 @@
 
 	return {
 		recordOffer(name) {
-			routeOf(name).offers++;
+			const route = routeOf(name);
+			route.offers++;
+			if (route.offers > maxOffers) {
+				for (const other of routes.values()) {
+					other.offers /= 2;
+				}
+			}
 		},
 		recordStart(name) {
 			routeOf(name).running++;
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -18,10 +18,6 @@
 import {probeListening, type Clock, type Timer} from '@egretspoke/shared';
 import type {DeadlineWheel} from '../timing/deadline-wheel.js';
 import type {CallProfile} from '../decisions/admission/call-profile.js';
-import {
-	createBulkhead,
-	type Bulkhead,
-} from '../decisions/admission/bulkhead.js';
 import {createFailureShare} from '../decisions/routing/failure-share.js';
 import {
 	createTargetAdmission,
@@ -147,7 +143,6 @@
 		budget: options.retryBudget,
 	});
 	const {profile} = options;
-	let bulkhead: Bulkhead | undefined;
 	let admission: TargetAdmission<PendingRequest> =
 		createTargetAdmission<PendingRequest>(1);
 	let target: TargetRecord | undefined;
@@ -181,13 +176,10 @@
 		return {
 			occupancy:
 				(admission.running() + admission.waiting()) / admission.limit(),
-			shedLevel: targetShedLevel.own(),
+			...targetShedLevel.load(admission.running() / admission.limit()),
 			failureShare: failures.value(clock.now()),
 			runTime: runTime.value(clock.now()),
 			declined: offers.reportedDeclined(clock.now()),
-			declineLevel: targetShedLevel.ofDeclines(),
-			heldLevel: targetShedLevel.ofHeld(),
-			demand: targetShedLevel.demand(admission.running() / admission.limit()),
 			...(rateLoad && {rate: rateLoad}),
 		};
 	};
@@ -425,19 +417,16 @@
 		if (elapsed >= shedPeriod) {
 			lastLevelUpdate = now;
 			const declined = offers.declined(now);
-			targetShedLevel.update(
-				{
-					wait: admission.expectedWait(now),
-					occupancy: Math.max(
-						admission.running() / admission.limit(),
-						rate.load(0)?.occupancy ?? 0,
-					),
-					arriving: ((1 - declined) * admission.takeArrivals()) / elapsed,
-					declined,
-					unserved: offers.unserved(now),
-				},
-				bulkhead?.takeHeldShare() ?? 0,
-			);
+			targetShedLevel.update({
+				wait: admission.expectedWait(now),
+				occupancy: Math.max(
+					admission.running() / admission.limit(),
+					rate.load(0)?.occupancy ?? 0,
+				),
+				arriving: ((1 - declined) * admission.takeArrivals()) / elapsed,
+				declined,
+				unserved: offers.unserved(now),
+			});
 		}
 
 		if (rate.perSecond() < Number.POSITIVE_INFINITY) {
@@ -474,13 +463,10 @@
 				const waiting = removeWaiting();
 				watch = createTargetWatch();
 				rate.reset(record.targetId);
-				bulkhead = options.policy.has('bulkhead')
-					? createBulkhead()
-					: undefined;
 				admission = createTargetAdmission<PendingRequest>(
 					options.policy.limitOf(record.slots),
 					rate,
-					bulkhead,
+					targetShedLevel.renewBulkhead(),
 				);
 				access.close();
 				if (!record.isLeaving) {
