--- a/packages/mesh/__tests__/declining-fleet.ts
+++ b/packages/mesh/__tests__/declining-fleet.ts
@@ -142,6 +142,7 @@
 				isNearCompletion: work.isInner || work.kind.calls === 0,
 				priority: work.kind.priority,
 				maxWait,
+				route: work.isInner ? 'call' : work.kind.route,
 			},
 			work,
 			clock.now(),
@@ -153,8 +154,12 @@
 		}
 	};
 
-	const free = (target: Target, duration: number | undefined) => {
-		target.admission.finish(duration);
+	const free = (
+		target: Target,
+		{isInner, kind}: Work,
+		duration: number | undefined,
+	) => {
+		target.admission.finish(duration, isInner ? 'call' : kind.route);
 		for (
 			let next = target.admission.next(clock.now());
 			next;
@@ -178,7 +183,7 @@
 		clock.setTimer(duration, () => {
 			const now = clock.now();
 			if (!isUp(target)) {
-				free(target, undefined);
+				free(target, work, undefined);
 				work.onEnd(false);
 				return;
 			}
@@ -203,7 +208,7 @@
 			}
 
 			target.offers.recordEnd(work, outcome, now);
-			free(target, isDeclined ? undefined : duration);
+			free(target, work, isDeclined ? undefined : duration);
 			work.onEnd(!isDeclined);
 		});
 	};
@@ -212,7 +217,7 @@
 		const startedAt = clock.now();
 		let left = work.kind.calls;
 		const end = (isServed: boolean) => {
-			free(target, clock.now() - startedAt);
+			free(target, work, clock.now() - startedAt);
 			work.onEnd(isServed);
 		};
 
@@ -305,16 +310,23 @@
 	policy: Pick<MeshPolicy, 'has'>,
 	isDeep: boolean,
 ): Target[] {
-	return Array.from({length: count}, (_, index) => ({
-		index,
-		isDeep,
-		admission: createTargetAdmission<Work>(slots),
-		offers: createRepeatedOffers({
-			policy,
-			budget: {ratio: 0.2, window: 10_000},
-		}),
-		level: createTargetShedLevel(policy),
-	}));
+	return Array.from({length: count}, (_, index) => {
+		const level = createTargetShedLevel(policy);
+		return {
+			index,
+			isDeep,
+			admission: createTargetAdmission<Work>(
+				slots,
+				undefined,
+				level.renewBulkhead(),
+			),
+			offers: createRepeatedOffers({
+				policy,
+				budget: {ratio: 0.2, window: 10_000},
+			}),
+			level,
+		};
+	});
 }
 
 /** Creates the pressure of an entry node that knows the call graph. */
@@ -404,10 +416,8 @@
 		isUsable,
 		occupancy: (admission.running() + admission.waiting()) / admission.limit(),
 		slots: admission.limit(),
-		shedLevel: level.own(),
+		...level.load(occupancy),
 		declined: offers.reportedDeclined(now),
-		declineLevel: level.ofDeclines(),
-		demand: level.demand(occupancy),
 	};
 }
 
--- a/packages/mesh/src/entry/service-states.ts
+++ b/packages/mesh/src/entry/service-states.ts
@@ -30,9 +30,17 @@
 	levels(): Map<string, number>;
 	/** The services that decline calls. */
 	declining(): ReadonlyMap<string, DecliningService>;
-	readings(): Pick<MeshReadings, 'completionLevel' | 'lostCapacityLevel'>;
+	/** The mean levels above 0 of services for the requests that make calls there. */
+	heldLevels(): ReadonlyMap<string, number>;
+	readings(): Pick<
+		MeshReadings,
+		'completionLevel' | 'lostCapacityLevel' | 'heldLevel'
+	>;
 };
 
+/** Milliseconds for which the list of targets is used: the route pressure reads all states in a row, at most every 50 ms. */
+const listDuration = 10;
+
 /** Creates the states of a node. */
 export function createServiceStates({
 	clock,
@@ -43,10 +51,20 @@
 }: ServiceStatesOptions): ServiceStates {
 	const capacity = createCapacityLevels();
 	const trouble = createServiceTrouble({clock, reporter});
-	const listTargets = (): LinkedTarget[] => [
-		...directory.targets(),
-		...dispatcher.target().map((own) => ({...own, node: localNode})),
-	];
+	let targets: LinkedTarget[] = [];
+	let listedAt = Number.NEGATIVE_INFINITY;
+	const listTargets = (): LinkedTarget[] => {
+		const now = clock.now();
+		if (now - listedAt >= listDuration) {
+			listedAt = now;
+			targets = directory.targets();
+			for (const own of dispatcher.target()) {
+				targets.push({...own, node: localNode});
+			}
+		}
+
+		return targets;
+	};
 
 	return {
 		levels() {
@@ -73,13 +91,38 @@
 			trouble.record('declines', new Map(levels));
 			return services;
 		},
+		heldLevels() {
+			const levels = meanHeldLevels(listTargets());
+			trouble.record('waits', levels);
+			return levels;
+		},
 		readings: () => ({
 			completionLevel: trouble.level('declines'),
 			lostCapacityLevel: trouble.level('lostTargets'),
+			heldLevel: trouble.level('waits'),
 		}),
 	};
 }
 
+function meanHeldLevels(targets: LinkedTarget[]): Map<string, number> {
+	const sums = new Map<string, {level: number; slots: number}>();
+	for (const {service, slots, heldLevel, isUsable} of targets) {
+		const sum = sums.get(service) ?? {level: 0, slots: 0};
+		sum.slots += isUsable ? slots : 0;
+		sum.level += isUsable ? slots * heldLevel : 0;
+		sums.set(service, sum);
+	}
+
+	const levels = new Map<string, number>();
+	for (const [service, {level, slots}] of sums) {
+		if (level > 0) {
+			levels.set(service, level / slots);
+		}
+	}
+
+	return levels;
+}
+
 /** Raises each level to the other one of the same service. */
 export function raiseLevels(
 	levels: Map<string, number>,
--- a/packages/mesh/src/target/load-report.ts
+++ b/packages/mesh/src/target/load-report.ts
@@ -91,13 +91,15 @@
 	failureShare,
 	declined,
 	declineLevel,
+	heldLevel,
 }: TargetLoad): boolean {
 	return (
 		occupancy < busyOccupancy &&
 		shedLevel === 0 &&
 		failureShare < minReportedChange &&
 		declined === 0 &&
-		declineLevel === 0
+		declineLevel === 0 &&
+		heldLevel === 0
 	);
 }
 
@@ -108,6 +110,8 @@
 		load.rate?.limit !== reported.rate?.limit ||
 		Math.abs(load.shedLevel - reported.shedLevel) >= minReportedLevelChange ||
 		(load.shedLevel === 0 && reported.shedLevel > 0) ||
+		Math.abs(load.heldLevel - reported.heldLevel) >= minReportedLevelChange ||
+		(load.heldLevel === 0 && reported.heldLevel > 0) ||
 		Math.abs(load.failureShare - reported.failureShare) >= minReportedChange ||
 		Math.abs(load.declined - reported.declined) >= minReportedDeclinedChange ||
 		(load.declined === 0 && reported.declined > 0) ||
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -172,12 +172,10 @@
 		const waiting = admission.waiting();
 		return {
 			occupancy: (admission.running() + waiting) / admission.limit(),
-			shedLevel: targetShedLevel.own(),
+			...targetShedLevel.load(admission.running() / admission.limit()),
 			failureShare: failures.value(now),
 			runTime: runTime.value(now),
 			declined: offers.reportedDeclined(now),
-			declineLevel: targetShedLevel.ofDeclines(),
-			demand: targetShedLevel.demand(admission.running() / admission.limit()),
 			rate: rate.load(waiting),
 		};
 	};
@@ -215,13 +213,13 @@
 		const now = clock.now();
 		const client = access.client();
 		if (pending.until - now - responseMargin < 1 || !client) {
-			admission.finish(undefined);
+			admission.finish(undefined, pending.request.route);
 			refuse(pending, client ? 'noTimeLeft' : 'noTarget');
 			return;
 		}
 
 		if (!mayRunNow(pending)) {
-			admission.finish(undefined);
+			admission.finish(undefined, pending.request.route);
 			return;
 		}
 
@@ -257,7 +255,7 @@
 
 				const elapsed = clock.now() - item.startedAt;
 				metrics.targetEnded(elapsed);
-				item.admission!.finish(duration);
+				item.admission!.finish(duration, item.request.route);
 				recordRunTime(elapsed, duration !== undefined);
 				if (duration !== undefined) {
 					profile.recordRunTime(item.request.route, duration);
@@ -464,6 +462,7 @@
 				admission = createTargetAdmission<PendingRequest>(
 					options.policy.limitOf(record.slots),
 					rate,
+					targetShedLevel.renewBulkhead(),
 				);
 				access.close();
 				if (!record.isLeaving) {
