feat(mesh): share a full service fairly among workspaces

Cause: entry nodes refused all requests of a priority alike, so one to three workspaces with many times their usual demand took most of a full service.

Change: nodes report the demand of workspaces on full services to the quota allocators, which reply with the sums (fair-share-exchange.ts); each node divides what the current shed level admits (workspace-pressure.ts), so that the total refused stays the same. Nothing is sent while no service is full or without workspaces. Mechanism fairShares, event 2530, gauge egretspoke_mesh_workspaces_above_share. isShedding keeps the rule that failures are not repeated while load is shed. mesh-node.ts gets shorter. Also: fairShareOf returned an equal part when all demand fits (found by the property test).

--- a/packages/mesh/__tests__/fair-share.spec.ts
+++ b/packages/mesh/__tests__/fair-share.spec.ts
@@ -59,6 +59,12 @@
 		expect(othersAdmitted * 160).to.be.closeTo(90, 1e-9);
 	});
 
+	it('admit everything that fits', () => {
+		// Guards against a share that is only an equal part when nothing is left over.
+		const {admitted} = divide({small: 1, large: 9}, 10);
+		expect([...admitted.values()]).to.deep.equal([1, 1]);
+	});
+
 	it('admit exactly the capacity, and no workspace less than a smaller one', () => {
 		// Guards against unused capacity, and against workspaces that starve.
 		fc.assert(
--- a/packages/mesh/__tests__/peer-updates.spec.ts
+++ b/packages/mesh/__tests__/peer-updates.spec.ts
@@ -1,6 +1,10 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
-import type {PeerMessage} from '../src/links/peer-message.js';
+import {
+	decodeFrame,
+	encodeFrame,
+	type PeerMessage,
+} from '../src/links/peer-message.js';
 import {createUpdateHandler} from '../src/links/peer-updates.js';
 import type {RoutingConfiguration} from '../src/configuration/route.js';
 
@@ -31,6 +35,8 @@
 			onMembers: () => undefined,
 			onQuotaUse: () => undefined,
 			onQuotaGrant: () => undefined,
+			onFairDemand: () => undefined,
+			onFairTotals: () => undefined,
 			onSuspects: () => undefined,
 			onTargetMemory: () => undefined,
 		});
@@ -46,6 +52,15 @@
 		};
 	}
 
+	it('are ignored if their kind is unknown', () => {
+		// Guards against a node of this version that fails on messages of a later one during a release.
+		const node = createNode();
+		const later = {kind: 'later', value: 1} as unknown as PeerMessage;
+		const frame = decodeFrame(encodeFrame({sentAt: 0, messages: [later]}));
+		node.receive(1, frame._unsafeUnwrap().messages[0]!);
+		expect(node.sent).to.deep.equal([]);
+	});
+
 	describe('about a newer configuration', () => {
 		it('request it from one peer at a time, however many announce it', () => {
 			// After a restart every link announces the version in force. Requested from
--- a/packages/mesh/src/decisions/mesh-policy.ts
+++ b/packages/mesh/src/decisions/mesh-policy.ts
@@ -16,6 +16,8 @@
 	dearFirst:
 		'within a priority, requests that cost the full service most are refused first',
 	nearEndFirst: 'new requests that make no calls are queued like calls',
+	fairShares:
+		'workspaces above their fair share of a full service are refused instead of others',
 	returnInObjective: 'refused callers retry within their objective',
 	shedNew: 'entry nodes refuse new requests by the shed level',
 } as const;
--- a/packages/mesh/src/decisions/quotas/fair-share-allocation.ts
+++ b/packages/mesh/src/decisions/quotas/fair-share-allocation.ts
@@ -1,52 +1,41 @@
 /**
- * Adds up the demand on full services that nodes report, and decides the fair
- * shares of workspaces (`fair-share.ts`).
+ * Adds up the demand on full services that nodes report. Each node divides what
+ * is admitted by these sums and the current shed level (`fair-share.ts`).
  *
  * Load pattern: a workspace above its share sends at few or at all nodes, so
  * that no node sees its whole demand. Only workspaces that may be above their
  * share are added up by name; all others count in the total.
  */
-import {
-	divideByShare,
-	fairShareOf,
-	type FairDivision,
-	type Weights,
-} from './fair-share.js';
+import {fairShareOf, type Weights} from './fair-share.js';
 import {reportTimeout} from './quota-types.js';
 
 /** The demand of one priority on a full service at a node or in a data centre, in cost units per second. */
 export type LoadReport = {
 	service: string;
 	priority: number;
+	/** The shed level of the service. */
+	level: number;
 	/** The demand of all workspaces. */
 	total: number;
 	/** What the shed level refuses of it. */
 	refused: number;
-	/** The demand of the largest workspaces and of those that the allocator has listed. */
+	/** The demand of the workspaces that may be above their share. */
 	workspaces: Array<[workspace: string, demand: number]>;
 };
 
-/** The decision about one priority of a full service. */
-export type PriorityShares = FairDivision & {
-	service: string;
-	priority: number;
-	/** The demand of all workspaces at all nodes, in cost units per second. */
-	total: number;
-};
-
 /** The source of a report: a node of the allocator's data centre, or another data centre as a whole. */
 export type LoadReporter = {kind: 'node' | 'dataCentre'; name: string};
 
-/** Adds up reports and decides; times are in milliseconds of the steady clock. */
+/** Adds up reports; times are in milliseconds of the steady clock. */
 export type FairShareAllocation = {
 	/** Stores a report; it replaces the previous one of the same reporter. */
 	report(reporter: LoadReporter, loads: LoadReport[], now: number): void;
-	/** Decides from the recent reports; called once per period. */
+	/** Adds up the recent reports; called once per period. */
 	update(weights: Weights, now: number): void;
 	/** The sums over this data centre's nodes, for the allocators of the others. */
 	sums(now: number): LoadReport[];
-	/** The shares as of the last update. */
-	shares(): PriorityShares[];
+	/** The sums over all reporters, with the workspaces that may be above their share, as of the last update. */
+	totals(): LoadReport[];
 	/** The number of nodes of this data centre with a recent report. */
 	reportingNodes(now: number): number;
 	/** Drops all state. */
@@ -60,19 +49,12 @@
 export const listedRatio = 0.5;
 /** The maximum number of listed workspaces per priority of a service, which bounds the messages. */
 const maxListed = 64;
-/**
- * The weight of a higher share in the moving average, which damps oscillation:
- * with one update per 400 ms, a step is followed within 2 s. A lower share
- * applies at once, because the others would be refused the difference.
- */
-const shareWeight = 0.5;
-
 type Report = {kind: LoadReporter['kind']; at: number; loads: LoadReport[]};
 
 /** Creates an allocation without reports. */
 export function createFairShareAllocation(): FairShareAllocation {
 	const reports = new Map<string, Report>();
-	let decided = new Map<string, PriorityShares>();
+	let totals: LoadReport[] = [];
 
 	const listLive = (now: number): Report[] => {
 		for (const [key, {at}] of reports) {
@@ -91,12 +73,16 @@
 			const key = keyOf(load);
 			const sum = sums.get(key) ?? {
 				...load,
+				level: 0,
 				total: 0,
 				refused: 0,
 				workspaces: [],
 			};
 			const demands = byName.get(key) ?? new Map<string, number>();
-			sum.total += load.total;
+			const total = sum.total + load.total;
+			sum.level +=
+				total > 0 ? ((load.level - sum.level) * load.total) / total : 0;
+			sum.total = total;
 			sum.refused += load.refused;
 			for (const [workspace, demand] of load.workspaces) {
 				demands.set(workspace, (demands.get(workspace) ?? 0) + demand);
@@ -113,53 +99,25 @@
 		return sums;
 	};
 
-	const decide = (load: LoadReport, weights: Weights): PriorityShares => {
-		const {service, priority, total, refused} = load;
-		const listed = new Map(
-			load.workspaces.filter(([workspace]) => weights.has(workspace)),
-		);
-		const demand = {total, admitted: Math.max(0, total - refused), listed};
-		const share = fairShareOf(demand, weights);
-		const previous = decided.get(keyOf(load))?.share ?? share;
-		const smoothed = Math.min(
-			share,
-			previous + shareWeight * (share - previous),
-		);
-		for (const [workspace, requested] of listed) {
-			if (requested < listedRatio * smoothed * (weights.get(workspace) ?? 1)) {
-				listed.delete(workspace);
-			}
-		}
-
-		return {
-			service,
-			priority,
-			total,
-			...divideByShare(demand, weights, smoothed),
-		};
-	};
-
 	return {
 		report({kind, name}, loads, now) {
 			reports.set(`${kind} ${name}`, {kind, at: now, loads});
 		},
 		update(weights, now) {
-			decided = new Map(
-				[...sumsOf(listLive(now))].map(([key, load]) => [
-					key,
-					decide(load, weights),
-				]),
-			);
+			totals = [...sumsOf(listLive(now)).values()].map((load) => ({
+				...load,
+				workspaces: listAbove(load, weights),
+			}));
 		},
 		sums: (now) => [
 			...sumsOf(listLive(now).filter(({kind}) => kind === 'node')).values(),
 		],
-		shares: () => [...decided.values()],
+		totals: () => totals,
 		reportingNodes: (now) =>
 			listLive(now).filter(({kind}) => kind === 'node').length,
 		clear() {
 			reports.clear();
-			decided.clear();
+			totals = [];
 		},
 	};
 }
@@ -171,6 +129,22 @@
 	return `${priority} ${service}`;
 }
 
+/** The workspaces whose demand is near or above their share; those that the configuration no longer has are dropped. */
+function listAbove(
+	{total, refused, workspaces}: LoadReport,
+	weights: Weights,
+): LoadReport['workspaces'] {
+	const known = workspaces.filter(([workspace]) => weights.has(workspace));
+	const share = fairShareOf(
+		{total, admitted: total - refused, listed: new Map(known)},
+		weights,
+	);
+	return known.filter(
+		([workspace, demand]) =>
+			demand >= listedRatio * share * weights.get(workspace)!,
+	);
+}
+
 function listLargest(demands: Map<string, number>): LoadReport['workspaces'] {
 	return [...demands]
 		.toSorted(([, left], [, right]) => right - left)
--- a/packages/mesh/src/decisions/quotas/fair-share.ts
+++ b/packages/mesh/src/decisions/quotas/fair-share.ts
@@ -31,11 +31,15 @@
 	othersAdmitted: number;
 };
 
-/** Calculates the fair share per unit of weight by water filling. */
+/** Calculates the fair share per unit of weight by water filling; infinite if all demand is admitted. */
 export function fairShareOf(
 	{total, admitted, listed}: PriorityDemand,
 	weights: Weights,
 ): number {
+	if (admitted >= total) {
+		return Number.POSITIVE_INFINITY;
+	}
+
 	const byRatio = [...listed]
 		.map(([workspace, demand]) => ({
 			demand,
--- a/packages/mesh/src/entry/request-forwarding.ts
+++ b/packages/mesh/src/entry/request-forwarding.ts
@@ -389,7 +389,7 @@
 			const shouldRetry =
 				isTargetFailure(status) &&
 				route.isIdempotent &&
-				pressure.shareRefused(work) === 0;
+				!pressure.isShedding(work);
 			if (shouldRetry && tryTakeRetry('targetFailed', node)) {
 				failure = answer;
 				attempt();
--- a/packages/mesh/src/entry/route-pressure.ts
+++ b/packages/mesh/src/entry/route-pressure.ts
@@ -3,8 +3,9 @@
  * shed levels reported by targets and the call graph.
  */
 import type {Clock} from '@egretspoke/shared';
-import type {CallGraph} from '../decisions/admission/call-graph.js';
+import type {CallGraph, CostAt} from '../decisions/admission/call-graph.js';
 import type {MeshPolicy} from '../decisions/mesh-policy.js';
+import type {LocalLoad} from '../quotas/fair-share-exchange.js';
 import {
 	orderLoad,
 	shareRefused,
@@ -12,6 +13,10 @@
 	type LoadDemand,
 	type ShedSlice,
 } from '../decisions/admission/shed-order.js';
+import {
+	createWorkspacePressure,
+	type FairShareSource,
+} from './workspace-pressure.js';
 
 /** Dependencies of the route pressure. */
 export type RoutePressureOptions = {
@@ -20,6 +25,8 @@
 	policy: Pick<MeshPolicy, 'has'>;
 	/** Services with the mean shed level of their targets. */
 	levels: () => Map<string, number>;
+	/** The demand of workspaces over all nodes; absent where workspaces share nothing. */
+	fairShares?: FairShareSource;
 };
 
 /** The properties of new work that decide whether it is shed. */
@@ -38,6 +45,12 @@
 	recordRequest(work: NewWork): void;
 	/** The share of such work that is shed, from 0 to 1: the maximum over the services it needs. */
 	shareRefused(work: NewWork): number;
+	/** Whether the level of a service that the work needs is above 0. */
+	isShedding(work: NewWork): boolean;
+	/** The demand of workspaces on full services since the last call; undefined while no service is full. */
+	takeWorkspaceLoads(): LocalLoad[] | undefined;
+	/** The number of workspaces above their share of a full service. */
+	workspacesAboveShare(): number;
 	/** Decays the request counts; called once per `pressureRefreshInterval`. */
 	refresh(): void;
 };
@@ -53,7 +66,8 @@
 
 type RecentWork = NewWork & {requests: number};
 
-type OverloadedService = {service: string; level: number};
+/** A service with a level above 0. */
+export type OverloadedService = {service: string; level: number};
 
 type SlicesByKind = Map<string, ShedSlice[]>;
 
@@ -63,6 +77,7 @@
 	graph,
 	policy,
 	levels,
+	fairShares,
 }: RoutePressureOptions): RoutePressure {
 	const recentWork = new Map<string, RecentWork>();
 	/** The shed order by overloaded service, computed on demand. */
@@ -82,8 +97,11 @@
 		return overloaded;
 	};
 
+	const costsAt = (service: string): CostAt =>
+		policy.has('dearFirst') ? graph.costsOf(service) : () => 1;
+
 	const orderDemands = (service: string): SlicesByKind => {
-		const costAt = policy.has('dearFirst') ? graph.costsOf(service) : () => 1;
+		const costAt = costsAt(service);
 		const demands: LoadDemand[] = [];
 		for (const [
 			kind,
@@ -111,8 +129,32 @@
 		!policy.has('levelByRoute') ||
 		!graph.isKnown(route, first);
 
+	const refusedByLevel = (
+		{service, level}: OverloadedService,
+		work: NewWork,
+	): number => {
+		const slices = slicesAt(service, kindOf(work));
+		if (slices) {
+			return shareRefused(level, slices);
+		}
+
+		return mayNeed(work, service) ? shareRefused(level, wholeLoad) : 0;
+	};
+
+	const workspaces =
+		fairShares && policy.has('fairShares')
+			? createWorkspacePressure({
+					clock,
+					source: fairShares,
+					overloaded: listOverloaded,
+					costsAt,
+					refusedByLevel,
+				})
+			: undefined;
+
 	return {
 		recordRequest(work) {
+			workspaces?.record(work);
 			const kind = kindOf(work);
 			const known = recentWork.get(kind);
 			if (known) {
@@ -124,17 +166,18 @@
 		},
 		shareRefused(work) {
 			let share = 0;
-			for (const {service, level} of listOverloaded()) {
-				const slices = slicesAt(service, kindOf(work));
-				if (slices) {
-					share = Math.max(share, shareRefused(level, slices));
-				} else if (mayNeed(work, service)) {
-					share = Math.max(share, shareRefused(level, wholeLoad));
-				}
+			for (const full of listOverloaded()) {
+				const refused =
+					workspaces?.shareRefused(full, work) ?? refusedByLevel(full, work);
+				share = Math.max(share, refused);
 			}
 
 			return share;
 		},
+		isShedding: (work) =>
+			listOverloaded().some((full) => refusedByLevel(full, work) > 0),
+		takeWorkspaceLoads: () => workspaces?.takeLoads(),
+		workspacesAboveShare: () => workspaces?.aboveShare() ?? 0,
 		refresh() {
 			slicesByService.clear();
 			for (const [kind, entry] of recentWork) {
--- a/packages/mesh/src/links/peer-message.ts
+++ b/packages/mesh/src/links/peer-message.ts
@@ -127,6 +127,33 @@
 	grants: z.array(z.tuple([z.string(), z.number(), z.number()])),
 });
 
+/** Service, priority, shed level, demand of all workspaces, the part that the shed level refuses, and the demand of the named workspaces; in milliseconds of slots per second. */
+const fairLoadsSchema = z.array(
+	z.tuple([
+		z.string(),
+		z.number(),
+		z.number().min(0).max(1),
+		z.number().nonnegative(),
+		z.number().nonnegative(),
+		z.array(z.tuple([z.string(), z.number().nonnegative()])),
+	]),
+);
+
+/** Demand of workspaces on full services at the sender or in its data centre; see `fair-share-exchange.ts`. */
+export const fairDemandSchema = z.object({
+	kind: z.literal('fairDemand'),
+	node: z.string(),
+	/** Present if the loads are sums over a data centre. */
+	dataCentre: z.string().optional(),
+	loads: fairLoadsSchema,
+});
+
+/** Sums of that demand over all nodes. */
+export const fairTotalsSchema = z.object({
+	kind: z.literal('fairTotals'),
+	loads: fairLoadsSchema,
+});
+
 /** Requests under which targets crashed and which the receiver may not have recorded. */
 export const suspectsSchema = z.object({
 	kind: z.literal('suspects'),
@@ -154,6 +181,8 @@
 export type ProfilesMessage = z.output<typeof profilesSchema>;
 export type QuotaUseMessage = z.output<typeof quotaUseSchema>;
 export type QuotaGrantMessage = z.output<typeof quotaGrantSchema>;
+export type FairDemandMessage = z.output<typeof fairDemandSchema>;
+export type FairTotalsMessage = z.output<typeof fairTotalsSchema>;
 export type SuspectsMessage = z.output<typeof suspectsSchema>;
 export type TargetMemoryMessage = z.output<typeof targetMemorySchema>;
 
@@ -165,6 +194,8 @@
 	| ProfilesMessage
 	| QuotaUseMessage
 	| QuotaGrantMessage
+	| FairDemandMessage
+	| FairTotalsMessage
 	| SuspectsMessage
 	| TargetMemoryMessage
 	| {kind: 'configuration'; configuration: RoutingConfiguration}
@@ -183,6 +214,8 @@
 	profiles: profilesSchema,
 	quotaUse: quotaUseSchema,
 	quotaGrant: quotaGrantSchema,
+	fairDemand: fairDemandSchema,
+	fairTotals: fairTotalsSchema,
 	suspects: suspectsSchema,
 	targetMemory: targetMemorySchema,
 	configuration: configurationSchema,
--- a/packages/mesh/src/links/peer-updates.ts
+++ b/packages/mesh/src/links/peer-updates.ts
@@ -2,6 +2,8 @@
 import type {Clock, Timer} from '@egretspoke/shared';
 import type {ConfigurationFollower} from '../configuration/configuration-follower.js';
 import type {
+	FairDemandMessage,
+	FairTotalsMessage,
 	Member,
 	PeerMessage,
 	QuotaGrantMessage,
@@ -22,6 +24,10 @@
 	onQuotaUse: (message: QuotaUseMessage, reply: Reply) => void;
 	/** Called when a node grants shares of quotas. */
 	onQuotaGrant: (message: QuotaGrantMessage) => void;
+	/** Called when a node reports the demand of workspaces on full services. */
+	onFairDemand: (message: FairDemandMessage, reply: Reply) => void;
+	/** Called when an allocator sends the sums of that demand. */
+	onFairTotals: (message: FairTotalsMessage) => void;
 	/** Called when a node reports requests under which targets crashed. */
 	onSuspects: (message: SuspectsMessage) => void;
 	/** Called when a node reports what it knows of the local target. */
@@ -86,6 +92,8 @@
 		},
 		quotaUse: options.onQuotaUse,
 		quotaGrant: options.onQuotaGrant,
+		fairDemand: options.onFairDemand,
+		fairTotals: options.onFairTotals,
 		suspects: options.onSuspects,
 		targetMemory: options.onTargetMemory,
 		version({version}, reply) {
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -31,11 +31,8 @@
 import type {MeshReporter} from './mesh-reporter.js';
 import {createLocalStateMessages} from './target/local-state.js';
 import {createThrottledUpdates} from './timing/throttled-updates.js';
-import {
-	createQuotaExchange,
-	type QuotaTolerance,
-} from './quotas/quota-exchange.js';
-import {createAllocators} from './quotas/allocators.js';
+import type {QuotaTolerance} from './quotas/quota-exchange.js';
+import {createWorkspaceExchanges} from './quotas/workspace-exchanges.js';
 import {createPeerListener} from './links/peer-listener.js';
 import type {Member} from './links/peer-message.js';
 import type {RoutingConfiguration} from './configuration/route.js';
@@ -216,6 +213,17 @@
 		},
 	});
 
+	const workspaceExchanges = createWorkspaceExchanges({
+		clock,
+		random: random.fork(),
+		self,
+		directory: () => directory,
+		isMembershipKnown: () => isMembershipKnown,
+		workspaces: () => follower.current()?.workspaces ?? [],
+		tolerance: settings.quotaTolerance,
+		pressure: () => pressure,
+		reporter,
+	});
 	const receive = createUpdateHandler({
 		clock,
 		follower,
@@ -235,25 +243,8 @@
 				targetTracker.recordLeaving(message);
 			}
 		},
-		onQuotaUse(message, reply) {
-			quotas.receiveUse(message, reply);
-		},
-		onQuotaGrant(message) {
-			quotas.receiveGrant(message);
-		},
-	});
-	const allocators = createAllocators({self, directory: () => directory});
-	const quotas = createQuotaExchange({
-		clock,
-		random: random.fork(),
-		self,
-		directory: () => directory,
-		allocators,
-		isMembershipKnown: () => isMembershipKnown,
-		workspaces: () => follower.current()?.workspaces ?? [],
-		tolerance: settings.quotaTolerance,
+		...workspaceExchanges.handlers,
 	});
-
 	const onMalformed = (detail: string) => {
 		reporter.notice('malformedMessage', {detail});
 	};
@@ -272,7 +263,7 @@
 		onState({service, routes: requested}) {
 			innerRoutes.addPeerRoutes(service, requested);
 		},
-		pinned: quotas.pinned,
+		pinned: workspaceExchanges.pinned,
 		onPeer(node, change) {
 			if (change === 'up') {
 				reporter.notice('peerConnected', {peer: node});
@@ -314,6 +305,7 @@
 		graph,
 		policy,
 		levels: () => directory.shedLevels(dispatcher.load()),
+		fairShares: workspaceExchanges.fairShares,
 	});
 	const profileUpdates = createProfileUpdates({
 		clock,
@@ -339,7 +331,7 @@
 		random: random.fork(),
 		wheel,
 		routes: () => routes,
-		quotas,
+		quotas: workspaceExchanges.quotas,
 		headerNames,
 		directory,
 		dispatcher,
@@ -411,7 +403,7 @@
 			ticker.schedule(versionInterval, announceVersion);
 			reportLoad.start();
 			profileUpdates.start();
-			quotas.start(ticker);
+			workspaceExchanges.start(ticker);
 			suspects.start(ticker);
 			reporter.notice('meshStarted', {
 				service: settings.service,
@@ -430,6 +422,7 @@
 			isLeaving: isStopping,
 			openRequests: entry.open(),
 			members: directory.size(),
+			workspacesAboveShare: pressure.workspacesAboveShare(),
 			peersConnected: directory.connected(),
 			service: settings.service,
 		}),
--- a/packages/mesh/src/quotas/quota-exchange.ts
+++ b/packages/mesh/src/quotas/quota-exchange.ts
@@ -48,8 +48,6 @@
 	recordAdmitted(workspace: Workspace): void;
 	/** Estimated milliseconds until the quota allows another request. */
 	retryAfterTime(workspace: Workspace): number;
-	/** Members that the exchange needs links to. */
-	pinned(): Iterable<string>;
 	receiveUse(
 		message: QuotaUseMessage,
 		reply: (message: PeerMessage) => void,
@@ -185,10 +183,6 @@
 			share.recordAdmitted(toQuota(workspace));
 		},
 		retryAfterTime: (workspace) => share.retryAfterTime(toQuota(workspace)),
-		pinned: () =>
-			options.workspaces().some(({rate}) => rate > 0)
-				? allocators.pinned()
-				: [],
 		receiveUse({node, dataCentre, wantsGrant, uses}, reply) {
 			const now = clock.now();
 			allocation.report(
--- a/packages/mesh/src/quotas/workspace.ts
+++ b/packages/mesh/src/quotas/workspace.ts
@@ -18,6 +18,8 @@
 	rate: z.number().nonnegative(),
 	/** Requests beyond the rate that are allowed in a burst. */
 	burst: z.number().nonnegative(),
+	/** Its weight in the fair shares of a full service; 1 if absent. */
+	weight: z.number().positive().optional(),
 });
 
 export type Workspace = z.output<typeof workspaceSchema>;
--- a/packages/observability/__tests__/metrics.spec.ts
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -29,6 +29,7 @@
 	inFlight: 5,
 	waiting: 6,
 	limit: 100,
+	workspacesAboveShare: 0,
 	shedLevel: 0.5,
 	rateLimit: undefined,
 	service: 'orders',
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -160,6 +160,17 @@
 			'The target receives no further requests, although it may not have announced that it is leaving. After a restart of this node, another node may have reported it.',
 		advice: 'Nothing to do.',
 	},
+	meshFairSharesChanged: {
+		code: 2530,
+		level: 'info',
+		kind: 'notice',
+		template:
+			'{workspaces} workspaces are above their fair share of a full service',
+		meaning:
+			'Their requests are refused instead of those of workspaces below their share. 0: no service is full any more.',
+		advice:
+			'Often: the service lacks capacity, or quotas allow some workspaces too much.',
+	},
 	meshMetricsUnavailable: {
 		code: 2509,
 		level: 'warn',
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -48,6 +48,14 @@
 		reading:
 			'0 under normal load. Above 0 for a long time: the service, or one that it calls, lacks capacity.',
 	},
+	meshWorkspacesAboveShare: {
+		name: 'egretspoke_mesh_workspaces_above_share',
+		type: 'gauge',
+		labels: [],
+		help: 'Workspaces whose requests this node refuses because their demand on a full service exceeds their fair share.',
+		reading:
+			'0 while no service is full. Above 0: these workspaces are refused instead of the others. 0 on one node only, with `egretspoke_mesh_shed_level` above 0: it reaches no allocator and refuses all workspaces alike.',
+	},
 	meshRateLimit: {
 		name: 'egretspoke_mesh_target_rate_limit',
 		type: 'gauge',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -32,6 +32,8 @@
 		/** Number of known nodes, this one included. */
 		members: number;
 		shedLevel: number;
+		/** Number of workspaces above their fair share of a full service. */
+		workspacesAboveShare: number;
 		/** Requests per second that the local target accepts; undefined or infinite without a limit. */
 		rateLimit: number | undefined;
 	};
@@ -111,6 +113,7 @@
 function createReadingGauges(registry: Registry) {
 	const members = createGauge(registry, 'meshMembers');
 	const shedLevel = createGauge(registry, 'meshShedLevel');
+	const aboveShare = createGauge(registry, 'meshWorkspacesAboveShare');
 	const rateLimit = createGauge(registry, 'meshRateLimit');
 	const updateProcess = createProcessGauges(registry);
 	const updateTarget = createTargetGauges(registry);
@@ -120,6 +123,7 @@
 		updateTarget(readings);
 		members.set(readings.members);
 		shedLevel.set(readings.shedLevel);
+		aboveShare.set(readings.workspacesAboveShare);
 		rateLimit.set(
 			readings.rateLimit === undefined || !Number.isFinite(readings.rateLimit)
 				? noRateLimit
