--- a/packages/mesh/__tests__/request-forwarding.spec.ts
+++ b/packages/mesh/__tests__/request-forwarding.spec.ts
@@ -65,6 +65,9 @@
 			graph: createCallGraph(),
 			pressure: {
 				recordRequest: () => undefined,
+				isShedding: () => false,
+				takeWorkspaceLoads: () => undefined,
+				workspacesAboveShare: () => 0,
 				shareRefused: () => shed,
 				refresh: () => undefined,
 			},
--- a/packages/mesh/src/entry/request-forwarding.ts
+++ b/packages/mesh/src/entry/request-forwarding.ts
@@ -292,7 +292,7 @@
 		const shouldRetry =
 			isTargetFailure(status) &&
 			route.isIdempotent &&
-			context.pressure.shareRefused(work) === 0;
+			!context.pressure.isShedding(work);
 		if (shouldRetry && tryTakeRetry(forwarding, 'targetFailed', node)) {
 			forwarding.failure = answer;
 			attemptAgain(forwarding);
--- a/packages/mesh/src/entry/route-pressure.ts
+++ b/packages/mesh/src/entry/route-pressure.ts
@@ -3,9 +3,10 @@
  * shed levels reported by targets and the call graph.
  */
 import type {Clock} from '@egretspoke/shared';
-import type {CallGraph} from '../decisions/admission/call-graph.js';
+import type {CallGraph, CostAt} from '../decisions/admission/call-graph.js';
 import type {DecliningService} from '../decisions/admission/completion-chance.js';
 import type {MeshPolicy} from '../decisions/mesh-policy.js';
+import type {LocalLoad} from '../quotas/fair-share-exchange.js';
 import {
 	orderLoad,
 	shareRefused,
@@ -15,6 +16,10 @@
 } from '../decisions/admission/shed-order.js';
 import {createCompletionPressure} from './completion-pressure.js';
 import {createHeldPressure} from './held-pressure.js';
+import {
+	createWorkspacePressure,
+	type FairShareSource,
+} from './workspace-pressure.js';
 
 /** Dependencies of the route pressure. */
 export type RoutePressureOptions = {
@@ -27,6 +32,8 @@
 	declining?: () => ReadonlyMap<string, DecliningService>;
 	/** The levels of services for the requests that make calls there; none by default. */
 	heldLevels?: () => ReadonlyMap<string, number>;
+	/** The demand of workspaces over all nodes; absent where workspaces share nothing. */
+	fairShares?: FairShareSource;
 };
 
 /** The properties of new work that decide whether it is shed. */
@@ -45,6 +52,12 @@
 	recordRequest(work: NewWork): void;
 	/** The share of such work that is shed, from 0 to 1: the maximum over the services it needs. */
 	shareRefused(work: NewWork): number;
+	/** Whether the level of a service that the work needs is above 0. */
+	isShedding(work: NewWork): boolean;
+	/** The demand of workspaces on full services since the last call; undefined while no service is full. */
+	takeWorkspaceLoads(): LocalLoad[] | undefined;
+	/** The number of workspaces above their share of a full service. */
+	workspacesAboveShare(): number;
 	/** Decays the request counts; called once per `pressureRefreshInterval`. */
 	refresh(): void;
 };
@@ -70,7 +83,8 @@
 	refresh(): void;
 };
 
-type OverloadedService = {service: string; level: number};
+/** A service with a level above 0. */
+export type OverloadedService = {service: string; level: number};
 
 type SlicesByKind = Map<string, ShedSlice[]>;
 
@@ -82,6 +96,7 @@
 	levels,
 	declining,
 	heldLevels,
+	fairShares,
 }: RoutePressureOptions): RoutePressure {
 	const recentWork = new Map<string, RecentWork>();
 	/** The shed order by overloaded service, computed on demand. */
@@ -89,8 +104,11 @@
 	let overloaded: OverloadedService[] = [];
 	let readAt = Number.NEGATIVE_INFINITY;
 
+	const costsAt = (service: string): CostAt =>
+		policy.has('dearFirst') ? graph.costsOf(service) : () => 1;
+
 	const orderDemands = (service: string): SlicesByKind => {
-		const costAt = policy.has('dearFirst') ? graph.costsOf(service) : () => 1;
+		const costAt = costsAt(service);
 		const demands: LoadDemand[] = [];
 		for (const [
 			kind,
@@ -118,21 +136,43 @@
 		!policy.has('levelByRoute') ||
 		!graph.isKnown(route, first);
 
+	const refusedByLevel = (
+		{service, level}: OverloadedService,
+		work: NewWork,
+	): number => {
+		const slices = slicesAt(service, kindOf(work));
+		if (slices) {
+			return shareRefused(level, slices);
+		}
+
+		return mayNeed(work, service) ? shareRefused(level, wholeLoad) : 0;
+	};
+
+	const workspaces =
+		fairShares && policy.has('fairShares')
+			? createWorkspacePressure({
+					clock,
+					source: fairShares,
+					overloaded() {
+						readIfDue();
+						return overloaded;
+					},
+					costsAt,
+					refusedByLevel,
+				})
+			: undefined;
 	const levelPressure: SharePressure = {
 		read() {
 			overloaded = [...levels()]
 				.filter(([, level]) => level > 0)
 				.map(([service, level]) => ({service, level}));
 		},
-		shareRefused(work, kind) {
+		shareRefused(work) {
 			let share = 0;
-			for (const {service, level} of overloaded) {
-				const slices = slicesAt(service, kind);
-				if (slices) {
-					share = Math.max(share, shareRefused(level, slices));
-				} else if (mayNeed(work, service)) {
-					share = Math.max(share, shareRefused(level, wholeLoad));
-				}
+			for (const full of overloaded) {
+				const refused =
+					workspaces?.shareRefused(full, work) ?? refusedByLevel(full, work);
+				share = Math.max(share, refused);
 			}
 
 			return share;
@@ -150,8 +190,19 @@
 		pressures.push(createHeldPressure({graph, heldLevels, recentWork}));
 	}
 
+	const readIfDue = () => {
+		const now = clock.now();
+		if (now - readAt >= levelCacheDuration) {
+			readAt = now;
+			for (const pressure of pressures) {
+				pressure.read();
+			}
+		}
+	};
+
 	return {
 		recordRequest(work) {
+			workspaces?.record(work);
 			const kind = kindOf(work);
 			const known = recentWork.get(kind);
 			if (known) {
@@ -162,14 +213,7 @@
 			}
 		},
 		shareRefused(work) {
-			const now = clock.now();
-			if (now - readAt >= levelCacheDuration) {
-				readAt = now;
-				for (const pressure of pressures) {
-					pressure.read();
-				}
-			}
-
+			readIfDue();
 			const kind = kindOf(work);
 			let share = 0;
 			for (const pressure of pressures) {
@@ -178,6 +222,16 @@
 
 			return share;
 		},
+		isShedding(work) {
+			readIfDue();
+			const kind = kindOf(work);
+			return (
+				overloaded.some((full) => refusedByLevel(full, work) > 0) ||
+				pressures.some((pressure) => pressure.shareRefused(work, kind) > 0)
+			);
+		},
+		takeWorkspaceLoads: () => workspaces?.takeLoads(),
+		workspacesAboveShare: () => workspaces?.aboveShare() ?? 0,
 		refresh() {
 			for (const pressure of pressures) {
 				pressure.refresh();
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -193,6 +193,17 @@
 		advice:
 			'Look for the slow service among those that the route calls; the named service itself needs no more targets.',
 	},
+	meshFairSharesChanged: {
+		code: 2530,
+		level: 'info',
+		kind: 'notice',
+		template:
+			'{workspaces} workspaces are above their fair share of a full service',
+		meaning:
+			'Their requests are refused instead of those of workspaces below their share. 0: no service is full any more.',
+		advice:
+			'Often: the service lacks capacity, or quotas allow some workspaces too much.',
+	},
 	meshMetricsUnavailable: {
 		code: 2509,
 		level: 'warn',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -40,6 +40,8 @@
 		lostCapacityLevel: number;
 		/** The maximum level over all services for requests that wait there for other services. */
 		heldLevel: number;
+		/** Number of workspaces above their fair share of a full service. */
+		workspacesAboveShare: number;
 		/** Requests per second that the local target accepts; undefined or infinite without a limit. */
 		rateLimit: number | undefined;
 	};
@@ -194,6 +196,7 @@
 	const completionLevel = createGauge(registry, 'meshCompletionLevel');
 	const lostCapacityLevel = createGauge(registry, 'meshLostCapacityLevel');
 	const heldLevel = createGauge(registry, 'meshHeldLevel');
+	const aboveShare = createGauge(registry, 'meshWorkspacesAboveShare');
 	const rateLimit = createGauge(registry, 'meshRateLimit');
 	const updateProcess = createProcessGauges(registry);
 	const updateTarget = createTargetGauges(registry);
@@ -207,6 +210,7 @@
 		completionLevel.set(readings.completionLevel);
 		lostCapacityLevel.set(readings.lostCapacityLevel);
 		heldLevel.set(readings.heldLevel);
+		aboveShare.set(readings.workspacesAboveShare);
 		rateLimit.set(
 			readings.rateLimit === undefined || !Number.isFinite(readings.rateLimit)
 				? noRateLimit
