fix(mesh): rare calls no longer hide the known calls of a route

Cause: operators' single checks of rare routes look like calls (0.00 to 0.02 a request) of which no node is certain that they make none. So the graph of match-history counted as unknown on every entry node (debug output on a scratch copy: known=false with 4.0 of 4 calls known), and an unknown graph admitted it. Change: the completion chance uses the calls that are known, since further ones could only lower it; calls below 0.05 a request don't make a graph unknown.

--- a/packages/mesh/__tests__/completion-chance.spec.ts
+++ b/packages/mesh/__tests__/completion-chance.spec.ts
@@ -14,6 +14,7 @@
 } from '../src/decisions/mesh-policy.js';
 import {createDeclinedShare} from '../src/decisions/repeats/declined-share.js';
 import {fromCompact} from '../src/links/compact-message.js';
+import {createCompletionPressure} from '../src/entry/completion-pressure.js';
 import {idleLoad} from '../src/links/exchange.js';
 import {
 	runTime,
@@ -46,6 +47,42 @@
 	});
 });
 
+describe('completion pressure', () => {
+	it('refuses a route of whose calls some are unknown', () => {
+		// Nodes of a large fleet see rare calls whose own calls nobody knows. If that
+		// hid the known ones, the requests would be admitted and fail midway.
+		const graph = createCallGraph();
+		graph.setProfiles('front', 'front', [
+			{
+				route: 'page',
+				runTime: 10,
+				calls: [
+					{route: 'feed', count: 4},
+					{route: 'unknown', count: 1},
+				],
+				isLeaf: false,
+			},
+		]);
+		graph.setProfiles('deep', 'deep', [
+			{route: 'feed', runTime: 10, calls: [], isLeaf: true},
+		]);
+		const page = {
+			route: 'page',
+			service: 'front',
+			priority: 0,
+			workspace: undefined,
+			requests: 1,
+		};
+		const pressure = createCompletionPressure({
+			graph,
+			declining: () => new Map([['deep', {declined: 0.55, level: 0}]]),
+			recentWork: new Map([['0 page', page]]),
+		});
+		pressure.read();
+		expect(pressure.shareRefused(page, '0 page')).to.be.above(0.8);
+	});
+});
+
 describe('completion chance', () => {
 	it('counts the calls below the first service and the covered repeats', () => {
 		const graph = createCallGraph();
--- a/packages/mesh/__tests__/shed-order.spec.ts
+++ b/packages/mesh/__tests__/shed-order.spec.ts
@@ -210,6 +210,34 @@
 		expect(graph.isKnown('page', 'panel')).to.equal(true);
 	});
 
+	it('is known in spite of rare calls with an unknown graph', () => {
+		// Single checks of other routes look like calls. With them the graph of a
+		// route would never be known, and all of its requests would be refused, or
+		// admitted, as if they needed any service.
+		const graph = createCallGraph();
+		graph.setProfiles('archive', 'archive', [
+			{route: 'record', runTime: 10, calls: [], isLeaf: true},
+		]);
+		const setPage = (rareCount: number) => {
+			graph.setProfiles('panel', 'panel', [
+				{
+					route: 'page',
+					runTime: 10,
+					calls: [
+						{route: 'record', count: 1},
+						{route: 'check', count: rareCount},
+					],
+					isLeaf: false,
+				},
+			]);
+		};
+
+		setPage(0.02);
+		expect(graph.isKnown('page', 'panel')).to.equal(true);
+		setPage(0.2);
+		expect(graph.isKnown('page', 'panel')).to.equal(false);
+	});
+
 	it('terminates at a cycle of calls', () => {
 		const graph = createCallGraph();
 		graph.setProfiles('node', 'service', [
--- a/packages/mesh/src/decisions/admission/call-graph.ts
+++ b/packages/mesh/src/decisions/admission/call-graph.ts
@@ -41,6 +41,13 @@
 /** The cost of one run of a route at the service, without its calls. */
 type CostOfRun = (profile: Merged, service: string) => number;
 
+/**
+ * Calls per request below which a call is ignored in `isKnown`. Operators' checks
+ * of rare routes look like calls of what the target runs at the time, and no node
+ * runs them often enough to be certain that they make no calls themselves.
+ */
+const rareCalls = 0.05;
+
 /** Creates an empty graph. */
 export function createCallGraph(): CallGraph {
 	/** By service, then by node. */
@@ -124,8 +131,10 @@
 			return profile.isLeaf;
 		}
 
-		return [...profile.calls.keys()].every((called) =>
-			servicesOf(called).some((next) => isKnownFrom(called, next, visited)),
+		return [...profile.calls].every(
+			([called, count]) =>
+				count < rareCalls ||
+				servicesOf(called).some((next) => isKnownFrom(called, next, visited)),
 		);
 	};
 
--- a/packages/mesh/src/entry/completion-pressure.ts
+++ b/packages/mesh/src/entry/completion-pressure.ts
@@ -15,7 +15,7 @@
 
 /** Dependencies of the completion pressure. */
 export type CompletionPressureOptions = {
-	graph: Pick<CallGraph, 'isKnown' | 'callsTo'>;
+	graph: Pick<CallGraph, 'callsTo'>;
 	/** The services that decline calls. */
 	declining: () => ReadonlyMap<string, DecliningService>;
 	/** The recent new work of this node, by kind. */
@@ -58,10 +58,11 @@
 			services = declining();
 		},
 		shareRefused({route, service: first}, kind) {
-			if (services.size === 0 || !graph.isKnown(route, first)) {
+			if (services.size === 0) {
 				return 0;
 			}
 
+			// Calls that aren't known yet could only lower the chance.
 			const chance = completionChance(services, (service) =>
 				callsOf(service).callsAt(route, first),
 			);
