feat(mesh): requests that end with a connection which the node closed are logged and counted by cause

A request on a connection that the node itself closed was counted like one whose caller disconnected, without a line, so the hypotheses about requests lost at a planned stop could not be told apart. Line 2540 and the counter egretspoke_mesh_requests_cut_total name the cause: an answer that closes the connection, the end of the stop, malformed bytes, or another close of the node. No decision changes.

--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -31,12 +31,16 @@
 	let isStopping: boolean;
 	let caller: Socket;
 	let text: string;
+	let notices: Array<Record<string, unknown>>;
+	let cut: Array<{cause: string; requests: number}>;
 
 	beforeEach(async () => {
 		received = [];
 		hasWorkspaces = true;
 		isStopping = false;
 		text = '';
+		notices = [];
+		cut = [];
 		listener = createCallerListener({
 			entry: {
 				handle(request, answer) {
@@ -70,7 +74,17 @@
 				rateLimit: 'rate',
 				leaving: 'is-leaving',
 			},
-			reporter: {notice: () => undefined, decision: () => undefined},
+			reporter: {
+				notice(name, details) {
+					notices.push({name, ...details});
+				},
+				decision: () => undefined,
+			},
+			metrics: {
+				requestsCut(cause, requests) {
+					cut.push({cause, requests});
+				},
+			},
 			callerService: () => 'orders',
 			hasWorkspaces: () => hasWorkspaces,
 			isStopping: () => isStopping,
@@ -258,6 +272,25 @@
 		expect(text).to.match(/Connection: close\r\n/);
 	});
 
+	it('reports requests whose connection the node ends, but not those whose caller leaves', async () => {
+		await send('GET /1');
+		await send('GET /2');
+		listener.close();
+		const expected = {cause: 'stop', requests: 2};
+		expect(cut).to.deep.equal([expected]);
+		expect(notices).to.deep.equal([
+			{
+				name: 'meshRequestsCut',
+				...expected,
+				answered: 0,
+				isStopping: false,
+			},
+		]);
+		caller.destroy();
+		await waitUntil(() => received[1]!.hasLeft);
+		expect(cut).to.have.length(1);
+	});
+
 	it('reports the disconnect of a caller for its open requests only', async () => {
 		const first = await send('GET /1');
 		first.answer(succeed(Buffer.from('x')));
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -12,6 +12,7 @@
 	type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import type {MeshMetrics} from '@egretspoke/observability';
 import type {Clock} from '@egretspoke/shared';
 import type {HeaderNames} from '../configuration/header-names.js';
 import {listenOn} from '../listening.js';
@@ -22,6 +23,7 @@
 	type CallerHeaders,
 } from './caller-headers.js';
 import type {FinalAnswer} from './caller-request.js';
+import {ConnectionRecord} from './connection-record.js';
 import type {Entry} from './entry.js';
 
 /** Dependencies of the listener. */
@@ -30,6 +32,7 @@
 	clock: Clock;
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
+	metrics: Pick<MeshMetrics, 'requestsCut'>;
 	/** The service of the local target, sent to targets in a header. */
 	callerService: () => string;
 	/** Whether callers identify their workspaces by keys. */
@@ -72,7 +75,7 @@
 	const {headerNames} = options;
 	const readHeaders = createCallerHeaderReader(headerNames);
 	let limits = defaultLimits;
-	const leaveHandlersBySocket = new WeakMap<Socket, Set<() => void>>();
+	const connections = new Map<Socket, ConnectionRecord>();
 	const server: Server = createServer(
 		{
 			keepAliveTimeout: limits.idleTime,
@@ -86,21 +89,36 @@
 	server.requestTimeout = 0;
 	server.headersTimeout = limits.headerTime + limits.idleTime;
 	server.on('connection', (socket) => {
-		const leaveHandlers = new Set<() => void>();
-		leaveHandlersBySocket.set(socket, leaveHandlers);
+		const record = new ConnectionRecord(socket);
+		connections.set(socket, record);
 		socket.once('close', () => {
-			for (const leave of leaveHandlers) {
+			connections.delete(socket);
+			report(record);
+			for (const leave of record.unanswered.values()) {
 				leave();
 			}
 		});
 	});
+	/** Reports the requests without a complete answer on a connection that has ended. */
+	const report = (record: ConnectionRecord) => {
+		const cut = record.describeCut();
+		if (cut) {
+			options.metrics.requestsCut(cut.cause, cut.requests);
+			options.reporter.notice('meshRequestsCut', {
+				...cut,
+				isStopping: options.isStopping(),
+			});
+		}
+	};
+
 	server.on('clientError', (error, stream) => {
 		const socket = stream as Socket;
+		const record = connections.get(socket);
 		if (
 			socket.writable &&
 			!socket.destroyed &&
 			socket.bytesRead > 0 &&
-			(leaveHandlersBySocket.get(socket)?.size ?? 0) === 0
+			(record?.unanswered.size ?? 0) === 0
 		) {
 			const status =
 				(error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW'
@@ -113,6 +131,11 @@
 			return;
 		}
 
+		record?.setCause(
+			(error as NodeJS.ErrnoException).code?.startsWith('HPE_')
+				? 'malformedRequest'
+				: 'caller',
+		);
 		socket.destroy();
 	});
 
@@ -175,7 +198,8 @@
 		headers.endToEnd.push(headerNames.callerService, options.callerService());
 		// The answer may be available before `handle` has returned its leave callback.
 		let isAnswered = false;
-		let isRegistered = false;
+		const record = connections.get(request.socket);
+		record?.add(response);
 		const leave = options.entry.handle(
 			{
 				requestId: headers.requestId,
@@ -191,16 +215,12 @@
 			},
 			(final) => {
 				isAnswered = true;
-				if (isRegistered) {
-					leaveHandlersBySocket.get(request.socket)?.delete(leave);
-				}
-
+				record?.unanswered.delete(response);
 				respond(response, final);
 			},
 		);
 		if (!isAnswered) {
-			isRegistered = true;
-			leaveHandlersBySocket.get(request.socket)?.add(leave);
+			record?.unanswered.set(response, leave);
 		}
 	};
 
@@ -211,6 +231,7 @@
 
 		if (options.isStopping()) {
 			response.shouldKeepAlive = false;
+			connections.get(response.socket!)?.setCause('closingAnswer');
 		}
 
 		writers[final.kind](response, final as never);
@@ -258,6 +279,11 @@
 			server.closeIdleConnections();
 		},
 		close() {
+			for (const record of connections.values()) {
+				record.setCause('stop');
+				report(record);
+			}
+
 			server.close();
 			server.closeIdleConnections();
 		},
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -364,6 +364,7 @@
 		clock,
 		headerNames,
 		reporter,
+		metrics,
 		callerService: () => settings.service,
 		hasWorkspaces: () => routes?.hasWorkspaces ?? true,
 		isStopping: () => isStopping,
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -204,6 +204,17 @@
 		advice:
 			'Often: the service lacks capacity, or quotas allow some workspaces too much.',
 	},
+	meshRequestsCut: {
+		code: 2540,
+		level: 'warn',
+		kind: 'notice',
+		template:
+			'connection of a caller ended, {cause}: {requests} requests without a complete answer, {answered} of them answered but not sent',
+		meaning:
+			'This node ended a connection whose caller still waited: `closingAnswer` after an answer that announced it, `malformedRequest` because of bytes that are no request, `stop` at the end of a planned stop, `node` for another reason. The requests may have run.',
+		advice:
+			'With `stop`: some requests took longer than the grace period. Others should not occur; report them.',
+	},
 	meshMetricsUnavailable: {
 		code: 2509,
 		level: 'warn',
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -11,6 +11,13 @@
 		reading:
 			'`answered` is a success, `failed` a failure of the target, `refused` a 503 that has not run or a 404 without a route, `unknown` a 502 or 504, `left` a caller that disconnected. `reason` is that of event 1601.',
 	},
+	meshRequestsCut: {
+		name: 'egretspoke_mesh_requests_cut_total',
+		type: 'counter',
+		labels: ['cause'],
+		help: 'Requests without a complete answer on connections of callers that this node ended.',
+		reading: '`cause` is that of event 2540. 0 unless a stop was too short.',
+	},
 	meshRequestDuration: {
 		name: 'egretspoke_mesh_request_duration_seconds',
 		type: 'histogram',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -58,6 +58,8 @@
 	targetCrashed(): void;
 	requestQuarantined(): void;
 	storeFailed(call: string): void;
+	/** Records requests that ended with a connection that this node closed. */
+	requestsCut(cause: string, requests: number): void;
 };
 
 /** Metrics that can be rendered in the text format of Prometheus. */
@@ -77,6 +79,7 @@
 	const crashes = createCounter(registry, 'targetCrashes');
 	const quarantined = createCounter(registry, 'quarantined');
 	const storeFailures = createCounter(registry, 'meshStoreFailures');
+	const requestsCut = createCounter(registry, 'meshRequestsCut');
 	const update = createReadingGauges(registry);
 	const requestSeries = createRequestSeries(requests, duration);
 	const queueTimes = new DurationSeries(queueTime, {}, secondsPerMillisecond);
@@ -116,6 +119,9 @@
 		storeFailed(call) {
 			storeFailures.inc({call});
 		},
+		requestsCut(cause, count) {
+			requestsCut.inc({cause}, count);
+		},
 		async render(readings, linesDropped) {
 			update(readings, linesDropped);
 			requestSeries.flush();
