fix(mesh): a stopping node takes no request that it cannot finish, and ends after its last one

Callers saw: a request sent long after SIGTERM was passed on to a target and ended without an answer, or with a 502 of the node, while the target was still at work.

Cause: a planned stop had no end of acceptance. The entry took requests until the last moment, and the stop waited for a moment without open requests, which never came while callers went on. So each stop lasted until 0.5 s before the end of the grace period, under any load, and then cut what it had taken last.

Change: a stop has a schedule. New requests are accepted for 2.5 s, within which callers' balancers notice two failed checks; later ones are refused with a true 503 and a Retry-After by which the node has usually started again. Calls of work that runs at the local target are accepted until the end, because that work fails without them. What is accepted during a stop gets no deadline beyond the node's end. The node ends when the last accepted request is answered. A second SIGTERM joins the stop instead of beginning another.

--- a/packages/mesh/src/entry/entry.ts
+++ b/packages/mesh/src/entry/entry.ts
@@ -2,6 +2,11 @@
  * The entry of a node: finds the route and the workspace of each caller's
  * request, enforces quotas and forwards what is admitted.
  */
+import {
+	retryAfterStop,
+	timeLeftAtStop,
+	type AcceptanceTimes,
+} from '../decisions/admission/stop-admission.js';
 import {shortRetryAfter} from '../decisions/repeats/retry-after-time.js';
 import type {HeaderNames} from '../configuration/header-names.js';
 import type {QuotaExchange} from '../quotas/quota-exchange.js';
@@ -20,6 +25,8 @@
 	routes: () => RouteTable | undefined;
 	quotas: Pick<QuotaExchange, 'allows' | 'recordAdmitted' | 'retryAfterTime'>;
 	headerNames: Pick<HeaderNames, 'workspace'>;
+	/** Until when a stopping node accepts requests; undefined while it isn't stopping. */
+	stop: () => AcceptanceTimes | undefined;
 };
 
 /** Handles callers' requests. */
@@ -71,6 +78,31 @@
 	}
 
 	const {workspace} = admission;
+	const stop = options.stop();
+	if (stop) {
+		const timeLeft = timeLeftAtStop(
+			stop,
+			{
+				isCallOfRunningWork: isCallOfRunningWork(options, admission),
+				timeLeft: request.timeLeft,
+			},
+			options.clock.now(),
+		);
+		if (timeLeft === undefined) {
+			const rejection = refuse(
+				admission.route.name,
+				503,
+				'nodeStopping',
+				retryAfterStop(request.timeLeft, options.random.fraction()),
+			);
+			reject(options, request, rejection);
+			onEnd(rejection.answer);
+			return () => undefined;
+		}
+
+		request.timeLeft = timeLeft;
+	}
+
 	if (workspace) {
 		request.headers.push(options.headerNames.workspace, workspace.name);
 	}
@@ -114,6 +146,13 @@
 	return {kind: 'admitted', route, workspace, urgency};
 }
 
+function isCallOfRunningWork(
+	{innerRoutes, dispatcher}: EntryOptions,
+	{route}: Admission,
+): boolean {
+	return innerRoutes.isInner(route.name) && dispatcher.openRequests() > 0;
+}
+
 function refuse(
 	route: string,
 	status: OwnAnswer['status'],
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -24,7 +24,11 @@
 import {createGossip} from './members/gossip.js';
 import type {HeaderNames} from './configuration/header-names.js';
 import {createUpdateHandler} from './links/peer-updates.js';
-import {waitUntilIdle} from './timing/graceful-shutdown.js';
+import {
+	planStop,
+	waitUntilIdle,
+	type StopSchedule,
+} from './timing/graceful-shutdown.js';
 import {createProfileUpdates} from './entry/profile-updates.js';
 import {createLoadReport} from './target/load-report.js';
 import {createMemberRegister} from './members/member-register.js';
@@ -102,15 +106,6 @@
 	abort(): void;
 };
 
-/**
- * Milliseconds after the start of a planned stop during which the target still
- * accepts requests that have no other target. When nodes are restarted one
- * after another, faster than they become ready again, all targets of a small
- * service can be behind stopping nodes at the same time; if these refused
- * requests, the service would be unavailable for seconds. Accepted requests
- * have the rest of the grace period to complete.
- */
-const stoppingAcceptDuration = 2000;
 /** Milliseconds between two announcements of newly requested routes. */
 const newRoutesInterval = 500;
 /** Milliseconds between two announcements of the configuration version to a random peer. */
@@ -133,7 +128,9 @@
 	const wheel = createDeadlineWheel(clock);
 	const ticker = createTicker(clock, lifetime.signal);
 	let routes: RouteTable | undefined;
-	let isStopping = false;
+	let stop: StopSchedule | undefined;
+	let stopped: Promise<void> | undefined;
+	const isStopping = () => stop !== undefined;
 	let isMembershipKnown = false;
 
 	const innerRoutes = createInnerRoutes(self.service);
@@ -141,7 +138,7 @@
 	const graph = createCallGraph();
 	const localState = createLocalStateMessages({
 		self,
-		isStopping: () => isStopping,
+		isStopping,
 		follower: () => follower,
 		targetTracker: () => targetTracker,
 		dispatcher: () => dispatcher,
@@ -357,7 +354,8 @@
 		},
 		reporter,
 		metrics,
-		isStopping: () => isStopping,
+		isStopping,
+		stop: () => stop,
 	});
 	const callerListener = createCallerListener({
 		entry,
@@ -367,7 +365,7 @@
 		metrics,
 		callerService: () => settings.service,
 		hasWorkspaces: () => routes?.hasWorkspaces ?? true,
-		isStopping: () => isStopping,
+		isStopping,
 	});
 	const register = createMemberRegister({
 		store,
@@ -423,14 +421,14 @@
 			});
 			return {callers, peers};
 		},
-		isReady: () => routes !== undefined && !isStopping,
+		isReady: () => routes !== undefined && !isStopping(),
 		announce: async (announcement) => targetTracker.announce(announcement),
 		withdraw: async (withdrawal) => targetTracker.withdraw(withdrawal),
 		readings: () => ({
 			...dispatcher.readings(),
 			...services.readings(),
 			configurationVersion: follower.current()?.version ?? 0,
-			isLeaving: isStopping,
+			isLeaving: isStopping(),
 			openRequests: entry.open(),
 			members: directory.size(),
 			workspacesAboveShare: pressure.workspacesAboveShare(),
@@ -442,25 +440,33 @@
 			self.service = changed.service;
 		},
 		async stop() {
-			isStopping = true;
-			reporter.notice('leaving', {reason: 'planned stop'});
-			broadcastState();
-			clock.setTimer(stoppingAcceptDuration, () => {
-				dispatcher.stop();
-			});
-			callerListener.drain();
-			await waitUntilIdle(clock, settings.grace, () => {
-				callerListener.drain();
-				return entry.open() === 0 && dispatcher.openRequests() === 0;
-			});
-			reporter.notice('drained', {
-				cut: entry.open() + dispatcher.openRequests(),
-			});
-			abort();
+			stopped ??= stopAsPlanned();
+			await stopped;
 		},
 		abort,
 	};
 
+	async function stopAsPlanned(): Promise<void> {
+		const schedule = planStop(clock.now(), settings.grace);
+		stop = schedule;
+		reporter.notice('leaving', {reason: 'planned stop'});
+		broadcastState();
+		clock.setTimer(schedule.targetAcceptsUntil - clock.now(), () => {
+			dispatcher.stop();
+		});
+		await waitUntilIdle(clock, schedule, () => {
+			callerListener.drain();
+			return countOpen() === 0;
+		});
+		reporter.notice('drained', {cut: countOpen()});
+		abort();
+	}
+
+	/** Counts the work in flight. */
+	function countOpen(): number {
+		return entry.open() + dispatcher.openRequests();
+	}
+
 	function abort(): void {
 		lifetime.abort();
 		newRouteUpdates.close();
