fix(mesh): a connection of a caller is ended only after the answers to all accepted requests

Callers saw: during a planned stop, requests sent behind others on a connection ended without an answer although targets had run them, from the first moment on; and large answers stopped in the middle for callers that read slowly.

Cause: connections were closed without asking what of them was accepted and not answered yet. Each answer of a stopping node carried `Connection: close`, after which Node's server closes the connection, with the requests behind it. Idle connections were closed every 50 ms, and Node counts a connection as idle once its answer was handed over, not once it was sent. An answer to oversized headers or to an oversized body closed the connection under requests behind it.

Change: `createCallerConnections` of `shared` keeps what was accepted on each connection, from the whole request until its answer is sent. Only the answer to the last accepted request closes a connection; requests that arrive behind it are dropped, which by RFC 9112, section 9.3.2, tells their sender that they were not processed. Idle connections stay open until the end of the process, so no request crosses their close. After the last answer the node reads on until the caller closes, for a second at most, because a close with unread bytes resets the connection, and the reset can overtake the answer. A stop waits for answers that are being sent, and for a second for requests that are arriving.

--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -301,4 +301,111 @@
 		expect(first.hasLeft).to.equal(false);
 		second.answer(succeed(Buffer.from('x')));
 	});
+
+	describe('at the end of a connection', () => {
+		const request = (path: string, lines: string[] = []) =>
+			[`GET ${path} HTTP/1.1`, 'Host: x', ...lines, '', ''].join('\r\n');
+		const pathsOf = (entries: Received[]) =>
+			entries.map(({request: {path}}) => path);
+		const answerAll = () => {
+			for (const {
+				answer,
+				request: {path},
+			} of received) {
+				answer(succeed(Buffer.from(`<${path}>`)));
+			}
+		};
+
+		const statuses = () =>
+			[...text.matchAll(/HTTP\/1\.1 (\d+) /g)].map(([, status]) =>
+				Number(status),
+			);
+
+		// Guards against accepted requests that are cut by the answer to an earlier one on their connection.
+		it('keeps a connection open during a stop for accepted requests behind an answer', async () => {
+			caller.write(request('/1') + request('/2') + request('/3'));
+			await waitUntil(() => received.length === 3);
+			isStopping = true;
+			answerAll();
+			await waitUntil(() => caller.readableEnded);
+			expect(text).to.match(/<\/1>[^]*<\/2>[^]*<\/3>$/);
+			expect(text.split('Connection: close')).to.have.length(2);
+			expect(text.indexOf('Connection: close')).to.be.above(
+				text.indexOf('</2>'),
+			);
+		});
+
+		// Guards against work for a request whose answer can't be sent any more.
+		it('drops requests that arrive behind an answer that closes the connection', async () => {
+			caller.write(request('/1') + request('/2'));
+			await waitUntil(() => received.length === 2);
+			isStopping = true;
+			received[1]!.answer(succeed(Buffer.from('second')));
+			caller.write(request('/3'));
+			await nextTurn();
+			received[0]!.answer(succeed(Buffer.from('first')));
+			await waitUntil(() => caller.readableEnded);
+			expect(pathsOf(received)).to.deep.equal(['/1', '/2']);
+			expect(text).to.match(/first[^]*Connection: close[^]*second$/);
+		});
+
+		// Guards against requests that are cut because a body before them was too large.
+		it('answers accepted requests behind a body above the limit', async () => {
+			caller.write(
+				`POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 100001\r\n\r\n${'x'.repeat(100_001)}${request('/2')}`,
+			);
+			await waitUntil(() => received.length === 1);
+			await waitUntil(() => statuses().length === 1);
+			answerAll();
+			await waitUntil(() => statuses().length === 2);
+			expect(text).to.match(/ 413 [^]*<\/2>$/);
+		});
+
+		// Guards against an answer that is lost because its connection is reset by bytes that arrive behind it.
+		it('reads on after the last answer until the caller closes', async () => {
+			const {answer} = await send('GET /1');
+			const size = 2_000_000;
+			caller.pause();
+			isStopping = true;
+			answer(succeed(Buffer.alloc(size, 'x')));
+			for (let sent = 0; sent < 20; sent++) {
+				caller.write(request('/2').repeat(50));
+				// eslint-disable-next-line no-await-in-loop -- bytes arrive before, while and after the answer is sent.
+				await nextTurn();
+			}
+
+			caller.resume();
+			await waitUntil(() => caller.readableEnded || caller.destroyed);
+			expect(text.length).to.be.above(size);
+			expect(received).to.have.length(1);
+		});
+
+		// Guards against a stop that ends before a slow caller has received its answer.
+		it('counts a request until its answer is sent', async () => {
+			const {answer} = await send('GET /1');
+			expect(listener.pending()).to.equal(1);
+			caller.pause();
+			answer(succeed(Buffer.alloc(20_000_000, 'x')));
+			await nextTurn();
+			expect(listener.pending()).to.equal(1);
+			caller.resume();
+			await waitUntil(() => listener.pending() === 0);
+			expect(text.length).to.be.above(20_000_000);
+		});
+
+		it('counts requests whose bodies are arriving', async () => {
+			caller.write(
+				'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nhalf'.slice(
+					0,
+					-2,
+				),
+			);
+			await waitUntil(() => listener.receiving() === 1);
+			expect(listener.pending()).to.equal(0);
+			caller.write('lf');
+			await waitUntil(() => received.length === 1);
+			expect(listener.receiving()).to.equal(0);
+			expect(listener.pending()).to.equal(1);
+		});
+	});
 });
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -13,7 +13,11 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {MeshMetrics} from '@egretspoke/observability';
-import type {Clock} from '@egretspoke/shared';
+import {
+	createCallerConnections,
+	type CallerExchange,
+	type Clock,
+} from '@egretspoke/shared';
 import type {HeaderNames} from '../configuration/header-names.js';
 import {listenOn} from '../listening.js';
 import type {MeshReporter} from '../mesh-reporter.js';
@@ -23,7 +27,6 @@
 	type CallerHeaders,
 } from './caller-headers.js';
 import type {FinalAnswer} from './caller-request.js';
-import {ConnectionRecord} from './connection-record.js';
 import type {Entry} from './entry.js';
 
 /** Dependencies of the listener. */
@@ -45,8 +48,11 @@
 	/** Listens on `ip:port`; returns the bound address. */
 	listen(address: string): Promise<string>;
 	applyLimits(limits: CallerLimits): void;
-	/** Closes idle connections. */
-	drain(): void;
+	/** Number of requests whose answers are not sent, and of connections that are being ended. */
+	pending(): number;
+	/** Number of requests that are arriving. */
+	receiving(): number;
+	/** Closes all connections at once. */
 	close(): void;
 };
 
@@ -75,7 +81,6 @@
 	const {headerNames} = options;
 	const readHeaders = createCallerHeaderReader(headerNames);
 	let limits = defaultLimits;
-	const connections = new Map<Socket, ConnectionRecord>();
 	const server: Server = createServer(
 		{
 			keepAliveTimeout: limits.idleTime,
@@ -88,77 +93,73 @@
 	);
 	server.requestTimeout = 0;
 	server.headersTimeout = limits.headerTime + limits.idleTime;
-	server.on('connection', (socket) => {
-		const record = new ConnectionRecord(socket);
-		connections.set(socket, record);
-		socket.once('close', () => {
-			connections.delete(socket);
-			report(record);
-			for (const leave of record.unanswered.values()) {
-				leave();
-			}
-		});
-	});
-	/** Reports the requests without a complete answer on a connection that has ended. */
-	const report = (record: ConnectionRecord) => {
-		const cut = record.describeCut();
-		if (cut) {
+	const connections = createCallerConnections(server, {
+		clock: options.clock,
+		onCut(cut) {
 			options.metrics.requestsCut(cut.cause, cut.requests);
 			options.reporter.notice('meshRequestsCut', {
 				...cut,
 				isStopping: options.isStopping(),
 			});
-		}
-	};
+		},
+	});
 
-	server.on('clientError', (error, stream) => {
+	server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
 		const socket = stream as Socket;
-		const record = connections.get(socket);
 		if (
 			socket.writable &&
 			!socket.destroyed &&
 			socket.bytesRead > 0 &&
-			(record?.unanswered.size ?? 0) === 0
+			!connections.hasAccepted(socket)
 		) {
 			const status =
-				(error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW'
-					? 431
-					: 400;
+				error.code === 'HPE_HEADER_OVERFLOW'
+					? '431 Request Header Fields Too Large'
+					: '400 Bad Request';
 			options.reporter.notice('malformedRequest', {fault: error.message});
 			socket.end(
-				`HTTP/1.1 ${status} ${status === 431 ? 'Request Header Fields Too Large' : 'Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+				`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
 			);
 			return;
 		}
 
-		record?.setCause(
-			(error as NodeJS.ErrnoException).code?.startsWith('HPE_')
-				? 'malformedRequest'
-				: 'caller',
-		);
 		socket.destroy();
 	});
 
 	const receive = (request: IncomingMessage, response: ServerResponse) => {
+		const exchange = connections.receive(request, response);
+		if (!exchange) {
+			return;
+		}
+
 		const headers = readHeaders(request.rawHeaders, options.hasWorkspaces());
 		if (headers.size > limits.headerBytes) {
 			request.resume();
-			response.writeHead(431, {connection: 'close'}).end();
+			reject(exchange, 431);
 			return;
 		}
 
 		const arrivedAt = options.clock.now();
 		if (headers.hasBody) {
-			receiveBody(request, response, headers, arrivedAt);
+			receiveBody(request, exchange, headers, arrivedAt);
 		} else {
 			// Skips the empty body stream, which would cost six stream calls for each read request.
-			handle(request, response, {headers, body: undefined, arrivedAt});
+			handle(request, exchange, {headers, body: undefined, arrivedAt});
+		}
+	};
+
+	/** Answers a request that exceeds a limit, and ends its connection. */
+	const reject = (exchange: CallerExchange, status: 413 | 431) => {
+		if (exchange.accept()) {
+			exchange.answer();
+			exchange.closeAfter('closingAnswer');
+			exchange.response.writeHead(status, {'content-length': '0'}).end();
 		}
 	};
 
 	const receiveBody = (
 		request: IncomingMessage,
-		response: ServerResponse,
+		exchange: CallerExchange,
 		headers: CallerHeaders,
 		arrivedAt: number,
 	) => {
@@ -177,11 +178,11 @@
 		});
 		request.on('end', () => {
 			if (isTooLarge) {
-				response.writeHead(413, {connection: 'close'}).end();
+				reject(exchange, 413);
 				return;
 			}
 
-			handle(request, response, {
+			handle(request, exchange, {
 				headers,
 				body: size === 0 ? undefined : joinParts(chunks),
 				arrivedAt,
@@ -191,15 +192,15 @@
 
 	const handle = (
 		request: IncomingMessage,
-		response: ServerResponse,
+		exchange: CallerExchange,
 		{headers, body, arrivedAt}: ReceivedRequest,
 	) => {
+		if (!exchange.accept()) {
+			return;
+		}
+
 		const timeLeft = Number(headers.timeLeft);
 		headers.endToEnd.push(headerNames.callerService, options.callerService());
-		// The answer may be available before `handle` has returned its leave callback.
-		let isAnswered = false;
-		const record = connections.get(request.socket);
-		record?.add(response);
 		const leave = options.entry.handle(
 			{
 				requestId: headers.requestId,
@@ -214,24 +215,24 @@
 					Number.isFinite(timeLeft) && timeLeft > 0 ? timeLeft : undefined,
 			},
 			(final) => {
-				isAnswered = true;
-				record?.unanswered.delete(response);
-				respond(response, final);
+				respond(exchange, final);
 			},
 		);
-		if (!isAnswered) {
-			record?.unanswered.set(response, leave);
+		// The answer may be available before `handle` has returned its leave callback.
+		if (!exchange.isAnswered) {
+			exchange.whenLeft(leave);
 		}
 	};
 
-	const respond = (response: ServerResponse, final: FinalAnswer) => {
+	const respond = (exchange: CallerExchange, final: FinalAnswer) => {
+		exchange.answer();
+		const {response} = exchange;
 		if (response.destroyed) {
 			return;
 		}
 
 		if (options.isStopping()) {
-			response.shouldKeepAlive = false;
-			connections.get(response.socket!)?.setCause('closingAnswer');
+			exchange.closeAfter('closingAnswer');
 		}
 
 		writers[final.kind](response, final as never);
@@ -275,17 +276,11 @@
 			server.keepAliveTimeout = changed.idleTime;
 			server.headersTimeout = changed.headerTime + changed.idleTime;
 		},
-		drain() {
-			server.closeIdleConnections();
-		},
+		pending: connections.pending,
+		receiving: connections.receiving,
 		close() {
-			for (const record of connections.values()) {
-				record.setCause('stop');
-				report(record);
-			}
-
 			server.close();
-			server.closeIdleConnections();
+			connections.close();
 		},
 	};
 }
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -455,16 +455,20 @@
 			dispatcher.stop();
 		});
 		await waitUntilIdle(clock, schedule, () => {
-			callerListener.drain();
-			return countOpen() === 0;
+			const isReceiving =
+				clock.now() < schedule.receiveUntil && callerListener.receiving() > 0;
+			return countOpen() === 0 && !isReceiving;
 		});
 		reporter.notice('drained', {cut: countOpen()});
 		abort();
 	}
 
-	/** Counts the work in flight. */
+	/** Counts the work in flight and the answers that are not sent. */
 	function countOpen(): number {
-		return entry.open() + dispatcher.openRequests();
+		return (
+			Math.max(entry.open(), callerListener.pending()) +
+			dispatcher.openRequests()
+		);
 	}
 
 	function abort(): void {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,3 +1,4 @@
+export * from './caller-connections.js';
 export * from './clock.js';
 export type {DocumentIssue} from './document-issue.js';
 export type {DocumentPath} from './document-place.js';
