fix(mesh): bytes that are no request no longer cut the accepted requests before them

Callers saw: requests that targets had run ended with a reset when anything malformed followed them on their connection: bytes that are no request, headers above the limit of the parser, a CONNECT, or bytes behind `Connection: close`.

The handler of parser errors destroyed a connection with requests in progress, and Node destroys one with a CONNECT that nothing handles.

Change: the connection takes no further request, and is ended after the answers to those that it accepted. The 400 or 431 is written only if there are none, because it would stand where another answer is due.

--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -349,6 +349,40 @@
 			expect(text).to.match(/first[^]*Connection: close[^]*second$/);
 		});
 
+		/** Bytes that end a connection, and the status of the node's answer to them behind other answers. */
+		const faults: Record<string, [bytes: string, statuses: number[]]> = {
+			'bytes that are no request': ['\u0000no request\r\n\r\n', []],
+			'a request for a tunnel': ['CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n', []],
+			'headers above the limit': [
+				request('/4', [`X: ${'x'.repeat(2000)}`]),
+				[431],
+			],
+			'headers above the limit of the parser': [
+				request('/4', [`X: ${'x'.repeat(300_000)}`]),
+				[],
+			],
+		};
+		const expectAnswersBefore = async (bytes: string, rest: number[]) => {
+			caller.write(request('/1') + request('/2') + bytes + request('/5'));
+			await waitUntil(() => received.length === 2);
+			for (let turn = 0; turn < 20; turn++) {
+				// eslint-disable-next-line no-await-in-loop -- the rest arrives.
+				await nextTurn();
+			}
+
+			answerAll();
+			await waitUntil(() => caller.readableEnded);
+			expect(pathsOf(received)).to.deep.equal(['/1', '/2']);
+			expect(text).to.match(/<\/1>[^]*<\/2>/);
+			expect(statuses()).to.deep.equal([200, 200, ...rest]);
+		};
+
+		for (const [name, [bytes, rest]] of Object.entries(faults)) {
+			// Guards against accepted requests that are cut because of what follows them on their connection.
+			it(`answers accepted requests before ${name}`, async () =>
+				expectAnswersBefore(bytes, rest));
+		}
+
 		// Guards against requests that are cut because a body before them was too large.
 		it('answers accepted requests behind a body above the limit', async () => {
 			caller.write(
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -104,26 +104,35 @@
 		},
 	});
 
-	server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
-		const socket = stream as Socket;
-		if (
-			socket.writable &&
-			!socket.destroyed &&
-			socket.bytesRead > 0 &&
-			!connections.hasAccepted(socket)
-		) {
-			const status =
-				error.code === 'HPE_HEADER_OVERFLOW'
-					? '431 Request Header Fields Too Large'
-					: '400 Bad Request';
-			options.reporter.notice('malformedRequest', {fault: error.message});
-			socket.end(
-				`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-			);
+	/** Answers what is no request, behind the answers to the requests before it. */
+	const rejectMalformed = (socket: Socket, code = '', detail = '') => {
+		if (!connections.closeAfterAccepted(socket, 'malformedRequest')) {
 			return;
 		}
 
-		socket.destroy();
+		const status =
+			code === 'HPE_HEADER_OVERFLOW'
+				? '431 Request Header Fields Too Large'
+				: '400 Bad Request';
+		options.reporter.notice('malformedRequest', {fault: detail});
+		socket.write(
+			`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+		);
+		connections.end(socket);
+	};
+
+	server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+		const socket = stream as Socket;
+		const isConnected = socket.writable && !socket.destroyed;
+		if (isConnected && socket.bytesRead > 0) {
+			rejectMalformed(socket, error.code, error.message);
+		} else {
+			socket.destroy();
+		}
+	});
+	// Node destroys the connection of a CONNECT request that nothing handles.
+	server.on('connect', (_request, stream) => {
+		rejectMalformed(stream as Socket, '', 'CONNECT');
 	});
 
 	const receive = (request: IncomingMessage, response: ServerResponse) => {
--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -42,8 +42,14 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): CallerExchange | undefined;
-	/** Whether an accepted request on the connection has no answer that was sent. */
-	hasAccepted(socket: Socket): boolean;
+	/**
+	 * Ends a connection whose further bytes are no requests, after the answers
+	 * to the accepted requests. Returns whether there are none, so that a last
+	 * answer may be written before `end`.
+	 */
+	closeAfterAccepted(socket: Socket, cause: CloseCause): boolean;
+	/** Ends a connection after what was written to it. */
+	end(socket: Socket): void;
 	/** Number of accepted requests whose answers are not sent, and of connections that are being ended. */
 	pending(): number;
 	/** Number of requests that are arriving. */
@@ -101,7 +107,11 @@
 
 			return connection.receive(response);
 		},
-		hasAccepted: (socket) => (connections.get(socket)?.unsent.size ?? 0) > 0,
+		closeAfterAccepted: (socket, cause) =>
+			connections.get(socket)?.closeAfterAccepted(cause) ?? false,
+		end(socket) {
+			connections.get(socket)?.end();
+		},
 		pending: () =>
 			sum(({unsent, isEnding}) => Math.max(unsent.size, isEnding ? 1 : 0)),
 		receiving: () => sum(({arriving}) => arriving),
@@ -175,6 +185,19 @@
 		return false;
 	}
 
+	closeAfterAccepted(cause: CloseCause): boolean {
+		const isFirst = !this.isClosing;
+		this.isClosing = true;
+		this.setCause(cause);
+		for (const exchange of this.unsent) {
+			if (!this.hasAcceptedBehind(exchange)) {
+				exchange.announceClose();
+			}
+		}
+
+		return isFirst && this.unsent.size === 0;
+	}
+
 	/** Ends what is sent, and reads on until the caller has closed the connection too. */
 	end(): void {
 		if (this.isEnding) {
