fix(mesh): idle connections follow a longer idle time at once

Callers saw: after the operator had raised the idle time, a request on a connection that had been idle since before was reset: the node closed the connection by the former time, while callers reuse connections by the new one.

Cause: the timeout of an idle connection was set at its last answer and kept. Change: a changed idle time is applied to idle connections too, from now. Evidence: the new test of the listener fails on the code before (the connection is closed after 1.1 s of a former 0.1 s; Node adds a second), passes now.

--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -1,7 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
-import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+	setImmediate as nextTurn,
+	setTimeout as pause,
+} from 'node:timers/promises';
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {
@@ -427,6 +430,19 @@
 			expect(text.length).to.be.above(20_000_000);
 		});
 
+		// Guards against requests that cross the close of a connection which callers may still use, by the new limit.
+		it('keeps idle connections open for a longer idle time that is configured meanwhile', async () => {
+			const limits = {headerBytes: 1000, bodyBytes: 1000, headerTime: 3000};
+			listener.applyLimits({...limits, idleTime: 100});
+			const first = await send('GET /1');
+			first.answer(succeed(Buffer.from('x')));
+			await waitUntil(() => text.endsWith('x'));
+			listener.applyLimits({...limits, idleTime: 15_000});
+			await pause(1300);
+			expect(caller.readableEnded).to.equal(false);
+			await send('GET /2');
+		});
+
 		it('counts requests whose bodies are arriving', async () => {
 			caller.write(
 				'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nhalf'.slice(
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -281,6 +281,10 @@
 	return {
 		listen: async (address) => listenOn(server, address),
 		applyLimits(changed) {
+			if (changed.idleTime !== limits.idleTime) {
+				connections.renewIdleTime(changed.idleTime);
+			}
+
 			limits = changed;
 			server.keepAliveTimeout = changed.idleTime;
 			server.headersTimeout = changed.headerTime + changed.idleTime;
--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -50,6 +50,8 @@
 	closeAfterAccepted(socket: Socket, cause: CloseCause): boolean;
 	/** Ends a connection after what was written to it. */
 	end(socket: Socket): void;
+	/** Keeps connections that are idle open for the changed time, in milliseconds from now. */
+	renewIdleTime(idleTime: number): void;
 	/** Number of accepted requests whose answers are not sent, and of connections that are being ended. */
 	pending(): number;
 	/** Number of requests that are arriving. */
@@ -112,6 +114,13 @@
 		end(socket) {
 			connections.get(socket)?.end();
 		},
+		renewIdleTime(idleTime) {
+			for (const [socket, connection] of connections) {
+				if (connection.isIdle()) {
+					socket.setTimeout(idleTime);
+				}
+			}
+		},
 		pending: () =>
 			sum(({unsent, isEnding}) => Math.max(unsent.size, isEnding ? 1 : 0)),
 		receiving: () => sum(({arriving}) => arriving),
@@ -151,6 +160,18 @@
 		socket.once('error', onCaller);
 	}
 
+	/**
+	 * Whether it waits for a further request. Before the first one, Node would
+	 * not end the timeout when a request arrives.
+	 */
+	isIdle(): boolean {
+		return (
+			this.received > 0 &&
+			this.arriving + this.unsent.size === 0 &&
+			!this.isClosing
+		);
+	}
+
 	receive(response: ServerResponse): CallerExchange {
 		this.arriving++;
 		return new CallerExchange(this, response, this.received++);
