fix(mesh): a stop lasts until the outcomes have left for the peers

Callers saw 502 `linkLost` for requests that a target beside a stopping node had answered: large answers, or peers that read slowly. Cause: a request counted as done once its outcome was handed to the channel; the stop then destroyed the sockets with what they still buffered. Bytes of a peer that were unread at that moment made the system reset the connection, which also discards what the peer had not read yet. Change: a stop also waits, within the grace period, while a link has an outcome that the system has not taken. Each link is then ended behind its last bytes instead of destroyed, and closes when its peer has read them, for at most 1 s. Other messages than outcomes don't prolong a stop, so a peer that is cut off doesn't either. The channel counts bytes for this; a call costs no callback.

--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -11,7 +11,11 @@
 export type PeerChannel = {
 	/** Queues a message for the end of this turn; returns false if the peer does not read or the socket is closed. */
 	send(message: PeerMessage): boolean;
-	/** Closes the connection at once. */
+	/** Whether an outcome was sent and the system has not taken all of it yet. */
+	hasUnsentOutcome(): boolean;
+	/** Ends the connection after all that was sent; it closes once the peer has read that. */
+	end(): void;
+	/** Closes the connection at once; what was not sent yet is lost. */
 	close(): void;
 	isOpen(): boolean;
 };
@@ -47,6 +51,11 @@
 	const transit = createTransitDelay();
 	const isClient = connection === undefined;
 	let queue: PeerMessage[] = [];
+	let hasQueuedOutcome = false;
+	/** Bytes of all frames, and of those up to the last one with an outcome. */
+	let written = 0;
+	let writtenOutcomes = 0;
+	let isEnding = false;
 	let isClosed = false;
 	socket.binaryType = 'nodebuffer';
 
@@ -54,11 +63,18 @@
 		const messages = queue;
 		queue = [];
 		if (socket.readyState === socket.OPEN && messages.length > 0) {
-			const frame = {sentAt: clock.now(), messages};
-			connection?.write(
-				addFrameHeader(encodeFrame(frame, maxHeaderLength), isClient),
+			const frame = addFrameHeader(
+				encodeFrame({sentAt: clock.now(), messages}, maxHeaderLength),
+				isClient,
 			);
+			connection?.write(frame);
+			written += frame.byteLength;
+			if (hasQueuedOutcome) {
+				writtenOutcomes = written;
+			}
 		}
+
+		hasQueuedOutcome = false;
 	};
 
 	const finish = () => {
@@ -99,6 +115,7 @@
 		send(message) {
 			if (
 				isClosed ||
+				isEnding ||
 				socket.readyState !== socket.OPEN ||
 				socket.bufferedAmount > bufferLimit
 			) {
@@ -110,9 +127,19 @@
 				process.nextTick(flush);
 			}
 
+			hasQueuedOutcome ||= message.kind === 'outcome';
 			queue.push(message);
 			return true;
 		},
+		hasUnsentOutcome: () =>
+			!isClosed &&
+			(hasQueuedOutcome ||
+				written - (connection?.writableLength ?? 0) < writtenOutcomes),
+		end() {
+			flush();
+			isEnding = true;
+			connection?.end();
+		},
 		close() {
 			socket.terminate();
 			finish();
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -36,6 +36,13 @@
 	listen(address: string): Promise<string>;
 	/** Sends a message to every node that is linked to this one. */
 	broadcast(message: PeerMessage): void;
+	/** Number of links with an outcome that is not sent yet. */
+	pending(): number;
+	/**
+	 * Ends all links; resolves when each peer has read what was sent to it, or
+	 * after the timeout in milliseconds.
+	 */
+	end(timeout: number): Promise<void>;
 	close(): void;
 };
 
@@ -57,6 +64,8 @@
 		perMessageDeflate: false,
 	});
 	const links = new Set<IncomingLink>();
+	/** Called when all links have closed after `end`. */
+	let onEnded: (() => void) | undefined;
 
 	socketServer.on('connection', (socket, request) => {
 		const channel = createPeerChannel(socket, request.socket, options.clock, {
@@ -71,6 +80,10 @@
 				for (const cancel of link.running.values()) {
 					cancel();
 				}
+
+				if (links.size === 0) {
+					onEnded?.();
+				}
 			},
 		});
 		const link: IncomingLink = {
@@ -113,6 +126,11 @@
 
 	const receive = (link: IncomingLink, message: PeerMessage, delay: number) => {
 		const {channel, running} = link;
+		// Its outcome could no longer be sent.
+		if (onEnded) {
+			return;
+		}
+
 		if (message.kind === 'request') {
 			message.request.timeLeft -= delay;
 			dispatch(link, message);
@@ -141,6 +159,11 @@
 		});
 	};
 
+	const stopListening = () => {
+		socketServer.close();
+		server.close();
+	};
+
 	return {
 		listen: async (address) => listenOn(server, address),
 		broadcast(message) {
@@ -149,13 +172,37 @@
 			}
 		},
 		links,
+		pending() {
+			let count = 0;
+			for (const {channel} of links) {
+				count += channel.hasUnsentOutcome() ? 1 : 0;
+			}
+
+			return count;
+		},
+		async end(timeout) {
+			const ended = new Promise<void>((resolve) => {
+				onEnded = resolve;
+			});
+			const timer = options.clock.setTimer(timeout, () => onEnded?.());
+			stopListening();
+			for (const {channel} of links) {
+				channel.end();
+			}
+
+			if (links.size === 0) {
+				onEnded?.();
+			}
+
+			await ended;
+			timer.cancel();
+		},
 		close() {
 			for (const {channel} of links) {
 				channel.close();
 			}
 
-			socketServer.close();
-			server.close();
+			stopListening();
 		},
 	};
 }
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -111,6 +111,10 @@
  * have the rest of the grace period to complete.
  */
 const stoppingAcceptDuration = 2000;
+/** Maximum milliseconds until the peers have read the last messages; one that takes longer is taken for dead. */
+const maxLinkEnd = 1000;
+/** Milliseconds before the end of the grace period at which the node ends at the latest. */
+const killReserve = 200;
 /** Milliseconds between two announcements of newly requested routes. */
 const newRoutesInterval = 500;
 /** Milliseconds between two announcements of the configuration version to a random peer. */
@@ -441,6 +445,7 @@
 			self.service = changed.service;
 		},
 		async stop() {
+			const stopAt = clock.now() + settings.grace;
 			isStopping = true;
 			reporter.notice('leaving', {reason: 'planned stop'});
 			broadcastState();
@@ -450,11 +455,18 @@
 			callerListener.drain();
 			await waitUntilIdle(clock, settings.grace, () => {
 				callerListener.drain();
-				return entry.open() === 0 && dispatcher.openRequests() === 0;
+				return (
+					entry.open() === 0 &&
+					dispatcher.openRequests() === 0 &&
+					peerListener.pending() === 0
+				);
 			});
 			reporter.notice('drained', {
 				cut: entry.open() + dispatcher.openRequests(),
 			});
+			await peerListener.end(
+				Math.min(maxLinkEnd, stopAt - killReserve - clock.now()),
+			);
 			abort();
 		},
 		abort,
