fix(mesh): a stop counts requests of an earlier incarnation of the target

Callers saw 502 `linkLost` when a target announced a new start and its node was then stopped while requests of the earlier start still ran, or while a request whose connection was lost waited for the verdict whether the target crashed. Cause: the number of open requests is that of the current admission control, which begins anew with each incarnation, and a slot is free before the verdict. Change: the requests of other nodes without an outcome count too; the listener already records them for cancels. Evidence: the new case of planned-stop-links.spec failed before (link cut at 2.5 s, no outcome); 88 specs of links and target client pass.

--- a/packages/mesh/__tests__/planned-stop-links.spec.ts
+++ b/packages/mesh/__tests__/planned-stop-links.spec.ts
@@ -15,7 +15,12 @@
 	type PeerMessage,
 } from '../src/links/peer-message.js';
 import {createMeshNode, type MeshNode} from '../src/mesh-node.js';
-import {createAnswer, startRawTarget, type RawTarget} from './raw-target.js';
+import {
+	createAnswer,
+	startRawTarget,
+	type RawRequest,
+	type RawTarget,
+} from './raw-target.js';
 import {createRowStoreStandIn} from './row-store-stand-in.js';
 
 /** Lets the event loop turn until the condition holds; the test's own timeout is the only limit. */
@@ -169,4 +174,25 @@
 
 		await stopped;
 	});
+
+	it('stay open for a request of an earlier incarnation of the target', async () => {
+		// Runs at a target that has announced a new start were not counted, so the node ended while they ran.
+		const held: RawRequest[] = [];
+		target.setBehaviour((request) => held.push(request));
+		sendRequest(1);
+		await waitUntil(() => held.length === 1);
+		await announce(2);
+		const stopped = node.stop();
+		for (let time = 50; time <= 4000; time += 50) {
+			clock.advanceTo(time);
+			// eslint-disable-next-line no-await-in-loop -- one check after the other.
+			await nextTurn();
+		}
+
+		held[0]!.socket.write(createAnswer('id-1'));
+		await waitUntil(() => isClosed || outcomes().length > 0);
+		expect(outcomes()).to.deep.equal(['1 answered']);
+		clock.advanceTo(5500);
+		await stopped;
+	});
 });
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -36,7 +36,7 @@
 	listen(address: string): Promise<string>;
 	/** Sends a message to every node that is linked to this one. */
 	broadcast(message: PeerMessage): void;
-	/** Number of links with an outcome that is not sent yet. */
+	/** Number of requests of other nodes without an outcome, and of links with an outcome that is not sent yet. */
 	pending(): number;
 	/**
 	 * Ends all links; resolves when each peer has read what was sent to it, or
@@ -174,8 +174,8 @@
 		links,
 		pending() {
 			let count = 0;
-			for (const {channel} of links) {
-				count += channel.hasUnsentOutcome() ? 1 : 0;
+			for (const {running, channel} of links) {
+				count += running.size + (channel.hasUnsentOutcome() ? 1 : 0);
 			}
 
 			return count;
