fix(mesh): no outcome is dropped while a peer reads slowly

Callers got 504 at their deadline for requests that a target had answered, and nothing was logged: after one large answer on a slow link, or while a peer was short of processor time. States, also that a node stops, were lost as well, and unanswered probes made a link that was only busy look dead. Cause: above 16 MB in the buffer of a link every message was dropped, and no sender looked at the result except that of requests. Change: only requests are held back above 16 MB, since their sender sends them elsewhere at once. Everything else is queued. So that memory stays bounded, a node refuses the requests of a peer for which more than the largest answer (64 MB) is buffered, before they run, and above 256 MB closes the link, so that its requests end at once. Event 2545 tells of it. The bytes are read as often as before.

--- a/packages/mesh/__tests__/directory.spec.ts
+++ b/packages/mesh/__tests__/directory.spec.ts
@@ -81,6 +81,7 @@
 				hello: () => [],
 				onMessage: () => undefined,
 				onMalformed: () => undefined,
+				onUnread: () => undefined,
 				onState() {
 					resolve();
 				},
--- a/packages/mesh/__tests__/peer-channel.spec.ts
+++ b/packages/mesh/__tests__/peer-channel.spec.ts
@@ -33,6 +33,7 @@
 		onMalformed(detail: string) {
 			throw new Error(detail);
 		},
+		onUnread: () => undefined,
 		onClose: () => undefined,
 	};
 
--- a/packages/mesh/__tests__/peer-link.spec.ts
+++ b/packages/mesh/__tests__/peer-link.spec.ts
@@ -56,6 +56,7 @@
 					onReceived();
 				},
 				onMalformed: () => undefined,
+				onUnread: () => undefined,
 				onChange() {
 					resolve();
 				},
@@ -102,6 +103,7 @@
 				hello: () => [],
 				onMessage: () => undefined,
 				onMalformed: () => undefined,
+				onUnread: () => undefined,
 				onChange() {
 					resolve();
 				},
--- a/packages/mesh/__tests__/peer-listener.spec.ts
+++ b/packages/mesh/__tests__/peer-listener.spec.ts
@@ -65,6 +65,7 @@
 	let dispatched: OutcomeHandler[];
 	let received: PeerMessage[];
 	let isClosed: boolean;
+	let unread: number[];
 
 	const send = (...messages: PeerMessage[]) => {
 		peer.send(encodeFrame({sentAt: 0, messages}));
@@ -88,11 +89,20 @@
 			message.kind === 'outcome' ? [message.exchange] : [],
 		);
 
+	/** Lets the event loop turn a few times, so that the system takes what it can. */
+	const settle = async () => {
+		for (let turn = 0; turn < 10; turn++) {
+			// eslint-disable-next-line no-await-in-loop -- one turn after the other.
+			await nextTurn();
+		}
+	};
+
 	beforeEach(async () => {
 		clock = createVirtualClock();
 		dispatched = [];
 		received = [];
 		isClosed = false;
+		unread = [];
 		listener = createPeerListener({
 			clock,
 			dispatcher: {
@@ -106,6 +116,9 @@
 			onMalformed(detail) {
 				throw new Error(detail);
 			},
+			onUnread(bytes) {
+				unread.push(bytes);
+			},
 			onRequest: () => undefined,
 		});
 		peer = new WebSocket(`ws://${await listener.listen('127.0.0.1:0')}`);
@@ -181,4 +194,62 @@
 			await ended;
 		});
 	});
+
+	describe('while a peer reads slowly', () => {
+		// Above 16 MB in the buffer every further outcome was dropped: the entry node waited until the deadline of each request, and its callers got 504.
+		it('sends the outcomes behind a large one', async () => {
+			await dispatch(1, 2, 3);
+			peer.pause();
+			dispatched[0]!(answerOf(2 * largeSize), undefined);
+			await settle();
+			dispatched[1]!(answerOf(1), undefined);
+			dispatched[2]!({kind: 'refused', reason: 'noRoom'}, undefined);
+			send({kind: 'ping'});
+			await settle();
+			peer.resume();
+			await waitUntil(() => received.length === 4);
+			expect(outcomes()).to.deep.equal([1, 2, 3]);
+			expect(received.at(-1)).to.deep.equal({kind: 'pong'});
+		});
+
+		// Each request that is run adds an answer to the buffer.
+		it('refuses requests while more is buffered than the largest answer', async () => {
+			await dispatch(1, 2);
+			peer.pause();
+			dispatched[0]!(answerOf(63 * 1024 * 1024), undefined);
+			await settle();
+			dispatched[1]!(answerOf(20 * 1024 * 1024), undefined);
+			await settle();
+			listener.broadcast({kind: 'version', version: 1});
+			send({kind: 'request', exchange: 3, request});
+			await settle();
+			expect(dispatched).to.have.length(2);
+			peer.resume();
+			await waitUntil(() => outcomes().length === 3);
+			expect(received.at(-1)).to.deep.equal({
+				kind: 'outcome',
+				exchange: 3,
+				outcome: {kind: 'refused', reason: 'linkDown'},
+				load: undefined,
+			});
+			await dispatch(4);
+		});
+
+		// A peer that never reads must not fill the memory, and its requests end at once instead of at their deadlines.
+		it('closes the link above a limit', async () => {
+			await dispatch(1, 2, 3, 4, 5);
+			peer.pause();
+			const answer = answerOf(60 * 1024 * 1024);
+			for (const onOutcome of dispatched) {
+				onOutcome(answer, undefined);
+				// eslint-disable-next-line no-await-in-loop -- one frame for each.
+				await settle();
+			}
+
+			listener.broadcast({kind: 'version', version: 1});
+			await settle();
+			expect(unread).to.have.length(1);
+			expect(listener.links.size).to.equal(0);
+		});
+	});
 });
--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -9,8 +9,10 @@
 
 /** A connection that carries messages. */
 export type PeerChannel = {
-	/** Queues a message for the end of this turn; returns false if the peer does not read or the socket is closed. */
+	/** Queues a message for the end of this turn; returns false if the socket is closed, or if so much is buffered that the peer should get no further request. */
 	send(message: PeerMessage): boolean;
+	/** Whether so much is buffered for the peer that none of its requests should be run. */
+	isCongested(): boolean;
 	/** Whether an outcome was sent and the system has not taken all of it yet. */
 	hasUnsentOutcome(): boolean;
 	/** Ends the connection after all that was sent; it closes once the peer has read that. */
@@ -26,14 +28,21 @@
 	/** Receives a message and its estimated transit delay in milliseconds. */
 	onMessage(message: PeerMessage, delay: number): void;
 	onMalformed(detail: string): void;
+	/** The connection is about to be closed, because the peer does not read. */
+	onUnread(bytes: number): void;
 	onClose(): void;
 };
 
+/** Buffered bytes above which no more requests are sent. */
+const requestLimit = 16 * 1024 * 1024;
+/** Buffered bytes above which no requests of the peer are run: the largest answer fits in. */
+const congestionLimit = 64 * 1024 * 1024;
 /**
- * Buffered bytes above which no more messages are queued. A peer that stopped
- * reading would otherwise fill this node's memory.
+ * Buffered bytes above which the connection is closed. A peer that stopped
+ * reading would otherwise fill this node's memory. No message is dropped below:
+ * its receiver would wait for an outcome until the deadline of the request.
  */
-const bufferLimit = 16 * 1024 * 1024;
+const closeLimit = 256 * 1024 * 1024;
 /** Maximum size of a frame in bytes; a frame holds all bodies of one event loop turn. */
 export const frameLimit = 256 * 1024 * 1024;
 
@@ -55,6 +64,8 @@
 	/** Bytes of all frames, and of those up to the last one with an outcome. */
 	let written = 0;
 	let writtenOutcomes = 0;
+	/** Bytes that were buffered at the last message. */
+	let buffered = 0;
 	let isEnding = false;
 	let isClosed = false;
 	socket.binaryType = 'nodebuffer';
@@ -111,14 +122,32 @@
 		}
 	});
 
+	/** Whether the message may be queued, although the peer reads slowly. */
+	const mayQueue = ({kind}: PeerMessage): boolean => {
+		if (buffered > closeLimit) {
+			isEnding = true;
+			handlers.onUnread(buffered);
+			// Not at once: the sender doesn't expect that its other requests end meanwhile.
+			process.nextTick(close);
+			return false;
+		}
+
+		return kind !== 'request';
+	};
+
+	const close = () => {
+		socket.terminate();
+		finish();
+	};
+
 	return {
 		send(message) {
-			if (
-				isClosed ||
-				isEnding ||
-				socket.readyState !== socket.OPEN ||
-				socket.bufferedAmount > bufferLimit
-			) {
+			if (isClosed || isEnding || socket.readyState !== socket.OPEN) {
+				return false;
+			}
+
+			buffered = socket.bufferedAmount;
+			if (buffered > requestLimit && !mayQueue(message)) {
 				return false;
 			}
 
@@ -140,10 +169,9 @@
 			isEnding = true;
 			connection?.end();
 		},
-		close() {
-			socket.terminate();
-			finish();
-		},
+		isCongested: () =>
+			buffered > congestionLimit && socket.bufferedAmount > congestionLimit,
+		close,
 		isOpen: () => socket.readyState === socket.OPEN,
 	};
 }
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -31,6 +31,8 @@
 	/** Receives messages other than outcomes. */
 	onMessage: (message: PeerMessage) => void;
 	onMalformed: (detail: string) => void;
+	/** Called before a connection is closed whose peer does not read; receives the unread bytes. */
+	onUnread: (bytes: number) => void;
 	/** Called when the link becomes usable or unusable. */
 	onChange: (isUsable: boolean) => void;
 };
@@ -133,6 +135,7 @@
 				receive(message);
 			},
 			onMalformed: options.onMalformed,
+			onUnread: options.onUnread,
 			onClose() {
 				channels.delete(channel);
 				if (channel === current) {
--- a/packages/mesh/src/links/peer-links.ts
+++ b/packages/mesh/src/links/peer-links.ts
@@ -13,6 +13,8 @@
 	/** Receives the messages of linked nodes. */
 	onMessage: (peer: Peer, message: PeerMessage) => void;
 	onMalformed: (detail: string) => void;
+	/** A connection is closed because its peer does not read; receives the unread bytes. */
+	onUnread: (bytes: number) => void;
 	onPeer: (node: string, change: 'up' | 'down') => void;
 };
 
@@ -72,6 +74,7 @@
 				clock,
 				hello: options.hello,
 				onMalformed: options.onMalformed,
+				onUnread: options.onUnread,
 				onMessage(message) {
 					// A permanently closed link may still have a message in flight.
 					if (isLinked(peer)) {
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -24,6 +24,8 @@
 		reply: (message: PeerMessage) => void,
 	) => void;
 	onMalformed: (detail: string) => void;
+	/** Called before a link is closed whose peer does not read; receives the unread bytes. */
+	onUnread: (bytes: number) => void;
 	/** Called after a request of another node was dispatched. */
 	onRequest: () => void;
 };
@@ -74,6 +76,7 @@
 				receive(link, message, delay);
 			},
 			onMalformed: options.onMalformed,
+			onUnread: options.onUnread,
 			onClose() {
 				links.delete(link);
 				// The outcomes can no longer be delivered.
@@ -102,6 +105,16 @@
 		link: IncomingLink,
 		{exchange, request}: Extract<PeerMessage, {kind: 'request'}>,
 	) => {
+		if (link.channel.isCongested()) {
+			link.channel.send({
+				kind: 'outcome',
+				exchange,
+				outcome: {kind: 'refused', reason: 'linkDown'},
+				load: undefined,
+			});
+			return;
+		}
+
 		let hasOutcome = false;
 		const cancel = options.dispatcher.send(request, (outcome, load) => {
 			hasOutcome = true;
--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -48,6 +48,8 @@
 		reply: (message: PeerMessage) => void,
 	) => void;
 	onMalformed: (detail: string) => void;
+	/** A connection is closed because its peer does not read; receives the unread bytes. */
+	onUnread: (bytes: number) => void;
 	/** A node reported its state. */
 	onState: (state: StateMessage) => void;
 	/** A node reported the call profiles of its target. */
@@ -111,6 +113,7 @@
 			handle(peer, message as never);
 		},
 		onMalformed: options.onMalformed,
+		onUnread: options.onUnread,
 		onPeer: options.onPeer,
 	});
 	const {peers} = links;
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -254,6 +254,10 @@
 		reporter.notice('malformedMessage', {detail});
 	};
 
+	const onUnread = (bytes: number) => {
+		reporter.notice('meshPeerNotReading', {bytes});
+	};
+
 	const directory = createDirectory({
 		clock,
 		random: random.fork(),
@@ -262,6 +266,7 @@
 		hello: () => [localState.hello(), ...suspects.initialMessages()],
 		onMessage: receive,
 		onMalformed,
+		onUnread,
 		onProfiles(peer, {service, profiles}) {
 			graph.setProfiles(peer, service, profiles);
 		},
@@ -288,6 +293,7 @@
 		],
 		onMessage: receive,
 		onMalformed,
+		onUnread,
 		onRequest() {
 			reportLoad.recordRequest();
 		},
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -193,6 +193,16 @@
 		advice:
 			'Look for the slow service among those that the route calls; the named service itself needs no more targets.',
 	},
+	meshPeerNotReading: {
+		code: 2545,
+		level: 'warn',
+		kind: 'notice',
+		template: 'closed a link whose peer left {bytes} bytes unread',
+		meaning:
+			'The peer did not read its link for long. Requests on the link end without an outcome; their callers receive 502, or the request is sent to another target.',
+		advice:
+			'Check the VM of the peer and its network. With large answers: check the bandwidth between the data centres.',
+	},
 	meshFairSharesChanged: {
 		code: 2530,
 		level: 'info',
