fix(mesh): an abandoned connection closes after its last request

A link that was silent for a second and came back left its old connection open for good, if a request that isn't idempotent had been on it: the other node sent every state and load twice from then on. If the old connection ended while the new one was being opened, a second new one was opened beside it, with the same effect. Cause: only the abandoning itself asked whether a request was left; the flag for "being opened" was reset by the end of any connection. Change: each outcome and cancel on a connection that gets no further requests asks again; the connection that is being opened is known by itself. For the current connection this is one comparison. Evidence: the new case of peer-link.spec failed before (no close in 4 s).

--- a/packages/mesh/__tests__/peer-link.spec.ts
+++ b/packages/mesh/__tests__/peer-link.spec.ts
@@ -130,6 +130,72 @@
 		await probed;
 		expect(kinds).to.deep.equal(['request', 'ping']);
 	});
+
+	// It was never closed: the node at its other end sent every state and load twice from then on.
+	it('closes an abandoned connection once the last request on it has its outcome', async () => {
+		const clock = createVirtualClock();
+		const {port} = server.address() as AddressInfo;
+		const sockets: WebSocket[] = [];
+		let onRequest: () => void = () => undefined;
+		server.on('connection', (peer: WebSocket) => {
+			sockets.push(peer);
+			peer.on('message', () => {
+				onRequest();
+			});
+		});
+		const changes: boolean[] = [];
+		let onChange: () => void = () => undefined;
+		const nextChange = async () =>
+			new Promise<void>((resolve) => {
+				onChange = resolve;
+			});
+		link = createPeerLink({
+			address: `127.0.0.1:${port}`,
+			clock,
+			hello: () => [],
+			onMessage: () => undefined,
+			onMalformed: () => undefined,
+			onUnread: () => undefined,
+			onChange(isUsable) {
+				changes.push(isUsable);
+				onChange();
+			},
+		});
+		await nextChange();
+		const arrived = new Promise<void>((resolve) => {
+			onRequest = resolve;
+		});
+		const outcome = new Promise<string>((resolve) => {
+			link.send({...request, isIdempotent: false}, ({kind}) => {
+				resolve(kind);
+			});
+		});
+		await arrived;
+		clock.advanceTo(500);
+		link.probe();
+		clock.advanceTo(1500);
+		link.probe();
+		await nextChange();
+		expect(changes).to.deep.equal([true, false, true]);
+		expect(sockets).to.have.length(2);
+		sockets[0]!.send(
+			encodeFrame({
+				sentAt: 0,
+				messages: [
+					{
+						kind: 'outcome',
+						exchange: 1,
+						outcome: {kind: 'declined', status: 503},
+						load: undefined,
+					},
+				],
+			}),
+		);
+		expect(await outcome).to.equal('declined');
+		await once(sockets[0]!, 'close');
+		expect(link.isUsable()).to.equal(true);
+		expect(server.clients.size).to.equal(1);
+	});
 });
 
 describe('the link to a node that stops', () => {
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -104,14 +104,14 @@
 	let isClosed = false;
 	let pause = initialBackoff;
 	let retryTimer: Timer | undefined;
-	let isConnecting = false;
+	/** The connection that is being opened. */
+	let opening: PeerChannel | undefined;
 
 	const connect = () => {
-		if (isClosed || isConnecting || current) {
+		if (isClosed || (opening ?? current)) {
 			return;
 		}
 
-		isConnecting = true;
 		retryTimer?.cancel();
 		const socket = new WebSocket(`ws://${address}`, {
 			perMessageDeflate: false,
@@ -120,7 +120,7 @@
 		});
 		const channel: PeerChannel = createPeerChannel(socket, undefined, clock, {
 			onOpen() {
-				isConnecting = false;
+				opening = undefined;
 				current = channel;
 				lastReceivedAt = clock.now();
 				probedAt = undefined;
@@ -143,21 +143,21 @@
 			onUnread: options.onUnread,
 			onClose() {
 				channels.delete(channel);
-				isConnecting &&= channel === current || current !== undefined;
+				opening = channel === opening ? undefined : opening;
 				leaveChannel(channel);
 				endExchanges(channel, lost, () => true);
 				scheduleRetry();
 			},
 		});
+		opening = channel;
 		channels.add(channel);
 	};
 
 	const scheduleRetry = () => {
-		if (isClosed || current) {
+		if (isClosed || (opening ?? current)) {
 			return;
 		}
 
-		isConnecting = false;
 		retryTimer?.cancel();
 		retryTimer = clock.setTimer(pause, connect);
 		pause = Math.min(maxBackoff, pause * 2);
@@ -168,6 +168,7 @@
 			const exchange = exchanges.get(message.exchange);
 			exchanges.delete(message.exchange);
 			exchange?.onOutcome(message.outcome, message.load);
+			closeIfUnused(channel);
 			return;
 		}
 
@@ -197,6 +198,21 @@
 		}
 	};
 
+	/** Closes a connection that gets no further requests once the last one on it has ended. */
+	const closeIfUnused = (channel: PeerChannel) => {
+		if (channel === current) {
+			return;
+		}
+
+		for (const exchange of exchanges.values()) {
+			if (exchange.channel === channel) {
+				return;
+			}
+		}
+
+		channel.close();
+	};
+
 	/** Sends no further requests on the channel. */
 	const leaveChannel = (channel: PeerChannel) => {
 		if (channel === current) {
@@ -243,12 +259,7 @@
 	const abandon = (channel: PeerChannel) => {
 		leaveChannel(channel);
 		endExchanges(channel, lost, (_id, {request}) => request.isIdempotent);
-		if (
-			![...exchanges.values()].some((exchange) => exchange.channel === channel)
-		) {
-			channel.close();
-		}
-
+		closeIfUnused(channel);
 		connect();
 	};
 
@@ -270,6 +281,7 @@
 			return () => {
 				if (exchanges.delete(exchange)) {
 					channel.send({kind: 'cancel', exchange});
+					closeIfUnused(channel);
 				}
 			};
 		},
