fix(mesh): a link to a member that moved stays open for its requests

Callers saw 502 `linkLost` for requests that ran beside a node of which the entry node learned another address, data centre or service, or at whose address another node answered: a new process may already be announced while the old one still completes its work. Cause: such a link was closed at once, whatever was outstanding on it. Change: it is retired: it takes no further requests and doesn't reconnect, each of its connections closes once every request on it has its outcome, and it is probed until then, so that requests that may be repeated don't wait for a VM that is gone.

--- a/packages/mesh/__tests__/desired-links.spec.ts
+++ b/packages/mesh/__tests__/desired-links.spec.ts
@@ -24,6 +24,7 @@
 		sendMessage: () => undefined,
 		retryNow: () => undefined,
 		probe: () => false,
+		retire: () => undefined,
 		close: () => undefined,
 	};
 }
--- a/packages/mesh/__tests__/directory.spec.ts
+++ b/packages/mesh/__tests__/directory.spec.ts
@@ -1,11 +1,20 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
-import {createRandom, createVirtualClock} from '@egretspoke/shared';
+import {
+	createRandom,
+	createVirtualClock,
+	type VirtualClock,
+} from '@egretspoke/shared';
 import {expect} from 'chai';
-import {WebSocketServer} from 'ws';
+import {WebSocketServer, type WebSocket} from 'ws';
 import {createDirectory, type Directory} from '../src/members/directory.js';
-import {idleLoad} from '../src/links/exchange.js';
 import {
+	idleLoad,
+	type ForwardedRequest,
+	type Outcome,
+} from '../src/links/exchange.js';
+import {
+	decodeFrame,
 	encodeFrame,
 	type Member,
 	type PeerMessage,
@@ -21,10 +30,29 @@
 	startedAt: 1,
 };
 
+const request: ForwardedRequest = {
+	requestId: 'id',
+	method: 'POST',
+	path: '/x',
+	headers: [],
+	body: undefined,
+	route: 'pay',
+	service: 'reads',
+	isIdempotent: false,
+	isInner: false,
+	isNearCompletion: false,
+	repeatShare: 0,
+	crashes: 0,
+	priority: 0,
+	maxWait: 0,
+	timeLeft: 5000,
+};
+
 describe('createDirectory', () => {
 	let server: WebSocketServer;
 	let directory: Directory;
 	let life: AbortController;
+	let clock: VirtualClock;
 
 	beforeEach(async () => {
 		server = new WebSocketServer({port: 0, host: '127.0.0.1'});
@@ -71,7 +99,7 @@
 
 	/** Creates a directory; resolves when it has received the state of a node. */
 	const open = async (members: Member[]) => {
-		const clock = createVirtualClock();
+		clock = createVirtualClock();
 		await new Promise<void>((resolve) => {
 			directory = createDirectory({
 				clock,
@@ -121,4 +149,89 @@
 		).to.deep.equal(['node-found']);
 		expect(directory.size()).to.equal(2);
 	});
+
+	describe('when a member has moved while a request runs there', () => {
+		let outcome: Promise<Outcome>;
+		let socket: WebSocket;
+		let exchange: number;
+		let move: () => void;
+
+		beforeEach(async () => {
+			const member = memberAtServer('node-1', 1);
+			answerWith([
+				{kind: 'hello', member, configurationVersion: 0},
+				stateOf('reads'),
+			]);
+			const connected = once(server, 'connection') as Promise<[WebSocket]>;
+			await open([member]);
+			[socket] = await connected;
+			const arrived = new Promise<number>((resolve) => {
+				socket.on('message', (data: Uint8Array) => {
+					for (const message of decodeFrame(data)._unsafeUnwrap().messages) {
+						if (message.kind === 'request') {
+							resolve(message.exchange);
+						}
+					}
+				});
+			});
+			outcome = new Promise((resolve) => {
+				directory.candidates('reads', [])[0]!.channel.send(request, resolve);
+			});
+			exchange = await arrived;
+			move = () => {
+				directory.addMembers(
+					[{...member, address: '127.0.0.1:1', startedAt: 2}],
+					'store',
+				);
+			};
+		});
+
+		// Its new start was known while the old process still completed its work: the link was closed, and the request counted as lost.
+		it('the old link stays open until the request has its outcome', async () => {
+			move();
+			expect(directory.candidates('reads', [])).to.have.length(0);
+			socket.send(
+				encodeFrame({
+					sentAt: 0,
+					messages: [
+						{
+							kind: 'outcome',
+							exchange,
+							outcome: {
+								kind: 'answered',
+								status: 200,
+								headers: [],
+								body: new Uint8Array(0),
+							},
+							load: undefined,
+						},
+					],
+				}),
+			);
+			expect(await outcome).to.include({kind: 'answered'});
+			await once(socket, 'close');
+		});
+
+		// Its VM is gone without a reset: a request that may be repeated must not wait for its deadline.
+		it('the old link is still probed', async () => {
+			let repeatable: Outcome | undefined;
+			directory
+				.candidates('reads', [])[0]!
+				.channel.send({...request, isIdempotent: true}, (received) => {
+					repeatable = received;
+				});
+			move();
+			for (let time = 200; time <= 3000; time += 200) {
+				clock.advanceTo(time);
+			}
+
+			expect(repeatable).to.deep.equal({kind: 'lost', reason: 'linkLost'});
+		});
+
+		it('a request on the old link still counts as lost when that ends', async () => {
+			move();
+			socket.terminate();
+			expect(await outcome).to.deep.equal({kind: 'lost', reason: 'linkLost'});
+		});
+	});
 });
--- a/packages/mesh/__tests__/member-gossip.spec.ts
+++ b/packages/mesh/__tests__/member-gossip.spec.ts
@@ -27,6 +27,7 @@
 		sendMessage,
 		retryNow: () => undefined,
 		probe: () => false,
+		retire: () => undefined,
 		close: () => undefined,
 	};
 }
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -196,6 +196,7 @@
 			sendMessage: () => undefined,
 			retryNow: () => undefined,
 			probe: () => false,
+			retire: () => undefined,
 			close: () => undefined,
 		};
 	};
--- a/packages/mesh/__tests__/service-candidates.spec.ts
+++ b/packages/mesh/__tests__/service-candidates.spec.ts
@@ -41,6 +41,7 @@
 			sendMessage: () => undefined,
 			probe: () => false,
 			retryNow: () => undefined,
+			retire: () => undefined,
 			close: () => undefined,
 		};
 		for (const node of names) {
--- a/packages/mesh/__tests__/suspect-fleet.ts
+++ b/packages/mesh/__tests__/suspect-fleet.ts
@@ -103,6 +103,7 @@
 		},
 		retryNow: () => undefined,
 		probe: () => false,
+		retire: () => undefined,
 		close: () => undefined,
 	});
 
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -59,6 +59,12 @@
 	probe(idleTimeout?: number): boolean;
 	/** Connects now instead of after the backoff. */
 	retryNow(): void;
+	/**
+	 * Sends no further requests and reconnects no more; each connection closes
+	 * once every request on it has an outcome.
+	 */
+	retire(): void;
+	/** Closes the connections at once; requests without an outcome are lost. */
 	close(): void;
 };
 
@@ -200,7 +206,7 @@
 
 	/** Closes a connection that gets no further requests once the last one on it has ended. */
 	const closeIfUnused = (channel: PeerChannel) => {
-		if (channel === current) {
+		if (channel === current && !isClosed) {
 			return;
 		}
 
@@ -268,7 +274,7 @@
 		send(request, onOutcome): CancelAttempt {
 			const channel = current;
 			const exchange = nextExchange++;
-			if (!channel?.send({kind: 'request', exchange, request})) {
+			if (isClosed || !channel?.send({kind: 'request', exchange, request})) {
 				onOutcome({kind: 'refused', reason: 'linkDown'}, undefined);
 				return () => undefined;
 			}
@@ -294,6 +300,13 @@
 		},
 		retryNow: connect,
 		probe,
+		retire() {
+			isClosed = true;
+			retryTimer?.cancel();
+			for (const channel of channels) {
+				closeIfUnused(channel);
+			}
+		},
 		close() {
 			isClosed = true;
 			retryTimer?.cancel();
--- a/packages/mesh/src/links/peer-links.ts
+++ b/packages/mesh/src/links/peer-links.ts
@@ -1,7 +1,7 @@
 /** Manages the links that this node opens to other nodes. */
 import type {Clock, Random} from '@egretspoke/shared';
 import {createPeer, type Peer} from './peer.js';
-import {createPeerLink, idleProbeTimeout} from './peer-link.js';
+import {createPeerLink, idleProbeTimeout, type PeerLink} from './peer-link.js';
 import type {Member, PeerMessage} from './peer-message.js';
 
 /** Options of `createPeerLinks`. */
@@ -25,7 +25,7 @@
 	/** Linked nodes whose links are usable. */
 	usable(): Peer[];
 	open(member: Member): void;
-	/** Closes the link to a node permanently. */
+	/** Ends the link to a node permanently; requests on it may still complete. */
 	drop(peer: Peer): void;
 	/** Closes links to other than the desired nodes, once they have been idle and undesired for a while. */
 	closeUndesired(desired: ReadonlySet<string>): void;
@@ -44,6 +44,8 @@
 export function createPeerLinks(options: PeerLinksOptions): PeerLinks {
 	const {clock, random} = options;
 	const peers = new Map<string, Peer>();
+	/** Dropped links with requests without an outcome. */
+	const retired = new Set<PeerLink>();
 
 	const isLinked = (peer: Peer) => peers.get(peer.member.node) === peer;
 
@@ -59,8 +61,12 @@
 	};
 
 	const drop = (peer: Peer) => {
-		peers.delete(peer.member.node);
-		peer.link.close();
+		const {member, link} = peer;
+		peers.delete(member.node);
+		link.retire();
+		if (link.outstanding() > 0) {
+			retired.add(link);
+		}
 	};
 
 	const usable = () => [...peers.values()].filter(({link}) => link.isUsable());
@@ -105,6 +111,13 @@
 			}
 		},
 		probe() {
+			for (const link of retired) {
+				link.probe();
+				if (link.outstanding() === 0) {
+					retired.delete(link);
+				}
+			}
+
 			let hasProbedIdle = false;
 			for (const {link} of peers.values()) {
 				hasProbedIdle = link.probe() || hasProbedIdle;
@@ -135,6 +148,10 @@
 			for (const {link} of peers.values()) {
 				link.close();
 			}
+
+			for (const link of retired) {
+				link.close();
+			}
 		},
 	};
 }
