fix(mesh): a link on which a large message arrives is not taken for dead

Callers saw 502 `linkLost` for a large answer over a slow link, or one of a node that was short of processor time; one that may be repeated was sent again, from the start and with the same end, and so were the other requests on the link. Cause: only whole messages counted as a sign of life, and the answer to the probe waits behind the message that is still arriving. After 1 s the connection was abandoned. Change: when the answer to a probe is late, the link is abandoned only if no byte arrived since; the count is read only then and with the probe. Evidence: the new case of peer-link.spec failed before (`linkLost` in place of the answer); 99 specs of links and target client pass.

--- a/packages/mesh/__tests__/peer-link.spec.ts
+++ b/packages/mesh/__tests__/peer-link.spec.ts
@@ -1,10 +1,14 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
+import type {IncomingMessage} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {WebSocketServer, type WebSocket} from 'ws';
 import {createPeerLink, type PeerLink} from '../src/links/peer-link.js';
-import type {ForwardedRequest} from '../src/links/exchange.js';
+import type {ForwardedRequest, Outcome} from '../src/links/exchange.js';
+import {addFrameHeader, maxHeaderLength} from '../src/links/socket-frame.js';
 import {
 	decodeFrame,
 	encodeFrame,
@@ -196,6 +200,85 @@
 		expect(link.isUsable()).to.equal(true);
 		expect(server.clients.size).to.equal(1);
 	});
+
+	// A large answer on a slow link: it was cut after a second, counted as lost, and sent again from the start.
+	it('keeps a connection on which a large message is still arriving', async () => {
+		const clock = createVirtualClock();
+		const {port} = server.address() as AddressInfo;
+		const connected = once(server, 'connection') as Promise<
+			[WebSocket, IncomingMessage]
+		>;
+		await new Promise<void>((resolve) => {
+			link = createPeerLink({
+				address: `127.0.0.1:${port}`,
+				clock,
+				hello: () => [],
+				onMessage: () => undefined,
+				onMalformed: () => undefined,
+				onUnread: () => undefined,
+				onChange() {
+					resolve();
+				},
+			});
+		});
+		const [, {socket}] = await connected;
+		const frame = addFrameHeader(
+			encodeFrame(
+				{
+					sentAt: 0,
+					messages: [
+						{
+							kind: 'outcome',
+							exchange: 1,
+							outcome: {
+								kind: 'answered',
+								status: 200,
+								headers: [],
+								body: Buffer.alloc(100_000),
+							},
+							load: undefined,
+						},
+					],
+				},
+				maxHeaderLength,
+			),
+			false,
+		);
+		/** Writes a part of the frame; resolves when the link has read it. */
+		const write = async (start: number, end: number) => {
+			await new Promise<void>((resolve) => {
+				socket.write(frame.subarray(start, end), () => {
+					resolve();
+				});
+			});
+			for (let turn = 0; turn < 10; turn++) {
+				// eslint-disable-next-line no-await-in-loop -- one turn after the other.
+				await nextTurn();
+			}
+		};
+
+		const outcome = new Promise<Outcome>((resolve) => {
+			link.send(request, resolve);
+		});
+		await write(0, 20_000);
+		clock.advanceTo(500);
+		link.probe();
+		await write(20_000, 40_000);
+		clock.advanceTo(1500);
+		link.probe();
+		await write(40_000, 60_000);
+		clock.advanceTo(2500);
+		link.probe();
+		expect(link.isUsable()).to.equal(true);
+		await write(60_000, frame.byteLength);
+		expect(await outcome).to.include({kind: 'answered'});
+
+		clock.advanceTo(6000);
+		link.probe();
+		clock.advanceTo(7000);
+		link.probe();
+		expect(link.isUsable()).to.equal(false);
+	});
 });
 
 describe('the link to a node that stops', () => {
--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -13,6 +13,8 @@
 	send(message: PeerMessage): boolean;
 	/** Whether so much is buffered for the peer that none of its requests should be run. */
 	isCongested(): boolean;
+	/** Bytes received so far, also of messages that are not complete. */
+	received(): number;
 	/** Whether an outcome was sent and the system has not taken all of it yet. */
 	hasUnsentOutcome(): boolean;
 	/** Ends the connection after all that was sent; it closes once the peer has read that. */
@@ -160,6 +162,7 @@
 			queue.push(message);
 			return true;
 		},
+		received: () => connection?.bytesRead ?? 0,
 		hasUnsentOutcome: () =>
 			!isClosed &&
 			(hasQueuedOutcome ||
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -51,7 +51,7 @@
 	sendMessage(message: PeerMessage): void;
 	/**
 	 * Sends a probe if the peer has been silent, and abandons the connection
-	 * after the answer timeout; called every `probeInterval`. Returns whether it
+	 * after an answer timeout in which nothing arrived; called every `probeInterval`. Returns whether it
 	 * probed a link without pending requests.
 	 *
 	 * @param idleTimeout - Milliseconds without a message after which such a link is probed.
@@ -107,6 +107,8 @@
 	let pendingSince = lastReceivedAt;
 	/** Send time of the unanswered probe. */
 	let probedAt: number | undefined;
+	/** Bytes received until then. */
+	let receivedAtProbe = 0;
 	let isClosed = false;
 	let pause = initialBackoff;
 	let retryTimer: Timer | undefined;
@@ -236,7 +238,14 @@
 		const now = clock.now();
 		if (probedAt !== undefined) {
 			if (now - probedAt >= answerTimeout) {
-				abandon(channel);
+				// The answer to the probe may be behind a large message that is still arriving.
+				const received = channel.received();
+				if (received > receivedAtProbe) {
+					probedAt = now;
+					receivedAtProbe = received;
+				} else {
+					abandon(channel);
+				}
 			}
 
 			return false;
@@ -251,6 +260,7 @@
 			: now - Math.max(lastReceivedAt, pendingSince) >= probeInterval / 2;
 		if (isDue) {
 			probedAt = now;
+			receivedAtProbe = channel.received();
 			channel.send({kind: 'ping'});
 		}
 
