feat(mesh): events tell which requests ended with a link, and why

An entry node logged that a link was lost, but not whether requests were on it; a stopping node did not log that peers had not read its last outcomes. So 502 `linkLost` could not be traced to a stop, a silent peer or a cut connection. 2546 gives the peer, the cause, and how many requests may have run or have not; 2547 gives the links that a stop had to cut, with the requests running for them and the outcomes unsent. Both only when the number isn't 0.

--- a/packages/mesh/__tests__/directory.spec.ts
+++ b/packages/mesh/__tests__/directory.spec.ts
@@ -110,6 +110,7 @@
 				onMessage: () => undefined,
 				onMalformed: () => undefined,
 				onUnread: () => undefined,
+				onLost: () => undefined,
 				onState() {
 					resolve();
 				},
--- a/packages/mesh/__tests__/peer-link.spec.ts
+++ b/packages/mesh/__tests__/peer-link.spec.ts
@@ -65,6 +65,7 @@
 				},
 				onMalformed: () => undefined,
 				onUnread: () => undefined,
+				onLost: () => undefined,
 				onChange() {
 					resolve();
 				},
@@ -112,6 +113,7 @@
 				onMessage: () => undefined,
 				onMalformed: () => undefined,
 				onUnread: () => undefined,
+				onLost: () => undefined,
 				onChange() {
 					resolve();
 				},
@@ -160,6 +162,7 @@
 			onMessage: () => undefined,
 			onMalformed: () => undefined,
 			onUnread: () => undefined,
+			onLost: () => undefined,
 			onChange(isUsable) {
 				changes.push(isUsable);
 				onChange();
@@ -216,6 +219,7 @@
 				onMessage: () => undefined,
 				onMalformed: () => undefined,
 				onUnread: () => undefined,
+				onLost: () => undefined,
 				onChange() {
 					resolve();
 				},
@@ -286,6 +290,7 @@
 	let link: PeerLink;
 	let peer: WebSocket;
 	let changes: boolean[];
+	let losses: string[];
 
 	beforeEach(async () => {
 		server = new WebSocketServer({port: 0, host: '127.0.0.1'});
@@ -293,6 +298,7 @@
 		const connected = once(server, 'connection') as Promise<[WebSocket]>;
 		const {port} = server.address() as AddressInfo;
 		changes = [];
+		losses = [];
 		await new Promise<void>((resolve) => {
 			link = createPeerLink({
 				address: `127.0.0.1:${port}`,
@@ -301,6 +307,9 @@
 				onMessage: () => undefined,
 				onMalformed: () => undefined,
 				onUnread: () => undefined,
+				onLost({cause, lost, refused}) {
+					losses.push(`${cause} ${lost} ${refused}`);
+				},
 				onChange(isUsable) {
 					changes.push(isUsable);
 					resolve();
@@ -358,6 +367,7 @@
 			]),
 		).to.deep.equal({a: 'answered', b: 'linkLost', c: 'nodeStopping'});
 		expect(changes).to.deep.equal([true, false]);
+		expect(losses).to.deep.equal(['stopped 0 1', 'closed 1 0']);
 	});
 
 	it('counts all as lost when the node ends without a statement', async () => {
@@ -366,5 +376,6 @@
 			b: 'linkLost',
 			c: 'linkLost',
 		});
+		expect(losses).to.deep.equal(['closed 3 0']);
 	});
 });
--- a/packages/mesh/__tests__/peer-listener.spec.ts
+++ b/packages/mesh/__tests__/peer-listener.spec.ts
@@ -203,7 +203,7 @@
 			const ended = listener.end(1000);
 			await nextTurn();
 			clock.advanceTo(1000);
-			await ended;
+			expect(await ended).to.deep.equal({links: 1, running: 0, unsent: 1});
 		});
 	});
 
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -34,10 +34,22 @@
 	onMalformed: (detail: string) => void;
 	/** Called before a connection is closed whose peer does not read; receives the unread bytes. */
 	onUnread: (bytes: number) => void;
+	/** Called when requests end with their connection. */
+	onLost: (loss: LinkLoss) => void;
 	/** Called when the link becomes usable or unusable. */
 	onChange: (isUsable: boolean) => void;
 };
 
+/** The requests that ended without an outcome of the peer. */
+export type LinkLoss = {
+	/** The connection closed, was abandoned because the peer is silent, or the peer has stopped. */
+	cause: 'closed' | 'silent' | 'stopped';
+	/** Requests that may have run. */
+	lost: number;
+	/** Requests that the peer had not received. */
+	refused: number;
+};
+
 /** A link that reconnects automatically. */
 export type PeerLink = TargetChannel & {
 	isUsable(): boolean;
@@ -92,8 +104,14 @@
 };
 
 const lost: Outcome = {kind: 'lost', reason: 'linkLost'};
-/** The peer stated that it had not received the request when it stopped. */
-const neverRun: Outcome = {kind: 'refused', reason: 'nodeStopping'};
+
+/** What follows for the requests that end with their connection. */
+const outcomes: Record<LinkLoss['cause'], Outcome> = {
+	closed: lost,
+	silent: lost,
+	// The peer stated that it had not received them.
+	stopped: {kind: 'refused', reason: 'nodeStopping'},
+};
 
 /** Creates a link and starts to open it. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
@@ -153,7 +171,7 @@
 				channels.delete(channel);
 				opening = channel === opening ? undefined : opening;
 				leaveChannel(channel);
-				endExchanges(channel, lost, () => true);
+				endExchanges(channel, 'closed', () => true);
 				scheduleRetry();
 			},
 		});
@@ -183,7 +201,7 @@
 		if (message.kind === 'closing') {
 			leaveChannel(channel);
 			const running = new Set(message.running);
-			endExchanges(channel, neverRun, (id) => !running.has(id));
+			endExchanges(channel, 'stopped', (id) => !running.has(id));
 			return;
 		}
 
@@ -192,18 +210,30 @@
 		}
 	};
 
-	/** Ends requests on the channel with the outcome. */
+	/** Ends requests on the channel with the outcome that the cause implies. */
 	const endExchanges = (
 		channel: PeerChannel,
-		outcome: Outcome,
+		cause: LinkLoss['cause'],
 		isAffected: (id: number, exchange: Exchange) => boolean,
 	) => {
+		let count = 0;
+		const outcome = outcomes[cause];
 		for (const [id, exchange] of exchanges) {
 			if (exchange.channel === channel && isAffected(id, exchange)) {
+				count++;
 				exchanges.delete(id);
 				exchange.onOutcome(outcome, undefined);
 			}
 		}
+
+		if (count > 0) {
+			const isLost = outcome.kind === 'lost';
+			options.onLost({
+				cause,
+				lost: isLost ? count : 0,
+				refused: isLost ? 0 : count,
+			});
+		}
 	};
 
 	/** Closes a connection that gets no further requests once the last one on it has ended. */
@@ -274,7 +304,7 @@
 	 */
 	const abandon = (channel: PeerChannel) => {
 		leaveChannel(channel);
-		endExchanges(channel, lost, (_id, {request}) => request.isIdempotent);
+		endExchanges(channel, 'silent', (_id, {request}) => request.isIdempotent);
 		closeIfUnused(channel);
 		connect();
 	};
--- a/packages/mesh/src/links/peer-links.ts
+++ b/packages/mesh/src/links/peer-links.ts
@@ -1,7 +1,12 @@
 /** Manages the links that this node opens to other nodes. */
 import type {Clock, Random} from '@egretspoke/shared';
 import {createPeer, type Peer} from './peer.js';
-import {createPeerLink, idleProbeTimeout, type PeerLink} from './peer-link.js';
+import {
+	createPeerLink,
+	idleProbeTimeout,
+	type LinkLoss,
+	type PeerLink,
+} from './peer-link.js';
 import type {Member, PeerMessage} from './peer-message.js';
 
 /** Options of `createPeerLinks`. */
@@ -16,6 +21,8 @@
 	/** A connection is closed because its peer does not read; receives the unread bytes. */
 	onUnread: (bytes: number) => void;
 	onPeer: (node: string, change: 'up' | 'down') => void;
+	/** Called when requests end with their connection to the node. */
+	onLost: (node: string, loss: LinkLoss) => void;
 };
 
 /** The links to other nodes. */
@@ -87,6 +94,9 @@
 						options.onMessage(peer, message);
 					}
 				},
+				onLost(loss) {
+					options.onLost(member.node, loss);
+				},
 				onChange(isUsable) {
 					recordChange(peer, isUsable);
 				},
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -42,12 +42,22 @@
 	pending(): number;
 	/**
 	 * Ends all links and runs no further request; resolves when each peer has read
-	 * what was sent to it, or after the timeout in milliseconds.
+	 * what was sent to it, or after the timeout in milliseconds, with what is left.
 	 */
-	end(timeout: number): Promise<void>;
+	end(timeout: number): Promise<UnendedLinks>;
 	close(): void;
 };
 
+/** What is left when the links have not ended in time. */
+export type UnendedLinks = {
+	/** Number of links whose peers have not confirmed that they read everything. */
+	links: number;
+	/** Number of requests of other nodes without an outcome. */
+	running: number;
+	/** Number of links with an outcome that is not sent yet. */
+	unsent: number;
+};
+
 /** A link of another node. */
 type IncomingLink = LoadReceiver & {
 	channel: PeerChannel;
@@ -172,6 +182,16 @@
 		});
 	};
 
+	const countOpen = (): UnendedLinks => {
+		const open = {links: links.size, running: 0, unsent: 0};
+		for (const {running, channel} of links) {
+			open.running += running.size;
+			open.unsent += channel.hasUnsentOutcome() ? 1 : 0;
+		}
+
+		return open;
+	};
+
 	const stopListening = () => {
 		socketServer.close();
 		server.close();
@@ -186,12 +206,8 @@
 		},
 		links,
 		pending() {
-			let count = 0;
-			for (const {running, channel} of links) {
-				count += running.size + (channel.hasUnsentOutcome() ? 1 : 0);
-			}
-
-			return count;
+			const {running, unsent} = countOpen();
+			return running + unsent;
 		},
 		async end(timeout) {
 			const ended = new Promise<void>((resolve) => {
@@ -210,6 +226,7 @@
 
 			await ended;
 			timer.cancel();
+			return countOpen();
 		},
 		close() {
 			for (const {channel} of links) {
--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -25,7 +25,7 @@
 	ProfilesMessage,
 	StateMessage,
 } from '../links/peer-message.js';
-import {probeInterval} from '../links/peer-link.js';
+import {probeInterval, type LinkLoss} from '../links/peer-link.js';
 import {createPeerLinks} from '../links/peer-links.js';
 import {createTargetMemory} from '../target/target-memory.js';
 import type {Ticker} from '../timing/ticker.js';
@@ -55,6 +55,8 @@
 	/** A node reported the call profiles of its target. */
 	onProfiles: (node: string, message: ProfilesMessage) => void;
 	onPeer: (node: string, change: 'up' | 'down') => void;
+	/** Requests ended with their connection to the node. */
+	onLost: (node: string, loss: LinkLoss) => void;
 	/** Members that need a link regardless of their service. */
 	pinned: () => Iterable<string>;
 };
@@ -115,6 +117,7 @@
 		onMalformed: options.onMalformed,
 		onUnread: options.onUnread,
 		onPeer: options.onPeer,
+		onLost: options.onLost,
 	});
 	const {peers} = links;
 	const desiredLinks = createDesiredLinks({
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -274,6 +274,9 @@
 			innerRoutes.addPeerRoutes(service, requested);
 		},
 		pinned: workspaceExchanges.pinned,
+		onLost(peer, loss) {
+			reporter.notice('meshRequestsLost', {peer, ...loss});
+		},
 		onPeer(node, change) {
 			if (change === 'up') {
 				reporter.notice('peerConnected', {peer: node});
@@ -470,9 +473,13 @@
 			reporter.notice('drained', {
 				cut: entry.open() + dispatcher.openRequests(),
 			});
-			await peerListener.end(
+			const unended = await peerListener.end(
 				Math.min(maxLinkEnd, stopAt - killReserve - clock.now()),
 			);
+			if (unended.links > 0) {
+				reporter.notice('meshLinksCut', unended);
+			}
+
 			abort();
 		},
 		abort,
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -203,6 +203,28 @@
 		advice:
 			'Check the VM of the peer and its network. With large answers: check the bandwidth between the data centres.',
 	},
+	meshRequestsLost: {
+		code: 2546,
+		level: 'warn',
+		kind: 'notice',
+		template:
+			'requests ended with a connection to {peer}, {cause}: {lost} may have run, {refused} have not',
+		meaning:
+			'`closed`: the connection ended. `silent`: the peer did not answer a probe. `stopped`: the peer stated at the end of its stop that it had not received them. Those that have not run, or may be repeated, were sent to other targets while there were any.',
+		advice:
+			'`closed` without 2547 of the peer: its process ended without a stop, or the network cut the connection. `silent`: check the VM of the peer and the network.',
+	},
+	meshLinksCut: {
+		code: 2547,
+		level: 'warn',
+		kind: 'notice',
+		template:
+			'stopped with {links} links open, {running} requests running for them, outcomes unsent on {unsent}',
+		meaning:
+			'At the end of the stop, peers had not confirmed that they read everything: they are cut off or read slowly, or their requests ran until the end of the grace period. Requests without an outcome count as lost at those peers, see their event 2546.',
+		advice:
+			'`running` above 0: the grace period is shorter than the requests. Otherwise check the peers and the network.',
+	},
 	meshFairSharesChanged: {
 		code: 2530,
 		level: 'info',
