test(mesh): closing the client of a target ends no request

The cases cover a request that waits for its turn, an answer that has arrived unread, one that arrives in parts, and a run longer than the idle time. They passed on the code as it was.

--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -497,6 +497,56 @@
 		});
 	});
 
+	describe('when the client is closed, as with each renewal and each new incarnation', () => {
+		// The node replaces its client while requests run; none of them may end with the idle connections.
+		it('still sends a request that waits until what has arrived is read', async () => {
+			await run('idle');
+			const waiting = outcomeOf('waiting');
+			client.close();
+			expect(await waiting).to.equal('200 done');
+			await waitUntil(() => target.connections.size === 0);
+		});
+
+		it('still returns an answer that has arrived but is not read yet', async () => {
+			target.setBehaviour(() => undefined);
+			const running = outcomeOf('a');
+			await waitUntil(() => target.requests.length === 1);
+			target.requests[0]!.socket.write(createAnswer('a'));
+			client.close();
+			expect(await running).to.equal('200 done');
+		});
+
+		it('still returns an answer that arrives in parts afterwards', async () => {
+			target.setBehaviour(({socket, id}) => {
+				socket.write(createAnswer(id, 'x'.repeat(1000)).slice(0, 300));
+			});
+			const running = outcomeOf('a');
+			await waitUntil(() => target.requests.length === 1);
+			client.close();
+			await nextTurn();
+			target.requests[0]!.socket.write(
+				createAnswer('a', 'x'.repeat(1000)).slice(300),
+			);
+			expect(await running).to.equal(`200 ${'x'.repeat(1000)}`);
+		});
+	});
+
+	it('closes no connection that carries a request when the idle time of its last answer is over', async () => {
+		// The idle time counts from the last answer; the next request may run longer than that.
+		answerWith(({id}) => createAnswer(id, 'x', ['Keep-Alive: timeout=5']));
+		await run('a');
+		await run('idle');
+		const held: RawRequest[] = [];
+		target.setBehaviour((request) => held.push(request));
+		const running = outcomeOf('b');
+		await waitUntil(() => held.length === 1);
+		expect(held[0]!.connection).to.equal(0);
+		clock.advanceTo(60_000);
+		await nextTurn();
+		held[0]!.socket.write(createAnswer('b'));
+		expect(await running).to.equal('200 done');
+	});
+
 	it('reports a target that refuses connections, and that the request has not run', async () => {
 		const server = createServer().listen(0, '127.0.0.1');
 		await once(server, 'listening');
