fix(mesh): a stalled node reads its links before it abandons them

After a stall of an entry node's process of a second or more, its callers got 502 `linkLost`, or their requests were sent again at once over other links, although the outcomes had arrived. Cause: Node runs the timers that are due before it reads sockets. The answer to a probe counted as late while it lay unread, so every link with an open probe was abandoned and its connection closed with the outcomes on it. Change: the decision waits until the sockets were read in the same turn.

--- a/packages/mesh/__tests__/directory.spec.ts
+++ b/packages/mesh/__tests__/directory.spec.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {
 	createRandom,
 	createVirtualClock,
@@ -224,6 +225,8 @@
 			move();
 			for (let time = 200; time <= 3000; time += 200) {
 				clock.advanceTo(time);
+				// eslint-disable-next-line no-await-in-loop -- one check after the other.
+				await nextTurn();
 			}
 
 			expect(repeatable).to.deep.equal({kind: 'lost', reason: 'linkLost'});
--- a/packages/mesh/__tests__/peer-link.spec.ts
+++ b/packages/mesh/__tests__/peer-link.spec.ts
@@ -183,6 +183,7 @@
 		clock.advanceTo(1500);
 		link.probe();
 		await nextChange();
+		await nextChange();
 		expect(changes).to.deep.equal([true, false, true]);
 		expect(sockets).to.have.length(2);
 		sockets[0]!.send(
@@ -281,8 +282,59 @@
 		link.probe();
 		clock.advanceTo(7000);
 		link.probe();
+		await nextTurn();
 		expect(link.isUsable()).to.equal(false);
 	});
+
+	// After a stall of this node's process, timers run before what has arrived is read: every link was abandoned and its requests counted as lost, although their answers were there.
+	it('reads what has arrived before it abandons a connection', async () => {
+		const clock = createVirtualClock();
+		const {port} = server.address() as AddressInfo;
+		const connected = once(server, 'connection') as Promise<[WebSocket]>;
+		await new Promise<void>((resolve) => {
+			link = createPeerLink({
+				address: `127.0.0.1:${port}`,
+				clock,
+				hello: () => [],
+				onMessage: () => undefined,
+				onMalformed: () => undefined,
+				onUnread: () => undefined,
+				onLost: () => undefined,
+				onChange() {
+					resolve();
+				},
+			});
+		});
+		const [peer] = await connected;
+		const outcome = new Promise<Outcome>((resolve) => {
+			link.send(request, resolve);
+		});
+		await once(peer, 'message');
+		clock.advanceTo(500);
+		link.probe();
+		await once(peer, 'message');
+		const answer = encodeFrame({
+			sentAt: 0,
+			messages: [
+				{
+					kind: 'outcome',
+					exchange: 1,
+					outcome: {kind: 'declined', status: 503},
+					load: undefined,
+				},
+				{kind: 'pong'},
+			],
+		});
+		// In one turn, as if all of it had happened during a stall.
+		setTimeout(() => {
+			peer.send(answer);
+			clock.advanceTo(1500);
+			link.probe();
+		}, 0);
+		expect(await outcome).to.include({kind: 'declined'});
+		await nextTurn();
+		expect(link.isUsable()).to.equal(true);
+	});
 });
 
 describe('the link to a node that stops', () => {
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -268,14 +268,8 @@
 		const now = clock.now();
 		if (probedAt !== undefined) {
 			if (now - probedAt >= answerTimeout) {
-				// The answer to the probe may be behind a large message that is still arriving.
-				const received = channel.received();
-				if (received > receivedAtProbe) {
-					probedAt = now;
-					receivedAtProbe = received;
-				} else {
-					abandon(channel);
-				}
+				// After a stall, timers run before what has arrived is read.
+				setImmediate(abandonIfSilent, channel, probedAt);
 			}
 
 			return false;
@@ -297,6 +291,21 @@
 		return isDue && isIdle;
 	};
 
+	const abandonIfSilent = (channel: PeerChannel, since: number) => {
+		if (channel !== current || probedAt !== since) {
+			return;
+		}
+
+		// The answer to the probe may be behind a large message that is still arriving.
+		const received = channel.received();
+		if (received > receivedAtProbe) {
+			probedAt = clock.now();
+			receivedAtProbe = received;
+		} else {
+			abandon(channel);
+		}
+	};
+
 	/**
 	 * Opens a second connection at once; the silent one gets no new requests.
 	 * Its idempotent requests count as lost; the others stay pending, because
