fix(mesh): a stalled node does not take its target for unreachable

After a stall of half a second while a connection to the target was opened, the target got no work until its next announcement, and requests for it went elsewhere or got 503. Cause: as with the links: the timeout of the connection was handled before the news that it was open, so the request was refused, which was true, and the target announced as unreachable, which was not. Change: the timeout waits until the sockets were read in the same turn.

--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -559,6 +559,18 @@
 		expect(unreachable).to.have.length(1);
 	});
 
+	it('sends a request whose connection was open before its timeout is handled', async () => {
+		// After a stall of this node's process, timers run before the connection is known to be open: the request was refused, and the target got no work until its next announcement.
+		const outcome = await new Promise<string>((resolve) => {
+			setTimeout(() => {
+				resolve(outcomeOf('a'));
+				clock.advanceTo(500);
+			}, 0);
+		});
+		expect(outcome).to.equal('200 done');
+		expect(unreachable).to.have.length(0);
+	});
+
 	it('does not send a request that is cancelled while its connection opens', async () => {
 		let outcomes = 0;
 		const cancel = client.run(createRequest('a'), 900, () => outcomes++);
--- a/packages/mesh/src/target/target-connections.ts
+++ b/packages/mesh/src/target/target-connections.ts
@@ -344,7 +344,12 @@
 		onread: {buffer: readBuffer, callback: receive},
 	});
 	const connectTimer = clock.setTimer(connectTimeout, () => {
-		lose('connect timeout');
+		// After a stall, timers run before it is known that the connection is open.
+		setImmediate(() => {
+			if (!isOpen) {
+				lose('connect timeout');
+			}
+		});
 	});
 	socket.on('connect', () => {
 		connectTimer.cancel();
