--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -25,7 +25,7 @@
 	ProfilesMessage,
 	StateMessage,
 } from '../links/peer-message.js';
-import {probeInterval} from '../links/peer-link.js';
+import {probeInterval, type LinkLoss} from '../links/peer-link.js';
 import {createPeerLinks} from '../links/peer-links.js';
 import {createTargetMemory} from '../target/target-memory.js';
 import type {Ticker} from '../timing/ticker.js';
@@ -48,11 +48,15 @@
 		reply: (message: PeerMessage) => void,
 	) => void;
 	onMalformed: (detail: string) => void;
+	/** A connection is closed because its peer does not read; receives the unread bytes. */
+	onUnread: (bytes: number) => void;
 	/** A node reported its state. */
 	onState: (state: StateMessage) => void;
 	/** A node reported the call profiles of its target. */
 	onProfiles: (node: string, message: ProfilesMessage) => void;
 	onPeer: (node: string, change: 'up' | 'down') => void;
+	/** Requests ended with their connection to the node. */
+	onLost: (node: string, loss: LinkLoss) => void;
 	/** Members that need a link regardless of their service. */
 	pinned: () => Iterable<string>;
 };
@@ -111,7 +115,9 @@
 			handle(peer, message as never);
 		},
 		onMalformed: options.onMalformed,
+		onUnread: options.onUnread,
 		onPeer: options.onPeer,
+		onLost: options.onLost,
 	});
 	const {peers} = links;
 	const desiredLinks = createDesiredLinks({
