fix(node): answers to other nodes are sent before a stop closes the links

A node that stopped dropped its links to other nodes with what was still waiting in their sockets. Callers of those nodes got 502 with an unknown outcome for requests that had run.

The transport terminated each socket at once, also one whose last messages had been written but not sent. It now refuses new links, closes each socket behind its last message, and drops it after one second only, for a peer that reads nothing more.

The spec sends two answers of 7 MB and closes: before, the other side received none of them, now both.

--- a/packages/node/src/web-socket-transport.ts
+++ b/packages/node/src/web-socket-transport.ts
@@ -2,6 +2,7 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import {WebSocket, WebSocketServer} from 'ws';
+import type {Clock} from '@egretspoke/shared';
 import type {MessageChannel, PeerTransport} from './message-channel.js';
 import {openChannel, type ChannelContext} from './web-socket-channel.js';
 
@@ -23,6 +24,9 @@
 /** Timeout in milliseconds for opening a connection; a slower peer counts as unreachable. */
 const connectTimeoutMs = 2000;
 
+/** Maximum time in milliseconds for peers to receive what was sent before the close. */
+const closeTimeoutMs = 1000;
+
 /** Creates the transport; nothing listens until `listen`. */
 export function createWebSocketTransport(
 	options: WebSocketTransportOptions,
@@ -99,19 +103,34 @@
 			handler = accepted;
 		},
 		async close() {
-			for (const socket of sockets) {
-				socket.terminate();
-			}
-
+			const closed = server.listening ? once(server, 'close') : undefined;
 			socketServer.close();
-			if (server.listening) {
-				server.close();
-				await once(server, 'close');
-			}
+			server.close();
+			server.closeIdleConnections();
+			await closeSockets([...sockets], options.clock);
+			await closed;
 		},
 	};
 }
 
+/** Closes after the messages that were written have been sent; drops peers that don't read them in time. */
+async function closeSockets(sockets: WebSocket[], clock: Clock): Promise<void> {
+	const timer = clock.setTimer(closeTimeoutMs, () => {
+		for (const socket of sockets) {
+			socket.terminate();
+		}
+	});
+	await Promise.all(
+		sockets.map(async (socket) => {
+			await new Promise((resolve) => {
+				socket.once('close', resolve);
+				socket.close(1001, 'stopping');
+			});
+		}),
+	);
+	timer.cancel();
+}
+
 /** Listens and returns the port; rejects with Node's error, such as EADDRINUSE. */
 export async function listen(
 	server: Server,
