fix(node): a signal during the start drains the node

A planned stop right after a start ended every request that the node had passed on, without an answer: callers saw their connections reset.

The handlers of signals were installed when the start was over, up to three seconds after the caller listener had opened, so SIGTERM ended the process at once. They are now installed first, and a signal waits for the end of the start before it drains.

The spec signals a node while its first read of the platform hangs: before, the process was killed by the signal, now it drains and ends with 0.

--- a/packages/node/__tests__/node-program.spec.ts
+++ b/packages/node/__tests__/node-program.spec.ts
@@ -173,6 +173,28 @@
 		});
 	});
 
+	describe('stopped while it starts', () => {
+		// Guards against a stop that cuts requests because the node still starts.
+		it('drains like a node that has started', async () => {
+			const platform = createHttpServer();
+			const asked = once(platform, 'request');
+			const address = await listenAnywhere(platform);
+			const file = write(
+				'node: vm-1',
+				'dataCentre: a',
+				`platform: {address: "http://${address}"}`,
+				'listeners: {caller: "127.0.0.1:0", peer: "127.0.0.1:0", admin: "127.0.0.1:0"}',
+			);
+			const run = start('--settings', file);
+			await asked;
+			run.signal();
+			expect(await run.ended()).to.equal(0);
+			platform.close();
+			platform.closeAllConnections();
+			expect(run.lines.at(-1)).to.contain('drained; 0 requests cut');
+		});
+	});
+
 	describe('stopping', () => {
 		let target: HttpServer;
 		let answer: () => void;
--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -41,9 +41,11 @@
 }
 
 async function serve(nodeSettings: NodeSettings): Promise<void> {
+	const starting = startNode(nodeSettings);
+	// Requests are served before the start is over, and a signal must drain them.
+	drainOnSignals(starting);
 	try {
-		const node = await startNode(nodeSettings);
-		drainOnSignals(node);
+		await starting;
 	} catch (error) {
 		process.stderr.write(`${explainStartFailure(error, nodeSettings)}\n`);
 		process.exit(exitCodes.refused);
@@ -51,9 +53,10 @@
 }
 
 /** The first signal drains; a second one stops immediately and prints the number of cut requests. */
-function drainOnSignals(node: RunningNode): void {
+function drainOnSignals(starting: Promise<RunningNode>): void {
 	let isDraining = false;
 	const stopAtOnce = async () => {
+		const node = await starting;
 		const cut = await node.stop();
 		process.stderr.write(
 			`stopped at once on a second signal; ${cut} requests cut\n`,
@@ -62,6 +65,7 @@
 	};
 
 	const drain = async () => {
+		const node = await starting;
 		const cut = await node.drain();
 		process.exit(cut === 0 ? exitCodes.done : exitCodes.refused);
 	};
