--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -42,8 +42,16 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 	): CallerExchange | undefined;
-	/** Whether an accepted request on the connection has no answer that was sent. */
-	hasAccepted(socket: Socket): boolean;
+	/**
+	 * Ends a connection whose further bytes are no requests, after the answers
+	 * to the accepted requests. Returns whether there are none, so that a last
+	 * answer may be written before `end`.
+	 */
+	closeAfterAccepted(socket: Socket, cause: CloseCause): boolean;
+	/** Ends a connection after what was written to it. */
+	end(socket: Socket): void;
+	/** Keeps connections that are idle open for the changed time, in milliseconds from now. */
+	renewIdleTime(idleTime: number): void;
 	/** Number of accepted requests whose answers are not sent, and of connections that are being ended. */
 	pending(): number;
 	/** Number of requests that are arriving. */
@@ -101,7 +109,18 @@
 
 			return connection.receive(response);
 		},
-		hasAccepted: (socket) => (connections.get(socket)?.unsent.size ?? 0) > 0,
+		closeAfterAccepted: (socket, cause) =>
+			connections.get(socket)?.closeAfterAccepted(cause) ?? false,
+		end(socket) {
+			connections.get(socket)?.end();
+		},
+		renewIdleTime(idleTime) {
+			for (const [socket, connection] of connections) {
+				if (connection.isIdle()) {
+					socket.setTimeout(idleTime);
+				}
+			}
+		},
 		pending: () =>
 			sum(({unsent, isEnding}) => Math.max(unsent.size, isEnding ? 1 : 0)),
 		receiving: () => sum(({arriving}) => arriving),
@@ -141,6 +160,18 @@
 		socket.once('error', onCaller);
 	}
 
+	/**
+	 * Whether it waits for a further request. Before the first one, Node would
+	 * not end the timeout when a request arrives.
+	 */
+	isIdle(): boolean {
+		return (
+			this.received > 0 &&
+			this.arriving + this.unsent.size === 0 &&
+			!this.isClosing
+		);
+	}
+
 	receive(response: ServerResponse): CallerExchange {
 		this.arriving++;
 		return new CallerExchange(this, response, this.received++);
@@ -175,6 +206,19 @@
 		return false;
 	}
 
+	closeAfterAccepted(cause: CloseCause): boolean {
+		const isFirst = !this.isClosing;
+		this.isClosing = true;
+		this.setCause(cause);
+		for (const exchange of this.unsent) {
+			if (!this.hasAcceptedBehind(exchange)) {
+				exchange.announceClose();
+			}
+		}
+
+		return isFirst && this.unsent.size === 0;
+	}
+
 	/** Ends what is sent, and reads on until the caller has closed the connection too. */
 	end(): void {
 		if (this.isEnding) {
