fix(shared): an upload before the last request of a connection is not dropped

An upload and a request that closes the connection arrived in one packet. The second one has no body and was accepted first; the upload was then dropped as if it had arrived behind it. Its answer never came, and the answer behind it couldn't be sent either: the caller waited until it gave up.

Requests are now dropped by their position on the connection, and not by the moment in which they are accepted. Requests cut at the end of a stop are reported with that cause also if an answer had announced the close.

--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -67,6 +67,9 @@
  */
 const lingerTime = 1000;
 
+/** A position before that of every request. */
+const none = -1;
+
 const nothing = () => undefined;
 
 /** Tracks the connections of a server that doesn't listen yet. */
@@ -126,8 +129,7 @@
 		receiving: () => sum(({arriving}) => arriving),
 		close() {
 			for (const [socket, connection] of connections) {
-				connection.setCause('stop');
-				connection.leave();
+				connection.stop();
 				socket.destroy();
 			}
 		},
@@ -145,6 +147,8 @@
 	/** Nothing more is sent. */
 	isEnding = false;
 	private received = 0;
+	/** Position of the last request that is accepted. */
+	private lastOrder = Number.POSITIVE_INFINITY;
 	private cause: CloseCause | undefined = undefined;
 	private lingerTimer: Timer | undefined = undefined;
 
@@ -180,7 +184,8 @@
 	/** Counts a request until its answer is sent. */
 	accept(exchange: CallerExchange): boolean {
 		this.arriving--;
-		if (this.isClosing) {
+		// One that arrived before the last one is still due: the last answer follows its answer.
+		if (exchange.order > this.lastOrder) {
 			return false;
 		}
 
@@ -208,7 +213,7 @@
 
 	closeAfterAccepted(cause: CloseCause): boolean {
 		const isFirst = !this.isClosing;
-		this.isClosing = true;
+		this.closeBehind(none);
 		this.setCause(cause);
 		for (const exchange of this.unsent) {
 			if (!this.hasAcceptedBehind(exchange)) {
@@ -219,6 +224,12 @@
 		return isFirst && this.unsent.size === 0;
 	}
 
+	/** Accepts no request behind this position. */
+	closeBehind(order: number): void {
+		this.isClosing = true;
+		this.lastOrder = Math.min(this.lastOrder, order);
+	}
+
 	/** Ends what is sent, and reads on until the caller has closed the connection too. */
 	end(): void {
 		if (this.isEnding) {
@@ -226,7 +237,7 @@
 		}
 
 		this.isEnding = true;
-		this.isClosing = true;
+		this.closeBehind(none);
 		const {socket} = this;
 		socket.end();
 		socket.resume();
@@ -240,9 +251,18 @@
 		this.cause ??= cause;
 	}
 
+	/** Ends it with what is not sent yet, also if an answer had announced the end. */
+	stop(): void {
+		if (this.cause !== 'caller') {
+			this.cause = 'stop';
+		}
+
+		this.leave();
+	}
+
 	/** Nothing more can be sent, because the connection is closed. */
 	leave(): void {
-		this.isClosing = true;
+		this.closeBehind(none);
 		this.lingerTimer?.cancel();
 		const cause = this.cause ?? 'server';
 		const exchanges = [...this.unsent];
@@ -303,7 +323,7 @@
 	closeAfter(cause: CloseCause): void {
 		const {connection} = this;
 		if (!connection.hasAcceptedBehind(this)) {
-			connection.isClosing = true;
+			connection.closeBehind(this.order);
 			connection.setCause(cause);
 			this.announceClose();
 		}
