fix(node): accepted requests are answered before their connection or the node ends

Callers saw connections that were closed or reset in place of the answers to requests that had been passed on, in these cases, each of which has a test that failed before:

- A planned stop closed the listener and then removed its row from the platform: new callers were refused by the system, requests on open connections were taken and cut.
When the drain time ran out, and on a second signal, whatever ran was cut.
- The close destroyed connections whose answers were written but not sent: a slow reader got 3.9 MB of 25.2 MB.
The listener's own idle check did the same, since Node takes a connection for idle once its answer was handed over.
- Malformed bytes, too large headers, a request that stops half-way and a CONNECT ended the connection at once; the raw refusal stood where the answer to an earlier request was due.
- An answer with 'connection: close', to a request during the stop or without a host, closed the connection under requests behind it that ran.
- The rest of a too large body was read until its time ran out, and the 408 for it took the place of earlier answers.
- Requests behind one that the caller had named its last got a 400 in place of the answer to that one.

The listener now registers its connections with the shared module, and closes one only behind the answer to its last accepted request. A stop has an end of acceptance: 'drain' of the listener refuses at once what isn't accepted yet, unread uploads included, and resolves when the last byte of the accepted answers was sent. The listener goes on refusing, with Leaving and Retry-After 0, until the platform has been told. At the end of the drain time, and on a second signal, what still runs is answered: as not run if its ticket proves that, otherwise as unknown. A first stop that is overtaken by a second signal reports the same number of cut requests.

Refusals of bodies without room, and those of the stop, now ask the entry whether an earlier attempt at the key may have run; 'not run' would be false then.

Events 2008 and 2009 give the requests that end without a whole answer, by cause, and those that a stop gave up.

--- a/packages/node/__tests__/listener-fixture.ts
+++ b/packages/node/__tests__/listener-fixture.ts
@@ -1,10 +1,14 @@
 /** A node in this process with a target, for the specs of invalid input. */
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:http';
+import {createServer, type RequestListener, type Server} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {request} from 'undici';
 import {parseAddress, parseNodeSettings} from '../src/index.js';
-import {startNode, type RunningNode} from '../src/start-node.js';
+import {
+	startNode,
+	type RunningNode,
+	type StartOptions,
+} from '../src/start-node.js';
 
 /** The secrets of the node under test. */
 export const secrets = {
@@ -26,15 +30,39 @@
 	close(): Promise<void>;
 };
 
+/** What a spec may replace. */
+export type FixtureOptions = StartOptions & {
+	/** Lines of the settings of limits. */
+	limits?: string[];
+	bodyLimit?: string;
+	/** The settings of timings, in braces. */
+	timings?: string;
+	/** The target's own handler. */
+	onRequest?: RequestListener;
+};
+
 /** Starts the node; `limits` are lines of its settings. */
 export async function startFixture(
 	...limits: string[]
 ): Promise<ListenerFixture> {
+	return startFixtureWith({limits});
+}
+
+/** Starts the node with replaced parts. */
+export async function startFixtureWith({
+	limits = [],
+	bodyLimit = '64KB',
+	timings = '{}',
+	onRequest = (incoming, response) => {
+		incoming.resume();
+		incoming.on('end', () => response.end('done'));
+	},
+	...options
+}: FixtureOptions): Promise<ListenerFixture> {
 	let received = 0;
 	const target = createServer((incoming, response) => {
 		received++;
-		incoming.resume();
-		incoming.on('end', () => response.end('done'));
+		onRequest(incoming, response);
 	});
 	const targetAddress = await listenAnywhere(target);
 	const settings = parseNodeSettings(
@@ -46,12 +74,15 @@
 			`target: {address: "${targetAddress}", announcement: {service: orders, slots: 4, connections: 8}}`,
 			`secrets: {peer: ${secrets.peer}, operator: ${secrets.operator}}`,
 			'logs: {level: silent}',
+			`timings: ${timings}`,
 			'limits:',
-			...['body: 64KB', 'headers: 4KB', ...limits].map((line) => `  ${line}`),
+			...[`body: ${bodyLimit}`, 'headers: 4KB', ...limits].map(
+				(line) => `  ${line}`,
+			),
 		].join('\n'),
 		'bench.yaml',
 	);
-	const node = await startNode(settings._unsafeUnwrap());
+	const node = await startNode(settings._unsafeUnwrap(), options);
 	const {caller, admin} = node.addresses;
 	const callAdmin = async (path: string) =>
 		read(`http://${admin}${path}`, {
--- a/packages/node/src/admin-listener.ts
+++ b/packages/node/src/admin-listener.ts
@@ -7,9 +7,11 @@
  */
 import {Buffer} from 'node:buffer';
 import {timingSafeEqual} from 'node:crypto';
+import {once} from 'node:events';
 import {
 	createServer,
 	type IncomingMessage,
+	type Server,
 	type ServerResponse,
 } from 'node:http';
 import {
@@ -22,7 +24,6 @@
 	type PlanRequest,
 	type TargetRow,
 } from '@egretspoke/protocol';
-import {closeServer} from './caller-listener.js';
 import {readBody} from './request-body.js';
 import {listen} from './web-socket-transport.js';
 
@@ -145,6 +146,14 @@
 	};
 }
 
+/** Closes a server and every connection to it. */
+async function closeServer(server: Server): Promise<void> {
+	const closed = server.listening ? once(server, 'close') : undefined;
+	server.close();
+	server.closeAllConnections();
+	await closed;
+}
+
 async function serve(
 	request: IncomingMessage,
 	response: ServerResponse,
--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -1,27 +1,40 @@
 /**
- * The HTTP listener for callers, with one task per connection: each request is
- * read completely within its limits and answered once.
+ * The HTTP listener for callers, with one task per request: each is read
+ * completely within its limits and answered once. A connection is closed only
+ * after the answer to its last accepted request has been sent.
  */
-import {once} from 'node:events';
+import {once, setMaxListeners} from 'node:events';
 import {
 	createServer,
 	type IncomingMessage,
-	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {ErrorCode, type TargetAnnouncement} from '@egretspoke/protocol';
-import {createBodyBudget, type BodyBudget} from './body-budget.js';
+import type {Socket} from 'node:net';
+import type {TargetAnnouncement} from '@egretspoke/protocol';
+import {
+	createCallerConnections,
+	sleep,
+	type CallerExchange,
+	type Clock,
+} from '@egretspoke/shared';
+import type {Result} from 'neverthrow';
+import {
+	createAcceptedRequests,
+	type AcceptedRequest,
+} from './accepted-requests.js';
+import {createBodyBudget} from './body-budget.js';
 import {writeOutcome} from './caller-answer.js';
+import {createCallerHandler} from './caller-handler.js';
 import type {CallerEntry, CallerOutcome} from './caller-request.js';
-import {readBody, type BodyFault} from './request-body.js';
-import {readCallerRequest} from './caller-request-reader.js';
-import {refuseAsNotRun} from './entry-refusal.js';
 import type {NodeReporter} from './node-reporter.js';
+import {writeRawRefusal} from './raw-refusals.js';
+import {readBody, type BodyFault} from './request-body.js';
 import {isAnnouncement, readAnnouncement} from './target-announcement.js';
 import {listen} from './web-socket-transport.js';
 
 /** Bounds of the listener; times in milliseconds, sizes in bytes. */
 export type CallerListenerOptions = {
+	clock: Clock;
 	entry: CallerEntry;
 	reporter: NodeReporter;
 	bodyLimit: number;
@@ -35,12 +48,22 @@
 	announce(announcement: TargetAnnouncement): void;
 };
 
+/** Why requests that still run are given up: the time of a stop ran out, or it was to be immediate. */
+export type GiveUpCause = 'drainTime' | 'stop';
+
 /** The listener. */
 export type CallerListener = {
 	listen(host: string, port: number): Promise<number>;
-	/** Accepts no new connections, and closes each open one after its answer. */
-	drain(): void;
-	close(): Promise<void>;
+	/**
+	 * Refuses every request that isn't accepted yet. Resolves when the answers to
+	 * all accepted ones have been sent.
+	 */
+	drain(): Promise<void>;
+	/**
+	 * Answers what still runs as not run or unknown, and closes. Resolves with
+	 * the number of other requests whose answers were not sent completely.
+	 */
+	close(cause: GiveUpCause): Promise<number>;
 };
 
 /**
@@ -49,12 +72,26 @@
  */
 const keepAliveTimeoutMs = 65_000;
 
+/** Interval in milliseconds between two checks whether all answers have been sent. */
+const sentCheckIntervalMs = 10;
+
+/** Maximum time in milliseconds for callers to receive the last answers at a close. */
+const closeTimeoutMs = 1000;
+
 /** Creates the listener; nothing listens until `listen`. */
 export function createCallerListener(
 	options: CallerListenerOptions,
 ): CallerListener {
-	let isDraining = false;
+	const {clock, reporter} = options;
+	const handler = createCallerHandler(options);
 	const budget = createBodyBudget(options.bufferLimit);
+	const accepted = createAcceptedRequests(clock);
+	const draining = new AbortController();
+	setMaxListeners(0, draining.signal);
+	/** Connections whose caller has announced that it sends no further request. */
+	const endedByCaller = new WeakSet<Socket>();
+	let unsentAnswers = 0;
+
 	const server = createServer(
 		{
 			maxHeaderSize: options.headerLimit,
@@ -62,102 +99,164 @@
 			headersTimeout: options.requestTimeout,
 			connectionsCheckingInterval: Math.max(100, options.requestTimeout / 4),
 			keepAliveTimeout: keepAliveTimeoutMs,
+			// Node's own refusal closes the connection under requests behind it.
+			requireHostHeader: false,
 		},
 		(request, response) => {
-			if (isDraining) {
-				response.setHeader('connection', 'close');
-			}
-
-			void serve(request, response, options, budget);
+			receive(request, response);
 		},
 	);
 	server.maxConnections = options.connectionLimit;
-	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		options.reporter.recordEvent({
+	// `close` calls it, and it also destroys connections whose answers aren't sent yet.
+	server.closeIdleConnections = () => undefined;
+	const connections = createCallerConnections(server, {
+		clock,
+		onCut(cut) {
+			unsentAnswers += cut.requests;
+			reporter.recordEvent({name: 'requestsCut', ...cut});
+		},
+	});
+
+	/** Refuses bytes that are no request, or ends the connection after the answers to the requests before them. */
+	const endMalformed = (socket: Socket, errorCode?: string) => {
+		reporter.recordEvent({
 			name: 'malformedRequest',
-			fault: error.code ?? 'unknown',
+			fault: errorCode ?? 'unknown',
 		});
-		if (socket.writable) {
-			socket.end(clientErrorAnswers[error.code ?? ''] ?? malformedAnswer);
-		}
+		// Requests that have arrived whole are accepted in this turn.
+		clock.setTimer(0, () => {
+			if (connections.closeAfterAccepted(socket, 'malformedRequest')) {
+				socket.write(writeRawRefusal(errorCode));
+				connections.end(socket);
+			}
+		});
+	};
+
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		endMalformed(socket as Socket, error.code);
+	});
+	// Without a handler, Node destroys the connection under accepted requests.
+	server.on('connect', (_request, socket) => {
+		endMalformed(socket as Socket, 'connect');
 	});
 
-	return {
-		async listen(host, port) {
-			return listen(server, host, port);
-		},
-		drain() {
-			isDraining = true;
-			server.close();
-			server.closeIdleConnections();
-		},
-		async close() {
-			await closeServer(server);
-		},
+	const receive = (request: IncomingMessage, response: ServerResponse) => {
+		const {socket} = request;
+		const exchange = endedByCaller.has(socket)
+			? undefined
+			: connections.receive(request, response);
+		if (!exchange) {
+			request.resume();
+			return;
+		}
+
+		if (!response.shouldKeepAlive) {
+			endedByCaller.add(socket);
+		}
+
+		void (isAnnouncement(request)
+			? serveAnnouncement(request, exchange)
+			: serve(request, exchange));
 	};
-}
 
-/** Closes a server and every connection to it. */
-export async function closeServer(server: Server): Promise<void> {
-	const closed = server.listening ? once(server, 'close') : undefined;
-	server.close();
-	server.closeAllConnections();
-	await closed;
-}
+	const serve = async (request: IncomingMessage, exchange: CallerExchange) => {
+		const {signal} = draining;
+		const body = await readBody(request, options.bodyLimit, {budget, signal});
+		if (exchange.accept()) {
+			const entry = accepted.add(request, exchange);
+			const outcome = await answer(request, body, entry);
+			endAfterLast(
+				exchange,
+				body.isErr() || request.headers.host === undefined,
+			);
+			entry.answer();
+			writeOutcome(exchange.response, outcome);
+		}
 
-const malformedAnswer = rawAnswer(
-	'400 Bad Request',
-	ErrorCode.MalformedRequest,
-);
-
-/** Raw answers to errors of the HTTP parser, which occur before there is a request object. */
-const clientErrorAnswers: Record<string, string> = {
-	// eslint-disable-next-line @typescript-eslint/naming-convention -- Node's error codes.
-	HPE_HEADER_OVERFLOW: rawAnswer(
-		'431 Request Header Fields Too Large',
-		ErrorCode.TooLarge,
-	),
-	// eslint-disable-next-line @typescript-eslint/naming-convention -- Node's error codes.
-	ERR_HTTP_REQUEST_TIMEOUT: rawAnswer(
-		'408 Request Timeout',
-		ErrorCode.MalformedRequest,
-	),
-};
+		budget.release(body.isOk() ? body.value.length : 0);
+	};
 
-function rawAnswer(status: string, code: ErrorCode): string {
-	return (
-		`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n` +
-		`egretspoke-outcome: not-run\r\negretspoke-error: ${code} ${ErrorCode[code]}\r\n\r\n`
-	);
-}
+	const answer = async (
+		request: IncomingMessage,
+		body: Result<Uint8Array, BodyFault>,
+		entry: AcceptedRequest,
+	): Promise<CallerOutcome> => {
+		if (body.isErr()) {
+			return handler.refuse(request, body.error);
+		}
 
-async function serve(
-	request: IncomingMessage,
-	response: ServerResponse,
-	options: CallerListenerOptions,
-	budget: BodyBudget,
-): Promise<void> {
-	const gone = new AbortController();
-	response.once('close', () => {
-		if (!response.writableFinished) {
-			gone.abort();
+		if (draining.signal.aborted) {
+			return handler.refuse(request, 'stopped');
 		}
-	});
-	if (isAnnouncement(request)) {
-		await receiveAnnouncement(request, response, options);
-		return;
-	}
 
-	const outcome = await answer(request, options, budget, gone.signal);
-	writeOutcome(response, outcome);
+		return request.headers.host === undefined
+			? handler.refuse(request, 'noHost')
+			: entry.run(async (signal) =>
+					handler.handle(request, body.value, signal),
+				);
+	};
+
+	const endAfterLast = (exchange: CallerExchange, isLast: boolean) => {
+		if (isLast || draining.signal.aborted) {
+			exchange.closeAfter('closingAnswer');
+		}
+	};
+
+	const serveAnnouncement = async (
+		request: IncomingMessage,
+		exchange: CallerExchange,
+	) => {
+		const body = await readBody(request, options.bodyLimit);
+		if (exchange.accept()) {
+			exchange.answer();
+			endAfterLast(exchange, body.isErr());
+			answerAnnouncement(request, exchange.response, body, options);
+		}
+	};
+
+	/** Resolves when the condition holds, or when the time is over. */
+	const waitUntil = async (isTrue: () => boolean, timeout: number) => {
+		const deadline = clock.now() + timeout;
+		while (!isTrue() && clock.now() < deadline) {
+			// eslint-disable-next-line no-await-in-loop -- one check after another.
+			await sleep(clock, sentCheckIntervalMs);
+		}
+	};
+
+	return {
+		async listen(host, port) {
+			return listen(server, host, port);
+		},
+		async drain() {
+			draining.abort();
+			await waitUntil(() => accepted.areSent(), Number.POSITIVE_INFINITY);
+		},
+		async close(cause) {
+			draining.abort();
+			const closed = server.listening ? once(server, 'close') : undefined;
+			server.close();
+			const givenUp = accepted.giveUp();
+			if (givenUp.length > 0) {
+				const requests = givenUp.length;
+				reporter.recordEvent({name: 'requestsGivenUp', cause, requests});
+			}
+
+			await waitUntil(() => connections.pending() === 0, closeTimeoutMs);
+			const unsentGivenUp = givenUp.filter((each) => !each.isSent()).length;
+			unsentAnswers = 0;
+			connections.close();
+			await closed;
+			return Math.max(0, unsentAnswers - unsentGivenUp);
+		},
+	};
 }
 
-async function receiveAnnouncement(
+function answerAnnouncement(
 	request: IncomingMessage,
 	response: ServerResponse,
-	{announce, bodyLimit, reporter}: CallerListenerOptions,
-): Promise<void> {
-	const body = await readBody(request, bodyLimit);
+	body: Result<Uint8Array, BodyFault>,
+	{announce, reporter}: CallerListenerOptions,
+): void {
 	const announcement = body
 		.mapErr(String)
 		.andThen((whole) => readAnnouncement(request, whole));
@@ -172,65 +271,3 @@
 		},
 	);
 }
-
-async function answer(
-	request: IncomingMessage,
-	options: CallerListenerOptions,
-	budget: BodyBudget,
-	signal: AbortSignal,
-): Promise<CallerOutcome> {
-	const body = await readBody(request, options.bodyLimit, budget);
-	if (body.isErr()) {
-		options.reporter.recordEvent({name: 'malformedRequest', fault: body.error});
-		const {code, retryAfter} = bodyRefusals[body.error];
-		return {request: 'none', outcome: refuseAsNotRun(code, retryAfter)};
-	}
-
-	const {length} = body.value;
-	const outcome = await handle(request, body.value, options, signal);
-	budget.release(length);
-	return outcome;
-}
-
-/**
- * Retry-After in milliseconds for an upload that doesn't fit into the body
- * budget; most bodies have been released by then.
- */
-const bufferFullRetryAfterMs = 1000;
-
-const bodyRefusals: Record<BodyFault, {code: ErrorCode; retryAfter?: number}> =
-	{
-		tooLarge: {code: ErrorCode.TooLarge},
-		cutShort: {code: ErrorCode.MalformedRequest},
-		noRoom: {code: ErrorCode.Overloaded, retryAfter: bufferFullRetryAfterMs},
-	};
-
-async function handle(
-	request: IncomingMessage,
-	body: Uint8Array,
-	options: CallerListenerOptions,
-	signal: AbortSignal,
-): Promise<CallerOutcome> {
-	const read = readCallerRequest(request, body);
-	if (read.isErr()) {
-		options.reporter.recordEvent({name: 'malformedRequest', fault: 'header'});
-		const detail = read.error.join('; ');
-		return {
-			request: 'none',
-			outcome: refuseAsNotRun(ErrorCode.MalformedRequest, undefined, detail),
-		};
-	}
-
-	try {
-		return await options.entry.handle(read.value, signal);
-	} catch (error) {
-		// The request may have been handed over before the error.
-		return {
-			request: read.value.id ?? 'none',
-			outcome: {
-				kind: 'unknown',
-				refusal: {code: ErrorCode.Internal, detail: String(error)},
-			},
-		};
-	}
-}
--- a/packages/node/src/caller-request.ts
+++ b/packages/node/src/caller-request.ts
@@ -1,5 +1,10 @@
 /** A request as received from a caller, before any decision. */
-import type {Home, Outcome, RequestClass} from '@egretspoke/protocol';
+import type {
+	ErrorCode,
+	Home,
+	Outcome,
+	RequestClass,
+} from '@egretspoke/protocol';
 
 /** A request that the caller listener has read from HTTP. */
 export type CallerRequest = {
@@ -39,4 +44,10 @@
 export type CallerEntry = {
 	/** Always resolves; the signal aborts when the caller has gone. */
 	handle(request: CallerRequest, signal: AbortSignal): Promise<CallerOutcome>;
+	/** Refuses a request without running it: as "not run", or as "unknown" if an earlier attempt at its key may have run. */
+	refuse(
+		request: CallerRequest,
+		code: ErrorCode,
+		retryAfter?: number,
+	): CallerOutcome;
 };
--- a/packages/node/src/entry.ts
+++ b/packages/node/src/entry.ts
@@ -298,6 +298,8 @@
 		async handle(incoming, signal) {
 			return idle.track(async () => handle(incoming, signal));
 		},
+		refuse: (incoming, code, retryAfter) =>
+			recordRefusal(incoming, keys.refuse(incoming, code, retryAfter)),
 		async handleAtHome(request, signal) {
 			const refusalCode = context.getRefusalCode();
 			if (refusalCode !== undefined && !keys.mayHaveRunHere(request)) {
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -282,8 +282,10 @@
 		async drain() {
 			isDraining = true;
 			ingress?.leave();
-			await peerRequests.whenIdle();
-			await entry.whenIdle();
+			while (peerRequests.count() + entry.openRequests() > 0) {
+				// eslint-disable-next-line no-await-in-loop -- one may start while the other ends.
+				await Promise.all([peerRequests.whenIdle(), entry.whenIdle()]);
+			}
 		},
 	};
 }
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -42,6 +42,8 @@
 	| {name: 'suspended'; pause: number}
 	| {name: 'leaving'; reason: string}
 	| {name: 'drained'; cut: number}
+	| {name: 'requestsCut'; cause: string; requests: number; answered: number}
+	| {name: 'requestsGivenUp'; cause: string; requests: number}
 	| {name: 'configurationTaken'; version: number; source: string}
 	| {name: 'memberChanged'; node: string; state: string}
 	| {name: 'configurationRefused'; version: number; detail: string}
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -3,6 +3,7 @@
  * Stops them in an order that cuts no requests.
  */
 import {createHash} from 'node:crypto';
+import {once} from 'node:events';
 import {
 	classify,
 	createControl,
@@ -13,15 +14,10 @@
 import {egretspokePolicy, type Policy} from '@egretspoke/decisions';
 import {createHttpPlatform, type Platform} from '@egretspoke/storage';
 import type {Home, Member} from '@egretspoke/protocol';
-import {
-	createRandom,
-	createSystemClock,
-	sleep,
-	type Clock,
-} from '@egretspoke/shared';
+import {createRandom, createSystemClock, type Clock} from '@egretspoke/shared';
 import {createAdminListener} from './admin-listener.js';
 import {createAdminServices} from './admin-services.js';
-import {createCallerListener} from './caller-listener.js';
+import {createCallerListener, type GiveUpCause} from './caller-listener.js';
 import {subscribeToControl} from './control-subscription.js';
 import {createNodeCore, type CoreControl, type NodeCore} from './node-core.js';
 import {createNodeInstruments} from './node-instruments.js';
@@ -50,6 +46,7 @@
 export type StartOptions = {
 	clock?: Clock;
 	policy?: Policy;
+	platform?: Platform;
 };
 
 /** Maximum bytes of a message besides its body, for headers and envelope. */
@@ -85,7 +82,7 @@
 	const peer = await listenOn(transport, settings.listeners.peer);
 	const policy = options.policy ?? egretspokePolicy;
 
-	const platform = createPlatform(settings, clock);
+	const platform = options.platform ?? createPlatform(settings, clock);
 	const suspectRows = createSuspectRows({
 		platform,
 		clock,
@@ -117,6 +114,7 @@
 	});
 
 	const caller = createCallerListener({
+		clock,
 		entry: core.entry,
 		reporter,
 		bodyLimit: limits.body,
@@ -157,31 +155,42 @@
 		handleAnnouncement(settings.target.announcement);
 	}
 
-	const stop = async () => {
-		const cut = core.openRequests();
+	let stopping: Promise<number> | undefined;
+	const stop = async (cause: GiveUpCause) => {
+		const open = core.openRequests();
+		const unsent = await caller.close(cause);
 		core.peers.close();
-		await Promise.all([caller.close(), admin.close(), transport.close()]);
+		await Promise.all([admin.close(), transport.close()]);
 		await supervisor.stop();
 		instruments.log.flush();
-		return cut;
+		return open + unsent;
+	};
+
+	/** A second signal can stop a node that is about to stop itself; both report the same. */
+	const stopOnce = async (cause: GiveUpCause) => {
+		stopping ??= stop(cause);
+		return stopping;
 	};
 
 	const addresses = {caller: callerAddress, peer, admin: adminAddress};
 	instruments.log.record('started', {details: {...addresses, dataCentre}});
 	return {
 		addresses,
-		stop,
+		stop: async () => stopOnce('stop'),
 		async drain() {
+			const timeout = new AbortController();
+			const timer = clock.setTimer(settings.timings.drain, () => {
+				timeout.abort();
+			});
 			control.leave();
-			const drained = new AbortController();
-			await Promise.race([
-				core.drain(),
-				sleep(clock, settings.timings.drain, drained.signal),
+			await Promise.race([core.drain(), aborted(timeout.signal)]);
+			// Nothing is accepted from here on; what was accepted is answered.
+			await Promise.all([
+				control.end(),
+				Promise.race([caller.drain(), aborted(timeout.signal)]),
 			]);
-			drained.abort();
-			caller.drain();
-			await control.end();
-			const cut = await stop();
+			timer.cancel();
+			const cut = await stopOnce(timeout.signal.aborted ? 'drainTime' : 'stop');
 			reporter.recordEvent({name: 'drained', cut});
 			instruments.log.flush();
 			return cut;
@@ -189,6 +198,12 @@
 	};
 }
 
+async function aborted(signal: AbortSignal): Promise<void> {
+	if (!signal.aborted) {
+		await once(signal, 'abort');
+	}
+}
+
 /**
  * The seed depends on the name, because nodes that start in the same
  * millisecond, as after a power cut, would otherwise read the platform and probe
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -49,6 +49,28 @@
 			'The process or VM was paused; the node refuses work until it has announced itself again.',
 		advice: 'Check for a VM migration or an overcommitted host.',
 	},
+	requestsCut: {
+		code: 2008,
+		level: 'warn',
+		kind: 'notice',
+		template:
+			'connection of a caller ended, {cause}: {requests} accepted requests without a whole answer, {answered} of them answered',
+		meaning:
+			'This node ended a connection whose caller still waited: `closingAnswer` after an answer that announced it, `malformedRequest` because of bytes that are no request, `stop` at the end of a stop, `server` for another reason. The requests may have run.',
+		advice:
+			'With `stop`: a caller read its answer too slowly. Others should not occur; report them.',
+	},
+	requestsGivenUp: {
+		code: 2009,
+		level: 'warn',
+		kind: 'notice',
+		template:
+			'{requests} requests of callers still ran at the end of the stop, {cause}',
+		meaning:
+			'They were answered as unknown, or as not run if no target had been given them: `drainTime` when the time of a planned stop ran out, `stop` when the stop was to be immediate.',
+		advice:
+			'With `drainTime`: raise timings.drain to the duration of the longest request before the next stop.',
+	},
 	memberChanged: {
 		code: 2101,
 		level: 'info',
