fix(mesh): a request without a host no longer cuts accepted requests behind it

Callers saw: a request that a target was running ended without an answer when an earlier one on its connection had no Host header.

Cause: Node's own server answers such a request with 400 and ends the connection after it. That answer is not counted as the closing one, so requests behind it were accepted and passed on, and then cut.

Change: the listener answers 400 itself, like 413 and 431. It closes the connection, and requests behind it are dropped.

Evidence: three requests in one write, the second without a host: on the code before, the first and the third were passed on, and the answers were 200 and 400 only. The new test "answers accepted requests before a request without a host" fails on the code before (the request behind is passed on), passes now.

--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -356,6 +356,7 @@
 		const faults: Record<string, [bytes: string, statuses: number[]]> = {
 			'bytes that are no request': ['\u0000no request\r\n\r\n', []],
 			'a request for a tunnel': ['CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n', []],
+			'a request without a host': ['GET /4 HTTP/1.1\r\n\r\n', [400]],
 			'headers above the limit': [
 				request('/4', [`X: ${'x'.repeat(2000)}`]),
 				[431],
--- a/packages/mesh/src/entry/caller-headers.ts
+++ b/packages/mesh/src/entry/caller-headers.ts
@@ -11,7 +11,7 @@
 	/** Size of the header lines on the wire, in bytes. */
 	size: number;
 	requestId: string;
-	host: string;
+	host: string | undefined;
 	timeLeft: string | undefined;
 	/** Undefined unless there is exactly one. */
 	workspaceKey: string | undefined;
@@ -100,7 +100,7 @@
 		return {
 			size,
 			requestId: requestId ?? '',
-			host: host ?? '',
+			host,
 			timeLeft,
 			workspaceKey,
 			hasBody,
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -85,6 +85,8 @@
 		{
 			keepAliveTimeout: limits.idleTime,
 			maxHeaderSize: maxParsedHeaderBytes,
+			// Node's own answer would end the connection under accepted requests behind it.
+			requireHostHeader: false,
 			noDelay: true,
 		},
 		(request, response) => {
@@ -148,6 +150,12 @@
 			return;
 		}
 
+		if (headers.host === undefined && request.httpVersion === '1.1') {
+			request.resume();
+			reject(exchange, 400);
+			return;
+		}
+
 		const arrivedAt = options.clock.now();
 		if (headers.hasBody) {
 			receiveBody(request, exchange, headers, arrivedAt);
@@ -157,8 +165,8 @@
 		}
 	};
 
-	/** Answers a request that exceeds a limit, and ends its connection. */
-	const reject = (exchange: CallerExchange, status: 413 | 431) => {
+	/** Answers a request that is invalid or exceeds a limit, and ends its connection. */
+	const reject = (exchange: CallerExchange, status: 400 | 413 | 431) => {
 		if (exchange.accept()) {
 			exchange.answer();
 			exchange.closeAfter('closingAnswer');
@@ -214,7 +222,7 @@
 			{
 				requestId: headers.requestId,
 				method: request.method ?? 'GET',
-				host: headers.host,
+				host: headers.host ?? '',
 				path: request.url ?? '/',
 				headers: headers.endToEnd,
 				body,
