fix(mesh): a shorter idle time does not close connections that answers promised to keep

Callers saw: after the operator had lowered the idle time, requests on connections that had been idle since before could be reset, although the last answer had said Keep-Alive with the longer time.

Cause: a changed idle time is applied to idle connections from now, also if it is shorter than what their last answers promised.

Change: it only prolongs. The shorter time holds from the next answer on.

Evidence: the new test of the listener fails on the code before (closed after 0.1 s of a promised 15 s), passes now.

--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -444,6 +444,19 @@
 			await send('GET /2');
 		});
 
+		// Guards against requests that cross the close of a connection which the last answer promised to keep open.
+		it('keeps idle connections open as promised after a shorter idle time was configured', async () => {
+			const limits = {headerBytes: 1000, bodyBytes: 1000, headerTime: 3000};
+			const first = await send('GET /1');
+			first.answer(succeed(Buffer.from('x')));
+			await waitUntil(() => text.endsWith('x'));
+			expect(text).to.match(/Keep-Alive: timeout=15\r\n/);
+			listener.applyLimits({...limits, idleTime: 100});
+			await pause(300);
+			expect(caller.readableEnded).to.equal(false);
+			await send('GET /2');
+		});
+
 		it('counts requests whose bodies are arriving', async () => {
 			caller.write(
 				'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nhalf'.slice(
--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -50,7 +50,10 @@
 	closeAfterAccepted(socket: Socket, cause: CloseCause): boolean;
 	/** Ends a connection after what was written to it. */
 	end(socket: Socket): void;
-	/** Keeps connections that are idle open for the changed time, in milliseconds from now. */
+	/**
+	 * Keeps connections that are idle open for the changed time, in milliseconds
+	 * from now, but not for less than their last answers promised.
+	 */
 	renewIdleTime(idleTime: number): void;
 	/** Number of accepted requests whose answers are not sent, and of connections that are being ended. */
 	pending(): number;
@@ -117,7 +120,7 @@
 		renewIdleTime(idleTime) {
 			for (const [socket, connection] of connections) {
 				if (connection.isIdle()) {
-					socket.setTimeout(idleTime);
+					socket.setTimeout(Math.max(idleTime, socket.timeout ?? 0));
 				}
 			}
 		},
