fix(mesh): a peer that was sent a large answer may read it until the grace ends

A peer that needed more than a second for a large answer lost it when the node ended: its next message, such as a probe, reached a connection without a process, and the system then discarded what it still held for the peer. The caller got 502 `linkLost`. Change: a stop waits for links that were sent outcomes above 32 KB until 0.2 s before the end of the grace period. For the others 1 s stays enough: their last bytes are with the peer's system, which its process can read after a reset too.

--- a/packages/mesh/__tests__/peer-listener.spec.ts
+++ b/packages/mesh/__tests__/peer-listener.spec.ts
@@ -21,6 +21,8 @@
 
 /** More than the buffers of the system hold. */
 const largeSize = 24 * 1024 * 1024;
+/** More than the peer's side of a connection holds at first, less than both sides together. */
+const moderateSize = 1024 * 1024;
 
 const request: ForwardedRequest = {
 	requestId: 'id',
@@ -170,7 +172,7 @@
 			dispatched[1]!(answerOf(1), undefined);
 			let hasEnded = false;
 			const ended = (async () => {
-				await listener.end(1000);
+				await listener.end(1000, 3000);
 				hasEnded = true;
 			})();
 			await nextTurn();
@@ -188,7 +190,7 @@
 		it('states which requests it has not received, and runs none that arrive later', async () => {
 			await dispatch(1, 2);
 			dispatched[1]!(answerOf(1), undefined);
-			const ended = listener.end(1000);
+			const ended = listener.end(1000, 3000);
 			send({kind: 'request', exchange: 3, request});
 			await ended;
 			await waitUntil(() => isClosed);
@@ -196,13 +198,46 @@
 			expect(dispatched).to.have.length(2);
 		});
 
+		// The system still had it when the node ended; the next message of the peer then made the system discard it.
+		it('gives a peer more time to read a large answer', async () => {
+			await dispatch(1);
+			peer.pause();
+			dispatched[0]!(answerOf(moderateSize), undefined);
+			await settle();
+			expect(listener.pending()).to.equal(0);
+			const ended = (async () => {
+				await listener.end(1000, 3000);
+				listener.close();
+			})();
+			await settle();
+			clock.advanceTo(2999);
+			await settle();
+			send({kind: 'ping'});
+			await settle();
+			peer.resume();
+			await ended;
+			await waitUntil(() => isClosed);
+			expect(outcomes()).to.deep.equal([1]);
+		});
+
+		it('ends after the timeout without a peer that has small outcomes to read', async () => {
+			await dispatch(1);
+			peer.pause();
+			dispatched[0]!(answerOf(1000), undefined);
+			const ended = listener.end(1000, 3000);
+			await nextTurn();
+			clock.advanceTo(1000);
+			expect(await ended).to.deep.equal({links: 1, running: 0, unsent: 0});
+			expect(clock.pending()).to.equal(0);
+		});
+
 		it('ends without a peer that does not read', async () => {
 			await dispatch(1);
 			peer.pause();
 			dispatched[0]!(answerOf(largeSize), undefined);
-			const ended = listener.end(1000);
+			const ended = listener.end(1000, 3000);
 			await nextTurn();
-			clock.advanceTo(1000);
+			clock.advanceTo(3000);
 			expect(await ended).to.deep.equal({links: 1, running: 0, unsent: 1});
 		});
 	});
--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -17,6 +17,8 @@
 	received(): number;
 	/** Whether an outcome was sent and the system has not taken all of it yet. */
 	hasUnsentOutcome(): boolean;
+	/** Whether an outcome was sent of which the system may hold a part for long. */
+	hasSentLarge(): boolean;
 	/** Ends the connection after all that was sent; it closes once the peer has read that. */
 	end(): void;
 	/** Closes the connection at once; what was not sent yet is lost. */
@@ -45,6 +47,8 @@
  * its receiver would wait for an outcome until the deadline of the request.
  */
 const closeLimit = 256 * 1024 * 1024;
+/** Size in bytes up to which a peer's system takes a frame at once; its process can read that in any case. */
+const largeFrame = 32 * 1024;
 /** Maximum size of a frame in bytes; a frame holds all bodies of one event loop turn. */
 export const frameLimit = 256 * 1024 * 1024;
 
@@ -66,6 +70,7 @@
 	/** Bytes of all frames, and of those up to the last one with an outcome. */
 	let written = 0;
 	let writtenOutcomes = 0;
+	let hasSentLarge = false;
 	/** Bytes that were buffered at the last message. */
 	let buffered = 0;
 	let isEnding = false;
@@ -84,6 +89,7 @@
 			written += frame.byteLength;
 			if (hasQueuedOutcome) {
 				writtenOutcomes = written;
+				hasSentLarge ||= frame.byteLength > largeFrame;
 			}
 		}
 
@@ -167,6 +173,7 @@
 			!isClosed &&
 			(hasQueuedOutcome ||
 				written - (connection?.writableLength ?? 0) < writtenOutcomes),
+		hasSentLarge: () => hasSentLarge,
 		end() {
 			flush();
 			isEnding = true;
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -42,9 +42,11 @@
 	pending(): number;
 	/**
 	 * Ends all links and runs no further request; resolves when each peer has read
-	 * what was sent to it, or after the timeout in milliseconds, with what is left.
+	 * what was sent to it, or after the timeout, with what is left. Peers that were
+	 * sent large outcomes have until the limit: what the system still holds of them
+	 * is lost when this process ends. Both are in milliseconds.
 	 */
-	end(timeout: number): Promise<UnendedLinks>;
+	end(timeout: number, limit: number): Promise<UnendedLinks>;
 	close(): void;
 };
 
@@ -76,8 +78,9 @@
 		perMessageDeflate: false,
 	});
 	const links = new Set<IncomingLink>();
-	/** Called when all links have closed after `end`. */
-	let onEnded: (() => void) | undefined;
+	let isEnding = false;
+	/** Called after `end` when a link has closed. */
+	let onClosed = () => undefined as void;
 
 	socketServer.on('connection', (socket, request) => {
 		const channel = createPeerChannel(socket, request.socket, options.clock, {
@@ -94,9 +97,7 @@
 					cancel();
 				}
 
-				if (links.size === 0) {
-					onEnded?.();
-				}
+				onClosed();
 			},
 		});
 		const link: IncomingLink = {
@@ -150,7 +151,7 @@
 	const receive = (link: IncomingLink, message: PeerMessage, delay: number) => {
 		const {channel, running} = link;
 		// The link has ended: the outcome of a request could not be sent, and the peer was told that it doesn't run.
-		if (onEnded) {
+		if (isEnding) {
 			return;
 		}
 
@@ -209,23 +210,34 @@
 			const {running, unsent} = countOpen();
 			return running + unsent;
 		},
-		async end(timeout) {
-			const ended = new Promise<void>((resolve) => {
-				onEnded = resolve;
-			});
-			const timer = options.clock.setTimer(timeout, () => onEnded?.());
+		async end(timeout, limit) {
+			const {clock} = options;
+			isEnding = true;
 			stopListening();
 			for (const {channel, running} of links) {
 				channel.send({kind: 'closing', running: [...running.keys()]});
 				channel.end();
 			}
 
-			if (links.size === 0) {
-				onEnded?.();
-			}
-
-			await ended;
-			timer.cancel();
+			await new Promise<void>((resolve) => {
+				let isTimeOver = false;
+				onClosed = () => {
+					const isOpen = ({channel}: IncomingLink) =>
+						!isTimeOver || channel.hasSentLarge();
+					if (![...links].some((link) => isOpen(link))) {
+						timer.cancel();
+						limitTimer.cancel();
+						resolve();
+					}
+				};
+
+				const timer = clock.setTimer(Math.min(timeout, limit), () => {
+					isTimeOver = true;
+					onClosed();
+				});
+				const limitTimer = clock.setTimer(limit, resolve);
+				onClosed();
+			});
 			return countOpen();
 		},
 		close() {
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -111,8 +111,8 @@
  * have the rest of the grace period to complete.
  */
 const stoppingAcceptDuration = 2000;
-/** Maximum milliseconds until the peers have read the last messages; one that takes longer is taken for dead. */
-const maxLinkEnd = 1000;
+/** Milliseconds until a peer has usually read the last messages; one that takes longer is taken for dead, unless it was sent large outcomes. */
+const linkEndTimeout = 1000;
 /** Milliseconds before the end of the grace period at which the node ends at the latest. */
 const killReserve = 200;
 /** Milliseconds between two announcements of newly requested routes. */
@@ -474,7 +474,8 @@
 				cut: entry.open() + dispatcher.openRequests(),
 			});
 			const unended = await peerListener.end(
-				Math.min(maxLinkEnd, stopAt - killReserve - clock.now()),
+				linkEndTimeout,
+				stopAt - killReserve - clock.now(),
 			);
 			if (unended.links > 0) {
 				reporter.notice('meshLinksCut', unended);
