--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -12,7 +12,12 @@
 	type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import type {Clock} from '@egretspoke/shared';
+import type {MeshMetrics} from '@egretspoke/observability';
+import {
+	createCallerConnections,
+	type CallerExchange,
+	type Clock,
+} from '@egretspoke/shared';
 import type {HeaderNames} from '../configuration/header-names.js';
 import {listenOn} from '../listening.js';
 import type {MeshReporter} from '../mesh-reporter.js';
@@ -30,6 +35,7 @@
 	clock: Clock;
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
+	metrics: Pick<MeshMetrics, 'requestsCut'>;
 	/** The service of the local target, sent to targets in a header. */
 	callerService: () => string;
 	/** Whether callers identify their workspaces by keys. */
@@ -42,8 +48,11 @@
 	/** Listens on `ip:port`; returns the bound address. */
 	listen(address: string): Promise<string>;
 	applyLimits(limits: CallerLimits): void;
-	/** Closes idle connections. */
-	drain(): void;
+	/** Number of requests whose answers are not sent, and of connections that are being ended. */
+	pending(): number;
+	/** Number of requests that are arriving. */
+	receiving(): number;
+	/** Closes all connections at once. */
 	close(): void;
 };
 
@@ -72,7 +81,6 @@
 	const {headerNames} = options;
 	const readHeaders = createCallerHeaderReader(headerNames);
 	let limits = defaultLimits;
-	const leaveHandlersBySocket = new WeakMap<Socket, Set<() => void>>();
 	const server: Server = createServer(
 		{
 			keepAliveTimeout: limits.idleTime,
@@ -85,57 +93,82 @@
 	);
 	server.requestTimeout = 0;
 	server.headersTimeout = limits.headerTime + limits.idleTime;
-	server.on('connection', (socket) => {
-		const leaveHandlers = new Set<() => void>();
-		leaveHandlersBySocket.set(socket, leaveHandlers);
-		socket.once('close', () => {
-			for (const leave of leaveHandlers) {
-				leave();
-			}
-		});
+	const connections = createCallerConnections(server, {
+		clock: options.clock,
+		onCut(cut) {
+			options.metrics.requestsCut(cut.cause, cut.requests);
+			options.reporter.notice('meshRequestsCut', {
+				...cut,
+				isStopping: options.isStopping(),
+			});
+		},
 	});
-	server.on('clientError', (error, stream) => {
-		const socket = stream as Socket;
-		if (
-			socket.writable &&
-			!socket.destroyed &&
-			socket.bytesRead > 0 &&
-			(leaveHandlersBySocket.get(socket)?.size ?? 0) === 0
-		) {
-			const status =
-				(error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW'
-					? 431
-					: 400;
-			options.reporter.notice('malformedRequest', {fault: error.message});
-			socket.end(
-				`HTTP/1.1 ${status} ${status === 431 ? 'Request Header Fields Too Large' : 'Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
-			);
+
+	/** Answers what is no request, behind the answers to the requests before it. */
+	const rejectMalformed = (socket: Socket, code = '', detail = '') => {
+		if (!connections.closeAfterAccepted(socket, 'malformedRequest')) {
 			return;
 		}
 
-		socket.destroy();
+		const status =
+			code === 'HPE_HEADER_OVERFLOW'
+				? '431 Request Header Fields Too Large'
+				: '400 Bad Request';
+		options.reporter.notice('malformedRequest', {fault: detail});
+		socket.write(
+			`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
+		);
+		connections.end(socket);
+	};
+
+	server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
+		const socket = stream as Socket;
+		const isConnected = socket.writable && !socket.destroyed;
+		if (isConnected && socket.bytesRead > 0) {
+			rejectMalformed(socket, error.code, error.message);
+		} else {
+			socket.destroy();
+		}
+	});
+	// Node destroys the connection of a CONNECT request that nothing handles.
+	server.on('connect', (_request, stream) => {
+		rejectMalformed(stream as Socket, '', 'CONNECT');
 	});
 
 	const receive = (request: IncomingMessage, response: ServerResponse) => {
+		const exchange = connections.receive(request, response);
+		if (!exchange) {
+			return;
+		}
+
 		const headers = readHeaders(request.rawHeaders, options.hasWorkspaces());
 		if (headers.size > limits.headerBytes) {
 			request.resume();
-			response.writeHead(431, {connection: 'close'}).end();
+			reject(exchange, 431);
 			return;
 		}
 
 		const arrivedAt = options.clock.now();
 		if (headers.hasBody) {
-			receiveBody(request, response, headers, arrivedAt);
+			receiveBody(request, exchange, headers, arrivedAt);
 		} else {
 			// Skips the empty body stream, which would cost six stream calls for each read request.
-			handle(request, response, {headers, body: undefined, arrivedAt});
+			handle(request, exchange, {headers, body: undefined, arrivedAt});
+		}
+	};
+
+	/** Answers a request that exceeds a limit, and ends its connection. */
+	const reject = (exchange: CallerExchange, status: 413 | 431) => {
+		if (exchange.accept()) {
+			exchange.answer();
+			exchange.closeAfter('closingAnswer');
+			exchange.response.writeHead(status, {'content-length': '0'}).end();
 		}
 	};
 
 	const receiveBody = (
 		request: IncomingMessage,
-		response: ServerResponse,
+		exchange: CallerExchange,
 		headers: CallerHeaders,
 		arrivedAt: number,
 	) => {
@@ -154,11 +187,11 @@
 		});
 		request.on('end', () => {
 			if (isTooLarge) {
-				response.writeHead(413, {connection: 'close'}).end();
+				reject(exchange, 413);
 				return;
 			}
 
-			handle(request, response, {
+			handle(request, exchange, {
 				headers,
 				body: size === 0 ? undefined : joinParts(chunks),
 				arrivedAt,
@@ -168,14 +201,15 @@
 
 	const handle = (
 		request: IncomingMessage,
-		response: ServerResponse,
+		exchange: CallerExchange,
 		{headers, body, arrivedAt}: ReceivedRequest,
 	) => {
+		if (!exchange.accept()) {
+			return;
+		}
+
 		const timeLeft = Number(headers.timeLeft);
 		headers.endToEnd.push(headerNames.callerService, options.callerService());
-		// The answer may be available before `handle` has returned its leave callback.
-		let isAnswered = false;
-		let isRegistered = false;
 		const leave = options.entry.handle(
 			{
 				requestId: headers.requestId,
@@ -190,27 +224,24 @@
 					Number.isFinite(timeLeft) && timeLeft > 0 ? timeLeft : undefined,
 			},
 			(final) => {
-				isAnswered = true;
-				if (isRegistered) {
-					leaveHandlersBySocket.get(request.socket)?.delete(leave);
-				}
-
-				respond(response, final);
+				respond(exchange, final);
 			},
 		);
-		if (!isAnswered) {
-			isRegistered = true;
-			leaveHandlersBySocket.get(request.socket)?.add(leave);
+		// The answer may be available before `handle` has returned its leave callback.
+		if (!exchange.isAnswered) {
+			exchange.whenLeft(leave);
 		}
 	};
 
-	const respond = (response: ServerResponse, final: FinalAnswer) => {
+	const respond = (exchange: CallerExchange, final: FinalAnswer) => {
+		exchange.answer();
+		const {response} = exchange;
 		if (response.destroyed) {
 			return;
 		}
 
 		if (options.isStopping()) {
-			response.shouldKeepAlive = false;
+			exchange.closeAfter('closingAnswer');
 		}
 
 		writers[final.kind](response, final as never);
@@ -250,16 +281,19 @@
 	return {
 		listen: async (address) => listenOn(server, address),
 		applyLimits(changed) {
+			if (changed.idleTime !== limits.idleTime) {
+				connections.renewIdleTime(changed.idleTime);
+			}
+
 			limits = changed;
 			server.keepAliveTimeout = changed.idleTime;
 			server.headersTimeout = changed.headerTime + changed.idleTime;
 		},
-		drain() {
-			server.closeIdleConnections();
-		},
+		pending: connections.pending,
+		receiving: connections.receiving,
 		close() {
 			server.close();
-			server.closeIdleConnections();
+			connections.close();
 		},
 	};
 }
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -24,7 +24,11 @@
 import {createGossip} from './members/gossip.js';
 import type {HeaderNames} from './configuration/header-names.js';
 import {createUpdateHandler} from './links/peer-updates.js';
-import {waitUntilIdle} from './timing/graceful-shutdown.js';
+import {
+	planStop,
+	waitUntilIdle,
+	type StopSchedule,
+} from './timing/graceful-shutdown.js';
 import {createProfileUpdates} from './entry/profile-updates.js';
 import {createLoadReport} from './target/load-report.js';
 import {createMemberRegister} from './members/member-register.js';
@@ -102,19 +106,10 @@
 	abort(): void;
 };
 
-/**
- * Milliseconds after the start of a planned stop during which the target still
- * accepts requests that have no other target. When nodes are restarted one
- * after another, faster than they become ready again, all targets of a small
- * service can be behind stopping nodes at the same time; if these refused
- * requests, the service would be unavailable for seconds. Accepted requests
- * have the rest of the grace period to complete.
- */
-const stoppingAcceptDuration = 2000;
 /** Milliseconds until a peer has usually read the last messages; one that takes longer is taken for dead, unless it was sent large outcomes. */
 const linkEndTimeout = 1000;
-/** Milliseconds before the end of the grace period at which the node ends at the latest. */
-const killReserve = 200;
+/** Milliseconds after the end of the schedule until which peers may read them, before the process is killed. */
+const linkEndReserve = 300;
 /** Milliseconds between two announcements of newly requested routes. */
 const newRoutesInterval = 500;
 /** Milliseconds between two announcements of the configuration version to a random peer. */
@@ -137,7 +132,9 @@
 	const wheel = createDeadlineWheel(clock);
 	const ticker = createTicker(clock, lifetime.signal);
 	let routes: RouteTable | undefined;
-	let isStopping = false;
+	let stop: StopSchedule | undefined;
+	let stopped: Promise<void> | undefined;
+	const isStopping = () => stop !== undefined;
 	let isMembershipKnown = false;
 
 	const innerRoutes = createInnerRoutes(self.service);
@@ -145,7 +142,7 @@
 	const graph = createCallGraph();
 	const localState = createLocalStateMessages({
 		self,
-		isStopping: () => isStopping,
+		isStopping,
 		follower: () => follower,
 		targetTracker: () => targetTracker,
 		dispatcher: () => dispatcher,
@@ -370,16 +367,18 @@
 		},
 		reporter,
 		metrics,
-		isStopping: () => isStopping,
+		isStopping,
+		stop: () => stop,
 	});
 	const callerListener = createCallerListener({
 		entry,
 		clock,
 		headerNames,
 		reporter,
+		metrics,
 		callerService: () => settings.service,
 		hasWorkspaces: () => routes?.hasWorkspaces ?? true,
-		isStopping: () => isStopping,
+		isStopping,
 	});
 	const register = createMemberRegister({
 		store,
@@ -435,14 +434,14 @@
 			});
 			return {callers, peers};
 		},
-		isReady: () => routes !== undefined && !isStopping,
+		isReady: () => routes !== undefined && !isStopping(),
 		announce: async (announcement) => targetTracker.announce(announcement),
 		withdraw: async (withdrawal) => targetTracker.withdraw(withdrawal),
 		readings: () => ({
 			...dispatcher.readings(),
 			...services.readings(),
 			configurationVersion: follower.current()?.version ?? 0,
-			isLeaving: isStopping,
+			isLeaving: isStopping(),
 			openRequests: entry.open(),
 			members: directory.size(),
 			workspacesAboveShare: pressure.workspacesAboveShare(),
@@ -454,38 +453,45 @@
 			self.service = changed.service;
 		},
 		async stop() {
-			const stopAt = clock.now() + settings.grace;
-			isStopping = true;
-			reporter.notice('leaving', {reason: 'planned stop'});
-			broadcastState();
-			clock.setTimer(stoppingAcceptDuration, () => {
-				dispatcher.stop();
-			});
-			callerListener.drain();
-			await waitUntilIdle(clock, settings.grace, () => {
-				callerListener.drain();
-				return (
-					entry.open() === 0 &&
-					dispatcher.openRequests() === 0 &&
-					peerListener.pending() === 0
-				);
-			});
-			reporter.notice('drained', {
-				cut: entry.open() + dispatcher.openRequests(),
-			});
-			const unended = await peerListener.end(
-				linkEndTimeout,
-				stopAt - killReserve - clock.now(),
-			);
-			if (unended.links > 0) {
-				reporter.notice('meshLinksCut', unended);
-			}
-
-			abort();
+			stopped ??= stopAsPlanned();
+			await stopped;
 		},
 		abort,
 	};
 
+	async function stopAsPlanned(): Promise<void> {
+		const schedule = planStop(clock.now(), settings.grace);
+		stop = schedule;
+		reporter.notice('leaving', {reason: 'planned stop'});
+		broadcastState();
+		clock.setTimer(schedule.targetAcceptsUntil - clock.now(), () => {
+			dispatcher.stop();
+		});
+		await waitUntilIdle(clock, schedule, () => {
+			const isReceiving =
+				clock.now() < schedule.receiveUntil && callerListener.receiving() > 0;
+			return countOpen() === 0 && peerListener.pending() === 0 && !isReceiving;
+		});
+		reporter.notice('drained', {cut: countOpen()});
+		const unended = await peerListener.end(
+			linkEndTimeout,
+			schedule.endAt + linkEndReserve - clock.now(),
+		);
+		if (unended.links > 0) {
+			reporter.notice('meshLinksCut', unended);
+		}
+
+		abort();
+	}
+
+	/** Counts the work in flight and the answers that are not sent. */
+	function countOpen(): number {
+		return (
+			Math.max(entry.open(), callerListener.pending()) +
+			dispatcher.openRequests()
+		);
+	}
+
 	function abort(): void {
 		lifetime.abort();
 		newRouteUpdates.close();
