--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -106,8 +106,8 @@
 	abort(): void;
 };
 
-/** Maximum milliseconds until the peers have read the last messages; one that takes longer is taken for dead. */
-const maxLinkEnd = 1000;
+/** Milliseconds until a peer has usually read the last messages; one that takes longer is taken for dead, unless it was sent large outcomes. */
+const linkEndTimeout = 1000;
 /** Milliseconds between two announcements of newly requested routes. */
 const newRoutesInterval = 500;
 /** Milliseconds between two announcements of the configuration version to a random peer. */
@@ -468,16 +468,19 @@
 		await waitUntilIdle(clock, schedule, () => {
 			const isReceiving =
 				clock.now() < schedule.receiveUntil && callerListener.receiving() > 0;
-			return countOpen() === 0 && !isReceiving;
+			return countOpen() === 0 && peerListener.pending() === 0 && !isReceiving;
 		});
 		reporter.notice('drained', {cut: countOpen()});
 		const unended = await peerListener.end(
-			Math.min(maxLinkEnd, schedule.linksEndBy - clock.now()),
+			linkEndTimeout,
+			schedule.linksEndBy - clock.now(),
 		);
 		if (unended.links > 0) {
 			reporter.notice('meshLinksCut', unended);
 		}
 
+		// Callers that were refused meanwhile.
+		await waitUntilIdle(clock, schedule, () => callerListener.pending() === 0);
 		abort();
 	}
 
