test(node): answers at the stop of an entry node, and of all nodes at once

Callers keep sending to nodes that are stopped until these have ended; each request that ran has exactly one answer, and no outcome is unknown.

--- a/packages/node/__tests__/process-failures.spec.ts
+++ b/packages/node/__tests__/process-failures.spec.ts
@@ -1,3 +1,4 @@
+import {setTimeout as wait} from 'node:timers/promises';
 import {expect} from 'chai';
 import {request as send} from 'undici';
 import {
@@ -87,6 +88,67 @@
 			expect(summary.some(({runs}) => runs === 1)).to.equal(true);
 		});
 
+		/** Sends requests to the machines in turn until they have ended; returns the outcomes. */
+		const sendUntilEnded = async (machines: readonly Machine[]) => {
+			const outcomes: Array<Promise<string>> = [];
+			const ended = new Set<Machine>();
+			const watch = async (machine: Machine) => {
+				await machine.process.exited;
+				ended.add(machine);
+			};
+
+			for (const machine of machines) {
+				void watch(machine);
+			}
+
+			const ask = async (machine: Machine) => {
+				try {
+					const {outcome} = await cluster.sendRequest(machine, service);
+					return outcome;
+				} catch {
+					return 'closed';
+				}
+			};
+
+			while (ended.size < machines.length) {
+				outcomes.push(...machines.map(async (machine) => ask(machine)));
+				// eslint-disable-next-line no-await-in-loop -- a steady load.
+				await wait(20);
+			}
+
+			return Promise.all(outcomes);
+		};
+
+		for (const [name, choose] of Object.entries({
+			'the node of its callers': (pair: readonly Machine[]) => pair.slice(1),
+			'all nodes of a data centre at the same time': (
+				pair: readonly Machine[],
+			) => pair,
+		})) {
+			// Guards against requests that run and whose answer is lost at the stop of their entry node.
+			it(`loses no answer of ${name}`, async () => {
+				const machines = await startPair(100);
+				const stopped = choose(machines);
+				const sending = sendUntilEnded(stopped);
+				await waitForRun(...machines);
+				for (const each of stopped) {
+					each.process.signal('SIGTERM');
+				}
+
+				const outcomes = await sending;
+				const codes = await Promise.all(
+					stopped.map(async (each) => each.process.exited),
+				);
+				expect(codes).to.deep.equal(stopped.map(() => 0));
+				const counts = await countRuns(machines);
+				const runs = [...counts.values()];
+				const answered = outcomes.filter((each) => each === 'answered');
+				expect(outcomes).not.to.include('unknown');
+				expect(runs.every((count) => count === 1)).to.equal(true);
+				expect(runs.length).to.equal(answered.length);
+			});
+		}
+
 		it('would cut running requests if it were killed instead', async () => {
 			// The same stop without the drain: requests that ran there are lost, and
 			// either run once more elsewhere or end as unknown.
