--- a/packages/node/__tests__/caller-listener.spec.ts
+++ b/packages/node/__tests__/caller-listener.spec.ts
@@ -231,6 +231,20 @@
 		}
 	});
 
+	describe('with a request without a host of HTTP/1.0', () => {
+		beforeEach(async () => start());
+
+		// Guards against a refusal of requests that HTTP/1.0 allows.
+		it('passes it on', async () => {
+			const socket = await fixture.connect();
+			const answers = readAnswers(socket);
+			socket.write('GET /old HTTP/1.0\r\negretspoke-service: orders\r\n\r\n');
+			const old = await fixture.waitFor('/old');
+			old.answer();
+			expect(summarize(await answers)).to.deep.equal(['/old']);
+		});
+	});
+
 	describe('with a request behind one without a host', () => {
 		beforeEach(async () => start());
 
--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -165,10 +165,7 @@
 		if (exchange.accept()) {
 			const entry = accepted.add(request, exchange);
 			const outcome = await answer(request, body, entry);
-			endAfterLast(
-				exchange,
-				body.isErr() || request.headers.host === undefined,
-			);
+			endAfterLast(exchange, body.isErr() || lacksHost(request));
 			entry.answer();
 			writeOutcome(exchange.response, outcome);
 		}
@@ -189,7 +186,7 @@
 			return handler.refuse(request, 'stopped');
 		}
 
-		return request.headers.host === undefined
+		return lacksHost(request)
 			? handler.refuse(request, 'noHost')
 			: entry.run(async (signal) =>
 					handler.handle(request, body.value, signal),
@@ -251,6 +248,11 @@
 	};
 }
 
+/** Whether a request lacks the header that HTTP/1.1 demands. */
+function lacksHost({headers, httpVersion}: IncomingMessage): boolean {
+	return httpVersion === '1.1' && headers.host === undefined;
+}
+
 function answerAnnouncement(
 	request: IncomingMessage,
 	response: ServerResponse,
