fix(node): answers to other nodes are not dropped in silence

Callers of an entry node waited until their deadlines and got 504, although the target had answered. When several large answers to one node ended at the same time, those that found more than 8 MB waiting in the link were dropped, without a line, and nothing told the other side. Cancels were dropped in the same way, and the work they should end went on.

The limit was the same for new calls, which may be refused, and for the results of work that has been done. Answers now have 32 MB of room; one that still doesn't fit is replaced by a message without a body, which always goes out, so that the caller learns at once that the outcome is unknown. Event 2105 names the peer.

--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -36,6 +36,7 @@
 	| {name: 'peerRefused'; detail: string}
 	| {name: 'peerConnected'; peer: string}
 	| {name: 'peerLost'; peer: string}
+	| {name: 'answerDropped'; peer: string}
 	| {name: 'childFailed'; path: string; detail: string; restartIn: number}
 	| {name: 'malformedRequest'; fault: string}
 	| {name: 'operatorRefused'; detail: string}
--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -97,7 +97,20 @@
 		served.set(exchange, stop);
 		const result = await services.call(message, stop.signal);
 		served.delete(exchange);
-		channel.send(writeAnswer(exchange, result));
+		const isSent = channel.send(writeAnswer(exchange, result));
+		if (!isSent && result.outcome.kind === 'answered') {
+			reportDropped(exchange);
+		}
+	};
+
+	/** The request has run; without a message its caller would wait until its deadline. */
+	const reportDropped = (exchange: number) => {
+		const outcome = createUnknownOutcome(createRefusal(ErrorCode.AnswerLost));
+		channel.send(writeAnswer(exchange, {outcome}));
+		services.reporter.recordEvent({
+			name: 'answerDropped',
+			peer: channel.peer.node,
+		});
 	};
 
 	const rejectMessage = (message: Message) => {
--- a/packages/node/src/web-socket-channel.ts
+++ b/packages/node/src/web-socket-channel.ts
@@ -31,6 +31,24 @@
  */
 const sendBufferLimit = 8 * 1024 * 1024;
 
+/**
+ * The same for answers. They hold the results of work that has been done, and
+ * several large ones may end at the same time.
+ */
+const answerBufferLimit = 32 * 1024 * 1024;
+
+/** Limits by type of message. Messages without a body that end an exchange are always sent. */
+const bufferLimits: {
+	[Type in Message['type']]?: (
+		message: Extract<Message, {type: Type}>,
+	) => number;
+} = {
+	answer: ({length}) => (length > 0 ? answerBufferLimit : unlimited),
+	cancel: () => unlimited,
+};
+
+const unlimited = Number.POSITIVE_INFINITY;
+
 /**
  * Performs the handshake and returns the channel, or the reason why there is
  * none. It may be called while the socket is still connecting: the peer's hello
@@ -133,10 +151,10 @@
 }
 
 function send(socket: WebSocket, message: Message): boolean {
-	if (
-		socket.readyState !== socket.OPEN ||
-		socket.bufferedAmount > sendBufferLimit
-	) {
+	const findLimit = bufferLimits[message.type] as
+		((message: Message) => number) | undefined;
+	const limit = findLimit?.(message) ?? sendBufferLimit;
+	if (socket.readyState !== socket.OPEN || socket.bufferedAmount > limit) {
 		return false;
 	}
 
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -107,6 +107,16 @@
 			'A connection to the peer listener lacked the secret or used another protocol version.',
 		advice: 'During an upgrade: finish it. Otherwise find out who connects.',
 	},
+	answerDropped: {
+		code: 2105,
+		level: 'warn',
+		kind: 'notice',
+		template: 'an answer to peer {peer} was dropped',
+		meaning:
+			'The request had run, but the connection was closed or full of unread answers. Its caller was told that the outcome is unknown.',
+		advice:
+			'Together with event 2103: the peer is gone. Otherwise that peer or the link to it is too slow for its answers.',
+	},
 	configurationTaken: {
 		code: 2201,
 		level: 'info',
