--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -11,6 +11,7 @@
 import type {
 	CancelAttempt,
 	ForwardedRequest,
+	Outcome,
 	OutcomeHandler,
 	TargetChannel,
 } from './exchange.js';
@@ -31,10 +32,24 @@
 	/** Receives messages other than outcomes. */
 	onMessage: (message: PeerMessage) => void;
 	onMalformed: (detail: string) => void;
+	/** Called before a connection is closed whose peer does not read; receives the unread bytes. */
+	onUnread: (bytes: number) => void;
+	/** Called when requests end with their connection. */
+	onLost: (loss: LinkLoss) => void;
 	/** Called when the link becomes usable or unusable. */
 	onChange: (isUsable: boolean) => void;
 };
 
+/** The requests that ended without an outcome of the peer. */
+export type LinkLoss = {
+	/** The connection closed, was abandoned because the peer is silent, or the peer has stopped. */
+	cause: 'closed' | 'silent' | 'stopped';
+	/** Requests that may have run. */
+	lost: number;
+	/** Requests that the peer had not received. */
+	refused: number;
+};
+
 /** A link that reconnects automatically. */
 export type PeerLink = TargetChannel & {
 	isUsable(): boolean;
@@ -48,7 +63,7 @@
 	sendMessage(message: PeerMessage): void;
 	/**
 	 * Sends a probe if the peer has been silent, and abandons the connection
-	 * after the answer timeout; called every `probeInterval`. Returns whether it
+	 * after an answer timeout in which nothing arrived; called every `probeInterval`. Returns whether it
 	 * probed a link without pending requests.
 	 *
 	 * @param idleTimeout - Milliseconds without a message after which such a link is probed.
@@ -56,6 +71,12 @@
 	probe(idleTimeout?: number): boolean;
 	/** Connects now instead of after the backoff. */
 	retryNow(): void;
+	/**
+	 * Sends no further requests and reconnects no more; each connection closes
+	 * once every request on it has an outcome.
+	 */
+	retire(): void;
+	/** Closes the connections at once; requests without an outcome are lost. */
 	close(): void;
 };
 
@@ -82,6 +103,16 @@
 	channel: PeerChannel;
 };
 
+const lost: Outcome = {kind: 'lost', reason: 'linkLost'};
+
+/** What follows for the requests that end with their connection. */
+const outcomes: Record<LinkLoss['cause'], Outcome> = {
+	closed: lost,
+	silent: lost,
+	// The peer stated that it had not received them.
+	stopped: {kind: 'refused', reason: 'nodeStopping'},
+};
+
 /** Creates a link and starts to open it. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
 	const {clock, address} = options;
@@ -94,17 +125,19 @@
 	let pendingSince = lastReceivedAt;
 	/** Send time of the unanswered probe. */
 	let probedAt: number | undefined;
+	/** Bytes received until then. */
+	let receivedAtProbe = 0;
 	let isClosed = false;
 	let pause = initialBackoff;
 	let retryTimer: Timer | undefined;
-	let isConnecting = false;
+	/** The connection that is being opened. */
+	let opening: PeerChannel | undefined;
 
 	const connect = () => {
-		if (isClosed || isConnecting || current) {
+		if (isClosed || (opening ?? current)) {
 			return;
 		}
 
-		isConnecting = true;
 		retryTimer?.cancel();
 		const socket = new WebSocket(`ws://${address}`, {
 			perMessageDeflate: false,
@@ -113,7 +146,7 @@
 		});
 		const channel: PeerChannel = createPeerChannel(socket, undefined, clock, {
 			onOpen() {
-				isConnecting = false;
+				opening = undefined;
 				current = channel;
 				lastReceivedAt = clock.now();
 				probedAt = undefined;
@@ -130,41 +163,45 @@
 					probedAt = undefined;
 				}
 
-				receive(message);
+				receive(message, channel);
 			},
 			onMalformed: options.onMalformed,
+			onUnread: options.onUnread,
 			onClose() {
 				channels.delete(channel);
-				if (channel === current) {
-					current = undefined;
-					options.onChange(false);
-				} else {
-					isConnecting &&= current !== undefined;
-				}
-
-				failExchanges(channel, () => true);
+				opening = channel === opening ? undefined : opening;
+				leaveChannel(channel);
+				endExchanges(channel, 'closed', () => true);
 				scheduleRetry();
 			},
 		});
+		opening = channel;
 		channels.add(channel);
 	};
 
 	const scheduleRetry = () => {
-		if (isClosed || current) {
+		if (isClosed || (opening ?? current)) {
 			return;
 		}
 
-		isConnecting = false;
 		retryTimer?.cancel();
 		retryTimer = clock.setTimer(pause, connect);
 		pause = Math.min(maxBackoff, pause * 2);
 	};
 
-	const receive = (message: PeerMessage) => {
+	const receive = (message: PeerMessage, channel: PeerChannel) => {
 		if (message.kind === 'outcome') {
 			const exchange = exchanges.get(message.exchange);
 			exchanges.delete(message.exchange);
 			exchange?.onOutcome(message.outcome, message.load);
+			closeIfUnused(channel);
+			return;
+		}
+
+		if (message.kind === 'closing') {
+			leaveChannel(channel);
+			const running = new Set(message.running);
+			endExchanges(channel, 'stopped', (id) => !running.has(id));
 			return;
 		}
 
@@ -173,16 +210,53 @@
 		}
 	};
 
-	const failExchanges = (
+	/** Ends requests on the channel with the outcome that the cause implies. */
+	const endExchanges = (
 		channel: PeerChannel,
-		isAffected: (exchange: Exchange) => boolean,
+		cause: LinkLoss['cause'],
+		isAffected: (id: number, exchange: Exchange) => boolean,
 	) => {
+		let count = 0;
+		const outcome = outcomes[cause];
 		for (const [id, exchange] of exchanges) {
-			if (exchange.channel === channel && isAffected(exchange)) {
+			if (exchange.channel === channel && isAffected(id, exchange)) {
+				count++;
 				exchanges.delete(id);
-				exchange.onOutcome({kind: 'lost', reason: 'linkLost'}, undefined);
+				exchange.onOutcome(outcome, undefined);
 			}
 		}
+
+		if (count > 0) {
+			const isLost = outcome.kind === 'lost';
+			options.onLost({
+				cause,
+				lost: isLost ? count : 0,
+				refused: isLost ? 0 : count,
+			});
+		}
+	};
+
+	/** Closes a connection that gets no further requests once the last one on it has ended. */
+	const closeIfUnused = (channel: PeerChannel) => {
+		if (channel === current && !isClosed) {
+			return;
+		}
+
+		for (const exchange of exchanges.values()) {
+			if (exchange.channel === channel) {
+				return;
+			}
+		}
+
+		channel.close();
+	};
+
+	/** Sends no further requests on the channel. */
+	const leaveChannel = (channel: PeerChannel) => {
+		if (channel === current) {
+			current = undefined;
+			options.onChange(false);
+		}
 	};
 
 	const probe = (idleTimeout = idleProbeTimeout): boolean => {
@@ -194,7 +268,8 @@
 		const now = clock.now();
 		if (probedAt !== undefined) {
 			if (now - probedAt >= answerTimeout) {
-				abandon(channel);
+				// After a stall, timers run before what has arrived is read.
+				setImmediate(abandonIfSilent, channel, probedAt);
 			}
 
 			return false;
@@ -209,27 +284,37 @@
 			: now - Math.max(lastReceivedAt, pendingSince) >= probeInterval / 2;
 		if (isDue) {
 			probedAt = now;
+			receivedAtProbe = channel.received();
 			channel.send({kind: 'ping'});
 		}
 
 		return isDue && isIdle;
 	};
 
+	const abandonIfSilent = (channel: PeerChannel, since: number) => {
+		if (channel !== current || probedAt !== since) {
+			return;
+		}
+
+		// The answer to the probe may be behind a large message that is still arriving.
+		const received = channel.received();
+		if (received > receivedAtProbe) {
+			probedAt = clock.now();
+			receivedAtProbe = received;
+		} else {
+			abandon(channel);
+		}
+	};
+
 	/**
 	 * Opens a second connection at once; the silent one gets no new requests.
 	 * Its idempotent requests count as lost; the others stay pending, because
 	 * their answers may still arrive.
 	 */
 	const abandon = (channel: PeerChannel) => {
-		current = undefined;
-		options.onChange(false);
-		failExchanges(channel, ({request}) => request.isIdempotent);
-		if (
-			![...exchanges.values()].some((exchange) => exchange.channel === channel)
-		) {
-			channel.close();
-		}
-
+		leaveChannel(channel);
+		endExchanges(channel, 'silent', (_id, {request}) => request.isIdempotent);
+		closeIfUnused(channel);
 		connect();
 	};
 
@@ -238,7 +323,7 @@
 		send(request, onOutcome): CancelAttempt {
 			const channel = current;
 			const exchange = nextExchange++;
-			if (!channel?.send({kind: 'request', exchange, request})) {
+			if (isClosed || !channel?.send({kind: 'request', exchange, request})) {
 				onOutcome({kind: 'refused', reason: 'linkDown'}, undefined);
 				return () => undefined;
 			}
@@ -251,6 +336,7 @@
 			return () => {
 				if (exchanges.delete(exchange)) {
 					channel.send({kind: 'cancel', exchange});
+					closeIfUnused(channel);
 				}
 			};
 		},
@@ -263,6 +349,13 @@
 		},
 		retryNow: connect,
 		probe,
+		retire() {
+			isClosed = true;
+			retryTimer?.cancel();
+			for (const channel of channels) {
+				closeIfUnused(channel);
+			}
+		},
 		close() {
 			isClosed = true;
 			retryTimer?.cancel();
--- a/packages/mesh/src/links/peer-links.ts
+++ b/packages/mesh/src/links/peer-links.ts
@@ -1,7 +1,12 @@
 /** Manages the links that this node opens to other nodes. */
 import type {Clock, Random} from '@egretspoke/shared';
 import {createPeer, type Peer} from './peer.js';
-import {createPeerLink, idleProbeTimeout} from './peer-link.js';
+import {
+	createPeerLink,
+	idleProbeTimeout,
+	type LinkLoss,
+	type PeerLink,
+} from './peer-link.js';
 import type {Member, PeerMessage} from './peer-message.js';
 
 /** Options of `createPeerLinks`. */
@@ -13,7 +18,11 @@
 	/** Receives the messages of linked nodes. */
 	onMessage: (peer: Peer, message: PeerMessage) => void;
 	onMalformed: (detail: string) => void;
+	/** A connection is closed because its peer does not read; receives the unread bytes. */
+	onUnread: (bytes: number) => void;
 	onPeer: (node: string, change: 'up' | 'down') => void;
+	/** Called when requests end with their connection to the node. */
+	onLost: (node: string, loss: LinkLoss) => void;
 };
 
 /** The links to other nodes. */
@@ -23,7 +32,7 @@
 	/** Linked nodes whose links are usable. */
 	usable(): Peer[];
 	open(member: Member): void;
-	/** Closes the link to a node permanently. */
+	/** Ends the link to a node permanently; requests on it may still complete. */
 	drop(peer: Peer): void;
 	/** Closes links to other than the desired nodes, once they have been idle and undesired for a while. */
 	closeUndesired(desired: ReadonlySet<string>): void;
@@ -42,6 +51,8 @@
 export function createPeerLinks(options: PeerLinksOptions): PeerLinks {
 	const {clock, random} = options;
 	const peers = new Map<string, Peer>();
+	/** Dropped links with requests without an outcome. */
+	const retired = new Set<PeerLink>();
 
 	const isLinked = (peer: Peer) => peers.get(peer.member.node) === peer;
 
@@ -57,8 +68,12 @@
 	};
 
 	const drop = (peer: Peer) => {
-		peers.delete(peer.member.node);
-		peer.link.close();
+		const {member, link} = peer;
+		peers.delete(member.node);
+		link.retire();
+		if (link.outstanding() > 0) {
+			retired.add(link);
+		}
 	};
 
 	const usable = () => [...peers.values()].filter(({link}) => link.isUsable());
@@ -72,12 +87,16 @@
 				clock,
 				hello: options.hello,
 				onMalformed: options.onMalformed,
+				onUnread: options.onUnread,
 				onMessage(message) {
 					// A permanently closed link may still have a message in flight.
 					if (isLinked(peer)) {
 						options.onMessage(peer, message);
 					}
 				},
+				onLost(loss) {
+					options.onLost(member.node, loss);
+				},
 				onChange(isUsable) {
 					recordChange(peer, isUsable);
 				},
@@ -102,6 +121,13 @@
 			}
 		},
 		probe() {
+			for (const link of retired) {
+				link.probe();
+				if (link.outstanding() === 0) {
+					retired.delete(link);
+				}
+			}
+
 			let hasProbedIdle = false;
 			for (const {link} of peers.values()) {
 				hasProbedIdle = link.probe() || hasProbedIdle;
@@ -132,6 +158,10 @@
 			for (const {link} of peers.values()) {
 				link.close();
 			}
+
+			for (const link of retired) {
+				link.close();
+			}
 		},
 	};
 }
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -24,6 +24,8 @@
 		reply: (message: PeerMessage) => void,
 	) => void;
 	onMalformed: (detail: string) => void;
+	/** Called before a link is closed whose peer does not read; receives the unread bytes. */
+	onUnread: (bytes: number) => void;
 	/** Called after a request of another node was dispatched. */
 	onRequest: () => void;
 };
@@ -36,9 +38,26 @@
 	listen(address: string): Promise<string>;
 	/** Sends a message to every node that is linked to this one. */
 	broadcast(message: PeerMessage): void;
+	/** Number of requests of other nodes without an outcome, and of links with an outcome that is not sent yet. */
+	pending(): number;
+	/**
+	 * Ends all links and runs no further request; resolves when each peer has read
+	 * what was sent to it, or after the timeout in milliseconds, with what is left.
+	 */
+	end(timeout: number): Promise<UnendedLinks>;
 	close(): void;
 };
 
+/** What is left when the links have not ended in time. */
+export type UnendedLinks = {
+	/** Number of links whose peers have not confirmed that they read everything. */
+	links: number;
+	/** Number of requests of other nodes without an outcome. */
+	running: number;
+	/** Number of links with an outcome that is not sent yet. */
+	unsent: number;
+};
+
 /** A link of another node. */
 type IncomingLink = LoadReceiver & {
 	channel: PeerChannel;
@@ -57,6 +76,8 @@
 		perMessageDeflate: false,
 	});
 	const links = new Set<IncomingLink>();
+	/** Called when all links have closed after `end`. */
+	let onEnded: (() => void) | undefined;
 
 	socketServer.on('connection', (socket, request) => {
 		const channel = createPeerChannel(socket, request.socket, options.clock, {
@@ -65,12 +86,17 @@
 				receive(link, message, delay);
 			},
 			onMalformed: options.onMalformed,
+			onUnread: options.onUnread,
 			onClose() {
 				links.delete(link);
 				// The outcomes can no longer be delivered.
 				for (const cancel of link.running.values()) {
 					cancel();
 				}
+
+				if (links.size === 0) {
+					onEnded?.();
+				}
 			},
 		});
 		const link: IncomingLink = {
@@ -89,6 +115,16 @@
 		link: IncomingLink,
 		{exchange, request}: Extract<PeerMessage, {kind: 'request'}>,
 	) => {
+		if (link.channel.isCongested()) {
+			link.channel.send({
+				kind: 'outcome',
+				exchange,
+				outcome: {kind: 'refused', reason: 'linkDown'},
+				load: undefined,
+			});
+			return;
+		}
+
 		let hasOutcome = false;
 		const cancel = options.dispatcher.send(request, (outcome, load) => {
 			hasOutcome = true;
@@ -113,6 +149,11 @@
 
 	const receive = (link: IncomingLink, message: PeerMessage, delay: number) => {
 		const {channel, running} = link;
+		// The link has ended: the outcome of a request could not be sent, and the peer was told that it doesn't run.
+		if (onEnded) {
+			return;
+		}
+
 		if (message.kind === 'request') {
 			message.request.timeLeft -= delay;
 			dispatch(link, message);
@@ -141,6 +182,21 @@
 		});
 	};
 
+	const countOpen = (): UnendedLinks => {
+		const open = {links: links.size, running: 0, unsent: 0};
+		for (const {running, channel} of links) {
+			open.running += running.size;
+			open.unsent += channel.hasUnsentOutcome() ? 1 : 0;
+		}
+
+		return open;
+	};
+
+	const stopListening = () => {
+		socketServer.close();
+		server.close();
+	};
+
 	return {
 		listen: async (address) => listenOn(server, address),
 		broadcast(message) {
@@ -149,13 +205,35 @@
 			}
 		},
 		links,
+		pending() {
+			const {running, unsent} = countOpen();
+			return running + unsent;
+		},
+		async end(timeout) {
+			const ended = new Promise<void>((resolve) => {
+				onEnded = resolve;
+			});
+			const timer = options.clock.setTimer(timeout, () => onEnded?.());
+			stopListening();
+			for (const {channel, running} of links) {
+				channel.send({kind: 'closing', running: [...running.keys()]});
+				channel.end();
+			}
+
+			if (links.size === 0) {
+				onEnded?.();
+			}
+
+			await ended;
+			timer.cancel();
+			return countOpen();
+		},
 		close() {
 			for (const {channel} of links) {
 				channel.close();
 			}
 
-			socketServer.close();
-			server.close();
+			stopListening();
 		},
 	};
 }
