fix(mesh): a stopping node that was stalled reads what arrived before it ends

Callers saw: a request ended without an answer although its target had answered before the end of the stop, when the stopping process itself was stopped (SIGSTOP) until after that end.

Cause: when the process wakes up, timers fire before sockets are read. The check for the end of the schedule fired first and cut requests whose answers were waiting in the sockets.

Change: a check that comes late and finds the end passed is repeated once, so that one turn reads the sockets and the answers are returned.

--- a/packages/mesh/__tests__/stop-admission.spec.ts
+++ b/packages/mesh/__tests__/stop-admission.spec.ts
@@ -101,5 +101,24 @@
 		it('before the end of the grace period in any case', async () => {
 			expect(await endOf(() => false)).to.equal(5500);
 		});
+
+		// Guards against requests that are cut although their answers arrived while the process was stopped.
+		it('after it has read what arrived while its process was stopped beyond the end', async () => {
+			const clock = createVirtualClock();
+			let stopped = 0;
+			const wakingClock = {...clock, now: () => clock.now() + stopped};
+			let isOver = false;
+			const waiting = (async () => {
+				await waitUntilIdle(wakingClock, planStop(0, grace), () => false);
+				isOver = true;
+			})();
+			await clock.runTo(1010);
+			stopped = 5000;
+			await clock.runTo(1050);
+			expect(isOver).to.equal(false);
+			await clock.runTo(1100);
+			expect(isOver).to.equal(true);
+			await waiting;
+		});
 	});
 });
--- a/packages/mesh/src/timing/graceful-shutdown.ts
+++ b/packages/mesh/src/timing/graceful-shutdown.ts
@@ -58,7 +58,7 @@
 
 /**
  * Resolves when no more work is accepted and nothing is in flight, or at the end
- * of the schedule.
+ * of the schedule; one check later if the process was stalled until then.
  *
  * @param checkIdle - Whether nothing is in flight; called in each period.
  */
@@ -68,9 +68,19 @@
 	checkIdle: () => boolean,
 ): Promise<void> {
 	await new Promise<void>((resolve) => {
+		let lastCheck = clock.now();
+		let isOver = false;
 		const check = () => {
 			const now = clock.now();
-			if (now >= endAt || (now >= acceptUntil && checkIdle())) {
+			// After a stall, timers fire before sockets are read, so what arrived meanwhile is read first.
+			const wasStalled = now - lastCheck > 2 * idleCheckInterval;
+			lastCheck = now;
+			const wasOver = isOver;
+			isOver = now >= endAt;
+			if (
+				(isOver && (wasOver || !wasStalled)) ||
+				(now >= acceptUntil && checkIdle())
+			) {
 				resolve();
 			} else {
 				clock.setTimer(idleCheckInterval, check);
