fix(mesh): a stopping node refuses calls that may last longer than itself

Callers saw: a call of running work, sent late in a planned stop, ended with a 504 of the stopping node while another target was at work on it.

Cause: calls of running work were accepted until 20 ms before the end of all work, with the time until then as their deadline. That deadline is neither the caller's nor the route's, and a target that needs longer is given up.

Change: after the end of acceptance for new requests, a call is accepted only if its caller's time and its route's timeout end before the node. Others are refused with a true 503.

Evidence: the new test of the admission fails on the code before (a call with 2 s left, 1.35 s before the end, is accepted with 1.35 s), passes now. Not seen in a run of processes.

--- a/packages/mesh/__tests__/stop-admission.spec.ts
+++ b/packages/mesh/__tests__/stop-admission.spec.ts
@@ -47,6 +47,14 @@
 			expect(timeLeftAtStop(schedule, call, 4000)).to.equal(700);
 		});
 
+		// Guards against calls that are given up while their targets are at work.
+		it('refuses calls that may last longer than the node', () => {
+			const long = {...call, timeLeft: 2000};
+			expect(timeLeftAtStop(schedule, long, 3000)).to.equal(2000);
+			expect(timeLeftAtStop(schedule, long, 4000)).to.equal(undefined);
+			expect(timeLeftAtStop(schedule, call, 5300)).to.equal(undefined);
+		});
+
 		it('refuses calls that have no time to complete', () => {
 			expect(timeLeftAtStop(schedule, call, 5400)).to.equal(undefined);
 		});
--- a/packages/mesh/src/decisions/admission/stop-admission.ts
+++ b/packages/mesh/src/decisions/admission/stop-admission.ts
@@ -6,7 +6,8 @@
  * is accepted until the end is cut, and the stop lasts for the whole grace
  * period. So new requests are refused early enough for accepted ones to
  * complete. Calls of work that runs at the local target are accepted longer,
- * because that work fails without them.
+ * because that work fails without them, but only if they end before the node in
+ * any case: their targets would be at work when the node gives them up.
  */
 
 /** The schedule of a stop, in milliseconds on the clock. */
@@ -21,8 +22,8 @@
 export type RequestAtStop = {
 	/** A call of work that runs at the local target. */
 	isCallOfRunningWork: boolean;
-	/** Milliseconds until its caller gives up; undefined if unknown. */
-	timeLeft: number | undefined;
+	/** Milliseconds until its caller gives up or its route's timeout ends. */
+	timeLeft: number;
 };
 
 /** Minimum time left for a call, in milliseconds; with less it can't complete in time. */
@@ -37,12 +38,12 @@
 /** Returns the time left for the request, bounded by the end of the node; undefined if it is refused. */
 export function timeLeftAtStop(
 	{acceptUntil, workUntil}: AcceptanceTimes,
-	{isCallOfRunningWork, timeLeft = Number.POSITIVE_INFINITY}: RequestAtStop,
+	{isCallOfRunningWork, timeLeft}: RequestAtStop,
 	now: number,
 ): number | undefined {
-	const isAccepted = isCallOfRunningWork
-		? workUntil - now >= minCallTime
-		: now < acceptUntil;
+	const isAccepted =
+		now < acceptUntil ||
+		(isCallOfRunningWork && workUntil - now >= Math.max(minCallTime, timeLeft));
 	return isAccepted ? Math.min(timeLeft, workUntil - now) : undefined;
 }
 
--- a/packages/mesh/src/entry/entry.ts
+++ b/packages/mesh/src/entry/entry.ts
@@ -84,7 +84,10 @@
 			stop,
 			{
 				isCallOfRunningWork: isCallOfRunningWork(options, admission),
-				timeLeft: request.timeLeft,
+				timeLeft: Math.min(
+					request.timeLeft ?? Number.POSITIVE_INFINITY,
+					admission.route.timeout,
+				),
 			},
 			options.clock.now(),
 		);
