fix(mesh): a share of a full service no longer falls when hardly anything is refused

When the level of a full service refuses less than the rounding error of the sums, each workspace's demand is below the share at its step of the water filling, so no step returns. The function then returned what was left after subtracting all demands, which is 0, so the share became an equal part of what is admitted: a workspace with 0.68 of the demand was admitted with a third of it while the service had room for all but a rounding error.

The share is now the largest demand per weight, the limit that the last step approaches. The decision was wrong, not the property.

--- a/packages/mesh/__tests__/fair-share.spec.ts
+++ b/packages/mesh/__tests__/fair-share.spec.ts
@@ -65,6 +65,24 @@
 		expect([...admitted.values()]).to.deep.equal([1, 1]);
 	});
 
+	it('admit nearly everything when only rounding is refused', () => {
+		// Guards against a share that falls to an equal part because the level refuses less than a rounding error.
+		const demands = [
+			4.049_949_035_086_748, 115.737_955_765_387_31, 0.456_465_795_263_774_5,
+			49.511_536_063_154_31, 0.1,
+		];
+		const total = demands.reduce((sum, demand) => sum + demand, 0);
+		const named = Object.fromEntries(
+			demands.map((demand, index) => [`w${index}`, demand]),
+		);
+		const {admitted} = divide(named, 0.999_999_999_999_999_8 * total);
+		const sum = demands.reduce(
+			(all, demand, index) => all + demand * admitted.get(`w${index}`)!,
+			0,
+		);
+		expect(sum).to.be.closeTo(total, 1e-6 * total);
+	});
+
 	it('admit exactly the capacity, and no workspace less than a smaller one', () => {
 		// Guards against unused capacity, and against workspaces that starve.
 		fc.assert(
@@ -73,7 +91,10 @@
 					minLength: 1,
 					maxLength: 83,
 				}),
-				fc.double({min: 0.1, max: 1, noNaN: true}),
+				fc.oneof(
+					fc.double({min: 0.1, max: 1, noNaN: true}),
+					fc.double({min: 0.999_999_999_999_99, max: 1, noNaN: true}),
+				),
 				(demands, ratio) => {
 					const total = demands.reduce((sum, demand) => sum + demand, 0);
 					const named = Object.fromEntries(
@@ -93,6 +114,7 @@
 					}
 				},
 			),
+			{seed: 1, numRuns: 1000},
 		);
 	});
 });
--- a/packages/mesh/src/decisions/quotas/fair-share.ts
+++ b/packages/mesh/src/decisions/quotas/fair-share.ts
@@ -62,7 +62,9 @@
 		weight -= item.weight;
 	}
 
-	return Math.max(minShare, available);
+	// Reached with nothing listed, or when less than a rounding error is refused.
+	const largest = byRatio.at(-1);
+	return Math.max(minShare, largest ? largest.demand / largest.weight : 0);
 }
 
 /**
