fix(mesh): calls of repeated chains count as repeats at the service below

Calls don't identify their run, so a call tells the share of the calling target's work that is a repeat. That share was an average over the requests handed to the target: requests that make no calls counted as much as those that make eight, which fail and are repeated more often, and an offer that was declined counted although it makes no calls. In one window 399 calls were made by repeated runs, and the targets were told of 112; they spent the rest once more on offers of their own.

The share is now that of the runs in progress, weighted by the calls that a request of their route makes to the called route (estimated already).

The fleet gains services above, retries by entry nodes, uneven load and the times of all arrivals that the bound applies to.

--- a/packages/mesh/__tests__/declining-fleet.ts
+++ b/packages/mesh/__tests__/declining-fleet.ts
@@ -9,6 +9,11 @@
 	type Random,
 	type VirtualClock,
 } from '@egretspoke/shared';
+import {
+	createCallProfile,
+	profilePeriod,
+	type CallProfile,
+} from '../src/decisions/admission/call-profile.js';
 import {createCallGraph} from '../src/decisions/admission/call-graph.js';
 import {levelOfService} from '../src/decisions/admission/service-level.js';
 import {shedPeriod} from '../src/decisions/admission/shed-level.js';
@@ -16,6 +21,12 @@
 	createTargetAdmission,
 	type TargetAdmission,
 } from '../src/decisions/admission/target-admission.js';
+import {
+	createRetryBudget,
+	leafRetryShare,
+	nonLeafRetryShare,
+	type RetryBudget,
+} from '../src/decisions/repeats/retry-budget.js';
 import type {MeshPolicy} from '../src/decisions/mesh-policy.js';
 import {
 	createRoutePressure,
@@ -45,6 +56,10 @@
 	/** Calls to the deep service below the first one. */
 	calls: number;
 	worth: number;
+	/** Services above the middle one, each of which makes one call to the next; 0 by default. */
+	servicesAbove?: number;
+	/** Whether a failed run may be repeated; false by default. */
+	isIdempotent?: boolean;
 };
 
 /** The simulated fleet and its trouble. */
@@ -59,6 +74,16 @@
 	declinedAt?: (now: number, target: number) => number;
 	/** The speed of a deep target, 0 while it is lost; 1 by default. */
 	speedAt?: (now: number, target: number) => number;
+	/** The load as a multiple of the usual one; 1 by default. */
+	loadAt?: (now: number) => number;
+	/** The share of the load of the deep service that each target gets; by their occupancy by default. */
+	loadShares?: number[];
+	/** The maximum number of times that a request is sent to a target; 1 by default. */
+	attempts?: number;
+	/** Retries that operators allow in each window regardless of load; 48 by default. */
+	allowance?: number;
+	/** Records what the bound on repeats at the deep service applies to. */
+	arrivals?: DeepArrivals;
 	duration: number;
 	policy: Pick<MeshPolicy, 'has'>;
 	seed: number;
@@ -70,6 +95,9 @@
 	{requested: number; whole: number; failed: number}
 >;
 
+/** The times of requests for the deep service and of arrivals at its targets beyond the first of each request. */
+export type DeepArrivals = {requests: number[]; repeats: number[]};
+
 /** The length of a window, in milliseconds. */
 export const windowLength = 2000;
 /** Milliseconds of a run without its calls. */
@@ -77,25 +105,39 @@
 const requestTimeout = 4000;
 const maxWait = 250;
 const middleTargets = 4;
+/** The services, the deepest first. */
+const serviceNames = ['deep', 'middle', 'upper', 'front'];
 /** Limits the time for which work stays at a target that is lost. */
 const minSpeed = 0.1;
 /** Milliseconds in which a target declines an offer. */
 const declineTime = 1;
 const millisecondsPerSecond = 1000;
 
+type Outcome = 'served' | 'declined' | 'failed' | 'refused';
+
 type Work = {
 	kind: FleetKind;
 	isInner: boolean;
+	/** The services above the deep one that are left below this run; -1 at the deep one. */
+	servicesBelow: number;
+	/** What the target's node is told of it. */
+	repeatShare: number;
+	/** A target received it before, or the run that made the call was a repeat. */
+	isRepeat: boolean;
 	repeats: number;
 	run: (target: Target, work: Work) => void;
-	onEnd: (isServed: boolean) => void;
+	onEnd: (outcome: Outcome) => void;
 };
 
+/** A node that forwards requests. */
+type Entry = {pressure: RoutePressure; budget: RetryBudget};
+
 type Target = {
 	index: number;
 	isDeep: boolean;
 	admission: TargetAdmission<Work>;
 	offers: RepeatedOffers;
+	profile: CallProfile;
 	level: TargetShedLevel;
 };
 
@@ -103,63 +145,146 @@
 export function simulateDecliningFleet(
 	options: DecliningFleetOptions,
 ): FleetWindow[] {
-	const {kinds, policy, declinedAt = () => 0, speedAt = () => 1} = options;
+	const {
+		kinds,
+		policy,
+		declinedAt = () => 0,
+		speedAt = () => 1,
+		loadAt = () => 1,
+		attempts = 1,
+	} = options;
 	const clock = createVirtualClock();
 	const random = createRandom(options.seed);
 	const deep = createTargets(options.targets, options.slots, policy, true);
 	const middleSlots = Math.ceil(
 		sum(
 			kinds.map(
-				({first, perSecond, calls}) =>
-					(first === 'middle' ? perSecond : 0) * (1 + calls) * runTime,
+				({first, perSecond, calls, servicesAbove = 0}) =>
+					(first === 'middle' ? perSecond : 0) *
+					(1 + servicesAbove + calls) *
+					runTime,
 			),
 		) /
 			millisecondsPerSecond /
 			middleTargets /
 			0.6,
 	);
-	const middle = createTargets(middleTargets, middleSlots, policy, false);
+	const mostAbove = Math.max(
+		...kinds.map(({servicesAbove = 0}) => servicesAbove),
+	);
+	/** The targets of the services above the deep one, the middle one first. */
+	const upper = Array.from({length: 1 + mostAbove}, () =>
+		createTargets(middleTargets, middleSlots, policy, false),
+	);
 	const windows: FleetWindow[] = [];
 	let reported: LinkedTarget[] = [];
 	const entries = Array.from({length: options.entries}, () =>
-		createEntry(clock, kinds, policy, () => reported),
+		createEntry(clock, options, () => reported),
 	);
 
 	const isUp = ({isDeep, index}: Target) =>
 		!isDeep || speedAt(clock.now(), index) > 0;
 
+	const chooseTarget = (usable: Target[]): Target => {
+		const {loadShares} = options;
+		if (loadShares && usable[0]!.isDeep) {
+			let rest = random.fraction();
+			for (const target of usable) {
+				rest -= loadShares[target.index]!;
+				if (rest < 0) {
+					return target;
+				}
+			}
+		}
+
+		const [left, right] = [draw(usable, random), draw(usable, random)];
+		return loadOf(left) <= loadOf(right) ? left : right;
+	};
+
 	const offer = (targets: Target[], work: Work) => {
 		const usable = targets.filter((target) => isUp(target));
 		if (usable.length === 0) {
-			work.onEnd(false);
+			work.onEnd('refused');
 			return;
 		}
 
-		const [left, right] = [draw(usable, random), draw(usable, random)];
-		const target = loadOf(left) <= loadOf(right) ? left : right;
+		const target = chooseTarget(usable);
+		const {kind, isInner, repeatShare} = work;
+		const now = clock.now();
 		const decision = target.admission.offer(
 			{
-				isNearCompletion: work.isInner || work.kind.calls === 0,
-				priority: work.kind.priority,
+				isNearCompletion: isInner || kind.calls === 0,
+				priority: kind.priority,
 				maxWait,
-				route: work.isInner ? 'call' : work.kind.route,
+				route: routeOf(work),
 			},
 			work,
-			clock.now(),
+			now,
 		);
 		if (decision === 'run') {
 			work.run(target, work);
 		} else if (decision === 'refuse') {
-			work.onEnd(false);
+			work.onEnd('refused');
+		}
+	};
+
+	/** Sends the work to targets as an entry node does, with retries within its budget. */
+	const forward = (entry: Entry, targets: Target[], work: Work) => {
+		const {kind, servicesBelow, onEnd} = work;
+		const service = serviceNames[servicesBelow + 1]!;
+		entry.budget.countRequest(service, clock.now());
+		if (servicesBelow < 0) {
+			options.arrivals?.requests.push(clock.now());
 		}
+
+		const newWork = {
+			route: routeOf(work),
+			service,
+			priority: kind.priority,
+			workspace: undefined,
+		};
+		const share =
+			servicesBelow < 0 || kind.calls === 0
+				? leafRetryShare
+				: nonLeafRetryShare;
+		const mayRetry = (outcome: Outcome) =>
+			outcome === 'declined' ||
+			(outcome === 'failed' &&
+				kind.isIdempotent === true &&
+				!entry.pressure.isShedding(newWork));
+		let arrivals = 0;
+		const attempt = (isRepeat: boolean, repeatShare: number) => {
+			offer(targets, {
+				...work,
+				isRepeat,
+				repeatShare,
+				repeats: 0,
+				onEnd(outcome) {
+					if (outcome === 'refused') {
+						onEnd(arrivals > 0 ? 'failed' : 'refused');
+						return;
+					}
+
+					arrivals++;
+					if (
+						arrivals < attempts &&
+						mayRetry(outcome) &&
+						entry.budget.take(service, clock.now(), entries.length, share)
+					) {
+						attempt(true, 1);
+					} else {
+						onEnd(outcome);
+					}
+				},
+			});
+		};
+
+		attempt(work.isRepeat, work.repeatShare);
 	};
 
-	const free = (
-		target: Target,
-		{isInner, kind}: Work,
-		duration: number | undefined,
-	) => {
-		target.admission.finish(duration, isInner ? 'call' : kind.route);
+	const free = (target: Target, work: Work, duration: number | undefined) => {
+		target.offers.recordFreed({...work, route: routeOf(work)}, work.repeats);
+		target.admission.finish(duration, routeOf(work));
 		for (
 			let next = target.admission.next(clock.now());
 			next;
@@ -171,7 +296,11 @@
 
 	const runDeep = (target: Target, work: Work) => {
 		if (work.repeats === 0) {
-			target.offers.recordStart({repeatShare: 0}, clock.now());
+			target.offers.recordStart({...work, route: routeOf(work)}, clock.now());
+		}
+
+		if (work.isRepeat || work.repeats > 0) {
+			options.arrivals?.repeats.push(clock.now());
 		}
 
 		const isDeclined =
@@ -184,7 +313,7 @@
 			const now = clock.now();
 			if (!isUp(target)) {
 				free(target, work, undefined);
-				work.onEnd(false);
+				work.onEnd('failed');
 				return;
 			}
 
@@ -200,7 +329,10 @@
 			if (
 				isDeclined &&
 				work.repeats < maxRepeats &&
-				target.offers.take(work, now)
+				target.offers.take(
+					{request: {...work, route: routeOf(work)}, repeats: work.repeats},
+					now,
+				)
 			) {
 				work.repeats++;
 				runDeep(target, work);
@@ -209,16 +341,20 @@
 
 			target.offers.recordEnd(work, outcome, now);
 			free(target, work, isDeclined ? undefined : duration);
-			work.onEnd(!isDeclined);
+			work.onEnd(isDeclined ? 'declined' : 'served');
 		});
 	};
 
-	const runMiddle = (target: Target, work: Work) => {
+	const runUpper = (target: Target, work: Work) => {
 		const startedAt = clock.now();
-		let left = work.kind.calls;
+		const {kind, servicesBelow} = work;
+		const route = routeOf(work);
+		target.offers.recordStart({...work, route}, startedAt);
+		target.profile.recordRun(route);
+		let left = servicesBelow > 0 ? 1 : kind.calls;
 		const end = (isServed: boolean) => {
 			free(target, work, clock.now() - startedAt);
-			work.onEnd(isServed);
+			work.onEnd(isServed ? 'served' : 'failed');
 		};
 
 		const callNext = () => {
@@ -228,13 +364,19 @@
 			}
 
 			left--;
-			offer(deep, {
-				kind: work.kind,
+			const below = servicesBelow - 1;
+			const called = routeOf({kind, isInner: true, servicesBelow: below});
+			target.profile.recordCall(called);
+			forward(entries[target.index % entries.length]!, targetsOf(below), {
+				kind,
 				isInner: true,
+				servicesBelow: below,
+				repeatShare: target.offers.recordCall(called),
+				isRepeat: work.isRepeat,
 				repeats: 0,
-				run: runDeep,
-				onEnd(isServed) {
-					if (isServed) {
+				run: below < 0 ? runDeep : runUpper,
+				onEnd(outcome) {
+					if (outcome === 'served') {
 						callNext();
 					} else {
 						end(false);
@@ -246,30 +388,42 @@
 		clock.setTimer(runTime, callNext);
 	};
 
+	const targetsOf = (servicesBelow: number): Target[] =>
+		servicesBelow < 0 ? deep : upper[servicesBelow]!;
+
 	const receive = (kind: FleetKind) => {
 		const counts = countsOf(windows, clock.now(), kind.route);
 		counts.requested++;
-		const pressure = draw(entries, random);
+		const entry = draw(entries, random);
+		const servicesBelow =
+			kind.first === 'deep' ? -1 : (kind.servicesAbove ?? 0);
 		const work = {
 			route: kind.route,
-			service: kind.first,
+			service: serviceNames[servicesBelow + 1]!,
 			priority: kind.priority,
 			workspace: undefined,
 		};
-		pressure.recordRequest(work);
-		if (random.fraction() < pressure.shareRefused(work)) {
+		entry.pressure.recordRequest(work);
+		if (random.fraction() < entry.pressure.shareRefused(work)) {
+			if (servicesBelow < 0) {
+				options.arrivals?.requests.push(clock.now());
+			}
+
 			return;
 		}
 
-		offer(kind.first === 'deep' ? deep : middle, {
+		forward(entry, targetsOf(servicesBelow), {
 			kind,
 			isInner: false,
+			servicesBelow,
+			repeatShare: 0,
+			isRepeat: false,
 			repeats: 0,
-			run: kind.first === 'deep' ? runDeep : runMiddle,
-			onEnd(isServed) {
-				counts.whole += isServed ? 1 : 0;
+			run: servicesBelow < 0 ? runDeep : runUpper,
+			onEnd(outcome) {
+				counts.whole += outcome === 'served' ? 1 : 0;
 				// A declined direct request is a refusal: it has not run.
-				counts.failed += isServed || kind.first === 'deep' ? 0 : 1;
+				counts.failed += outcome === 'served' || kind.first === 'deep' ? 0 : 1;
 			},
 		});
 	};
@@ -279,7 +433,7 @@
 			receive(kind);
 			clock.setTimer(
 				(-Math.log(1 - random.fraction()) * millisecondsPerSecond) /
-					kind.perSecond,
+					(kind.perSecond * loadAt(clock.now())),
 				arrive,
 			);
 		};
@@ -291,7 +445,9 @@
 		const now = clock.now();
 		const loads = [
 			...deep.map((target) => updateTarget(target, isUp(target), now)),
-			...middle.map((target) => updateTarget(target, true, now)),
+			...upper.flatMap((targets, above) =>
+				targets.map((target) => updateTarget(target, true, now, above)),
+			),
 		];
 		clock.setTimer(options.reportDelay, () => {
 			reported = loads;
@@ -299,6 +455,15 @@
 		clock.setTimer(shedPeriod, update);
 	};
 
+	const learn = () => {
+		for (const {profile} of upper.flat()) {
+			profile.update();
+		}
+
+		clock.setTimer(profilePeriod, learn);
+	};
+
+	clock.setTimer(profilePeriod, learn);
 	clock.setTimer(shedPeriod, update);
 	clock.advanceTo(options.duration);
 	return windows.slice(0, options.duration / windowLength);
@@ -311,6 +476,7 @@
 	isDeep: boolean,
 ): Target[] {
 	return Array.from({length: count}, (_, index) => {
+		const profile = createCallProfile();
 		const level = createTargetShedLevel(policy);
 		return {
 			index,
@@ -320,8 +486,10 @@
 				undefined,
 				level.renewBulkhead(),
 			),
+			profile,
 			offers: createRepeatedOffers({
 				policy,
+				profile,
 				budget: {ratio: 0.2, window: 10_000},
 			}),
 			level,
@@ -329,26 +497,25 @@
 	});
 }
 
-/** Creates the pressure of an entry node that knows the call graph. */
+/** Creates an entry node that knows the call graph. */
 function createEntry(
 	clock: VirtualClock,
-	kinds: FleetKind[],
-	policy: Pick<MeshPolicy, 'has'>,
+	{kinds, policy, allowance = 48, seed}: DecliningFleetOptions,
 	reported: () => LinkedTarget[],
-): RoutePressure {
+): Entry {
 	const graph = createCallGraph();
 	const call = {route: 'call', runTime, calls: [], isLeaf: true};
-	for (const service of ['middle', 'deep'] as const) {
+	for (const [index, service] of serviceNames.entries()) {
+		const servicesBelow = index - 1;
+		const passing = kinds.filter(
+			({first, servicesAbove = 0}) =>
+				first === 'middle' && servicesBelow <= servicesAbove,
+		);
+		const routes =
+			servicesBelow < 0 ? kinds.filter(({first}) => first === 'deep') : passing;
 		graph.setProfiles(service, service, [
-			...(service === 'deep' ? [call] : []),
-			...kinds
-				.filter(({first}) => first === service)
-				.map(({route, calls}) => ({
-					route,
-					runTime: (1 + calls) * runTime,
-					calls: calls > 0 ? [{route: 'call', count: calls}] : [],
-					isLeaf: calls === 0,
-				})),
+			...(servicesBelow < 0 ? [call] : []),
+			...routes.map((kind) => profileOf(kind, servicesBelow)),
 		]);
 	}
 
@@ -374,13 +541,52 @@
 	};
 
 	refresh();
-	return pressure;
+	return {
+		pressure,
+		budget: createRetryBudget(
+			{ratio: 0.2, allowance, window: 10_000},
+			createRandom(seed),
+		),
+	};
+}
+
+/** The name of the route on which a request of the kind comes to a service. */
+function routeOf({
+	kind,
+	isInner,
+	servicesBelow,
+}: Pick<Work, 'kind' | 'isInner' | 'servicesBelow'>): string {
+	if (!isInner) {
+		return kind.route;
+	}
+
+	return servicesBelow < 0 ? 'call' : `${kind.route} ${servicesBelow}`;
+}
+
+function profileOf(kind: FleetKind, servicesBelow: number) {
+	const isInner = servicesBelow < (kind.servicesAbove ?? 0);
+	const count = servicesBelow > 0 ? 1 : kind.calls;
+	const called = routeOf({
+		kind,
+		isInner: true,
+		servicesBelow: servicesBelow - 1,
+	});
+	return {
+		route: routeOf({
+			kind,
+			isInner: isInner && kind.first !== 'deep',
+			servicesBelow,
+		}),
+		runTime: (1 + kind.calls) * runTime,
+		calls: count > 0 ? [{route: called, count}] : [],
+		isLeaf: count === 0,
+	};
 }
 
 /** The mean level of each service, as the directory calculates it. */
 function meanLevels(reported: LinkedTarget[]): Map<string, number> {
 	return new Map(
-		['middle', 'deep'].map((service) => [
+		serviceNames.map((service) => [
 			service,
 			levelOfService(
 				reported
@@ -392,12 +598,13 @@
 }
 
 function updateTarget(
-	{index, isDeep, admission, offers, level}: Target,
+	{index, admission, offers, level}: Target,
 	isUsable: boolean,
 	now: number,
+	above = -1,
 ): LinkedTarget {
 	for (const work of admission.expire(now)) {
-		work.onEnd(false);
+		work.onEnd('refused');
 	}
 
 	const declined = offers.declined(now);
@@ -411,8 +618,8 @@
 	});
 	return {
 		...idleLoad,
-		node: `${isDeep ? 'deep' : 'middle'} ${index}`,
-		service: isDeep ? 'deep' : 'middle',
+		node: `${serviceNames[above + 1]} ${index}`,
+		service: serviceNames[above + 1]!,
 		isUsable,
 		occupancy: (admission.running() + admission.waiting()) / admission.limit(),
 		slots: admission.limit(),
--- a/packages/mesh/src/decisions/admission/call-profile.ts
+++ b/packages/mesh/src/decisions/admission/call-profile.ts
@@ -27,6 +27,8 @@
 	/** Updates the estimates once per period; true when the profiles have changed enough to be announced. */
 	update(): boolean;
 	profiles(): RouteProfile[];
+	/** The estimated calls to a route per request of another; 0 while unknown. */
+	callsPerRun(route: string, called: string): number;
 };
 
 /** Calls per request below which a route counts as making none. */
@@ -266,6 +268,8 @@
 			return isChanged;
 		},
 		profiles,
+		callsPerRun: (route, called) =>
+			Math.max(0, estimates.get(called)?.counts[routes.indexOf(route)] ?? 0),
 	};
 }
 
--- a/packages/mesh/src/target/repeated-offers.ts
+++ b/packages/mesh/src/target/repeated-offers.ts
@@ -7,6 +7,7 @@
 	leafOfferShare,
 	type OfferBudgetOptions,
 } from '../decisions/repeats/offer-budget.js';
+import type {CallProfile} from '../decisions/admission/call-profile.js';
 import {createTargetCalls} from '../decisions/admission/target-calls.js';
 import {createDeclinedShare} from '../decisions/repeats/declined-share.js';
 import {createRecentRatio} from '../decisions/repeats/recent-ratio.js';
@@ -15,17 +16,31 @@
 /** Dependencies of the offers. */
 export type RepeatedOffersOptions = {
 	policy: Pick<MeshPolicy, 'has'>;
+	/** Estimates the calls of the target's routes. */
+	profile: Pick<CallProfile, 'callsPerRun'>;
 	/** Limit on repeated offers to a service, over all nodes. */
 	budget: OfferBudgetOptions;
 };
 
+/** A request that the target has declined. */
+export type OfferedRun = {
+	request: Pick<ForwardedRequest, 'isInner' | 'repeatShare' | 'route'>;
+	/** The offers of it after the first. */
+	repeats: number;
+};
+
 /** The offers to one target; times on the monotonic clock, in milliseconds. */
 export type RepeatedOffers = {
 	/** Records a request that is sent to the target. */
 	recordStart(
-		request: Pick<ForwardedRequest, 'repeatShare'>,
+		request: Pick<ForwardedRequest, 'repeatShare' | 'route'>,
 		now: number,
 	): void;
+	/** Records that such a request no longer runs at the target, after so many repeated offers. */
+	recordFreed(
+		request: Pick<ForwardedRequest, 'repeatShare' | 'route'>,
+		repeats: number,
+	): void;
 	/** Records the outcome of one offer. */
 	recordOffer(outcome: Outcome, now: number): void;
 	/** Records the final outcome of the request. */
@@ -34,10 +49,10 @@
 		outcome: Outcome,
 		now: number,
 	): void;
-	/** Records a call of the target; returns the share, from 0 to 1, of the target's work that is a repeat. */
-	recordCall(): number;
+	/** Records a call of the target to the route; returns the share of it, from 0 to 1, that is a repeat. */
+	recordCall(route: string): number;
 	/** Takes another offer of a declined request from the budget; false if none is left. */
-	take(request: Pick<ForwardedRequest, 'isInner'>, now: number): boolean;
+	take(run: OfferedRun, now: number): boolean;
 	/** The share of recent offers that were declined. */
 	declined(now: number): number;
 	/** The same share for the entry nodes, which keeps its value while few offers come; see `declined-share.ts`. */
@@ -49,17 +64,23 @@
 /** Creates the offers to a target without requests so far. */
 export function createRepeatedOffers({
 	policy,
+	profile,
 	budget: budgetOptions,
 }: RepeatedOffersOptions): RepeatedOffers {
 	const budget = createOfferBudget(budgetOptions);
-	const targetCalls = createTargetCalls();
+	const targetCalls = createTargetCalls((route, called) =>
+		profile.callsPerRun(route, called),
+	);
 	const declined = createRecentRatio();
 	const reportedDeclined = createDeclinedShare();
 	const unserved = createRecentRatio();
 	return {
-		recordStart({repeatShare}, now) {
+		recordStart({route, repeatShare}, now) {
 			budget.countArrival(repeatShare, now);
-			targetCalls.recordRun(repeatShare);
+			targetCalls.recordRun(route, repeatShare);
+		},
+		recordFreed({route, repeatShare}, repeats) {
+			targetCalls.recordEnd(route, repeats > 0 ? 1 : repeatShare);
 		},
 		recordOffer({kind}, now) {
 			declined.record(kind === 'declined', now);
@@ -70,19 +91,19 @@
 				unserved.record(kind === 'declined', now);
 			}
 		},
-		recordCall() {
+		recordCall(route) {
 			targetCalls.recordCall();
-			return targetCalls.repeatShare();
+			return targetCalls.repeatShare(route);
 		},
-		take({isInner}, now) {
+		take({request: {isInner, repeatShare, route}, repeats}, now) {
 			const part = targetCalls.makesCalls()
 				? nonLeafOfferShare
 				: leafOfferShare;
 			const kept =
 				isInner || !policy.has('completionChance') ? 0 : keptForCalls;
 			const isTaken = policy.has('offerAgain') && budget.take(part, now, kept);
-			if (isTaken) {
-				targetCalls.recordRepeat();
+			if (isTaken && repeats === 0) {
+				targetCalls.recordRepeat(route, repeatShare);
 			}
 
 			return isTaken;
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -90,7 +90,7 @@
 	stop(): void;
 	/** Applies a rate limit that another node knows from earlier answers of this incarnation. */
 	adoptRateLimit(incarnation: Incarnation, perSecond: number): void;
-	/** Records a call of the target to the route; returns the share, from 0 to 1, of the target's work that is a repeat. */
+	/** Records a call of the target to the route; returns the share of it, from 0 to 1, that is a repeat. */
 	recordCall(route: string): number;
 	load(): TargetLoad;
 	/** The local target as the entry nodes see it; empty while none is known. */
@@ -136,6 +136,7 @@
 	const runTime = createRunTime();
 	const offers = createRepeatedOffers({
 		policy: options.policy,
+		profile: options.profile,
 		budget: options.retryBudget,
 	});
 	const {profile} = options;
@@ -247,12 +248,13 @@
 			onOffer({item}, outcome) {
 				recordOffer(item, outcome);
 			},
-			onFreed({item, lastOffer}, duration) {
+			onFreed({item, lastOffer, repeats}, duration) {
 				if (!lastOffer || !isConnectionLoss(lastOffer)) {
 					item.watch!.ended(item.ordinal);
 					leaveIsolation(item);
 				}
 
+				offers.recordFreed(item.request, repeats);
 				const elapsed = clock.now() - item.startedAt;
 				metrics.targetEnded(elapsed);
 				item.admission!.finish(duration, item.request.route);
@@ -333,7 +335,7 @@
 			repeats < maxRepeats &&
 			item.until - now >= minTimeToRepeat &&
 			rate.waitTime(now) === 0 &&
-			offers.take(item.request, now);
+			offers.take({request: item.request, repeats}, now);
 		if (isAllowed) {
 			rate.take();
 			metrics.retried(item.request.service);
@@ -509,7 +511,7 @@
 		},
 		recordCall(route) {
 			profile.recordCall(route);
-			return offers.recordCall();
+			return offers.recordCall(route);
 		},
 		load,
 		target: () =>
