fix(mesh): a target's node bounds the retries of entry nodes together with its own offers

Targets spend up to 0.9 of the bound on offers, and entry nodes up to 0.45 on retries: the offers leave room for retries that came before, but retries that come after the offers went on top of them.

The node of a target that makes no calls now refuses a request that a target has received before while the bound of its window is spent; a refused one isn't an arrival. So many as a service's allowance gives to requests that make calls may run regardless, so that a service with little load still repeats lost requests.

--- a/packages/mesh/__tests__/declining-fleet.ts
+++ b/packages/mesh/__tests__/declining-fleet.ts
@@ -105,6 +105,8 @@
 const requestTimeout = 4000;
 const maxWait = 250;
 const middleTargets = 4;
+/** The refusals of one request after which it is rejected. */
+const maxRefusals = 3;
 /** The services, the deepest first. */
 const serviceNames = ['deep', 'middle', 'upper', 'front'];
 /** Limits the time for which work stays at a target that is lost. */
@@ -155,7 +157,7 @@
 	} = options;
 	const clock = createVirtualClock();
 	const random = createRandom(options.seed);
-	const deep = createTargets(options.targets, options.slots, policy, true);
+	const deep = createTargets(options.targets, options.slots, options, true);
 	const middleSlots = Math.ceil(
 		sum(
 			kinds.map(
@@ -174,7 +176,7 @@
 	);
 	/** The targets of the services above the deep one, the middle one first. */
 	const upper = Array.from({length: 1 + mostAbove}, () =>
-		createTargets(middleTargets, middleSlots, policy, false),
+		createTargets(middleTargets, middleSlots, options, false),
 	);
 	const windows: FleetWindow[] = [];
 	let reported: LinkedTarget[] = [];
@@ -222,7 +224,7 @@
 			now,
 		);
 		if (decision === 'run') {
-			work.run(target, work);
+			start(target, work);
 		} else if (decision === 'refuse') {
 			work.onEnd('refused');
 		}
@@ -253,6 +255,7 @@
 				kind.isIdempotent === true &&
 				!entry.pressure.isShedding(newWork));
 		let arrivals = 0;
+		let refusals = 0;
 		const attempt = (isRepeat: boolean, repeatShare: number) => {
 			offer(targets, {
 				...work,
@@ -261,7 +264,13 @@
 				repeats: 0,
 				onEnd(outcome) {
 					if (outcome === 'refused') {
-						onEnd(arrivals > 0 ? 'failed' : 'refused');
+						refusals++;
+						if (arrivals > 0 && refusals < maxRefusals) {
+							attempt(true, 1);
+						} else {
+							onEnd(arrivals > 0 ? 'failed' : 'refused');
+						}
+
 						return;
 					}
 
@@ -282,6 +291,16 @@
 		attempt(work.isRepeat, work.repeatShare);
 	};
 
+	const start = (target: Target, work: Work) => {
+		const route = routeOf(work);
+		if (target.offers.mayStart({...work, route}, clock.now())) {
+			work.run(target, work);
+		} else {
+			target.admission.finish(undefined, route);
+			work.onEnd('refused');
+		}
+	};
+
 	const free = (target: Target, work: Work, duration: number | undefined) => {
 		target.offers.recordFreed({...work, route: routeOf(work)}, work.repeats);
 		target.admission.finish(duration, routeOf(work));
@@ -290,7 +309,7 @@
 			next;
 			next = target.admission.next(clock.now())
 		) {
-			next.run(target, next);
+			start(target, next);
 		}
 	};
 
@@ -472,7 +491,7 @@
 function createTargets(
 	count: number,
 	slots: number,
-	policy: Pick<MeshPolicy, 'has'>,
+	{policy, allowance = 48}: DecliningFleetOptions,
 	isDeep: boolean,
 ): Target[] {
 	return Array.from({length: count}, (_, index) => {
@@ -490,7 +509,7 @@
 			offers: createRepeatedOffers({
 				policy,
 				profile,
-				budget: {ratio: 0.2, window: 10_000},
+				budget: {ratio: 0.2, allowance, window: 10_000},
 			}),
 			level,
 		};
--- a/packages/mesh/__tests__/offer-budget.spec.ts
+++ b/packages/mesh/__tests__/offer-budget.spec.ts
@@ -84,6 +84,29 @@
 		expect(spend(0.2)).to.be.below(20);
 	});
 
+	it('admits a request again only within the bound', () => {
+		const budget = createOfferBudget(options);
+		const retry = (at: number, allowed: number) => {
+			const isAdmitted = budget.admits(leafOfferShare, at, allowed);
+			if (isAdmitted) {
+				budget.countArrival(1, at);
+			}
+
+			return isAdmitted ? 1 : 0;
+		};
+
+		let retries = 0;
+		for (let at = 0; at < 20_000; at += 10) {
+			budget.countArrival(0, at);
+			retries += at >= 10_000 ? retry(at, 0) : 0;
+		}
+
+		expect(retries).to.be.within(100, 200);
+		// Without requests, only the allowed ones.
+		const later = Array.from({length: 50}, () => retry(50_000, 15));
+		expect(later.filter((one) => one === 1)).to.have.length(15);
+	});
+
 	it('bounds the repeats at the lowest of three services that all decline', () => {
 		// Three services, each calling the next, decline half of their requests. Each
 		// repeat of an upper one repeats the calls below it; the lowest gets them all.
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -217,7 +217,7 @@
 			metrics,
 			policy: egretspokePolicy,
 			profile: createCallProfile(),
-			retryBudget: {ratio: 0.2, window: 10_000},
+			retryBudget: {ratio: 0.2, allowance: 48, window: 10_000},
 			suspects: {
 				lookUp: () => undefined,
 				recordCrash: () => [],
--- a/packages/mesh/__tests__/repeat-bound.spec.ts
+++ b/packages/mesh/__tests__/repeat-bound.spec.ts
@@ -90,4 +90,20 @@
 		// Guards against calls of repeated chains that targets don't count as repeats: they spend the bound once more on their own offers.
 		expect(simulate(chains, {})).to.be.at.most(1);
 	});
+
+	it('stay within the bound when entry nodes retry after the targets have spent theirs', () => {
+		// Guards against retries of entry nodes on top of the targets' own offers: these suffice at first, then more is declined.
+		const declinedAt = (now: number) => {
+			if (now < start || now >= end) {
+				return 0;
+			}
+
+			return now < start + 8000 ? 0.15 : 0.55;
+		};
+
+		expect(simulate(chains, {declinedAt})).to.be.at.most(1);
+		expect(
+			simulate(chains, {declinedAt, loadShares: [0.46, 0.3, 0.16, 0.08]}),
+		).to.be.at.most(1);
+	});
 });
--- a/packages/mesh/src/decisions/repeats/offer-budget.ts
+++ b/packages/mesh/src/decisions/repeats/offer-budget.ts
@@ -26,6 +26,12 @@
 export type OfferBudget = {
 	/** Records the first arrival of a request here; the given share of it, from 0 to 1, is a repeat of other work. */
 	countArrival(repeatShare: number, now: number): void;
+	/**
+	 * Whether a request that a target has received before may run within the given
+	 * share of the bound; counted on its arrival. So many in a window may run
+	 * regardless.
+	 */
+	admits(share: number, now: number, allowed: number): boolean;
 	/**
 	 * Takes an offer from the budget, of which the given share, from 0 to 1, may be
 	 * spent; false when it is exhausted. With a `kept` share, that part of what can
@@ -152,6 +158,13 @@
 			slot.requests += 1 - repeatShare;
 			slot.repeats += repeatShare;
 		},
+		admits(share, now, allowed) {
+			const {index} = currentSlot(now);
+			return (
+				sumBetween(index - slotsPerWindow + 1, index + 1, 'repeats') <
+					allowed || isWithinBound(index, share)
+			);
+		},
 		take(share, now, kept = 0) {
 			const slot = currentSlot(now);
 			refill(now, share);
--- a/packages/mesh/src/target/repeated-offers.ts
+++ b/packages/mesh/src/target/repeated-offers.ts
@@ -5,10 +5,13 @@
 	keptForCalls,
 	nonLeafOfferShare,
 	leafOfferShare,
-	type OfferBudgetOptions,
 } from '../decisions/repeats/offer-budget.js';
 import type {CallProfile} from '../decisions/admission/call-profile.js';
 import {createTargetCalls} from '../decisions/admission/target-calls.js';
+import {
+	nonLeafRetryShare,
+	type RetryBudgetOptions,
+} from '../decisions/repeats/retry-budget.js';
 import {createDeclinedShare} from '../decisions/repeats/declined-share.js';
 import {createRecentRatio} from '../decisions/repeats/recent-ratio.js';
 import type {ForwardedRequest, Outcome} from '../links/exchange.js';
@@ -19,7 +22,7 @@
 	/** Estimates the calls of the target's routes. */
 	profile: Pick<CallProfile, 'callsPerRun'>;
 	/** Limit on repeated offers to a service, over all nodes. */
-	budget: OfferBudgetOptions;
+	budget: RetryBudgetOptions;
 };
 
 /** A request that the target has declined. */
@@ -31,6 +34,11 @@
 
 /** The offers to one target; times on the monotonic clock, in milliseconds. */
 export type RepeatedOffers = {
+	/** Whether the request may be sent to the target: one that a target has received before only within the bound. */
+	mayStart(
+		request: Pick<ForwardedRequest, 'repeatShare' | 'route'>,
+		now: number,
+	): boolean;
 	/** Records a request that is sent to the target. */
 	recordStart(
 		request: Pick<ForwardedRequest, 'repeatShare' | 'route'>,
@@ -75,6 +83,21 @@
 	const reportedDeclined = createDeclinedShare();
 	const unserved = createRecentRatio();
 	return {
+		mayStart({repeatShare}, now) {
+			if (repeatShare < 1 || !policy.has('offerAgain')) {
+				return true;
+			}
+
+			// Retries of requests that make calls are bounded by the entry nodes alone.
+			return (
+				targetCalls.makesCalls() ||
+				budget.admits(
+					leafOfferShare,
+					now,
+					nonLeafRetryShare * budgetOptions.allowance,
+				)
+			);
+		},
 		recordStart({route, repeatShare}, now) {
 			budget.countArrival(repeatShare, now);
 			targetCalls.recordRun(route, repeatShare);
@@ -96,9 +119,8 @@
 			return targetCalls.repeatShare(route);
 		},
 		take({request: {isInner, repeatShare, route}, repeats}, now) {
-			const part = targetCalls.makesCalls()
-				? nonLeafOfferShare
-				: leafOfferShare;
+			const makesCalls = targetCalls.makesCalls();
+			const part = makesCalls ? nonLeafOfferShare : leafOfferShare;
 			const kept =
 				isInner || !policy.has('completionChance') ? 0 : keptForCalls;
 			const isTaken = policy.has('offerAgain') && budget.take(part, now, kept);
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -24,7 +24,7 @@
 	type TargetAdmission,
 } from '../decisions/admission/target-admission.js';
 import type {MeshPolicy} from '../decisions/mesh-policy.js';
-import type {OfferBudgetOptions} from '../decisions/repeats/offer-budget.js';
+import type {RetryBudgetOptions} from '../decisions/repeats/retry-budget.js';
 import {createRunTime} from '../decisions/routing/run-time.js';
 import {shedPeriod} from '../decisions/admission/shed-level.js';
 import type {LinkedTarget} from '../links/peer.js';
@@ -69,7 +69,7 @@
 	/** Estimates the calls and run times of the target's routes. */
 	profile: CallProfile;
 	/** Limit on repeated offers to a service, over all nodes. */
-	retryBudget: OfferBudgetOptions;
+	retryBudget: RetryBudgetOptions;
 	/** Registry of requests during which targets crashed. */
 	suspects: Pick<Suspects, 'lookUp' | 'recordCrash' | 'recordAnswer'>;
 	/** Defaults to the HTTP client. */
@@ -292,7 +292,7 @@
 		});
 	};
 
-	/** Refuses a quarantined request; holds back a suspect one while another suspect one runs. */
+	/** Refuses a quarantined request and a repeat beyond the bound; holds back a suspect one while another suspect one runs. */
 	const mayRunNow = (pending: PendingRequest): boolean => {
 		const suspect = suspects.lookUp(pending.request);
 		if (suspect && isQuarantined(suspect)) {
@@ -300,6 +300,11 @@
 			return false;
 		}
 
+		if (!offers.mayStart(pending.request, clock.now())) {
+			refuse(pending, 'noRoom');
+			return false;
+		}
+
 		const crashes = Math.max(suspect?.crashes ?? 0, pending.request.crashes);
 		return !isIsolated({crashes}) || isolation.enter(pending);
 	};
