fix(mesh): a stopping node's target accepts requests as long as its entry does

Callers saw 503 for requests whose targets were all behind stopping nodes: the target refused from 2 s after SIGTERM while entries accepted until 2.5 s. The half second let the target's work end before the process, which now waits for it.

--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -462,7 +462,7 @@
 		stop = schedule;
 		reporter.notice('leaving', {reason: 'planned stop'});
 		broadcastState();
-		clock.setTimer(schedule.targetAcceptsUntil - clock.now(), () => {
+		clock.setTimer(schedule.acceptUntil - clock.now(), () => {
 			dispatcher.stop();
 		});
 		await waitUntilIdle(clock, schedule, () => {
--- a/packages/mesh/src/timing/graceful-shutdown.ts
+++ b/packages/mesh/src/timing/graceful-shutdown.ts
@@ -3,10 +3,9 @@
 
 /** The instants of a planned stop, on the clock. */
 export type StopSchedule = {
-	/** The local target accepts requests that have no other target until then. */
-	targetAcceptsUntil: number;
-	/** Callers' new requests are accepted until then; those that are arriving, until `receiveUntil`. */
+	/** New requests are accepted until then, also by the local target. */
 	acceptUntil: number;
+	/** Requests that are arriving are waited for until then. */
 	receiveUntil: number;
 	/** Deadline of all work that is accepted during the stop. */
 	workUntil: number;
@@ -19,19 +18,14 @@
 /**
  * Milliseconds during which a stopping node accepts callers' requests: callers'
  * load balancers check every second and remove a node after two failed checks.
- * What is accepted last has the rest of the grace period to complete.
+ * Requests without another target are accepted as long: if nodes are restarted
+ * faster than they become ready again, all targets of a service can be behind
+ * stopping nodes. What is accepted last has the rest of the grace period to
+ * complete.
  */
 const acceptDuration = 2500;
 /** The same as a ratio of a short grace period. */
 const maxAcceptRatio = 0.5;
-/**
- * Ratio of that time during which the target still accepts requests that have no
- * other target. When nodes are restarted one after another, faster than they
- * become ready again, all targets of a small service can be behind stopping
- * nodes at the same time; if these refused requests, the service would be
- * unavailable for seconds.
- */
-const targetAcceptRatio = 0.8;
 /** Milliseconds after the end of acceptance within which a request that is arriving is waited for. */
 const receiveDuration = 1000;
 /** Milliseconds before the end of the grace period at which remaining requests are cut off. */
@@ -52,7 +46,6 @@
 	const accept = Math.min(acceptDuration, grace * maxAcceptRatio);
 	const endAt = now + Math.max(accept, grace - stopReserve);
 	return {
-		targetAcceptsUntil: now + accept * targetAcceptRatio,
 		acceptUntil: now + accept,
 		receiveUntil: Math.min(now + accept + receiveDuration, endAt),
 		workUntil: endAt - answerReserve,
