fix(shared): connections that callers leave open do not prolong a stop

Callers saw nothing wrong, but a stop lasted until the end of the grace period while callers went on sending and didn't close their connections: a connection on which everything is sent counted as pending for up to a second, and a new one came before the last was gone. The soak saw nodes that ended 5.2 to 6 s after SIGTERM under light load.

Change: such connections are counted apart, and the end waits for them for 0.25 s, once.

--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -48,8 +48,10 @@
 	/** Listens on `ip:port`; returns the bound address. */
 	listen(address: string): Promise<string>;
 	applyLimits(limits: CallerLimits): void;
-	/** Number of requests whose answers are not sent, and of connections that are being ended. */
+	/** Number of requests whose answers are not sent. */
 	pending(): number;
+	/** Number of connections on which everything is sent and that their callers have not closed yet. */
+	ending(): number;
 	/** Number of requests that are arriving. */
 	receiving(): number;
 	/** Closes all connections at once. */
@@ -298,6 +300,7 @@
 			server.headersTimeout = changed.headerTime + changed.idleTime;
 		},
 		pending: connections.pending,
+		ending: connections.ending,
 		receiving: connections.receiving,
 		close() {
 			server.close();
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -106,6 +106,8 @@
 	abort(): void;
 };
 
+/** Milliseconds within which callers close the connections whose last answers they have read. */
+const callerEndTimeout = 250;
 /** Milliseconds until a peer has usually read the last messages; one that takes longer is taken for dead, unless it was sent large outcomes. */
 const linkEndTimeout = 1000;
 /** Milliseconds between two announcements of newly requested routes. */
@@ -479,8 +481,16 @@
 			reporter.notice('meshLinksCut', unended);
 		}
 
-		// Callers that were refused meanwhile.
-		await waitUntilIdle(clock, schedule, () => callerListener.pending() === 0);
+		const now = clock.now();
+		const callersEnd = {
+			acceptUntil: now,
+			endAt: Math.min(now + callerEndTimeout, schedule.linksEndBy),
+		};
+		await waitUntilIdle(
+			clock,
+			callersEnd,
+			() => callerListener.pending() + callerListener.ending() === 0,
+		);
 		abort();
 	}
 
--- a/packages/mesh/src/timing/graceful-shutdown.ts
+++ b/packages/mesh/src/timing/graceful-shutdown.ts
@@ -62,7 +62,7 @@
  */
 export async function waitUntilIdle(
 	clock: Clock,
-	{acceptUntil, endAt}: StopSchedule,
+	{acceptUntil, endAt}: Pick<StopSchedule, 'acceptUntil' | 'endAt'>,
 	checkIdle: () => boolean,
 ): Promise<void> {
 	await new Promise<void>((resolve) => {
--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -238,7 +238,10 @@
 				reporter.recordEvent({name: 'requestsGivenUp', cause, requests});
 			}
 
-			await waitUntil(() => connections.pending() === 0, closeTimeoutMs);
+			await waitUntil(
+				() => connections.pending() + connections.ending() === 0,
+				closeTimeoutMs,
+			);
 			const unsentGivenUp = givenUp.filter((each) => !each.isSent()).length;
 			unsentAnswers = 0;
 			connections.close();
--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -55,8 +55,10 @@
 	 * from now, but not for less than their last answers promised.
 	 */
 	renewIdleTime(idleTime: number): void;
-	/** Number of accepted requests whose answers are not sent, and of connections that are being ended. */
+	/** Number of accepted requests whose answers are not sent. */
 	pending(): number;
+	/** Number of connections on which everything is sent and that their callers have not closed yet. */
+	ending(): number;
 	/** Number of requests that are arriving. */
 	receiving(): number;
 	/** Closes all connections at once. */
@@ -127,8 +129,8 @@
 				}
 			}
 		},
-		pending: () =>
-			sum(({unsent, isEnding}) => Math.max(unsent.size, isEnding ? 1 : 0)),
+		pending: () => sum(({unsent}) => unsent.size),
+		ending: () => sum(({isEnding}) => (isEnding ? 1 : 0)),
 		receiving: () => sum(({arriving}) => arriving),
 		close() {
 			for (const [socket, connection] of connections) {
