fix(mesh): offers leave room for calls of repeated work that are still to come

A target that spent its bound on offers early in a window got more repeats later in it: calls of repeated runs, which can't be refused. With 0.15 of the arrivals being such calls from one instant on, a target got 242 repeats in 10 s where the bound is 200.

Each window now keeps room for the calls expected in its remaining slots, by their mean over the latest two seconds. The spec fails without it (242 of 200) and passes with it.

--- a/packages/mesh/__tests__/offer-budget.spec.ts
+++ b/packages/mesh/__tests__/offer-budget.spec.ts
@@ -84,6 +84,21 @@
 		expect(spend(0.2)).to.be.below(20);
 	});
 
+	it('leaves room for the calls of repeated work that are still to come', () => {
+		// Guards against calls that can't be refused arriving after the bound of their window is spent.
+		const budget = createOfferBudget(options);
+		let repeats = 0;
+		for (let at = 0; at < 30_000; at += 10) {
+			const share = at >= 20_000 ? 0.15 : 0;
+			budget.countArrival(share, at);
+			if (at >= 20_000) {
+				repeats += share + (budget.take(leafOfferShare, at) ? 1 : 0);
+			}
+		}
+
+		expect(repeats).to.be.within(0.8 * 200, 200);
+	});
+
 	it('admits a request again only within the bound', () => {
 		const budget = createOfferBudget(options);
 		const retry = (at: number, allowed: number) => {
--- a/packages/mesh/src/decisions/repeats/offer-budget.ts
+++ b/packages/mesh/src/decisions/repeats/offer-budget.ts
@@ -79,7 +79,17 @@
 /** The minimum number of offers that can be spent at once, so that a target with little load has any. */
 const minBurst = 2;
 
-type Slot = {index: number; requests: number; repeats: number};
+/** The latest slots from which the repeats to come are expected: long enough for a mean, short compared with the window. */
+const expectedSlots = 4;
+
+/** The counts of a slot; those of calls are a part of the repeats. */
+type Slot = {
+	index: number;
+	requests: number;
+	repeats: number;
+	/** Repeats that are calls of running work, which are never refused. */
+	calls: number;
+};
 
 /** Creates the budget of a target without arrivals. */
 export function createOfferBudget({
@@ -97,7 +107,7 @@
 			return last;
 		}
 
-		const slot = {index, requests: 0, repeats: 0};
+		const slot = {index, requests: 0, repeats: 0, calls: 0};
 		slots = slots.filter((known) => known.index > index - 2 * slotsPerWindow);
 		slots.push(slot);
 		return slot;
@@ -106,7 +116,7 @@
 	const sumBetween = (
 		from: number,
 		to: number,
-		kind: 'requests' | 'repeats',
+		kind: 'requests' | 'repeats' | 'calls',
 	): number => {
 		let total = 0;
 		for (const slot of slots) {
@@ -140,11 +150,15 @@
 		refilledAt = now;
 	};
 
+	/** Whether each window that contains the slot has room for a repeat beside the calls that are still expected in it. */
 	const isWithinBound = (index: number, share: number): boolean => {
+		const callsPerSlot =
+			sumBetween(index - expectedSlots, index, 'calls') / expectedSlots;
 		let repeats = 1;
 		for (let start = index; start > index - slotsPerWindow; start--) {
 			repeats += sumBetween(start, start + 1, 'repeats');
-			if (repeats > boundOf(start, share)) {
+			const slotsLeft = start + slotsPerWindow - 1 - index;
+			if (repeats + callsPerSlot * slotsLeft > boundOf(start, share)) {
 				return false;
 			}
 		}
@@ -157,6 +171,7 @@
 			const slot = currentSlot(now);
 			slot.requests += 1 - repeatShare;
 			slot.repeats += repeatShare;
+			slot.calls += repeatShare < 1 ? repeatShare : 0;
 		},
 		admits(share, now, allowed) {
 			const {index} = currentSlot(now);
