--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -1,7 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
-import {setImmediate as nextTurn} from 'node:timers/promises';
+import {
+	setImmediate as nextTurn,
+	setTimeout as pause,
+} from 'node:timers/promises';
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {
@@ -349,6 +352,40 @@
 			expect(text).to.match(/first[^]*Connection: close[^]*second$/);
 		});
 
+		/** Bytes that end a connection, and the status of the node's answer to them behind other answers. */
+		const faults: Record<string, [bytes: string, statuses: number[]]> = {
+			'bytes that are no request': ['\u0000no request\r\n\r\n', []],
+			'a request for a tunnel': ['CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n', []],
+			'headers above the limit': [
+				request('/4', [`X: ${'x'.repeat(2000)}`]),
+				[431],
+			],
+			'headers above the limit of the parser': [
+				request('/4', [`X: ${'x'.repeat(300_000)}`]),
+				[],
+			],
+		};
+		const expectAnswersBefore = async (bytes: string, rest: number[]) => {
+			caller.write(request('/1') + request('/2') + bytes + request('/5'));
+			await waitUntil(() => received.length === 2);
+			for (let turn = 0; turn < 20; turn++) {
+				// eslint-disable-next-line no-await-in-loop -- the rest arrives.
+				await nextTurn();
+			}
+
+			answerAll();
+			await waitUntil(() => caller.readableEnded);
+			expect(pathsOf(received)).to.deep.equal(['/1', '/2']);
+			expect(text).to.match(/<\/1>[^]*<\/2>/);
+			expect(statuses()).to.deep.equal([200, 200, ...rest]);
+		};
+
+		for (const [name, [bytes, rest]] of Object.entries(faults)) {
+			// Guards against accepted requests that are cut because of what follows them on their connection.
+			it(`answers accepted requests before ${name}`, async () =>
+				expectAnswersBefore(bytes, rest));
+		}
+
 		// Guards against requests that are cut because a body before them was too large.
 		it('answers accepted requests behind a body above the limit', async () => {
 			caller.write(
@@ -393,6 +430,19 @@
 			expect(text.length).to.be.above(20_000_000);
 		});
 
+		// Guards against requests that cross the close of a connection which callers may still use, by the new limit.
+		it('keeps idle connections open for a longer idle time that is configured meanwhile', async () => {
+			const limits = {headerBytes: 1000, bodyBytes: 1000, headerTime: 3000};
+			listener.applyLimits({...limits, idleTime: 100});
+			const first = await send('GET /1');
+			first.answer(succeed(Buffer.from('x')));
+			await waitUntil(() => text.endsWith('x'));
+			listener.applyLimits({...limits, idleTime: 15_000});
+			await pause(1300);
+			expect(caller.readableEnded).to.equal(false);
+			await send('GET /2');
+		});
+
 		it('counts requests whose bodies are arriving', async () => {
 			caller.write(
 				'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nhalf'.slice(
