--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -106,6 +106,8 @@
 	abort(): void;
 };
 
+/** Maximum milliseconds until the peers have read the last messages; one that takes longer is taken for dead. */
+const maxLinkEnd = 1000;
 /** Milliseconds between two announcements of newly requested routes. */
 const newRoutesInterval = 500;
 /** Milliseconds between two announcements of the configuration version to a random peer. */
@@ -247,6 +249,10 @@
 		reporter.notice('malformedMessage', {detail});
 	};
 
+	const onUnread = (bytes: number) => {
+		reporter.notice('meshPeerNotReading', {bytes});
+	};
+
 	const directory = createDirectory({
 		clock,
 		random: random.fork(),
@@ -255,6 +261,7 @@
 		hello: () => [localState.hello(), ...suspects.initialMessages()],
 		onMessage: receive,
 		onMalformed,
+		onUnread,
 		onProfiles(peer, {service, profiles}) {
 			graph.setProfiles(peer, service, profiles);
 		},
@@ -262,6 +269,9 @@
 			innerRoutes.addPeerRoutes(service, requested);
 		},
 		pinned: workspaceExchanges.pinned,
+		onLost(peer, loss) {
+			reporter.notice('meshRequestsLost', {peer, ...loss});
+		},
 		onPeer(node, change) {
 			if (change === 'up') {
 				reporter.notice('peerConnected', {peer: node});
@@ -281,6 +291,7 @@
 		],
 		onMessage: receive,
 		onMalformed,
+		onUnread,
 		onRequest() {
 			reportLoad.recordRequest();
 		},
@@ -460,6 +471,13 @@
 			return countOpen() === 0 && !isReceiving;
 		});
 		reporter.notice('drained', {cut: countOpen()});
+		const unended = await peerListener.end(
+			Math.min(maxLinkEnd, schedule.linksEndBy - clock.now()),
+		);
+		if (unended.links > 0) {
+			reporter.notice('meshLinksCut', unended);
+		}
+
 		abort();
 	}
 
@@ -467,7 +485,7 @@
 	function countOpen(): number {
 		return (
 			Math.max(entry.open(), callerListener.pending()) +
-			dispatcher.openRequests()
+			Math.max(dispatcher.openRequests(), peerListener.pending())
 		);
 	}
 
--- a/packages/mesh/src/timing/graceful-shutdown.ts
+++ b/packages/mesh/src/timing/graceful-shutdown.ts
@@ -10,8 +10,10 @@
 	receiveUntil: number;
 	/** Deadline of all work that is accepted during the stop. */
 	workUntil: number;
-	/** The end of the process; what is left is cut off. */
+	/** The end of the work; what is left is cut off. */
 	endAt: number;
+	/** The end of the process, until which the links to other nodes are ended. */
+	linksEndBy: number;
 };
 
 /**
@@ -34,6 +36,8 @@
 const receiveDuration = 1000;
 /** Milliseconds before the end of the grace period at which remaining requests are cut off. */
 const stopReserve = 500;
+/** Milliseconds before the end of the grace period at which the process ends. */
+const killReserve = 200;
 /** Milliseconds before the end that are reserved for returning the last answers. */
 const answerReserve = 150;
 /** Interval between checks for requests in flight, in milliseconds. */
@@ -53,6 +57,7 @@
 		receiveUntil: Math.min(now + accept + receiveDuration, endAt),
 		workUntil: endAt - answerReserve,
 		endAt,
+		linksEndBy: now + grace - killReserve,
 	};
 }
 
