--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -24,7 +24,7 @@
 	type TargetAdmission,
 } from '../decisions/admission/target-admission.js';
 import type {MeshPolicy} from '../decisions/mesh-policy.js';
-import type {OfferBudgetOptions} from '../decisions/repeats/offer-budget.js';
+import type {RetryBudgetOptions} from '../decisions/repeats/retry-budget.js';
 import {createRunTime} from '../decisions/routing/run-time.js';
 import {shedPeriod} from '../decisions/admission/shed-level.js';
 import type {LinkedTarget} from '../links/peer.js';
@@ -69,7 +69,7 @@
 	/** Estimates the calls and run times of the target's routes. */
 	profile: CallProfile;
 	/** Limit on repeated offers to a service, over all nodes. */
-	retryBudget: OfferBudgetOptions;
+	retryBudget: RetryBudgetOptions;
 	/** Registry of requests during which targets crashed. */
 	suspects: Pick<Suspects, 'lookUp' | 'recordCrash' | 'recordAnswer'>;
 	/** Defaults to the HTTP client. */
@@ -90,7 +90,7 @@
 	stop(): void;
 	/** Applies a rate limit that another node knows from earlier answers of this incarnation. */
 	adoptRateLimit(incarnation: Incarnation, perSecond: number): void;
-	/** Records a call of the target to the route; returns the share, from 0 to 1, of the target's work that is a repeat. */
+	/** Records a call of the target to the route; returns the share of it, from 0 to 1, that is a repeat. */
 	recordCall(route: string): number;
 	load(): TargetLoad;
 	/** The local target as the entry nodes see it; empty while none is known. */
@@ -136,6 +136,7 @@
 	const runTime = createRunTime();
 	const offers = createRepeatedOffers({
 		policy: options.policy,
+		profile: options.profile,
 		budget: options.retryBudget,
 	});
 	const {profile} = options;
@@ -247,12 +248,13 @@
 			onOffer({item}, outcome) {
 				recordOffer(item, outcome);
 			},
-			onFreed({item, lastOffer}, duration) {
+			onFreed({item, lastOffer, repeats}, duration) {
 				if (!lastOffer || !isConnectionLoss(lastOffer)) {
 					item.watch!.ended(item.ordinal);
 					leaveIsolation(item);
 				}
 
+				offers.recordFreed(item.request, repeats);
 				const elapsed = clock.now() - item.startedAt;
 				metrics.targetEnded(elapsed);
 				item.admission!.finish(duration, item.request.route);
@@ -290,7 +292,7 @@
 		});
 	};
 
-	/** Refuses a quarantined request; holds back a suspect one while another suspect one runs. */
+	/** Refuses a quarantined request and a repeat beyond the bound; holds back a suspect one while another suspect one runs. */
 	const mayRunNow = (pending: PendingRequest): boolean => {
 		const suspect = suspects.lookUp(pending.request);
 		if (suspect && isQuarantined(suspect)) {
@@ -298,6 +300,11 @@
 			return false;
 		}
 
+		if (!offers.mayStart(pending.request, clock.now())) {
+			refuse(pending, 'noRoom');
+			return false;
+		}
+
 		const crashes = Math.max(suspect?.crashes ?? 0, pending.request.crashes);
 		return !isIsolated({crashes}) || isolation.enter(pending);
 	};
@@ -333,7 +340,7 @@
 			repeats < maxRepeats &&
 			item.until - now >= minTimeToRepeat &&
 			rate.waitTime(now) === 0 &&
-			offers.take(item.request, now);
+			offers.take({request: item.request, repeats}, now);
 		if (isAllowed) {
 			rate.take();
 			metrics.retried(item.request.service);
@@ -509,7 +516,7 @@
 		},
 		recordCall(route) {
 			profile.recordCall(route);
-			return offers.recordCall();
+			return offers.recordCall(route);
 		},
 		load,
 		target: () =>
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -36,12 +36,15 @@
 	| {name: 'peerRefused'; detail: string}
 	| {name: 'peerConnected'; peer: string}
 	| {name: 'peerLost'; peer: string}
+	| {name: 'answerDropped'; peer: string}
 	| {name: 'childFailed'; path: string; detail: string; restartIn: number}
 	| {name: 'malformedRequest'; fault: string}
 	| {name: 'operatorRefused'; detail: string}
 	| {name: 'suspended'; pause: number}
 	| {name: 'leaving'; reason: string}
 	| {name: 'drained'; cut: number}
+	| {name: 'requestsCut'; cause: string; requests: number; answered: number}
+	| {name: 'requestsGivenUp'; cause: string; requests: number}
 	| {name: 'configurationTaken'; version: number; source: string}
 	| {name: 'memberChanged'; node: string; state: string}
 	| {name: 'configurationRefused'; version: number; detail: string}
--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -50,7 +50,10 @@
 	closeAfterAccepted(socket: Socket, cause: CloseCause): boolean;
 	/** Ends a connection after what was written to it. */
 	end(socket: Socket): void;
-	/** Keeps connections that are idle open for the changed time, in milliseconds from now. */
+	/**
+	 * Keeps connections that are idle open for the changed time, in milliseconds
+	 * from now, but not for less than their last answers promised.
+	 */
 	renewIdleTime(idleTime: number): void;
 	/** Number of accepted requests whose answers are not sent, and of connections that are being ended. */
 	pending(): number;
@@ -67,6 +70,9 @@
  */
 const lingerTime = 1000;
 
+/** A position before that of every request. */
+const none = -1;
+
 const nothing = () => undefined;
 
 /** Tracks the connections of a server that doesn't listen yet. */
@@ -117,7 +123,7 @@
 		renewIdleTime(idleTime) {
 			for (const [socket, connection] of connections) {
 				if (connection.isIdle()) {
-					socket.setTimeout(idleTime);
+					socket.setTimeout(Math.max(idleTime, socket.timeout ?? 0));
 				}
 			}
 		},
@@ -126,8 +132,7 @@
 		receiving: () => sum(({arriving}) => arriving),
 		close() {
 			for (const [socket, connection] of connections) {
-				connection.setCause('stop');
-				connection.leave();
+				connection.stop();
 				socket.destroy();
 			}
 		},
@@ -145,6 +150,8 @@
 	/** Nothing more is sent. */
 	isEnding = false;
 	private received = 0;
+	/** Position of the last request that is accepted. */
+	private lastOrder = Number.POSITIVE_INFINITY;
 	private cause: CloseCause | undefined = undefined;
 	private lingerTimer: Timer | undefined = undefined;
 
@@ -180,7 +187,8 @@
 	/** Counts a request until its answer is sent. */
 	accept(exchange: CallerExchange): boolean {
 		this.arriving--;
-		if (this.isClosing) {
+		// One that arrived before the last one is still due: the last answer follows its answer.
+		if (exchange.order > this.lastOrder) {
 			return false;
 		}
 
@@ -208,7 +216,7 @@
 
 	closeAfterAccepted(cause: CloseCause): boolean {
 		const isFirst = !this.isClosing;
-		this.isClosing = true;
+		this.closeBehind(none);
 		this.setCause(cause);
 		for (const exchange of this.unsent) {
 			if (!this.hasAcceptedBehind(exchange)) {
@@ -219,6 +227,12 @@
 		return isFirst && this.unsent.size === 0;
 	}
 
+	/** Accepts no request behind this position. */
+	closeBehind(order: number): void {
+		this.isClosing = true;
+		this.lastOrder = Math.min(this.lastOrder, order);
+	}
+
 	/** Ends what is sent, and reads on until the caller has closed the connection too. */
 	end(): void {
 		if (this.isEnding) {
@@ -226,7 +240,7 @@
 		}
 
 		this.isEnding = true;
-		this.isClosing = true;
+		this.closeBehind(none);
 		const {socket} = this;
 		socket.end();
 		socket.resume();
@@ -240,9 +254,18 @@
 		this.cause ??= cause;
 	}
 
+	/** Ends it with what is not sent yet, also if an answer had announced the end. */
+	stop(): void {
+		if (this.cause !== 'caller') {
+			this.cause = 'stop';
+		}
+
+		this.leave();
+	}
+
 	/** Nothing more can be sent, because the connection is closed. */
 	leave(): void {
-		this.isClosing = true;
+		this.closeBehind(none);
 		this.lingerTimer?.cancel();
 		const cause = this.cause ?? 'server';
 		const exchanges = [...this.unsent];
@@ -303,7 +326,7 @@
 	closeAfter(cause: CloseCause): void {
 		const {connection} = this;
 		if (!connection.hasAcceptedBehind(this)) {
-			connection.isClosing = true;
+			connection.closeBehind(this.order);
 			connection.setCause(cause);
 			this.announceClose();
 		}
