--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -470,7 +470,7 @@
 		await waitUntilIdle(clock, schedule, () => {
 			const isReceiving =
 				clock.now() < schedule.receiveUntil && callerListener.receiving() > 0;
-			return countOpen() === 0 && peerListener.pending() === 0 && !isReceiving;
+			return countOpen() === 0 && !isReceiving;
 		});
 		reporter.notice('drained', {cut: countOpen()});
 		const unended = await peerListener.end(
@@ -494,7 +494,7 @@
 		abort();
 	}
 
-	/** Counts the work in flight and the answers that are not sent. */
+	/** Counts the work in flight, and the answers and outcomes that are not sent. */
 	function countOpen(): number {
 		return (
 			Math.max(entry.open(), callerListener.pending()) +
