--- a/packages/mesh/src/entry/entry.ts
+++ b/packages/mesh/src/entry/entry.ts
@@ -77,35 +77,14 @@
 		return () => undefined;
 	}
 
-	const {workspace} = admission;
-	const stop = options.stop();
-	if (stop) {
-		const timeLeft = timeLeftAtStop(
-			stop,
-			{
-				isCallOfRunningWork: isCallOfRunningWork(options, admission),
-				timeLeft: Math.min(
-					request.timeLeft ?? Number.POSITIVE_INFINITY,
-					admission.route.timeout,
-				),
-			},
-			options.clock.now(),
-		);
-		if (timeLeft === undefined) {
-			const rejection = refuse(
-				admission.route.name,
-				503,
-				'nodeStopping',
-				retryAfterStop(request.timeLeft, options.random.fraction()),
-			);
-			reject(options, request, rejection);
-			onEnd(rejection.answer);
-			return () => undefined;
-		}
-
-		request.timeLeft = timeLeft;
+	const refusal = refuseAtStop(options, request, admission);
+	if (refusal) {
+		reject(options, request, refusal);
+		onEnd(refusal.answer);
+		return () => undefined;
 	}
 
+	const {workspace} = admission;
 	if (workspace) {
 		request.headers.push(options.headerNames.workspace, workspace.name);
 	}
@@ -149,6 +128,38 @@
 	return {kind: 'admitted', route, workspace, urgency};
 }
 
+/** Bounds the time of a request that a stopping node accepts; returns the rejection of others. */
+function refuseAtStop(
+	options: EntryOptions,
+	request: CallerRequest,
+	admission: Admission,
+): Rejection | undefined {
+	const stop = options.stop();
+	if (!stop) {
+		return undefined;
+	}
+
+	const {name, timeout} = admission.route;
+	const timeLeft = timeLeftAtStop(
+		stop,
+		{
+			isCallOfRunningWork: isCallOfRunningWork(options, admission),
+			timeLeft: Math.min(request.timeLeft ?? Number.POSITIVE_INFINITY, timeout),
+		},
+		options.clock.now(),
+	);
+	if (timeLeft === undefined) {
+		const retryAfter = retryAfterStop(
+			request.timeLeft,
+			options.random.fraction(),
+		);
+		return refuse(name, 503, 'nodeStopping', retryAfter);
+	}
+
+	request.timeLeft = timeLeft;
+	return undefined;
+}
+
 function isCallOfRunningWork(
 	{innerRoutes, dispatcher}: EntryOptions,
 	{route}: Admission,
