fix(mesh): an upload that arrives together with malformed bytes is answered

Callers saw a 400, which is final, as the answer to a well-formed upload when malformed bytes followed it in the same packet.

Cause: the parser reports the malformed bytes before the stream of the body reports its end, so the upload wasn't accepted yet when the connection stopped accepting.

Change: the rejection waits for the next turn of the event loop.

Evidence: the new test got 400 in place of 200 before, passes now.

--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -387,6 +387,17 @@
 				expectAnswersBefore(bytes, rest));
 		}
 
+		// Guards against a 400 in the place of the answer to an upload that arrived whole before malformed bytes.
+		it('answers an upload that arrives together with bytes that are no request', async () => {
+			caller.write(
+				'POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody\u0000no request\r\n\r\n',
+			);
+			await waitUntil(() => received.length === 1 || caller.readableEnded);
+			answerAll();
+			await waitUntil(() => caller.readableEnded);
+			expect(statuses()).to.deep.equal([200]);
+		});
+
 		// Guards against requests that are cut because a body before them was too large.
 		it('answers accepted requests behind a body above the limit', async () => {
 			caller.write(
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -129,14 +129,15 @@
 		const socket = stream as Socket;
 		const isConnected = socket.writable && !socket.destroyed;
 		if (isConnected && socket.bytesRead > 0) {
-			rejectMalformed(socket, error.code, error.message);
+			// Requests that have arrived whole are accepted in this turn.
+			setImmediate(rejectMalformed, socket, error.code, error.message);
 		} else {
 			socket.destroy();
 		}
 	});
 	// Node destroys the connection of a CONNECT request that nothing handles.
 	server.on('connect', (_request, stream) => {
-		rejectMalformed(stream as Socket, '', 'CONNECT');
+		setImmediate(rejectMalformed, stream as Socket, '', 'CONNECT');
 	});
 
 	const receive = (request: IncomingMessage, response: ServerResponse) => {
