--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -24,11 +24,7 @@
 import {createGossip} from './members/gossip.js';
 import type {HeaderNames} from './configuration/header-names.js';
 import {createUpdateHandler} from './links/peer-updates.js';
-import {
-	planStop,
-	waitUntilIdle,
-	type StopSchedule,
-} from './timing/graceful-shutdown.js';
+import {createPlannedStop} from './planned-stop.js';
 import {createProfileUpdates} from './entry/profile-updates.js';
 import {createLoadReport} from './target/load-report.js';
 import {createMemberRegister} from './members/member-register.js';
@@ -106,10 +102,6 @@
 	abort(): void;
 };
 
-/** Milliseconds within which callers close the connections whose last answers they have read. */
-const callerEndTimeout = 250;
-/** Milliseconds until a peer has usually read the last messages; one that takes longer is taken for dead, unless it was sent large outcomes. */
-const linkEndTimeout = 1000;
 /** Milliseconds between two announcements of newly requested routes. */
 const newRoutesInterval = 500;
 /** Milliseconds between two announcements of the configuration version to a random peer. */
@@ -132,9 +124,16 @@
 	const wheel = createDeadlineWheel(clock);
 	const ticker = createTicker(clock, lifetime.signal);
 	let routes: RouteTable | undefined;
-	let stop: StopSchedule | undefined;
-	let stopped: Promise<void> | undefined;
-	const isStopping = () => stop !== undefined;
+	const plannedStop = createPlannedStop({
+		clock,
+		reporter,
+		grace: () => settings.grace,
+		parts: () => ({entry, dispatcher, callerListener, peerListener}),
+		announce() {
+			broadcastState();
+		},
+	});
+	const isStopping = () => plannedStop.schedule() !== undefined;
 	let isMembershipKnown = false;
 
 	const innerRoutes = createInnerRoutes(self.service);
@@ -368,7 +367,7 @@
 		reporter,
 		metrics,
 		isStopping,
-		stop: () => stop,
+		stop: plannedStop.schedule,
 	});
 	const callerListener = createCallerListener({
 		entry,
@@ -453,55 +452,12 @@
 			self.service = changed.service;
 		},
 		async stop() {
-			stopped ??= stopAsPlanned();
-			await stopped;
+			await plannedStop.run();
+			abort();
 		},
 		abort,
 	};
 
-	async function stopAsPlanned(): Promise<void> {
-		const schedule = planStop(clock.now(), settings.grace);
-		stop = schedule;
-		reporter.notice('leaving', {reason: 'planned stop'});
-		broadcastState();
-		clock.setTimer(schedule.acceptUntil - clock.now(), () => {
-			dispatcher.stop();
-		});
-		await waitUntilIdle(clock, schedule, () => {
-			const isReceiving =
-				clock.now() < schedule.receiveUntil && callerListener.receiving() > 0;
-			return countOpen() === 0 && !isReceiving;
-		});
-		reporter.notice('drained', {cut: countOpen()});
-		const unended = await peerListener.end(
-			linkEndTimeout,
-			schedule.linksEndBy - clock.now(),
-		);
-		if (unended.links > 0) {
-			reporter.notice('meshLinksCut', unended);
-		}
-
-		const now = clock.now();
-		const callersEnd = {
-			acceptUntil: now,
-			endAt: Math.min(now + callerEndTimeout, schedule.linksEndBy),
-		};
-		await waitUntilIdle(
-			clock,
-			callersEnd,
-			() => callerListener.pending() + callerListener.ending() === 0,
-		);
-		abort();
-	}
-
-	/** Counts the work in flight, and the answers and outcomes that are not sent. */
-	function countOpen(): number {
-		return (
-			Math.max(entry.open(), callerListener.pending()) +
-			Math.max(dispatcher.openRequests(), peerListener.pending())
-		);
-	}
-
 	function abort(): void {
 		lifetime.abort();
 		newRouteUpdates.close();
