--- a/packages/mesh/__tests__/repeat-bound.spec.ts
+++ b/packages/mesh/__tests__/repeat-bound.spec.ts
@@ -9,6 +9,7 @@
 } from './declining-fleet.js';
 import {kinds} from './declining-load.js';
 
+// The operators' bound on repeats; times in milliseconds.
 const ratio = 0.2;
 const allowance = 99;
 const window = 10_000;
