--- a/review/1/run.js
+++ b/review/1/run.js
@@ -156,3 +156,4 @@
 	process.stderr.write(`${error.stack}\n`);
 	process.exit(2);
 }
+/* eslint-enable unicorn/no-process-exit */
