--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -290,6 +290,12 @@
 	return {
 		machines: started,
 		store,
+		/** Ends the check-ins, so that a test sends its own. */
+		stopCheckIns() {
+			for (const timer of timers) {
+				clearInterval(timer);
+			}
+		},
 		close() {
 			isClosed = true;
 			for (const timer of timers) {
--- a/review/lib/store.js
+++ b/review/lib/store.js
@@ -101,12 +101,33 @@
 		},
 	};
 
+	/** `refuse`: how every call is refused, as long as it is set. */
+	const faults = {refuse: undefined};
+	const refusals = {
+		busy(response) {
+			response.writeHead(503).end();
+		},
+		many(response) {
+			response.writeHead(429).end();
+		},
+		reset(response) {
+			response.destroy();
+		},
+		silent() {
+			// No response.
+		},
+	};
 	const server = createServer(async (request, response) => {
 		const chunks = [];
 		for await (const chunk of request) {
 			chunks.push(chunk);
 		}
 
+		if (faults.refuse) {
+			refusals[faults.refuse](response);
+			return;
+		}
+
 		const reply = (status, body) => {
 			setTimeout(() => {
 				response
@@ -150,6 +171,7 @@
 	write(desiredState);
 	return {
 		address: `${ip}:${server.address().port}`,
+		faults,
 		write,
 		close() {
 			server.closeAllConnections();
