--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -223,30 +223,55 @@
 		};
 
 		let sequence = 0;
+		let isLeaving = false;
 		const born = Date.now();
-		const checkIn = async () => {
+		const call = async (method, body) => {
 			try {
-				await fetch(`http://${ip}:${ports.announcements}/instances/${id}`, {
-					method: 'PUT',
-					signal: AbortSignal.timeout(1000),
-					headers: {'content-type': 'application/json'},
-					body: JSON.stringify({
-						service,
-						address: backend.address,
-						zone,
-						version: 'v1',
-						slots: backend.slots,
-						state: 'ready',
-						warmup_left: '0ms',
-						sequence: ++sequence,
-						born,
-					}),
-				});
+				const answer = await fetch(
+					`http://${ip}:${ports.announcements}/instances/${id}`,
+					{
+						method,
+						signal: AbortSignal.timeout(1000),
+						headers: {'content-type': 'application/json'},
+						body: JSON.stringify(body),
+					},
+				);
+				await answer.text();
+				return answer.status;
 			} catch {
 				// The process is not running.
+				return undefined;
+			}
+		};
+
+		/** Creates a check-in; returns the function that sends it. */
+		machine.takeCheckIn = () => {
+			const checkIn = {
+				service,
+				address: backend.address,
+				zone,
+				version: 'v1',
+				slots: backend.slots,
+				state: 'ready',
+				warmup_left: '0ms',
+				sequence: ++sequence,
+				born,
+			};
+			return async () => call('PUT', checkIn);
+		};
+
+		const checkIn = async () => {
+			if (!isLeaving) {
+				await machine.takeCheckIn()();
 			}
 		};
 
+		/** Takes the backend off; it sends no further check-ins. */
+		machine.withdraw = async () => {
+			isLeaving = true;
+			return call('DELETE', {born});
+		};
+
 		machine.checkIn = checkIn;
 		run();
 		running.push(machine);
