--- a/review/lib/backend.js
+++ b/review/lib/backend.js
@@ -23,9 +23,12 @@
 	onRun,
 }) {
 	const queueLimit = 108;
-	const queue = [];
 	const sockets = new Set();
+	let currentId = id;
+	let queue = [];
 	let running = 0;
+	/** Incremented by a crash; what ran before it has ended with it. */
+	let boot = 0;
 
 	const startNext = () => {
 		while (running < slots && queue.length > 0) {
@@ -34,7 +37,7 @@
 		}
 	};
 
-	const server = createServer((socket) => {
+	const accept = (socket) => {
 		const waiting = [];
 		let isBusy = false;
 		/** The copy of an earlier response. */
@@ -71,15 +74,20 @@
 		};
 
 		const run = (request) => {
+			const bootOfRun = boot;
 			onRun?.(request);
 			setTimeout(() => {
+				if (boot !== bootOfRun) {
+					return;
+				}
+
 				running--;
 				startNext();
 				const body = answer(request);
 				respond(
 					request,
 					'200 OK',
-					[`Response-Signature: ${id}.${request.requestId}`],
+					[`Response-Signature: ${currentId}.${request.requestId}`],
 					body,
 				);
 			}, work(request));
@@ -87,13 +95,18 @@
 
 		const serve = (request) => {
 			if (request.path === '/health') {
-				respond(request, '200 OK', [`Instance-Id: ${id}`], '');
+				respond(request, '200 OK', [`Instance-Id: ${currentId}`], '');
 				return;
 			}
 
 			const expected = request.headers.get('expected-instance');
-			if (expected !== undefined && expected !== id) {
-				respond(request, '421 Misdirected Request', [`Instance-Id: ${id}`], '');
+			if (expected !== undefined && expected !== currentId) {
+				respond(
+					request,
+					'421 Misdirected Request',
+					[`Instance-Id: ${currentId}`],
+					'',
+				);
 				return;
 			}
 
@@ -142,19 +155,47 @@
 				serveNext();
 			}),
 		);
-	});
-	await new Promise((resolve) => {
-		server.listen(0, ip, resolve);
-	});
+	};
+
+	let server;
+	let port = 0;
+	let isUp = false;
+	const listen = async () => {
+		server = createServer(accept);
+		await new Promise((resolve) => {
+			server.listen(port, ip, resolve);
+		});
+		port = server.address().port;
+		isUp = true;
+	};
+
+	const end = () => {
+		isUp = false;
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	};
+
+	await listen();
 	return {
-		id,
+		get id() {
+			return currentId;
+		},
 		slots,
-		address: `${ip}:${server.address().port}`,
-		close() {
-			server.close();
-			for (const socket of sockets) {
-				socket.destroy();
-			}
+		address: `${ip}:${port}`,
+		isUp: () => isUp,
+		/** Ends as a killed process does. */
+		async crash() {
+			boot++;
+			running = 0;
+			queue = [];
+			end();
+		},
+		async restart(newId) {
+			currentId = newId;
+			await listen();
 		},
+		close: end,
 	};
 }
--- a/review/lib/fleet.js
+++ b/review/lib/fleet.js
@@ -96,8 +96,9 @@
 	const startMachine = async ({service, startBackend}, index) => {
 		const ip = `${block}.${index + 1}`;
 		const zone = zones[index % zones.length];
-		const id = `i-${index}-${Math.floor(Math.random() * 1e9).toString(16)}`;
-		const backend = await startBackend(ip, id);
+		const createId = () =>
+			`i-${index}-${Math.floor(Math.random() * 1e9).toString(16)}`;
+		const backend = await startBackend(ip, createId());
 		const settingsFile = path.join(folder, `settings-${index}.yaml`);
 		const logFile = path.join(folder, `node-${index}.log`);
 		writeFileSync(
@@ -224,11 +225,11 @@
 
 		let sequence = 0;
 		let isLeaving = false;
-		const born = Date.now();
+		let born = Date.now();
 		const call = async (method, body) => {
 			try {
 				const answer = await fetch(
-					`http://${ip}:${ports.announcements}/instances/${id}`,
+					`http://${ip}:${ports.announcements}/instances/${backend.id}`,
 					{
 						method,
 						signal: AbortSignal.timeout(1000),
@@ -261,7 +262,7 @@
 		};
 
 		const checkIn = async () => {
-			if (!isLeaving) {
+			if (!isLeaving && backend.isUp()) {
 				await machine.takeCheckIn()();
 			}
 		};
@@ -272,6 +273,16 @@
 			return call('DELETE', {born});
 		};
 
+		/** Ends the backend without a word, and starts it again under another id. */
+		machine.crashBackend = async (downFor) => {
+			await backend.crash();
+			await pause(downFor);
+			await backend.restart(createId());
+			born = Date.now();
+			sequence = 0;
+			await checkIn();
+		};
+
 		machine.checkIn = checkIn;
 		run();
 		running.push(machine);
