--- a/review/2/run.js
+++ b/review/2/run.js
@@ -146,7 +146,7 @@
 async function main() {
 	const fleet = await startFleet({
 		machines: [
-			createMachine('media', 140),
+			// The only backend for uploads, beside the clients, so that no upload crosses a link.
 			createMachine('media', 140),
 			createMachine('board', 300),
 			createMachine('board', 300),
