feat(observability): connections to the target and foreign responses are counted

A late copy of a response ended another request with 502 and the reason answerForeign, but no line said whose response had come, and nothing showed how many connections the offers of declined requests cost. Without both, a copy that passes for the response to a second offer can't be told from a false decline of the target.

Event 1609 names the awaited request and the one that the response is for; two counters count such responses and the opened connections. No decision changes.

--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -69,6 +69,8 @@
 	let replaced: number;
 	let unreachable: string[];
 	let leaving: boolean[];
+	let opened: number;
+	let foreign: string[];
 
 	const createClient = (address: string) =>
 		createTargetClient({
@@ -85,6 +87,12 @@
 			onNotice({isLeaving}) {
 				leaving.push(isLeaving);
 			},
+			onConnect() {
+				opened++;
+			},
+			onForeignResponse(requestId, {responseTo}) {
+				foreign.push(`${requestId} got ${responseTo}`);
+			},
 		});
 
 	beforeEach(async () => {
@@ -94,6 +102,8 @@
 		replaced = 0;
 		unreachable = [];
 		leaving = [];
+		opened = 0;
+		foreign = [];
 	});
 
 	afterEach(async () => {
--- a/packages/mesh/src/target/target-access.ts
+++ b/packages/mesh/src/target/target-access.ts
@@ -1,4 +1,5 @@
 /** Manages the client of the local target and tracks whether the target is reachable. */
+import type {MeshMetrics} from '@egretspoke/observability';
 import type {Clock} from '@egretspoke/shared';
 import type {HeaderNames} from '../configuration/header-names.js';
 import type {MeshReporter} from '../mesh-reporter.js';
@@ -11,6 +12,7 @@
 	clock: Clock;
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
+	metrics: Pick<MeshMetrics, 'targetConnectionOpened' | 'foreignResponse'>;
 	/** Called with false when the target is unreachable or was replaced, with true once it answers again. */
 	onReachable: (isReachable: boolean) => void;
 	/** An answer of the current target arrived; `ordinal` increases with the start of each request. */
@@ -48,7 +50,7 @@
 
 /** Creates an access without a target. */
 export function createTargetAccess(options: TargetAccessOptions): TargetAccess {
-	const {clock, headerNames, reporter} = options;
+	const {clock, headerNames, reporter, metrics} = options;
 	const {createClient = createTargetClient} = options;
 	let current: TargetRecord | undefined;
 	let client: TargetClient | undefined;
@@ -69,6 +71,15 @@
 					options.onNotice(notice, ordinalOfRequest);
 				}
 			},
+			onConnect() {
+				metrics.targetConnectionOpened();
+			},
+			onForeignResponse(requestId, {status, responseTo}) {
+				metrics.foreignResponse();
+				reporter.decision('meshForeignResponse', requestId, String(status), {
+					responseTo,
+				});
+			},
 			onReplaced() {
 				reporter.notice('meshTargetReplaced', {target: record.targetId});
 				markUnreachable(record);
--- a/packages/mesh/src/target/target-client.ts
+++ b/packages/mesh/src/target/target-client.ts
@@ -57,8 +57,15 @@
 	nextOrdinal: () => number;
 	/** An answer arrived; `ordinal` is that of its request. */
 	onNotice: (notice: TargetNotice, ordinal: number) => void;
+	/** A connection to the target begins to open. */
+	onConnect: () => void;
+	/** A response to another request arrived where the one to `requestId` was expected. */
+	onForeignResponse: (requestId: string, response: ForeignResponse) => void;
 };
 
+/** A response to another request than the awaited one. */
+export type ForeignResponse = {status: number; responseTo: string};
+
 /** The status of a target that is not the expected one and did not run the request (RFC 9110, section 15.5.20). */
 const misdirectedStatus = 421;
 /** Maximum size of an answer's body, which is buffered in memory, in bytes. */
@@ -79,7 +86,11 @@
 /** Creates the client of a target. */
 export function createTargetClient(options: TargetClientOptions): TargetClient {
 	const {endpoint, headerNames, clock} = options;
-	const connections = createTargetConnections(endpoint.address, clock);
+	const connections = createTargetConnections({
+		address: endpoint.address,
+		clock,
+		onOpen: options.onConnect,
+	});
 	const readHeaders = createHeaderReader(headerNames);
 
 	return {
@@ -275,6 +286,13 @@
 		onHead(received, headers) {
 			const read = readHeaders(headers);
 			if (read.requestId !== request.requestId) {
+				if (read.requestId !== undefined) {
+					options.onForeignResponse(request.requestId, {
+						status: received,
+						responseTo: read.requestId,
+					});
+				}
+
 				onOutcome({kind: 'lost', reason: 'answerForeign'});
 				return false;
 			}
--- a/packages/mesh/src/target/target-connections.ts
+++ b/packages/mesh/src/target/target-connections.ts
@@ -67,11 +67,21 @@
  */
 const readBuffer = Buffer.allocUnsafeSlow(readBytes);
 
-/** Creates a pool of connections to `ip:port`; none is opened yet. */
-export function createTargetConnections(
-	address: string,
-	clock: Clock,
-): TargetConnections {
+/** Dependencies of a pool. */
+export type TargetConnectionsOptions = {
+	/** `ip:port`. */
+	address: string;
+	clock: Clock;
+	/** Called when a connection begins to open. */
+	onOpen: () => void;
+};
+
+/** Creates a pool of connections; none is opened yet. */
+export function createTargetConnections({
+	address,
+	clock,
+	onOpen,
+}: TargetConnectionsOptions): TargetConnections {
 	const url = URL.canParse(`http://${address}`)
 		? new URL(`http://${address}`)
 		: undefined;
@@ -151,6 +161,7 @@
 			return;
 		}
 
+		onOpen();
 		openConnection(first, {
 			host: url.hostname.replaceAll(/[[\]]/g, ''),
 			port: url.port === '' ? 80 : Number(url.port),
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -61,6 +61,16 @@
 		advice:
 			'Many with `unknownKey` after a change: callers still use a key that was removed. Many with `quotaExceeded` from one caller: it exceeds the quota of its workspace.',
 	},
+	meshForeignResponse: {
+		code: 1609,
+		level: 'info',
+		kind: 'decision',
+		template:
+			'its connection to the target delivered a response to {responseTo}: {reason}',
+		meaning:
+			"The target sent another request's response where the response to this request was expected; the reason is its status.",
+		advice: 'The target sends responses twice: check the target.',
+	},
 	meshStarted: {
 		code: 2501,
 		level: 'info',
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -47,6 +47,22 @@
 		reading:
 			'`refused` was never handed to the target; `declined`: the target certified that it did not run it; `lost`: it may have run.',
 	},
+	meshTargetConnections: {
+		name: 'egretspoke_mesh_target_connections_total',
+		type: 'counter',
+		labels: [],
+		help: 'Connections that this node opened to the target beside it.',
+		reading:
+			'Nearly constant under an even load. A rise without more load: the target closes connections, or declines requests that are offered again.',
+	},
+	meshForeignResponses: {
+		name: 'egretspoke_mesh_foreign_responses_total',
+		type: 'counter',
+		labels: [],
+		help: 'Responses of the target to other requests than the one that its connection carried.',
+		reading:
+			'0 unless the target sends responses twice; see event 1609 for the requests.',
+	},
 	meshShedLevel: {
 		name: 'egretspoke_mesh_shed_level',
 		type: 'gauge',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -54,6 +54,9 @@
 	targetStarted(queued: number): void;
 	/** Records the milliseconds that the target took. */
 	targetEnded(duration: number): void;
+	targetConnectionOpened(): void;
+	/** Records a response to another request than the awaited one. */
+	foreignResponse(): void;
 	retried(service: string): void;
 	targetCrashed(): void;
 	requestQuarantined(): void;
@@ -75,6 +78,8 @@
 	const queueTime = createHistogram(registry, 'meshQueueTime');
 	const targetDuration = createHistogram(registry, 'meshTargetDuration');
 	const attempts = createCounter(registry, 'meshAttempts');
+	const targetConnections = createCounter(registry, 'meshTargetConnections');
+	const foreignResponses = createCounter(registry, 'meshForeignResponses');
 	const retries = createCounter(registry, 'retries');
 	const crashes = createCounter(registry, 'targetCrashes');
 	const quarantined = createCounter(registry, 'quarantined');
@@ -107,6 +112,12 @@
 		targetEnded(time) {
 			targetDurations.record(time);
 		},
+		targetConnectionOpened() {
+			targetConnections.inc();
+		},
+		foreignResponse() {
+			foreignResponses.inc();
+		},
 		retried(service) {
 			retries.inc({service: limitService(service)});
 		},
