fix(mesh): a declined request is not sent again over a connection that declined it

Cause: a target may send a response twice, and the copy may arrive late, where the next response is expected. An offer again has the request id of the offer before, and took the connection that had just brought the decline, since that is the last used one. The copy came first and passed for the response to the second offer, while the target ran it. The request was then sent a third time, or refused.

Ruled out: a retry by the entry after a loss (no loss precedes), and a response matched to another request (the ids are equal).

Change: a connection remembers the ids that were declined on it and is not taken for them again; one that has declined 64 is closed. So the id identifies a response: each connection carries it once.

Before: the new specs fail (the second offer got 'declined 503').

--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -279,6 +279,44 @@
 			expect(await outcomeOf('b')).to.equal('lost answerForeign');
 			expect(await connectionOfNext()).to.equal(1);
 		});
+
+		describe('as a late copy of an earlier response', () => {
+			const decline = (id: string) =>
+				`HTTP/1.1 503 Busy\r\nRequest-Id: ${id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n`;
+
+			/** Runs a request that the target declines; the next request on its connection first gets a copy of that response. */
+			const declineWithLateCopy = async (id: string) => {
+				answerWith((request) => decline(request.id));
+				expect(await outcomeOf(id)).to.equal('declined 503');
+				const declinedOn = target.requests.at(-1)!.connection;
+				answerWith((request) =>
+					request.connection === declinedOn
+						? decline(id) + createAnswer(request.id)
+						: createAnswer(request.id),
+				);
+				return declinedOn;
+			};
+
+			// A payment ran twice: the copy passed for the response to its second offer, which the target ran.
+			it('does not send a declined request over a connection that declined it', async () => {
+				const declinedOn = await declineWithLateCopy('pay');
+				expect(await outcomeOf('pay')).to.equal('200 done');
+				expect(target.requests.at(-1)!.connection).not.to.equal(declinedOn);
+				expect(opened).to.equal(2);
+			});
+
+			it('closes a connection that has declined too many requests to remember', async () => {
+				answerWith((request) => decline(request.id));
+				const connections = new Set<number>();
+				for (let index = 0; index < 100; index++) {
+					// eslint-disable-next-line no-await-in-loop -- one after the other.
+					await outcomeOf(`pay-${index}`);
+					connections.add(target.requests.at(-1)!.connection);
+				}
+
+				expect(connections.size).to.equal(2);
+			});
+		});
 	});
 
 	it('rejects an answer without the request’s id', async () => {
--- a/packages/mesh/src/target/target-client.ts
+++ b/packages/mesh/src/target/target-client.ts
@@ -277,12 +277,14 @@
 	let parts: Uint8Array[] | undefined;
 
 	return {
+		requestId: request.requestId,
 		head,
 		body: request.body?.byteLength ? request.body : undefined,
 		isHeadRequest: request.method === 'HEAD',
 		isCancelled: false,
 		abort: undefined,
 		idleTime: defaultIdleTime,
+		isDeclined: false,
 		onHead(received, headers) {
 			const read = readHeaders(headers);
 			if (read.requestId !== request.requestId) {
@@ -305,6 +307,7 @@
 			status = received;
 			answer = read;
 			this.idleTime = read.idleTime;
+			this.isDeclined = read.isNotExecuted || status === misdirectedStatus;
 			// An answer of another target says nothing about this one.
 			if (status !== misdirectedStatus) {
 				options.onNotice(
@@ -337,7 +340,7 @@
 			}
 
 			onOutcome(
-				answer!.isNotExecuted || status === misdirectedStatus
+				this.isDeclined
 					? {kind: 'declined', status}
 					: {
 							kind: 'answered',
--- a/packages/mesh/src/target/target-connections.ts
+++ b/packages/mesh/src/target/target-connections.ts
@@ -3,7 +3,9 @@
  * time.
  *
  * A connection is used again only if everything that it delivered belongs to its
- * exchanges. An answer without a length ends with its connection and is complete
+ * exchanges. A late copy of a response is told from the response to the request
+ * under way by its request id alone, so a connection carries no id again that it
+ * has declined. An answer without a length ends with its connection and is complete
  * only if that was closed, not reset; otherwise a truncated answer would pass as
  * whole.
  */
@@ -14,6 +16,7 @@
 
 /** A request and the receiver of its response. */
 export type HttpExchange = {
+	requestId: string;
 	/** Request line and headers, in Latin-1. */
 	head: string;
 	body: Uint8Array | undefined;
@@ -24,6 +27,8 @@
 	abort: (() => void) | undefined;
 	/** Maximum idle time of the connection after the response, in milliseconds, as stated in its headers. */
 	idleTime: number;
+	/** Whether the response states that the request has not run, so that it may be sent again. */
+	isDeclined: boolean;
 	/** The final status and the headers arrived; returns whether the response is accepted. */
 	onHead(status: number, headers: string[]): boolean;
 	/** Returns whether the response is accepted. */
@@ -38,7 +43,7 @@
 
 /** A pool of connections. */
 export type TargetConnections = {
-	/** Sends the request over the most recently used idle connection, or over a new one. */
+	/** Sends the request over the most recently used idle connection that has not declined it, or over a new one. */
 	send(exchange: HttpExchange): void;
 	/** Closes idle connections now, and the others when their exchanges end. */
 	close(): void;
@@ -48,6 +53,8 @@
 type Connection = {
 	/** The time, on the clock, from which the connection is not used again. */
 	idleUntil: number;
+	/** Whether a request with this id was declined on the connection. */
+	hasDeclined(requestId: string): boolean;
 	start(exchange: HttpExchange): void;
 	close(): void;
 };
@@ -56,6 +63,8 @@
 const connectTimeout = 500;
 /** Milliseconds without traffic until the system checks whether the other side still exists. */
 const probeDelay = 60_000;
+/** Maximum number of declined requests that a connection remembers; one that has declined more is closed. */
+const maxDeclined = 64;
 /** Maximum size of a body that is copied behind its head to be sent in one write, in bytes. */
 const maxCopiedBytes = 16 * 1024;
 /** Bytes read at once; more than a usual answer, so that it is read and parsed in one step. */
@@ -124,17 +133,16 @@
 		}
 	};
 
-	const takeIdle = (): Connection | undefined => {
-		for (
-			let connection = idle.pop();
-			connection !== undefined;
-			connection = idle.pop()
-		) {
-			if (connection.idleUntil > clock.now()) {
+	const takeIdle = (requestId: string): Connection | undefined => {
+		const now = clock.now();
+		for (let index = idle.length - 1; index >= 0; index--) {
+			const connection = idle[index]!;
+			if (connection.idleUntil <= now) {
+				connection.close();
+			} else if (!connection.hasDeclined(requestId)) {
+				idle.splice(index, 1);
 				return connection;
 			}
-
-			connection.close();
 		}
 
 		return undefined;
@@ -145,7 +153,7 @@
 		waiting = [];
 		for (const exchange of exchanges) {
 			if (!exchange.isCancelled) {
-				const connection = takeIdle();
+				const connection = takeIdle(exchange.requestId);
 				if (connection) {
 					connection.start(exchange);
 				} else {
@@ -218,6 +226,7 @@
 	/** Whether the connection delivered bytes that belong to no exchange. */
 	let hasExtraBytes = false;
 	let isKeptAlive = false;
+	const declined = new Set<string>();
 
 	const parser = createResponseParser({
 		onBegin() {
@@ -273,11 +282,16 @@
 	/** Ends an exchange whose response has a length. */
 	const complete = (isValid: boolean) => {
 		const ended = exchange!;
+		if (ended.isDeclined) {
+			declined.add(ended.requestId);
+		}
+
 		const isReusable =
 			isValid &&
 			isKeptAlive &&
 			!hasExtraBytes &&
 			ended.idleTime > 0 &&
+			declined.size < maxDeclined &&
 			// Some servers send a body in response to HEAD.
 			!ended.isHeadRequest &&
 			// The next request would wait behind a body that the target may never read.
@@ -404,6 +418,7 @@
 
 	const connection: Connection = {
 		idleUntil: 0,
+		hasDeclined: (requestId) => declined.has(requestId),
 		start(next) {
 			exchange = next;
 			next.abort = close;
