fix(mesh): a late copy of a response does not end the request under way

Cause: a response with the id of another request closed the connection and ended the request as lost (answerForeign), although its own response was on its way.

Change: such a response is skipped by its framing, whatever that is, and the next one is awaited until the request's deadline. A response without an id, or with more than one, still ends the request: nothing identifies it.

--- a/packages/mesh/src/target/target-client.ts
+++ b/packages/mesh/src/target/target-client.ts
@@ -5,7 +5,9 @@
  * truncated one, or invalid data. A caller would then receive another caller's
  * data as a success. So an answer is accepted only if it repeats the request's
  * id, is complete by its framing, and, if it is a success, carries the target's
- * signature. Otherwise the connection is closed and the request counts as lost.
+ * signature. An answer with another id is skipped: it is a late copy, and the
+ * answer to the request may still follow. In all other cases the connection is
+ * closed and the request counts as lost.
  */
 import {Buffer} from 'node:buffer';
 import type {Clock} from '@egretspoke/shared';
@@ -287,21 +289,22 @@
 		isDeclined: false,
 		onHead(received, headers) {
 			const read = readHeaders(headers);
-			if (read.requestId !== request.requestId) {
-				if (read.requestId !== undefined) {
-					options.onForeignResponse(request.requestId, {
-						status: received,
-						responseTo: read.requestId,
-					});
-				}
-
+			if (read.requestId === undefined) {
 				onOutcome({kind: 'lost', reason: 'answerForeign'});
-				return false;
+				return 'invalid';
+			}
+
+			if (read.requestId !== request.requestId) {
+				options.onForeignResponse(request.requestId, {
+					status: received,
+					responseTo: read.requestId,
+				});
+				return 'foreign';
 			}
 
 			if (received < 300 && !read.isSigned) {
 				onOutcome({kind: 'lost', reason: 'answerUnsigned'});
-				return false;
+				return 'invalid';
 			}
 
 			status = received;
@@ -316,7 +319,7 @@
 				);
 			}
 
-			return true;
+			return 'accepted';
 		},
 		onBody(part) {
 			size += part.byteLength;
--- a/packages/mesh/src/target/target-connections.ts
+++ b/packages/mesh/src/target/target-connections.ts
@@ -14,6 +14,13 @@
 import type {Clock, Timer} from '@egretspoke/shared';
 import {createResponseParser} from './response-parser.js';
 
+/**
+ * What is done with a response: it answers the request; it belongs to another
+ * request, and the next response is awaited; or it is invalid, and the connection
+ * is closed.
+ */
+export type ResponseVerdict = 'accepted' | 'foreign' | 'invalid';
+
 /** A request and the receiver of its response. */
 export type HttpExchange = {
 	requestId: string;
@@ -29,8 +36,8 @@
 	idleTime: number;
 	/** Whether the response states that the request has not run, so that it may be sent again. */
 	isDeclined: boolean;
-	/** The final status and the headers arrived; returns whether the response is accepted. */
-	onHead(status: number, headers: string[]): boolean;
+	/** The final status and the headers of a response arrived; returns what to do with it. */
+	onHead(status: number, headers: string[]): ResponseVerdict;
 	/** Returns whether the response is accepted. */
 	onBody(part: Uint8Array): boolean;
 	/** The response is complete. */
@@ -248,18 +255,23 @@
 			}
 
 			const current = exchange;
-			if (!current.onHead(status, headers)) {
+			const verdict = current.onHead(status, headers);
+			if (verdict === 'invalid') {
 				close();
 				return true;
 			}
 
+			if (verdict === 'foreign') {
+				return false;
+			}
+
 			// Receivers of the headers may have cancelled the exchange.
 			isAccepted = exchange === current;
 			isKeptAlive = head.isKeptAlive;
 			return current.isHeadRequest;
 		},
 		onBody(part) {
-			if (!hasExtraBytes && exchange?.onBody(part) === false) {
+			if (isAccepted && !hasExtraBytes && exchange?.onBody(part) === false) {
 				close();
 			}
 		},
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -68,7 +68,7 @@
 		template:
 			'its connection to the target delivered a response to {responseTo}: {reason}',
 		meaning:
-			"The target sent another request's response where the response to this request was expected; the reason is its status.",
+			"The target sent another request's response where the response to this request was expected; the reason is its status. It is skipped, and the response to this request is still awaited.",
 		advice: 'The target sends responses twice: check the target.',
 	},
 	meshStarted: {
