fix(node): the response to another request is not taken for the own one

What callers saw: a target of our own interface that sends a refusal twice could make a request that ran be sent to another target, and a caller could receive the response to another request.

Cause: as in the mesh, a late copy of a response arrives where the next one is expected; this client had no identity to match, and targets were not asked for one.

Change: a response that names another request by egretspoke-request counts as lost and closes its connection. The target stand-in repeats the id. Targets that don't name it are served as before: open, with the id being that of a whole chain of calls.

--- a/packages/node/src/http-target-client.ts
+++ b/packages/node/src/http-target-client.ts
@@ -85,7 +85,7 @@
 /** One exchange, implemented directly on `dispatch` of undici, without streams in between. */
 async function dispatch(
 	agent: Agent,
-	exchange: Dispatcher.DispatchOptions,
+	exchange: Dispatcher.DispatchOptions & {headers: Record<string, string>},
 	signal: AbortSignal,
 ): Promise<TargetResult> {
 	return new Promise((resolve) => {
@@ -95,17 +95,21 @@
 		let controller: Dispatcher.DispatchController | undefined;
 		const chunks: Uint8Array[] = [];
 
-		const abort = () => {
-			controller?.abort(new Error('cancelled'));
-			finish({kind: 'lost', detail: 'cancelled'});
+		const abort = (detail: string) => {
+			controller?.abort(new Error(detail));
+			finish({kind: 'lost', detail});
+		};
+
+		const cancel = () => {
+			abort('cancelled');
 		};
 
 		const finish = (result: TargetResult) => {
-			signal.removeEventListener('abort', abort);
+			signal.removeEventListener('abort', cancel);
 			resolve(result);
 		};
 
-		signal.addEventListener('abort', abort);
+		signal.addEventListener('abort', cancel);
 		agent.dispatch(exchange, {
 			onRequestStart(started) {
 				isConnected = true;
@@ -115,6 +119,11 @@
 				}
 			},
 			onResponseStart(_controller, statusCode, incoming) {
+				if (isForeign(incoming, exchange.headers)) {
+					abort('the response belongs to another request');
+					return;
+				}
+
 				status = statusCode;
 				headers = readHeaders(incoming);
 			},
@@ -131,6 +140,18 @@
 	});
 }
 
+/**
+ * Whether a response names another request than the one that was sent: a target
+ * that sends a response twice may send the copy where the next one is expected.
+ */
+function isForeign(
+	received: Record<string, string | string[] | undefined>,
+	sent: Record<string, string>,
+): boolean {
+	const id = received[headerNames.request];
+	return id !== undefined && id !== sent[headerNames.request];
+}
+
 function readResult(
 	status: number,
 	headers: Record<string, string>,
--- a/packages/stand-ins/src/target-stand-in.ts
+++ b/packages/stand-ins/src/target-stand-in.ts
@@ -64,6 +64,8 @@
 
 	const serve = async (request: IncomingMessage, response: ServerResponse) => {
 		const body = await readAll(request);
+		const id = readHeader(request, headerNames.request);
+		response.setHeader(headerNames.request, id);
 		if (running >= options.slots) {
 			response.writeHead(503, {
 				[headerNames.shed]: 'not-run',
@@ -74,7 +76,6 @@
 		}
 
 		running++;
-		const id = readHeader(request, headerNames.request);
 		runs.set(id, (runs.get(id) ?? 0) + 1);
 		if (options.serviceTime > 0) {
 			await sleep(options.clock, options.serviceTime);
