--- a/packages/mesh/__tests__/caller-listener-fixture.ts
+++ b/packages/mesh/__tests__/caller-listener-fixture.ts
@@ -2,7 +2,11 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {createVirtualClock} from '@egretspoke/shared';
+import {createVirtualClock, type VirtualClock} from '@egretspoke/shared';
+import {
+	createMemoryBudget,
+	type MemoryBudget,
+} from '../src/decisions/memory/memory-budget.js';
 import {
 	createCallerListener,
 	type CallerListener,
@@ -19,6 +23,8 @@
 /** The listener, what it handed over and reported, and its caller. */
 export type CallerListenerFixture = {
 	listener: CallerListener;
+	clock: VirtualClock;
+	budget: MemoryBudget;
 	caller: Socket;
 	/** The bytes that the caller received, in Latin-1. */
 	text: string;
@@ -50,6 +56,8 @@
 
 /** Starts a listener, to which a caller is connected; requests for `/refused` are refused at once. */
 export async function startCallerListener(): Promise<CallerListenerFixture> {
+	const clock = createVirtualClock();
+	const budget = createMemoryBudget(350_000_000);
 	const listener = createCallerListener({
 		entry: {
 			handle(request, answer) {
@@ -70,7 +78,7 @@
 			},
 			open: () => 0,
 		},
-		clock: createVirtualClock(),
+		clock,
 		headerNames: {
 			requestId: 'request-id',
 			timeLeft: 'time-left',
@@ -89,7 +97,9 @@
 			},
 			decision: () => undefined,
 		},
+		budget,
 		metrics: {
+			requestEnded: () => undefined,
 			requestsCut(cause, requests) {
 				fixture.cut.push({cause, requests});
 			},
@@ -108,6 +118,8 @@
 	const caller = connect(Number(address.split(':')[1]), '127.0.0.1');
 	const fixture: CallerListenerFixture = {
 		listener,
+		clock,
+		budget,
 		caller,
 		text: '',
 		received: [],
--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -49,6 +49,7 @@
 				'orders',
 			],
 			body: undefined,
+			bodyHold: undefined,
 			workspaceKey: 'key',
 			arrivedAt: 0,
 			timeLeft: 900,
--- a/packages/mesh/__tests__/desired-links.spec.ts
+++ b/packages/mesh/__tests__/desired-links.spec.ts
@@ -21,6 +21,7 @@
 		isUsable,
 		isSilent: () => false,
 		outstanding: () => 0,
+		isUnused: () => true,
 		sendMessage: () => undefined,
 		retryNow: () => undefined,
 		probe: () => false,
--- a/packages/mesh/__tests__/directory.spec.ts
+++ b/packages/mesh/__tests__/directory.spec.ts
@@ -8,6 +8,7 @@
 } from '@egretspoke/shared';
 import {expect} from 'chai';
 import {WebSocketServer, type WebSocket} from 'ws';
+import {createMemoryBudget} from '../src/decisions/memory/memory-budget.js';
 import {createDirectory, type Directory} from '../src/members/directory.js';
 import {
 	idleLoad,
@@ -104,6 +105,7 @@
 		await new Promise<void>((resolve) => {
 			directory = createDirectory({
 				clock,
+				budget: createMemoryBudget(350_000_000),
 				random: createRandom(1),
 				ticker: createTicker(clock, life.signal),
 				self,
--- a/packages/mesh/__tests__/member-gossip.spec.ts
+++ b/packages/mesh/__tests__/member-gossip.spec.ts
@@ -24,6 +24,7 @@
 		isUsable: () => true,
 		isSilent: () => false,
 		outstanding: () => 0,
+		isUnused: () => true,
 		sendMessage,
 		retryNow: () => undefined,
 		probe: () => false,
--- a/packages/mesh/__tests__/peer-channel.spec.ts
+++ b/packages/mesh/__tests__/peer-channel.spec.ts
@@ -4,6 +4,7 @@
 import {createSystemClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {WebSocket, WebSocketServer} from 'ws';
+import {createMemoryBudget} from '../src/decisions/memory/memory-budget.js';
 import {
 	createPeerChannel,
 	type PeerChannel,
@@ -38,13 +39,16 @@
 	};
 
 	it('arrive whole at all lengths of the length field, in both directions', async () => {
-		const clock = createSystemClock();
+		const options = {
+			clock: createSystemClock(),
+			budget: createMemoryBudget(350_000_000),
+		};
 		const accepted = new Promise<PeerChannel>((resolve) => {
 			server.on('connection', (socket, {socket: connection}) => {
 				const channel: PeerChannel = createPeerChannel(
 					socket,
 					connection,
-					clock,
+					options,
 					{
 						...ignored,
 						onMessage(message) {
@@ -59,7 +63,7 @@
 		client = new WebSocket(`ws://127.0.0.1:${port}`);
 		const returned: PeerMessage[] = [];
 		const listener = {onReturned: () => undefined as void};
-		const channel = createPeerChannel(client, undefined, clock, {
+		const channel = createPeerChannel(client, undefined, options, {
 			...ignored,
 			onMessage(message) {
 				returned.push(message);
--- a/packages/mesh/__tests__/peer-link.spec.ts
+++ b/packages/mesh/__tests__/peer-link.spec.ts
@@ -6,6 +6,7 @@
 import {createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {WebSocketServer, type WebSocket} from 'ws';
+import {createMemoryBudget} from '../src/decisions/memory/memory-budget.js';
 import {createPeerLink, type PeerLink} from '../src/links/peer-link.js';
 import type {ForwardedRequest, Outcome} from '../src/links/exchange.js';
 import {addFrameHeader, maxHeaderLength} from '../src/links/socket-frame.js';
@@ -57,6 +58,7 @@
 		let onReceived: () => void = () => undefined;
 		await new Promise<void>((resolve) => {
 			link = createPeerLink({
+				budget: createMemoryBudget(350_000_000),
 				address: `127.0.0.1:${port}`,
 				clock,
 				hello: () => [],
@@ -107,6 +109,7 @@
 		});
 		await new Promise<void>((resolve) => {
 			link = createPeerLink({
+				budget: createMemoryBudget(350_000_000),
 				address: `127.0.0.1:${port}`,
 				clock,
 				hello: () => [],
@@ -156,6 +159,7 @@
 				onChange = resolve;
 			});
 		link = createPeerLink({
+			budget: createMemoryBudget(350_000_000),
 			address: `127.0.0.1:${port}`,
 			clock,
 			hello: () => [],
@@ -214,6 +218,7 @@
 		>;
 		await new Promise<void>((resolve) => {
 			link = createPeerLink({
+				budget: createMemoryBudget(350_000_000),
 				address: `127.0.0.1:${port}`,
 				clock,
 				hello: () => [],
@@ -293,6 +298,7 @@
 		const connected = once(server, 'connection') as Promise<[WebSocket]>;
 		await new Promise<void>((resolve) => {
 			link = createPeerLink({
+				budget: createMemoryBudget(350_000_000),
 				address: `127.0.0.1:${port}`,
 				clock,
 				hello: () => [],
@@ -353,6 +359,7 @@
 		losses = [];
 		await new Promise<void>((resolve) => {
 			link = createPeerLink({
+				budget: createMemoryBudget(350_000_000),
 				address: `127.0.0.1:${port}`,
 				clock: createVirtualClock(),
 				hello: () => [],
--- a/packages/mesh/__tests__/peer-listener.spec.ts
+++ b/packages/mesh/__tests__/peer-listener.spec.ts
@@ -4,6 +4,7 @@
 import {createVirtualClock, type VirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {WebSocket} from 'ws';
+import {createMemoryBudget} from '../src/decisions/memory/memory-budget.js';
 import type {
 	ForwardedRequest,
 	Outcome,
@@ -59,6 +60,9 @@
 	}
 }
 
+/** Enough for the answers below, which are larger than those that targets' nodes send whole. */
+const memory = 4_000_000_000;
+
 describe('the listener for links of other nodes', () => {
 	let clock: VirtualClock;
 	let listener: PeerListener;
@@ -106,6 +110,7 @@
 		isClosed = false;
 		unread = [];
 		listener = createPeerListener({
+			budget: createMemoryBudget(memory),
 			clock,
 			dispatcher: {
 				send(_request, onOutcome) {
--- a/packages/mesh/__tests__/planned-stop-links.spec.ts
+++ b/packages/mesh/__tests__/planned-stop-links.spec.ts
@@ -108,6 +108,7 @@
 				retryBudget: {ratio: 0.2, allowance: 48, window: 10_000},
 				quotaTolerance: {window: 5000, overage: 0.1, slack: 20},
 				grace: 6000,
+				memory: 350_000_000,
 			},
 			clock,
 			random: createRandom(1),
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -8,6 +8,7 @@
 	createVirtualClock,
 	type Random,
 } from '@egretspoke/shared';
+import {createMemoryBudget} from '../src/decisions/memory/memory-budget.js';
 import {createDeadlineWheel} from '../src/timing/deadline-wheel.js';
 import {createCallGraph} from '../src/decisions/admission/call-graph.js';
 import {createCallProfile} from '../src/decisions/admission/call-profile.js';
@@ -178,6 +179,7 @@
 			isUsable: () => true,
 			isSilent: () => false,
 			outstanding: () => outstanding,
+			isUnused: () => true,
 			send(request, onOutcome) {
 				outstanding++;
 				let cancel: () => void = () => undefined;
@@ -211,6 +213,7 @@
 		};
 		const wheel = createDeadlineWheel(clock);
 		const dispatcher = createTargetDispatcher({
+			budget: createMemoryBudget(350_000_000),
 			clock,
 			wheel,
 			headerNames,
@@ -342,6 +345,7 @@
 					path,
 					headers: [],
 					body: undefined,
+					bodyHold: undefined,
 					workspaceKey: undefined,
 					arrivedAt: clock.now(),
 					timeLeft: 3000,
--- a/packages/mesh/__tests__/request-forwarding.spec.ts
+++ b/packages/mesh/__tests__/request-forwarding.spec.ts
@@ -116,6 +116,7 @@
 				path: '/',
 				headers: [],
 				body: undefined,
+				bodyHold: undefined,
 				workspaceKey: undefined,
 				arrivedAt: clock.now(),
 				timeLeft: 1500,
--- a/packages/mesh/__tests__/service-candidates.spec.ts
+++ b/packages/mesh/__tests__/service-candidates.spec.ts
@@ -38,6 +38,7 @@
 			isUsable: () => isUsable,
 			isSilent: () => false,
 			outstanding: () => 0,
+			isUnused: () => true,
 			sendMessage: () => undefined,
 			probe: () => false,
 			retryNow: () => undefined,
--- a/packages/mesh/__tests__/suspect-fleet.ts
+++ b/packages/mesh/__tests__/suspect-fleet.ts
@@ -97,6 +97,7 @@
 		isUsable: () => true,
 		isSilent: () => false,
 		outstanding: () => 0,
+		isUnused: () => true,
 		send: () => () => undefined,
 		sendMessage(message) {
 			deliver(to, message);
--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -4,6 +4,11 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {createVirtualClock, type VirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
+import type {BodyStream} from '../src/bodies/body-stream.js';
+import {
+	createMemoryBudget,
+	type MemoryBudget,
+} from '../src/decisions/memory/memory-budget.js';
 import type {HeaderNames} from '../src/configuration/header-names.js';
 import type {ForwardedRequest, Outcome} from '../src/links/exchange.js';
 import {
@@ -70,6 +75,7 @@
 	let unreachable: string[];
 	let leaving: boolean[];
 	let opened: number;
+	let budget: MemoryBudget;
 	let foreign: string[];
 
 	const createClient = (address: string) =>
@@ -77,6 +83,7 @@
 			endpoint: {address, targetId: 'target-1'},
 			headerNames,
 			clock,
+			budget,
 			onReplaced() {
 				replaced++;
 			},
@@ -98,6 +105,7 @@
 	beforeEach(async () => {
 		target = await startRawTarget();
 		clock = createVirtualClock();
+		budget = createMemoryBudget(350_000_000);
 		client = createClient(target.address);
 		replaced = 0;
 		unreachable = [];
@@ -484,6 +492,83 @@
 		expect(await outcomeOf('a', {method: 'POST', body})).to.equal('200 early');
 	});
 
+	describe('when an answer is too large to be held whole', () => {
+		const size = 3_000_000;
+
+		/** Runs a request with a large answer, and returns its stream. */
+		const openStream = async (id: string) => {
+			const outcome = await run(id);
+			expect(outcome.kind).to.equal('answered');
+			return (outcome as Outcome & {kind: 'answered'}).stream!;
+		};
+
+		/** Reads a stream to its end; returns its bytes, or how it ended otherwise. */
+		const readAll = async (stream: BodyStream) =>
+			new Promise<string>((resolve) => {
+				const parts: Uint8Array[] = [];
+				stream.read({
+					onPart(part) {
+						parts.push(part);
+						stream.release(part.byteLength);
+					},
+					onEnd() {
+						resolve(Buffer.concat(parts).toString('latin1'));
+					},
+					onCut() {
+						resolve('cut');
+					},
+				});
+			});
+
+		it('passes it on while it arrives, and uses the connection again', async () => {
+			const body = 'abc'.repeat(size / 3);
+			answerWith(({id}) => createAnswer(id, body));
+			const stream = await openStream('a');
+			expect(stream.size).to.equal(size);
+			expect((await readAll(stream)) === body).to.equal(true);
+			expect(await connectionOfNext()).to.equal(0);
+			expect(budget.held.streams).to.equal(0);
+		});
+
+		it('reads no more than fits into the memory until it is passed on', async () => {
+			budget.add('streams', 350_000_000);
+			answerWith(({id}) => createAnswer(id, 'x'.repeat(20 * size)));
+			const stream = await openStream('a');
+			const held = () => budget.held.streams - 350_000_000;
+			await waitUntil(() => held() > 0);
+			const {socket} = target.requests[0]!;
+			await waitUntil(() => socket.writableLength > 0);
+			await new Promise(setImmediate);
+			expect(held()).to.be.below(2_000_000);
+			expect(await readAll(stream)).to.have.length(20 * size);
+		});
+
+		it('cuts it off when its connection ends before it is complete', async () => {
+			answerWith(
+				({id}) => createAnswer(id, 'x'.repeat(size)).slice(0, -1),
+				'close',
+			);
+			expect(await readAll(await openStream('a'))).to.equal('cut');
+		});
+
+		it('closes its connection when it is not needed any more', async () => {
+			answerWith(({id}) => createAnswer(id, 'x'.repeat(size)).slice(0, -1));
+			const stream = await openStream('a');
+			stream.cancel();
+			await waitUntil(() => target.connections.size === 0);
+			expect(budget.held.streams).to.equal(0);
+		});
+
+		it('drops the body of a declined request', async () => {
+			answerWith(
+				({id}) =>
+					`HTTP/1.1 503 Busy\r\nRequest-Id: ${id}\r\nNot-Run: 1\r\nContent-Length: ${size}\r\n\r\n${'x'.repeat(size)}`,
+			);
+			expect(await outcomeOf('a')).to.equal('declined 503');
+			expect(budget.held.streams).to.equal(0);
+		});
+	});
+
 	describe('the connections', () => {
 		it('are used again, the last used first', async () => {
 			const held: RawRequest[] = [];
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -4,7 +4,6 @@
  * Bodies are buffered before a request is forwarded, so that a caller that
  * stalls or disconnects during an upload holds no slot of a target.
  */
-import {Buffer} from 'node:buffer';
 import {
 	createServer,
 	type IncomingMessage,
@@ -19,6 +18,10 @@
 	type Clock,
 } from '@egretspoke/shared';
 import type {HeaderNames} from '../configuration/header-names.js';
+import type {
+	BodyHold,
+	MemoryBudget,
+} from '../decisions/memory/memory-budget.js';
 import {listenOn} from '../listening.js';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {CallerLimits} from '../configuration/route.js';
@@ -28,6 +31,8 @@
 } from './caller-headers.js';
 import type {FinalAnswer} from './caller-request.js';
 import type {Entry} from './entry.js';
+import {readBody, type BodyResult} from './request-body.js';
+import {createResponseWriter} from './response-writer.js';
 
 /** Dependencies of the listener. */
 export type CallerListenerOptions = {
@@ -35,7 +40,8 @@
 	clock: Clock;
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
-	metrics: Pick<MeshMetrics, 'requestsCut'>;
+	metrics: Pick<MeshMetrics, 'requestEnded' | 'requestsCut'>;
+	budget: MemoryBudget;
 	/** The service of the local target, sent to targets in a header. */
 	callerService: () => string;
 	/** Whether callers identify their workspaces by keys. */
@@ -68,10 +74,17 @@
 /** Maximum size of parsed headers, in bytes; the configured limit is checked afterwards. */
 const maxParsedHeaderBytes = 256 * 1024;
 
+/** Maximum wait of a body for memory: a share of the time that its caller waits, and the milliseconds if that isn't stated. */
+const maxWaitRatio = 0.5;
+const defaultMaxWait = 5000;
+/** Milliseconds after which a caller may repeat a request that found no memory; large bodies take about as long. */
+const noMemoryRetryAfter = 1000;
+
 /** A request whose body is complete. */
 type ReceivedRequest = {
 	headers: CallerHeaders;
 	body: Uint8Array | undefined;
+	bodyHold: BodyHold | undefined;
 	/** Arrival time of the headers, on the clock. */
 	arrivedAt: number;
 };
@@ -80,9 +93,13 @@
 export function createCallerListener(
 	options: CallerListenerOptions,
 ): CallerListener {
-	const {headerNames} = options;
+	const {headerNames, budget} = options;
 	const readHeaders = createCallerHeaderReader(headerNames);
 	let limits = defaultLimits;
+	const write = createResponseWriter({
+		...options,
+		stallTimeout: () => limits.idleTime,
+	});
 	const server: Server = createServer(
 		{
 			keepAliveTimeout: limits.idleTime,
@@ -160,12 +177,48 @@
 		}
 
 		const arrivedAt = options.clock.now();
-		if (headers.hasBody) {
+		if (budget.isFull('responses')) {
+			request.resume();
+			refuseWithoutMemory(exchange, headers);
+		} else if (headers.hasBody) {
 			receiveBody(request, exchange, headers, arrivedAt);
 		} else {
 			// Skips the empty body stream, which would cost six stream calls for each read request.
-			handle(request, exchange, {headers, body: undefined, arrivedAt});
+			handle(request, exchange, {
+				headers,
+				body: undefined,
+				bodyHold: undefined,
+				arrivedAt,
+			});
+		}
+	};
+
+	/** Refuses a request that has not run, because the node holds too much; its body is discarded. */
+	const refuseWithoutMemory = (
+		exchange: CallerExchange,
+		{requestId}: CallerHeaders,
+	) => {
+		if (!exchange.accept()) {
+			return;
 		}
+
+		const reason = 'noMemory';
+		options.metrics.requestEnded({
+			route: '',
+			outcome: 'refused',
+			reason,
+			duration: 0,
+		});
+		options.reporter.decision('meshRejected', requestId, reason, {
+			status: 503,
+			route: '',
+		});
+		respond(exchange, {
+			kind: 'own',
+			status: 503,
+			reason,
+			retryAfter: noMemoryRetryAfter,
+		});
 	};
 
 	/** Answers a request that is invalid or exceeds a limit, and ends its connection. */
@@ -183,39 +236,43 @@
 		headers: CallerHeaders,
 		arrivedAt: number,
 	) => {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
-		let isTooLarge = false;
-		request.on('data', (chunk: Uint8Array) => {
-			size += chunk.length;
-			if (size > limits.bodyBytes) {
-				isTooLarge = true;
-				chunks.length = 0;
-				return;
-			}
-
-			chunks.push(chunk);
-		});
-		request.on('end', () => {
-			if (isTooLarge) {
+		const timeLeft = Number(headers.timeLeft);
+		const bodyHandlers: {
+			[Kind in BodyResult['kind']]: (
+				result: Extract<BodyResult, {kind: Kind}>,
+			) => void;
+		} = {
+			read({body, hold}) {
+				handle(request, exchange, {headers, body, bodyHold: hold, arrivedAt});
+			},
+			tooLarge() {
 				reject(exchange, 413);
-				return;
-			}
-
-			handle(request, exchange, {
-				headers,
-				body: size === 0 ? undefined : joinParts(chunks),
-				arrivedAt,
-			});
-		});
+			},
+			noMemory() {
+				refuseWithoutMemory(exchange, headers);
+			},
+		};
+		readBody(
+			request,
+			{
+				clock: options.clock,
+				budget,
+				limit: limits.bodyBytes,
+				maxWait: timeLeft > 0 ? timeLeft * maxWaitRatio : defaultMaxWait,
+			},
+			(result) => {
+				bodyHandlers[result.kind](result as never);
+			},
+		);
 	};
 
 	const handle = (
 		request: IncomingMessage,
 		exchange: CallerExchange,
-		{headers, body, arrivedAt}: ReceivedRequest,
+		{headers, body, bodyHold, arrivedAt}: ReceivedRequest,
 	) => {
 		if (!exchange.accept()) {
+			bodyHold?.release();
 			return;
 		}
 
@@ -229,25 +286,33 @@
 				path: request.url ?? '/',
 				headers: headers.endToEnd,
 				body,
+				bodyHold,
 				workspaceKey: headers.workspaceKey,
 				arrivedAt,
 				timeLeft:
 					Number.isFinite(timeLeft) && timeLeft > 0 ? timeLeft : undefined,
 			},
 			(final) => {
+				bodyHold?.release();
 				respond(exchange, final);
 			},
 		);
 		// The answer may be available before `handle` has returned its leave callback.
 		if (!exchange.isAnswered) {
-			exchange.whenLeft(leave);
+			exchange.whenLeft(() => {
+				bodyHold?.release();
+				leave();
+			});
 		}
 	};
 
 	const respond = (exchange: CallerExchange, final: FinalAnswer) => {
 		exchange.answer();
-		const {response} = exchange;
-		if (response.destroyed) {
+		if (exchange.response.destroyed) {
+			if (final.kind === 'target') {
+				final.stream?.cancel();
+			}
+
 			return;
 		}
 
@@ -255,38 +320,7 @@
 			exchange.closeAfter('closingAnswer');
 		}
 
-		writers[final.kind](response, final as never);
-	};
-
-	const writers: {
-		[Kind in FinalAnswer['kind']]: (
-			response: ServerResponse,
-			final: Extract<FinalAnswer, {kind: Kind}>,
-		) => void;
-	} = {
-		target(response, {status, headers, body}) {
-			response.writeHead(status, [
-				...headers,
-				'Content-Length',
-				String(body.byteLength),
-			]);
-			response.end(body);
-		},
-		own(response, {status, reason, retryAfter}) {
-			const text = `${reason}\n`;
-			const headers = [
-				'Content-Type',
-				'text/plain',
-				'Content-Length',
-				String(text.length),
-			];
-			if (retryAfter !== undefined) {
-				headers.push('Retry-After', (retryAfter / 1000).toFixed(3));
-			}
-
-			response.writeHead(status, headers);
-			response.end(text);
-		},
+		write(exchange, final);
 	};
 
 	return {
@@ -309,7 +343,3 @@
 		},
 	};
 }
-
-function joinParts(parts: Uint8Array[]): Uint8Array {
-	return parts.length === 1 ? parts[0]! : Buffer.concat(parts);
-}
--- a/packages/mesh/src/entry/caller-request.ts
+++ b/packages/mesh/src/entry/caller-request.ts
@@ -1,4 +1,5 @@
 /** Requests of callers and their final answers. */
+import type {BodyHold} from '../decisions/memory/memory-budget.js';
 import type {TargetAnswer} from '../links/exchange.js';
 
 /** A request of a caller. */
@@ -11,6 +12,8 @@
 	/** End-to-end headers, forwarded unchanged. */
 	headers: string[];
 	body: Uint8Array | undefined;
+	/** The memory of the body. */
+	bodyHold: BodyHold | undefined;
 	/** The key of its workspace; undefined unless it has exactly one. */
 	workspaceKey: string | undefined;
 	/** Arrival time, on the clock. */
--- a/packages/mesh/src/entry/request-forwarding.ts
+++ b/packages/mesh/src/entry/request-forwarding.ts
@@ -7,6 +7,7 @@
  */
 import {isQuarantined, type Suspect} from '@egretspoke/quarantine';
 import {
+	discardOutcome,
 	isTargetFailure,
 	type ForwardedRequest,
 	type Outcome,
@@ -221,7 +222,9 @@
 		outcome.kind === 'answered' ? 'answered' : 'failed',
 		load,
 	);
-	if (!forwarding.isOver) {
+	if (forwarding.isOver) {
+		discardOutcome(outcome);
+	} else {
 		outcomeHandlers[outcome.kind](forwarding, outcome as never, target.node);
 	}
 }
@@ -238,6 +241,7 @@
 		path: request.path,
 		headers: request.headers,
 		body: request.body,
+		bodyHold: request.bodyHold,
 		service: work.service,
 		isIdempotent: route.isIdempotent,
 		isInner: forwarding.isInner,
@@ -282,15 +286,23 @@
 		node: string,
 	) => void;
 } = {
-	answered(forwarding, {status, headers, body}, node) {
+	answered(forwarding, {status, headers, body, stream}, node) {
 		const {route, context, work} = forwarding;
 		forwarding.arrivals++;
 		forwarding.answeredBy = node;
-		const answer: FinalAnswer = {kind: 'target', status, headers, body};
+		const answer: FinalAnswer = {
+			kind: 'target',
+			status,
+			headers,
+			body,
+			stream,
+		};
 		// While load is shed, most failures come from refused calls; repeating the
 		// whole call tree would only cause more of them.
 		const shouldRetry =
 			isTargetFailure(status) &&
+			// Whoever keeps the failure for the end would have to hold the body.
+			stream === undefined &&
 			route.isIdempotent &&
 			!context.pressure.isShedding(work);
 		if (shouldRetry && tryTakeRetry(forwarding, 'targetFailed', node)) {
--- /dev/null
+++ b/packages/mesh/src/entry/response-writer.ts
@@ -0,0 +1,139 @@
+/** Writes final answers to callers, and counts what they have not read yet. */
+import type {ServerResponse} from 'node:http';
+import type {CallerExchange, Clock, Timer} from '@egretspoke/shared';
+import type {BodyStream} from '../bodies/body-stream.js';
+import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
+import type {FinalAnswer} from './caller-request.js';
+
+/** Dependencies of a writer. */
+export type ResponseWriterOptions = {
+	clock: Clock;
+	budget: MemoryBudget;
+	/** Milliseconds without progress after which a response in parts is cut off. */
+	stallTimeout: () => number;
+};
+
+/** Writes an answer; the exchange was told that it is being answered. */
+export type ResponseWriter = (
+	exchange: CallerExchange,
+	final: FinalAnswer,
+) => void;
+
+/** Size in bytes up to which a body is not counted: counting takes a listener for each response. */
+const uncountedBytes = 4096;
+
+/** Creates a writer. */
+export function createResponseWriter(
+	options: ResponseWriterOptions,
+): ResponseWriter {
+	const writers: {
+		[Kind in FinalAnswer['kind']]: (
+			exchange: CallerExchange,
+			final: Extract<FinalAnswer, {kind: Kind}>,
+		) => void;
+	} = {
+		target(exchange, {status, headers, body, stream}) {
+			const {response} = exchange;
+			if (stream) {
+				const length =
+					stream.size === undefined
+						? []
+						: ['Content-Length', String(stream.size)];
+				response.writeHead(status, [...headers, ...length]);
+				writeStream(exchange, stream, options);
+				return;
+			}
+
+			count(response, body.byteLength, options.budget);
+			response.writeHead(status, [
+				...headers,
+				'Content-Length',
+				String(body.byteLength),
+			]);
+			response.end(body);
+		},
+		own({response}, {status, reason, retryAfter}) {
+			const text = `${reason}\n`;
+			const headers = [
+				'Content-Type',
+				'text/plain',
+				'Content-Length',
+				String(text.length),
+			];
+			if (retryAfter !== undefined) {
+				headers.push('Retry-After', (retryAfter / 1000).toFixed(3));
+			}
+
+			response.writeHead(status, headers);
+			response.end(text);
+		},
+	};
+
+	return (exchange, final) => {
+		writers[final.kind](exchange, final as never);
+	};
+}
+
+/** Counts the bytes of a response until it is sent or its connection is closed. */
+function count(
+	response: ServerResponse,
+	bytes: number,
+	budget: MemoryBudget,
+): void {
+	if (bytes > uncountedBytes) {
+		budget.add('responses', bytes);
+		response.once('close', () => {
+			budget.remove('responses', bytes);
+		});
+	}
+}
+
+/** Writes a body while it arrives. */
+function writeStream(
+	exchange: CallerExchange,
+	stream: BodyStream,
+	{clock, stallTimeout}: ResponseWriterOptions,
+): void {
+	const {response} = exchange;
+	let hasProgress = true;
+	let timer: Timer | undefined;
+
+	const checkProgress = () => {
+		// Without a socket, the answers to earlier requests on the connection are being sent.
+		if (hasProgress || response.socket === null) {
+			hasProgress = false;
+			timer = clock.setTimer(stallTimeout(), checkProgress);
+		} else {
+			response.destroy();
+		}
+	};
+
+	const cut = () => {
+		timer?.cancel();
+		if (response.socket === null) {
+			// Closing the connection now would take the answers to earlier requests with it.
+			response.once('socket', cut);
+		} else {
+			response.destroy();
+		}
+	};
+
+	exchange.whenLeft(() => {
+		timer?.cancel();
+		stream.cancel();
+	});
+	checkProgress();
+	stream.read({
+		onPart(part) {
+			response.write(part, () => {
+				hasProgress = true;
+				stream.release(part.byteLength);
+			});
+		},
+		onEnd() {
+			timer?.cancel();
+			response.end();
+		},
+		onCut: cut,
+	});
+}
--- a/packages/mesh/src/links/compact-message.ts
+++ b/packages/mesh/src/links/compact-message.ts
@@ -20,13 +20,38 @@
 	/** Load of the sender's target; sent if no recent outcome carried it. */
 	| {kind: 'load'; load: TargetLoad}
 	| {kind: 'request'; exchange: number; request: ForwardedRequest}
+	| LargeRequest
 	| {kind: 'cancel'; exchange: number}
 	| {
 			kind: 'outcome';
 			exchange: number;
 			outcome: Outcome;
 			load: TargetLoad | undefined;
-	  };
+			/** Present if the body follows in parts; its bytes, or `unknownSize`. */
+			streamSize?: number | undefined;
+	  }
+	| BodyPart
+	/** The receiver of a body has memory for so many further bytes of it. */
+	| {kind: 'credit'; exchange: number; bytes: number};
+
+/** A request whose body follows in parts once the receiver has asked for it. */
+export type LargeRequest = {
+	kind: 'largeRequest';
+	exchange: number;
+	request: ForwardedRequest;
+	bodySize: number;
+};
+
+/** A part of the body of a request or a response, and what follows it. */
+export type BodyPart = {
+	kind: 'part';
+	exchange: number;
+	bytes: Uint8Array;
+	rest: 'more' | 'last' | 'cut';
+};
+
+/** Stands for the size of a body that its target does not state. */
+export const unknownSize = -1;
 
 type Kind = CompactMessage['kind'];
 
@@ -36,6 +61,9 @@
 	cancel: 1,
 	outcome: 2,
 	load: 3,
+	largeRequest: 4,
+	part: 5,
+	credit: 6,
 } as const satisfies Record<Kind, number>;
 
 /** Ratios are sent as whole thousandths, because a floating-point number takes nine bytes. */
@@ -58,27 +86,23 @@
 } = {
 	request: ({exchange, request}) => [
 		codes.request,
+		...toRequestItems(exchange, request, request.body),
+	],
+	largeRequest: ({exchange, request, bodySize}) => [
+		codes.largeRequest,
+		...toRequestItems(exchange, request, undefined),
+		bodySize,
+	],
+	part: ({exchange, bytes, rest}) => [
+		codes.part,
 		exchange,
-		request.requestId,
-		request.method,
-		request.path,
-		request.headers,
-		request.body ?? null,
-		request.service,
-		request.isIdempotent,
-		request.isInner,
-		request.priority,
-		Math.round(request.maxWait),
-		// Rounded down, so that the receiver never assumes more time than is left.
-		Math.floor(request.timeLeft),
-		Math.round(request.repeatShare * ratioScale),
-		request.route,
-		request.isNearCompletion,
-		request.crashes,
+		bytes,
+		restCodes.indexOf(rest),
 	],
+	credit: ({exchange, bytes}) => [codes.credit, exchange, bytes],
 	cancel: ({exchange}) => [codes.cancel, exchange],
 	load: ({load}) => [codes.load, ...toNumbers(load)],
-	outcome({exchange, outcome, load}) {
+	outcome({exchange, outcome, load, streamSize}) {
 		const numbers = load ? toNumbers(load) : null;
 		return outcome.kind === 'answered'
 			? [
@@ -89,6 +113,7 @@
 					outcome.status,
 					outcome.headers,
 					outcome.body,
+					...(streamSize === undefined ? [] : [streamSize]),
 				]
 			: [
 					codes.outcome,
@@ -100,6 +125,37 @@
 	},
 };
 
+/** What follows a part, by its code. */
+const restCodes = ['more', 'last', 'cut'] as const satisfies Array<
+	BodyPart['rest']
+>;
+
+function toRequestItems(
+	exchange: number,
+	request: ForwardedRequest,
+	body: Uint8Array | undefined,
+): unknown[] {
+	return [
+		exchange,
+		request.requestId,
+		request.method,
+		request.path,
+		request.headers,
+		body ?? null,
+		request.service,
+		request.isIdempotent,
+		request.isInner,
+		request.priority,
+		Math.round(request.maxWait),
+		// Rounded down, so that the receiver never assumes more time than is left.
+		Math.floor(request.timeLeft),
+		Math.round(request.repeatShare * ratioScale),
+		request.route,
+		request.isNearCompletion,
+		request.crashes,
+	];
+}
+
 /** Decodes a list; returns undefined if it is none of these messages. */
 export function fromCompact(list: unknown[]): CompactMessage | undefined {
 	const decoder = decoders[list[0] as number];
@@ -122,6 +178,15 @@
 	},
 	{minLength: 5, read: readOutcome},
 	{minLength: 5, read: readLoad},
+	{minLength: 18, read: readLargeRequest},
+	{minLength: 4, read: readPart},
+	{
+		minLength: 3,
+		read: (list) =>
+			typeof list[2] === 'number'
+				? {kind: 'credit', exchange: list[1] as number, bytes: list[2]}
+				: undefined,
+	},
 ];
 
 /**
@@ -150,7 +215,25 @@
 	);
 }
 
-function readRequest(list: unknown[]): CompactMessage | undefined {
+function readLargeRequest(list: unknown[]): CompactMessage | undefined {
+	const message = readRequest(list);
+	const bodySize = list[17];
+	return message && Number.isSafeInteger(bodySize) && (bodySize as number) > 0
+		? {...message, kind: 'largeRequest', bodySize: bodySize as number}
+		: undefined;
+}
+
+function readPart([, exchange, bytes, code]: unknown[]):
+	CompactMessage | undefined {
+	const rest = restCodes[code as number];
+	return bytes instanceof Uint8Array && rest !== undefined
+		? {kind: 'part', exchange: exchange as number, bytes, rest}
+		: undefined;
+}
+
+function readRequest(
+	list: unknown[],
+): Extract<CompactMessage, {kind: 'request'}> | undefined {
 	if (!isRequestList(list)) {
 		return undefined;
 	}
@@ -193,6 +276,7 @@
 			exchange: list[1] as number,
 			outcome,
 			load: Array.isArray(load) ? fromNumbers(load as LoadNumbers) : undefined,
+			...(typeof list[7] === 'number' && {streamSize: list[7]}),
 		}
 	);
 }
--- a/packages/mesh/src/links/exchange.ts
+++ b/packages/mesh/src/links/exchange.ts
@@ -1,4 +1,6 @@
 /** The request that an entry node sends to a target's node, and the outcome of the attempt. */
+import type {BodyStream} from '../bodies/body-stream.js';
+import type {BodyHold} from '../decisions/memory/memory-budget.js';
 
 /** A request as an entry node sends it to a target's node. */
 export type ForwardedRequest = {
@@ -9,6 +11,8 @@
 	/** End-to-end headers, names and values alternating. */
 	headers: string[];
 	body: Uint8Array | undefined;
+	/** The memory of the body at this node, if it is counted. */
+	bodyHold?: BodyHold | undefined;
 	route: string;
 	/** The service selected by the route; targets of other services must not run the request. */
 	service: string;
@@ -61,9 +65,19 @@
 	status: number;
 	/** End-to-end headers, names and values alternating. */
 	headers: string[];
+	/** Empty if the body is a stream. */
 	body: Uint8Array;
+	/** The body, if it is too large to be held whole. */
+	stream?: BodyStream | undefined;
 };
 
+/** Whoever doesn't pass an outcome on ends the body that may still arrive with it. */
+export function discardOutcome(outcome: Outcome): void {
+	if (outcome.kind === 'answered') {
+		outcome.stream?.cancel();
+	}
+}
+
 /** The status of a target that ran a request and failed. */
 const failureStatus = 500;
 
--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -3,6 +3,7 @@
 import process from 'node:process';
 import type {Clock} from '@egretspoke/shared';
 import type {RawData, WebSocket} from 'ws';
+import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
 import {createTransitDelay} from '../decisions/routing/transit-delay.js';
 import {decodeFrame, encodeFrame, type PeerMessage} from './peer-message.js';
 import {addFrameHeader, maxHeaderLength} from './socket-frame.js';
@@ -13,6 +14,10 @@
 	send(message: PeerMessage): boolean;
 	/** Whether so much is buffered for the peer that none of its requests should be run. */
 	isCongested(): boolean;
+	/** Whether little is buffered, so that parts of bodies may be sent. */
+	isWritable(): boolean;
+	/** Calls back once when little is buffered; not after the connection has closed. */
+	whenWritable(callback: () => void): void;
 	/** Bytes received so far, also of messages that are not complete. */
 	received(): number;
 	/** Whether an outcome was sent and the system has not taken all of it yet. */
@@ -37,20 +42,16 @@
 	onClose(): void;
 };
 
-/** Buffered bytes above which no more requests are sent. */
-const requestLimit = 16 * 1024 * 1024;
-/** Buffered bytes above which no requests of the peer are run: the largest answer fits in. */
-const congestionLimit = 64 * 1024 * 1024;
-/**
- * Buffered bytes above which the connection is closed. A peer that stopped
- * reading would otherwise fill this node's memory. No message is dropped below:
- * its receiver would wait for an outcome until the deadline of the request.
- */
-const closeLimit = 256 * 1024 * 1024;
+/** Buffered bytes above which no more requests are sent, and no requests of the peer are run. */
+const requestLimit = 4 * 1024 * 1024;
+/** Buffered bytes below which parts of bodies are sent. */
+const partLimit = 256 * 1024;
+/** Queued bytes of bodies above which a frame is sent before the end of the turn. */
+const fullFrame = 1024 * 1024;
 /** Size in bytes up to which a peer's system takes a frame at once; its process can read that in any case. */
 const largeFrame = 32 * 1024;
-/** Maximum size of a frame in bytes; a frame holds all bodies of one event loop turn. */
-export const frameLimit = 256 * 1024 * 1024;
+/** Maximum size of a frame in bytes: a full one, and a message with a body that is not sent in parts. */
+export const frameLimit = 8 * 1024 * 1024;
 
 /**
  * Creates a channel over a WebSocket.
@@ -60,12 +61,17 @@
 export function createPeerChannel(
 	socket: WebSocket,
 	connection: Socket | undefined,
-	clock: Clock,
+	{clock, budget}: {clock: Clock; budget: MemoryBudget},
 	handlers: PeerChannelHandlers,
 ): PeerChannel {
 	const transit = createTransitDelay();
 	const isClient = connection === undefined;
 	let queue: PeerMessage[] = [];
+	/** Bytes of the bodies in the queue. */
+	let queuedBytes = 0;
+	/** Buffered bytes that the budget counts. */
+	let counted = 0;
+	let writableCallbacks: Array<() => void> = [];
 	let hasQueuedOutcome = false;
 	/** Bytes of all frames, and of those up to the last one with an outcome. */
 	let written = 0;
@@ -77,9 +83,33 @@
 	let isClosed = false;
 	socket.binaryType = 'nodebuffer';
 
+	const countBuffered = () => {
+		const now = isClosed ? 0 : (connection?.writableLength ?? 0);
+		if (now > counted) {
+			budget.add('frames', now - counted);
+		} else {
+			budget.remove('frames', counted - now);
+		}
+
+		counted = now;
+	};
+
+	const isWritable = () =>
+		queuedBytes + (connection?.writableLength ?? 0) < partLimit;
+
+	const onDrain = () => {
+		countBuffered();
+		const callbacks = writableCallbacks;
+		writableCallbacks = [];
+		for (const callback of callbacks) {
+			callback();
+		}
+	};
+
 	const flush = () => {
 		const messages = queue;
 		queue = [];
+		queuedBytes = 0;
 		if (socket.readyState === socket.OPEN && messages.length > 0) {
 			const frame = addFrameHeader(
 				encodeFrame({sentAt: clock.now(), messages}, maxHeaderLength),
@@ -87,6 +117,8 @@
 			);
 			connection?.write(frame);
 			written += frame.byteLength;
+			countBuffered();
+			budget.dropPart(frame.byteLength);
 			if (hasQueuedOutcome) {
 				writtenOutcomes = written;
 				hasSentLarge ||= frame.byteLength > largeFrame;
@@ -99,17 +131,23 @@
 	const finish = () => {
 		if (!isClosed) {
 			isClosed = true;
+			writableCallbacks = [];
+			countBuffered();
 			handlers.onClose();
 		}
 	};
 
 	socket.on('upgrade', (response) => {
 		connection = response.socket;
+		connection.on('drain', onDrain);
 	});
+	connection?.on('drain', onDrain);
 	socket.on('open', () => {
 		handlers.onOpen();
 	});
 	socket.on('message', (data: RawData) => {
+		// It was copied from what the socket delivered.
+		budget.dropPart(2 * (data as Uint8Array).byteLength);
 		const frame = decodeFrame(data as Uint8Array);
 		if (frame.isErr()) {
 			handlers.onMalformed(frame.error);
@@ -130,9 +168,14 @@
 		}
 	});
 
-	/** Whether the message may be queued, although the peer reads slowly. */
-	const mayQueue = ({kind}: PeerMessage): boolean => {
-		if (buffered > closeLimit) {
+	/**
+	 * Whether the message may be queued, although the peer reads slowly. No message
+	 * but a request is dropped while there is memory for it: its receiver would wait
+	 * for an outcome until the deadline of the request.
+	 */
+	const mayQueue = (message: PeerMessage): boolean => {
+		const isFull = budget.isFull('frames');
+		if (isFull && buffered > requestLimit) {
 			isEnding = true;
 			handlers.onUnread(buffered);
 			// Not at once: the sender doesn't expect that its other requests end meanwhile.
@@ -140,7 +183,7 @@
 			return false;
 		}
 
-		return kind !== 'request';
+		return !isRequest(message) || (!isFull && buffered <= requestLimit);
 	};
 
 	const close = () => {
@@ -155,7 +198,7 @@
 			}
 
 			buffered = socket.bufferedAmount;
-			if (buffered > requestLimit && !mayQueue(message)) {
+			if (buffered > partLimit && !mayQueue(message)) {
 				return false;
 			}
 
@@ -164,8 +207,14 @@
 				process.nextTick(flush);
 			}
 
-			hasQueuedOutcome ||= message.kind === 'outcome';
+			hasQueuedOutcome ||=
+				message.kind === 'outcome' || message.kind === 'part';
 			queue.push(message);
+			queuedBytes += bodySizeOf(message);
+			if (queuedBytes > fullFrame) {
+				flush();
+			}
+
 			return true;
 		},
 		received: () => connection?.bytesRead ?? 0,
@@ -180,8 +229,39 @@
 			connection?.end();
 		},
 		isCongested: () =>
-			buffered > congestionLimit && socket.bufferedAmount > congestionLimit,
+			buffered > requestLimit && socket.bufferedAmount > requestLimit,
+		isWritable,
+		whenWritable(callback) {
+			writableCallbacks.push(callback);
+			// The queue is flushed in this turn; without a drain event it would not be noticed.
+			if (connection?.writableNeedDrain === false) {
+				setImmediate(() => {
+					if (!isClosed && isWritable()) {
+						onDrain();
+					}
+				});
+			}
+		},
 		close,
 		isOpen: () => socket.readyState === socket.OPEN,
 	};
 }
+
+function isRequest({kind}: PeerMessage): boolean {
+	return kind === 'request' || kind === 'largeRequest';
+}
+
+/** Bytes of the body of a message. */
+function bodySizeOf(message: PeerMessage): number {
+	if (message.kind === 'request') {
+		return message.request.body?.byteLength ?? 0;
+	}
+
+	if (message.kind === 'part') {
+		return message.bytes.byteLength;
+	}
+
+	return message.kind === 'outcome' && message.outcome.kind === 'answered'
+		? message.outcome.body.byteLength
+		: 0;
+}
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -8,6 +8,11 @@
  */
 import type {Clock, Timer} from '@egretspoke/shared';
 import {WebSocket} from 'ws';
+import {
+	largeBody,
+	type MemoryBudget,
+} from '../decisions/memory/memory-budget.js';
+import {createBodySender, type BodySender} from './body-sender.js';
 import type {
 	CancelAttempt,
 	ForwardedRequest,
@@ -21,12 +26,14 @@
 	type PeerChannel,
 } from './peer-channel.js';
 import type {PeerMessage} from './peer-message.js';
+import {createRemoteStreams} from './remote-streams.js';
 
 /** Options of `createPeerLink`. */
 export type PeerLinkOptions = {
 	/** `ip:port`. */
 	address: string;
 	clock: Clock;
+	budget: MemoryBudget;
 	/** Returns the messages to send first on each connection. */
 	hello: () => PeerMessage[];
 	/** Receives messages other than outcomes. */
@@ -60,6 +67,8 @@
 	isSilent(): boolean;
 	/** Number of requests without an outcome. */
 	outstanding(): number;
+	/** Whether no outcome and no part of a response is still expected. */
+	isUnused(): boolean;
 	sendMessage(message: PeerMessage): void;
 	/**
 	 * Sends a probe if the peer has been silent, and abandons the connection
@@ -101,10 +110,19 @@
 	request: ForwardedRequest;
 	onOutcome: OutcomeHandler;
 	channel: PeerChannel;
+	/** Sends the body, if it is large, once the peer has memory for it. */
+	bodySender: BodySender | undefined;
 };
 
+/** Whether the peer can't have received all of a request. */
+function isIncomplete({bodySender}: Exchange): boolean {
+	return bodySender?.isDone() === false;
+}
+
 const lost: Outcome = {kind: 'lost', reason: 'linkLost'};
 
+const refusedByLink: Outcome = {kind: 'refused', reason: 'linkDown'};
+
 /** What follows for the requests that end with their connection. */
 const outcomes: Record<LinkLoss['cause'], Outcome> = {
 	closed: lost,
@@ -115,8 +133,11 @@
 
 /** Creates a link and starts to open it. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
-	const {clock, address} = options;
+	const {clock, address, budget} = options;
 	const exchanges = new Map<number, Exchange>();
+	const streams = createRemoteStreams(budget, (channel) => {
+		closeIfUnused(channel);
+	});
 	const channels = new Set<PeerChannel>();
 	let current: PeerChannel | undefined;
 	let nextExchange = 1;
@@ -144,7 +165,7 @@
 			handshakeTimeout: connectTimeout,
 			maxPayload: frameLimit,
 		});
-		const channel: PeerChannel = createPeerChannel(socket, undefined, clock, {
+		const channel: PeerChannel = createPeerChannel(socket, undefined, options, {
 			onOpen() {
 				opening = undefined;
 				current = channel;
@@ -172,6 +193,7 @@
 				opening = channel === opening ? undefined : opening;
 				leaveChannel(channel);
 				endExchanges(channel, 'closed', () => true);
+				streams.cut(channel);
 				scheduleRetry();
 			},
 		});
@@ -189,23 +211,58 @@
 		pause = Math.min(maxBackoff, pause * 2);
 	};
 
-	const receive = (message: PeerMessage, channel: PeerChannel) => {
-		if (message.kind === 'outcome') {
-			const exchange = exchanges.get(message.exchange);
-			exchanges.delete(message.exchange);
-			exchange?.onOutcome(message.outcome, message.load);
-			closeIfUnused(channel);
-			return;
+	/** Completes an exchange; the body of its response may follow in parts. */
+	const receiveOutcome = (
+		channel: PeerChannel,
+		{
+			exchange: id,
+			outcome,
+			load,
+			streamSize,
+		}: Extract<PeerMessage, {kind: 'outcome'}>,
+	) => {
+		const exchange = exchanges.get(id);
+		exchanges.delete(id);
+		exchange?.bodySender?.cancel();
+		if (outcome.kind !== 'answered' || streamSize === undefined) {
+			exchange?.onOutcome(outcome, load);
+		} else if (exchange) {
+			const stream = streams.open(channel, id, streamSize);
+			exchange.onOutcome({...outcome, stream}, load);
+		} else {
+			channel.send({kind: 'cancel', exchange: id});
 		}
 
-		if (message.kind === 'closing') {
+		closeIfUnused(channel);
+	};
+
+	/** The messages about exchanges; the others are for the node. */
+	const handlers: {
+		[Kind in PeerMessage['kind']]?: (
+			channel: PeerChannel,
+			message: Extract<PeerMessage, {kind: Kind}>,
+		) => void;
+	} = {
+		outcome: receiveOutcome,
+		part(_channel, part) {
+			streams.receive(part);
+		},
+		credit(_channel, {exchange, bytes}) {
+			exchanges.get(exchange)?.bodySender?.grant(bytes);
+		},
+		closing(channel, message) {
 			leaveChannel(channel);
 			const running = new Set(message.running);
 			endExchanges(channel, 'stopped', (id) => !running.has(id));
-			return;
-		}
+		},
+		pong: () => undefined,
+	};
 
-		if (message.kind !== 'pong') {
+	const receive = (message: PeerMessage, channel: PeerChannel) => {
+		const handle = handlers[message.kind];
+		if (handle) {
+			handle(channel, message as never);
+		} else {
 			options.onMessage(message);
 		}
 	};
@@ -216,23 +273,21 @@
 		cause: LinkLoss['cause'],
 		isAffected: (id: number, exchange: Exchange) => boolean,
 	) => {
-		let count = 0;
-		const outcome = outcomes[cause];
+		const loss = {cause, lost: 0, refused: 0};
 		for (const [id, exchange] of exchanges) {
 			if (exchange.channel === channel && isAffected(id, exchange)) {
-				count++;
+				const outcome = isIncomplete(exchange)
+					? refusedByLink
+					: outcomes[cause];
+				loss[outcome.kind === 'lost' ? 'lost' : 'refused']++;
 				exchanges.delete(id);
+				exchange.bodySender?.cancel();
 				exchange.onOutcome(outcome, undefined);
 			}
 		}
 
-		if (count > 0) {
-			const isLost = outcome.kind === 'lost';
-			options.onLost({
-				cause,
-				lost: isLost ? count : 0,
-				refused: isLost ? 0 : count,
-			});
+		if (loss.lost + loss.refused > 0) {
+			options.onLost(loss);
 		}
 	};
 
@@ -248,7 +303,9 @@
 			}
 		}
 
-		channel.close();
+		if (!streams.has(channel)) {
+			channel.close();
+		}
 	};
 
 	/** Sends no further requests on the channel. */
@@ -323,8 +380,13 @@
 		send(request, onOutcome): CancelAttempt {
 			const channel = current;
 			const exchange = nextExchange++;
-			if (isClosed || !channel?.send({kind: 'request', exchange, request})) {
-				onOutcome({kind: 'refused', reason: 'linkDown'}, undefined);
+			const bodySize = request.body?.byteLength ?? 0;
+			const isLarge = bodySize > largeBody;
+			const message: PeerMessage = isLarge
+				? {kind: 'largeRequest', exchange, request, bodySize}
+				: {kind: 'request', exchange, request};
+			if (isClosed || !channel?.send(message)) {
+				onOutcome(refusedByLink, undefined);
 				return () => undefined;
 			}
 
@@ -332,9 +394,17 @@
 				pendingSince = clock.now();
 			}
 
-			exchanges.set(exchange, {request, onOutcome, channel});
+			let bodySender: BodySender | undefined;
+			if (isLarge) {
+				bodySender = createBodySender(channel, exchange, 0);
+				bodySender.push(request.body!);
+				bodySender.end();
+			}
+
+			exchanges.set(exchange, {request, onOutcome, channel, bodySender});
 			return () => {
 				if (exchanges.delete(exchange)) {
+					bodySender?.cancel();
 					channel.send({kind: 'cancel', exchange});
 					closeIfUnused(channel);
 				}
@@ -344,6 +414,7 @@
 		isSilent: () =>
 			probedAt !== undefined && clock.now() - probedAt > lateAnswer,
 		outstanding: () => exchanges.size,
+		isUnused: () => exchanges.size + streams.size() === 0,
 		sendMessage(message) {
 			current?.send(message);
 		},
--- a/packages/mesh/src/links/peer-links.ts
+++ b/packages/mesh/src/links/peer-links.ts
@@ -1,5 +1,6 @@
 /** Manages the links that this node opens to other nodes. */
 import type {Clock, Random} from '@egretspoke/shared';
+import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
 import {createPeer, type Peer} from './peer.js';
 import {
 	createPeerLink,
@@ -13,6 +14,7 @@
 export type PeerLinksOptions = {
 	clock: Clock;
 	random: Random;
+	budget: MemoryBudget;
 	/** Returns the messages to send first on each connection. */
 	hello: () => PeerMessage[];
 	/** Receives the messages of linked nodes. */
@@ -51,7 +53,7 @@
 export function createPeerLinks(options: PeerLinksOptions): PeerLinks {
 	const {clock, random} = options;
 	const peers = new Map<string, Peer>();
-	/** Dropped links with requests without an outcome. */
+	/** Dropped links that are still in use. */
 	const retired = new Set<PeerLink>();
 
 	const isLinked = (peer: Peer) => peers.get(peer.member.node) === peer;
@@ -71,7 +73,7 @@
 		const {member, link} = peer;
 		peers.delete(member.node);
 		link.retire();
-		if (link.outstanding() > 0) {
+		if (!link.isUnused()) {
 			retired.add(link);
 		}
 	};
@@ -85,6 +87,7 @@
 			const link = createPeerLink({
 				address: member.address,
 				clock,
+				budget: options.budget,
 				hello: options.hello,
 				onMalformed: options.onMalformed,
 				onUnread: options.onUnread,
@@ -114,7 +117,7 @@
 				}
 
 				peer.undesiredSince ??= now;
-				const isIdle = peer.link.outstanding() === 0;
+				const isIdle = peer.link.isUnused();
 				if (isIdle && now - peer.undesiredSince >= undesiredTimeout) {
 					drop(peer);
 				}
@@ -123,7 +126,7 @@
 		probe() {
 			for (const link of retired) {
 				link.probe();
-				if (link.outstanding() === 0) {
+				if (link.isUnused()) {
 					retired.delete(link);
 				}
 			}
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -4,7 +4,21 @@
 import {WebSocketServer} from 'ws';
 import {listenOn} from '../listening.js';
 import type {LoadReceiver} from '../target/load-report.js';
-import {idleLoad, type CancelAttempt, type TargetChannel} from './exchange.js';
+import {streamWindow, type BodyStream} from '../bodies/body-stream.js';
+import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
+import {createBodySender, type BodySender} from './body-sender.js';
+import {unknownSize} from './compact-message.js';
+import {
+	discardOutcome,
+	idleLoad,
+	type CancelAttempt,
+	type ForwardedRequest,
+	type Outcome,
+	type RefusalReason,
+	type TargetChannel,
+	type TargetLoad,
+} from './exchange.js';
+import {createIncomingBodies, type IncomingBodies} from './incoming-bodies.js';
 import {
 	createPeerChannel,
 	frameLimit,
@@ -15,6 +29,7 @@
 /** Options of `createPeerListener`. */
 export type PeerListenerOptions = {
 	clock: Clock;
+	budget: MemoryBudget;
 	dispatcher: TargetChannel;
 	/** Returns the messages to send in reply to a hello. */
 	initialMessages: () => PeerMessage[];
@@ -65,6 +80,16 @@
 	channel: PeerChannel;
 	/** The requests without an outcome, by exchange. */
 	running: Map<number, CancelAttempt>;
+	/** The request bodies that are arriving. */
+	bodies: IncomingBodies;
+	/** The response bodies that are being sent, by exchange. */
+	streams: Map<number, OutgoingStream>;
+};
+
+/** A response body that is passed on while it arrives from the target. */
+type OutgoingStream = {
+	sender: BodySender;
+	stream: BodyStream;
 };
 
 /** Creates a listener that is not listening yet. */
@@ -83,7 +108,7 @@
 	let onClosed = () => undefined as void;
 
 	socketServer.on('connection', (socket, request) => {
-		const channel = createPeerChannel(socket, request.socket, options.clock, {
+		const channel = createPeerChannel(socket, request.socket, options, {
 			onOpen: () => undefined,
 			onMessage(message, delay) {
 				receive(link, message, delay);
@@ -97,12 +122,28 @@
 					cancel();
 				}
 
+				link.bodies.close();
+				for (const exchange of link.streams.keys()) {
+					cancelStream(link, exchange);
+				}
+
 				onClosed();
 			},
 		});
 		const link: IncomingLink = {
 			channel,
 			running: new Map(),
+			bodies: createIncomingBodies({
+				...options,
+				channel,
+				onRequest(exchange, arrived) {
+					dispatch(link, exchange, arrived);
+				},
+				onRefused(exchange, reason) {
+					refuse(link, exchange, reason);
+				},
+			}),
+			streams: new Map(),
 			load: idleLoad,
 			report(load) {
 				channel.send({kind: 'load', load});
@@ -111,18 +152,33 @@
 		links.add(link);
 	});
 
+	const refuse = (
+		link: IncomingLink,
+		exchange: number,
+		reason: RefusalReason,
+	) => {
+		const outcome: Outcome = {kind: 'refused', reason};
+		link.channel.send({kind: 'outcome', exchange, outcome, load: undefined});
+	};
+
+	/** Counts the body of a request that has arrived with it; false if there is no memory for it. */
+	const holdBody = (request: ForwardedRequest): boolean => {
+		if (request.body && !request.bodyHold) {
+			request.bodyHold = options.budget.hold(request.body.byteLength);
+			return request.bodyHold !== undefined;
+		}
+
+		return true;
+	};
+
 	/** Dispatches a request of the node at the other end. */
 	const dispatch = (
 		link: IncomingLink,
-		{exchange, request}: Extract<PeerMessage, {kind: 'request'}>,
+		exchange: number,
+		request: ForwardedRequest,
 	) => {
-		if (link.channel.isCongested()) {
-			link.channel.send({
-				kind: 'outcome',
-				exchange,
-				outcome: {kind: 'refused', reason: 'linkDown'},
-				load: undefined,
-			});
+		if (!holdBody(request)) {
+			refuse(link, exchange, 'noRoom');
 			return;
 		}
 
@@ -130,16 +186,68 @@
 		const cancel = options.dispatcher.send(request, (outcome, load) => {
 			hasOutcome = true;
 			link.running.delete(exchange);
-			link.load = load ?? link.load;
-			link.channel.send({kind: 'outcome', exchange, outcome, load});
+			request.bodyHold?.release();
+			sendOutcome(link, exchange, outcome, load);
 		});
 		if (!hasOutcome) {
-			link.running.set(exchange, cancel);
+			link.running.set(exchange, () => {
+				request.bodyHold?.release();
+				cancel();
+			});
 		}
 
 		options.onRequest();
 	};
 
+	const sendOutcome = (
+		link: IncomingLink,
+		exchange: number,
+		outcome: Outcome,
+		load: TargetLoad | undefined,
+	) => {
+		link.load = load ?? link.load;
+		const stream = outcome.kind === 'answered' ? outcome.stream : undefined;
+		const isSent = link.channel.send({
+			kind: 'outcome',
+			exchange,
+			outcome,
+			load,
+			streamSize: stream && (stream.size ?? unknownSize),
+		});
+		if (!isSent) {
+			discardOutcome(outcome);
+		} else if (stream) {
+			sendStream(link, exchange, stream);
+		}
+	};
+
+	/** Sends a response body as it arrives and as the peer has memory for it. */
+	const sendStream = (
+		link: IncomingLink,
+		exchange: number,
+		stream: BodyStream,
+	) => {
+		const sender = createBodySender(link.channel, exchange, streamWindow, {
+			onSent: stream.release,
+			onDone() {
+				link.streams.delete(exchange);
+			},
+		});
+		link.streams.set(exchange, {sender, stream});
+		stream.read({
+			onPart: sender.push,
+			onEnd: sender.end,
+			onCut: sender.cut,
+		});
+	};
+
+	const cancelStream = (link: IncomingLink, exchange: number) => {
+		const found = link.streams.get(exchange);
+		link.streams.delete(exchange);
+		found?.sender.cancel();
+		found?.stream.cancel();
+	};
+
 	const send = (link: IncomingLink, message: PeerMessage) => {
 		if (message.kind === 'state') {
 			link.load = message.load;
@@ -155,15 +263,36 @@
 			return;
 		}
 
-		if (message.kind === 'request') {
-			message.request.timeLeft -= delay;
-			dispatch(link, message);
+		if (message.kind === 'request' || message.kind === 'largeRequest') {
+			const {exchange, request} = message;
+			request.timeLeft -= delay;
+			if (channel.isCongested()) {
+				refuse(link, exchange, 'linkDown');
+			} else if (message.kind === 'request') {
+				dispatch(link, exchange, request);
+			} else {
+				link.bodies.add(message);
+			}
+
+			return;
+		}
+
+		if (message.kind === 'part') {
+			link.bodies.receive(message);
+			return;
+		}
+
+		if (message.kind === 'credit') {
+			link.streams.get(message.exchange)?.sender.grant(message.bytes);
 			return;
 		}
 
 		if (message.kind === 'cancel') {
-			running.get(message.exchange)?.();
-			running.delete(message.exchange);
+			const {exchange} = message;
+			running.get(exchange)?.();
+			running.delete(exchange);
+			link.bodies.cancel(exchange);
+			cancelStream(link, exchange);
 			return;
 		}
 
@@ -185,9 +314,9 @@
 
 	const countOpen = (): UnendedLinks => {
 		const open = {links: links.size, running: 0, unsent: 0};
-		for (const {running, channel} of links) {
-			open.running += running.size;
-			open.unsent += channel.hasUnsentOutcome() ? 1 : 0;
+		for (const {running, bodies, streams, channel} of links) {
+			open.running += running.size + bodies.size();
+			open.unsent += channel.hasUnsentOutcome() || streams.size > 0 ? 1 : 0;
 		}
 
 		return open;
--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -6,6 +6,7 @@
  * (`peer-subset.ts`), so that their number doesn't grow with the fleet.
  */
 import type {Clock, Random} from '@egretspoke/shared';
+import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
 import type {FeedPeer} from '../decisions/routing/feed-followers.js';
 import {
 	levelOfService,
@@ -40,6 +41,7 @@
 export type DirectoryOptions = {
 	clock: Clock;
 	random: Random;
+	budget: MemoryBudget;
 	ticker: Ticker;
 	self: Member;
 	hello: () => PeerMessage[];
@@ -108,6 +110,7 @@
 	const known = createKnownMembers(self.node);
 	const links = createPeerLinks({
 		clock,
+		budget: options.budget,
 		random,
 		hello: options.hello,
 		onMessage(peer, message) {
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -8,6 +8,10 @@
 import {createDeadlineWheel} from './timing/deadline-wheel.js';
 import {egretspokePolicy, type MeshPolicy} from './decisions/mesh-policy.js';
 import {createCallGraph} from './decisions/admission/call-graph.js';
+import {
+	createMemoryBudget,
+	type Collect,
+} from './decisions/memory/memory-budget.js';
 import {createCallProfile} from './decisions/admission/call-profile.js';
 import {
 	feedStartDelay,
@@ -65,6 +69,8 @@
 	quotaTolerance: QuotaTolerance;
 	/** Maximum duration of a planned stop, in milliseconds. */
 	grace: number;
+	/** Memory of the process in bytes, above which the platform ends it; fixed at the start. */
+	memory: number;
 };
 
 /** Settings and dependencies of a node. */
@@ -78,6 +84,8 @@
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
 	metrics: MeshMetrics;
+	/** Runs the garbage collector; without it, dropped bodies take memory for longer. */
+	collect?: Collect;
 	/** Defaults to `egretspokePolicy`; other policies are for comparison. */
 	policy?: MeshPolicy;
 };
@@ -120,6 +128,7 @@
 		service: settings.service,
 		startedAt: clock.date().getTime(),
 	};
+	const budget = createMemoryBudget(settings.memory, options.collect);
 	const lifetime = new AbortController();
 	const wheel = createDeadlineWheel(clock);
 	const ticker = createTicker(clock, lifetime.signal);
@@ -179,6 +188,7 @@
 		clock,
 		wheel,
 		headerNames,
+		budget,
 		reporter,
 		metrics,
 		policy,
@@ -257,6 +267,7 @@
 	const directory = createDirectory({
 		clock,
 		random: random.fork(),
+		budget,
 		ticker,
 		self,
 		hello: () => [localState.hello(), ...suspects.initialMessages()],
@@ -283,6 +294,7 @@
 	});
 	const peerListener = createPeerListener({
 		clock,
+		budget,
 		dispatcher,
 		initialMessages: () => [
 			localState.hello(),
@@ -375,6 +387,7 @@
 		headerNames,
 		reporter,
 		metrics,
+		budget,
 		callerService: () => settings.service,
 		hasWorkspaces: () => routes?.hasWorkspaces ?? true,
 		isStopping,
@@ -443,6 +456,7 @@
 			isLeaving: isStopping(),
 			openRequests: entry.open(),
 			members: directory.size(),
+			heldBytes: budget.held,
 			workspacesAboveShare: pressure.workspacesAboveShare(),
 			peersConnected: directory.connected(),
 			service: settings.service,
--- a/packages/mesh/src/target/target-access.ts
+++ b/packages/mesh/src/target/target-access.ts
@@ -1,6 +1,7 @@
 /** Manages the client of the local target and tracks whether the target is reachable. */
 import type {MeshMetrics} from '@egretspoke/observability';
 import type {Clock} from '@egretspoke/shared';
+import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
 import type {HeaderNames} from '../configuration/header-names.js';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {TargetNotice} from './target-notice.js';
@@ -11,6 +12,7 @@
 export type TargetAccessOptions = {
 	clock: Clock;
 	headerNames: HeaderNames;
+	budget: MemoryBudget;
 	reporter: MeshReporter;
 	metrics: Pick<MeshMetrics, 'targetConnectionOpened' | 'foreignResponse'>;
 	/** Called with false when the target is unreachable or was replaced, with true once it answers again. */
@@ -65,6 +67,7 @@
 			endpoint: {address: record.address, targetId: record.targetId},
 			headerNames,
 			clock,
+			budget: options.budget,
 			nextOrdinal: () => ++ordinal,
 			onNotice(notice, ordinalOfRequest) {
 				if (isCurrent(record)) {
--- a/packages/mesh/src/target/target-client.ts
+++ b/packages/mesh/src/target/target-client.ts
@@ -11,6 +11,11 @@
  */
 import {Buffer} from 'node:buffer';
 import type {Clock} from '@egretspoke/shared';
+import {createBodyStream, type OpenBodyStream} from '../bodies/body-stream.js';
+import {
+	largeBody,
+	type MemoryBudget,
+} from '../decisions/memory/memory-budget.js';
 import type {
 	ForwardedRequest,
 	Outcome,
@@ -51,6 +56,7 @@
 	endpoint: TargetEndpoint;
 	headerNames: HeaderNames;
 	clock: Clock;
+	budget: MemoryBudget;
 	/** The target answered that it is not the expected one. */
 	onReplaced: () => void;
 	/** No connection could be opened. */
@@ -70,8 +76,6 @@
 
 /** The status of a target that is not the expected one and did not run the request (RFC 9110, section 15.5.20). */
 const misdirectedStatus = 421;
-/** Maximum size of an answer's body, which is buffered in memory, in bytes. */
-const maxAnswerBytes = 64 * 1024 * 1024;
 
 /** Maximum idle time of a connection in milliseconds, unless the target states one. */
 const defaultIdleTime = 4000;
@@ -169,6 +173,8 @@
 	isSigned: boolean;
 	isNotExecuted: boolean;
 	idleTime: number;
+	/** Undefined unless stated. */
+	bodySize: number | undefined;
 	/** Repeated headers are joined with a comma (RFC 9110, section 5.3). */
 	rateLimit: string | undefined;
 	leaving: string[] | undefined;
@@ -208,6 +214,12 @@
 					read.leaving = [...(read.leaving ?? []), value];
 				},
 			],
+			[
+				'content-length',
+				(read, value) => {
+					read.bodySize = Number(value);
+				},
+			],
 			[
 				'keep-alive',
 				(read, value) => {
@@ -224,6 +236,7 @@
 			isSigned: false,
 			isNotExecuted: false,
 			idleTime: defaultIdleTime,
+			bodySize: undefined,
 			rateLimit: undefined,
 			leaving: undefined,
 		};
@@ -277,6 +290,32 @@
 	let size = 0;
 	let body: Uint8Array = noBody;
 	let parts: Uint8Array[] | undefined;
+	let stream: OpenBodyStream | undefined;
+
+	/** Passes a large body on while it arrives. */
+	const openStream = (exchange: HttpExchange) => {
+		stream = createBodyStream(answer!.bodySize, options.budget, {
+			setPaused(isPaused) {
+				exchange.setPaused?.(isPaused);
+			},
+			cancel() {
+				exchange.abort?.();
+			},
+		});
+		for (const part of parts ?? [body]) {
+			stream.push(part);
+		}
+
+		parts = undefined;
+		body = noBody;
+		onOutcome({
+			kind: 'answered',
+			status,
+			headers: answer!.endToEnd,
+			body: noBody,
+			stream,
+		});
+	};
 
 	return {
 		requestId: request.requestId,
@@ -285,6 +324,7 @@
 		isHeadRequest: request.method === 'HEAD',
 		isCancelled: false,
 		abort: undefined,
+		setPaused: undefined,
 		idleTime: defaultIdleTime,
 		isDeclined: false,
 		onHead(received, headers) {
@@ -322,12 +362,12 @@
 			return 'accepted';
 		},
 		onBody(part) {
-			size += part.byteLength;
-			if (size > maxAnswerBytes) {
-				onOutcome({kind: 'lost', reason: 'answerCut'});
-				return false;
+			if (stream) {
+				stream.push(part);
+				return;
 			}
 
+			size += part.byteLength;
 			if (size === part.byteLength) {
 				body = part;
 			} else {
@@ -335,13 +375,27 @@
 				parts.push(part);
 			}
 
-			return true;
+			if (size > largeBody) {
+				if (this.isDeclined) {
+					// Its body is not passed on.
+					parts = undefined;
+					body = noBody;
+					size = 0;
+				} else {
+					openStream(this);
+				}
+			}
 		},
 		onComplete() {
 			if (status === misdirectedStatus) {
 				options.onReplaced();
 			}
 
+			if (stream) {
+				stream.end();
+				return;
+			}
+
 			onOutcome(
 				this.isDeclined
 					? {kind: 'declined', status}
@@ -354,6 +408,11 @@
 			);
 		},
 		onLost() {
+			if (stream) {
+				stream.cut();
+				return;
+			}
+
 			onOutcome({
 				kind: 'lost',
 				reason: status === 0 ? 'connectionLost' : 'answerCut',
--- a/packages/mesh/src/target/target-connections.ts
+++ b/packages/mesh/src/target/target-connections.ts
@@ -32,14 +32,15 @@
 	isCancelled: boolean;
 	/** Closes the connection that carries the exchange; undefined while there is none. */
 	abort: (() => void) | undefined;
+	/** Stops or continues reading from that connection. */
+	setPaused: ((isPaused: boolean) => void) | undefined;
 	/** Maximum idle time of the connection after the response, in milliseconds, as stated in its headers. */
 	idleTime: number;
 	/** Whether the response states that the request has not run, so that it may be sent again. */
 	isDeclined: boolean;
 	/** The final status and the headers of a response arrived; returns what to do with it. */
 	onHead(status: number, headers: string[]): ResponseVerdict;
-	/** Returns whether the response is accepted. */
-	onBody(part: Uint8Array): boolean;
+	onBody(part: Uint8Array): void;
 	/** The response is complete. */
 	onComplete(): void;
 	/** The connection was lost after the request was sent. */
@@ -271,8 +272,8 @@
 			return current.isHeadRequest;
 		},
 		onBody(part) {
-			if (isAccepted && !hasExtraBytes && exchange?.onBody(part) === false) {
-				close();
+			if (isAccepted && !hasExtraBytes) {
+				exchange?.onBody(part);
 			}
 		},
 		onComplete() {
@@ -321,8 +322,11 @@
 	const detach = () => {
 		if (exchange) {
 			exchange.abort = undefined;
+			exchange.setPaused = undefined;
 		}
 
+		setPaused(false);
+
 		exchange = undefined;
 		isAccepted = false;
 		isComplete = false;
@@ -428,15 +432,29 @@
 		}
 	};
 
+	function setPaused(isPaused: boolean): void {
+		if (isPaused === socket.isPaused() || socket.destroyed) {
+			return;
+		}
+
+		if (isPaused) {
+			socket.pause();
+		} else {
+			socket.resume();
+		}
+	}
+
 	const connection: Connection = {
 		idleUntil: 0,
 		hasDeclined: (requestId) => declined.has(requestId),
 		start(next) {
 			exchange = next;
 			next.abort = close;
+			next.setPaused = setPaused;
 			write(next);
 		},
 		close,
 	};
 	first.abort = close;
+	first.setPaused = setPaused;
 }
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -17,6 +17,7 @@
 } from '@egretspoke/quarantine';
 import {probeListening, type Clock, type Timer} from '@egretspoke/shared';
 import type {DeadlineWheel} from '../timing/deadline-wheel.js';
+import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
 import type {CallProfile} from '../decisions/admission/call-profile.js';
 import {createFailureShare} from '../decisions/routing/failure-share.js';
 import {
@@ -29,6 +30,7 @@
 import {shedPeriod} from '../decisions/admission/shed-level.js';
 import type {LinkedTarget} from '../links/peer.js';
 import {
+	discardOutcome,
 	isConnectionLoss,
 	isTargetFailure,
 	type ForwardedRequest,
@@ -63,6 +65,7 @@
 	clock: Clock;
 	wheel: DeadlineWheel;
 	headerNames: HeaderNames;
+	budget: MemoryBudget;
 	reporter: MeshReporter;
 	metrics: MeshMetrics;
 	policy: MeshPolicy;
@@ -233,6 +236,8 @@
 		metrics.targetStarted(now - pending.offeredAt);
 		offers.recordStart(pending.request, now);
 		profile.recordRun(pending.request.route);
+		// A run may last longer than the wait of its caller.
+		pending.request.bodyHold?.retain();
 		pending.run = new TargetRun(runs, client, pending);
 		pending.run.start();
 	};
@@ -249,6 +254,7 @@
 				recordOffer(item, outcome);
 			},
 			onFreed({item, lastOffer, repeats}, duration) {
+				item.request.bodyHold?.release();
 				if (!lastOffer || !isConnectionLoss(lastOffer)) {
 					item.watch!.ended(item.ordinal);
 					leaveIsolation(item);
@@ -319,6 +325,8 @@
 	const finishRun = (pending: PendingRequest, outcome: Outcome) => {
 		if (pending.state === 'running') {
 			finish(pending, outcome);
+		} else {
+			discardOutcome(outcome);
 		}
 	};
 
--- a/packages/observability/__tests__/metrics.spec.ts
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -30,6 +30,7 @@
 	waiting: 6,
 	limit: 100,
 	workspacesAboveShare: 0,
+	heldBytes: {smallBodies: 0},
 	shedLevel: 0.5,
 	rateLimit: undefined,
 	declined: 0.25,
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -119,6 +119,14 @@
 		reading:
 			'A limit: the target is in need, and the other targets of its service take the rest. The rate of `egretspoke_mesh_target_duration_seconds_count` stays below it.',
 	},
+	meshHeldBytes: {
+		name: 'egretspoke_mesh_held_bytes',
+		type: 'gauge',
+		labels: ['kind'],
+		help: 'Bytes of bodies and messages that this node holds, by kind: `smallBodies` and `largeBodies` of requests, whole `responses`, `streams` of large ones, and `frames` for other nodes.',
+		reading:
+			'Each kind has a share of the memory. `largeBodies` near its share for long: callers send more than the VM can hold, and uploads wait. `responses`: callers read slowly. `frames`: a peer does not read.',
+	},
 	meshMembers: {
 		name: 'egretspoke_mesh_members',
 		type: 'gauge',
--- a/packages/observability/src/mesh-metrics.ts
+++ b/packages/observability/src/mesh-metrics.ts
@@ -32,6 +32,8 @@
 	TargetReadings & {
 		/** Number of known nodes, this one included. */
 		members: number;
+		/** Bytes that the node holds, by kind. */
+		heldBytes: Record<string, number>;
 		shedLevel: number;
 		/** The share of recent offers that the local target declined. */
 		declined: number;
@@ -208,6 +210,7 @@
 
 function createReadingGauges(registry: Registry) {
 	const members = createGauge(registry, 'meshMembers');
+	const heldBytes = createGauge(registry, 'meshHeldBytes');
 	const shedLevel = createGauge(registry, 'meshShedLevel');
 	const declined = createGauge(registry, 'meshDeclined');
 	const completionLevel = createGauge(registry, 'meshCompletionLevel');
@@ -222,6 +225,10 @@
 		updateProcess({...readings, logLinesDropped});
 		updateTarget(readings);
 		members.set(readings.members);
+		for (const [kind, bytes] of Object.entries(readings.heldBytes)) {
+			heldBytes.set({kind}, bytes);
+		}
+
 		shedLevel.set(readings.shedLevel);
 		declined.set(readings.declined);
 		completionLevel.set(readings.completionLevel);
