fix(quarantine): an answer ends the count of crashes at all nodes

Cause: an answer clears a suspect with one crash only at the node of the target that answered, in a later round that the others don't know. They ignore no report of the crashing target's node and go on counting, while the nodes that know better ignore the reports. As they hold no suspect, later answers clear nothing.

Change: a node remembers what it cleared without notice, and publishes it once when a report of an earlier round counts two crashes or more. An innocent request with one crash, the usual case, still costs no message.

--- a/packages/quarantine/src/quarantine.ts
+++ b/packages/quarantine/src/quarantine.ts
@@ -1,7 +1,7 @@
 /** The quarantine of one node: records suspects, and forwards changes to other nodes and to the store. */
 import type {Clock} from '@egretspoke/shared';
 import type {RequestIdentity, RequestParts} from './request-identity.js';
-import {isIsolated, isQuarantined, type Suspect} from './suspect.js';
+import {isIsolated, isNewer, isQuarantined, type Suspect} from './suspect.js';
 import {createSuspectTable, type CrashedRun} from './suspect-table.js';
 
 /** Options of a quarantine. */
@@ -49,6 +49,8 @@
 export const renewalInterval = 900_000;
 /** Maximum number of suspects sent to a newly connected node. */
 const maxListed = 128;
+/** Maximum number of requests that are remembered as cleared here only. */
+const maxCleared = 1000;
 
 /** Creates a quarantine without suspects. */
 export function createQuarantine(options: QuarantineOptions): Quarantine {
@@ -56,6 +58,8 @@
 	const table = createSuspectTable();
 	/** Suspects in quarantine that were looked up since the last call of `renew`. */
 	const refused = new Map<RequestIdentity, Suspect>();
+	/** Requests that the local target cleared without notice to the other nodes. */
+	const clearedHere = new Map<RequestIdentity, Suspect>();
 
 	const notifyQuarantined = (suspects: readonly Suspect[]) => {
 		for (const suspect of suspects) {
@@ -72,6 +76,34 @@
 		}
 	};
 
+	const rememberCleared = (cleared: Suspect) => {
+		clearedHere.delete(cleared.identity);
+		clearedHere.set(cleared.identity, cleared);
+		if (clearedHere.size > maxCleared) {
+			const [oldest] = clearedHere.keys();
+			clearedHere.delete(oldest!);
+		}
+	};
+
+	/**
+	 * Publishes what was cleared here when another node, which doesn't know it,
+	 * goes on counting. Otherwise its count would restrict the request everywhere.
+	 */
+	const publishCleared = (received: readonly Suspect[]) => {
+		const unknown: Suspect[] = [];
+		for (const suspect of received) {
+			const cleared = clearedHere.get(suspect.identity);
+			if (cleared && isIsolated(suspect)) {
+				clearedHere.delete(suspect.identity);
+				if (isNewer(cleared, suspect)) {
+					unknown.push(cleared);
+				}
+			}
+		}
+
+		publish(unknown);
+	};
+
 	const lookUp = (
 		path: string,
 		bodyLength: number,
@@ -103,11 +135,18 @@
 			// have one crash, so clearing it is not published.
 			const isPublishable = isIsolated(suspect);
 			const cleared = table.clear(suspect.identity, clock.now());
-			if (cleared && isPublishable) {
+			if (!cleared) {
+				return;
+			}
+
+			if (isPublishable) {
 				publish([cleared]);
+			} else {
+				rememberCleared(cleared);
 			}
 		},
 		receive(received) {
+			publishCleared(received);
 			const updates = table.merge(received, clock.now());
 			notifyQuarantined(updates);
 			if (updates.length > 0) {
