fix(mesh): a leaving acknowledged in an outage of the store is written later

What callers saw: after an outage of the store and a kill of all processes, 231 requests reached a target more than drain after its leaving had been acknowledged; two payments ended with it.

Cause: the leaving was written once. If the store did not take it, it was known to the processes only, and a check-in that arrived late made the target ready.

Change: it is written until the store takes it, or until a later leaving replaces it. The acknowledgement still waits for 0.6 s at most.

Open: if all processes are killed before the store is back, nothing is left that knows the leaving; they have no disk.

--- a/packages/mesh/__tests__/member-register.spec.ts
+++ b/packages/mesh/__tests__/member-register.spec.ts
@@ -28,8 +28,11 @@
 };
 
 /** Starts a node's register and lets it write and read once. */
-async function start(store: RowStoreStandIn, member: Member) {
-	const clock = createVirtualClock();
+async function start(
+	store: RowStoreStandIn,
+	member: Member,
+	clock = createVirtualClock(),
+) {
 	const received: {members: Member[]; leavings: TargetRecord[]} = {
 		members: [],
 		leavings: [],
@@ -109,6 +112,40 @@
 			await node.end();
 		});
 
+		// A leaving that was acknowledged in an outage of the store was written once and never again; after a kill, requests reached a target that had left.
+		it('restores a leaving that was acknowledged while the store was down', async () => {
+			const store = createRowStoreStandIn();
+			const clock = createVirtualClock();
+			const first = await start(store, self, clock);
+			store.isDown = true;
+			void first.register.persistLeaving(leaving);
+			await clock.runTo(60_000);
+			expect(store.rows.get(self.node)?.value).not.to.include('target-1');
+			store.isDown = false;
+			await clock.runTo(63_000);
+			expect(store.rows.get(self.node)?.value).to.include('target-1');
+			await first.end();
+			const node = await start(store, {...self, startedAt: 200});
+			expect(node.received.leavings).to.deep.equal([leaving]);
+			await node.end();
+		});
+
+		it('still acknowledges in time while the store is down', async () => {
+			const store = createRowStoreStandIn();
+			const clock = createVirtualClock();
+			const node = await start(store, self, clock);
+			store.isDown = true;
+			let isAcknowledged = false;
+			void (async () => {
+				await node.register.persistLeaving(leaving);
+				isAcknowledged = true;
+			})();
+
+			await clock.runTo(clock.now() + 600);
+			expect(isAcknowledged).to.equal(true);
+			await node.end();
+		});
+
 		it('still persists the next leaving target', async () => {
 			// Guards against losing the record of the leaving target: the row was not written
 			// at the start, and a write with the version of an earlier start would be rejected.
--- a/packages/mesh/__tests__/row-store-stand-in.ts
+++ b/packages/mesh/__tests__/row-store-stand-in.ts
@@ -6,6 +6,8 @@
 export type RowStoreStandIn = RowStore & {
 	calls: {read: number; changes: number; write: number};
 	rows: Map<string, StoredRow>;
+	/** Whether writes fail. */
+	isDown: boolean;
 };
 
 /** Creates an empty store; `pause` implements the wait for changes. */
@@ -17,9 +19,10 @@
 	let version = 0;
 	const list = (table: string) =>
 		[...rows.values()].filter((row) => row.table === table);
-	return {
+	const store: RowStoreStandIn = {
 		calls,
 		rows,
+		isDown: false,
 		async read(table) {
 			calls.read++;
 			return ok({rows: list(table), version});
@@ -34,6 +37,10 @@
 		},
 		async write(row, expectedVersion) {
 			calls.write++;
+			if (store.isDown) {
+				return err({kind: 'unavailable', detail: 'down'});
+			}
+
 			const current = rows.get(row.key);
 			if ((current?.version ?? 0) !== expectedVersion) {
 				return err({kind: 'conflict', current});
@@ -45,4 +52,5 @@
 		},
 		close: () => undefined,
 	};
+	return store;
 }
--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -41,7 +41,8 @@
 	run(signal: AbortSignal): Promise<void>;
 	/**
 	 * Persists that the local target is leaving, so that a later start of this node
-	 * has the information. Resolves when it is stored, or after a timeout.
+	 * has the information. Resolves when it is stored, or after a timeout, after
+	 * which it is written as soon as the store takes it.
 	 */
 	persistLeaving(record: TargetRecord): Promise<void>;
 };
@@ -67,6 +68,8 @@
 	let isWritten = false;
 	let leaving: TargetRecord | undefined;
 	let writing: Promise<boolean> = Promise.resolve(true);
+	/** Aborts with the node. */
+	let lifetime: AbortSignal | undefined;
 
 	/** Serializes writes, so that each one has the version of the previous one. */
 	const write = async (): Promise<boolean> => {
@@ -115,6 +118,18 @@
 		return false;
 	};
 
+	/** Writes the row until the store takes it, or until a later leaving is to be written. */
+	const writeLeaving = async (record: TargetRecord): Promise<void> => {
+		let pause = initialBackoff;
+		const isWanted = () => leaving === record && !lifetime?.aborted;
+		// eslint-disable-next-line no-await-in-loop -- one attempt after the other.
+		while (!(await write()) && isWanted()) {
+			// eslint-disable-next-line no-await-in-loop -- backoff.
+			await sleep(clock, pause * (0.5 + random.fraction()), lifetime);
+			pause = Math.min(maxBackoff, pause * 2);
+		}
+	};
+
 	const applyOwnRow = (row: StoredRow | undefined): RowValue | undefined => {
 		version = row?.version ?? 0;
 		const value = row && decodeRow(row);
@@ -148,6 +163,7 @@
 
 	return {
 		async run(signal) {
+			lifetime = signal;
 			let pause = initialBackoff;
 			while (!signal.aborted) {
 				// eslint-disable-next-line no-await-in-loop -- this node's row is written before the others are read.
@@ -160,7 +176,7 @@
 		},
 		async persistLeaving(record) {
 			leaving = record;
-			await Promise.race([write(), sleep(clock, persistTimeout)]);
+			await Promise.race([writeLeaving(record), sleep(clock, persistTimeout)]);
 		},
 	};
 }
