fix(mesh): an earlier target that a restarted node reports does not end the memory of a later one

Cause: a restarted node reads the leaving of an earlier target from its row and reports that target. The other nodes replaced the later target's leaving in their memory by it, so nobody told the node of it when the later target's check-in arrived.

Change: reports of an earlier incarnation than the remembered one are ignored, also for rate limits.

Before: the new spec fails. After: it passes.

--- a/packages/mesh/__tests__/target-memory.spec.ts
+++ b/packages/mesh/__tests__/target-memory.spec.ts
@@ -45,6 +45,19 @@
 		});
 	});
 
+	// A restarted node reported an earlier leaving target from its row, and the later leaving was forgotten: requests reached a target that had left.
+	it('keeps the leaving of a later target than the one that a restarted node reports', () => {
+		const memory = createTargetMemory();
+		const earlier = target({targetId: 'earlier', startedAt: 500});
+		memory.compare('node', target({isLeaving: true}), undefined);
+		memory.compare('node', {...earlier, isLeaving: true}, undefined);
+		memory.recordRate('node', earlier, limited);
+		expect(memory.compare('node', target(), unlimited)).to.deep.include({
+			targetId: 'target-1',
+			isLeaving: true,
+		});
+	});
+
 	// Guards against statements of a predecessor that are applied to the next process.
 	for (const next of [{startedAt: 2000}, {targetId: 'target-2'}]) {
 		it(`returns nothing for another incarnation, ${JSON.stringify(next)}`, () => {
--- a/packages/mesh/src/target/target-memory.ts
+++ b/packages/mesh/src/target/target-memory.ts
@@ -41,6 +41,12 @@
 export function createTargetMemory(): TargetMemory {
 	const byNode = new Map<string, Statements>();
 
+	/** Whether the node reports an earlier target than the remembered one, as it does after a restart. */
+	const isOutdated = (node: string, {startedAt}: Incarnation): boolean => {
+		const known = byNode.get(node);
+		return known !== undefined && known.incarnation.startedAt > startedAt;
+	};
+
 	/** Returns the statements of this incarnation; those of another one don't apply to it. */
 	const find = (node: string, incarnation: Incarnation): Statements => {
 		const known = byNode.get(node);
@@ -59,6 +65,10 @@
 
 	return {
 		compare(node, target, rate) {
+			if (isOutdated(node, target)) {
+				return undefined;
+			}
+
 			const {targetId, startedAt} = target;
 			const known = find(node, target);
 			const isLeaving = known.isLeaving || target.isLeaving;
@@ -80,7 +90,7 @@
 				: undefined;
 		},
 		recordRate(node, incarnation, rate) {
-			if (rate) {
+			if (rate && !isOutdated(node, incarnation)) {
 				const known = find(node, incarnation);
 				store(node, {...known, rateLimit: finiteLimit(rate)});
 			}
