fix(node): unread answers count toward the memory for bodies

What callers saw: nothing yet; found while the paths of the fault LOST were gone through. Answers that callers do not read were held without a bound: the budget of the listener counted only request bodies, until their answers were written.

Change: an answer counts until its caller has read it or has left, and new requests are refused as not run while the budget is used up.

Before: the new spec times out. After: it passes. Open: answers of the target and of other nodes on their way to the listener are bounded one by one (8 MB), and calls to other nodes by 8 and 32 MB a link, but not over all.

--- a/packages/node/__tests__/caller-listener.spec.ts
+++ b/packages/node/__tests__/caller-listener.spec.ts
@@ -30,6 +30,35 @@
 		await fixture.close();
 	});
 
+	describe('with answers that their callers do not read', () => {
+		beforeEach(async () => start());
+
+		// Unread answers of any number could exceed the memory of the VM and end the process with all requests in it.
+		it('refuses requests as not run until the answers are read', async () => {
+			const slow = await fixture.connect();
+			slow.pause();
+			slow.write(writeRequest('/large'));
+			const large = await fixture.waitFor('/large');
+			large.answer('x'.repeat(16 * 1024 * 1024));
+			await nextTurn();
+
+			const refused = await fixture.connect();
+			refused.write(writeRequest('/refused', 'connection: close'));
+			expect(summarize(await readAnswers(refused))).to.deep.equal([
+				'503 not-run',
+			]);
+			expect(fixture.passed()).to.deep.equal(['/large']);
+
+			slow.destroy();
+			const caller = await fixture.connect();
+			while (!fixture.passed().includes('/accepted')) {
+				caller.write(writeRequest('/accepted'));
+				// eslint-disable-next-line no-await-in-loop -- until the listener has noticed the disconnect.
+				await nextTurn();
+			}
+		});
+	});
+
 	describe('draining', () => {
 		beforeEach(async () => start());
 
--- a/packages/node/src/body-budget.ts
+++ b/packages/node/src/body-budget.ts
@@ -1,5 +1,6 @@
 /**
- * Limits the total bytes of caller bodies that a node holds at once.
+ * Limits the total bytes of caller bodies, and of answers that callers have not
+ * read yet, that a node holds at once.
  *
  * The limit of one body times the limit of connections is far more than the
  * memory of a VM. Many simultaneous uploads, or many senders that stop half-way,
@@ -12,6 +13,10 @@
 export type BodyBudget = {
 	/** Reserves bytes; returns false and reserves nothing if they don't fit. */
 	reserve(bytes: number): boolean;
+	/** Counts bytes that are held in any case: what has run is not refused. */
+	add(bytes: number): void;
+	/** Whether no more fits. */
+	isFull(): boolean;
 	release(bytes: number): void;
 };
 
@@ -27,6 +32,10 @@
 			reserved += bytes;
 			return true;
 		},
+		add(bytes) {
+			reserved += bytes;
+		},
+		isFull: () => reserved >= limit,
 		release(bytes) {
 			reserved -= bytes;
 		},
--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -38,7 +38,7 @@
 	entry: CallerEntry;
 	reporter: NodeReporter;
 	bodyLimit: number;
-	/** Maximum total of the bodies held at the same time. */
+	/** Maximum total of the bodies and unread answers held at the same time. */
 	bufferLimit: number;
 	headerLimit: number;
 	connectionLimit: number;
@@ -167,12 +167,25 @@
 			const outcome = await answer(request, body, entry);
 			endAfterLast(exchange, body.isErr() || lacksHost(request));
 			entry.answer();
+			countAnswer(exchange.response, outcome);
 			writeOutcome(exchange.response, outcome);
 		}
 
 		budget.release(body.isOk() ? body.value.length : 0);
 	};
 
+	/** Counts an answer until its caller has read it or has left. */
+	const countAnswer = (response: ServerResponse, {outcome}: CallerOutcome) => {
+		const bytes =
+			outcome.kind === 'answered' ? outcome.answer.body.byteLength : 0;
+		if (bytes > 0) {
+			budget.add(bytes);
+			response.once('close', () => {
+				budget.release(bytes);
+			});
+		}
+	};
+
 	const answer = async (
 		request: IncomingMessage,
 		body: Result<Uint8Array, BodyFault>,
@@ -186,6 +199,10 @@
 			return handler.refuse(request, 'stopped');
 		}
 
+		if (budget.isFull()) {
+			return handler.refuse(request, 'noRoom');
+		}
+
 		return lacksHost(request)
 			? handler.refuse(request, 'noHost')
 			: entry.run(async (signal) =>
