--- a/packages/mesh/__tests__/caller-bodies.spec.ts
+++ b/packages/mesh/__tests__/caller-bodies.spec.ts
@@ -109,6 +109,31 @@
 			await fixture.send('GET /next');
 		});
 
+		/** Begins an upload and lets the time pass. */
+		const stall = async (line: string, time: number) => {
+			fixture.caller.write(
+				`POST /upload HTTP/1.1\r\nHost: x\r\n${line}Content-Length: ${5 * megabyte}\r\n\r\nabc`,
+			);
+			await waitUntil(() => fixture.budget.held.largeBodies > 0);
+			await waitUntil(() => fixture.listener.receiving() === 1);
+			await nextTurn();
+			fixture.clock.advanceTo(time);
+			fixture.clock.advanceTo(2 * time);
+			await waitUntil(() => fixture.text.includes('stalled'));
+			expect(fixture.text).to.match(/^HTTP\/1.1 503 [^]*Connection: close/);
+			expect(fixture.budget.held.largeBodies).to.equal(0);
+			expect(fixture.received).to.have.length(0);
+		};
+
+		// A caller that stops half-way would keep others from memory for as long as it stays connected.
+		it('is refused when it stops arriving', async () => {
+			await stall('', 15_000);
+		});
+
+		it('is refused when it takes longer than its caller waits', async () => {
+			await stall('Time-Left: 4000\r\n', 4000);
+		});
+
 		it('gives its memory back when its caller leaves', async () => {
 			upload(5 * megabyte);
 			await waitUntil(() => fixture.received.length === 1);
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -78,7 +78,7 @@
 const maxWaitRatio = 0.5;
 const defaultMaxWait = 5000;
 /** Milliseconds after which a caller may repeat a request that found no memory; large bodies take about as long. */
-const noMemoryRetryAfter = 1000;
+const refusedBodyRetryAfter = 1000;
 
 /** A request whose body is complete. */
 type ReceivedRequest = {
@@ -179,7 +179,7 @@
 		const arrivedAt = options.clock.now();
 		if (budget.isFull('responses')) {
 			request.resume();
-			refuseWithoutMemory(exchange, headers);
+			refuse(exchange, headers, 'noMemory');
 		} else if (headers.hasBody) {
 			receiveBody(request, exchange, headers, arrivedAt);
 		} else {
@@ -193,16 +193,16 @@
 		}
 	};
 
-	/** Refuses a request that has not run, because the node holds too much; its body is discarded. */
-	const refuseWithoutMemory = (
+	/** Refuses a request that has not run; the rest of its body is discarded. */
+	const refuse = (
 		exchange: CallerExchange,
 		{requestId}: CallerHeaders,
+		reason: 'noMemory' | 'stalled',
 	) => {
 		if (!exchange.accept()) {
 			return;
 		}
 
-		const reason = 'noMemory';
 		options.metrics.requestEnded({
 			route: '',
 			outcome: 'refused',
@@ -217,7 +217,7 @@
 			kind: 'own',
 			status: 503,
 			reason,
-			retryAfter: noMemoryRetryAfter,
+			retryAfter: refusedBodyRetryAfter,
 		});
 	};
 
@@ -249,7 +249,11 @@
 				reject(exchange, 413);
 			},
 			noMemory() {
-				refuseWithoutMemory(exchange, headers);
+				refuse(exchange, headers, 'noMemory');
+			},
+			stalled() {
+				exchange.closeAfter('closingAnswer');
+				refuse(exchange, headers, 'stalled');
 			},
 		};
 		readBody(
@@ -259,6 +263,8 @@
 				budget,
 				limit: limits.bodyBytes,
 				maxWait: timeLeft > 0 ? timeLeft * maxWaitRatio : defaultMaxWait,
+				maxTime: timeLeft > 0 ? timeLeft : Number.POSITIVE_INFINITY,
+				stallTimeout: limits.idleTime,
 			},
 			(result) => {
 				bodyHandlers[result.kind](result as never);
--- a/packages/mesh/src/entry/request-body.ts
+++ b/packages/mesh/src/entry/request-body.ts
@@ -1,7 +1,7 @@
 /**
  * Reads the body of a caller's request within the memory of the node. A body is
  * not read before there is memory for all of it, so its sender waits; one that
- * would wait too long is refused and discarded.
+ * would wait too long, or stops arriving, is refused and discarded.
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
@@ -12,11 +12,12 @@
 	type MemoryBudget,
 } from '../decisions/memory/memory-budget.js';
 
-/** The result of reading a body; `noMemory` is reported at once, `tooLarge` once the body is discarded. */
+/** The result of reading a body; only `tooLarge` is reported after the rest of the body has arrived. */
 export type BodyResult =
 	| {kind: 'read'; body: Uint8Array | undefined; hold: BodyHold}
 	| {kind: 'tooLarge'}
-	| {kind: 'noMemory'};
+	| {kind: 'noMemory'}
+	| {kind: 'stalled'};
 
 /** Options of `readBody`. */
 export type BodyOptions = {
@@ -26,6 +27,10 @@
 	limit: number;
 	/** Maximum wait for memory in milliseconds. */
 	maxWait: number;
+	/** Maximum milliseconds in which a large body arrives. */
+	maxTime: number;
+	/** Maximum milliseconds without a part of a large body: it holds memory that others wait for. */
+	stallTimeout: number;
 };
 
 /** Reads a body; the result isn't reported if the sender disconnects before. */
@@ -65,9 +70,9 @@
 		request.resume();
 	};
 
-	const refuse = () => {
+	const refuse = (kind: 'noMemory' | 'stalled') => {
 		discard();
-		onResult({kind: 'noMemory'});
+		onResult({kind});
 	};
 
 	const rejectLarge = () => {
@@ -77,6 +82,28 @@
 		});
 	};
 
+	/** Refuses a large body that stops arriving. */
+	const watchArrival = () => {
+		const until = clock.now() + options.maxTime;
+		let sizeBefore = size;
+		const check = () => {
+			if (size === sizeBefore || clock.now() >= until) {
+				refuse('stalled');
+				return;
+			}
+
+			sizeBefore = size;
+			setCheck();
+		};
+
+		const setCheck = () => {
+			const delay = Math.min(options.stallTimeout, until - clock.now());
+			timer = clock.setTimer(delay, check);
+		};
+
+		setCheck();
+	};
+
 	/** Takes memory for a body of so many bytes, then reads on. */
 	const readWith = (bytes: number) => {
 		let isDecided = false;
@@ -84,7 +111,7 @@
 			isDecided = true;
 			timer?.cancel();
 			if (!granted) {
-				refuse();
+				refuse('noMemory');
 				return;
 			}
 
@@ -99,13 +126,16 @@
 				}
 
 				chunks = [];
+				watchArrival();
 			}
 
 			request.on('data', receive);
 			request.resume();
 		});
 		if (!isDecided) {
-			timer = clock.setTimer(options.maxWait, refuse);
+			timer = clock.setTimer(options.maxWait, () => {
+				refuse('noMemory');
+			});
 		}
 	};
 
@@ -116,7 +146,7 @@
 		}
 
 		if (buffer && size + chunk.byteLength > buffer.byteLength) {
-			refuse();
+			refuse('noMemory');
 			return;
 		}
 
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -57,9 +57,9 @@
 		kind: 'decision',
 		template: 'rejected with {status}: {reason}',
 		meaning:
-			'The request was not processed: there is no configuration yet, no route matches it, its key belongs to no workspace, or its workspace has exhausted its quota. It has not run.',
+			'The request was not processed: there is no configuration yet, no route matches it, its key belongs to no workspace, its workspace has exhausted its quota, this node has no memory for it (`noMemory`), or its body stopped arriving (`stalled`). It has not run.',
 		advice:
-			'Many with `unknownKey` after a change: callers still use a key that was removed. Many with `quotaExceeded` from one caller: it exceeds the quota of its workspace.',
+			'Many with `unknownKey` after a change: callers still use a key that was removed. Many with `quotaExceeded` from one caller: it exceeds the quota of its workspace. Many with `noMemory`: see `egretspoke_mesh_held_bytes`.',
 	},
 	meshForeignResponse: {
 		code: 1609,
