--- a/packages/mesh/src/links/incoming-bodies.ts
+++ b/packages/mesh/src/links/incoming-bodies.ts
@@ -28,8 +28,8 @@
 export type IncomingBodies = {
 	add(message: LargeRequest): void;
 	receive(part: BodyPart): void;
-	/** Drops a body; returns whether there was one. */
-	cancel(exchange: number): boolean;
+	/** Drops a body, if it is arriving. */
+	cancel(exchange: number): void;
 	/** Drops all bodies. */
 	close(): void;
 	size(): number;
@@ -123,9 +123,7 @@
 			}
 		},
 		cancel(exchange) {
-			const arrival = arrivals.get(exchange);
-			arrival?.drop();
-			return arrival !== undefined;
+			arrivals.get(exchange)?.drop();
 		},
 		close() {
 			for (const arrival of arrivals.values()) {
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -4,9 +4,7 @@
 import {WebSocketServer} from 'ws';
 import {listenOn} from '../listening.js';
 import type {LoadReceiver} from '../target/load-report.js';
-import {streamWindow, type BodyStream} from '../bodies/body-stream.js';
 import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
-import {createBodySender, type BodySender} from './body-sender.js';
 import {unknownSize} from './compact-message.js';
 import {
 	discardOutcome,
@@ -19,6 +17,10 @@
 	type TargetLoad,
 } from './exchange.js';
 import {createIncomingBodies, type IncomingBodies} from './incoming-bodies.js';
+import {
+	createOutgoingStreams,
+	type OutgoingStreams,
+} from './outgoing-streams.js';
 import {
 	createPeerChannel,
 	frameLimit,
@@ -82,14 +84,8 @@
 	running: Map<number, CancelAttempt>;
 	/** The request bodies that are arriving. */
 	bodies: IncomingBodies;
-	/** The response bodies that are being sent, by exchange. */
-	streams: Map<number, OutgoingStream>;
-};
-
-/** A response body that is passed on while it arrives from the target. */
-type OutgoingStream = {
-	sender: BodySender;
-	stream: BodyStream;
+	/** The response bodies that are being sent. */
+	streams: OutgoingStreams;
 };
 
 /** Creates a listener that is not listening yet. */
@@ -123,9 +119,7 @@
 				}
 
 				link.bodies.close();
-				for (const exchange of link.streams.keys()) {
-					cancelStream(link, exchange);
-				}
+				link.streams.close();
 
 				onClosed();
 			},
@@ -143,7 +137,7 @@
 					refuse(link, exchange, reason);
 				},
 			}),
-			streams: new Map(),
+			streams: createOutgoingStreams(channel),
 			load: idleLoad,
 			report(load) {
 				channel.send({kind: 'load', load});
@@ -217,37 +211,10 @@
 		if (!isSent) {
 			discardOutcome(outcome);
 		} else if (stream) {
-			sendStream(link, exchange, stream);
+			link.streams.send(exchange, stream);
 		}
 	};
 
-	/** Sends a response body as it arrives and as the peer has memory for it. */
-	const sendStream = (
-		link: IncomingLink,
-		exchange: number,
-		stream: BodyStream,
-	) => {
-		const sender = createBodySender(link.channel, exchange, streamWindow, {
-			onSent: stream.release,
-			onDone() {
-				link.streams.delete(exchange);
-			},
-		});
-		link.streams.set(exchange, {sender, stream});
-		stream.read({
-			onPart: sender.push,
-			onEnd: sender.end,
-			onCut: sender.cut,
-		});
-	};
-
-	const cancelStream = (link: IncomingLink, exchange: number) => {
-		const found = link.streams.get(exchange);
-		link.streams.delete(exchange);
-		found?.sender.cancel();
-		found?.stream.cancel();
-	};
-
 	const send = (link: IncomingLink, message: PeerMessage) => {
 		if (message.kind === 'state') {
 			link.load = message.load;
@@ -256,48 +223,57 @@
 		link.channel.send(message);
 	};
 
-	const receive = (link: IncomingLink, message: PeerMessage, delay: number) => {
-		const {channel, running} = link;
-		// The link has ended: the outcome of a request could not be sent, and the peer was told that it doesn't run.
-		if (isEnding) {
-			return;
-		}
-
-		if (message.kind === 'request' || message.kind === 'largeRequest') {
-			const {exchange, request} = message;
-			request.timeLeft -= delay;
-			if (channel.isCongested()) {
+	/** The messages about exchanges; the others are for the node. */
+	const handlers: {
+		[Kind in PeerMessage['kind']]?: (
+			link: IncomingLink,
+			message: Extract<PeerMessage, {kind: Kind}>,
+		) => void;
+	} = {
+		request(link, {exchange, request}) {
+			if (link.channel.isCongested()) {
 				refuse(link, exchange, 'linkDown');
-			} else if (message.kind === 'request') {
+			} else {
 				dispatch(link, exchange, request);
+			}
+		},
+		largeRequest(link, message) {
+			if (link.channel.isCongested()) {
+				refuse(link, message.exchange, 'linkDown');
 			} else {
 				link.bodies.add(message);
 			}
+		},
+		part(link, part) {
+			link.bodies.receive(part);
+		},
+		credit(link, {exchange, bytes}) {
+			link.streams.grant(exchange, bytes);
+		},
+		cancel(link, {exchange}) {
+			link.running.get(exchange)?.();
+			link.running.delete(exchange);
+			link.bodies.cancel(exchange);
+			link.streams.cancel(exchange);
+		},
+		ping({channel}) {
+			channel.send({kind: 'pong'});
+		},
+	};
 
+	const receive = (link: IncomingLink, message: PeerMessage, delay: number) => {
+		// The link has ended: the outcome of a request could not be sent, and the peer was told that it doesn't run.
+		if (isEnding) {
 			return;
 		}
 
-		if (message.kind === 'part') {
-			link.bodies.receive(message);
-			return;
-		}
-
-		if (message.kind === 'credit') {
-			link.streams.get(message.exchange)?.sender.grant(message.bytes);
-			return;
-		}
-
-		if (message.kind === 'cancel') {
-			const {exchange} = message;
-			running.get(exchange)?.();
-			running.delete(exchange);
-			link.bodies.cancel(exchange);
-			cancelStream(link, exchange);
-			return;
+		if (message.kind === 'request' || message.kind === 'largeRequest') {
+			message.request.timeLeft -= delay;
 		}
 
-		if (message.kind === 'ping') {
-			channel.send({kind: 'pong'});
+		const handle = handlers[message.kind];
+		if (handle) {
+			handle(link, message as never);
 			return;
 		}
 
@@ -308,7 +284,7 @@
 		}
 
 		options.onMessage(message, (reply) => {
-			channel.send(reply);
+			link.channel.send(reply);
 		});
 	};
 
@@ -316,7 +292,7 @@
 		const open = {links: links.size, running: 0, unsent: 0};
 		for (const {running, bodies, streams, channel} of links) {
 			open.running += running.size + bodies.size();
-			open.unsent += channel.hasUnsentOutcome() || streams.size > 0 ? 1 : 0;
+			open.unsent += channel.hasUnsentOutcome() || streams.size() > 0 ? 1 : 0;
 		}
 
 		return open;
