fix(mesh): answers in a burst do not close the link that is slow to take them

Cause: answers up to 512 KiB were sent whole.

Change: an answer above 16 KiB that the link can't take at once waits at the target's node, counted in a share of its own, and crosses in parts. While that share is used up, further requests of links are refused as not run.

Before: the new spec fails.

--- a/packages/mesh/__tests__/large-bodies.spec.ts
+++ b/packages/mesh/__tests__/large-bodies.spec.ts
@@ -261,6 +261,51 @@
 			expect(targetBudget.held.streams).to.equal(0);
 		});
 
+		// Answers that were sent whole filled the buffer of a link, which was closed with all requests on it.
+		it('that are held whole wait for a peer that reads slowly, and all arrive', async () => {
+			const count = 100;
+			const sent = Array.from({length: count}, () => send(createRequest(0)));
+			await waitUntil(() => dispatched.length === count);
+			const body = Buffer.alloc(400_000, 'abc');
+			for (const {onOutcome} of dispatched) {
+				onOutcome(
+					{kind: 'answered', status: 200, headers: [], body},
+					undefined,
+				);
+			}
+
+			expect(targetBudget.held.answers).to.be.above(20 * megabyte);
+			const refused = send(createRequest(0));
+			await waitUntil(() => sent.every(({outcome}) => outcome !== undefined));
+			const arrived: number[] = [];
+			const read = ({body: whole, stream}: Outcome & {kind: 'answered'}) => {
+				arrived.push(whole.byteLength);
+				stream?.read({
+					onPart({byteLength}) {
+						arrived.push(byteLength);
+						stream.release(byteLength);
+					},
+					onEnd: () => undefined,
+					onCut() {
+						throw new Error('cut');
+					},
+				});
+			};
+
+			for (const {outcome} of sent) {
+				read(outcome as Outcome & {kind: 'answered'});
+			}
+
+			const sum = () => arrived.reduce((total, bytes) => total + bytes, 0);
+			await waitUntil(() => sum() === count * body.byteLength);
+			expect(link.isUsable()).to.equal(true);
+			await waitUntil(() => targetBudget.held.answers === 0);
+			expect(refused.outcome).to.deep.equal({
+				kind: 'refused',
+				reason: 'noRoom',
+			});
+		});
+
 		it('are cut off when their source is', async () => {
 			const stream = await startStream();
 			let isCut = false;
--- a/packages/mesh/src/bodies/body-stream.ts
+++ b/packages/mesh/src/bodies/body-stream.ts
@@ -46,11 +46,12 @@
 	cut(): void;
 };
 
-/** Creates a stream without a reader. */
+/** Creates a stream without a reader; its bytes are counted as the given kind. */
 export function createBodyStream(
 	size: number | undefined,
 	budget: MemoryBudget,
 	source: BodySource,
+	kind: 'streams' | 'answers' = 'streams',
 ): OpenBodyStream {
 	let reader: BodyReader | undefined;
 	/** What arrived before there was a reader. */
@@ -61,13 +62,13 @@
 	let stopWaiting: (() => void) | undefined;
 
 	const update = () => {
-		const mayArrive = held < streamWindow || !budget.isFull('streams');
+		const mayArrive = held < streamWindow || !budget.isFull(kind);
 		if (mayArrive && stopWaiting) {
 			stopWaiting();
 			stopWaiting = undefined;
 			source.setPaused(false);
 		} else if (!mayArrive && !stopWaiting) {
-			stopWaiting = budget.whenFree('streams', () => {
+			stopWaiting = budget.whenFree(kind, () => {
 				stopWaiting = undefined;
 				source.setPaused(false);
 			});
@@ -78,7 +79,7 @@
 	const countDown = (bytes: number) => {
 		const released = Math.min(bytes, held);
 		held -= released;
-		budget.remove('streams', released);
+		budget.remove(kind, released);
 		budget.dropPart(released);
 	};
 
@@ -117,7 +118,7 @@
 			}
 
 			held += part.byteLength;
-			budget.add('streams', part.byteLength);
+			budget.add(kind, part.byteLength);
 			if (reader) {
 				reader.onPart(part);
 			} else {
@@ -161,3 +162,15 @@
 		},
 	};
 }
+
+/** Creates the stream of a body that is held whole, for a reader that takes it in parts. */
+export function createHeldBodyStream(
+	body: Uint8Array,
+	budget: MemoryBudget,
+): BodyStream {
+	const source = {setPaused: () => undefined, cancel: () => undefined};
+	const stream = createBodyStream(body.byteLength, budget, source, 'answers');
+	stream.push(body);
+	stream.end();
+	return stream;
+}
--- a/packages/mesh/src/decisions/memory/memory-budget.ts
+++ b/packages/mesh/src/decisions/memory/memory-budget.ts
@@ -17,6 +17,8 @@
 	| 'largeBodies'
 	/** Whole responses that callers have not read yet. */
 	| 'responses'
+	/** Whole responses that other nodes have not read yet. */
+	| 'answers'
 	/** Parts of responses that are passed on while they arrive. */
 	| 'streams'
 	/** Messages to other nodes that are not sent yet. */
@@ -30,11 +32,12 @@
  * collector has not freed yet, and for the buffers of the system.
  */
 const shares: Record<HeldKind, number> = {
-	smallBodies: 0.06,
+	smallBodies: 0.05,
 	largeBodies: 0.27,
-	responses: 0.06,
-	streams: 0.05,
-	frames: 0.05,
+	responses: 0.045,
+	answers: 0.045,
+	streams: 0.04,
+	frames: 0.04,
 };
 
 /**
@@ -98,6 +101,7 @@
 		smallBodies: 0,
 		largeBodies: 0,
 		responses: 0,
+		answers: 0,
 		streams: 0,
 		frames: 0,
 	};
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -4,6 +4,7 @@
 import {WebSocketServer} from 'ws';
 import {listenOn} from '../listening.js';
 import type {LoadReceiver} from '../target/load-report.js';
+import {createHeldBodyStream} from '../bodies/body-stream.js';
 import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
 import {unknownSize} from './compact-message.js';
 import {
@@ -88,6 +89,9 @@
 	streams: OutgoingStreams;
 };
 
+/** Size in bytes up to which an answer is sent at once, however slowly its peer reads. */
+const pacedBytes = 16 * 1024;
+
 /** Creates a listener that is not listening yet. */
 export function createPeerListener(options: PeerListenerOptions): PeerListener {
 	const server = createServer((_request, response) => {
@@ -155,8 +159,13 @@
 		link.channel.send({kind: 'outcome', exchange, outcome, load: undefined});
 	};
 
-	/** Counts the body of a request that has arrived with it; false if there is no memory for it. */
-	const holdBody = (request: ForwardedRequest): boolean => {
+	/** Whether there is memory for a request and its answer; counts the body that has arrived with it. */
+	const holdRequest = (request: ForwardedRequest): boolean => {
+		if (options.budget.isFull('answers')) {
+			request.bodyHold?.release();
+			return false;
+		}
+
 		if (request.body && !request.bodyHold) {
 			request.bodyHold = options.budget.hold(request.body.byteLength);
 			return request.bodyHold !== undefined;
@@ -171,7 +180,7 @@
 		exchange: number,
 		request: ForwardedRequest,
 	) => {
-		if (!holdBody(request)) {
+		if (!holdRequest(request)) {
 			refuse(link, exchange, 'noRoom');
 			return;
 		}
@@ -193,13 +202,30 @@
 		options.onRequest();
 	};
 
+	/** Makes an answer a stream if its peer reads too slowly for it to be sent at once. */
+	const paceAnswer = ({channel}: IncomingLink, outcome: Outcome): Outcome => {
+		const mustWait =
+			outcome.kind === 'answered' &&
+			outcome.stream === undefined &&
+			outcome.body.byteLength > pacedBytes &&
+			!channel.isWritable();
+		return mustWait
+			? {
+					...outcome,
+					body: new Uint8Array(),
+					stream: createHeldBodyStream(outcome.body, options.budget),
+				}
+			: outcome;
+	};
+
 	const sendOutcome = (
 		link: IncomingLink,
 		exchange: number,
-		outcome: Outcome,
+		unpaced: Outcome,
 		load: TargetLoad | undefined,
 	) => {
 		link.load = load ?? link.load;
+		const outcome = paceAnswer(link, unpaced);
 		const stream = outcome.kind === 'answered' ? outcome.stream : undefined;
 		const isSent = link.channel.send({
 			kind: 'outcome',
