feat(observability): the sources of the configuration in logs and metrics

Event 2208 names each version that was asked for and not received, with the source and whether the link was closed or the node did not answer; event 2201 names the node that a version came from and how long it took since the first report of a newer one. Metrics show the newest version reported, since when and from whom the version in force is, and how long the store and each node have been silent. Both kinds of node export them. No decision changes.

--- a/packages/control/src/configuration-watch.ts
+++ b/packages/control/src/configuration-watch.ts
@@ -8,9 +8,11 @@
 import type {Platform} from '@egretspoke/storage';
 import {
 	createSubject,
+	createVersionTracker,
 	sleep,
 	type Clock,
 	type Random,
+	type VersionReadings,
 } from '@egretspoke/shared';
 import type {Stream} from 'most';
 import type {Result} from 'neverthrow';
@@ -53,6 +55,8 @@
 	current(): Configuration;
 	source(): ConfigurationSource;
 	platformState(): PlatformState;
+	/** The version in force, and what the platform and other nodes last reported. */
+	versions(): VersionReadings;
 	/** The body to send to a peer that requests it; undefined for the defaults. */
 	body(): ConfigurationBody | undefined;
 	/** Puts the body in force if the acceptance rule allows it. */
@@ -60,10 +64,11 @@
 		body: ConfigurationBody,
 		source: ConfigurationSource,
 	): Result<Configuration, Rejection>;
-	/** Handles the version number of a peer; `fetch` requests the body from that peer. */
+	/** Handles the version number of the peer `from`; `fetch` requests the body from that peer. */
 	receiveVersion(
 		version: number,
 		fetch: () => Promise<ConfigurationBody | undefined>,
+		from?: string,
 	): Promise<void>;
 	/** Reads the head row once, and the body if its version is higher. */
 	readPlatform(): Promise<void>;
@@ -112,12 +117,18 @@
 	let source: ConfigurationSource = 'defaults';
 	let platformState: PlatformState = 'unknown';
 	const fetching: number[] = [];
+	const versions = createVersionTracker(clock);
 
-	const offer: ConfigurationWatch['offer'] = (body, from) => {
+	const offerFrom = (
+		body: ConfigurationBody,
+		from: ConfigurationSource,
+		name: string,
+	) => {
 		const result = acceptance.accept(current, body);
 		if (result.isOk()) {
 			current = result.value;
 			source = from;
+			versions.recordApplied(name, current.version);
 			accepted.push(current);
 		} else if (result.error !== 'notHigher') {
 			const {version} = body;
@@ -127,6 +138,9 @@
 		return result;
 	};
 
+	const offer: ConfigurationWatch['offer'] = (body, from) =>
+		offerFrom(body, from, from);
+
 	const updatePlatformState = (change: PlatformChange) => {
 		const isChanged = change.state !== platformState;
 		platformState = change.state;
@@ -143,6 +157,10 @@
 				: {state: 'unreachable', detail: head.error.detail},
 		);
 		const version = head.isOk() ? head.value.value?.version : undefined;
+		if (head.isOk()) {
+			versions.recordReport('platform', version ?? 0);
+		}
+
 		if (version === undefined || !acceptance.isWanted(current, version)) {
 			return;
 		}
@@ -165,7 +183,9 @@
 			return version === 0 ? undefined : {version, checksum, text};
 		},
 		offer,
-		async receiveVersion(version, fetch) {
+		versions: versions.readings,
+		async receiveVersion(version, fetch, from = 'peer') {
+			versions.recordReport(from, version);
 			const isWanted = acceptance.isWanted(current, version);
 			const hasCapacity = fetching.length < maxConcurrentFetches;
 			if (!isWanted || !(hasCapacity || version > Math.max(...fetching))) {
@@ -176,7 +196,7 @@
 			try {
 				const body = await fetch();
 				if (body) {
-					offer(body, 'peer');
+					offerFrom(body, 'peer', from);
 				}
 			} finally {
 				fetching.splice(fetching.indexOf(version), 1);
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -100,8 +100,10 @@
 		...options,
 		send,
 		onPeerVersion(version, address) {
-			const fetching = configuration.receiveVersion(version, async () =>
-				fetchConfiguration(address),
+			const fetching = configuration.receiveVersion(
+				version,
+				async () => fetchConfiguration(address),
+				address,
 			);
 			void trackFetch(fetching);
 		},
--- a/packages/mesh/__tests__/configuration-follower.spec.ts
+++ b/packages/mesh/__tests__/configuration-follower.spec.ts
@@ -1,4 +1,9 @@
-import {createRandom, createVirtualClock, sleep} from '@egretspoke/shared';
+import {
+	createRandom,
+	createVersionTracker,
+	createVirtualClock,
+	sleep,
+} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {ok} from 'neverthrow';
 import {createConfigurationFollower} from '../src/configuration/configuration-follower.js';
@@ -33,6 +38,7 @@
 		clock,
 		random: createRandom(1),
 		startDelay,
+		versions: createVersionTracker(clock),
 		isFollower,
 		onFollowingChange() {
 			followingChanges.push(follower.isFollowing());
@@ -71,7 +77,7 @@
 	describe('with enough peers that follow the feed', () => {
 		it('never calls the store and applies configurations of peers', async () => {
 			const node = await createNode(() => false);
-			node.follower.offer(configurationOf(1));
+			node.follower.offer(configurationOf(1), 'node-2');
 			await node.clock.runTo(60_000);
 			const {read, changes} = node.store.calls;
 			expect({read, changes}).to.deep.equal({read: 0, changes: 0});
@@ -84,7 +90,7 @@
 			// on are killed at the same moment, and no peer reports changes to it.
 			let isFollower = false;
 			const node = await createNode(() => isFollower);
-			node.follower.offer(configurationOf(0));
+			node.follower.offer(configurationOf(0), 'node-2');
 			await node.clock.runTo(5000);
 			isFollower = true;
 			await node.clock.runTo(7000);
@@ -102,8 +108,8 @@
 
 	it('never applies an older version', async () => {
 		const node = await createNode(() => false);
-		node.follower.offer(configurationOf(5));
-		node.follower.offer(configurationOf(4));
+		node.follower.offer(configurationOf(5), 'node-2');
+		node.follower.offer(configurationOf(4), 'node-2');
 		expect(node.follower.current()?.version).to.equal(5);
 		await node.end();
 	});
--- a/packages/mesh/__tests__/member-gossip.spec.ts
+++ b/packages/mesh/__tests__/member-gossip.spec.ts
@@ -25,7 +25,10 @@
 		isSilent: () => false,
 		outstanding: () => 0,
 		isUnused: () => true,
-		sendMessage,
+		sendMessage(message) {
+			sendMessage(message);
+			return true;
+		},
 		retryNow: () => undefined,
 		probe: () => false,
 		retire: () => undefined,
--- a/packages/mesh/__tests__/peer-updates.spec.ts
+++ b/packages/mesh/__tests__/peer-updates.spec.ts
@@ -1,4 +1,4 @@
-import {createVirtualClock} from '@egretspoke/shared';
+import {createVersionTracker, createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {
 	decodeFrame,
@@ -31,6 +31,8 @@
 					current = configuration;
 				},
 			},
+			versions: createVersionTracker(clock),
+			reporter: {notice: () => undefined},
 			onHello: () => undefined,
 			onMembers: () => undefined,
 			onQuotaUse: () => undefined,
@@ -45,9 +47,14 @@
 			clock,
 			sent,
 			receive(from: number, message: PeerMessage) {
-				handle(message, (reply) => {
-					sent.push({from, message: reply});
-				});
+				handle(
+					message,
+					(reply) => {
+						sent.push({from, message: reply});
+						return true;
+					},
+					`node-${from}`,
+				);
 			},
 		};
 	}
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -195,7 +195,7 @@
 					cancel();
 				};
 			},
-			sendMessage: () => undefined,
+			sendMessage: () => true,
 			retryNow: () => undefined,
 			probe: () => false,
 			retire: () => undefined,
--- a/packages/mesh/__tests__/suspect-fleet.ts
+++ b/packages/mesh/__tests__/suspect-fleet.ts
@@ -101,6 +101,7 @@
 		send: () => () => undefined,
 		sendMessage(message) {
 			deliver(to, message);
+			return true;
 		},
 		retryNow: () => undefined,
 		probe: () => false,
--- a/packages/mesh/src/configuration/configuration-follower.ts
+++ b/packages/mesh/src/configuration/configuration-follower.ts
@@ -7,7 +7,12 @@
  * force. Updates from several sources arrive out of order, and callers would
  * otherwise see a change applied and reverted.
  */
-import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import {
+	sleep,
+	type Clock,
+	type Random,
+	type VersionTracker,
+} from '@egretspoke/shared';
 import type {Result} from 'neverthrow';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {RoutingConfiguration} from './route.js';
@@ -34,6 +39,7 @@
 	/** Called when the node starts or stops following the feed. */
 	onFollowingChange: () => void;
 	reporter: MeshReporter;
+	versions: Pick<VersionTracker, 'recordReport' | 'recordApplied'>;
 	/** Called with each newer version, once it is in force. */
 	onApplied: (configuration: RoutingConfiguration) => void;
 };
@@ -41,14 +47,17 @@
 /** Provides the configuration in force. */
 export type ConfigurationFollower = {
 	current(): RoutingConfiguration | undefined;
-	/** Applies a configuration from a peer, if it is newer. */
-	offer(configuration: RoutingConfiguration): void;
+	/** Applies a configuration of another node, if it is newer. */
+	offer(configuration: RoutingConfiguration, from: string): void;
 	/** Whether this node follows the feed and the store serves it. */
 	isFollowing(): boolean;
 	/** Follows the feed until the signal aborts. */
 	run(signal: AbortSignal): Promise<void>;
 };
 
+/** The name of the store as a source of versions. */
+const storeSource = 'store';
+
 /** Milliseconds between two checks whether this node should follow the feed. */
 export const followerCheckInterval = 1000;
 
@@ -56,26 +65,25 @@
 export function createConfigurationFollower(
 	options: ConfigurationFollowerOptions,
 ): ConfigurationFollower {
-	const {store, row, clock, random, reporter} = options;
+	const {store, row, clock, random, reporter, versions} = options;
 	let current: RoutingConfiguration | undefined;
 	let isStoreUnreachable = false;
 	let isSelected = false;
 	let wasFollowing = false;
 	let onFirstApplied: () => void = () => undefined;
 
-	const apply = (
-		configuration: RoutingConfiguration,
-		source: 'store' | 'peer',
-	) => {
-		if (current && configuration.version <= current.version) {
+	const apply = (configuration: RoutingConfiguration, source: string) => {
+		const {version} = configuration;
+		if (current && version <= current.version) {
+			versions.recordReport(source, version);
 			return;
 		}
 
 		current = configuration;
-		reporter.notice('configurationTaken', {
-			version: configuration.version,
-			source,
-		});
+		reporter.notice(
+			'configurationTaken',
+			versions.recordApplied(source, version),
+		);
 		options.onApplied(configuration);
 		onFirstApplied();
 	};
@@ -88,7 +96,7 @@
 
 			options.decode(value).match(
 				(configuration) => {
-					apply(configuration, 'store');
+					apply(configuration, storeSource);
 				},
 				(detail) => {
 					reporter.notice('configurationRefused', {version: 0, detail});
@@ -144,9 +152,7 @@
 	return {
 		current: () => current,
 		isFollowing,
-		offer(configuration) {
-			apply(configuration, 'peer');
-		},
+		offer: apply,
 		async run(signal) {
 			await waitForPeers(signal);
 			await followTable(
@@ -158,6 +164,10 @@
 					waitUntilFollower,
 					onRows: applyRows,
 					onResult(failure) {
+						if (!failure) {
+							versions.recordReport(storeSource, current?.version ?? 0);
+						}
+
 						recordStoreResult(failure);
 						notifyFollowingChange();
 					},
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -69,7 +69,8 @@
 	outstanding(): number;
 	/** Whether no outcome and no part of a response is still expected. */
 	isUnused(): boolean;
-	sendMessage(message: PeerMessage): void;
+	/** Returns false if the link is unusable; the message is then dropped. */
+	sendMessage(message: PeerMessage): boolean;
 	/**
 	 * Sends a probe if the peer has been silent, and abandons the connection
 	 * after an answer timeout in which nothing arrived; called every `probeInterval`. Returns whether it
@@ -415,9 +416,7 @@
 			probedAt !== undefined && clock.now() - probedAt > lateAnswer,
 		outstanding: () => exchanges.size,
 		isUnused: () => exchanges.size + streams.size() === 0,
-		sendMessage(message) {
-			current?.send(message);
-		},
+		sendMessage: (message) => current?.send(message) ?? false,
 		retryNow: connect,
 		probe,
 		retire() {
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -28,6 +28,7 @@
 	type PeerChannel,
 } from './peer-channel.js';
 import type {PeerMessage} from './peer-message.js';
+import type {UpdateHandler} from './peer-updates.js';
 
 /** Options of `createPeerListener`. */
 export type PeerListenerOptions = {
@@ -37,10 +38,7 @@
 	/** Returns the messages to send in reply to a hello. */
 	initialMessages: () => PeerMessage[];
 	/** Receives messages that do not concern a request. */
-	onMessage: (
-		message: PeerMessage,
-		reply: (message: PeerMessage) => void,
-	) => void;
+	onMessage: UpdateHandler;
 	onMalformed: (detail: string) => void;
 	/** Called before a link is closed whose peer does not read; receives the unread bytes. */
 	onUnread: (bytes: number) => void;
@@ -81,6 +79,8 @@
 /** A link of another node. */
 type IncomingLink = LoadReceiver & {
 	channel: PeerChannel;
+	/** The node at the other end; empty until its hello. */
+	node: string;
 	/** The requests without an outcome, by exchange. */
 	running: Map<number, CancelAttempt>;
 	/** The request bodies that are arriving. */
@@ -130,6 +130,7 @@
 		});
 		const link: IncomingLink = {
 			channel,
+			node: '',
 			running: new Map(),
 			bodies: createIncomingBodies({
 				...options,
@@ -304,14 +305,13 @@
 		}
 
 		if (message.kind === 'hello') {
+			link.node = message.member.node;
 			for (const initial of options.initialMessages()) {
 				send(link, initial);
 			}
 		}
 
-		options.onMessage(message, (reply) => {
-			link.channel.send(reply);
-		});
+		options.onMessage(message, link.channel.send, link.node);
 	};
 
 	const countOpen = (): UnendedLinks => {
--- a/packages/mesh/src/links/peer-updates.ts
+++ b/packages/mesh/src/links/peer-updates.ts
@@ -1,6 +1,7 @@
 /** Handles updates that may arrive on either side of a link, such as members and configuration versions. */
-import type {Clock, Timer} from '@egretspoke/shared';
+import type {Clock, Timer, VersionTracker} from '@egretspoke/shared';
 import type {ConfigurationFollower} from '../configuration/configuration-follower.js';
+import type {MeshReporter} from '../mesh-reporter.js';
 import type {
 	FairDemandMessage,
 	FairTotalsMessage,
@@ -12,12 +13,15 @@
 	TargetMemoryMessage,
 } from './peer-message.js';
 
-type Reply = (message: PeerMessage) => void;
+/** Sends a message on the link of the handled one; returns false if that link no longer exists. */
+export type Reply = (message: PeerMessage) => boolean;
 
 /** Options of `createUpdateHandler`. */
 export type UpdateHandlerOptions = {
 	clock: Clock;
 	follower: Pick<ConfigurationFollower, 'current' | 'offer'>;
+	versions: Pick<VersionTracker, 'recordReport'>;
+	reporter: Pick<MeshReporter, 'notice'>;
 	/** Called with the member of each hello. */
 	onHello: (member: Member) => void;
 	/** Called when a node reports the workspace requests that it admits. */
@@ -36,8 +40,15 @@
 	onMembers: (members: Member[]) => void;
 };
 
-/** Handles a message, and may reply on the same link. */
-export type UpdateHandler = (message: PeerMessage, reply: Reply) => void;
+/** Handles a message of the node `from`, and may reply on the same link. */
+export type UpdateHandler = (
+	message: PeerMessage,
+	reply: Reply,
+	from: string,
+) => void;
+
+/** A node that announced a newer configuration. */
+type Provider = {node: string; version: number; send: Reply};
 
 /** Milliseconds to wait for a configuration before it is requested from another node. */
 const answerTimeout = 300;
@@ -48,30 +59,47 @@
 ): UpdateHandler {
 	const {clock, follower} = options;
 	/** Nodes with a newer configuration, in the order of their announcements. */
-	let providers: Array<{version: number; request: () => void}> = [];
+	let providers: Provider[] = [];
+	/** The node that was asked last. */
+	let asked: Provider | undefined;
 	let timer: Timer | undefined;
 
 	const ownVersion = () => follower.current()?.version ?? 0;
 
 	/** Requests from one peer at a time: after a start every link announces the same version, and the configuration is much longer than its version. */
 	const requestNext = () => {
+		if (asked && asked.version > ownVersion()) {
+			reportNotReceived(asked, 'noAnswer');
+		}
+
 		providers = providers.filter(({version}) => version > ownVersion());
 		const provider = providers.shift();
 		timer = provider && clock.setTimer(answerTimeout, requestNext);
-		provider?.request();
+		asked = provider;
+		if (provider && !provider.send({kind: 'configurationWanted'})) {
+			reportNotReceived(provider, 'linkClosed');
+			asked = undefined;
+		}
+	};
+
+	const reportNotReceived = (
+		{version, node}: Provider,
+		reason: 'linkClosed' | 'noAnswer',
+	) => {
+		options.reporter.notice('configurationNotReceived', {
+			version,
+			source: node,
+			reason,
+		});
 	};
 
-	const compareVersions = (version: number, reply: Reply) => {
+	const compareVersions = (version: number, send: Reply, node: string) => {
+		options.versions.recordReport(node, version);
 		if (version <= ownVersion()) {
 			return;
 		}
 
-		providers.push({
-			version,
-			request() {
-				reply({kind: 'configurationWanted'});
-			},
-		});
+		providers.push({node, version, send});
 		if (timer === undefined) {
 			requestNext();
 		}
@@ -81,11 +109,12 @@
 		[Kind in PeerMessage['kind']]?: (
 			message: Extract<PeerMessage, {kind: Kind}>,
 			reply: Reply,
+			from: string,
 		) => void;
 	} = {
-		hello({member, configurationVersion}, reply) {
+		hello({member, configurationVersion}, reply, from) {
 			options.onHello(member);
-			compareVersions(configurationVersion, reply);
+			compareVersions(configurationVersion, reply, from);
 		},
 		members({members}) {
 			options.onMembers(members);
@@ -96,8 +125,8 @@
 		fairTotals: options.onFairTotals,
 		suspects: options.onSuspects,
 		targetMemory: options.onTargetMemory,
-		version({version}, reply) {
-			compareVersions(version, reply);
+		version({version}, reply, from) {
+			compareVersions(version, reply, from);
 		},
 		configurationWanted(_message, reply) {
 			const configuration = follower.current();
@@ -105,12 +134,12 @@
 				reply({kind: 'configuration', configuration});
 			}
 		},
-		configuration({configuration}) {
-			follower.offer(configuration);
+		configuration({configuration}, _reply, from) {
+			follower.offer(configuration, from);
 		},
 	};
 
-	return (message, reply) => {
-		handlers[message.kind]?.(message as never, reply);
+	return (message, reply, from) => {
+		handlers[message.kind]?.(message as never, reply, from);
 	};
 }
--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -28,6 +28,7 @@
 } from '../links/peer-message.js';
 import {probeInterval, type LinkLoss} from '../links/peer-link.js';
 import {createPeerLinks} from '../links/peer-links.js';
+import type {UpdateHandler} from '../links/peer-updates.js';
 import {createTargetMemory} from '../target/target-memory.js';
 import type {Ticker} from '../timing/ticker.js';
 import {createMemberGossip} from './member-gossip.js';
@@ -45,10 +46,7 @@
 	ticker: Ticker;
 	self: Member;
 	hello: () => PeerMessage[];
-	onMessage: (
-		message: PeerMessage,
-		reply: (message: PeerMessage) => void,
-	) => void;
+	onMessage: UpdateHandler;
 	onMalformed: (detail: string) => void;
 	/** A connection is closed because its peer does not read; receives the unread bytes. */
 	onUnread: (bytes: number) => void;
@@ -201,9 +199,7 @@
 	};
 
 	const deliverMessage = (peer: Peer, message: PeerMessage) => {
-		options.onMessage(message, (reply) => {
-			peer.link.sendMessage(reply);
-		});
+		options.onMessage(message, peer.link.sendMessage, peer.member.node);
 	};
 
 	const addMembers = (members: Member[], source: MemberSource) => {
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -1,6 +1,10 @@
 /** One node of the mesh: creates its listeners, links, registers and followers, and connects them. */
 import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
-import type {Clock, Random} from '@egretspoke/shared';
+import {
+	createVersionTracker,
+	type Clock,
+	type Random,
+} from '@egretspoke/shared';
 import type {Result} from 'neverthrow';
 import {createCallerListener} from './entry/caller-listener.js';
 import {createConfigurationFollower} from './configuration/configuration-follower.js';
@@ -205,6 +209,7 @@
 			targetTracker.setReachable(reachable);
 		},
 	});
+	const versions = createVersionTracker(clock);
 	const follower = createConfigurationFollower({
 		store,
 		row: options.configurationRow,
@@ -214,6 +219,7 @@
 		startDelay: feedStartDelay(self.node),
 		isFollower: () => isFeedFollower(self.node, directory.feedPeers()),
 		reporter,
+		versions,
 		onFollowingChange() {
 			broadcastState();
 		},
@@ -238,6 +244,8 @@
 	const receive = createUpdateHandler({
 		clock,
 		follower,
+		versions,
+		reporter,
 		onHello(member) {
 			directory.recordHello(member);
 		},
@@ -453,6 +461,7 @@
 			...dispatcher.readings(),
 			...services.readings(),
 			configurationVersion: follower.current()?.version ?? 0,
+			versions: versions.readings(),
 			isLeaving: isStopping(),
 			openRequests: entry.open(),
 			members: directory.size(),
--- a/packages/node/__tests__/observing-reporter.spec.ts
+++ b/packages/node/__tests__/observing-reporter.spec.ts
@@ -15,6 +15,13 @@
 
 const readings: NodeReadings = {
 	configurationVersion: 1,
+	versions: {
+		source: undefined,
+		age: undefined,
+		delay: 0,
+		newestReported: 0,
+		silence: {},
+	},
 	isPlatformReachable: true,
 	isLeaving: false,
 	openRequests: 0,
--- a/packages/node/src/control-subscription.ts
+++ b/packages/node/src/control-subscription.ts
@@ -55,8 +55,8 @@
 		});
 	});
 	void control.configuration.accepted.observe(({version}) => {
-		const source = control.configuration.source();
-		reporter.recordEvent({name: 'configurationTaken', version, source});
+		const {source = '', delay} = control.configuration.versions();
+		reporter.recordEvent({name: 'configurationTaken', version, source, delay});
 	});
 }
 
--- a/packages/node/src/node-readings.ts
+++ b/packages/node/src/node-readings.ts
@@ -1,6 +1,7 @@
 /** Reads the values of the gauges of a node when they are collected. */
 import type {Control} from '@egretspoke/control';
 import type {NodeReadings} from '@egretspoke/observability';
+import type {VersionReadings} from '@egretspoke/shared';
 import type {NodeCore} from './node-core.js';
 
 /** The sources of the gauges; they are created one after another at the start. */
@@ -19,6 +20,15 @@
 	};
 }
 
+/** The readings before control has started. */
+const noVersions: VersionReadings = {
+	source: undefined,
+	age: undefined,
+	delay: 0,
+	newestReported: 0,
+	silence: {},
+};
+
 function readControl(control: Control | undefined) {
 	const members: Record<string, number> = {};
 	for (const {state} of control?.membership.members() ?? []) {
@@ -28,6 +38,7 @@
 	return {
 		members,
 		configurationVersion: control?.configuration.current().version ?? 0,
+		versions: control?.configuration.versions() ?? noVersions,
 		isPlatformReachable: control?.configuration.platformState() === 'reachable',
 	};
 }
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -45,7 +45,12 @@
 	| {name: 'drained'; cut: number}
 	| {name: 'requestsCut'; cause: string; requests: number; answered: number}
 	| {name: 'requestsGivenUp'; cause: string; requests: number}
-	| {name: 'configurationTaken'; version: number; source: string}
+	| {
+			name: 'configurationTaken';
+			version: number;
+			source: string;
+			delay: number;
+	  }
 	| {name: 'memberChanged'; node: string; state: string}
 	| {name: 'configurationRefused'; version: number; detail: string}
 	| {name: 'runningOnDefaults'}
--- a/packages/observability/__tests__/metrics.spec.ts
+++ b/packages/observability/__tests__/metrics.spec.ts
@@ -7,7 +7,16 @@
 	type NodeReadings,
 } from '../src/index.js';
 
+const versions: MeshReadings['versions'] = {
+	source: 'node-2',
+	age: 1500,
+	delay: 20,
+	newestReported: 9,
+	silence: {store: 250, 'node-2': 1500},
+};
+
 const readings: NodeReadings = {
+	versions,
 	configurationVersion: 7,
 	isPlatformReachable: true,
 	isLeaving: false,
@@ -21,6 +30,7 @@
 };
 
 const meshReadings: MeshReadings = {
+	versions,
 	configurationVersion: 7,
 	isLeaving: false,
 	openRequests: 3,
@@ -67,6 +77,9 @@
 			'egretspoke_retries_total{service="orders"} 1',
 			'egretspoke_malformed_input_total{listener="caller",kind="tooLarge"} 1',
 			'egretspoke_configuration_version 7',
+			'egretspoke_configuration_reported_version 9',
+			'egretspoke_configuration_age_seconds{source="node-2"} 1.5',
+			'egretspoke_configuration_source_silence_seconds{source="store"} 0.25',
 			'egretspoke_members{state="active"} 3',
 			'egretspoke_admission_level{service="orders"} 383',
 			'egretspoke_log_lines_dropped_total 4',
--- a/packages/observability/src/metric-catalogue.ts
+++ b/packages/observability/src/metric-catalogue.ts
@@ -95,6 +95,29 @@
 		help: 'The configuration version in force; 0 for the safe defaults.',
 		reading: 'The same on every node within seconds of a confirm.',
 	},
+	configurationReported: {
+		name: 'egretspoke_configuration_reported_version',
+		type: 'gauge',
+		labels: [],
+		help: 'The newest configuration version that the platform or another node has reported.',
+		reading:
+			'Above the version in force for more than a second: no source that reported it answers; see event 2208.',
+	},
+	configurationAge: {
+		name: 'egretspoke_configuration_age_seconds',
+		type: 'gauge',
+		labels: ['source'],
+		help: 'Time since the configuration came into force, by the source that it came from.',
+		reading: 'Compare between nodes after a change.',
+	},
+	configurationSilence: {
+		name: 'egretspoke_configuration_source_silence_seconds',
+		type: 'gauge',
+		labels: ['source'],
+		help: 'Time since the platform, and each other node, last reported its configuration version.',
+		reading:
+			'High for all sources: this node is cut off. High for one: that source is frozen, or the link to it is dead.',
+	},
 	members: {
 		name: 'egretspoke_members',
 		type: 'gauge',
--- a/packages/observability/src/metric-instruments.ts
+++ b/packages/observability/src/metric-instruments.ts
@@ -1,5 +1,6 @@
 /** Creates the prom-client instruments of a registry from the table of metrics. */
 import process from 'node:process';
+import type {VersionReadings} from '@egretspoke/shared';
 import {Counter, Gauge, Histogram, type Registry} from 'prom-client';
 import {
 	metricDefinitions,
@@ -69,6 +70,8 @@
 /** The process values that every kind of node exports. */
 export type ProcessReadings = {
 	configurationVersion: number;
+	/** The sources of the configuration. */
+	versions: VersionReadings;
 	isLeaving: boolean;
 	openRequests: number;
 	peersConnected: number;
@@ -84,6 +87,7 @@
 	registry: Registry,
 ): (readings: ProcessReadings) => void {
 	const configurationVersion = createGauge(registry, 'configurationVersion');
+	const updateVersions = createVersionGauges(registry);
 	const leaving = createGauge(registry, 'leaving');
 	const openRequests = createGauge(registry, 'openRequests');
 	const peersConnected = createGauge(registry, 'peersConnected');
@@ -93,6 +97,7 @@
 
 	return (readings) => {
 		configurationVersion.set(readings.configurationVersion);
+		updateVersions(readings.versions);
 		leaving.set(readings.isLeaving ? 1 : 0);
 		openRequests.set(readings.openRequests);
 		peersConnected.set(readings.peersConnected);
@@ -103,6 +108,28 @@
 	};
 }
 
+/** Creates the gauges of the configuration's sources; a source that is no longer tracked is removed. */
+function createVersionGauges(
+	registry: Registry,
+): (readings: VersionReadings) => void {
+	const reported = createGauge(registry, 'configurationReported');
+	const age = createGauge(registry, 'configurationAge');
+	const silence = createGauge(registry, 'configurationSilence');
+
+	return (readings) => {
+		reported.set(readings.newestReported);
+		age.reset();
+		if (readings.source !== undefined && readings.age !== undefined) {
+			age.set({source: readings.source}, readings.age * secondsPerMillisecond);
+		}
+
+		silence.reset();
+		for (const [source, milliseconds] of Object.entries(readings.silence)) {
+			silence.set({source}, milliseconds * secondsPerMillisecond);
+		}
+	};
+}
+
 /** The values of the local target that every kind of node exports. */
 export type TargetReadings = {
 	service: string;
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -121,7 +121,8 @@
 		code: 2201,
 		level: 'info',
 		kind: 'notice',
-		template: 'configuration version {version} in force, from {source}',
+		template:
+			'configuration version {version} in force, from {source}, {delay} ms after the first report of a newer one',
 		meaning:
 			'An accepted configuration with a higher version than the last one is in force on this node.',
 		advice: 'Nothing to do.',
@@ -145,6 +146,17 @@
 		advice:
 			'Together with event 2301: restore the platform or the link; the node then recovers without further action. Otherwise: confirm a first plan.',
 	},
+	configurationNotReceived: {
+		code: 2208,
+		level: 'info',
+		kind: 'notice',
+		template:
+			'configuration version {version} requested from {source}, not received: {reason}',
+		meaning:
+			'A node announced a newer version and was asked for it. `linkClosed`: the link on which it was announced no longer exists; `noAnswer`: the node did not answer in time. Another source is asked.',
+		advice:
+			'Many from one source: it is frozen or cut off. Compare event 2201 for when the version came into force.',
+	},
 	planMade: {
 		code: 2204,
 		level: 'info',
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -13,4 +13,5 @@
 export * from './size.js';
 export * from './stream.js';
 export * from './text-hash.js';
+export * from './version-tracker.js';
 export * from './virtual-clock.js';
