fix(mesh): a change of the configuration arrives whatever single source is silent

Callers of a machine that had been suspended got answers by a configuration up to 2.4 s older than any source had; other machines could be behind for up to 11.5 s.

Cause: a node that waits for news relied on one silent source at a time, for long. - Announcements were answered in the order of their arrival, one each 300 ms, also on links that the other node had closed meanwhile, and also for versions that were replaced.

Change: the newest version is requested first, of each node once; a link that is closed costs no time; the first answer that does not come also causes a read of the store. A call of the feed waits 1.2 to 1.7 s; 400 ms after that the table is read on a new connection. A follower counts only if it has sent something within a second, and sends its version to nodes that it has sent nothing for 300 ms.

--- a/packages/mesh/__tests__/configuration-follower.spec.ts
+++ b/packages/mesh/__tests__/configuration-follower.spec.ts
@@ -8,6 +8,7 @@
 import {ok} from 'neverthrow';
 import {createConfigurationFollower} from '../src/configuration/configuration-follower.js';
 import type {RoutingConfiguration} from '../src/configuration/route.js';
+import {createTicker} from '../src/timing/ticker.js';
 import {createRowStoreStandIn} from './row-store-stand-in.js';
 
 const row = {table: 'settings', key: 'newest'};
@@ -38,6 +39,7 @@
 		clock,
 		random: createRandom(1),
 		startDelay,
+		ticker: createTicker(clock, lifetime.signal),
 		versions: createVersionTracker(clock),
 		isFollower,
 		onFollowingChange() {
--- a/packages/mesh/__tests__/desired-links.spec.ts
+++ b/packages/mesh/__tests__/desired-links.spec.ts
@@ -20,6 +20,7 @@
 		send: () => () => undefined,
 		isUsable,
 		isSilent: () => false,
+		silence: () => 0,
 		outstanding: () => 0,
 		isUnused: () => true,
 		sendMessage: () => true,
--- a/packages/mesh/__tests__/directory.spec.ts
+++ b/packages/mesh/__tests__/directory.spec.ts
@@ -154,6 +154,21 @@
 		expect(directory.size()).to.equal(2);
 	});
 
+	it('counts no follower of the feed that has been silent for over a second', async () => {
+		// Guards against relying on a suspended node for changes of the configuration.
+		const member = memberAtServer('node-1', 1);
+		answerWith([
+			{kind: 'hello', member, configurationVersion: 0},
+			{...stateOf('reads'), isFollowing: true},
+		]);
+		await open([member]);
+		const isFollowing = () => directory.feedPeers()[0]?.isFollowing;
+		clock.advanceTo(900);
+		expect(isFollowing()).to.equal(true);
+		clock.advanceTo(1001);
+		expect(isFollowing()).to.equal(false);
+	});
+
 	describe('when a member has moved while a request runs there', () => {
 		let outcome: Promise<Outcome>;
 		let socket: WebSocket;
--- a/packages/mesh/__tests__/member-gossip.spec.ts
+++ b/packages/mesh/__tests__/member-gossip.spec.ts
@@ -23,6 +23,7 @@
 		send: () => () => undefined,
 		isUsable: () => true,
 		isSilent: () => false,
+		silence: () => 0,
 		outstanding: () => 0,
 		isUnused: () => true,
 		sendMessage(message) {
--- a/packages/mesh/__tests__/peer-updates.spec.ts
+++ b/packages/mesh/__tests__/peer-updates.spec.ts
@@ -22,6 +22,7 @@
 
 	function createNode(initial = 0) {
 		const clock = createVirtualClock();
+		let refreshes = 0;
 		let current = initial > 0 ? configurationOf(initial) : undefined;
 		const handle = createUpdateHandler({
 			clock,
@@ -30,9 +31,18 @@
 				offer(configuration) {
 					current = configuration;
 				},
+				async refresh() {
+					refreshes++;
+				},
 			},
 			versions: createVersionTracker(clock),
-			reporter: {notice: () => undefined},
+			reporter: {
+				notice(name, details) {
+					if (name === 'configurationNotReceived') {
+						notReceived.push(details);
+					}
+				},
+			},
 			onHello: () => undefined,
 			onMembers: () => undefined,
 			onQuotaUse: () => undefined,
@@ -43,15 +53,24 @@
 			onTargetMemory: () => undefined,
 		});
 		const sent: Array<{from: number; message: PeerMessage}> = [];
+		const closedLinks = new Set<number>();
+		const notReceived: unknown[] = [];
 		return {
 			clock,
 			sent,
+			closedLinks,
+			notReceived,
+			refreshes: () => refreshes,
 			receive(from: number, message: PeerMessage) {
 				handle(
 					message,
 					(reply) => {
-						sent.push({from, message: reply});
-						return true;
+						const isOpen = !closedLinks.has(from);
+						if (isOpen) {
+							sent.push({from, message: reply});
+						}
+
+						return isOpen;
 					},
 					`node-${from}`,
 				);
@@ -116,6 +135,86 @@
 		});
 	});
 
+	describe('after a suspension, with announcements on links that were closed meanwhile', () => {
+		it('request the newest version from a node that can still be asked', () => {
+			// Guards against waiting for each of the closed links in turn, which kept an old configuration in force for seconds.
+			const node = createNode(21);
+			for (const version of [24, 26, 30, 32]) {
+				for (let peer = 1; peer <= 12; peer++) {
+					node.closedLinks.add(peer);
+					node.receive(peer, {kind: 'version', version});
+				}
+			}
+
+			node.receive(13, {kind: 'version', version: 36});
+			node.clock.advanceTo(299);
+			expect(node.sent).to.deep.equal([
+				{from: 13, message: {kind: 'configurationWanted'}},
+			]);
+		});
+
+		it('read the store if no node can be asked', () => {
+			// Guards against an old configuration until the next announcement arrives.
+			const node = createNode(21);
+			node.closedLinks.add(1);
+			node.receive(1, {kind: 'version', version: 24});
+			expect(node.refreshes()).to.equal(1);
+			expect(node.notReceived).to.deep.equal([
+				{version: 24, source: 'node-1', reason: 'linkClosed'},
+			]);
+		});
+	});
+
+	describe('about newer configurations of nodes that do not answer', () => {
+		it('request the newest version first', () => {
+			// Guards against requests for versions that have been replaced.
+			const node = createNode(21);
+			node.receive(1, {kind: 'version', version: 24});
+			node.receive(2, {kind: 'version', version: 30});
+			node.receive(3, {kind: 'version', version: 26});
+			node.clock.advanceTo(1000);
+			expect(node.sent.map(({from}) => from)).to.deep.equal([1, 2, 3]);
+		});
+
+		it('read the store after the first one', () => {
+			// Guards against a delay that grows with the number of suspended nodes.
+			const node = createNode(21);
+			for (let peer = 1; peer <= 6; peer++) {
+				node.receive(peer, {kind: 'version', version: 24});
+			}
+
+			node.clock.advanceTo(301);
+			expect(node.refreshes()).to.equal(1);
+			expect(node.notReceived).to.deep.equal([
+				{version: 24, source: 'node-1', reason: 'noAnswer'},
+			]);
+		});
+
+		it('request each announcement of a node once', () => {
+			// Guards against a queue that grows with each announcement of a node that is behind.
+			const node = createNode(21);
+			for (let repeat = 0; repeat < 20; repeat++) {
+				node.receive(1, {kind: 'version', version: 24});
+				node.receive(2, {kind: 'version', version: 24});
+			}
+
+			node.clock.advanceTo(10_000);
+			expect(node.sent.map(({from}) => from)).to.deep.equal([1, 2, 1]);
+		});
+	});
+
+	it('request a version at once when the one asked for came from elsewhere', () => {
+		// Guards against waiting for a suspended node whose version is already in force.
+		const node = createNode(21);
+		node.receive(1, {kind: 'version', version: 24});
+		node.receive(2, {
+			kind: 'configuration',
+			configuration: configurationOf(24),
+		});
+		node.receive(3, {kind: 'version', version: 26});
+		expect(node.sent.map(({from}) => from)).to.deep.equal([1, 3]);
+	});
+
 	it('request no version that is already in force', () => {
 		const node = createNode(3);
 		node.receive(0, {kind: 'version', version: 3});
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -178,6 +178,7 @@
 		return {
 			isUsable: () => true,
 			isSilent: () => false,
+			silence: () => 0,
 			outstanding: () => outstanding,
 			isUnused: () => true,
 			send(request, onOutcome) {
--- a/packages/mesh/__tests__/service-candidates.spec.ts
+++ b/packages/mesh/__tests__/service-candidates.spec.ts
@@ -37,6 +37,7 @@
 			send: () => () => undefined,
 			isUsable: () => isUsable,
 			isSilent: () => false,
+			silence: () => 0,
 			outstanding: () => 0,
 			isUnused: () => true,
 			sendMessage: () => true,
--- a/packages/mesh/__tests__/suspect-fleet.ts
+++ b/packages/mesh/__tests__/suspect-fleet.ts
@@ -96,6 +96,7 @@
 	const createLink = (to: FleetNode): PeerLink => ({
 		isUsable: () => true,
 		isSilent: () => false,
+		silence: () => 0,
 		outstanding: () => 0,
 		isUnused: () => true,
 		send: () => () => undefined,
--- a/packages/mesh/src/configuration/configuration-follower.ts
+++ b/packages/mesh/src/configuration/configuration-follower.ts
@@ -15,6 +15,7 @@
 } from '@egretspoke/shared';
 import type {Result} from 'neverthrow';
 import type {MeshReporter} from '../mesh-reporter.js';
+import type {Ticker} from '../timing/ticker.js';
 import type {RoutingConfiguration} from './route.js';
 import type {
 	RowAddress,
@@ -34,6 +35,7 @@
 	random: Random;
 	/** Milliseconds to wait for a configuration from peers before the store is read. */
 	startDelay: number;
+	ticker: Pick<Ticker, 'schedule'>;
 	/** Whether this node should follow the feed instead of relying on peers. */
 	isFollower: () => boolean;
 	/** Called when the node starts or stops following the feed. */
@@ -49,6 +51,8 @@
 	current(): RoutingConfiguration | undefined;
 	/** Applies a configuration of another node, if it is newer. */
 	offer(configuration: RoutingConfiguration, from: string): void;
+	/** Reads the store once, unless such a read is in progress; called when a newer version was reported and not received. */
+	refresh(): Promise<void>;
 	/** Whether this node follows the feed and the store serves it. */
 	isFollowing(): boolean;
 	/** Follows the feed until the signal aborts. */
@@ -59,7 +63,12 @@
 const storeSource = 'store';
 
 /** Milliseconds between two checks whether this node should follow the feed. */
-export const followerCheckInterval = 1000;
+const followerCheckInterval = 200;
+/**
+ * Bounds of the wait of a call, in milliseconds. If all connections of the fleet
+ * stall at once, no node is told of a change until a call is late.
+ */
+const feedWait = {min: 1200, max: 1700};
 
 /** Creates a follower without a configuration. */
 export function createConfigurationFollower(
@@ -70,7 +79,10 @@
 	let isStoreUnreachable = false;
 	let isSelected = false;
 	let wasFollowing = false;
+	let isRefreshing = false;
 	let onFirstApplied: () => void = () => undefined;
+	/** Called at each check whether this node should follow the feed. */
+	let onCheck: () => void = () => undefined;
 
 	const apply = (configuration: RoutingConfiguration, source: string) => {
 		const {version} = configuration;
@@ -137,23 +149,49 @@
 		}
 	};
 
+	const nextCheck = async () =>
+		new Promise<void>((resolve) => {
+			onCheck = resolve;
+		});
+
 	const waitUntilFollower = async (signal: AbortSignal) => {
+		const hasWaited = !options.isFollower();
 		while (!signal.aborted && !options.isFollower()) {
 			isSelected = false;
 			notifyFollowingChange();
 			// eslint-disable-next-line no-await-in-loop -- one check per interval.
-			await sleep(clock, followerCheckInterval, signal);
+			await nextCheck();
 		}
 
 		isSelected = !signal.aborted;
 		notifyFollowingChange();
+		return hasWaited;
 	};
 
 	return {
 		current: () => current,
 		isFollowing,
 		offer: apply,
+		async refresh() {
+			if (isRefreshing) {
+				return;
+			}
+
+			isRefreshing = true;
+			const result = await store.read(row.table);
+			isRefreshing = false;
+			if (result.isOk()) {
+				versions.recordReport(storeSource, current?.version ?? 0);
+				applyRows(result.value.rows);
+			}
+		},
 		async run(signal) {
+			const check = () => {
+				onCheck();
+			};
+
+			options.ticker.schedule(followerCheckInterval, check);
+			signal.addEventListener('abort', check);
 			await waitForPeers(signal);
 			await followTable(
 				{
@@ -161,6 +199,7 @@
 					table: row.table,
 					clock,
 					random,
+					wait: feedWait,
 					waitUntilFollower,
 					onRows: applyRows,
 					onResult(failure) {
--- a/packages/mesh/src/configuration/table-feed.ts
+++ b/packages/mesh/src/configuration/table-feed.ts
@@ -1,6 +1,12 @@
 /** Reads a table of the store and then follows its feed of changes. */
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
-import type {RowStore, StoredRow, StoreFailure} from './row-store.js';
+import type {Result} from 'neverthrow';
+import type {
+	RowStore,
+	StoredRow,
+	StoreFailure,
+	StoreSnapshot,
+} from './row-store.js';
 
 /** Options of `followTable`. */
 export type TableFeedOptions = {
@@ -8,59 +14,128 @@
 	table: string;
 	clock: Clock;
 	random: Random;
-	/** Resolves when this node should make the next call. */
-	waitUntilFollower: (signal: AbortSignal) => Promise<void>;
+	/**
+	 * Bounds of the time, in milliseconds, for which a call of the feed waits for a
+	 * change. A feed whose connection has stalled is detected only after this wait.
+	 * Each node draws a random wait to spread the calls of the fleet.
+	 */
+	wait: {min: number; max: number};
+	/** Resolves when this node should make the next call, with whether it has made none meanwhile. */
+	waitUntilFollower: (signal: AbortSignal) => Promise<boolean>;
 	onRows: (rows: StoredRow[]) => void;
-	/** Called after each call, before its rows are passed on. */
+	/** Called after each call, before its rows are passed on, and with a failure when an answer is late. */
 	onResult: (failure: StoreFailure | undefined) => void;
 };
 
-/**
- * Bounds of the time, in milliseconds, for which a call of the feed waits for a
- * change. A feed whose connection has stalled is detected only after this wait.
- * Each node draws a random wait to spread the calls of the fleet, so that there
- * is always a recent call, whose node notifies the others.
- */
-const minWait = 6000;
-const maxWait = 10_000;
+type Snapshot = Result<StoreSnapshot, StoreFailure>;
+
+/** Milliseconds after the end of its wait at which the answer to a call is late: many times what a healthy store needs. */
+export const lateAnswer = 400;
 /** Milliseconds between a failed call and the next one; doubled up to the maximum. */
 const initialBackoff = 200;
 const maxBackoff = 1000;
+/** Milliseconds before the table is read again if the store has dropped the position of the previous read as well. */
+const forgottenPause = 300;
 
 /** Follows the table until the signal aborts. */
 export async function followTable(
-	{store, table, clock, random, ...options}: TableFeedOptions,
+	options: TableFeedOptions,
 	signal: AbortSignal,
 ): Promise<void> {
+	const {store, table, clock, random, wait, onResult} = options;
 	let position: number | undefined;
 	let pause = initialBackoff;
+	/** Whether the next call reads the table: it opens a connection of its own, while that of the feed may be dead. */
+	let mustRead = true;
+	/** Whether the store had dropped the position of the last call of the feed. */
+	let isForgotten = false;
+
+	const callOnce = async (): Promise<Snapshot> => {
+		if (mustRead || position === undefined) {
+			return store.read(table);
+		}
+
+		const duration = wait.min + random.fraction() * (wait.max - wait.min);
+		const feed = store.changes(table, position, duration);
+		const answer = await beforeTimeout(feed, clock, duration + lateAnswer);
+		if (answer) {
+			return answer;
+		}
+
+		onResult({
+			kind: 'unavailable',
+			detail: `the feed is silent, ${lateAnswer} ms after its wait`,
+		});
+		return firstSuccess(feed, store.read(table));
+	};
+
 	for (;;) {
 		// eslint-disable-next-line no-await-in-loop -- calls only while this node is selected to follow.
-		await options.waitUntilFollower(signal);
+		const hasPaused = await options.waitUntilFollower(signal);
 		if (signal.aborted) {
 			return;
 		}
 
-		const wait = minWait + random.fraction() * (maxWait - minWait);
+		mustRead ||= hasPaused;
 		// eslint-disable-next-line no-await-in-loop -- each call continues from the version of the previous one.
-		const result = await (position === undefined
-			? store.read(table)
-			: store.changes(table, position, wait));
-		options.onResult(result.isErr() ? result.error : undefined);
+		const result = await callOnce();
+		onResult(result.isErr() ? result.error : undefined);
 		if (result.isOk()) {
 			position = result.value.version;
+			isForgotten &&= mustRead;
+			mustRead = false;
 			pause = initialBackoff;
 			options.onRows(result.value.rows);
 			continue;
 		}
 
 		if (result.error.kind === 'forgotten') {
-			position = undefined;
+			// A read that is behind the dropped history returns a position that is forgotten as well.
+			const isRepeated = isForgotten;
+			isForgotten = true;
+			mustRead = true;
+			// eslint-disable-next-line no-await-in-loop -- pause between two attempts.
+			await sleep(clock, isRepeated ? forgottenPause : 0, signal);
 			continue;
 		}
 
+		// Either call may be the one that works: without free descriptors, no connection can be opened.
+		mustRead = !mustRead;
 		// eslint-disable-next-line no-await-in-loop -- backoff between two attempts.
 		await sleep(clock, pause * (0.5 + random.fraction()), signal);
 		pause = Math.min(maxBackoff, pause * 2);
 	}
 }
+
+/** Resolves with the answer, or with undefined if it takes longer than the timeout. */
+async function beforeTimeout<T>(
+	answer: Promise<T>,
+	clock: Clock,
+	timeout: number,
+): Promise<T | undefined> {
+	const timer = new AbortController();
+	try {
+		return await Promise.race([
+			answer,
+			(async () => {
+				await sleep(clock, timeout, timer.signal);
+				return undefined;
+			})(),
+		]);
+	} finally {
+		timer.abort();
+	}
+}
+
+/** Resolves with the first result that is no failure, or with the last failure. */
+async function firstSuccess(
+	...calls: Array<Promise<Snapshot>>
+): Promise<Snapshot> {
+	const first = await Promise.race(calls);
+	if (first.isOk()) {
+		return first;
+	}
+
+	const all = await Promise.all(calls);
+	return all.find((result) => result.isOk()) ?? first;
+}
--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -24,6 +24,8 @@
 	hasUnsentOutcome(): boolean;
 	/** Whether an outcome was sent of which the system may hold a part for long. */
 	hasSentLarge(): boolean;
+	/** Time of the last frame that was sent, on the clock. */
+	sentAt(): number;
 	/** Ends the connection after all that was sent; it closes once the peer has read that. */
 	end(): void;
 	/** Closes the connection at once; what was not sent yet is lost. */
@@ -77,6 +79,7 @@
 	let written = 0;
 	let writtenOutcomes = 0;
 	let hasSentLarge = false;
+	let sentAt = clock.now();
 	/** Bytes that were buffered at the last message. */
 	let buffered = 0;
 	let isEnding = false;
@@ -117,6 +120,7 @@
 			);
 			connection?.write(frame);
 			written += frame.byteLength;
+			sentAt = clock.now();
 			countBuffered();
 			budget.dropPart(frame.byteLength);
 			if (hasQueuedOutcome) {
@@ -223,6 +227,7 @@
 			(hasQueuedOutcome ||
 				written - (connection?.writableLength ?? 0) < writtenOutcomes),
 		hasSentLarge: () => hasSentLarge,
+		sentAt: () => sentAt,
 		end() {
 			flush();
 			isEnding = true;
--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -65,6 +65,8 @@
 	 * there is no other.
 	 */
 	isSilent(): boolean;
+	/** Milliseconds since the last message of the peer. */
+	silence(): number;
 	/** Number of requests without an outcome. */
 	outstanding(): number;
 	/** Whether no outcome and no part of a response is still expected. */
@@ -414,6 +416,7 @@
 		isUsable: () => current !== undefined,
 		isSilent: () =>
 			probedAt !== undefined && clock.now() - probedAt > lateAnswer,
+		silence: () => clock.now() - lastReceivedAt,
 		outstanding: () => exchanges.size,
 		isUnused: () => exchanges.size + streams.size() === 0,
 		sendMessage: (message) => current?.send(message) ?? false,
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -54,6 +54,8 @@
 	listen(address: string): Promise<string>;
 	/** Sends a message to every node that is linked to this one. */
 	broadcast(message: PeerMessage): void;
+	/** Sends a message on each link on which nothing was sent for the duration, in milliseconds. */
+	sendToQuiet(message: PeerMessage, duration: number): void;
 	/** Number of requests of other nodes without an outcome, and of links with an outcome that is not sent yet. */
 	pending(): number;
 	/**
@@ -336,6 +338,14 @@
 				send(link, message);
 			}
 		},
+		sendToQuiet(message, duration) {
+			const now = options.clock.now();
+			for (const link of links) {
+				if (now - link.channel.sentAt() >= duration) {
+					send(link, message);
+				}
+			}
+		},
 		links,
 		pending() {
 			const {running, unsent} = countOpen();
--- a/packages/mesh/src/links/peer-updates.ts
+++ b/packages/mesh/src/links/peer-updates.ts
@@ -1,6 +1,7 @@
 /** Handles updates that may arrive on either side of a link, such as members and configuration versions. */
-import type {Clock, Timer, VersionTracker} from '@egretspoke/shared';
+import type {Clock, VersionTracker} from '@egretspoke/shared';
 import type {ConfigurationFollower} from '../configuration/configuration-follower.js';
+import {createConfigurationProviders} from '../configuration/configuration-providers.js';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {
 	FairDemandMessage,
@@ -19,7 +20,7 @@
 /** Options of `createUpdateHandler`. */
 export type UpdateHandlerOptions = {
 	clock: Clock;
-	follower: Pick<ConfigurationFollower, 'current' | 'offer'>;
+	follower: Pick<ConfigurationFollower, 'current' | 'offer' | 'refresh'>;
 	versions: Pick<VersionTracker, 'recordReport'>;
 	reporter: Pick<MeshReporter, 'notice'>;
 	/** Called with the member of each hello. */
@@ -47,51 +48,20 @@
 	from: string,
 ) => void;
 
-/** A node that announced a newer configuration. */
-type Provider = {node: string; version: number; send: Reply};
-
-/** Milliseconds to wait for a configuration before it is requested from another node. */
-const answerTimeout = 300;
-
 /** Creates a handler for updates. */
 export function createUpdateHandler(
 	options: UpdateHandlerOptions,
 ): UpdateHandler {
-	const {clock, follower} = options;
-	/** Nodes with a newer configuration, in the order of their announcements. */
-	let providers: Provider[] = [];
-	/** The node that was asked last. */
-	let asked: Provider | undefined;
-	let timer: Timer | undefined;
-
+	const {follower} = options;
 	const ownVersion = () => follower.current()?.version ?? 0;
-
-	/** Requests from one peer at a time: after a start every link announces the same version, and the configuration is much longer than its version. */
-	const requestNext = () => {
-		if (asked && asked.version > ownVersion()) {
-			reportNotReceived(asked, 'noAnswer');
-		}
-
-		providers = providers.filter(({version}) => version > ownVersion());
-		const provider = providers.shift();
-		timer = provider && clock.setTimer(answerTimeout, requestNext);
-		asked = provider;
-		if (provider && !provider.send({kind: 'configurationWanted'})) {
-			reportNotReceived(provider, 'linkClosed');
-			asked = undefined;
-		}
-	};
-
-	const reportNotReceived = (
-		{version, node}: Provider,
-		reason: 'linkClosed' | 'noAnswer',
-	) => {
-		options.reporter.notice('configurationNotReceived', {
-			version,
-			source: node,
-			reason,
-		});
-	};
+	const providers = createConfigurationProviders({
+		clock: options.clock,
+		ownVersion,
+		onUnanswered() {
+			void follower.refresh();
+		},
+		reporter: options.reporter,
+	});
 
 	const compareVersions = (version: number, send: Reply, node: string) => {
 		options.versions.recordReport(node, version);
@@ -99,10 +69,7 @@
 			return;
 		}
 
-		providers.push({node, version, send});
-		if (timer === undefined) {
-			requestNext();
-		}
+		providers.add({node, version, send});
 	};
 
 	const handlers: {
@@ -136,6 +103,7 @@
 		},
 		configuration({configuration}, _reply, from) {
 			follower.offer(configuration, from);
+			providers.recordAnswer(from);
 		},
 	};
 
--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -78,7 +78,7 @@
 	targets(): LinkedTarget[];
 	/** The number of known members of the service, except this node. */
 	membersOf(service: string): number;
-	/** The nodes with usable links, and whether each follows the feed. */
+	/** The nodes with usable links, and whether each follows the feed and is alive. */
 	feedPeers(): FeedPeer[];
 	/** All known members except this node. */
 	members(): Member[];
@@ -99,6 +99,14 @@
 	close(): void;
 };
 
+/**
+ * Milliseconds without a message after which a follower of the feed is not relied
+ * on: it may be suspended. Followers send at least one each `followerQuietTime`.
+ */
+const followerSilenceTimeout = 1000;
+/** Milliseconds without a message to a linked node after which a follower of the feed sends its version. */
+export const followerQuietTime = 300;
+
 /** Interval at which the subsets are recomputed, in milliseconds. */
 const subsetRefreshInterval = 600;
 
@@ -289,9 +297,13 @@
 		targets: () => listTargets(peers.values()),
 		membersOf: (service) => known.of(service).length,
 		feedPeers: () =>
-			links.usable().map(({member, state}) => ({
+			links.usable().map(({member, state, link}) => ({
 				node: member.node,
-				isFollowing: (state?.isFollowing ?? false) && !state?.isStopping,
+				isFollowing:
+					state !== undefined &&
+					state.isFollowing &&
+					!state.isStopping &&
+					link.silence() < followerSilenceTimeout,
 			})),
 		members: known.all,
 		isLinked: (node) => peers.get(node)?.link.isUsable() ?? false,
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -26,7 +26,7 @@
 	createRetryBudget,
 	type RetryBudgetOptions,
 } from './decisions/repeats/retry-budget.js';
-import {createDirectory} from './members/directory.js';
+import {createDirectory, followerQuietTime} from './members/directory.js';
 import {createEntry} from './entry/entry.js';
 import {createTargetDispatcher} from './target/target-dispatcher.js';
 import {createGossip} from './members/gossip.js';
@@ -42,7 +42,7 @@
 import type {QuotaTolerance} from './quotas/quota-exchange.js';
 import {createWorkspaceExchanges} from './quotas/workspace-exchanges.js';
 import {createPeerListener} from './links/peer-listener.js';
-import type {Member} from './links/peer-message.js';
+import type {Member, PeerMessage} from './links/peer-message.js';
 import type {RoutingConfiguration} from './configuration/route.js';
 import {createRoutePressure} from './entry/route-pressure.js';
 import {createServiceStates} from './entry/service-states.js';
@@ -53,7 +53,7 @@
 import type {RowAddress, RowStore} from './configuration/row-store.js';
 import {createSuspectRegister} from './suspects/suspect-register.js';
 import {createSuspects, toMessage} from './suspects/suspects.js';
-import {createTicker} from './timing/ticker.js';
+import {createTicker, tickInterval} from './timing/ticker.js';
 import {createTargetTracker} from './target/target-tracker.js';
 import type {Announcement, Withdrawal} from './target/target-record.js';
 
@@ -163,12 +163,17 @@
 	});
 	/** For peers that were unreachable when the version was announced to all. */
 	const announceVersion = () => {
-		const configuration = follower.current();
-		if (configuration) {
-			directory.sendToRandomPeer({
-				kind: 'version',
-				version: configuration.version,
-			});
+		const message = localState.version();
+		if (message) {
+			directory.sendToRandomPeer(message);
+		}
+	};
+
+	/** Shows the nodes that rely on this follower of the feed that it is alive. */
+	const announceToQuiet = () => {
+		const message = follower.isFollowing() ? localState.version() : undefined;
+		if (message) {
+			peerListener.sendToQuiet(message, followerQuietTime);
 		}
 	};
 
@@ -217,6 +222,7 @@
 		clock,
 		random: random.fork(),
 		startDelay: feedStartDelay(self.node),
+		ticker,
 		isFollower: () => isFeedFollower(self.node, directory.feedPeers()),
 		reporter,
 		versions,
@@ -226,7 +232,14 @@
 		onApplied(configuration) {
 			routes = createRouteTable(configuration);
 			callerListener.applyLimits(configuration.limits);
-			directory.broadcast({kind: 'version', version: configuration.version});
+			const message: PeerMessage = {
+				kind: 'version',
+				version: configuration.version,
+			};
+			directory.broadcast(message);
+			if (follower.isFollowing()) {
+				peerListener.broadcast(message);
+			}
 		},
 	});
 
@@ -442,6 +455,7 @@
 			void register.run(lifetime.signal);
 			void suspectRegister.run(lifetime.signal);
 			ticker.schedule(versionInterval, announceVersion);
+			ticker.schedule(tickInterval, announceToQuiet);
 			reportLoad.start();
 			profileUpdates.start();
 			workspaceExchanges.start(ticker);
--- a/packages/mesh/src/suspects/suspect-register.ts
+++ b/packages/mesh/src/suspects/suspect-register.ts
@@ -12,7 +12,6 @@
 	type Suspect,
 } from '@egretspoke/quarantine';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
-import {followerCheckInterval} from '../configuration/configuration-follower.js';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {RowStore, StoredRow} from '../configuration/row-store.js';
 import {followTable} from '../configuration/table-feed.js';
@@ -45,6 +44,10 @@
  * whether this node follows the table.
  */
 const startDelay = 1000;
+/** Milliseconds between two checks whether this node should follow the table. */
+const followerCheckInterval = 1000;
+/** Bounds of the wait of a call, in milliseconds; peers report new suspects as well. */
+const feedWait = {min: 6000, max: 10_000};
 
 /** Creates a register that has not started. */
 export function createSuspectRegister(
@@ -83,10 +86,14 @@
 	};
 
 	const waitUntilFollower = async (signal: AbortSignal) => {
+		let hasWaited = false;
 		while (!signal.aborted && !options.isFollower()) {
+			hasWaited = true;
 			// eslint-disable-next-line no-await-in-loop -- one check per interval.
 			await sleep(clock, followerCheckInterval, signal);
 		}
+
+		return hasWaited;
 	};
 
 	const writer = createRowWriter({clock, random, write: writeOnce});
@@ -105,6 +112,7 @@
 					table,
 					clock,
 					random,
+					wait: feedWait,
 					waitUntilFollower,
 					onRows(rows) {
 						const present = rows.filter(({isRemoved}) => !isRemoved);
--- a/packages/mesh/src/target/local-state.ts
+++ b/packages/mesh/src/target/local-state.ts
@@ -5,6 +5,7 @@
 import type {
 	HelloMessage,
 	Member,
+	PeerMessage,
 	ProfilesMessage,
 	StateMessage,
 } from '../links/peer-message.js';
@@ -25,6 +26,8 @@
 /** Creates messages with the current state. */
 export type LocalStateMessages = {
 	hello(): HelloMessage;
+	/** Returns undefined while no configuration is known. */
+	version(): PeerMessage | undefined;
 	state(): StateMessage;
 	profiles(): ProfilesMessage;
 };
@@ -41,6 +44,10 @@
 			member: self,
 			configurationVersion: follower().current()?.version ?? 0,
 		}),
+		version() {
+			const configuration = follower().current();
+			return configuration && {kind: 'version', version: configuration.version};
+		},
 		state: () => ({
 			kind: 'state',
 			isStopping: options.isStopping(),
--- a/packages/shared/src/version-tracker.ts
+++ b/packages/shared/src/version-tracker.ts
@@ -71,7 +71,7 @@
 		recordApplied(source, version) {
 			recordReport(source, version);
 			const now = clock.now();
-			const delay = now - (behindSince ?? now);
+			const delay = Math.round(now - (behindSince ?? now));
 			const applied = {version, source, delay};
 			inForce = {...applied, at: now};
 			behindSince = newestReported > version ? now : undefined;
