fix(control): suspended peers do not delay a configuration on nodes of our own interface

A read of the platform on a dead connection took 2 s, and the next one began a full interval later.

A request that is not answered within 300 ms frees its slot and causes a read of the platform; the interval of reads counts from the start of the previous one.

--- a/packages/control/__tests__/configuration-watch.spec.ts
+++ b/packages/control/__tests__/configuration-watch.spec.ts
@@ -1,4 +1,9 @@
-import {createRandom, createVirtualClock} from '@egretspoke/shared';
+import {
+	createRandom,
+	createVirtualClock,
+	sleep,
+	type Clock,
+} from '@egretspoke/shared';
 import {createMemoryPlatform} from '@egretspoke/stand-ins';
 import {expect} from 'chai';
 import fastCheck from 'fast-check';
@@ -44,6 +49,12 @@
 	return {clock, platform, watch, publish};
 };
 
+/** A request to a suspended peer. */
+const answerNothing = (clock: Clock) => async () => {
+	await sleep(clock, 60_000);
+	return undefined;
+};
+
 describe('configuration watch', () => {
 	it('starts with the defaults and accepts the version of the platform', async () => {
 		const {clock, watch, publish} = createWatch();
@@ -84,6 +95,31 @@
 		expect(watch.source()).to.equal('peer');
 	});
 
+	it('takes a version from a live peer while the peers that announced it first are suspended', async () => {
+		// Guards against requests to suspended peers that keep out the one that would be answered.
+		const {clock, platform, watch} = createWatch();
+		platform.faults.down = true;
+		for (const peer of ['first', 'second']) {
+			void watch.receiveVersion(4, answerNothing(clock), peer);
+		}
+
+		await clock.runTo(500);
+		void watch.receiveVersion(4, async () => bodyOf(4), 'third');
+		await clock.runTo(510);
+		expect(watch.versions()).to.deep.include({source: 'third', delay: 500});
+		expect(watch.current().version).to.equal(4);
+	});
+
+	it('reads the platform when a peer does not send the version that it announced', async () => {
+		// Guards against waiting for the next periodic read.
+		const {clock, watch, publish} = createWatch();
+		await publish(bodyOf(4));
+		void watch.receiveVersion(4, answerNothing(clock));
+		await clock.runTo(310);
+		expect(watch.source()).to.equal('platform');
+		expect(watch.current().version).to.equal(4);
+	});
+
 	it('rejects and reports a damaged body, and accepts the intact one later', async () => {
 		// A body is damaged in transit from a peer or in the store. It could lack the
 		// rule that protects payments, without any sign of it.
--- a/packages/control/src/configuration-watch.ts
+++ b/packages/control/src/configuration-watch.ts
@@ -95,10 +95,18 @@
 
 /** Each wait is drawn from 0.8 to 1.2 intervals, so that the nodes' reads are not synchronized. */
 const jitter = 0.2;
+/** The shortest pause after a read that took long, in intervals. */
+const minPause = 0.1;
 
 /** Maximum number of concurrent body requests to peers; a version above all of these is fetched regardless. */
 const maxConcurrentFetches = 2;
 
+/**
+ * Milliseconds after which a request to a peer no longer counts as concurrent, and
+ * the platform is read: the peer may be suspended. A later answer is still taken.
+ */
+const fetchTimeout = 300;
+
 /** Creates a watch with the built-in defaults in force. */
 export function createConfigurationWatch(
 	options: ConfigurationWatchOptions,
@@ -116,7 +124,8 @@
 	let current = defaultConfiguration;
 	let source: ConfigurationSource = 'defaults';
 	let platformState: PlatformState = 'unknown';
-	const fetching: number[] = [];
+	/** Requests to peers that may still be answered soon. */
+	const fetching = new Set<{version: number}>();
 	const versions = createVersionTracker(clock);
 
 	const offerFrom = (
@@ -187,31 +196,40 @@
 		async receiveVersion(version, fetch, from = 'peer') {
 			versions.recordReport(from, version);
 			const isWanted = acceptance.isWanted(current, version);
-			const hasCapacity = fetching.length < maxConcurrentFetches;
-			if (!isWanted || !(hasCapacity || version > Math.max(...fetching))) {
+			const hasCapacity = fetching.size < maxConcurrentFetches;
+			const isNewest = [...fetching].every((each) => version > each.version);
+			if (!isWanted || !(hasCapacity || isNewest)) {
 				return;
 			}
 
-			fetching.push(version);
+			const fetched = {version};
+			fetching.add(fetched);
+			const timer = clock.setTimer(fetchTimeout, () => {
+				fetching.delete(fetched);
+				void readPlatform();
+			});
 			try {
 				const body = await fetch();
 				if (body) {
 					offerFrom(body, 'peer', from);
 				}
 			} finally {
-				fetching.splice(fetching.indexOf(version), 1);
+				timer.cancel();
+				fetching.delete(fetched);
 			}
 		},
 		readPlatform,
 		async run(signal) {
 			await sleep(clock, readInterval * random.fraction(), signal);
 			while (!signal.aborted) {
+				const interval =
+					readInterval * (1 - jitter + 2 * jitter * random.fraction());
+				const startedAt = clock.now();
 				// eslint-disable-next-line no-await-in-loop -- one read after another.
 				await readPlatform();
-				const wait =
-					readInterval * (1 - jitter + 2 * jitter * random.fraction());
+				const wait = startedAt + interval - clock.now();
 				// eslint-disable-next-line no-await-in-loop -- one read after another.
-				await sleep(clock, wait, signal);
+				await sleep(clock, Math.max(wait, readInterval * minPause), signal);
 			}
 		},
 	};
