fix(mesh): a configuration that can't be decoded is named in the log and in the metrics

It was dropped with version 0 in the log line, and the metrics showed no newer version than the one in force, so that a node that was behind looked up to date. The last valid version stays in force and the next valid one is taken, as before; the fault now carries the version, is logged once, and counts as reported.

--- a/packages/mesh/__tests__/configuration-follower.spec.ts
+++ b/packages/mesh/__tests__/configuration-follower.spec.ts
@@ -5,7 +5,7 @@
 	sleep,
 } from '@egretspoke/shared';
 import {expect} from 'chai';
-import {ok} from 'neverthrow';
+import {err, ok} from 'neverthrow';
 import {createConfigurationFollower} from '../src/configuration/configuration-follower.js';
 import type {RoutingConfiguration} from '../src/configuration/route.js';
 import {createTicker} from '../src/timing/ticker.js';
@@ -32,20 +32,32 @@
 	const lifetime = new AbortController();
 	const applied: number[] = [];
 	const followingChanges: boolean[] = [];
+	const versions = createVersionTracker(clock);
+	const refused: unknown[] = [];
 	const follower = createConfigurationFollower({
 		store,
 		row,
-		decode: (value) => ok(configurationOf(Number(value))),
+		decode: (value) =>
+			value.startsWith('invalid')
+				? err({version: Number(value.slice(8)), detail: value})
+				: ok(configurationOf(Number(value))),
 		clock,
 		random: createRandom(1),
 		startDelay,
 		ticker: createTicker(clock, lifetime.signal),
-		versions: createVersionTracker(clock),
+		versions,
 		isFollower,
 		onFollowingChange() {
 			followingChanges.push(follower.isFollowing());
 		},
-		reporter: {notice: () => undefined, decision: () => undefined},
+		reporter: {
+			notice(name, details) {
+				if (name === 'configurationRefused') {
+					refused.push(details);
+				}
+			},
+			decision: () => undefined,
+		},
 		onApplied({version}) {
 			applied.push(version);
 		},
@@ -56,6 +68,8 @@
 		store,
 		follower,
 		applied,
+		versions,
+		refused,
 		followingChanges,
 		async end() {
 			lifetime.abort();
@@ -101,6 +115,32 @@
 		});
 	});
 
+	it('keeps the last valid version and takes the next one if one cannot be decoded', async () => {
+		// Guards against a node that is stuck, or silent about it, after an invalid version.
+		const node = await createNode(() => true);
+		await node.clock.runTo(1000);
+		await node.store.write({...row, value: 'invalid 2'}, 1);
+		await node.clock.runTo(4000);
+		await node.follower.refresh();
+		expect(node.follower.current()?.version).to.equal(1);
+		expect(node.versions.readings().newestReported).to.equal(2);
+		expect(node.refused).to.deep.equal([{version: 2, detail: 'invalid 2'}]);
+		await node.store.write({...row, value: '3'}, 2);
+		await node.clock.runTo(8000);
+		expect(node.applied).to.deep.equal([1, 3]);
+		await node.end();
+	});
+
+	it('reads the store once when a reported version was not received', async () => {
+		// Guards against one read for each node that does not answer.
+		const node = await createNode(() => false);
+		node.follower.offer(configurationOf(0), 'node-2');
+		await Promise.all([node.follower.refresh(), node.follower.refresh()]);
+		expect(node.applied).to.deep.equal([0, 1]);
+		expect(node.store.calls.read).to.equal(1);
+		await node.end();
+	});
+
 	it('waits for a configuration from peers after a start', async () => {
 		const node = await createNode(() => true);
 		await node.clock.runTo(startDelay / 2);
--- a/packages/mesh/__tests__/planned-stop-links.spec.ts
+++ b/packages/mesh/__tests__/planned-stop-links.spec.ts
@@ -114,7 +114,7 @@
 			random: createRandom(1),
 			store: createRowStoreStandIn(async () => endless),
 			configurationRow: {table: 'any', key: 'any'},
-			decodeConfiguration: () => err('none'),
+			decodeConfiguration: () => err({version: undefined, detail: 'none'}),
 			headerNames: {
 				requestId: 'request-id',
 				timeLeft: 'time-left',
--- a/packages/mesh/src/configuration/configuration-follower.ts
+++ b/packages/mesh/src/configuration/configuration-follower.ts
@@ -16,7 +16,7 @@
 import type {Result} from 'neverthrow';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {Ticker} from '../timing/ticker.js';
-import type {RoutingConfiguration} from './route.js';
+import type {ConfigurationFault, RoutingConfiguration} from './route.js';
 import type {
 	RowAddress,
 	RowStore,
@@ -30,7 +30,7 @@
 	store: RowStore;
 	/** The row that holds the complete newest configuration. */
 	row: RowAddress;
-	decode: (value: string) => Result<RoutingConfiguration, string>;
+	decode: (value: string) => Result<RoutingConfiguration, ConfigurationFault>;
 	clock: Clock;
 	random: Random;
 	/** Milliseconds to wait for a configuration from peers before the store is read. */
@@ -80,6 +80,8 @@
 	let isSelected = false;
 	let wasFollowing = false;
 	let isRefreshing = false;
+	/** The last configuration that could not be decoded; it is logged once. */
+	let refused: {version: number; detail: string} | undefined;
 	let onFirstApplied: () => void = () => undefined;
 	/** Called at each check whether this node should follow the feed. */
 	let onCheck: () => void = () => undefined;
@@ -100,20 +102,24 @@
 		onFirstApplied();
 	};
 
+	/** The last valid version stays in force; the metrics show that a newer one was reported. */
+	const refuse = ({version = 0, detail}: ConfigurationFault) => {
+		versions.recordReport(storeSource, version);
+		if (refused?.version !== version || refused.detail !== detail) {
+			refused = {version, detail};
+			reporter.notice('configurationRefused', refused);
+		}
+	};
+
 	const applyRows = (rows: StoredRow[]) => {
 		for (const {key, value, isRemoved} of rows) {
 			if (key !== row.key || isRemoved) {
 				continue;
 			}
 
-			options.decode(value).match(
-				(configuration) => {
-					apply(configuration, storeSource);
-				},
-				(detail) => {
-					reporter.notice('configurationRefused', {version: 0, detail});
-				},
-			);
+			options.decode(value).match((configuration) => {
+				apply(configuration, storeSource);
+			}, refuse);
 		}
 	};
 
--- a/packages/mesh/src/configuration/route.ts
+++ b/packages/mesh/src/configuration/route.ts
@@ -54,6 +54,14 @@
 	workspaces: workspacesSchema.optional(),
 });
 
+/** Why a stored configuration was not decoded. */
+export type ConfigurationFault = {
+	/** Its version; undefined if that can't be read either. */
+	version: number | undefined;
+	/** The first invalid fields. */
+	detail: string;
+};
+
 export type WeightedService = z.output<typeof weightedServiceSchema>;
 export type Route = z.output<typeof routeSchema>;
 export type CallerLimits = z.output<typeof callerLimitsSchema>;
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -43,7 +43,10 @@
 import {createWorkspaceExchanges} from './quotas/workspace-exchanges.js';
 import {createPeerListener} from './links/peer-listener.js';
 import type {Member, PeerMessage} from './links/peer-message.js';
-import type {RoutingConfiguration} from './configuration/route.js';
+import type {
+	ConfigurationFault,
+	RoutingConfiguration,
+} from './configuration/route.js';
 import {createRoutePressure} from './entry/route-pressure.js';
 import {createServiceStates} from './entry/service-states.js';
 import {
@@ -84,7 +87,9 @@
 	random: Random;
 	store: RowStore;
 	configurationRow: RowAddress;
-	decodeConfiguration: (value: string) => Result<RoutingConfiguration, string>;
+	decodeConfiguration: (
+		value: string,
+	) => Result<RoutingConfiguration, ConfigurationFault>;
 	headerNames: HeaderNames;
 	reporter: MeshReporter;
 	metrics: MeshMetrics;
