fix(mesh): a target that writes without end no longer keeps its node busy

Ten kinds are played against the client of the target. Six ended at once, by the parser's limits. Interim responses, responses to another request, the body of one, and a chunk size of endless zeros were read until the request's deadline, at the full speed of the connection.

A connection now closes after 16 MiB without a part of the awaited response, and after 64 responses that do not answer it. The four failed before (timeout of 8 s) and pass now; two more specs show that an endless body of the awaited response is held within a tenth of the memory and ends with its reader.

--- a/packages/mesh/__tests__/raw-target.ts
+++ b/packages/mesh/__tests__/raw-target.ts
@@ -40,6 +40,18 @@
 	].join('\r\n');
 }
 
+/** Writes the bytes again and again, as fast as they are read, until the connection closes. */
+export function writeWithoutEnd(socket: Socket, bytes: Uint8Array): void {
+	const writeNext = () => {
+		while (!socket.destroyed && socket.write(bytes)) {
+			// The system's buffer has room.
+		}
+	};
+
+	socket.on('drain', writeNext);
+	writeNext();
+}
+
 /** Starts a target on a free port of loopback. */
 export async function startRawTarget(): Promise<RawTarget> {
 	const requests: RawRequest[] = [];
--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -20,6 +20,7 @@
 	startRawTarget,
 	type RawRequest,
 	type RawTarget,
+	writeWithoutEnd,
 } from './raw-target.js';
 
 const headerNames: HeaderNames = {
@@ -35,6 +36,9 @@
 	leaving: 'is-leaving',
 };
 
+/** Memory of the node in bytes. */
+const memory = 350_000_000;
+
 function createRequest(
 	requestId: string,
 	changes: Partial<ForwardedRequest> = {},
@@ -105,7 +109,7 @@
 	beforeEach(async () => {
 		target = await startRawTarget();
 		clock = createVirtualClock();
-		budget = createMemoryBudget(350_000_000);
+		budget = createMemoryBudget(memory);
 		client = createClient(target.address);
 		replaced = 0;
 		unreachable = [];
@@ -482,6 +486,81 @@
 		});
 	});
 
+	describe('when bytes arrive without end', () => {
+		const headOf = (id: string, line: string) =>
+			`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nSigned: signed\r\n${line}`;
+		const kilobyte = 'x'.repeat(1024);
+		const chunked = 'Transfer-Encoding: chunked\r\n\r\n';
+		/** The bytes before the endless ones, and those that are repeated. */
+		const endless: Record<string, (id: string) => [string, string]> = {
+			'that are no response': () => ['', kilobyte],
+			'in a status line': () => ['HTTP/1.1 200 ', kilobyte],
+			'in a header': (id) => [headOf(id, 'Note: '), kilobyte],
+			'as headers': (id) => [headOf(id, ''), `Note: ${kilobyte}\r\n`],
+			'as interim responses': () => ['', 'HTTP/1.1 102 Processing\r\n\r\n'],
+			'as responses to another request': () => [
+				'',
+				createAnswer('other', kilobyte),
+			],
+			'as the body of a response to another request': () => [
+				headOf('other', '\r\n'),
+				kilobyte,
+			],
+			'in the size of a chunk': (id) => [headOf(id, chunked), '0'.repeat(1024)],
+			'in the extension of a chunk': (id) => [
+				headOf(id, `${chunked}4;`),
+				kilobyte,
+			],
+			'as trailers': (id) => [
+				headOf(id, `${chunked}0\r\n`),
+				`Note: ${kilobyte}\r\n`,
+			],
+		};
+		const expectClosed = async (bytesOf: (id: string) => [string, string]) => {
+			target.setBehaviour(({socket, id}) => {
+				const [start, repeated] = bytesOf(id);
+				socket.write(start);
+				writeWithoutEnd(socket, Buffer.from(repeated.repeat(32)));
+			});
+			expect(await outcomeOf('a')).to.match(/^lost /);
+			await waitUntil(() => target.connections.size === 0);
+			expect(await connectionOfNext()).to.equal(1);
+		};
+
+		const expectBounded = async (line: string, chunk: string) => {
+			target.setBehaviour(({socket, id}) => {
+				socket.write(headOf(id, line));
+				writeWithoutEnd(socket, Buffer.from(chunk.repeat(32)));
+			});
+			const outcome = await run('a');
+			const {stream} = outcome as Outcome & {kind: 'answered'};
+			for (let turn = 0; turn < 2000; turn++) {
+				// eslint-disable-next-line no-await-in-loop -- one turn after the other.
+				await nextTurn();
+			}
+
+			expect(budget.held.streams).to.be.below(memory / 10);
+			stream!.cancel();
+			await waitUntil(() => target.connections.size === 0);
+			expect(budget.held.streams).to.equal(0);
+			expect(await connectionOfNext()).to.equal(1);
+		};
+
+		for (const [place, bytesOf] of Object.entries(endless)) {
+			// Guards against a connection that keeps the node busy until the request's deadline.
+			it(`${place}, reports the request as lost and closes the connection`, async () =>
+				expectClosed(bytesOf));
+		}
+
+		// Guards against memory that fills up, and against reading on after the caller has left.
+		it('in a body without a length, reads no more than fits and ends with its reader', async () =>
+			expectBounded('\r\n', kilobyte));
+
+		// As above.
+		it('in a body in chunks, reads no more than fits and ends with its reader', async () =>
+			expectBounded(chunked, `400\r\n${kilobyte}\r\n`));
+	});
+
 	it('returns an answer that arrives before a long body is sent', async () => {
 		// The target rejects an upload by its headers and does not read the rest.
 		target.setBehaviour(({socket, id}) => {
--- a/packages/mesh/src/target/target-connections.ts
+++ b/packages/mesh/src/target/target-connections.ts
@@ -73,6 +73,14 @@
 const probeDelay = 60_000;
 /** Maximum number of declined requests that a connection remembers; one that has declined more is closed. */
 const maxDeclined = 64;
+/**
+ * Maximum number of bytes without a part of the awaited response: interim
+ * responses, responses to other requests and framing. A late copy of a response
+ * with a large body is within it.
+ */
+const maxForeignBytes = 16 * 1024 * 1024;
+/** Maximum number of interim responses, and responses to other requests, before the awaited one. */
+const maxForeignResponses = 64;
 /** Maximum size of a body that is copied behind its head to be sent in one write, in bytes. */
 const maxCopiedBytes = 16 * 1024;
 /** Bytes read at once; more than a usual answer, so that it is read and parsed in one step. */
@@ -234,6 +242,10 @@
 	/** Whether the connection delivered bytes that belong to no exchange. */
 	let hasExtraBytes = false;
 	let isKeptAlive = false;
+	/** Bytes received since the last part of the awaited response. */
+	let foreignBytes = 0;
+	/** Responses received since the exchange began that do not answer it. */
+	let foreignResponses = 0;
 	const declined = new Set<string>();
 
 	const parser = createResponseParser({
@@ -252,6 +264,7 @@
 			}
 
 			if (status < 200) {
+				foreignResponses++;
 				return false;
 			}
 
@@ -263,16 +276,19 @@
 			}
 
 			if (verdict === 'foreign') {
+				foreignResponses++;
 				return false;
 			}
 
 			// Receivers of the headers may have cancelled the exchange.
 			isAccepted = exchange === current;
+			foreignBytes = 0;
 			isKeptAlive = head.isKeptAlive;
 			return current.isHeadRequest;
 		},
 		onBody(part) {
 			if (isAccepted && !hasExtraBytes) {
+				foreignBytes = 0;
 				exchange?.onBody(part);
 			}
 		},
@@ -282,10 +298,16 @@
 	});
 
 	const receive = (size: number): boolean => {
+		foreignBytes += size;
 		const isValid = parser.parse(readBuffer.subarray(0, size));
 		if (isComplete && exchange) {
 			complete(isValid);
-		} else if (!isValid || hasExtraBytes) {
+		} else if (
+			!isValid ||
+			hasExtraBytes ||
+			foreignBytes > maxForeignBytes ||
+			foreignResponses > maxForeignResponses
+		) {
 			lose();
 		}
 
@@ -449,6 +471,8 @@
 		hasDeclined: (requestId) => declined.has(requestId),
 		start(next) {
 			exchange = next;
+			foreignBytes = 0;
+			foreignResponses = 0;
 			next.abort = close;
 			next.setPaused = setPaused;
 			write(next);
