fix(node): a target that writes without end no longer keeps its node busy

A connection now closes once more bytes have arrived since the last write than twice the limit of a body and a mebibyte.

--- a/packages/node/__tests__/http-target-client.spec.ts
+++ b/packages/node/__tests__/http-target-client.spec.ts
@@ -1,5 +1,11 @@
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type AddressInfo, type Server} from 'node:net';
+import {
+	createServer,
+	type AddressInfo,
+	type Server,
+	type Socket,
+} from 'node:net';
 import {headerNames, type CallRequest} from '@egretspoke/protocol';
 import {expect} from 'chai';
 import {createHttpTargetClient} from '../src/http-target-client.js';
@@ -23,13 +29,31 @@
 	let client: ReturnType<typeof createHttpTargetClient>;
 	/** What the target writes for each request, in their order. */
 	let responses: string[];
+	/** Written again and again after a response, until the connection closes. */
+	let endlessBytes: Uint8Array | undefined;
+	let connections: Set<Socket>;
 
 	beforeEach(async () => {
 		responses = [];
+		endlessBytes = undefined;
+		connections = new Set();
 		server = createServer((socket) => {
 			socket.on('error', () => undefined);
+			connections.add(socket);
+			socket.on('close', () => connections.delete(socket));
 			socket.on('data', () => {
 				socket.write(responses.shift() ?? '');
+				const bytes = endlessBytes;
+				if (bytes) {
+					const writeNext = () => {
+						while (!socket.destroyed && socket.write(bytes)) {
+							// The system's buffer has room.
+						}
+					};
+
+					socket.on('drain', writeNext);
+					writeNext();
+				}
 			});
 		});
 		server.listen(0, '127.0.0.1');
@@ -77,6 +101,42 @@
 		});
 	});
 
+	describe('when bytes arrive without end', () => {
+		const kilobyte = 'x'.repeat(1024);
+		const headOf = (line: string) =>
+			`HTTP/1.1 200 OK\r\n${headerNames.request}: a\r\n${line}`;
+		const chunked = 'Transfer-Encoding: chunked\r\n\r\n';
+		/** The bytes before the endless ones, and those that are repeated. */
+		const endless: Record<string, [string, string]> = {
+			'that are no response': ['', kilobyte],
+			'in a status line': ['HTTP/1.1 200 ', kilobyte],
+			'in a header': [headOf('Note: '), kilobyte],
+			'as headers': [headOf(''), `Note: ${kilobyte}\r\n`],
+			'as interim responses': ['', 'HTTP/1.1 102 Processing\r\n\r\n'],
+			'as responses to another request': ['', respond('other')],
+			'in the size of a chunk': [headOf(chunked), '0'.repeat(1024)],
+			'in the extension of a chunk': [headOf(`${chunked}4;`), kilobyte],
+			'as trailers': [headOf(`${chunked}0\r\n`), `Note: ${kilobyte}\r\n`],
+			'in a body without a length': [headOf('\r\n'), kilobyte],
+			'in a body in chunks': [headOf(chunked), `400\r\n${kilobyte}\r\n`],
+		};
+		const expectClosed = async (start: string, repeated: string) => {
+			responses = [start];
+			endlessBytes = Buffer.from(repeated.repeat(32));
+			expect(await send('a')).to.be.oneOf(['lost', 'cut']);
+			endlessBytes = undefined;
+			responses = [respond('b')];
+			expect(await send('b')).to.equal('answer');
+			expect(connections.size).to.equal(1);
+		};
+
+		for (const [place, [start, repeated]] of Object.entries(endless)) {
+			// Guards against a connection that keeps the node busy until the request's deadline.
+			it(`${place}, ends the request and closes the connection`, async () =>
+				expectClosed(start, repeated));
+		}
+	});
+
 	it('accepts a response that names no request', async () => {
 		responses = ['HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'];
 		expect(await send('a')).to.equal('answer');
--- a/packages/node/src/http-target-client.ts
+++ b/packages/node/src/http-target-client.ts
@@ -1,6 +1,6 @@
 /** The HTTP client of the local target, based on undici. */
 import {Buffer} from 'node:buffer';
-import {Agent, type Dispatcher} from 'undici';
+import {Agent, buildConnector, type Dispatcher} from 'undici';
 import {headerNames, type CallRequest} from '@egretspoke/protocol';
 import {probeListening} from '@egretspoke/shared';
 import type {TargetClient, TargetResult} from './target-client.js';
@@ -29,11 +29,15 @@
 	'expect',
 ]);
 
+/** Bytes of a response beside its body; the framing of many small chunks is covered by twice the body's limit. */
+const maxFraming = 1024 * 1024;
+
 /** Creates a client with its own pool of connections to the target. */
 export function createHttpTargetClient(
 	options: HttpTargetOptions,
 ): TargetClient & {close(): Promise<void>} {
 	const agent = new Agent({
+		connect: createLimitedConnector(2 * options.bodyLimit + maxFraming),
 		connections: options.connections,
 		pipelining: 1,
 		bodyTimeout: 0,
@@ -61,6 +65,37 @@
 	};
 }
 
+/**
+ * Creates a connector whose connections close once more bytes have arrived since
+ * the last write than a response within the limits needs; otherwise a target that
+ * writes without end keeps this node busy until the request's deadline.
+ */
+function createLimitedConnector(
+	limit: number,
+): ReturnType<typeof buildConnector> {
+	const connect = buildConnector({});
+	return (options, callback) => {
+		connect(options, (...result) => {
+			const [, socket] = result;
+			let written = 0;
+			let readBefore = 0;
+			let readAtWrite = 0;
+			socket?.on('readable', () => {
+				if (socket.bytesWritten !== written) {
+					written = socket.bytesWritten;
+					readAtWrite = readBefore;
+				}
+
+				readBefore = socket.bytesRead;
+				if (readBefore - readAtWrite > limit) {
+					socket.destroy(new Error('the response does not end'));
+				}
+			});
+			callback(...result);
+		});
+	};
+}
+
 /** Adds the headers with the request id, class, remaining time and attempts. */
 function writeHeaders(
 	request: CallRequest,
