--- a/packages/mesh/src/configuration/table-feed.ts
+++ b/packages/mesh/src/configuration/table-feed.ts
@@ -57,7 +57,7 @@
 
 		const duration = wait.min + random.fraction() * (wait.max - wait.min);
 		const feed = store.changes(table, position, duration);
-		const answer = await beforeTimeout(feed, clock, duration + lateAnswer);
+		const answer = await beforeTimeouts(feed, clock, [duration, lateAnswer]);
 		if (answer) {
 			return answer;
 		}
@@ -107,18 +107,26 @@
 	}
 }
 
-/** Resolves with the answer, or with undefined if it takes longer than the timeout. */
-async function beforeTimeout<T>(
+/**
+ * Resolves with the answer, or with undefined if it takes longer than the timeouts
+ * together. They run one after the other, so that a stall of this process, after
+ * which timers run before what has arrived is read, is not taken for a late answer.
+ */
+async function beforeTimeouts<T>(
 	answer: Promise<T>,
 	clock: Clock,
-	timeout: number,
+	timeouts: number[],
 ): Promise<T | undefined> {
 	const timer = new AbortController();
 	try {
 		return await Promise.race([
 			answer,
 			(async () => {
-				await sleep(clock, timeout, timer.signal);
+				for (const timeout of timeouts) {
+					// eslint-disable-next-line no-await-in-loop -- one after the other.
+					await sleep(clock, timeout, timer.signal);
+				}
+
 				return undefined;
 			})(),
 		]);
