fix(mesh): only the first followers of the feed call the store often

Only a follower that no linked follower precedes in the order waits that briefly; the others wait 6 to 10 s as before. A node that becomes the first one while it waits reads the table as soon as it would have as the first, so the bound of 2.1 s stays: any one node that notices is enough, and a silent first follower is noticed within 1.2 s.

--- a/packages/mesh/__tests__/configuration-follower.spec.ts
+++ b/packages/mesh/__tests__/configuration-follower.spec.ts
@@ -47,6 +47,7 @@
 		ticker: createTicker(clock, lifetime.signal),
 		versions,
 		isFollower,
+		isFirstFollower: () => true,
 		onFollowingChange() {
 			followingChanges.push(follower.isFollowing());
 		},
--- a/packages/mesh/__tests__/table-feed.spec.ts
+++ b/packages/mesh/__tests__/table-feed.spec.ts
@@ -6,9 +6,12 @@
 	StoredRow,
 	StoreFailure,
 } from '../src/configuration/row-store.js';
-import {followTable, lateAnswer} from '../src/configuration/table-feed.js';
-
-const wait = {min: 1000, max: 1000};
+import {
+	feedWait,
+	firstFollowerWait,
+	followTable,
+	lateAnswer,
+} from '../src/configuration/table-feed.js';
 
 /** How the store answers calls of the feed. */
 type FeedAnswer = 'healthy' | 'stalled' | 'failing' | 'forgotten';
@@ -16,10 +19,11 @@
 function createFollowedTable() {
 	const clock = createVirtualClock();
 	const lifetime = new AbortController();
-	const state: {feed: FeedAnswer; reads: 'healthy' | 'failing'} = {
-		feed: 'healthy',
-		reads: 'healthy',
-	};
+	const state: {
+		feed: FeedAnswer;
+		reads: 'healthy' | 'failing';
+		isFirst: boolean;
+	} = {feed: 'healthy', reads: 'healthy', isFirst: true};
 	const calls = {read: 0, changes: 0};
 	const received: string[] = [];
 	const failures: Array<StoreFailure | undefined> = [];
@@ -77,7 +81,8 @@
 			table: 'op',
 			clock,
 			random: createRandom(1),
-			wait,
+			isFirstFollower: () => state.isFirst,
+			nextCheck: async (signal) => sleep(clock, 200, signal),
 			waitUntilFollower: async () => false,
 			onRows(rows) {
 				received.push(...rows.map(({value}) => value));
@@ -126,13 +131,40 @@
 		table.state.feed = 'stalled';
 		await table.clock.runTo(100);
 		table.write('2');
-		await table.clock.runTo(wait.max + lateAnswer + 1);
+		await table.clock.runTo(firstFollowerWait.max + lateAnswer + 1);
 		expect(table.received).to.deep.equal(['1', '2']);
 		expect(table.failures[1]).to.include({kind: 'unavailable'});
 		expect(table.failures.at(-1)).to.equal(undefined);
 		await table.end();
 	});
 
+	it('that stalls is noticed by a node soon after it has become the first follower', async () => {
+		// Guards against a fleet in which all calls have stalled and the node that checks often is suspended.
+		const table = createFollowedTable();
+		table.state.isFirst = false;
+		table.state.feed = 'stalled';
+		await table.clock.runTo(100);
+		table.write('2');
+		await table.clock.runTo(4000);
+		expect(table.received).to.deep.equal(['1']);
+		table.state.isFirst = true;
+		await table.clock.runTo(4000 + 200 + lateAnswer + 1);
+		expect(table.received).to.deep.equal(['1', '2']);
+		await table.end();
+	});
+
+	it('is called rarely by the followers that are not the first', async () => {
+		// Guards against calls of the store that grow with the fleet.
+		const table = createFollowedTable();
+		table.state.isFirst = false;
+		await table.clock.runTo(60_000);
+		expect(table.calls.changes).to.be.within(
+			60_000 / feedWait.max - 1,
+			60_000 / feedWait.min + 1,
+		);
+		await table.end();
+	});
+
 	it('is replaced by a read after a failed call', async () => {
 		// Guards against waiting on another dead connection of the same pool.
 		const table = createFollowedTable();
--- a/packages/mesh/src/configuration/configuration-follower.ts
+++ b/packages/mesh/src/configuration/configuration-follower.ts
@@ -38,6 +38,8 @@
 	ticker: Pick<Ticker, 'schedule'>;
 	/** Whether this node should follow the feed instead of relying on peers. */
 	isFollower: () => boolean;
+	/** Whether no follower that this node is linked to precedes it. */
+	isFirstFollower: () => boolean;
 	/** Called when the node starts or stops following the feed. */
 	onFollowingChange: () => void;
 	reporter: MeshReporter;
@@ -64,11 +66,6 @@
 
 /** Milliseconds between two checks whether this node should follow the feed. */
 const followerCheckInterval = 200;
-/**
- * Bounds of the wait of a call, in milliseconds. If all connections of the fleet
- * stall at once, no node is told of a change until a call is late.
- */
-const feedWait = {min: 1200, max: 1700};
 
 /** Creates a follower without a configuration. */
 export function createConfigurationFollower(
@@ -155,9 +152,12 @@
 		}
 	};
 
-	const nextCheck = async () =>
+	const nextCheck = async (signal: AbortSignal) =>
 		new Promise<void>((resolve) => {
 			onCheck = resolve;
+			if (signal.aborted) {
+				resolve();
+			}
 		});
 
 	const waitUntilFollower = async (signal: AbortSignal) => {
@@ -166,7 +166,7 @@
 			isSelected = false;
 			notifyFollowingChange();
 			// eslint-disable-next-line no-await-in-loop -- one check per interval.
-			await nextCheck();
+			await nextCheck(signal);
 		}
 
 		isSelected = !signal.aborted;
@@ -205,7 +205,8 @@
 					table: row.table,
 					clock,
 					random,
-					wait: feedWait,
+					isFirstFollower: options.isFirstFollower,
+					nextCheck,
 					waitUntilFollower,
 					onRows: applyRows,
 					onResult(failure) {
--- a/packages/mesh/src/configuration/table-feed.ts
+++ b/packages/mesh/src/configuration/table-feed.ts
@@ -14,12 +14,10 @@
 	table: string;
 	clock: Clock;
 	random: Random;
-	/**
-	 * Bounds of the time, in milliseconds, for which a call of the feed waits for a
-	 * change. A feed whose connection has stalled is detected only after this wait.
-	 * Each node draws a random wait to spread the calls of the fleet.
-	 */
-	wait: {min: number; max: number};
+	/** Whether this node should notice quickly that the feed has stalled. */
+	isFirstFollower: () => boolean;
+	/** Resolves at the next check of `isFirstFollower`, or when the signal aborts. */
+	nextCheck: (signal: AbortSignal) => Promise<void>;
 	/** Resolves when this node should make the next call, with whether it has made none meanwhile. */
 	waitUntilFollower: (signal: AbortSignal) => Promise<boolean>;
 	onRows: (rows: StoredRow[]) => void;
@@ -27,6 +25,15 @@
 	onResult: (failure: StoreFailure | undefined) => void;
 };
 
+/**
+ * Bounds of the time, in milliseconds, for which a call of the feed waits for a
+ * change. A feed whose connection has stalled is detected only after this wait.
+ * Each node draws a random wait to spread the calls of the fleet.
+ */
+export const feedWait = {min: 6000, max: 10_000};
+/** The same for the first follower. */
+export const firstFollowerWait = {min: 1200, max: 1700};
+
 type Snapshot = Result<StoreSnapshot, StoreFailure>;
 
 /** Milliseconds after the end of its wait at which the answer to a call is late: many times what a healthy store needs. */
@@ -42,7 +49,7 @@
 	options: TableFeedOptions,
 	signal: AbortSignal,
 ): Promise<void> {
-	const {store, table, clock, random, wait, onResult} = options;
+	const {store, table, clock, random, onResult, isFirstFollower} = options;
 	let position: number | undefined;
 	let pause = initialBackoff;
 	/** Whether the next call reads the table: it opens a connection of its own, while that of the feed may be dead. */
@@ -50,21 +57,45 @@
 	/** Whether the store had dropped the position of the last call of the feed. */
 	let isForgotten = false;
 
+	/** Resolves when the answer to a call is late; for a node that becomes the first follower meanwhile, as late as if it had been before. */
+	const becomesLate = async (wait: number, signal: AbortSignal) => {
+		const startedAt = clock.now();
+		await sleep(clock, Math.min(wait, firstFollowerWait.max), signal);
+		while (
+			!signal.aborted &&
+			clock.now() - startedAt < wait &&
+			!isFirstFollower()
+		) {
+			// eslint-disable-next-line no-await-in-loop -- one check after the other.
+			await options.nextCheck(signal);
+		}
+
+		// A timer of its own: after a stall of this process, timers run before what has arrived is read.
+		await sleep(clock, lateAnswer, signal);
+		return undefined;
+	};
+
 	const callOnce = async (): Promise<Snapshot> => {
 		if (mustRead || position === undefined) {
 			return store.read(table);
 		}
 
-		const duration = wait.min + random.fraction() * (wait.max - wait.min);
-		const feed = store.changes(table, position, duration);
-		const answer = await beforeTimeouts(feed, clock, [duration, lateAnswer]);
+		const {min, max} = isFirstFollower() ? firstFollowerWait : feedWait;
+		const wait = min + random.fraction() * (max - min);
+		const feed = store.changes(table, position, wait);
+		const answered = new AbortController();
+		const answer = await Promise.race([
+			feed,
+			becomesLate(wait, answered.signal),
+		]);
+		answered.abort();
 		if (answer) {
 			return answer;
 		}
 
 		onResult({
 			kind: 'unavailable',
-			detail: `the feed is silent, ${lateAnswer} ms after its wait`,
+			detail: `the feed has not answered, ${lateAnswer} ms after its wait`,
 		});
 		return firstSuccess(feed, store.read(table));
 	};
@@ -107,34 +138,6 @@
 	}
 }
 
-/**
- * Resolves with the answer, or with undefined if it takes longer than the timeouts
- * together. They run one after the other, so that a stall of this process, after
- * which timers run before what has arrived is read, is not taken for a late answer.
- */
-async function beforeTimeouts<T>(
-	answer: Promise<T>,
-	clock: Clock,
-	timeouts: number[],
-): Promise<T | undefined> {
-	const timer = new AbortController();
-	try {
-		return await Promise.race([
-			answer,
-			(async () => {
-				for (const timeout of timeouts) {
-					// eslint-disable-next-line no-await-in-loop -- one after the other.
-					await sleep(clock, timeout, timer.signal);
-				}
-
-				return undefined;
-			})(),
-		]);
-	} finally {
-		timer.abort();
-	}
-}
-
 /** Resolves with the first result that is no failure, or with the last failure. */
 async function firstSuccess(
 	...calls: Array<Promise<Snapshot>>
--- a/packages/mesh/src/decisions/routing/feed-followers.ts
+++ b/packages/mesh/src/decisions/routing/feed-followers.ts
@@ -40,6 +40,18 @@
 	return before.length < minLinkedFollowers;
 }
 
+/**
+ * Whether no linked follower precedes the node in the order. Only such a node
+ * notices quickly that the feed has stalled: each call that ends without a change
+ * is one more for the store, and the node reports a version to all others.
+ */
+export function isFirstFollower(self: string, peers: FeedPeer[]): boolean {
+	const ownRank = rankOf(self);
+	return !peers.some(
+		({node, isFollowing}) => isFollowing && rankOf(node) < ownRank,
+	);
+}
+
 /** Milliseconds after its start at which a node that still has no configuration requests it from the store. */
 export function feedStartDelay(self: string): number {
 	return minStartDelay + (rankOf(self) / rankCount) * startSpread;
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -20,6 +20,7 @@
 import {
 	feedStartDelay,
 	isFeedFollower,
+	isFirstFollower,
 } from './decisions/routing/feed-followers.js';
 import {createInnerRoutes} from './decisions/admission/inner-routes.js';
 import {
@@ -229,6 +230,7 @@
 		startDelay: feedStartDelay(self.node),
 		ticker,
 		isFollower: () => isFeedFollower(self.node, directory.feedPeers()),
+		isFirstFollower: () => isFirstFollower(self.node, directory.feedPeers()),
 		reporter,
 		versions,
 		onFollowingChange() {
--- a/packages/mesh/src/suspects/suspect-register.ts
+++ b/packages/mesh/src/suspects/suspect-register.ts
@@ -46,8 +46,6 @@
 const startDelay = 1000;
 /** Milliseconds between two checks whether this node should follow the table. */
 const followerCheckInterval = 1000;
-/** Bounds of the wait of a call, in milliseconds; peers report new suspects as well. */
-const feedWait = {min: 6000, max: 10_000};
 
 /** Creates a register that has not started. */
 export function createSuspectRegister(
@@ -112,7 +110,10 @@
 					table,
 					clock,
 					random,
-					wait: feedWait,
+					// Nodes report new suspects to each other as well.
+					isFirstFollower: () => false,
+					nextCheck: async (feedSignal) =>
+						sleep(clock, followerCheckInterval, feedSignal),
 					waitUntilFollower,
 					onRows(rows) {
 						const present = rows.filter(({isRemoved}) => !isRemoved);
