--- a/packages/shared/src/version-tracker.ts
+++ b/packages/shared/src/version-tracker.ts
@@ -33,7 +33,6 @@
 	/** Records that a source reported the version, also if it is not newer. */
 	recordReport(source: string, version: number): void;
 	recordApplied(source: string, version: number): AppliedVersion;
-	newestReported(): number;
 	readings(): VersionReadings;
 };
 
@@ -77,7 +76,6 @@
 			behindSince = newestReported > version ? now : undefined;
 			return applied;
 		},
-		newestReported: () => newestReported,
 		readings() {
 			const now = clock.now();
 			return {
