--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -9,7 +9,6 @@
 	createMemoryBudget,
 	type MemoryBudget,
 } from '../src/decisions/memory/memory-budget.js';
-import type {HeaderNames} from '../src/configuration/header-names.js';
 import type {ForwardedRequest, Outcome} from '../src/links/exchange.js';
 import {
 	createTargetClient,
@@ -20,56 +19,12 @@
 	startRawTarget,
 	type RawRequest,
 	type RawTarget,
-	writeWithoutEnd,
 } from './raw-target.js';
-
-const headerNames: HeaderNames = {
-	requestId: 'request-id',
-	timeLeft: 'time-left',
-	expectedTarget: 'expected-target',
-	callerService: 'from-service',
-	workspaceKey: 'workspace-key',
-	workspace: 'workspace',
-	signature: 'signed',
-	notExecuted: 'not-run',
-	rateLimit: 'rate',
-	leaving: 'is-leaving',
-};
-
-/** Memory of the node in bytes. */
-const memory = 350_000_000;
-
-function createRequest(
-	requestId: string,
-	changes: Partial<ForwardedRequest> = {},
-): ForwardedRequest {
-	return {
-		requestId,
-		method: 'GET',
-		path: '/work?x=1',
-		headers: ['Host', 'shop.example', 'Request-Id', requestId],
-		body: undefined,
-		route: 'route',
-		service: 'service',
-		isIdempotent: true,
-		isInner: false,
-		isNearCompletion: true,
-		repeatShare: 0,
-		crashes: 0,
-		priority: 0,
-		maxWait: 0,
-		timeLeft: 1000,
-		...changes,
-	};
-}
-
-/** Lets the event loop turn until the condition holds; the test's own timeout is the only limit. */
-async function waitUntil(condition: () => boolean): Promise<void> {
-	while (!condition()) {
-		// eslint-disable-next-line no-await-in-loop -- one turn after the other.
-		await nextTurn();
-	}
-}
+import {
+	createTargetRequest,
+	targetHeaderNames,
+	waitForTurn,
+} from './target-client-fixture.js';
 
 describe('the target client', () => {
 	let target: RawTarget;
@@ -85,7 +40,7 @@
 	const createClient = (address: string) =>
 		createTargetClient({
 			endpoint: {address, targetId: 'target-1'},
-			headerNames,
+			headerNames: targetHeaderNames,
 			clock,
 			budget,
 			onReplaced() {
@@ -109,7 +64,7 @@
 	beforeEach(async () => {
 		target = await startRawTarget();
 		clock = createVirtualClock();
-		budget = createMemoryBudget(memory);
+		budget = createMemoryBudget(350_000_000);
 		client = createClient(target.address);
 		replaced = 0;
 		unreachable = [];
@@ -125,7 +80,7 @@
 
 	const run = async (id: string, changes?: Partial<ForwardedRequest>) =>
 		new Promise<Outcome>((resolve) => {
-			client.run(createRequest(id, changes), 900.5, resolve);
+			client.run(createTargetRequest(id, changes), 900.5, resolve);
 		});
 
 	/** Runs a request and returns its outcome in short. */
@@ -273,7 +228,7 @@
 		it('closes an idle connection on which a second answer arrives', async () => {
 			expect(await outcomeOf('a')).to.equal('200 done');
 			target.requests[0]!.socket.write(createAnswer('next', 'foreign'));
-			await waitUntil(() => target.connections.size === 0);
+			await waitForTurn(() => target.connections.size === 0);
 			expect(await connectionOfNext()).to.equal(1);
 		});
 
@@ -486,81 +441,6 @@
 		});
 	});
 
-	describe('when bytes arrive without end', () => {
-		const headOf = (id: string, line: string) =>
-			`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nSigned: signed\r\n${line}`;
-		const kilobyte = 'x'.repeat(1024);
-		const chunked = 'Transfer-Encoding: chunked\r\n\r\n';
-		/** The bytes before the endless ones, and those that are repeated. */
-		const endless: Record<string, (id: string) => [string, string]> = {
-			'that are no response': () => ['', kilobyte],
-			'in a status line': () => ['HTTP/1.1 200 ', kilobyte],
-			'in a header': (id) => [headOf(id, 'Note: '), kilobyte],
-			'as headers': (id) => [headOf(id, ''), `Note: ${kilobyte}\r\n`],
-			'as interim responses': () => ['', 'HTTP/1.1 102 Processing\r\n\r\n'],
-			'as responses to another request': () => [
-				'',
-				createAnswer('other', kilobyte),
-			],
-			'as the body of a response to another request': () => [
-				headOf('other', '\r\n'),
-				kilobyte,
-			],
-			'in the size of a chunk': (id) => [headOf(id, chunked), '0'.repeat(1024)],
-			'in the extension of a chunk': (id) => [
-				headOf(id, `${chunked}4;`),
-				kilobyte,
-			],
-			'as trailers': (id) => [
-				headOf(id, `${chunked}0\r\n`),
-				`Note: ${kilobyte}\r\n`,
-			],
-		};
-		const expectClosed = async (bytesOf: (id: string) => [string, string]) => {
-			target.setBehaviour(({socket, id}) => {
-				const [start, repeated] = bytesOf(id);
-				socket.write(start);
-				writeWithoutEnd(socket, Buffer.from(repeated.repeat(32)));
-			});
-			expect(await outcomeOf('a')).to.match(/^lost /);
-			await waitUntil(() => target.connections.size === 0);
-			expect(await connectionOfNext()).to.equal(1);
-		};
-
-		const expectBounded = async (line: string, chunk: string) => {
-			target.setBehaviour(({socket, id}) => {
-				socket.write(headOf(id, line));
-				writeWithoutEnd(socket, Buffer.from(chunk.repeat(32)));
-			});
-			const outcome = await run('a');
-			const {stream} = outcome as Outcome & {kind: 'answered'};
-			for (let turn = 0; turn < 2000; turn++) {
-				// eslint-disable-next-line no-await-in-loop -- one turn after the other.
-				await nextTurn();
-			}
-
-			expect(budget.held.streams).to.be.below(memory / 10);
-			stream!.cancel();
-			await waitUntil(() => target.connections.size === 0);
-			expect(budget.held.streams).to.equal(0);
-			expect(await connectionOfNext()).to.equal(1);
-		};
-
-		for (const [place, bytesOf] of Object.entries(endless)) {
-			// Guards against a connection that keeps the node busy until the request's deadline.
-			it(`${place}, reports the request as lost and closes the connection`, async () =>
-				expectClosed(bytesOf));
-		}
-
-		// Guards against memory that fills up, and against reading on after the caller has left.
-		it('in a body without a length, reads no more than fits and ends with its reader', async () =>
-			expectBounded('\r\n', kilobyte));
-
-		// As above.
-		it('in a body in chunks, reads no more than fits and ends with its reader', async () =>
-			expectBounded(chunked, `400\r\n${kilobyte}\r\n`));
-	});
-
 	it('returns an answer that arrives before a long body is sent', async () => {
 		// The target rejects an upload by its headers and does not read the rest.
 		target.setBehaviour(({socket, id}) => {
@@ -614,9 +494,9 @@
 			answerWith(({id}) => createAnswer(id, 'x'.repeat(20 * size)));
 			const stream = await openStream('a');
 			const held = () => budget.held.streams - 350_000_000;
-			await waitUntil(() => held() > 0);
+			await waitForTurn(() => held() > 0);
 			const {socket} = target.requests[0]!;
-			await waitUntil(() => socket.writableLength > 0);
+			await waitForTurn(() => socket.writableLength > 0);
 			await new Promise(setImmediate);
 			expect(held()).to.be.below(2_000_000);
 			expect(await readAll(stream)).to.have.length(20 * size);
@@ -634,7 +514,7 @@
 			answerWith(({id}) => createAnswer(id, 'x'.repeat(size)).slice(0, -1));
 			const stream = await openStream('a');
 			stream.cancel();
-			await waitUntil(() => target.connections.size === 0);
+			await waitForTurn(() => target.connections.size === 0);
 			expect(budget.held.streams).to.equal(0);
 		});
 
@@ -654,7 +534,7 @@
 			target.setBehaviour((request) => held.push(request));
 			const first = run('a');
 			const second = run('b');
-			await waitUntil(() => held.length === 2);
+			await waitForTurn(() => held.length === 2);
 			for (const id of ['b', 'a']) {
 				const {socket} = held.find((request) => request.id === id)!;
 				socket.write(createAnswer(id));
@@ -671,7 +551,7 @@
 			const answerAndClose = async (line: string) => {
 				answerWith(({id}) => createAnswer(id, 'x', [line]));
 				await run('a');
-				await waitUntil(() => target.connections.size === 0);
+				await waitForTurn(() => target.connections.size === 0);
 			};
 
 			await answerAndClose('Connection: close');
@@ -687,7 +567,7 @@
 			const held: RawRequest[] = [];
 			target.setBehaviour((request) => held.push(request));
 			const running = new Map(['a', 'b', 'c'].map((id) => [id, run(id)]));
-			await waitUntil(() => held.length === 3);
+			await waitForTurn(() => held.length === 3);
 			const release = async ({socket, id}: RawRequest) => {
 				socket.write(createAnswer(id, 'x', ['Keep-Alive: timeout=5']));
 				await running.get(id);
@@ -700,11 +580,11 @@
 			clock.advanceTo(2999);
 			expect(target.connections.size).to.equal(3);
 			clock.advanceTo(3000);
-			await waitUntil(() => target.connections.size === 1);
+			await waitForTurn(() => target.connections.size === 1);
 			clock.advanceTo(3999);
 			expect(target.connections.has(held[2]!.socket)).to.equal(true);
 			clock.advanceTo(4000);
-			await waitUntil(() => target.connections.size === 0);
+			await waitForTurn(() => target.connections.size === 0);
 			expect(clock.pending()).to.equal(0);
 		});
 
@@ -719,10 +599,14 @@
 		it('are closed with the request that is cancelled', async () => {
 			target.setBehaviour(() => undefined);
 			let outcomes = 0;
-			const cancel = client.run(createRequest('a'), 900, () => outcomes++);
-			await waitUntil(() => target.requests.length === 1);
+			const cancel = client.run(
+				createTargetRequest('a'),
+				900,
+				() => outcomes++,
+			);
+			await waitForTurn(() => target.requests.length === 1);
 			cancel();
-			await waitUntil(() => target.requests[0]!.socket.destroyed);
+			await waitForTurn(() => target.requests[0]!.socket.destroyed);
 			expect(await connectionOfNext()).not.to.equal(0);
 			expect(outcomes).to.equal(0);
 		});
@@ -731,12 +615,12 @@
 			await run('idle');
 			target.setBehaviour(() => undefined);
 			const running = run('a');
-			await waitUntil(() => target.requests.length === 2);
+			await waitForTurn(() => target.requests.length === 2);
 			client.close();
 			target.requests[1]!.socket.write(createAnswer('a'));
 			const {kind} = await running;
 			expect(kind).to.equal('answered');
-			await waitUntil(() => target.connections.size === 0);
+			await waitForTurn(() => target.connections.size === 0);
 		});
 	});
 
@@ -747,13 +631,13 @@
 			const waiting = outcomeOf('waiting');
 			client.close();
 			expect(await waiting).to.equal('200 done');
-			await waitUntil(() => target.connections.size === 0);
+			await waitForTurn(() => target.connections.size === 0);
 		});
 
 		it('still returns an answer that has arrived but is not read yet', async () => {
 			target.setBehaviour(() => undefined);
 			const running = outcomeOf('a');
-			await waitUntil(() => target.requests.length === 1);
+			await waitForTurn(() => target.requests.length === 1);
 			target.requests[0]!.socket.write(createAnswer('a'));
 			client.close();
 			expect(await running).to.equal('200 done');
@@ -764,7 +648,7 @@
 				socket.write(createAnswer(id, 'x'.repeat(1000)).slice(0, 300));
 			});
 			const running = outcomeOf('a');
-			await waitUntil(() => target.requests.length === 1);
+			await waitForTurn(() => target.requests.length === 1);
 			client.close();
 			await nextTurn();
 			target.requests[0]!.socket.write(
@@ -782,7 +666,7 @@
 		const held: RawRequest[] = [];
 		target.setBehaviour((request) => held.push(request));
 		const running = outcomeOf('b');
-		await waitUntil(() => held.length === 1);
+		await waitForTurn(() => held.length === 1);
 		expect(held[0]!.connection).to.equal(0);
 		clock.advanceTo(60_000);
 		await nextTurn();
@@ -816,7 +700,7 @@
 
 	it('does not send a request that is cancelled while its connection opens', async () => {
 		let outcomes = 0;
-		const cancel = client.run(createRequest('a'), 900, () => outcomes++);
+		const cancel = client.run(createTargetRequest('a'), 900, () => outcomes++);
 		cancel();
 		await connectionOfNext();
 		expect(target.requests.map(({id}) => id)).to.deep.equal(['next']);
