--- a/packages/mesh/src/target/target-client.ts
+++ b/packages/mesh/src/target/target-client.ts
@@ -28,10 +28,8 @@
 	type HeaderNames,
 } from '../configuration/header-names.js';
 import {createTargetNotice, type TargetNotice} from './target-notice.js';
-import {
-	createTargetConnections,
-	type HttpExchange,
-} from './target-connections.js';
+import type {HttpExchange} from './target-connection.js';
+import {createTargetConnections} from './target-connections.js';
 
 /** The target to call. */
 export type TargetEndpoint = {
