--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -103,7 +103,7 @@
  * Milliseconds without a message after which a follower of the feed is not relied
  * on: it may be suspended. Followers send at least one each `followerQuietTime`.
  */
-const followerSilenceTimeout = 1000;
+export const followerSilenceTimeout = 1000;
 /** Milliseconds without a message to a linked node after which a follower of the feed sends its version. */
 export const followerQuietTime = 300;
 
