fix(mesh): a stalled feed is noticed before a change is 2 s old

What callers saw: with nearly all connections of a fleet silent at once, those to the store too, nodes without a fault of their own answered by a version that had been replaced 2.0 to 2.3 s before. The promise is 2 s.

Cause: all nodes may rely on one call of the feed, that of the first follower. It noticed a stall up to 1.7 s + 0.4 s after its start, and the read and the links came on top.

Change: that call waits for 1.0 to 1.4 s, so that a stall is noticed within 1.8 s. It costs 0.14 calls of the store a second for each first follower.

--- a/packages/mesh/__tests__/configuration-propagation.spec.ts
+++ b/packages/mesh/__tests__/configuration-propagation.spec.ts
@@ -20,6 +20,13 @@
 	changeGap: {min: 200, max: 1200},
 };
 
+/** Nearly all followers are affected at once, and every instant has its change. */
+const severe: Intensity = {
+	share: {min: 0.8, max: 1},
+	faultGap: {min: 3000, max: 6000},
+	changeGap: {min: 50, max: 150},
+};
+
 type Fault = 'links' | 'connections' | 'suspension';
 
 /** Changes the configuration for a minute, beside faults drawn by the seed; returns the nodes that were stale. */
@@ -80,4 +87,22 @@
 			).to.deep.equal([]);
 		});
 	}
+
+	describe('while nearly all connections go silent at once', () => {
+		// Guards against a first follower that notices a stalled feed later than the bound allows.
+		for (const seed of [11, 38, 42, 56, 72, 83, 87, 94]) {
+			it(`with the feeds, seed ${seed}`, async () => {
+				expect(
+					await play(seed, ['links', 'connections'], severe),
+				).to.deep.equal([]);
+			});
+		}
+
+		// Guards against the same when the first follower is suspended meanwhile.
+		it('and nodes are suspended, seed 86', async () => {
+			expect(
+				await play(86, ['suspension', 'links', 'connections'], severe),
+			).to.deep.equal([]);
+		});
+	});
 });
--- a/packages/mesh/__tests__/table-feed.spec.ts
+++ b/packages/mesh/__tests__/table-feed.spec.ts
@@ -16,7 +16,7 @@
 /** How the store answers calls of the feed. */
 type FeedAnswer = 'healthy' | 'stalled' | 'failing' | 'forgotten';
 
-function createFollowedTable() {
+function createFollowedTable(random = createRandom(1)) {
 	const clock = createVirtualClock();
 	const lifetime = new AbortController();
 	const state: {
@@ -80,7 +80,7 @@
 			store,
 			table: 'op',
 			clock,
-			random: createRandom(1),
+			random,
 			isFirstFollower: () => state.isFirst,
 			nextCheck: async (signal) => sleep(clock, 200, signal),
 			waitUntilFollower: async () => false,
@@ -138,6 +138,20 @@
 		await table.end();
 	});
 
+	it('that stalls delays a change by less than 1.9 s even if the longest wait is drawn', async () => {
+		// Guards against a stall that is noticed after 2 s, within which a configuration must be in force everywhere.
+		const table = createFollowedTable({
+			...createRandom(1),
+			fraction: () => 0.999,
+		});
+		table.state.feed = 'stalled';
+		await table.clock.runTo(1);
+		table.write('2');
+		await table.clock.runTo(1900);
+		expect(table.received).to.deep.equal(['1', '2']);
+		await table.end();
+	});
+
 	it('that stalls is noticed by a node soon after it has become the first follower', async () => {
 		// Guards against a fleet in which all calls have stalled and the node that checks often is suspended.
 		const table = createFollowedTable();
--- a/packages/mesh/src/configuration/table-feed.ts
+++ b/packages/mesh/src/configuration/table-feed.ts
@@ -31,8 +31,11 @@
  * Each node draws a random wait to spread the calls of the fleet.
  */
 export const feedWait = {min: 6000, max: 10_000};
-/** The same for the first follower. */
-export const firstFollowerWait = {min: 1200, max: 1700};
+/**
+ * The same for the first follower. A stall must be noticed, and the table read,
+ * before a change is 2 s old: until then, all nodes may rely on this call.
+ */
+export const firstFollowerWait = {min: 1000, max: 1400};
 
 type Snapshot = Result<StoreSnapshot, StoreFailure>;
 
