fix(mesh): a follower replaces a stalled feed once another node has a change that the feed has not delivered

What callers saw: in a fleet whose connections had all gone silent, then its links 3 to 5 s later, nodes without a fault of their own answered by a version that had been replaced 2.0 to 2.6 s before.

Cause: only the first follower noticed the first fault. The others went on counting as followers with a feed that delivered nothing, for up to 11.5 s, so that the second fault met nodes without any working source.

Change: a change that arrives from another node is evidence. If the own call of the feed doesn't deliver it within 400 ms, the table is read on a new connection, as after a late answer. A healthy feed costs no further call.

--- a/packages/mesh/__tests__/table-feed.spec.ts
+++ b/packages/mesh/__tests__/table-feed.spec.ts
@@ -35,6 +35,7 @@
 		isRemoved: false,
 	};
 	let wake: () => void = () => undefined;
+	let onPeerChange: () => void = () => undefined;
 	const unavailable = err({kind: 'unavailable', detail: 'down'} as const);
 	const snapshotAfter = (version: number) =>
 		ok({
@@ -83,6 +84,10 @@
 			random,
 			isFirstFollower: () => state.isFirst,
 			nextCheck: async (signal) => sleep(clock, 200, signal),
+			nextPeerChange: async () =>
+				new Promise((resolve) => {
+					onPeerChange = resolve;
+				}),
 			waitUntilFollower: async () => false,
 			onRows(rows) {
 				received.push(...rows.map(({value}) => value));
@@ -105,6 +110,9 @@
 				wake();
 			}
 		},
+		receiveChangeFromPeer() {
+			onPeerChange();
+		},
 		async end() {
 			lifetime.abort();
 			state.feed = 'failing';
@@ -168,6 +176,35 @@
 		await table.end();
 	});
 
+	describe('when a change has come from another node', () => {
+		it('is read again if it has stalled', async () => {
+			// Guards against followers that keep a stalled feed for seconds after the first one has noticed.
+			const table = createFollowedTable();
+			table.state.isFirst = false;
+			table.state.feed = 'stalled';
+			await table.clock.runTo(100);
+			table.write('2');
+			table.receiveChangeFromPeer();
+			await table.clock.runTo(100 + lateAnswer + 1);
+			expect(table.received).to.deep.equal(['1', '2']);
+			await table.end();
+		});
+
+		it('is not read if it delivers the change as well', async () => {
+			// Guards against a call of the store by each follower for each change.
+			const table = createFollowedTable();
+			table.state.isFirst = false;
+			await table.clock.runTo(100);
+			table.receiveChangeFromPeer();
+			await table.clock.runTo(150);
+			table.write('2');
+			await table.clock.runTo(2000);
+			expect(table.received).to.deep.equal(['1', '2']);
+			expect(table.calls.read).to.equal(1);
+			await table.end();
+		});
+	});
+
 	it('is called rarely by the followers that are not the first', async () => {
 		// Guards against calls of the store that grow with the fleet.
 		const table = createFollowedTable();
--- a/packages/mesh/src/configuration/configuration-follower.ts
+++ b/packages/mesh/src/configuration/configuration-follower.ts
@@ -82,6 +82,8 @@
 	let onFirstApplied: () => void = () => undefined;
 	/** Called at each check whether this node should follow the feed. */
 	let onCheck: () => void = () => undefined;
+	/** Called when a newer version has come into force that another node has sent. */
+	let onPeerChange: () => void = () => undefined;
 
 	const apply = (configuration: RoutingConfiguration, source: string) => {
 		const {version} = configuration;
@@ -97,6 +99,9 @@
 		);
 		options.onApplied(configuration);
 		onFirstApplied();
+		if (source !== storeSource) {
+			onPeerChange();
+		}
 	};
 
 	/** The last valid version stays in force; the metrics show that a newer one was reported. */
@@ -160,6 +165,14 @@
 			}
 		});
 
+	const nextPeerChange = async (signal: AbortSignal) =>
+		new Promise<void>((resolve) => {
+			onPeerChange = resolve;
+			signal.addEventListener('abort', () => {
+				resolve();
+			});
+		});
+
 	const waitUntilFollower = async (signal: AbortSignal) => {
 		const hasWaited = !options.isFollower();
 		while (!signal.aborted && !options.isFollower()) {
@@ -207,6 +220,7 @@
 					random,
 					isFirstFollower: options.isFirstFollower,
 					nextCheck,
+					nextPeerChange,
 					waitUntilFollower,
 					onRows: applyRows,
 					onResult(failure) {
--- a/packages/mesh/src/configuration/table-feed.ts
+++ b/packages/mesh/src/configuration/table-feed.ts
@@ -18,6 +18,8 @@
 	isFirstFollower: () => boolean;
 	/** Resolves at the next check of `isFirstFollower`, or when the signal aborts. */
 	nextCheck: (signal: AbortSignal) => Promise<void>;
+	/** Resolves when the next change has arrived from another node, or when the signal aborts. */
+	nextPeerChange?: (signal: AbortSignal) => Promise<void>;
 	/** Resolves when this node should make the next call, with whether it has made none meanwhile. */
 	waitUntilFollower: (signal: AbortSignal) => Promise<boolean>;
 	onRows: (rows: StoredRow[]) => void;
@@ -39,7 +41,7 @@
 
 type Snapshot = Result<StoreSnapshot, StoreFailure>;
 
-/** Milliseconds after the end of its wait at which the answer to a call is late: many times what a healthy store needs. */
+/** Milliseconds after the end of its wait, or after a change that another node has received, at which the answer to a call is late: many times what a healthy store needs. */
 export const lateAnswer = 400;
 /** Milliseconds between a failed call and the next one; doubled up to the maximum. */
 const initialBackoff = 200;
@@ -60,8 +62,8 @@
 	/** Whether the store had dropped the position of the last call of the feed. */
 	let isForgotten = false;
 
-	/** Resolves when the answer to a call is late; for a node that becomes the first follower meanwhile, when it would be late for a first follower. */
-	const becomesLate = async (
+	/** Resolves when the wait of a call is over; for a node that becomes the first follower meanwhile, when that of a first follower is. */
+	const endOfWait = async (
 		startedAt: number,
 		wait: number,
 		signal: AbortSignal,
@@ -75,7 +77,18 @@
 			// eslint-disable-next-line no-await-in-loop -- one check after the other.
 			await options.nextCheck(signal);
 		}
+	};
 
+	/** Resolves when the answer to a call is late: some time after its wait, or after a change that another node has received. */
+	const becomesLate = async (
+		startedAt: number,
+		wait: number,
+		signal: AbortSignal,
+	) => {
+		await Promise.race([
+			endOfWait(startedAt, wait, signal),
+			...(options.nextPeerChange ? [options.nextPeerChange(signal)] : []),
+		]);
 		// A timer of its own: after a stall of this process, timers run before what has arrived is read.
 		await sleep(clock, lateAnswer, signal);
 		return undefined;
