--- a/packages/mesh/__tests__/configuration-fleet.ts
+++ b/packages/mesh/__tests__/configuration-fleet.ts
@@ -96,6 +96,7 @@
 	const random = createRandom(seed);
 	const lifetime = new AbortController();
 	const nodes: FleetNode[] = [];
+	/** Links that carry requests, as `from to`; silence is noticed sooner on them. */
 	const busyLinks = new Set<string>();
 	const stale: StaleNode[] = [];
 	const store = createStallingStore(clock, row);
