feat(mesh): log lines of a request name the configuration that decided it

Cause: a 404 or a request that went to a replaced service could not be told from one of an unknown route: no line named the version that decided it, or whether the node knew of a newer one.

Change: lines 1601 to 1604 and 1606 carry the version, and the newer one that was known with the time since its first report; line 1610 for each request that is forwarded while a newer version has been known for 200 ms; explain shows the versions in force at the deciding nodes before and after. No decision changes. A line costs nothing more for a request while the node is up to date: all requests share one object.

--- a/packages/command/src/request-trace-output.ts
+++ b/packages/command/src/request-trace-output.ts
@@ -55,7 +55,7 @@
 	requestTrace: RequestTrace,
 ): void {
 	const {request, decisions, repeats, beliefs} = requestTrace;
-	const {linesDropped, unreadable} = requestTrace;
+	const {configurations, linesDropped, unreadable} = requestTrace;
 	if (decisions.length === 0) {
 		terminal.write(
 			`no line about request ${request}: its target answered the first attempt, or the log of its entry node is missing\n`,
@@ -75,6 +75,11 @@
 		terminal.write(renderTable(beliefs, entryColumns, terminal.colour));
 	}
 
+	if (configurations.length > 0) {
+		terminal.write('\nconfigurations before and after\n');
+		terminal.write(renderTable(configurations, entryColumns, terminal.colour));
+	}
+
 	if (linesDropped > 0) {
 		terminal.write(
 			`\nthese nodes dropped ${linesDropped} lines, so decisions may be missing\n`,
--- a/packages/mesh/__tests__/rate-limit-fleet.ts
+++ b/packages/mesh/__tests__/rate-limit-fleet.ts
@@ -355,6 +355,7 @@
 					route: routes.findRoute('shop.example', path)!,
 					urgency: isImportant ? 0 : 1,
 					workspace: undefined,
+					decidedBy: {configuration: 1},
 				},
 				(final) => {
 					if (final) {
--- a/packages/mesh/__tests__/request-forwarding.spec.ts
+++ b/packages/mesh/__tests__/request-forwarding.spec.ts
@@ -1,6 +1,7 @@
 import {createMeshMetrics} from '@egretspoke/observability';
 import {createRandom, createVirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
+import type {DecidingVersion} from '../src/configuration/deciding-version.js';
 import {createRouteTable} from '../src/configuration/route-table.js';
 import {createCallGraph} from '../src/decisions/admission/call-graph.js';
 import {createInnerRoutes} from '../src/decisions/admission/inner-routes.js';
@@ -15,8 +16,13 @@
 import type {TargetDispatcher} from '../src/target/target-dispatcher.js';
 import {createDeadlineWheel} from '../src/timing/deadline-wheel.js';
 
+const currentVersion: DecidingVersion = {configuration: 1};
+
 describe('forwarding a request', () => {
-	const createFixture = (shed: number) => {
+	const createFixture = (
+		shed: number,
+		decidedBy: DecidingVersion = currentVersion,
+	) => {
 		const clock = createVirtualClock();
 		const random = createRandom(1);
 		const events: string[] = [];
@@ -121,7 +127,7 @@
 				arrivedAt: clock.now(),
 				timeLeft: 1500,
 			},
-			{route, workspace: undefined, urgency: 0},
+			{route, workspace: undefined, urgency: 0, decidedBy},
 			(final) => {
 				ended.push(final);
 			},
@@ -151,6 +157,16 @@
 		expect(counts()).to.deep.equal({timers: 0, cancels: 0, listings: 0});
 	});
 
+	// Guards against requests of a replaced configuration that no log line tells from others.
+	it('reports a request routed by a configuration that is known to be replaced', () => {
+		const outdated = {configuration: 1, newerConfiguration: 3};
+		const eventsAfter = (newerKnownFor: number) =>
+			createFixture(0, {...outdated, newerKnownFor}).events;
+		expect(eventsAfter(199)).to.deep.equal([]);
+		expect(eventsAfter(200)).to.deep.equal(['meshOutdatedRoute newerKnown']);
+		expect(eventsAfter(30_000)).to.deep.equal([]);
+	});
+
 	it('answers at the deadline and ignores the later outcome', () => {
 		const {clock, sent, ended, counts} = createFixture(0);
 		clock.advanceTo(1600);
--- a/packages/mesh/src/entry/entry.ts
+++ b/packages/mesh/src/entry/entry.ts
@@ -8,6 +8,7 @@
 	type AcceptanceTimes,
 } from '../decisions/admission/stop-admission.js';
 import {shortRetryAfter} from '../decisions/repeats/retry-after-time.js';
+import type {DecidingVersion} from '../configuration/deciding-version.js';
 import type {HeaderNames} from '../configuration/header-names.js';
 import type {QuotaExchange} from '../quotas/quota-exchange.js';
 import type {RouteTable} from '../configuration/route-table.js';
@@ -23,6 +24,8 @@
 /** Dependencies of an entry. */
 export type EntryOptions = ForwardingOptions & {
 	routes: () => RouteTable | undefined;
+	/** The configuration that the routes belong to. */
+	decidedBy: () => DecidingVersion;
 	quotas: Pick<QuotaExchange, 'allows' | 'recordAdmitted' | 'retryAfterTime'>;
 	headerNames: Pick<HeaderNames, 'workspace'>;
 	/** Until when a stopping node accepts requests; undefined while it isn't stopping. */
@@ -70,16 +73,17 @@
 	request: CallerRequest,
 	onEnd: EndHandler,
 ): () => void {
-	const admission = admit(options, request);
+	const decidedBy = options.decidedBy();
+	const admission = admit(options, request, decidedBy);
 	if (admission.kind === 'rejected') {
-		reject(options, request, admission);
+		reject(options, request, admission, decidedBy);
 		onEnd(admission.answer);
 		return () => undefined;
 	}
 
 	const refusal = refuseAtStop(options, request, admission);
 	if (refusal) {
-		reject(options, request, refusal);
+		reject(options, request, refusal, decidedBy);
 		onEnd(refusal.answer);
 		return () => undefined;
 	}
@@ -95,6 +99,7 @@
 function admit(
 	{routes: currentRoutes, quotas}: EntryOptions,
 	request: CallerRequest,
+	decidedBy: DecidingVersion,
 ): Admission | Rejection {
 	const routes = currentRoutes();
 	if (!routes) {
@@ -108,7 +113,7 @@
 
 	if (!routes.hasWorkspaces || route.isPublic) {
 		const urgency = routes.urgencyOf(route, undefined);
-		return {kind: 'admitted', route, workspace: undefined, urgency};
+		return {kind: 'admitted', route, workspace: undefined, urgency, decidedBy};
 	}
 
 	const workspace =
@@ -125,7 +130,7 @@
 	}
 
 	const urgency = routes.urgencyOf(route, workspace);
-	return {kind: 'admitted', route, workspace, urgency};
+	return {kind: 'admitted', route, workspace, urgency, decidedBy};
 }
 
 /** Bounds the time of a request that a stopping node accepts; returns the rejection of others. */
@@ -189,6 +194,7 @@
 	{clock, metrics, reporter}: EntryOptions,
 	{requestId, arrivedAt}: CallerRequest,
 	{route, answer: {status, reason}}: Rejection,
+	decidedBy: DecidingVersion,
 ): void {
 	metrics.requestEnded({
 		route,
@@ -196,7 +202,11 @@
 		reason,
 		duration: clock.now() - arrivedAt,
 	});
-	reporter.decision('meshRejected', requestId, reason, {status, route});
+	reporter.decision('meshRejected', requestId, reason, {
+		status,
+		route,
+		...decidedBy,
+	});
 }
 
 function pathOf(path: string): string {
--- a/packages/mesh/src/entry/forwarding-report.ts
+++ b/packages/mesh/src/entry/forwarding-report.ts
@@ -5,6 +5,7 @@
  */
 import type {MeshMetrics, MeshOutcome} from '@egretspoke/observability';
 import type {Clock} from '@egretspoke/shared';
+import type {DecidingVersion} from '../configuration/deciding-version.js';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {CallerRequest, FinalAnswer} from './caller-request.js';
 import {localNode} from './local-candidate.js';
@@ -21,6 +22,7 @@
 export type EndedRequest = {
 	request: Pick<CallerRequest, 'requestId' | 'arrivedAt'>;
 	work: NewWork;
+	decidedBy: DecidingVersion;
 	isInner: boolean;
 	/** Attempts that reached a target. */
 	arrivals: number;
@@ -32,6 +34,10 @@
 	shed: number;
 };
 
+/** Milliseconds within which a reported configuration is usually received; shorter delays are not logged. */
+const usualTransferTime = 200;
+/** Milliseconds after which such requests are no longer logged: a configuration that can't be decoded would cause a line for each request. */
+const maxReportedOutdatedTime = 30_000;
 /** The lowest status of a server error (RFC 9110, section 15.6). */
 const minServerErrorStatus = 500;
 
@@ -65,6 +71,31 @@
 	}
 }
 
+/**
+ * Reports a request that is forwarded by a configuration although a newer one
+ * has been known for longer than a healthy node needs to receive it.
+ */
+export function reportOutdatedRoute(
+	{reporter}: Pick<ReportOptions, 'reporter'>,
+	{
+		request,
+		work,
+		decidedBy,
+	}: Pick<EndedRequest, 'request' | 'work' | 'decidedBy'>,
+): void {
+	const {newerKnownFor = 0} = decidedBy;
+	if (
+		newerKnownFor >= usualTransferTime &&
+		newerKnownFor < maxReportedOutdatedTime
+	) {
+		reporter.decision('meshOutdatedRoute', request.requestId, 'newerKnown', {
+			route: work.route,
+			service: work.service,
+			...decidedBy,
+		});
+	}
+}
+
 /** Reports a request whose caller disconnected. */
 export function reportLeft(
 	{clock, metrics}: ReportOptions,
@@ -79,7 +110,7 @@
 }
 
 function detailsOf(
-	{work, isInner, arrivals, refusals, shed}: EndedRequest,
+	{work, decidedBy, isInner, arrivals, refusals, shed}: EndedRequest,
 	status: number,
 	duration: number,
 ) {
@@ -92,6 +123,7 @@
 		refusals,
 		shed: Math.round(shed * 100) / 100,
 		waited: Math.round(duration),
+		...decidedBy,
 	};
 }
 
--- a/packages/mesh/src/entry/forwarding.ts
+++ b/packages/mesh/src/entry/forwarding.ts
@@ -5,6 +5,7 @@
 import type {InnerRoutes} from '../decisions/admission/inner-routes.js';
 import type {MeshPolicy} from '../decisions/mesh-policy.js';
 import type {RetryBudget} from '../decisions/repeats/retry-budget.js';
+import type {DecidingVersion} from '../configuration/deciding-version.js';
 import type {TableRoute} from '../configuration/route-table.js';
 import type {CancelAttempt} from '../links/exchange.js';
 import type {Directory} from '../members/directory.js';
@@ -50,6 +51,8 @@
 	/** Undefined without workspaces and for public routes. */
 	workspace: Workspace | undefined;
 	urgency: number;
+	/** The configuration that the route belongs to. */
+	decidedBy: DecidingVersion;
 };
 
 /** Called once when a request has ended; without an answer if the caller disconnected. */
@@ -75,6 +78,7 @@
 	readonly request: CallerRequest;
 	readonly route: TableRoute;
 	readonly workspace: Workspace | undefined;
+	readonly decidedBy: DecidingVersion;
 	readonly work: NewWork;
 	readonly isInner: boolean;
 	readonly shed: number;
@@ -110,11 +114,12 @@
 	) {
 		super();
 		const {request, work} = facts;
-		const {route, workspace} = facts.admission;
+		const {route, workspace, decidedBy} = facts.admission;
 		const {policy, graph} = context;
 		this.request = request;
 		this.route = route;
 		this.workspace = workspace;
+		this.decidedBy = decidedBy;
 		this.work = work;
 		this.isInner = facts.isInner;
 		this.repeatShare = facts.repeatShare;
--- a/packages/mesh/src/entry/request-forwarding.ts
+++ b/packages/mesh/src/entry/request-forwarding.ts
@@ -24,7 +24,7 @@
 	type ForwardingOptions,
 	type ForwardingRoute,
 } from './forwarding.js';
-import {reportAnswer} from './forwarding-report.js';
+import {reportAnswer, reportOutdatedRoute} from './forwarding-report.js';
 import {LocalCandidate} from './local-candidate.js';
 import {createRefusal, giveUp, quarantineRequest} from './own-answers.js';
 import {
@@ -65,7 +65,7 @@
 	admission: ForwardingRoute,
 	onEnd: EndHandler,
 ): () => void {
-	const {route, urgency, workspace} = admission;
+	const {route, urgency, workspace, decidedBy} = admission;
 	const work: NewWork = {
 		route: route.name,
 		service: route.rotation.next(),
@@ -74,6 +74,7 @@
 	};
 	const isInner = context.innerRoutes.isInner(route.name);
 	recordArrival(context, work, isInner);
+	reportOutdatedRoute(context, {request, work, decidedBy});
 	const suspect = context.suspects.lookUp(request);
 	const facts: ForwardingFacts = {
 		request,
@@ -135,13 +136,14 @@
 /** Answers a request that is not sent to any target. */
 function answerUnsent(
 	context: ForwardingContext,
-	{request, work, isInner, shed}: ForwardingFacts,
+	{request, admission, work, isInner, shed}: ForwardingFacts,
 	final: FinalAnswer,
 	onEnd: EndHandler,
 ): void {
 	const ended = {
 		request,
 		work,
+		decidedBy: admission.decidedBy,
 		isInner,
 		arrivals: 0,
 		refusals: 0,
@@ -330,6 +332,7 @@
 		} else {
 			context.reporter.decision('meshTurnedAway', request.requestId, reason, {
 				from: node,
+				...forwarding.decidedBy,
 			});
 			attemptAgain(forwarding);
 		}
--- a/packages/mesh/src/entry/retry-decisions.ts
+++ b/packages/mesh/src/entry/retry-decisions.ts
@@ -63,7 +63,7 @@
 			'meshSentAgain',
 			forwarding.request.requestId,
 			reason,
-			{from: node, arrivals},
+			{from: node, arrivals, ...forwarding.decidedBy},
 		);
 	}
 
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -8,6 +8,7 @@
 import type {Result} from 'neverthrow';
 import {createCallerListener} from './entry/caller-listener.js';
 import {createConfigurationFollower} from './configuration/configuration-follower.js';
+import {createDecidingVersion} from './configuration/deciding-version.js';
 import {createCountedStore} from './configuration/counted-store.js';
 import {createDeadlineWheel} from './timing/deadline-wheel.js';
 import {egretspokePolicy, type MeshPolicy} from './decisions/mesh-policy.js';
@@ -391,6 +392,7 @@
 		random: random.fork(),
 		wheel,
 		routes: () => routes,
+		decidedBy: createDecidingVersion(versions, () => routes?.version ?? 0),
 		quotas: workspaceExchanges.quotas,
 		headerNames,
 		directory,
--- a/packages/observability/__tests__/request-trace.spec.ts
+++ b/packages/observability/__tests__/request-trace.spec.ts
@@ -63,6 +63,31 @@
 		]);
 	});
 
+	// Guards against a 404 by an old configuration that can't be told from one of an unknown route.
+	it('adds the configuration in force at each deciding node, and the next one', () => {
+		const taken = (seconds: string, version: number, node = 'orders-1') =>
+			line({
+				at: `2026-01-01T00:00:${seconds}.000Z`,
+				event: 2201,
+				name: 'configurationTaken',
+				request: undefined,
+				node,
+				message: `configuration version ${version} in force`,
+			});
+		const trace = readTrace([
+			taken('01', 1),
+			taken('02', 2),
+			line({}),
+			taken('21', 3),
+			taken('22', 4),
+			taken('09', 4, 'media-1'),
+		]);
+		expect(trace.configurations.map(({message}) => message)).to.deep.equal([
+			'configuration version 2 in force',
+			'configuration version 3 in force',
+		]);
+	});
+
 	it('counts the lines that were dropped or cannot be read', () => {
 		const trace = readTrace([
 			line({}),
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -59,7 +59,7 @@
 		meaning:
 			'The request was not processed: there is no configuration yet, no route matches it, its key belongs to no workspace, its workspace has exhausted its quota, this node has no memory for it (`noMemory`), or its body stopped arriving (`stalled`). It has not run.',
 		advice:
-			'Many with `unknownKey` after a change: callers still use a key that was removed. Many with `quotaExceeded` from one caller: it exceeds the quota of its workspace. Many with `noMemory`: see `egretspoke_mesh_held_bytes`.',
+			'`configuration` is the version that decided; compare it with the one that the operator expects. Many with `unknownKey` after a change: callers still use a key that was removed. Many with `quotaExceeded` from one caller: it exceeds the quota of its workspace. Many with `noMemory`: see `egretspoke_mesh_held_bytes`.',
 	},
 	meshForeignResponse: {
 		code: 1609,
@@ -71,6 +71,18 @@
 			"The target sent another request's response where the response to this request was expected; the reason is its status. It is skipped, and the response to this request is still awaited.",
 		advice: 'The target sends responses twice: check the target.',
 	},
+	meshOutdatedRoute: {
+		code: 1610,
+		level: 'info',
+		kind: 'decision',
+		isNotable: true,
+		template:
+			'routed to {service} by configuration version {configuration}, while version {newerConfiguration} has been known for {newerKnownFor} ms',
+		meaning:
+			'The node has heard of a newer configuration and has not received it, so the request went where the previous one says.',
+		advice:
+			'See events 2208 of the node for the sources that it asked, and event 2201 for when the version came into force.',
+	},
 	meshStarted: {
 		code: 2501,
 		level: 'info',
--- a/packages/observability/src/request-trace.ts
+++ b/packages/observability/src/request-trace.ts
@@ -31,6 +31,11 @@
 	repeats: LogEntry[];
 	/** Notices of the deciding nodes shortly before and between the decisions, such as changes in the state of a peer or target, sorted by time. */
 	beliefs: LogEntry[];
+	/**
+	 * When the configuration changed at the deciding nodes: the last change of each before the
+	 * first decision and the next one after the last, however long before or after, sorted by time.
+	 */
+	configurations: LogEntry[];
 	/** Number of lines that these nodes reported as dropped; above 0, decisions may be missing. */
 	linesDropped: number;
 	/** Number of lines that are not valid entries. */
@@ -48,6 +53,7 @@
 /** Notices from this long before the first decision are included, in milliseconds. The longest timeout of a link or target is shorter, so an earlier change of state did not cause the decision. */
 const noticeWindow = 3000;
 const linesDroppedEvent = 'linesDropped';
+const configurationEvent = 'configurationTaken';
 
 /** Creates a reader that collects the trace of the request with the given id. */
 export function createRequestTraceReader(request: string): RequestTraceReader {
@@ -85,6 +91,7 @@
 					.filter((entry) => identities.has(getIdentity(entry)))
 					.sort(compareTime),
 				beliefs: listPrecedingNotices(concerned, decisions),
+				configurations: listConfigurations(concerned, decisions),
 				linesDropped: sumDropped(concerned),
 				unreadable,
 			};
@@ -140,6 +147,29 @@
 		.sort(compareTime);
 }
 
+/** A version that came into force long ago, or too late, explains a decision of the configuration; neither is within the usual window. */
+function listConfigurations(
+	notices: LogEntry[],
+	decisions: LogEntry[],
+): LogEntry[] {
+	const changes = notices
+		.filter(({name}) => name === configurationEvent)
+		.sort(compareTime);
+	const nodes = [...new Set(decisions.map(({node}) => node))];
+	return nodes
+		.flatMap((node) => {
+			const own = changes.filter((change) => change.node === node);
+			const before = own.findLast(
+				(change) => compareTime(change, decisions[0]!) <= 0,
+			);
+			const after = own.find(
+				(change) => compareTime(change, decisions.at(-1)!) > 0,
+			);
+			return [before, after].filter((change) => change !== undefined);
+		})
+		.sort(compareTime);
+}
+
 function sumDropped(notices: LogEntry[]): number {
 	let sum = 0;
 	for (const {name, details} of notices) {
--- a/packages/shared/__tests__/version-tracker.spec.ts
+++ b/packages/shared/__tests__/version-tracker.spec.ts
@@ -23,6 +23,19 @@
 		});
 	});
 
+	it('names the newest reported version until it is in force', () => {
+		const clock = createVirtualClock();
+		const tracker = createVersionTracker(clock);
+		tracker.recordApplied('store', 1);
+		expect(tracker.pending()).to.equal(undefined);
+		tracker.recordReport('node-2', 2);
+		clock.advanceTo(700);
+		tracker.recordReport('node-3', 4);
+		expect(tracker.pending()).to.deep.equal({version: 4, knownFor: 700});
+		tracker.recordApplied('node-2', 4);
+		expect(tracker.pending()).to.equal(undefined);
+	});
+
 	it('measures the delay from the first report of a newer version', () => {
 		const clock = createVirtualClock();
 		const tracker = createVersionTracker(clock);
--- a/packages/shared/src/version-tracker.ts
+++ b/packages/shared/src/version-tracker.ts
@@ -28,11 +28,20 @@
 	silence: Record<string, number>;
 };
 
+/** A reported version that is newer than the one in force. */
+export type PendingVersion = {
+	version: number;
+	/** Milliseconds since the first report of a newer version than the one in force. */
+	knownFor: number;
+};
+
 /** Tracks the versions of one node. */
 export type VersionTracker = {
 	/** Records that a source reported the version, also if it is not newer. */
 	recordReport(source: string, version: number): void;
 	recordApplied(source: string, version: number): AppliedVersion;
+	/** The newest reported version; undefined while it is in force. */
+	pending(): PendingVersion | undefined;
 	readings(): VersionReadings;
 };
 
@@ -76,6 +85,10 @@
 			behindSince = newestReported > version ? now : undefined;
 			return applied;
 		},
+		pending: () =>
+			behindSince === undefined
+				? undefined
+				: {version: newestReported, knownFor: clock.now() - behindSince},
 		readings() {
 			const now = clock.now();
 			return {
