perf(mesh): followers of the feed send their version on links that were quiet for 600 ms, not 300

Cause: each follower shows the nodes that rely on it that it is alive, on every link on which nothing was sent for 300 ms. In a large fleet most of these links lead to other data centres, whose traffic is billed.

Change: 600 ms. A follower is still not relied on after a second of silence, so the bounds of docs/incidents/stale-configuration.md hold; a late message only makes a node follow the feed itself for a moment.

--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -105,7 +105,7 @@
  */
 export const followerSilenceTimeout = 1000;
 /** Milliseconds without a message to a linked node after which a follower of the feed sends its version. */
-export const followerQuietTime = 300;
+export const followerQuietTime = 600;
 
 /** Interval at which the subsets are recomputed, in milliseconds. */
 const subsetRefreshInterval = 600;
