perf(mesh): a follower that is not the first waits 12 to 18 s for a change, not 6 to 10

Since the stall of a feed is noticed by the first follower, and by the changes of other nodes, the wait of the others no longer bounds anything; the feed of suspects, whose stall only its wait shows, keeps 6 to 10 s.

--- a/packages/mesh/src/configuration/configuration-follower.ts
+++ b/packages/mesh/src/configuration/configuration-follower.ts
@@ -23,7 +23,7 @@
 	StoredRow,
 	StoreFailure,
 } from './row-store.js';
-import {followTable} from './table-feed.js';
+import {followTable, watchedFeedWait} from './table-feed.js';
 
 /** Options of `createConfigurationFollower`. */
 export type ConfigurationFollowerOptions = {
@@ -218,6 +218,7 @@
 					table: row.table,
 					clock,
 					random,
+					wait: watchedFeedWait,
 					isFirstFollower: options.isFirstFollower,
 					nextCheck,
 					nextPeerChange,
--- a/packages/mesh/src/configuration/table-feed.ts
+++ b/packages/mesh/src/configuration/table-feed.ts
@@ -14,6 +14,8 @@
 	table: string;
 	clock: Clock;
 	random: Random;
+	/** The wait of the calls of a node that is not the first follower. */
+	wait: FeedWait;
 	/** Whether this node should notice quickly that the feed has stalled. */
 	isFirstFollower: () => boolean;
 	/** Resolves at the next check of `isFirstFollower`, or when the signal aborts. */
@@ -29,15 +31,23 @@
 
 /**
  * Bounds of the time, in milliseconds, for which a call of the feed waits for a
- * change. A feed whose connection has stalled is detected only after this wait.
- * Each node draws a random wait to spread the calls of the fleet.
+ * change. Without other evidence, a feed whose connection has stalled is detected
+ * only after this wait. Each node draws a random wait to spread the calls of the fleet.
  */
-export const feedWait = {min: 6000, max: 10_000};
+export type FeedWait = {min: number; max: number};
+
+/** The wait of a feed whose stall nothing else shows. */
+export const feedWait: FeedWait = {min: 6000, max: 10_000};
+/**
+ * The wait of a feed whose stall the first follower notices and the changes of
+ * other nodes show. Shorter than the history that a store keeps, 20 s.
+ */
+export const watchedFeedWait: FeedWait = {min: 12_000, max: 18_000};
 /**
  * The same for the first follower. A stall must be noticed, and the table read,
  * before a change is 2 s old: until then, all nodes may rely on this call.
  */
-export const firstFollowerWait = {min: 1000, max: 1400};
+export const firstFollowerWait: FeedWait = {min: 1000, max: 1400};
 
 type Snapshot = Result<StoreSnapshot, StoreFailure>;
 
@@ -99,7 +109,7 @@
 			return store.read(table);
 		}
 
-		const {min, max} = isFirstFollower() ? firstFollowerWait : feedWait;
+		const {min, max} = isFirstFollower() ? firstFollowerWait : options.wait;
 		const wait = min + random.fraction() * (max - min);
 		const startedAt = clock.now();
 		const feed = store.changes(table, position, wait);
--- a/packages/mesh/src/suspects/suspect-register.ts
+++ b/packages/mesh/src/suspects/suspect-register.ts
@@ -14,7 +14,7 @@
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {RowStore, StoredRow} from '../configuration/row-store.js';
-import {followTable} from '../configuration/table-feed.js';
+import {feedWait, followTable} from '../configuration/table-feed.js';
 
 /** Options of `createSuspectRegister`. */
 export type SuspectRegisterOptions = {
@@ -110,6 +110,7 @@
 					table,
 					clock,
 					random,
+					wait: feedWait,
 					// Nodes report new suspects to each other as well.
 					isFirstFollower: () => false,
 					nextCheck: async (feedSignal) =>
