refactor(shared): the supervisor and the addresses of settings move to shared

Cause: nodes of the mesh need both, and may not import the node package. Change: moved with their specs; a schema for addresses to connect to, whose port is not 0.

--- a/packages/faults/src/fake-node.ts
+++ b/packages/faults/src/fake-node.ts
@@ -7,14 +7,9 @@
 } from '@egretspoke/control';
 import {egretspokePolicy} from '@egretspoke/decisions';
 import type {Recorder} from '@egretspoke/history';
-import {
-	createNodeCore,
-	createSupervisor,
-	silentReporter,
-	type NodeCore,
-} from '@egretspoke/node';
+import {createNodeCore, silentReporter, type NodeCore} from '@egretspoke/node';
 import type {Platform} from '@egretspoke/storage';
-import type {Clock, Random} from '@egretspoke/shared';
+import {createSupervisor, type Clock, type Random} from '@egretspoke/shared';
 import {ResultAsync} from 'neverthrow';
 import type {FakeNetwork} from './fake-network.js';
 import type {FakeTarget} from './fake-target.js';
--- a/packages/node/__tests__/chain-attempts.spec.ts
+++ b/packages/node/__tests__/chain-attempts.spec.ts
@@ -1,10 +1,13 @@
 import {expect} from 'chai';
 import {egretspokePolicy} from '@egretspoke/decisions';
 import type {Answer, CallRequest, Member} from '@egretspoke/protocol';
-import {createRandom, createVirtualClock} from '@egretspoke/shared';
+import {
+	createRandom,
+	createSupervisor,
+	createVirtualClock,
+} from '@egretspoke/shared';
 import {createNodeCore, type NodeCore} from '../src/node-core.js';
 import {silentReporter} from '../src/node-reporter.js';
-import {createSupervisor} from '../src/supervisor.js';
 import {createLocalNetwork} from './local-network.js';
 
 const triesPerTarget = 3;
--- a/packages/node/__tests__/listener-fixture.ts
+++ b/packages/node/__tests__/listener-fixture.ts
@@ -2,8 +2,9 @@
 import {once} from 'node:events';
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
+import {parseAddress} from '@egretspoke/shared';
 import {request} from 'undici';
-import {parseAddress, parseNodeSettings} from '../src/index.js';
+import {parseNodeSettings} from '../src/index.js';
 import {
 	startNode,
 	type RunningNode,
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -29,7 +29,7 @@
 	type DownstreamLevels,
 	type Policy,
 } from '@egretspoke/decisions';
-import type {Clock, Random} from '@egretspoke/shared';
+import type {Clock, Random, Supervisor} from '@egretspoke/shared';
 import type {Suspect} from '@egretspoke/quarantine';
 import {createAttemptSender} from './attempt-sender.js';
 import {createEntry, type Entry} from './entry.js';
@@ -49,7 +49,6 @@
 	createRunningRequests,
 	type RunningRequests,
 } from './running-requests.js';
-import type {Supervisor} from './supervisor.js';
 import type {TargetClient} from './target-client.js';
 
 /** What the core requires from configuration and membership. */
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -11,7 +11,7 @@
 	ProbeMessage,
 	SuspectsMessage,
 } from '@egretspoke/protocol';
-import {createTicks, type Clock} from '@egretspoke/shared';
+import {createTicks, type Clock, type Supervisor} from '@egretspoke/shared';
 import {createUnsentResult, type ExchangeResult} from './exchange-table.js';
 import type {MessageChannel, PeerTransport} from './message-channel.js';
 import {
@@ -19,7 +19,6 @@
 	type PeerConnection,
 	type PeerServices,
 } from './peer-connection.js';
-import type {Supervisor} from './supervisor.js';
 
 /** A peer and its address. */
 export type PeerAddress = {node: string; peerAddress: string};
--- a/packages/node/src/settings-check.ts
+++ b/packages/node/src/settings-check.ts
@@ -2,8 +2,12 @@
  * Checks conflicts between several keys of the settings. The checks read the raw
  * document, so that they are reported together with the findings of the schema.
  */
-import {parseDuration, type DocumentIssue} from '@egretspoke/shared';
-import {parseAddress, type Address} from './settings-address.js';
+import {
+	parseAddress,
+	parseDuration,
+	type Address,
+	type DocumentIssue,
+} from '@egretspoke/shared';
 
 type Listener = 'caller' | 'peer' | 'admin';
 type LocatedAddress = {path: string[]; address: Address};
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -3,6 +3,7 @@
  * the keys; the types, the findings and docs/SETTINGS.md follow from it.
  */
 import {
+	addressSchema,
 	createDurationSchema,
 	readDocument,
 	readTextFile,
@@ -11,7 +12,6 @@
 } from '@egretspoke/shared';
 import type {Result} from 'neverthrow';
 import {z} from 'zod';
-import {addressSchema} from './settings-address.js';
 import {checkNodeSettings} from './settings-check.js';
 
 const second = 1000;
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -14,18 +14,23 @@
 import {egretspokePolicy, type Policy} from '@egretspoke/decisions';
 import {createHttpPlatform, type Platform} from '@egretspoke/storage';
 import type {Home, Member} from '@egretspoke/protocol';
-import {createRandom, createSystemClock, type Clock} from '@egretspoke/shared';
+import {
+	createRandom,
+	createSupervisor,
+	createSystemClock,
+	formatAddress,
+	parseAddress,
+	type Clock,
+} from '@egretspoke/shared';
 import {createAdminListener} from './admin-listener.js';
 import {createAdminServices} from './admin-services.js';
 import {createCallerListener, type GiveUpCause} from './caller-listener.js';
 import {subscribeToControl} from './control-subscription.js';
 import {createNodeCore, type CoreControl, type NodeCore} from './node-core.js';
 import {createNodeInstruments} from './node-instruments.js';
-import {formatAddress, parseAddress} from './settings-address.js';
 import {readGauges, type GaugeSources} from './node-readings.js';
 import type {NodeReporter} from './node-reporter.js';
 import type {NodeSettings} from './settings.js';
-import {createSupervisor} from './supervisor.js';
 import {createAnnouncementHandler} from './announcement-handler.js';
 import {
 	createWebSocketTransport,
--- a/packages/node/__tests__/supervisor.spec.ts
+++ b/packages/shared/__tests__/supervisor.spec.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
-import {createVirtualClock, sleep} from '@egretspoke/shared';
+import {sleep} from '../src/clock.js';
 import {createSupervisor, type ChildFailure} from '../src/supervisor.js';
+import {createVirtualClock} from '../src/virtual-clock.js';
 
 describe('supervisor', () => {
 	const create = () => {
--- a/packages/node/src/settings-address.ts
+++ b/packages/shared/src/address.ts
@@ -1,4 +1,4 @@
-/** Addresses in settings: an IP number and a port. */
+/** Addresses of listeners and peers: an IP number and a port. */
 import {isIP} from 'node:net';
 import {z} from 'zod';
 
@@ -39,3 +39,9 @@
 		});
 	}
 });
+
+/** An address to connect to, as another process states it; unlike that of a listener, its port is not 0. */
+export const remoteAddressSchema = addressSchema.refine(
+	(text) => parseAddress(text)?.port !== 0,
+	{error: 'expected a port from 1 to 65535'},
+);
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address.js';
 export * from './caller-connections.js';
 export * from './clock.js';
 export type {DocumentIssue} from './document-issue.js';
@@ -12,6 +13,7 @@
 export * from './settings-reader.js';
 export * from './size.js';
 export * from './stream.js';
+export * from './supervisor.js';
 export * from './text-hash.js';
 export * from './version-tracker.js';
 export * from './virtual-clock.js';
--- a/packages/node/src/supervisor.ts
+++ b/packages/shared/src/supervisor.ts
@@ -8,7 +8,7 @@
  * bad peer.
  */
 import {setMaxListeners} from 'node:events';
-import {sleep, type Clock} from '@egretspoke/shared';
+import {sleep, type Clock} from './clock.js';
 
 /** A task runs until its signal aborts; returning early means that its work is done. */
 export type Task = (signal: AbortSignal) => Promise<void>;
