fix(mesh): a timer or a read goes on after one run that throws

What callers saw: after one exception in periodic work, in a deadline or in a read of the configuration, a node went on as ready without any periodic work (probes of links, checks of the feed, profiles), without deadlines, or without reading the store again.

Cause: each of them arms its next run after the work of this one, so that an exception that reached uncaughtException ended it for good.

Change: the ticker runs each task on its own and reports what it throws; the wheel and the tick of the dispatcher arm the next timer in any case, and the wheel keeps the deadlines that a throwing one leaves behind; the flag of a read is reset in any case.

--- a/packages/mesh/__tests__/deadline-wheel.spec.ts
+++ b/packages/mesh/__tests__/deadline-wheel.spec.ts
@@ -38,6 +38,30 @@
 		}
 	});
 
+	// Guards against a node on which no deadline fires any more because one of them threw.
+	it('fires the other deadlines, of the same tick and of later ones, after one that throws', () => {
+		const clock = createVirtualClock();
+		const wheel = createDeadlineWheel(clock);
+		const fired: number[] = [];
+		add(wheel, 100, () => {
+			throw new Error('one deadline');
+		});
+		for (const at of [100, 500]) {
+			add(wheel, at, () => {
+				fired.push(at);
+			});
+		}
+
+		expect(() => {
+			clock.advanceTo(200);
+		}).to.throw('one deadline');
+		add(wheel, 300, () => {
+			fired.push(300);
+		});
+		clock.advanceTo(1000);
+		expect(fired).to.deep.equal([100, 300, 500]);
+	});
+
 	it('does not fire a cancelled deadline', () => {
 		const clock = createVirtualClock();
 		const wheel = createDeadlineWheel(clock);
--- a/packages/mesh/__tests__/ticker.spec.ts
+++ b/packages/mesh/__tests__/ticker.spec.ts
@@ -21,4 +21,28 @@
 		clock.advanceTo(40 * tickInterval);
 		expect(runs.frequent).to.equal(20);
 	});
+
+	// Guards against a node whose periodic work has all ended because one run of it threw.
+	it('goes on after a task that throws', () => {
+		const clock = createVirtualClock();
+		const failures: unknown[] = [];
+		const ticker = createTicker(
+			clock,
+			new AbortController().signal,
+			(error) => {
+				failures.push(error);
+			},
+		);
+		let runs = 0;
+		const failure = new Error('one run');
+		ticker.schedule(2 * tickInterval, () => {
+			throw failure;
+		});
+		ticker.schedule(tickInterval, () => {
+			runs++;
+		});
+		clock.advanceTo(4 * tickInterval);
+		expect(runs).to.equal(4);
+		expect(failures).to.deep.equal([failure, failure]);
+	});
 });
--- a/packages/mesh/src/configuration/configuration-follower.ts
+++ b/packages/mesh/src/configuration/configuration-follower.ts
@@ -187,6 +187,10 @@
 		return hasWaited;
 	};
 
+	options.ticker.schedule(followerCheckInterval, () => {
+		onCheck();
+	});
+
 	return {
 		current: () => current,
 		isFollowing,
@@ -197,20 +201,20 @@
 			}
 
 			isRefreshing = true;
-			const result = await store.read(row.table);
-			isRefreshing = false;
-			if (result.isOk()) {
-				versions.recordReport(storeSource, current?.version ?? 0);
-				applyRows(result.value.rows);
+			try {
+				const result = await store.read(row.table);
+				if (result.isOk()) {
+					versions.recordReport(storeSource, current?.version ?? 0);
+					applyRows(result.value.rows);
+				}
+			} finally {
+				isRefreshing = false;
 			}
 		},
 		async run(signal) {
-			const check = () => {
+			signal.addEventListener('abort', () => {
 				onCheck();
-			};
-
-			options.ticker.schedule(followerCheckInterval, check);
-			signal.addEventListener('abort', check);
+			});
 			await waitForPeers(signal);
 			await followTable(
 				{
--- a/packages/mesh/src/target/target-dispatcher.ts
+++ b/packages/mesh/src/target/target-dispatcher.ts
@@ -407,8 +407,11 @@
 
 		ticker = clock.setTimer(shedPeriod / 4, () => {
 			ticker = undefined;
-			tick();
-			scheduleTick();
+			try {
+				tick();
+			} finally {
+				scheduleTick();
+			}
 		});
 	};
 
--- a/packages/mesh/src/timing/deadline-wheel.ts
+++ b/packages/mesh/src/timing/deadline-wheel.ts
@@ -84,8 +84,12 @@
 		timer?.cancel();
 		timerTick = tick;
 		timer = clock.setTimer(tick * wheelTick - clock.now(), () => {
-			fire();
-			setTimerForNext();
+			try {
+				fire();
+			} finally {
+				// Without a timer, no later deadline would be noticed.
+				setTimerForNext();
+			}
 		});
 	};
 
@@ -103,9 +107,9 @@
 			.filter((tick) => tick <= lastTick)
 			.toSorted((left, right) => left - right);
 		for (const tick of due) {
-			const list = lists.get(tick);
+			// Until it is empty: what a deadline that throws leaves behind is due at the next timer.
+			lists.get(tick)?.onDeadline();
 			lists.delete(tick);
-			list?.onDeadline();
 		}
 	};
 
--- a/packages/mesh/src/timing/ticker.ts
+++ b/packages/mesh/src/timing/ticker.ts
@@ -18,8 +18,16 @@
 
 type Task = {periodTicks: number; act: () => void};
 
-/** Creates a ticker that runs until the signal aborts. */
-export function createTicker(clock: Clock, signal: AbortSignal): Ticker {
+/**
+ * Creates a ticker that runs until the signal aborts.
+ *
+ * @param onFailure - Called when a task throws; the other tasks, and its later runs, go on.
+ */
+export function createTicker(
+	clock: Clock,
+	signal: AbortSignal,
+	onFailure: (error: unknown) => void = rethrowLater,
+): Ticker {
 	const tasks: Task[] = [];
 	let tick = 0;
 
@@ -31,13 +39,21 @@
 		tick++;
 		for (const task of tasks) {
 			if (tick % task.periodTicks === 0) {
-				task.act();
+				runTask(task);
 			}
 		}
 
 		clock.setTimer(tickInterval, run);
 	};
 
+	const runTask = ({act}: Task) => {
+		try {
+			act();
+		} catch (error) {
+			onFailure(error);
+		}
+	};
+
 	clock.setTimer(tickInterval, run);
 	return {
 		schedule(period, act) {
@@ -48,3 +64,10 @@
 		},
 	};
 }
+
+/** Leaves the error to the process, outside of the tick. */
+function rethrowLater(error: unknown): void {
+	queueMicrotask(() => {
+		throw error;
+	});
+}
