fix(mesh): a write of the node's row that throws is a failed write

Cause: writes are chained, and one that throws failed all writes behind it, so that no later leaving of the target would have been stored. Read, not seen.

Change: it is reported and counts as failed, so that it is tried again. The spec rejected before.

--- a/packages/mesh/__tests__/member-register.spec.ts
+++ b/packages/mesh/__tests__/member-register.spec.ts
@@ -56,6 +56,7 @@
 	return {
 		register,
 		received,
+		clock,
 		async end() {
 			lifetime.abort();
 			await clock.runTo(200_000);
@@ -71,6 +72,23 @@
 }
 
 describe('the member register', () => {
+	// Guards against a node whose row is never written again because one write threw.
+	it('persists a leaving after a write that threw', async () => {
+		const store = createRowStoreStandIn();
+		const node = await start(store, self);
+		const {write} = store;
+		store.write = async () => {
+			store.write = write;
+			throw new Error('one write');
+		};
+
+		const persisted = node.register.persistLeaving(leaving);
+		await node.clock.runTo(3000);
+		await persisted;
+		expect(store.calls.write).to.equal(2);
+		await node.end();
+	});
+
 	it('writes its row and reads the others at the first start', async () => {
 		const store = createRowStoreStandIn();
 		const node = await start(store, self);
--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -76,7 +76,13 @@
 		const before = writing;
 		writing = (async () => {
 			await before;
-			return writeOnce();
+			try {
+				return await writeOnce();
+			} catch (error) {
+				// Counts as a failed write: it is tried again, and those behind it go on.
+				reporter.notice('unexpectedError', {detail: String(error)});
+				return false;
+			}
 		})();
 		return writing;
 	};
