fix(platform): each start, loop and end of a process has an owner

What was seen: a port taken at the start, as by a former process during its planned stop, left a process that neither served nor ended; so did an address without a port. Half a settings file ended it with 64 at once. SIGINT and SIGALRM ended a serving process without a planned stop, and SIGUSR1 opened a debugger. A stop that failed would have left the process until it was killed.

Cause: what throws in a start, a loop or an end reached uncaughtException, which wrote a line and went on with what was left of the node. The line named a restart that nothing did.

Change: listeners whose address is taken, or that lack resources, are tried again, with line 2550; any other failure of the start, and a failed stop, end the process with 70 and line 2554. The three loops of a node run under the supervisor, which restarts them with line 2006. A node is ready only with its listeners; the body of the readiness check names what is missing and what has failed lately. SIGINT is a planned stop; SIGUSR1, SIGUSR2 and SIGALRM are ignored, with line 2555. An open listener that fails, and a check-in whose handler throws, are reported (2551, 2553).

--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -142,6 +142,15 @@
 		connections.end(socket);
 	};
 
+	server.on('error', (error) => {
+		// `listen` reports the errors before.
+		if (server.listening) {
+			options.reporter.notice('listenerFailed', {
+				listener: 'callers',
+				detail: error.message,
+			});
+		}
+	});
 	server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
 		const socket = stream as Socket;
 		const isConnected = socket.writable && !socket.destroyed;
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -14,7 +14,7 @@
 	type MeshPolicy,
 } from './decisions/mesh-policy.js';
 export * from './configuration/header-names.js';
-export {listenOn} from './listening.js';
+export {listenPersistently, listenOn, type ListenFailure} from './listening.js';
 export * from './mesh-node.js';
 export type {MeshReporter, ReportDetails} from './mesh-reporter.js';
 export * from './configuration/route.js';
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -44,6 +44,8 @@
 	onUnread: (bytes: number) => void;
 	/** Called after a request of another node was dispatched. */
 	onRequest: () => void;
+	/** Called when the open listener fails, such as at accepting a connection. */
+	onError?: (error: Error) => void;
 };
 
 /** The listener for links of other nodes. */
@@ -109,6 +111,12 @@
 	/** Called after `end` when a link has closed. */
 	let onClosed = () => undefined as void;
 
+	socketServer.on('error', (error) => {
+		// `listen` reports the errors before.
+		if (server.listening) {
+			options.onError?.(error);
+		}
+	});
 	socketServer.on('connection', (socket, request) => {
 		const channel = createPeerChannel(socket, request.socket, options, {
 			onOpen: () => undefined,
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -1,6 +1,7 @@
 /** One node of the mesh: creates its listeners, links, registers and followers, and connects them. */
 import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
 import {
+	createSupervisor,
 	createVersionTracker,
 	type Clock,
 	type Random,
@@ -31,7 +32,9 @@
 import {createDirectory, followerQuietTime} from './members/directory.js';
 import {createEntry} from './entry/entry.js';
 import {createTargetDispatcher} from './target/target-dispatcher.js';
+import {createFailingParts} from './failing-parts.js';
 import {createGossip} from './members/gossip.js';
+import {listenPersistently} from './listening.js';
 import type {HeaderNames} from './configuration/header-names.js';
 import {createUpdateHandler} from './links/peer-updates.js';
 import {createPlannedStop} from './planned-stop.js';
@@ -103,10 +106,16 @@
 
 /** A node of the mesh. */
 export type MeshNode = {
-	/** Opens the listeners; resolves with their addresses, with the assigned ports in place of 0. */
+	/**
+	 * Opens the listeners, and tries again while an address is taken; resolves with
+	 * their addresses, with the assigned ports in place of 0. Rejects with Node's
+	 * error if an address can't be used, or if the node is stopped meanwhile.
+	 */
 	start(): Promise<{callers: string; peers: string}>;
 	/** Whether callers should send requests to this node. */
 	isReady(): boolean;
+	/** What the node waits for before it is ready, and which of its parts have failed lately. */
+	condition(): NodeCondition;
 	/** Applies an announcement of the local target; resolves with false if it is older than the recorded state. */
 	announce(announcement: Announcement): Promise<boolean>;
 	/** Applies a withdrawal of the local target. */
@@ -121,6 +130,14 @@
 	abort(): void;
 };
 
+/** What keeps a node from being ready, and what it has to do without. */
+export type NodeCondition = {
+	/** What is missing before the node is ready; empty once it is. */
+	waitingFor: string[];
+	/** Parts that have failed lately and are run again. */
+	failing: string[];
+};
+
 /** Milliseconds between two announcements of newly requested routes. */
 const newRoutesInterval = 500;
 /** Milliseconds between two announcements of the configuration version to a random peer. */
@@ -142,7 +159,27 @@
 	const budget = createMemoryBudget(settings.memory, options.collect);
 	const lifetime = new AbortController();
 	const wheel = createDeadlineWheel(clock);
-	const ticker = createTicker(clock, lifetime.signal);
+	const failing = createFailingParts(clock);
+	const ticker = createTicker(clock, lifetime.signal, (error) => {
+		if (failing.record('periodic work')) {
+			reporter.notice('periodicWorkFailed', {detail: describe(error)});
+		}
+	});
+	const supervisor = createSupervisor(
+		clock,
+		({path, error, restartIn}) => {
+			failing.record(path);
+			reporter.notice('childFailed', {
+				path,
+				restartIn,
+				detail: describe(error),
+			});
+		},
+		'node',
+		lifetime.signal,
+	);
+	/** Listeners that are not open yet. */
+	const closedListeners = new Set(['callers', 'peers']);
 	let routes: RouteTable | undefined;
 	const plannedStop = createPlannedStop({
 		clock,
@@ -337,6 +374,12 @@
 		onRequest() {
 			reportLoad.recordRequest();
 		},
+		onError(error) {
+			reporter.notice('listenerFailed', {
+				listener: 'peers',
+				detail: error.message,
+			});
+		},
 	});
 	const suspectGossip = createGossip({
 		clock,
@@ -453,16 +496,39 @@
 		receivers: () => peerListener.links,
 	});
 
+	const open = async (
+		listener: 'callers' | 'peers',
+		{listen}: {listen: (address: string) => Promise<string>},
+		address: string,
+	): Promise<string> => {
+		const bound = await listenPersistently({
+			listener,
+			address,
+			listen,
+			clock,
+			signal: lifetime.signal,
+			onFailure(failure) {
+				reporter.notice('listenerWaiting', failure);
+			},
+		});
+		if (bound === undefined) {
+			throw new Error('the node was stopped while it started');
+		}
+
+		closedListeners.delete(listener);
+		return bound;
+	};
+
 	return {
 		async start() {
+			supervisor.start('configuration', follower.run);
 			const [peers, callers] = await Promise.all([
-				peerListener.listen(settings.peerAddress),
-				callerListener.listen(settings.callerAddress),
+				open('peers', peerListener, settings.peerAddress),
+				open('callers', callerListener, settings.callerAddress),
 			]);
 			self.address = peers;
-			void follower.run(lifetime.signal);
-			void register.run(lifetime.signal);
-			void suspectRegister.run(lifetime.signal);
+			supervisor.start('members', register.run);
+			supervisor.start('suspects', suspectRegister.run);
 			ticker.schedule(versionInterval, announceVersion);
 			ticker.schedule(tickInterval, announceToQuiet);
 			reportLoad.start();
@@ -477,7 +543,16 @@
 			});
 			return {callers, peers};
 		},
-		isReady: () => routes !== undefined && !isStopping(),
+		isReady: () =>
+			routes !== undefined && closedListeners.size === 0 && !isStopping(),
+		condition: () => ({
+			waitingFor: [
+				...(routes === undefined ? ['a configuration'] : []),
+				...[...closedListeners].map((listener) => `the listener ${listener}`),
+				...(isStopping() ? ['the end of its planned stop'] : []),
+			],
+			failing: failing.list(),
+		}),
 		announce: async (announcement) => targetTracker.announce(announcement),
 		withdraw: async (withdrawal) => targetTracker.withdraw(withdrawal),
 		readings: () => ({
@@ -498,8 +573,14 @@
 			self.service = changed.service;
 		},
 		async stop() {
-			await plannedStop.run();
-			abort();
+			try {
+				// Nothing can have been accepted while all listeners are closed.
+				if (closedListeners.size < 2) {
+					await plannedStop.run();
+				}
+			} finally {
+				abort();
+			}
 		},
 		abort,
 	};
@@ -515,3 +596,9 @@
 		store.close();
 	}
 }
+
+function describe(error: unknown): string {
+	return error instanceof Error
+		? (error.stack ?? error.message)
+		: String(error);
+}
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -275,7 +275,61 @@
 		kind: 'notice',
 		template: 'no metrics at {address}: {detail}',
 		meaning:
-			'The address for metrics is in use or not permitted; requests are served without metrics.',
-		advice: 'Free the port on this VM and start the node again.',
+			'The address for metrics is not permitted; requests are served without metrics.',
+		advice: 'Change the address and start the node again.',
+	},
+	listenerWaiting: {
+		code: 2550,
+		level: 'warn',
+		kind: 'notice',
+		template: 'the listener {listener} is not open yet: {detail}',
+		meaning:
+			'Another process holds the address, or the system lacks resources. The node goes on trying, and is not ready without its listeners.',
+		advice:
+			'After a restart: nothing, the former process is stopping. If it lasts, find the process that holds the port.',
+	},
+	listenerFailed: {
+		code: 2551,
+		level: 'error',
+		kind: 'notice',
+		template: 'the listener {listener} failed: {detail}',
+		meaning:
+			'A connection was not accepted; the listener stays open for others.',
+		advice: 'Check the limit of file descriptors of the process.',
+	},
+	periodicWorkFailed: {
+		code: 2552,
+		level: 'error',
+		kind: 'notice',
+		template: 'periodic work failed and goes on with its next run: {detail}',
+		meaning:
+			'One run of periodic work ended early. The same failure is logged once in ten seconds.',
+		advice: 'Report it with this line.',
+	},
+	unexpectedError: {
+		code: 2553,
+		level: 'error',
+		kind: 'notice',
+		template: 'unexpected error, the node goes on: {detail}',
+		meaning:
+			'The handling of one event ended early. Loops and periodic work are not affected.',
+		advice: 'Report it with this line.',
+	},
+	processEnds: {
+		code: 2554,
+		level: 'error',
+		kind: 'notice',
+		template: 'the process ends with {exitCode}: {detail}',
+		meaning: 'The node could not start, or its planned stop failed.',
+		advice: 'Follow the detail; the platform starts the process again.',
+	},
+	signalIgnored: {
+		code: 2555,
+		level: 'warn',
+		kind: 'notice',
+		template: '{signal} ignored',
+		meaning: 'A signal arrived that means nothing to the node.',
+		advice:
+			'Use SIGTERM to stop the node and SIGHUP after a change of the settings.',
 	},
 } as const satisfies Record<string, EventDefinition>;
