fix(node): an odd address of a member no longer ends the nodes that hear of it

Callers saw: every node that received a record of a member or a seed row with a port out of range ended with a stack and cut its requests in flight; a start that read such a row failed. Cause: `new WebSocket` throws on such an address; the rejection passed through gossip and joins that nothing awaits, and stayed in the table of connections being opened. Measured: the new spec failed with "SyntaxError: Invalid URL" before, passes now.

--- a/packages/node/__tests__/web-socket-transport.spec.ts
+++ b/packages/node/__tests__/web-socket-transport.spec.ts
@@ -7,7 +7,10 @@
 const clock = createSystemClock({keepAlive: true});
 const never = new AbortController().signal;
 
-const createTransport = (node: string) =>
+const createTransport = (
+	node: string,
+	onRefused: (detail: string) => void = () => undefined,
+) =>
 	createWebSocketTransport({
 		clock,
 		self: () => ({node, incarnation: 1, dataCentre: 'a'}),
@@ -15,7 +18,7 @@
 		messageLimit: 16 * 1024 * 1024,
 		handshakeLimit: 8,
 		onMalformed: () => undefined,
-		onRefused: () => undefined,
+		onRefused,
 	});
 
 /** Opens a channel from `vm-2` to `vm-1`, with both of its ends. */
@@ -39,6 +42,33 @@
 };
 
 describe('the transport between nodes', () => {
+	describe('connecting', () => {
+		// Guards against an odd address in a record of a member, which ended every node that the record reached.
+		it('reports an unusable address as unreachable', async () => {
+			const refused: string[] = [];
+			const transport = createTransport('vm-1', (detail) =>
+				refused.push(detail),
+			);
+			for (const address of [
+				'127.0.0.1:99999',
+				'127.0.0.1:0',
+				'127.0.0.1:-1',
+				'127.0.0.1',
+				'not an address',
+				'[::1',
+				'127.0.0.1:80/#',
+				'',
+			]) {
+				// eslint-disable-next-line no-await-in-loop -- one address after another.
+				expect(await transport.connect(address, never)).to.equal(undefined);
+			}
+
+			expect(refused).to.have.length(8);
+			expect(refused[0]).to.equal('not an address: 127.0.0.1:99999');
+			await transport.close();
+		});
+	});
+
 	describe('closing', () => {
 		// Guards against answers to other nodes that are lost at the end of a stop.
 		it('sends the messages that were written before', async () => {
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -135,8 +135,14 @@
 	};
 
 	const open = async (address: string): Promise<PeerConnection | undefined> => {
-		const channel = await transport.connect(address, supervisor.signal);
-		opening.delete(address);
+		let channel: MessageChannel | undefined;
+		try {
+			channel = await transport.connect(address, supervisor.signal);
+		} finally {
+			// Otherwise every later request to the address would share the failure.
+			opening.delete(address);
+		}
+
 		if (!channel) {
 			failedAt.set(address, clock.now());
 			return undefined;
--- a/packages/node/src/web-socket-transport.ts
+++ b/packages/node/src/web-socket-transport.ts
@@ -2,7 +2,7 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import {WebSocket, WebSocketServer} from 'ws';
-import type {Clock} from '@egretspoke/shared';
+import {remoteAddressSchema, type Clock} from '@egretspoke/shared';
 import type {MessageChannel, PeerTransport} from './message-channel.js';
 import {openChannel, type ChannelContext} from './web-socket-channel.js';
 
@@ -78,6 +78,12 @@
 			return listen(server, host, port);
 		},
 		async connect(address, signal) {
+			// Other nodes state the address, and `ws` throws on a port out of range.
+			if (!remoteAddressSchema.safeParse(address).success) {
+				options.onRefused(`not an address: ${address.slice(0, 100)}`);
+				return undefined;
+			}
+
 			const socket = new WebSocket(`ws://${address}`, {
 				perMessageDeflate: false,
 				handshakeTimeout: connectTimeoutMs,
