fix(node): a start, a stop or an uncaught error always ends the process or is retried

Callers saw: a node that was replaced while its former process still finished its planned stop ended with 1, and its VM stayed without a node; with the peer port taken it ended with a stack. SIGHUP ended it without a line. A failing or hanging planned stop left a process without a decision, and any error that nothing caught cut all requests in flight. Cause: one attempt to bind; `ws` re-emits the error of its server and nothing listens there; no handlers for SIGHUP and uncaught errors; `void drain()`. Change: a start tries the ports of its listeners before it serves anything, for timings.drain and 6 s, with line 2090 for each failed attempt; SIGTERM and SIGINT abandon this wait with 0; afterwards it ends with the code and line of before. A failed or hanging stop ends with the new code 3 and a line; an uncaught error leads to a planned stop and code 3; SIGHUP is ignored with a line. A failure of the goodbye no longer skips the stop.

--- a/packages/node/src/main.ts
+++ b/packages/node/src/main.ts
@@ -2,13 +2,11 @@
 /** The `egretspoke-node` program: reads its settings, serves, and drains on SIGTERM. */
 import process from 'node:process';
 import {Command} from 'commander';
-import {formatFinding} from '@egretspoke/shared';
+import {createSystemClock, formatFinding} from '@egretspoke/shared';
+import {exitCodes, runNodeProcess} from './node-process.js';
 import {readNodeSettings, type NodeSettings} from './settings.js';
 import {explainStartFailure} from './start-failure.js';
-import {startNode, type RunningNode} from './start-node.js';
-
-/** 0: stopped as planned; 1: settings or start refused, or requests were cut; 2: usage. */
-const exitCodes = {done: 0, refused: 1, usage: 2} as const;
+import {startNode} from './start-node.js';
 
 type Flags = {settings: string; check?: boolean};
 
@@ -19,7 +17,7 @@
 	.option('--check', 'check the settings and exit')
 	.addHelpText(
 		'after',
-		'\nExample: egretspoke-node --settings node.yaml --check\nExit codes: 0 done, 1 refused or requests cut, 2 usage',
+		'\nExample: egretspoke-node --settings node.yaml --check\nExit codes: 0 done, 1 refused or requests cut, 2 usage, 3 an internal failure',
 	)
 	.exitOverride((error) => {
 		process.exit(error.exitCode === 0 ? exitCodes.done : exitCodes.usage);
@@ -41,40 +39,24 @@
 }
 
 async function serve(nodeSettings: NodeSettings): Promise<void> {
-	const starting = startNode(nodeSettings);
-	// Requests are served before the start is over, and a signal must drain them.
-	drainOnSignals(starting);
-	try {
-		await starting;
-	} catch (error) {
-		process.stderr.write(`${explainStartFailure(error, nodeSettings)}\n`);
-		process.exit(exitCodes.refused);
-	}
-}
-
-/** The first signal drains; a second one stops immediately and prints the number of cut requests. */
-function drainOnSignals(starting: Promise<RunningNode>): void {
-	let isDraining = false;
-	const stopAtOnce = async () => {
-		const node = await starting;
-		const cut = await node.stop();
-		process.stderr.write(
-			`stopped at once on a second signal; ${cut} requests cut\n`,
-		);
-		process.exit(exitCodes.refused);
-	};
-
-	const drain = async () => {
-		const node = await starting;
-		const cut = await node.drain();
-		process.exit(cut === 0 ? exitCodes.done : exitCodes.refused);
-	};
-
-	const onSignal = () => {
-		void (isDraining ? stopAtOnce() : drain());
-		isDraining = true;
-	};
-
-	process.on('SIGTERM', onSignal);
-	process.on('SIGINT', onSignal);
+	// Without a listener, a closed pipe at an output would end the process.
+	process.stdout.on('error', () => undefined);
+	process.stderr.on('error', () => undefined);
+	await runNodeProcess({
+		host: {
+			on(event, listener) {
+				process.on(event, listener);
+			},
+			writeError(line) {
+				process.stderr.write(`${line}\n`);
+			},
+			exit(code) {
+				process.exit(code);
+			},
+		},
+		clock: createSystemClock({keepAlive: true}),
+		drainTime: nodeSettings.timings.drain,
+		start: async (abandoned) => startNode(nodeSettings, {abandoned}),
+		explainStartFailure: (error) => explainStartFailure(error, nodeSettings),
+	});
 }
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -38,6 +38,13 @@
 	| {name: 'peerLost'; peer: string}
 	| {name: 'answerDropped'; peer: string}
 	| {name: 'childFailed'; path: string; detail: string; restartIn: number}
+	| {
+			name: 'listenerTaken';
+			listener: string;
+			address: string;
+			detail: string;
+			retryIn: number;
+	  }
 	| {name: 'malformedRequest'; fault: string}
 	| {name: 'operatorRefused'; detail: string}
 	| {name: 'suspended'; pause: number}
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -20,6 +20,7 @@
 	createSystemClock,
 	formatAddress,
 	parseAddress,
+	sleep,
 	type Clock,
 } from '@egretspoke/shared';
 import {createAdminListener} from './admin-listener.js';
@@ -30,6 +31,8 @@
 import {createNodeInstruments} from './node-instruments.js';
 import {readGauges, type GaugeSources} from './node-readings.js';
 import type {NodeReporter} from './node-reporter.js';
+import {waitForPorts} from './listener-ports.js';
+import {stopMargin} from './node-process.js';
 import type {NodeSettings} from './settings.js';
 import {createAnnouncementHandler} from './announcement-handler.js';
 import {
@@ -52,6 +55,8 @@
 	clock?: Clock;
 	policy?: Policy;
 	platform?: Platform;
+	/** Abandons a start that still waits for its ports; it then rejects with `StartAbandonedError`. */
+	abandoned?: AbortSignal;
 };
 
 /** Maximum bytes of a message besides its body, for headers and envelope. */
@@ -59,9 +64,12 @@
 /** Maximum concurrent handshakes: all peers of a data centre after a restart. */
 const handshakeLimit = 128;
 const anyFreePort = 0;
+/** Maximum time in milliseconds of a stop to tell the platform and the members. */
+const endTimeout = 3000;
 
 /**
- * Starts a node. Rejects with Node's error when a listener can't bind its port.
+ * Starts a node. Rejects with Node's error when a listener can't bind its port,
+ * after a wait in which a former process may release it.
  * An unreachable platform is no error, because a data centre that is cut off has
  * to serve what it can.
  */
@@ -83,6 +91,16 @@
 		const detail = describeError(error);
 		reporter.recordEvent({name: 'childFailed', path, detail, restartIn});
 	});
+	await waitForPorts({
+		listeners: settings.listeners,
+		clock,
+		signal: options.abandoned ?? supervisor.signal,
+		timeout: settings.timings.drain + stopMargin,
+		onTaken(taken) {
+			reporter.recordEvent({name: 'listenerTaken', ...taken});
+			instruments.log.flush();
+		},
+	});
 	const transport = createTransport(settings, clock, self, reporter);
 	const peer = await listenOn(transport, settings.listeners.peer);
 	const policy = options.policy ?? egretspokePolicy;
@@ -190,12 +208,16 @@
 			control.leave();
 			await Promise.race([core.drain(), aborted(timeout.signal)]);
 			// Nothing is accepted from here on; what was accepted is answered.
-			await Promise.all([
-				control.end(),
+			const [ended] = await Promise.allSettled([
+				Promise.race([control.end(), sleep(clock, endTimeout)]),
 				Promise.race([caller.drain(), aborted(timeout.signal)]),
 			]);
 			timer.cancel();
 			const cut = await stopOnce(timeout.signal.aborted ? 'drainTime' : 'stop');
+			if (ended.status === 'rejected') {
+				throw ended.reason as Error;
+			}
+
 			reporter.recordEvent({name: 'drained', cut});
 			instruments.log.flush();
 			return cut;
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -71,6 +71,17 @@
 		advice:
 			'With `drainTime`: raise timings.drain to the duration of the longest request before the next stop.',
 	},
+	listenerTaken: {
+		code: 2090,
+		level: 'warn',
+		kind: 'notice',
+		template:
+			'listeners.{listener} {address} is taken, tried again in {retryIn} ms: {detail}',
+		meaning:
+			'Another process holds the port. The start waits for timings.drain and 6 s, since a former node may still finish its planned stop; then it ends with code 1.',
+		advice:
+			'Nothing to do after a planned stop. Otherwise find out which process listens there.',
+	},
 	memberChanged: {
 		code: 2101,
 		level: 'info',
