fix(quarantine): a write of a row that throws is reported and tried again

Callers saw: nothing at once; suspects found later were never stored, so a request that crashes targets was let in again after a restart. Cause: a throwing write left `isWriting` set, and its rejection had no owner. Change: it counts as failed, is handed to onError and tried again after 5 s.

--- a/packages/quarantine/__tests__/row-writer.spec.ts
+++ b/packages/quarantine/__tests__/row-writer.spec.ts
@@ -75,4 +75,39 @@
 		await clock.runTo(20_000);
 		expect(tries()).to.equal(4);
 	});
+
+	// Guards against suspects that are never stored again after one write has thrown.
+	it('reports a write that throws and tries again', async () => {
+		const clock = createVirtualClock();
+		const lifetime = new AbortController();
+		const errors: string[] = [];
+		let tries = 0;
+		const writer = createRowWriter({
+			clock,
+			random: createRandom(1),
+			async write() {
+				if (++tries <= 2) {
+					throw new Error('broken');
+				}
+
+				return true;
+			},
+			onError(error, retryIn) {
+				errors.push(`${String(error)}, ${retryIn}`);
+			},
+		});
+		writer.start(lifetime.signal);
+		writer.request();
+		await clock.runTo(9999);
+		expect(tries).to.equal(2);
+		await clock.runTo(10_000);
+		expect(tries).to.equal(3);
+		writer.request();
+		await clock.runTo(10_001);
+		expect(tries).to.equal(4);
+		expect(errors).to.deep.equal([
+			'Error: broken, 5000',
+			'Error: broken, 5000',
+		]);
+	});
 });
--- a/packages/quarantine/src/row-writer.ts
+++ b/packages/quarantine/src/row-writer.ts
@@ -7,6 +7,8 @@
 	random: Random;
 	/** Writes the current state; resolves with false on failure. */
 	write: () => Promise<boolean>;
+	/** Called with the error of a write that threw; it is retried after `errorDelay`. */
+	onError?: (error: unknown, retryIn: number) => void;
 };
 
 /** A writer that coalesces changes into sequential writes. */
@@ -20,6 +22,9 @@
 /** Milliseconds before the retry of a failed write, with a jitter of ±50 %. */
 const retryDelay = 500;
 
+/** Milliseconds before the retry of a write that threw, which is a fault of ours and not an outage. */
+const errorDelay = 5000;
+
 /** Creates a writer; nothing is written before `start`. */
 export function createRowWriter(options: RowWriterOptions): RowWriter {
 	const {clock, random} = options;
@@ -27,6 +32,17 @@
 	let isDirty = false;
 	let isWriting = false;
 
+	/** Returns the milliseconds until the retry of a failed write. */
+	const writeOnce = async (): Promise<number | undefined> => {
+		try {
+			const isWritten = await options.write();
+			return isWritten ? undefined : retryDelay * (0.5 + random.fraction());
+		} catch (error) {
+			options.onError?.(error, errorDelay);
+			return errorDelay;
+		}
+	};
+
 	/**
 	 * `isWriting` is reset in the same turn in which `isDirty` is read as false;
 	 * otherwise a change between the two would not be written until the next one.
@@ -40,11 +56,11 @@
 		while (isDirty && !signal.aborted) {
 			isDirty = false;
 			// eslint-disable-next-line no-await-in-loop -- writes are sequential.
-			const isWritten = await options.write();
-			if (!isWritten) {
+			const retryIn = await writeOnce();
+			if (retryIn !== undefined) {
 				isDirty = true;
 				// eslint-disable-next-line no-await-in-loop -- the delay comes before the retry.
-				await sleep(clock, retryDelay * (0.5 + random.fraction()), signal);
+				await sleep(clock, retryIn, signal);
 			}
 		}
 
