fix(shared): an observer that throws keeps no value from the others

Callers saw: a node could go on with old routes, because an observer before its router threw. Cause: the first error ended the delivery of the value. Change: all observers receive it, then the first error reaches the pusher. Measured: the new spec failed before (the second observer saw [2] in place of [1, 2]), passes now; a second one shows that ticks go on after an error, as they did.

--- a/packages/shared/src/stream.ts
+++ b/packages/shared/src/stream.ts
@@ -6,7 +6,7 @@
 export type Subject<T> = {
 	/** Observers receive the values that are pushed after they subscribe. */
 	stream: Stream<T>;
-	/** Delivers the value synchronously to all observers. */
+	/** Delivers the value synchronously to all observers, and then throws the first error that one of them threw. */
 	push(value: T): void;
 	/** Ends the stream for all observers. */
 	end(): void;
@@ -28,8 +28,18 @@
 	return {
 		stream: new Stream<T>(source),
 		push(value) {
+			const errors: unknown[] = [];
 			for (const [sink, scheduler] of sinks) {
-				sink.event(scheduler.now(), value);
+				try {
+					sink.event(scheduler.now(), value);
+				} catch (error) {
+					// Otherwise the observers behind it would miss the value.
+					errors.push(error);
+				}
+			}
+
+			if (errors.length > 0) {
+				throw errors[0] as Error;
 			}
 		},
 		end() {
