fix(shared): a supervised loop that ends by itself is restarted, and failing children are listed

Callers saw: nothing; a loop that returned early counted as done. Cause: the supervisor knows only tasks that may end. Change: startLoop treats an early return as a failure; failing() lists the children that have not run healthily since their last failure. Measured: two new specs, which could not run before (no such functions).

--- a/packages/shared/__tests__/supervisor.spec.ts
+++ b/packages/shared/__tests__/supervisor.spec.ts
@@ -47,6 +47,43 @@
 		);
 	});
 
+	// Guards against a loop that ends without a trace while its node goes on without it.
+	it('restarts a loop that ends before the stop', async () => {
+		const {clock, failures, supervisor} = create();
+		let runs = 0;
+		supervisor.startLoop('loop', async () => {
+			runs++;
+		});
+		await clock.runTo(1000);
+		expect(runs).to.equal(4);
+		expect(failures.map(({error}) => String(error))).to.deep.equal(
+			Array.from({length: 4}, () => 'Error: the loop ended by itself'),
+		);
+		await supervisor.stop();
+		await clock.runTo(20_000);
+		expect(runs).to.equal(4);
+	});
+
+	it('lists children that fail until one has run healthily', async () => {
+		const {clock, supervisor} = create();
+		let isBroken = true;
+		supervisor.branch('below').startLoop('loop', async (signal) => {
+			if (isBroken) {
+				throw new Error('broken');
+			}
+
+			await sleep(clock, 1e9, signal);
+		});
+		expect(supervisor.failing()).to.deep.equal([]);
+		await clock.runTo(1000);
+		isBroken = false;
+		expect(supervisor.failing()).to.deep.equal([
+			{path: 'root/below/loop', failures: 4, detail: 'broken'},
+		]);
+		await clock.runTo(20_000);
+		expect(supervisor.failing()).to.deep.equal([]);
+	});
+
 	it('stops children of every branch and waits for them', async () => {
 		const {clock, supervisor} = create();
 		const ended: string[] = [];
--- a/packages/shared/src/supervisor.ts
+++ b/packages/shared/src/supervisor.ts
@@ -22,12 +22,25 @@
 	restartIn: number;
 };
 
+/** A child that failed and has not run healthily since. */
+export type FailingChild = {
+	path: string;
+	/** Consecutive failures. */
+	failures: number;
+	/** The message of the last one. */
+	detail: string;
+};
+
 /** A node of the tree that starts and stops children. */
 export type Supervisor = {
 	/** Aborts when this supervisor stops. */
 	signal: AbortSignal;
 	/** Starts a task and restarts it when it fails. */
 	start(name: string, task: Task): void;
+	/** The same for a task that never ends by itself: an early return counts as a failure. */
+	startLoop(name: string, loop: Task): void;
+	/** The children of this tree that fail at present, for the status. */
+	failing(): FailingChild[];
 	/** Creates a supervisor below this one, which stops with it. */
 	branch(name: string): Supervisor;
 	/** Stops one child and waits for its end. */
@@ -36,6 +49,8 @@
 	stop(): Promise<void>;
 };
 
+type Failure = {count: number; detail: string; restartAt: number};
+
 const minRestartDelayMs = 50;
 const maxRestartDelayMs = 5000;
 /** A task that ran longer than this, in milliseconds, counts as healthy, and its delay is reset. */
@@ -59,8 +74,19 @@
 		string,
 		{stop: AbortController; end: Promise<void>}
 	>();
+	const failures = new Map<string, Failure>();
 	const branches: Supervisor[] = [];
 
+	const recordFailure = (name: string, error: unknown, restartIn: number) => {
+		const previous = failures.get(name);
+		failures.set(name, {
+			count: (previous?.count ?? 0) + 1,
+			detail: error instanceof Error ? error.message : String(error),
+			restartAt: clock.now() + restartIn,
+		});
+		onFailure({path: `${path}/${name}`, error, restartIn});
+	};
+
 	const runWithRestarts = async (
 		name: string,
 		task: Task,
@@ -78,30 +104,61 @@
 					return;
 				}
 
-				delay =
-					clock.now() - startedAt > healthyRunMs
-						? minRestartDelayMs
-						: Math.min(delay * 2, maxRestartDelayMs);
-				onFailure({path: `${path}/${name}`, error, restartIn: delay});
+				const wasHealthy = clock.now() - startedAt > healthyRunMs;
+				delay = wasHealthy
+					? minRestartDelayMs
+					: Math.min(delay * 2, maxRestartDelayMs);
+				if (wasHealthy) {
+					failures.delete(name);
+				}
+
+				recordFailure(name, error, delay);
 				// eslint-disable-next-line no-await-in-loop -- the back-off before the next run.
 				await sleep(clock, delay, childSignal);
 			}
 		}
 	};
 
+	const start = (name: string, task: Task) => {
+		const stop = new AbortController();
+		const childSignal = AbortSignal.any([signal, stop.signal]);
+		const run = async () => {
+			await runWithRestarts(name, task, childSignal);
+			if (children.get(name)?.stop === stop) {
+				children.delete(name);
+				failures.delete(name);
+			}
+		};
+
+		children.set(name, {stop, end: run()});
+	};
+
 	return {
 		signal,
-		start(name, task) {
-			const stop = new AbortController();
-			const childSignal = AbortSignal.any([signal, stop.signal]);
-			const run = async () => {
-				await runWithRestarts(name, task, childSignal);
-				if (children.get(name)?.stop === stop) {
-					children.delete(name);
+		start,
+		startLoop(name, loop) {
+			start(name, async (childSignal) => {
+				await loop(childSignal);
+				if (!childSignal.aborted) {
+					throw new Error('the loop ended by itself');
 				}
-			};
+			});
+		},
+		failing() {
+			for (const [name, {restartAt}] of failures) {
+				if (clock.now() - restartAt > healthyRunMs) {
+					failures.delete(name);
+				}
+			}
 
-			children.set(name, {stop, end: run()});
+			return [
+				...[...failures].map(([name, {count, detail}]) => ({
+					path: `${path}/${name}`,
+					failures: count,
+					detail,
+				})),
+				...branches.flatMap((branch) => branch.failing()),
+			];
 		},
 		branch(name) {
 			const branch = createSupervisor(
