fix(control): each loop has a supervisor, and detached work an owner

Callers saw: an error in a read of the table, a probe or a round of gossip ended the node under its requests, or ended that loop for good; an error while a node announced itself after a pause left it refusing all work. Cause: four loops and all gossip were started with `void`; the five loops of membership were one promise; `isAnnouncing` was reset on success only. Change: control.start takes a supervisor; each loop is a child that is restarted with line 2006, also when it ends early; gossip, fetches and the resume after a pause report line 2091 when they fail. The first load is a child too, so that a failure in it doesn't end the start.

--- a/packages/benchmark/src/control-fleet.ts
+++ b/packages/benchmark/src/control-fleet.ts
@@ -11,7 +11,11 @@
 	type Member,
 	type Message,
 } from '@egretspoke/protocol';
-import {createSystemClock, type Random} from '@egretspoke/shared';
+import {
+	createSupervisor,
+	createSystemClock,
+	type Random,
+} from '@egretspoke/shared';
 import {createMemoryPlatform, type MemoryPlatform} from '@egretspoke/stand-ins';
 import type {NodeTally} from './control-tally.js';
 
@@ -94,7 +98,9 @@
 			const self = describeNode(index, clock.date());
 			const {node: name, dataCentre, peerAddress, target} = self;
 			const tally = {bytes: 0, messages: 0};
-			const stop = new AbortController();
+			const supervisor = createSupervisor(clock, ({error}) => {
+				throw error as Error;
+			});
 			const control = createControl({
 				self,
 				platform,
@@ -119,7 +125,7 @@
 				control,
 				tally,
 				stop() {
-					stop.abort();
+					void supervisor.stop();
 					byAddress.delete(peerAddress);
 					fleet.nodes = fleet.nodes.filter((each) => each !== node);
 				},
@@ -127,7 +133,7 @@
 			byAddress.set(peerAddress, node);
 			fleet.nodes.push(node);
 			fleet.tallies.push(tally);
-			await control.start(stop.signal);
+			await control.start(supervisor);
 			control.announceTarget(target);
 			return node;
 		},
--- a/packages/control/__tests__/control-network.ts
+++ b/packages/control/__tests__/control-network.ts
@@ -2,7 +2,9 @@
 import type {Member, ProbeMessage} from '@egretspoke/protocol';
 import {
 	createRandom,
+	createSupervisor,
 	sleep,
+	type ChildFailure,
 	type Clock,
 	type VirtualClock,
 } from '@egretspoke/shared';
@@ -46,8 +48,11 @@
 	platform: MemoryPlatform;
 	seed?: number;
 	defaults?: Partial<ControlOptions>;
+	/** Called when a loop of a node fails; by default the spec fails. */
+	onChildFailure?: (failure: ChildFailure) => void;
 }): Network {
 	const {clock, platform, seed = 1, defaults = {}} = options;
+	const {onChildFailure = failSpec} = options;
 	const random = createRandom(seed);
 	const nodesByAddress = new Map<string, NetworkNode & {isUp: () => boolean}>();
 	let isCut: (from: string, to: string) => boolean = () => false;
@@ -60,8 +65,10 @@
 		async add(name, overrides = {}) {
 			const [dataCentre = ''] = name.split('-');
 			const address = `${name}:${nodesByAddress.size}`;
-			const stop = new AbortController();
 			const gate = createGate(clock);
+			const supervisor = createSupervisor(gate.clock, (failure) => {
+				onChildFailure(failure);
+			});
 			let isAlive = true;
 			const reach = async (to: string) => {
 				network.messages++;
@@ -108,7 +115,7 @@
 				isUp: () => isAlive && !gate.isClosed(),
 				kill() {
 					isAlive = false;
-					stop.abort();
+					void supervisor.stop();
 				},
 				freeze: gate.close,
 				thaw: gate.open,
@@ -118,7 +125,7 @@
 			void control.configuration.accepted.observe(({version}) => {
 				node.versions.push(version);
 			});
-			const starting = control.start(stop.signal);
+			const starting = control.start(supervisor);
 			await Promise.race([starting, clock.runTo(clock.now() + 10)]);
 			return node;
 		},
@@ -145,6 +152,10 @@
 	};
 }
 
+function failSpec({error}: ChildFailure): never {
+	throw error as Error;
+}
+
 /** Wraps a clock so that its timers are held back while the process is frozen. */
 function createGate(clock: Clock) {
 	let isClosed = false;
--- a/packages/control/src/configuration-watch.ts
+++ b/packages/control/src/configuration-watch.ts
@@ -9,6 +9,7 @@
 import {
 	createSubject,
 	createVersionTracker,
+	runDetached,
 	sleep,
 	type Clock,
 	type Random,
@@ -27,6 +28,7 @@
 	type Configuration,
 	type ConfigurationBody,
 } from './configuration.js';
+import {rethrow, type OnTaskFailure} from './task-failure.js';
 
 /** Where the version in force came from. */
 export type ConfigurationSource = NodeStatus['configuration']['source'];
@@ -84,6 +86,8 @@
 	interval?: number;
 	/** Replaced in tests only. */
 	acceptance?: AcceptanceRule;
+	/** Called when a read in the background that nothing awaits has failed. */
+	onFailure?: OnTaskFailure;
 };
 
 /**
@@ -117,7 +121,8 @@
 		random,
 		interval: readInterval = defaultInterval,
 	} = options;
-	const {acceptance = acceptanceRules.higherAndWhole} = options;
+	const {acceptance = acceptanceRules.higherAndWhole, onFailure = rethrow} =
+		options;
 	const accepted = createSubject<Configuration>();
 	const rejected = createSubject<RejectedBody>();
 	const platformChanges = createSubject<PlatformChange>();
@@ -206,7 +211,9 @@
 			fetching.add(fetched);
 			const timer = clock.setTimer(fetchTimeout, () => {
 				fetching.delete(fetched);
-				void readPlatform();
+				void runDetached(readPlatform(), (error) => {
+					onFailure('read', error);
+				});
 			});
 			try {
 				const body = await fetch();
--- a/packages/control/src/control.ts
+++ b/packages/control/src/control.ts
@@ -7,7 +7,13 @@
 	TargetAnnouncement,
 } from '@egretspoke/protocol';
 import type {Platform} from '@egretspoke/storage';
-import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import {
+	runDetached,
+	sleep,
+	type Clock,
+	type LoopSupervisor,
+	type Random,
+} from '@egretspoke/shared';
 import type {AcceptanceRule} from './configuration-acceptance.js';
 import {
 	createConfigurationWatch,
@@ -30,6 +36,7 @@
 } from './operator-service.js';
 import type {SendProbe} from './probe-exchange.js';
 import {createSeedRows} from './seed-rows.js';
+import {rethrow, type OnTaskFailure} from './task-failure.js';
 
 /** Dependencies and settings of control. */
 export type ControlOptions = {
@@ -52,6 +59,8 @@
 	/** Replaced in tests only. */
 	acceptance?: AcceptanceRule;
 	isNewer?: MergeRule;
+	/** Called when a task in the background that nothing awaits has failed; the next one is due as usual. */
+	onFailure?: OnTaskFailure;
 };
 
 /** Control as the rest of the node uses it. */
@@ -66,9 +75,9 @@
 	leave(): void;
 	/**
 	 * Loads members and configuration, announces `active` and resolves. The
-	 * background tasks run until the signal aborts. Never rejects.
+	 * background tasks are children of the supervisor. Never rejects.
 	 */
-	start(signal: AbortSignal): Promise<void>;
+	start(supervisor: LoopSupervisor): Promise<void>;
 	/** Announces `gone` and removes the seed row; to be called at the end of a drain. */
 	end(): Promise<void>;
 };
@@ -91,6 +100,7 @@
 		send,
 		fetchConfiguration,
 		peers = [],
+		onFailure = rethrow,
 	} = options;
 	const configuration = createConfigurationWatch({
 		...options,
@@ -105,7 +115,9 @@
 				async () => fetchConfiguration(address),
 				address,
 			);
-			void trackFetch(fetching);
+			void runDetached(trackFetch(fetching), (error) => {
+				onFailure('fetch', error);
+			});
 		},
 	});
 	const seeds = createSeedRows({
@@ -119,8 +131,11 @@
 
 	const trackFetch = async (fetching: Promise<void>) => {
 		pendingFetches.add(fetching);
-		await fetching;
-		pendingFetches.delete(fetching);
+		try {
+			await fetching;
+		} finally {
+			pendingFetches.delete(fetching);
+		}
 	};
 
 	const applyConfiguration = (accepted: Configuration) => {
@@ -154,7 +169,8 @@
 			membership.join(peers),
 			discoverMembers(),
 		]);
-		await Promise.all(pendingFetches);
+		// A failed one is reported where it was started.
+		await Promise.allSettled(pendingFetches);
 	};
 
 	const isIsolated = () =>
@@ -188,12 +204,21 @@
 			isLeavingByIntent = false;
 			membership.announce({state: 'leaving'});
 		},
-		async start(signal) {
-			void membership.run(signal);
-			void configuration.run(signal);
-			void seeds.run(signal);
-			void discoverPeriodically(signal);
-			await Promise.race([learn(), sleep(clock, startTimeout, signal)]);
+		async start(supervisor) {
+			membership.start(supervisor);
+			supervisor.startLoop('configuration', configuration.run);
+			supervisor.startLoop('seedRow', seeds.run);
+			supervisor.startLoop('discovery', discoverPeriodically);
+			const learned = new Promise<void>((resolve) => {
+				supervisor.start('learn', async () => {
+					await learn();
+					resolve();
+				});
+			});
+			await Promise.race([
+				learned,
+				sleep(clock, startTimeout, supervisor.signal),
+			]);
 			if (membership.self().state === 'joining') {
 				membership.announce({state: 'active'});
 			}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -12,7 +12,7 @@
  * 2. Messages received from a peer: `probe` → reply `control.receiveProbe(probe)`;
  *    `configurationRequest` → reply `{type: 'configurationBody',
  *    ...control.configuration.body()}` when there is one.
- * 3. `await control.start(signal)`: the node is `active` afterwards, whether the
+ * 3. `await control.start(supervisor)`: the node is `active` afterwards, whether the
  *    platform is reachable or not. `control.announceTarget(…)` when the target
  *    announces itself.
  * 4. For each request: `control.membership.isSuspended()` → refuse with
@@ -40,3 +40,4 @@
 export type * from './probe-exchange.js';
 export * from './seed-rows.js';
 export * from './suspect-rows.js';
+export type * from './task-failure.js';
--- a/packages/control/src/membership-service.ts
+++ b/packages/control/src/membership-service.ts
@@ -12,9 +12,11 @@
 } from '@egretspoke/protocol';
 import {
 	createSubject,
+	runDetached,
 	sample,
 	sleep,
 	type Clock,
+	type LoopSupervisor,
 	type Random,
 } from '@egretspoke/shared';
 import type {Stream} from 'most';
@@ -36,6 +38,7 @@
 import {announceChange, reincarnate, type OwnChange} from './own-record.js';
 import {createProbeExchange, type SendProbe} from './probe-exchange.js';
 import {createProbeOrder} from './probe-order.js';
+import {rethrow, type OnTaskFailure} from './task-failure.js';
 
 /** Dependencies and settings of membership. */
 export type MembershipOptions = {
@@ -51,6 +54,8 @@
 	timing?: Partial<MembershipTiming>;
 	/** Replaced in tests only. */
 	isNewer?: MergeRule;
+	/** Called when a task that nothing awaits has failed; without it the handler of the process is. */
+	onFailure?: OnTaskFailure;
 };
 
 /** Membership as the rest of the node uses it. */
@@ -74,8 +79,8 @@
 	join(addresses: string[]): Promise<number>;
 	/** Sends recent changes to some members without waiting for the next probe. */
 	gossip(): Promise<void>;
-	/** Probes until the signal aborts. */
-	run(signal: AbortSignal): Promise<void>;
+	/** Starts the loops that probe, each a child of the supervisor. */
+	start(supervisor: LoopSupervisor): void;
 };
 
 /**
@@ -90,6 +95,7 @@
 	options: MembershipOptions,
 ): MembershipService {
 	const {clock, random, send, onPeerVersion, peers = []} = options;
+	const {onFailure = rethrow} = options;
 	const timing = {...defaultTiming, ...options.timing};
 	const view = createMemberView({...options, timing});
 	const order = createProbeOrder(random.fork());
@@ -97,6 +103,16 @@
 	const lease = createLease(clock, timing.lease);
 	let isAnnouncing = false;
 
+	const detach = (task: string, work: Promise<unknown>) => {
+		void runDetached(work, (error) => {
+			onFailure(task, error);
+		});
+	};
+
+	const gossipDetached = () => {
+		detach('gossip', gossip());
+	};
+
 	const applyMessage = (
 		message: ProbeMessage | AcknowledgementMessage,
 		isWhole = false,
@@ -104,7 +120,7 @@
 		const own = view.self();
 		const changes = view.applyRecords(message.members, isWhole);
 		if (view.self() !== own) {
-			void gossip();
+			gossipDetached();
 		}
 
 		for (const change of changes) {
@@ -130,7 +146,7 @@
 		}
 
 		if (member.state === 'leaving' && before?.state !== 'leaving') {
-			void gossip();
+			gossipDetached();
 		}
 
 		const isRejoin =
@@ -211,11 +227,16 @@
 	};
 
 	const resumeAfterPause = async (pause: number) => {
-		pauses.push(pause);
 		isAnnouncing = true;
-		view.setSelf(reincarnate(view.self(), clock.date()), true);
-		await gossipNow();
-		isAnnouncing = false;
+		try {
+			pauses.push(pause);
+			view.setSelf(reincarnate(view.self(), clock.date()), true);
+			await gossipNow();
+		} finally {
+			// Otherwise the node would refuse all work from then on.
+			isAnnouncing = false;
+		}
+
 		await syncWithRandomMember();
 	};
 
@@ -244,7 +265,7 @@
 			const own = view.self();
 			const isUrgent = change.state !== undefined || 'target' in change;
 			view.setSelf(announceChange(own, change), isUrgent);
-			void gossip();
+			gossipDetached();
 		},
 		receive(probe) {
 			applyMessage(probe);
@@ -265,23 +286,29 @@
 		},
 		join,
 		gossip,
-		async run(signal) {
-			await Promise.all([
+		start(supervisor) {
+			supervisor.startLoop('lease', async (signal) =>
 				lease.run(signal, (pause) => {
-					void resumeAfterPause(pause);
+					detach('resume', resumeAfterPause(pause));
 				}),
-				runPeriodically(timing.probeInterval, probeNext, signal),
-				runPeriodically(
-					timing.probeInterval / 2,
-					async () => {
-						view.expire();
-						await catchUp.runDue();
-					},
-					signal,
-				),
-				runPeriodically(timing.reconnectInterval, probeGoneMember, signal),
-				runPeriodically(timing.fullSyncInterval, syncWithRandomMember, signal),
-			]);
+			);
+			const startPeriodic = (
+				name: string,
+				interval: number,
+				action: () => Promise<void> | void,
+			) => {
+				supervisor.startLoop(name, async (signal) =>
+					runPeriodically(interval, action, signal),
+				);
+			};
+
+			startPeriodic('probes', timing.probeInterval, probeNext);
+			startPeriodic('expiry', timing.probeInterval / 2, async () => {
+				view.expire();
+				await catchUp.runDue();
+			});
+			startPeriodic('reconnect', timing.reconnectInterval, probeGoneMember);
+			startPeriodic('fullSync', timing.fullSyncInterval, syncWithRandomMember);
 		},
 	};
 }
--- a/packages/control/src/probe-exchange.ts
+++ b/packages/control/src/probe-exchange.ts
@@ -74,11 +74,16 @@
 			configurationVersion: view.self().configurationVersion,
 			...(whole && {whole}),
 		};
-		const answer = await Promise.race([
-			send(address, probe, abort.signal),
-			waitForAbort(abort.signal),
-		]);
-		timer.cancel();
+		let answer: AcknowledgementMessage | undefined;
+		try {
+			answer = await Promise.race([
+				send(address, probe, abort.signal),
+				waitForAbort(abort.signal),
+			]);
+		} finally {
+			timer.cancel();
+		}
+
 		if (answer) {
 			onAcknowledgement(answer, whole);
 		}
--- a/packages/control/src/suspect-rows.ts
+++ b/packages/control/src/suspect-rows.ts
@@ -12,6 +12,7 @@
 } from '@egretspoke/quarantine';
 import type {Platform} from '@egretspoke/storage';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import type {OnTaskFailure} from './task-failure.js';
 
 /** Dependencies of the suspect rows. */
 export type SuspectRowsOptions = {
@@ -21,6 +22,8 @@
 	node: string;
 	/** Called with the suspects stored by other nodes or by an earlier run of this one. */
 	onSuspects: (suspects: Suspect[]) => void;
+	/** Called when a write has thrown; it is retried. */
+	onFailure?: OnTaskFailure;
 };
 
 /** The node's access to the suspect rows. */
@@ -51,6 +54,9 @@
 			]);
 			return rows.isOk();
 		},
+		onError(error) {
+			options.onFailure?.('suspectRow', error);
+		},
 	});
 
 	/** The own row is applied at the first read only, when an earlier run has written it. */
--- a/packages/faults/src/fake-node.ts
+++ b/packages/faults/src/fake-node.ts
@@ -144,8 +144,8 @@
 	};
 	core.announce({announcement, client: wrapTarget(target, execution)});
 	control.announceTarget(announcement);
-	void control.start(supervisor.signal);
-	void suspectRows.run(supervisor.signal);
+	void control.start(supervisor);
+	supervisor.startLoop('suspectRows', suspectRows.run);
 	return {
 		execution,
 		core,
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -45,6 +45,7 @@
 			detail: string;
 			retryIn: number;
 	  }
+	| {name: 'taskFailed'; task: string; detail: string}
 	| {name: 'malformedRequest'; fault: string}
 	| {name: 'operatorRefused'; detail: string}
 	| {name: 'suspended'; pause: number}
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -101,6 +101,11 @@
 			instruments.log.flush();
 		},
 	});
+	const onFailure = (task: string, error: unknown) => {
+		const detail = describeError(error);
+		reporter.recordEvent({name: 'taskFailed', task, detail});
+	};
+
 	const transport = createTransport(settings, clock, self, reporter);
 	const peer = await listenOn(transport, settings.listeners.peer);
 	const policy = options.policy ?? egretspokePolicy;
@@ -111,6 +116,7 @@
 		clock,
 		random: random.fork(),
 		node,
+		onFailure,
 		onSuspects(suspects) {
 			core.quarantine.applyStoredSuspects(suspects);
 		},
@@ -152,7 +158,14 @@
 	const callerAddress = await listenOn(caller, settings.listeners.caller);
 	const member = createMember(settings, self, {peer, caller: callerAddress});
 	const control = createControl(
-		readControlOptions(settings, {clock, random, core, member, platform}),
+		readControlOptions(settings, {
+			clock,
+			random,
+			core,
+			member,
+			platform,
+			onFailure,
+		}),
 	);
 	gaugeSources.control = control;
 	gaugeSources.core = core;
@@ -168,8 +181,8 @@
 	});
 	const adminAddress = await listenOn(admin, settings.listeners.admin);
 	subscribeToControl(control, core, instruments.reporter);
-	void suspectRows.run(supervisor.signal);
-	await control.start(supervisor.signal);
+	supervisor.startLoop('suspectRows', suspectRows.run);
+	await control.start(supervisor);
 	if (control.configuration.source() === 'defaults') {
 		reporter.recordEvent({name: 'runningOnDefaults'});
 	}
@@ -307,21 +320,23 @@
 	};
 }
 
-type ControlParts = Pick<ControlOptions, 'clock' | 'random' | 'platform'> & {
+type ControlParts = Pick<
+	ControlOptions,
+	'clock' | 'random' | 'platform' | 'onFailure'
+> & {
 	core: NodeCore;
 	member: Member;
 };
 
 function readControlOptions(
 	settings: NodeSettings,
-	{clock, random, core, member, platform}: ControlParts,
+	{core, member, random, ...parts}: ControlParts,
 ): ControlOptions {
 	const {peers, timings} = settings;
 	return {
+		...parts,
 		self: member,
-		clock,
 		random: random.fork(),
-		platform,
 		peers,
 		timing: {lease: timings.lease, probeInterval: timings.probe},
 		readInterval: timings.configurationRead,
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -82,6 +82,15 @@
 		advice:
 			'Nothing to do after a planned stop. Otherwise find out which process listens there.',
 	},
+	taskFailed: {
+		code: 2091,
+		level: 'error',
+		kind: 'notice',
+		template: 'background task {task} failed: {detail}',
+		meaning:
+			'One round of a task, such as gossip after a change, failed. The loops that repeat it go on.',
+		advice: 'Once: report it with this line. Repeatedly: replace the VM.',
+	},
 	memberChanged: {
 		code: 2101,
 		level: 'info',
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,6 +1,7 @@
 export * from './address.js';
 export * from './caller-connections.js';
 export * from './clock.js';
+export * from './detached.js';
 export type {DocumentIssue} from './document-issue.js';
 export type {DocumentPath} from './document-place.js';
 export * from './duration.js';
--- a/packages/shared/src/supervisor.ts
+++ b/packages/shared/src/supervisor.ts
@@ -51,6 +51,9 @@
 
 type Failure = {count: number; detail: string; restartAt: number};
 
+/** What starts the loops of a component. */
+export type LoopSupervisor = Pick<Supervisor, 'signal' | 'start' | 'startLoop'>;
+
 const minRestartDelayMs = 50;
 const maxRestartDelayMs = 5000;
 /** A task that ran longer than this, in milliseconds, counts as healthy, and its delay is reset. */
