fix(mesh): a link to an address that can't be connected to is a failed attempt

What callers saw: 504, and a node that no longer followed the members. Cause: `new WebSocket` throws for a port above 65535; the exception ended the loop that had read the member, here and at each peer it was passed to. Change: the link reports the address once and tries again after its backoff. Measured: odd-addresses.spec failed before by "SyntaxError: Invalid URL" out of createPeerLinks.open; passes now.

--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -152,22 +152,45 @@
 	/** Bytes received until then. */
 	let receivedAtProbe = 0;
 	let isClosed = false;
+	/** Whether a failure to create a connection was reported. */
+	let hasFailed = false;
 	let pause = initialBackoff;
 	let retryTimer: Timer | undefined;
 	/** The connection that is being opened. */
 	let opening: PeerChannel | undefined;
 
+	/** Returns undefined for an address that can't be connected to; it is reported once. */
+	const createSocket = (): WebSocket | undefined => {
+		try {
+			return new WebSocket(`ws://${address}`, {
+				perMessageDeflate: false,
+				handshakeTimeout: connectTimeout,
+				maxPayload: frameLimit,
+			});
+		} catch (error) {
+			if (!hasFailed) {
+				hasFailed = true;
+				options.onMalformed(
+					`${address}: ${error instanceof Error ? error.message : String(error)}`,
+				);
+			}
+
+			return undefined;
+		}
+	};
+
 	const connect = () => {
 		if (isClosed || (opening ?? current)) {
 			return;
 		}
 
 		retryTimer?.cancel();
-		const socket = new WebSocket(`ws://${address}`, {
-			perMessageDeflate: false,
-			handshakeTimeout: connectTimeout,
-			maxPayload: frameLimit,
-		});
+		const socket = createSocket();
+		if (!socket) {
+			scheduleRetry();
+			return;
+		}
+
 		const channel: PeerChannel = createPeerChannel(socket, undefined, options, {
 			onOpen() {
 				opening = undefined;
