fix(mesh): a row of the members counts only if it can be used and names its key

What callers saw: a live node got no more requests after another row had named it with a start of 1e300; rows behind an odd address were not read. Cause: the schema took any text as an address and any number as a start, and nothing compared the key of a row with the name in it. Change: addresses that can be connected to, starts as safe integers that are no more than an hour ahead, names of at most 200 characters; the key must be the name. Line 2506 names table, key and reason, ten lines in ten seconds at most. The address of a check-in has the same schema.

--- a/packages/mesh/src/links/peer-message.ts
+++ b/packages/mesh/src/links/peer-message.ts
@@ -4,6 +4,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {suspectTupleSchema} from '@egretspoke/quarantine';
+import {remoteAddressSchema} from '@egretspoke/shared';
 import {Packr, RESERVE_START_SPACE} from 'msgpackr';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
@@ -11,6 +12,7 @@
 	routingConfigurationSchema,
 	type RoutingConfiguration,
 } from '../configuration/route.js';
+import {instantSchema, nameSchema, placeSchema} from '../field-schemas.js';
 import {
 	fromCompact,
 	toCompact,
@@ -20,14 +22,14 @@
 
 /** Identity and address of a node, as other nodes need them to link to it. */
 export const memberSchema = z.object({
-	node: z.string().min(1),
+	node: nameSchema,
 	/** Address of its peer listener, `ip:port`. */
-	address: z.string().min(1),
-	dataCentre: z.string(),
+	address: remoteAddressSchema,
+	dataCentre: placeSchema,
 	/** The service of its target. */
-	service: z.string(),
-	/** Start time of the node process; a later start replaces an earlier one. */
-	startedAt: z.number(),
+	service: placeSchema,
+	/** Start time of the node process, in milliseconds since 1970; a later start replaces an earlier one. */
+	startedAt: instantSchema,
 });
 
 /** State of a node's target, as the node reports it. */
--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -5,12 +5,15 @@
  * node has to follow the table.
  */
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {createLimitedNotices} from '../limited-notices.js';
 import type {MeshReporter} from '../mesh-reporter.js';
 import {memberSchema, type Member} from '../links/peer-message.js';
 import type {RowStore, StoredRow} from '../configuration/row-store.js';
+import {describeIssue, isInFuture} from '../field-schemas.js';
 import {
-	announcementSchema,
+	targetRecordSchema,
 	type TargetRecord,
 } from '../target/target-record.js';
 import {isSamePlace} from './known-members.js';
@@ -18,7 +21,7 @@
 /** Content of a row: the member, and the last leaving target that it acknowledged. */
 const rowSchema = z.object({
 	member: memberSchema,
-	leaving: announcementSchema.extend({hasLeft: z.boolean()}).optional(),
+	leaving: targetRecordSchema.optional(),
 });
 
 type RowValue = z.output<typeof rowSchema>;
@@ -63,7 +66,13 @@
 export function createMemberRegister(
 	options: MemberRegisterOptions,
 ): MemberRegister {
-	const {store, self, clock, random, reporter} = options;
+	const {store, self, clock, random} = options;
+	const reportSkipped = createLimitedNotices(
+		clock,
+		(key: string, detail: string) => {
+			options.reporter.notice('meshRowMalformed', {table, key, detail});
+		},
+	);
 	let version = 0;
 	let isWritten = false;
 	let leaving: TargetRecord | undefined;
@@ -132,7 +141,7 @@
 
 	const applyOwnRow = (row: StoredRow | undefined): RowValue | undefined => {
 		version = row?.version ?? 0;
-		const value = row && decodeRow(row);
+		const value = row && decodeRow(row, clock.date()).unwrapOr(undefined);
 		if (value?.leaving && !leaving) {
 			leaving = value.leaving;
 			options.onEarlierLeaving(value.leaving);
@@ -149,12 +158,14 @@
 
 		const members: Member[] = [];
 		for (const row of result.value.rows) {
-			const value = decodeRow(row);
-			if (value) {
-				members.push(value.member);
-			} else {
-				reporter.notice('meshRowMalformed', {key: row.key});
-			}
+			decodeRow(row, clock.date()).match(
+				({member}) => {
+					members.push(member);
+				},
+				(detail) => {
+					reportSkipped(row.key, detail);
+				},
+			);
 		}
 
 		options.onMembers(members);
@@ -181,11 +192,26 @@
 	};
 }
 
-function decodeRow(row: StoredRow): RowValue | undefined {
+/** Decodes a row; the error says why it names no member. */
+function decodeRow(row: StoredRow, now: Date): Result<RowValue, string> {
+	let json: unknown;
 	try {
-		const parsed = rowSchema.safeParse(JSON.parse(row.value));
-		return parsed.success ? parsed.data : undefined;
+		json = JSON.parse(row.value);
 	} catch {
-		return undefined;
+		return err('not JSON');
+	}
+
+	const parsed = rowSchema.safeParse(json);
+	if (!parsed.success) {
+		return err(describeIssue(parsed.error));
+	}
+
+	const {member, leaving} = parsed.data;
+	if (member.node !== row.key) {
+		return err('it names another node than its key');
 	}
+
+	return isInFuture(Math.max(member.startedAt, leaving?.startedAt ?? 0), now)
+		? err('its start is in the future')
+		: ok(parsed.data);
 }
--- a/packages/mesh/src/suspects/suspect-register.ts
+++ b/packages/mesh/src/suspects/suspect-register.ts
@@ -12,6 +12,7 @@
 	type Suspect,
 } from '@egretspoke/quarantine';
 import {sleep, type Clock, type Random} from '@egretspoke/shared';
+import {createLimitedNotices} from '../limited-notices.js';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {RowStore, StoredRow} from '../configuration/row-store.js';
 import {feedWait, followTable} from '../configuration/table-feed.js';
@@ -51,7 +52,14 @@
 export function createSuspectRegister(
 	options: SuspectRegisterOptions,
 ): SuspectRegister {
-	const {store, node, clock, random, reporter} = options;
+	const {store, node, clock, random} = options;
+	const reportSkipped = createLimitedNotices(clock, (key: string) => {
+		options.reporter.notice('meshRowMalformed', {
+			table,
+			key,
+			detail: 'not a list of suspects',
+		});
+	});
 	const recorded = createLocalSuspects(clock);
 	let version = 0;
 
@@ -77,7 +85,7 @@
 	const decode = ({key, value}: StoredRow): Suspect[] => {
 		const suspects = parseLocalSuspects(value, clock);
 		if (!suspects) {
-			reporter.notice('meshRowMalformed', {key});
+			reportSkipped(key);
 		}
 
 		return suspects ?? [];
--- a/packages/mesh/src/target/target-record.ts
+++ b/packages/mesh/src/target/target-record.ts
@@ -7,18 +7,26 @@
  * promised no more work. So they are ordered by start time and then by
  * sequence, and leaving is final for one incarnation.
  */
+import {remoteAddressSchema} from '@egretspoke/shared';
 import {z} from 'zod';
+import {
+	instantSchema,
+	nameSchema,
+	slotsSchema,
+	versionSchema,
+} from '../field-schemas.js';
 
 /** A target's announcement of its state; times in milliseconds. */
 export const announcementSchema = z.object({
-	targetId: z.string().min(1),
+	targetId: nameSchema,
 	/** Start time of this incarnation, in milliseconds since 1970 by the target's clock. */
-	startedAt: z.number().int().nonnegative(),
+	startedAt: instantSchema,
 	/** Increases with each announcement of one incarnation. */
-	sequence: z.number().int().nonnegative(),
-	service: z.string().min(1),
-	address: z.string().min(1),
-	slots: z.number().int().positive(),
+	sequence: versionSchema,
+	service: nameSchema,
+	/** `ip:port`. */
+	address: remoteAddressSchema,
+	slots: slotsSchema,
 	isLeaving: z.boolean(),
 	/** Remaining warm-up time, during which the target is slow. */
 	warmUpLeft: z.number().nonnegative(),
@@ -55,6 +63,12 @@
 /** Placeholder for fields of a target that withdrew without an announcement to this node. */
 const unknownField = 'unknown';
 
+/** A record as it is stored; the address of a target that withdrew without an announcement is unknown. */
+export const targetRecordSchema = announcementSchema.extend({
+	address: z.union([remoteAddressSchema, z.literal(unknownField)]),
+	hasLeft: z.boolean(),
+});
+
 /** Applies an announcement to the known record. */
 export function applyAnnouncement(
 	known: TargetRecord | undefined,
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -132,8 +132,9 @@
 		code: 2506,
 		level: 'warn',
 		kind: 'notice',
-		template: 'row {key} of the members is malformed',
-		meaning: 'Another program wrote the row; it is ignored.',
+		template: 'row {key} of {table} is malformed: {detail}',
+		meaning:
+			'Another program wrote the row; it is ignored, and the other rows hold.',
 		advice: 'Find out who writes to the table.',
 	},
 	meshSettingsRead: {
