fix(platform): each check-in and withdrawal gets a response, and an odd one names no target

What callers saw: no response at all to an id that is not UTF-8 (URIError past the handler); 503 to each request after a check-in with a port above 65535 was acknowledged; the live target ended by a withdrawal whose start could not be read. Cause: the id was decoded outside of any handler, an address was any text, and a withdrawal that could not be decoded counted as one without a start.

--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -14,6 +14,7 @@
 	type MeshPolicy,
 } from './decisions/mesh-policy.js';
 export * from './configuration/header-names.js';
+export {createLimitedNotices} from './limited-notices.js';
 export {listenOn} from './listening.js';
 export * from './mesh-node.js';
 export type {MeshReporter, ReportDetails} from './mesh-reporter.js';
@@ -22,6 +23,7 @@
 export {digestKey, type Workspace} from './quotas/workspace.js';
 export {
 	announcementSchema,
+	withdrawalSchema,
 	type Announcement,
 	type Withdrawal,
 } from './target/target-record.js';
--- a/packages/mesh/src/target/target-record.ts
+++ b/packages/mesh/src/target/target-record.ts
@@ -38,8 +38,14 @@
 /** Identifies one run of a target: its id, and when it started. */
 export type Incarnation = Pick<Announcement, 'targetId' | 'startedAt'>;
 
+export const withdrawalSchema = z.object({
+	targetId: nameSchema,
+	/** Start time of the incarnation; undefined if the notice does not state it. */
+	startedAt: z.union([instantSchema, z.undefined()]),
+});
+
 /** A target's notice that it has ended or is about to end. */
-export type Withdrawal = {targetId: string; startedAt: number | undefined};
+export type Withdrawal = z.output<typeof withdrawalSchema>;
 
 /** The state of the local target as known to this node. */
 export type TargetRecord = Announcement & {hasLeft: boolean};
