fix(mesh): a target's start that lies in the future is refused

What callers saw: one check-in or withdrawal with a start far ahead made each later check-in of the live target stale (409), for good. Cause: starts were compared and never bounded. Measured: target-tracker.spec failed before (the forged start was applied).

--- a/packages/mesh/src/target/target-tracker.ts
+++ b/packages/mesh/src/target/target-tracker.ts
@@ -1,5 +1,7 @@
 /** Tracks the state of the local target and publishes its changes. */
 import type {Clock} from '@egretspoke/shared';
+import {isInFuture} from '../field-schemas.js';
+import {createLimitedNotices} from '../limited-notices.js';
 import type {MeshReporter} from '../mesh-reporter.js';
 import type {TargetState} from '../links/peer-message.js';
 import type {TargetDispatcher} from './target-dispatcher.js';
@@ -47,6 +49,12 @@
 	options: TargetTrackerOptions,
 ): TargetTracker {
 	const {clock, dispatcher, reporter, onChange} = options;
+	const reportRefused = createLimitedNotices(
+		clock,
+		(targetId: string, detail: string) => {
+			reporter.notice('meshAnnouncementMalformed', {target: targetId, detail});
+		},
+	);
 	let target: TargetRecord | undefined;
 	let isReachable = true;
 
@@ -98,10 +106,25 @@
 		return true;
 	};
 
+	/** A start that lies ahead of all clocks would make each later one of the target stale. */
+	const isPlausible = ({
+		targetId,
+		startedAt = 0,
+	}: Announcement | Withdrawal): boolean => {
+		const hasFutureStart = isInFuture(startedAt, clock.date());
+		if (hasFutureStart) {
+			reportRefused(targetId, `its start at ${startedAt} is in the future`);
+		}
+
+		return !hasFutureStart;
+	};
+
 	return {
 		announce: async (announcement) =>
+			isPlausible(announcement) &&
 			apply(applyAnnouncement(target, announcement)),
 		withdraw: async (withdrawal) =>
+			isPlausible(withdrawal) &&
 			apply(applyWithdrawal(target, withdrawal, clock.date().getTime())),
 		restoreLeaving(record) {
 			if (!target || target.startedAt < record.startedAt) {
