fix(mesh): messages between nodes are decoded whole, and an odd one throws nowhere

What callers saw: a process that went on with half a node after a message of kind `constructor`, a request sent as a table, or a member with a deep table that gossip could not encode; a process ended by its memory limit after 50 bytes that state long nested lists. Cause: schemas were looked up among inherited properties, tables of unchecked kinds were passed on as they came, lists were checked for few types, and the decoder of MessagePack allocates a list by its stated length. Change: only what a schema names is passed on; unknown kinds, and single malformed entries of members and suspects, are skipped with a line; exchange numbers, statuses, header pairs, sizes and loads are checked; unknown reasons count as those of the link; times are shortened to what timers take; lengths of lists are compared with the bytes of the frame before it is decoded. Changed specs: peer-message.spec drew header lists of odd length, which no node sends and `writeHead` refuses; it draws pairs now. peer-updates.spec looked for the unknown message in the frame; it is skipped now, and the spec also asks that the message behind it is handled.

--- a/packages/mesh/__tests__/peer-message.spec.ts
+++ b/packages/mesh/__tests__/peer-message.spec.ts
@@ -9,11 +9,15 @@
 
 const share = fc.integer({min: 0, max: 5000}).map((value) => value / 1000);
 const bytes = fc.uint8Array({maxLength: 40});
+/** Names and values alternating. */
+const headers = fc
+	.array(fc.tuple(fc.string(), fc.string()), {maxLength: 3})
+	.map((pairs) => pairs.flat());
 const request = fc.record({
 	requestId: fc.string(),
 	method: fc.constantFrom('GET', 'POST'),
 	path: fc.string(),
-	headers: fc.array(fc.string(), {maxLength: 6}),
+	headers,
 	body: fc.option(bytes, {nil: undefined}),
 	service: fc.string(),
 	isIdempotent: fc.boolean(),
@@ -30,7 +34,7 @@
 	fc.record({
 		kind: fc.constant('answered' as const),
 		status: fc.constantFrom(200, 404, 500),
-		headers: fc.array(fc.string(), {maxLength: 6}),
+		headers,
 		body: bytes,
 	}),
 	fc.record({
--- a/packages/mesh/__tests__/peer-updates.spec.ts
+++ b/packages/mesh/__tests__/peer-updates.spec.ts
@@ -82,9 +82,18 @@
 		// Guards against a node of this version that fails on messages of a later one during a release.
 		const node = createNode();
 		const later = {kind: 'later', value: 1} as unknown as PeerMessage;
-		const frame = decodeFrame(encodeFrame({sentAt: 0, messages: [later]}));
-		node.receive(1, frame._unsafeUnwrap().messages[0]!);
-		expect(node.sent).to.deep.equal([]);
+		const known: PeerMessage = {kind: 'version', version: 1};
+		const frame = decodeFrame(
+			encodeFrame({sentAt: 0, messages: [later, known]}),
+		);
+		for (const message of frame._unsafeUnwrap().messages) {
+			node.receive(1, message);
+		}
+
+		// The message behind it is still handled.
+		expect(node.sent).to.deep.equal([
+			{from: 1, message: {kind: 'configurationWanted'}},
+		]);
 	});
 
 	describe('about a newer configuration', () => {
--- a/packages/mesh/src/field-schemas.ts
+++ b/packages/mesh/src/field-schemas.ts
@@ -34,6 +34,9 @@
 /** A ratio, a rate or a time, that is not negative. */
 export const amountSchema = z.number().min(0).max(maxAmount);
 
+/** A number of a report whose rounding may leave it below 0. */
+export const reportedSchema = z.number().min(-maxAmount).max(maxAmount);
+
 /** The requests that a target runs at the same time. */
 export const slotsSchema = z.number().int().positive().max(maxSlots);
 
--- a/packages/mesh/src/links/compact-message.ts
+++ b/packages/mesh/src/links/compact-message.ts
@@ -6,6 +6,7 @@
  * request, and traffic between data centres is billed by the byte. Lists are
  * also faster to encode and to decode.
  */
+import {maxDuration} from '../field-schemas.js';
 import type {
 	ForwardedRequest,
 	LossReason,
@@ -158,10 +159,9 @@
 
 /** Decodes a list; returns undefined if it is none of these messages. */
 export function fromCompact(list: unknown[]): CompactMessage | undefined {
-	const decoder = decoders[list[0] as number];
-	return decoder &&
-		list.length >= decoder.minLength &&
-		typeof list[1] === 'number'
+	const [code] = list;
+	const decoder = typeof code === 'number' ? decoders[code] : undefined;
+	return decoder && list.length >= decoder.minLength
 		? decoder.read(list)
 		: undefined;
 }
@@ -174,7 +174,8 @@
 	{minLength: 17, read: readRequest},
 	{
 		minLength: 2,
-		read: (list) => ({kind: 'cancel', exchange: list[1] as number}),
+		read: ([, exchange]) =>
+			isCount(exchange) ? {kind: 'cancel', exchange} : undefined,
 	},
 	{minLength: 5, read: readOutcome},
 	{minLength: 5, read: readLoad},
@@ -182,13 +183,33 @@
 	{minLength: 4, read: readPart},
 	{
 		minLength: 3,
-		read: (list) =>
-			typeof list[2] === 'number'
-				? {kind: 'credit', exchange: list[1] as number, bytes: list[2]}
+		read: ([, exchange, bytes]) =>
+			isCount(exchange) && isCount(bytes)
+				? {kind: 'credit', exchange, bytes}
 				: undefined,
 	},
 ];
 
+/** The numbers of exchanges, and counts of bytes. */
+function isCount(value: unknown): value is number {
+	return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
+/** Texts in pairs of a name and a value. */
+function isHeaderList(value: unknown): value is string[] {
+	if (!Array.isArray(value) || value.length % 2 !== 0) {
+		return false;
+	}
+
+	for (const item of value) {
+		if (typeof item !== 'string') {
+			return false;
+		}
+	}
+
+	return true;
+}
+
 /**
  * An item of a wrong type would throw in the target's client after the request
  * has taken a slot, which would never be released: the target would be reported
@@ -197,37 +218,38 @@
 function isRequestList(list: unknown[]): boolean {
 	const body = list[6];
 	return (
+		isCount(list[1]) &&
 		typeof list[2] === 'string' &&
 		typeof list[3] === 'string' &&
 		typeof list[4] === 'string' &&
-		Array.isArray(list[5]) &&
+		isHeaderList(list[5]) &&
 		(body === null || body instanceof Uint8Array) &&
 		typeof list[7] === 'string' &&
 		typeof list[8] === 'boolean' &&
 		typeof list[9] === 'boolean' &&
-		typeof list[10] === 'number' &&
-		typeof list[11] === 'number' &&
-		typeof list[12] === 'number' &&
-		typeof list[13] === 'number' &&
+		isCount(list[10]) &&
+		Number.isFinite(list[11]) &&
+		Number.isFinite(list[12]) &&
+		Number.isFinite(list[13]) &&
 		typeof list[14] === 'string' &&
 		typeof list[15] === 'boolean' &&
-		typeof list[16] === 'number'
+		isCount(list[16])
 	);
 }
 
 function readLargeRequest(list: unknown[]): CompactMessage | undefined {
 	const message = readRequest(list);
 	const bodySize = list[17];
-	return message && Number.isSafeInteger(bodySize) && (bodySize as number) > 0
-		? {...message, kind: 'largeRequest', bodySize: bodySize as number}
+	return message && isCount(bodySize) && bodySize > 0
+		? {...message, kind: 'largeRequest', bodySize}
 		: undefined;
 }
 
 function readPart([, exchange, bytes, code]: unknown[]):
 	CompactMessage | undefined {
-	const rest = restCodes[code as number];
-	return bytes instanceof Uint8Array && rest !== undefined
-		? {kind: 'part', exchange: exchange as number, bytes, rest}
+	const rest = typeof code === 'number' ? restCodes[code] : undefined;
+	return isCount(exchange) && bytes instanceof Uint8Array && rest !== undefined
+		? {kind: 'part', exchange, bytes, rest}
 		: undefined;
 }
 
@@ -251,8 +273,8 @@
 			isIdempotent: list[8] as boolean,
 			isInner: list[9] as boolean,
 			priority: list[10] as number,
-			maxWait: list[11] as number,
-			timeLeft: list[12] as number,
+			maxWait: Math.min(maxDuration, list[11] as number),
+			timeLeft: Math.min(maxDuration, list[12] as number),
 			repeatShare: (list[13] as number) / ratioScale,
 			route: list[14] as string,
 			isNearCompletion: list[15] as boolean,
@@ -261,23 +283,52 @@
 	};
 }
 
-function readLoad([, ...load]: unknown[]): CompactMessage | undefined {
-	return load.every((share) => typeof share === 'number')
-		? {kind: 'load', load: fromNumbers(load as LoadNumbers)}
-		: undefined;
+function readLoad(list: unknown[]): CompactMessage | undefined {
+	const load = list.slice(1);
+	return isLoadList(load) ? {kind: 'load', load: fromNumbers(load)} : undefined;
+}
+
+function isLoadList(load: unknown): load is LoadNumbers {
+	if (!Array.isArray(load) || load.length < minLoadLength) {
+		return false;
+	}
+
+	for (const item of load) {
+		// The least is `unlimited`; a rate limit may be so high that it is sent as infinite.
+		if (typeof item !== 'number' || !(item >= unlimited)) {
+			return false;
+		}
+	}
+
+	return true;
 }
 
 function readOutcome(list: unknown[]): CompactMessage | undefined {
-	const load = list[2];
-	const outcome = readOutcomeKind(list[3], list[4], list[5], list[6]);
+	const [, exchange, load, kind, detail, headers, body, streamSize] = list;
+	const outcome = readOutcomeKind(kind, detail, headers, body);
+	const isValid =
+		isCount(exchange) &&
+		(load === null || isLoadList(load)) &&
+		(streamSize === undefined ||
+			streamSize === unknownSize ||
+			isCount(streamSize));
+	return outcome && isValid
+		? {
+				kind: 'outcome',
+				exchange,
+				outcome,
+				load: load === null ? undefined : fromNumbers(load),
+				...(streamSize !== undefined && {streamSize}),
+			}
+		: undefined;
+}
+
+/** Statuses that a response can have. */
+function isStatus(value: unknown): value is number {
 	return (
-		outcome && {
-			kind: 'outcome',
-			exchange: list[1] as number,
-			outcome,
-			load: Array.isArray(load) ? fromNumbers(load as LoadNumbers) : undefined,
-			...(typeof list[7] === 'number' && {streamSize: list[7]}),
-		}
+		Number.isInteger(value) &&
+		(value as number) >= 100 &&
+		(value as number) <= 999
 	);
 }
 
@@ -289,23 +340,27 @@
 ): Outcome | undefined {
 	switch (kind) {
 		case 'answered': {
-			return typeof detail === 'number' &&
-				Array.isArray(headers) &&
+			return isStatus(detail) &&
+				isHeaderList(headers) &&
 				body instanceof Uint8Array
-				? {kind, status: detail, headers: headers as string[], body}
+				? {kind, status: detail, headers, body}
 				: undefined;
 		}
 
 		case 'declined': {
-			return {kind, status: detail as number};
+			return isStatus(detail) ? {kind, status: detail} : undefined;
 		}
 
 		case 'refused': {
-			return {kind, reason: detail as RefusalReason};
+			return typeof detail === 'string'
+				? {kind, reason: readRefusal(detail)}
+				: undefined;
 		}
 
 		case 'lost': {
-			return {kind, reason: detail as LossReason};
+			return typeof detail === 'string'
+				? {kind, reason: readLoss(detail)}
+				: undefined;
 		}
 
 		default: {
@@ -314,6 +369,44 @@
 	}
 }
 
+/** A refusal holds whatever its reason is; that of a later version counts as one of the link. */
+function readRefusal(reason: string): RefusalReason {
+	return Object.hasOwn(refusalReasons, reason)
+		? (reason as RefusalReason)
+		: 'linkDown';
+}
+
+function readLoss(reason: string): LossReason {
+	return Object.hasOwn(lossReasons, reason)
+		? (reason as LossReason)
+		: 'linkLost';
+}
+
+const refusalReasons: Record<RefusalReason, true> = {
+	noTarget: true,
+	targetLeaving: true,
+	otherService: true,
+	targetUnreachable: true,
+	targetReplaced: true,
+	noRoom: true,
+	rateLimited: true,
+	waitedTooLong: true,
+	noTimeLeft: true,
+	quarantined: true,
+	nodeStopping: true,
+	linkDown: true,
+};
+
+const lossReasons: Record<LossReason, true> = {
+	connectionLost: true,
+	targetCrashed: true,
+	answerCut: true,
+	answerForeign: true,
+	answerUnsigned: true,
+	linkLost: true,
+	noAnswerInTime: true,
+};
+
 /**
  * Ratios in thousandths, the run time in milliseconds, and the rate limit in
  * requests per second with its occupancy in thousandths. The last four are
@@ -333,6 +426,9 @@
 	heldLevel?: number,
 ];
 
+/** The numbers that each load has. */
+const minLoadLength = 4;
+
 /** Stands for an infinite rate limit, which takes nine bytes as a number. */
 const unlimited = -1;
 
--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -152,7 +152,7 @@
 	socket.on('message', (data: RawData) => {
 		// It was copied from what the socket delivered.
 		budget.dropPart(2 * (data as Uint8Array).byteLength);
-		const frame = decodeFrame(data as Uint8Array);
+		const frame = decodeFrame(data as Uint8Array, handlers.onMalformed);
 		if (frame.isErr()) {
 			handlers.onMalformed(frame.error);
 			socket.terminate();
--- a/packages/mesh/src/links/peer-message.ts
+++ b/packages/mesh/src/links/peer-message.ts
@@ -12,13 +12,23 @@
 	routingConfigurationSchema,
 	type RoutingConfiguration,
 } from '../configuration/route.js';
-import {instantSchema, nameSchema, placeSchema} from '../field-schemas.js';
+import {
+	amountSchema,
+	describeIssue,
+	instantSchema,
+	nameSchema,
+	placeSchema,
+	reportedSchema,
+	slotsSchema,
+	versionSchema,
+} from '../field-schemas.js';
 import {
 	fromCompact,
 	toCompact,
 	isCompact,
 	type CompactMessage,
 } from './compact-message.js';
+import {isAllocationBounded} from './message-size.js';
 
 /** Identity and address of a node, as other nodes need them to link to it. */
 export const memberSchema = z.object({
@@ -34,31 +44,31 @@
 
 /** State of a node's target, as the node reports it. */
 export const targetStateSchema = z.object({
-	service: z.string(),
-	targetId: z.string(),
-	startedAt: z.number(),
-	sequence: z.number(),
+	service: placeSchema,
+	targetId: nameSchema,
+	startedAt: instantSchema,
+	sequence: versionSchema,
 	isLeaving: z.boolean(),
 	isReachable: z.boolean(),
-	slots: z.number().positive(),
+	slots: slotsSchema,
 });
 
 const loadSchema = z.object({
-	occupancy: z.number(),
-	shedLevel: z.number(),
-	failureShare: z.number(),
-	runTime: z.number().nonnegative(),
-	declined: z.number().default(0),
-	declineLevel: z.number().default(0),
-	demand: z.number().default(0),
-	heldLevel: z.number().default(0),
+	occupancy: reportedSchema,
+	shedLevel: reportedSchema,
+	failureShare: reportedSchema,
+	runTime: amountSchema,
+	declined: reportedSchema.default(0),
+	declineLevel: reportedSchema.default(0),
+	demand: reportedSchema.default(0),
+	heldLevel: reportedSchema.default(0),
 	rate: z
 		.object({
 			/** May be infinite, which `z.number` rejects. */
 			limit: z.custom<number>(
 				(value) => typeof value === 'number' && value >= 0,
 			),
-			occupancy: z.number(),
+			occupancy: reportedSchema,
 		})
 		.optional(),
 });
@@ -70,7 +80,7 @@
 export const helloSchema = z.object({
 	kind: z.literal('hello'),
 	member: memberSchema,
-	configurationVersion: z.number(),
+	configurationVersion: versionSchema,
 });
 
 /** Members that were new to the sender; see `member-gossip.ts`. */
@@ -81,10 +91,8 @@
 
 const routeProfileSchema = z.object({
 	route: z.string(),
-	runTime: z.number().nonnegative(),
-	calls: z.array(
-		z.object({route: z.string(), count: z.number().nonnegative()}),
-	),
+	runTime: amountSchema,
+	calls: z.array(z.object({route: z.string(), count: amountSchema})),
 	isLeaf: z.boolean(),
 });
 
@@ -123,25 +131,27 @@
 	/** Whether the sender uses the grants of the receiver. */
 	wantsGrant: z.boolean(),
 	/** Workspace, requests per second, admitted requests per second, and the rate reserved for nodes that do not reach the sender. */
-	uses: z.array(z.tuple([z.string(), z.number(), z.number(), z.number()])),
+	uses: z.array(
+		z.tuple([z.string(), reportedSchema, reportedSchema, reportedSchema]),
+	),
 });
 
 /** Quota shares that the sender grants. */
 export const quotaGrantSchema = z.object({
 	kind: z.literal('quotaGrant'),
 	/** Workspace, requests per second over all nodes, and the share of them that may be admitted. */
-	grants: z.array(z.tuple([z.string(), z.number(), z.number()])),
+	grants: z.array(z.tuple([z.string(), reportedSchema, reportedSchema])),
 });
 
 /** Service, priority, shed level, demand of all workspaces, the part that the shed level refuses, and the demand of the named workspaces; in milliseconds of slots per second. */
 const fairLoadsSchema = z.array(
 	z.tuple([
 		z.string(),
-		z.number(),
+		reportedSchema,
 		z.number().min(0).max(1),
-		z.number().nonnegative(),
-		z.number().nonnegative(),
-		z.array(z.tuple([z.string(), z.number().nonnegative()])),
+		amountSchema,
+		amountSchema,
+		z.array(z.tuple([z.string(), amountSchema])),
 	]),
 );
 
@@ -169,8 +179,8 @@
 /** What the sender knows of the receiver's target from earlier answers; see `target-memory.ts`. */
 export const targetMemorySchema = z.object({
 	kind: z.literal('targetMemory'),
-	targetId: z.string(),
-	startedAt: z.number(),
+	targetId: nameSchema,
+	startedAt: instantSchema,
 	/** Requests per second that the target accepts; absent without a known limit. */
 	rateLimit: z.number().nonnegative().optional(),
 	isLeaving: z.boolean(),
@@ -183,7 +193,7 @@
 export const closingSchema = z.object({
 	kind: z.literal('closing'),
 	/** The exchanges of the requests that are still running. */
-	running: z.array(z.number()),
+	running: z.array(z.number().int()),
 });
 
 const configurationSchema = z.object({
@@ -224,21 +234,33 @@
 	| {kind: 'ping'}
 	| {kind: 'pong'};
 
-/** Schemas of the messages that are rare and change a node's state; only these are validated in full. */
-const validatedKinds: Record<string, z.ZodType> = {
-	hello: helloSchema,
-	members: membersSchema,
-	state: stateSchema,
-	profiles: profilesSchema,
-	quotaUse: quotaUseSchema,
-	quotaGrant: quotaGrantSchema,
-	fairDemand: fairDemandSchema,
-	fairTotals: fairTotalsSchema,
-	suspects: suspectsSchema,
-	targetMemory: targetMemorySchema,
-	closing: closingSchema,
-	configuration: configurationSchema,
-};
+/** The messages that are sent as tables; those that are sent as lists are checked in `compact-message.ts`. */
+const schemas: ReadonlyMap<string, z.ZodType> = new Map<string, z.ZodType>([
+	['hello', helloSchema],
+	['members', membersSchema],
+	['state', stateSchema],
+	['profiles', profilesSchema],
+	['quotaUse', quotaUseSchema],
+	['quotaGrant', quotaGrantSchema],
+	['fairDemand', fairDemandSchema],
+	['fairTotals', fairTotalsSchema],
+	['suspects', suspectsSchema],
+	['targetMemory', targetMemorySchema],
+	['closing', closingSchema],
+	['configuration', configurationSchema],
+	['version', z.object({kind: z.literal('version'), version: versionSchema})],
+	['configurationWanted', z.object({kind: z.literal('configurationWanted')})],
+	['ping', z.object({kind: z.literal('ping')})],
+	['pong', z.object({kind: z.literal('pong')})],
+]);
+
+/** Messages with entries of several origins: an entry that is malformed is skipped, and the others hold. */
+const entrySchemas: ReadonlyMap<string, z.ZodType> = new Map<string, z.ZodType>(
+	[
+		['members', memberSchema],
+		['suspects', suspectTupleSchema],
+	],
+);
 
 const packr = new Packr({useRecords: false});
 
@@ -264,10 +286,24 @@
 	return isCompact(message) ? toCompact(message) : message;
 }
 
-/** Decodes a frame; the error describes what is malformed. */
-export function decodeFrame(bytes: Uint8Array): Result<Frame, string> {
+/** Called with the reason why an entry or a message was skipped. */
+type SkipHandler = (detail: string) => void;
+
+/**
+ * Decodes a frame; the error describes what is malformed. Messages of unknown
+ * kinds are skipped, because a peer may be of a later version, and so are the
+ * malformed ones among entries of several origins.
+ */
+export function decodeFrame(
+	bytes: Uint8Array,
+	onSkipped: SkipHandler = () => undefined,
+): Result<Frame, string> {
 	let value: unknown;
 	try {
+		if (!isAllocationBounded(bytes)) {
+			return err('lists that are longer than the frame');
+		}
+
 		value = packr.unpack(bytes);
 	} catch (error) {
 		return err(
@@ -276,25 +312,36 @@
 	}
 
 	const [sentAt, items] = Array.isArray(value) ? (value as unknown[]) : [];
-	if (typeof sentAt !== 'number' || !Array.isArray(items)) {
+	if (!isSendTime(sentAt) || !Array.isArray(items)) {
 		return err('expected a time and a list of messages');
 	}
 
 	const messages: PeerMessage[] = [];
 	for (const item of items as unknown[]) {
-		const message = fromWire(item);
+		const message = fromWire(item, onSkipped);
 		if (typeof message === 'string') {
 			return err(message);
 		}
 
-		messages.push(message);
+		if (message) {
+			messages.push(message);
+		}
 	}
 
 	return ok({sentAt, messages});
 }
 
-/** Decodes a message; returns a description if it is malformed. */
-function fromWire(item: unknown): PeerMessage | string {
+function isSendTime(value: unknown): value is number {
+	return (
+		typeof value === 'number' && value >= 0 && value <= Number.MAX_SAFE_INTEGER
+	);
+}
+
+/** Decodes a message; returns a description if it is malformed, and undefined if its kind is unknown. */
+function fromWire(
+	item: unknown,
+	onSkipped: SkipHandler,
+): PeerMessage | string | undefined {
 	if (Array.isArray(item)) {
 		return fromCompact(item) ?? 'malformed list';
 	}
@@ -303,9 +350,41 @@
 		return 'a message has no kind';
 	}
 
-	const kind = String(item.kind);
-	const checked = validatedKinds[kind]?.safeParse(item);
-	return checked && !checked.success
-		? `malformed ${kind}: ${checked.error.issues[0]?.message ?? ''}`
-		: (item as PeerMessage);
+	const {kind} = item;
+	const schema = typeof kind === 'string' ? schemas.get(kind) : undefined;
+	if (typeof kind !== 'string' || !schema) {
+		onSkipped('a message of an unknown kind');
+		return undefined;
+	}
+
+	const checked = schema.safeParse(withoutOddEntries(item, kind, onSkipped));
+	// Only what the schema names is passed on: encoding a table that is nested deep would throw.
+	return checked.success
+		? (checked.data as PeerMessage)
+		: `malformed ${kind}: ${describeIssue(checked.error)}`;
+}
+
+/** Removes the entries of a list that are malformed. */
+function withoutOddEntries(
+	item: Record<string, unknown>,
+	kind: string,
+	onSkipped: SkipHandler,
+): Record<string, unknown> {
+	const schema = entrySchemas.get(kind);
+	const entries = item[kind];
+	if (!schema || !Array.isArray(entries)) {
+		return item;
+	}
+
+	return {
+		...item,
+		[kind]: (entries as unknown[]).filter((entry) => {
+			const checked = schema.safeParse(entry);
+			if (!checked.success) {
+				onSkipped(`an entry of ${kind}: ${describeIssue(checked.error)}`);
+			}
+
+			return checked.success;
+		}),
+	};
 }
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -38,6 +38,7 @@
 import {createProfileUpdates} from './entry/profile-updates.js';
 import {createLoadReport} from './target/load-report.js';
 import {createMemberRegister} from './members/member-register.js';
+import {createLimitedNotices} from './limited-notices.js';
 import type {MeshReporter} from './mesh-reporter.js';
 import {createLocalStateMessages} from './target/local-state.js';
 import {createThrottledUpdates} from './timing/throttled-updates.js';
@@ -285,9 +286,9 @@
 		},
 		...workspaceExchanges.handlers,
 	});
-	const onMalformed = (detail: string) => {
+	const onMalformed = createLimitedNotices(clock, (detail: string) => {
 		reporter.notice('malformedMessage', {detail});
-	};
+	});
 
 	const onUnread = (bytes: number) => {
 		reporter.notice('meshPeerNotReading', {bytes});
