fix(mesh): a response without a body ends with its headers on all Node versions

What callers saw: a 204 or 304 of a target that states a length (for a 304 the length of the body that a 200 would have had, RFC 9110, section 15.4.5) had no answer until the deadline, and then 504. When more bytes followed, the first of them were taken for that body: behind a 103 with a length the beginning of the final response was eaten and the request was lost; behind a late copy the request's own response was.

Cause: the HTTP parser of Node 20.19 (llhttp 8.1.2) takes the length of such a response at its word; that of later versions does not. The specs passed on the machine with a later Node 20; the kind of processor has no part in it.

Change: the callback for headers tells the parser that no body follows a 1xx, 204 or 304, as it already did for HEAD. Parsers that know this are not affected.

Measured on Node 20.19.0, arm64: "reads answers without a body by their status and method" and 8 new specs time out before the change, and pass after it.

--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -210,6 +210,54 @@
 		await connectionOfNext();
 	});
 
+	describe('when a response without a body states a length', () => {
+		// Guards against waiting for that body until the deadline, and against taking the next bytes for it.
+		const lines = (id: string) => `Request-Id: ${id}\r\nSigned: s\r\n`;
+		for (const status of [204, 304]) {
+			for (const framing of [
+				'Content-Length: 5',
+				'Transfer-Encoding: chunked',
+			]) {
+				it(`ends a ${status} with its headers (${framing})`, async () => {
+					answerWith(
+						({id}) =>
+							`HTTP/1.1 ${status} Empty\r\n${lines(id)}${framing}\r\n\r\n`,
+					);
+					expect(await outcomeOf('a')).to.equal(`${status} `);
+					expect(await connectionOfNext()).to.equal(0);
+				});
+			}
+
+			it(`closes the connection when the body of a ${status} follows`, async () => {
+				answerWith(
+					({id}) =>
+						`HTTP/1.1 ${status} Empty\r\n${lines(id)}Content-Length: 5\r\n\r\nextra`,
+				);
+				expect(await outcomeOf('a')).to.equal(`${status} `);
+				expect(await connectionOfNext()).to.equal(1);
+			});
+		}
+
+		it('reads the response behind an interim one', async () => {
+			answerWith(
+				({id}) =>
+					`HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n${createAnswer(id)}`,
+			);
+			expect(await outcomeOf('a')).to.equal('200 done');
+			expect(await connectionOfNext()).to.equal(0);
+		});
+
+		it('reads the response behind a late copy', async () => {
+			expect(await outcomeOf('a')).to.equal('200 done');
+			answerWith(
+				({id}) =>
+					`HTTP/1.1 304 Empty\r\n${lines('a')}Content-Length: 5\r\n\r\n${createAnswer(id)}`,
+			);
+			expect(await outcomeOf('b')).to.equal('200 done');
+			expect(await connectionOfNext()).to.equal(0);
+		});
+	});
+
 	describe('when a connection delivers bytes that belong to no request', () => {
 		// Taken for the answer of the next request, they would show one caller the
 		// data of another.
--- a/packages/mesh/src/target/response-parser.ts
+++ b/packages/mesh/src/target/response-parser.ts
@@ -3,9 +3,10 @@
  *
  * Node's HTTP client around it creates streams, listeners and header objects for
  * each request. Nodes of a mesh are cold, so that code costs more than the
- * parser does. The module that exports the parser is not documented; the version
- * of Node that deployments run is fixed, and the specs of the target client fail
- * if its interface changes.
+ * parser does. The module that exports the parser is not documented; the specs of
+ * the target client fail if its interface changes. llhttp before 9.3 (Node 20.19)
+ * reads some responses more leniently than RFC 9112; the checks on heads here make
+ * all versions read alike.
  */
 import {maxHeaderSize} from 'node:http';
 import {createRequire} from 'node:module';
@@ -93,10 +94,14 @@
 		_statusText: string,
 		isUpgrade: boolean,
 		isKeptAlive: boolean,
-	) =>
-		handler.onHead(status, headers ?? earlyHeaders, {isUpgrade, isKeptAlive})
+	) => {
+		const all = headers ?? earlyHeaders;
+		return handler.onHead(status, all, {isUpgrade, isKeptAlive}) ||
+			isBodiless(status)
 			? noBodyFollows
 			: bodyFollows;
+	};
+
 	/* eslint-enable max-params */
 	parser[Parser.kOnBody] = (part: Uint8Array) => {
 		handler.onBody(part);
@@ -114,3 +119,11 @@
 		},
 	};
 }
+
+/**
+ * Whether a response with the status ends with its headers, whatever length they
+ * state (RFC 9112, section 6.3).
+ */
+function isBodiless(status: number): boolean {
+	return status < 200 || status === 204 || status === 304;
+}
