fix(mesh): a response whose header name contains a space closes its connection on all Node versions

What callers saw: a response with a header such as "X Y: 1" or "X : 1" was accepted; without a length it was then awaited until the deadline, and its connection was used again where it had one, though other readers take another name from the line (request and response smuggling).

Change: the callback for headers stops the parser with an error, so that nothing behind such a head is read either.

--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -464,6 +464,17 @@
 				`${head(id)}Content-Length: 4x\r\n\r\nfour`,
 			'a negative length': (id) => `${head(id)}Content-Length: -4\r\n\r\nfour`,
 			'a folded header name': (id) => `${head(id)}X Y: 1\r\n\r\n`,
+			'a header name with a space within a whole answer': (id) =>
+				createAnswer(id, 'done', ['Transfer Encoding: chunked']),
+			'a header name with a space behind many headers': (id) =>
+				createAnswer(id, 'done', [
+					...Array.from({length: 80}, (_, index) => `X-${index}: x`),
+					'X Y: 1',
+				]),
+			'a header name with a space, also before another answer': (id) =>
+				createAnswer(id, 'done', ['X Y: 1']) + createAnswer(id, 'other'),
+			'a header name that ends in a space': (id) =>
+				createAnswer(id, 'done', ['X : 1']),
 			'headers above 16 KB': (id) =>
 				`${head(id)}X-Long: ${'x'.repeat(20_000)}\r\nContent-Length: 0\r\n\r\n`,
 			'an answer that expects the request to continue': (id) =>
--- a/packages/mesh/src/target/response-parser.ts
+++ b/packages/mesh/src/target/response-parser.ts
@@ -63,9 +63,10 @@
 	'node:_http_common',
 ) as {HTTPParser: NodeParserClass};
 
-/** Results of the callback for headers: parse the body, or expect none. */
+/** Results of the callback for headers: parse the body, expect none, or stop with an error. */
 const bodyFollows = 0;
 const noBodyFollows = 1;
+const malformedHead = -1;
 
 /** Creates the parser of a connection. */
 export function createResponseParser(handler: ResponseHandler): ResponseParser {
@@ -96,6 +97,10 @@
 		isKeptAlive: boolean,
 	) => {
 		const all = headers ?? earlyHeaders;
+		if (hasInvalidName(all)) {
+			return malformedHead;
+		}
+
 		return handler.onHead(status, all, {isUpgrade, isKeptAlive}) ||
 			isBodiless(status)
 			? noBodyFollows
@@ -127,3 +132,14 @@
 function isBodiless(status: number): boolean {
 	return status < 200 || status === 204 || status === 304;
 }
+
+/** Whether a header name contains a space; other readers take a part of it for the name. */
+function hasInvalidName(headers: string[]): boolean {
+	for (let index = 0; index < headers.length; index += 2) {
+		if (headers[index]!.includes(' ')) {
+			return true;
+		}
+	}
+
+	return false;
+}
