fix(mesh): an answer with a transfer coding other than chunked is lost, not passed on coded

What callers saw: a target that answers with "Transfer-Encoding: gzip, chunked" (or gzip alone, or chunked twice) gave its caller a 200, framed as whole, whose body was the compressed bytes, or the size lines of the chunks, and no header that says so (MIXED).

Cause: the header concerns one connection and isn't forwarded, but only the last chunked coding is undone.

Change: the parser stops at a head that names anything but one chunked coding; the request is lost, as with other malformed heads. identity, which RFC 9112 has removed, is among these. A Content-Encoding belongs to the body and is forwarded with it, as before.

--- a/packages/mesh/src/target/response-parser.ts
+++ b/packages/mesh/src/target/response-parser.ts
@@ -68,6 +68,8 @@
 const noBodyFollows = 1;
 const malformedHead = -1;
 
+const transferEncoding = 'transfer-encoding';
+
 /** Creates the parser of a connection. */
 export function createResponseParser(handler: ResponseHandler): ResponseParser {
 	const parser = new Parser();
@@ -97,7 +99,7 @@
 		isKeptAlive: boolean,
 	) => {
 		const all = headers ?? earlyHeaders;
-		if (hasInvalidName(all)) {
+		if (hasInvalidName(all) || hasOtherCoding(all)) {
 			return malformedHead;
 		}
 
@@ -143,3 +145,26 @@
 
 	return false;
 }
+
+/**
+ * Whether a transfer coding other than a single `chunked` is applied. The header
+ * that names it is not forwarded, so the coded bytes would pass for the body; no
+ * request offers any (RFC 9112, section 7.4).
+ */
+function hasOtherCoding(headers: string[]): boolean {
+	let codings = 0;
+	for (let index = 0; index < headers.length; index += 2) {
+		const name = headers[index]!;
+		if (
+			name.length === transferEncoding.length &&
+			name.toLowerCase() === transferEncoding
+		) {
+			codings++;
+			if (codings > 1 || headers[index + 1]!.toLowerCase() !== 'chunked') {
+				return true;
+			}
+		}
+	}
+
+	return false;
+}
