fix(node): an answer without a length whose connection is reset is cut, not whole

Cause: undici ends such a response at ECONNRESET as at an orderly end. Apart from that, Node reports an end when the last bytes and the reset are read at once, so the error code alone does not tell.

Change: the connector of the client is a file of its own. It checks at the end of each connection, by writing an empty line, that it was closed and not reset, as the mesh's client does; a response without a length is complete only then. Nothing is done for each response.

--- a/packages/node/src/http-target-client.ts
+++ b/packages/node/src/http-target-client.ts
@@ -1,9 +1,13 @@
 /** The HTTP client of the local target, based on undici. */
 import {Buffer} from 'node:buffer';
-import {Agent, buildConnector, type Dispatcher} from 'undici';
+import {Agent, type Dispatcher} from 'undici';
 import {headerNames, type CallRequest} from '@egretspoke/protocol';
 import {probeListening} from '@egretspoke/shared';
 import type {TargetClient, TargetResult} from './target-client.js';
+import {
+	createTargetConnector,
+	type TargetConnector,
+} from './target-connector.js';
 
 /** Options of the client. */
 export type HttpTargetOptions = {
@@ -29,6 +33,9 @@
 	'expect',
 ]);
 
+/** Statuses of responses that end with their headers (RFC 9112, section 6.3). */
+const bodilessStatuses = new Set([204, 304]);
+
 /** Bytes of a response beside its body; the framing of many small chunks is covered by twice the body's limit. */
 const maxFraming = 1024 * 1024;
 
@@ -36,8 +43,9 @@
 export function createHttpTargetClient(
 	options: HttpTargetOptions,
 ): TargetClient & {close(): Promise<void>} {
+	const connector = createTargetConnector(2 * options.bodyLimit + maxFraming);
 	const agent = new Agent({
-		connect: createLimitedConnector(2 * options.bodyLimit + maxFraming),
+		connect: connector.connect,
 		connections: options.connections,
 		pipelining: 1,
 		bodyTimeout: 0,
@@ -53,7 +61,7 @@
 				headers: writeHeaders(request, timeLeft),
 				body: request.body.length === 0 ? null : request.body,
 			};
-			return dispatch(agent, exchange, signal);
+			return dispatch({agent, connector}, exchange, signal);
 		},
 		isListening: async () =>
 			new Promise((resolve) => {
@@ -65,37 +73,6 @@
 	};
 }
 
-/**
- * Creates a connector whose connections close once more bytes have arrived since
- * the last write than a response within the limits needs; otherwise a target that
- * writes without end keeps this node busy until the request's deadline.
- */
-function createLimitedConnector(
-	limit: number,
-): ReturnType<typeof buildConnector> {
-	const connect = buildConnector({});
-	return (options, callback) => {
-		connect(options, (...result) => {
-			const [, socket] = result;
-			let written = 0;
-			let readBefore = 0;
-			let readAtWrite = 0;
-			socket?.on('readable', () => {
-				if (socket.bytesWritten !== written) {
-					written = socket.bytesWritten;
-					readAtWrite = readBefore;
-				}
-
-				readBefore = socket.bytesRead;
-				if (readBefore - readAtWrite > limit) {
-					socket.destroy(new Error('the response does not end'));
-				}
-			});
-			callback(...result);
-		});
-	};
-}
-
 /** Adds the headers with the request id, class, remaining time and attempts. */
 function writeHeaders(
 	request: CallRequest,
@@ -119,7 +96,7 @@
 
 /** One exchange, implemented directly on `dispatch` of undici, without streams in between. */
 async function dispatch(
-	agent: Agent,
+	{agent, connector}: {agent: Agent; connector: TargetConnector},
 	exchange: Dispatcher.DispatchOptions & {headers: Record<string, string>},
 	signal: AbortSignal,
 ): Promise<TargetResult> {
@@ -127,6 +104,7 @@
 		let isConnected = false;
 		let status = 0;
 		let headers: Record<string, string> = {};
+		let endsWithConnection = false;
 		let controller: Dispatcher.DispatchController | undefined;
 		const chunks: Uint8Array[] = [];
 
@@ -161,11 +139,22 @@
 
 				status = statusCode;
 				headers = readHeaders(incoming);
+				endsWithConnection =
+					exchange.method !== 'HEAD' &&
+					!bodilessStatuses.has(statusCode) &&
+					incoming['content-length'] === undefined &&
+					incoming['transfer-encoding'] === undefined;
 			},
 			onResponseData(_controller, chunk) {
 				chunks.push(chunk);
 			},
 			onResponseEnd() {
+				// Undici takes a reset for the end of such a response, too.
+				if (endsWithConnection && !connector.isEnding()) {
+					finish({kind: 'cut', detail: 'the connection was reset'});
+					return;
+				}
+
 				finish(readResult(status, headers, Buffer.concat(chunks)));
 			},
 			onResponseError(_controller, error) {
