fix(node): an answer with a transfer coding other than chunked is lost, not passed on coded

"chunked, gzip" waited for the end of the connection.

Cause: the header isn't forwarded, but only the last chunked coding is undone.

Change: the exchange is aborted at a head that names anything but one chunked coding. A Content-Encoding is forwarded with its body, as before.

--- a/packages/node/__tests__/http-target-client.spec.ts
+++ b/packages/node/__tests__/http-target-client.spec.ts
@@ -137,6 +137,39 @@
 		}
 	});
 
+	describe('when a transfer coding is applied beside chunks', () => {
+		const chunks = '4\r\nfour\r\n0\r\n\r\n';
+		const respondIn = (coding: string) =>
+			`HTTP/1.1 200 OK\r\n${headerNames.request}: a\r\n${coding}\r\n\r\n${chunks}`;
+		const codings = [
+			'Transfer-Encoding: gzip, chunked',
+			'Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked',
+			'Transfer-Encoding: chunked, chunked',
+			'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked',
+			'Transfer-Encoding: chunked, gzip',
+			'Transfer-Encoding: gzip',
+			'Transfer-Encoding: identity',
+			'Transfer-Encoding:',
+		];
+		const expectLost = async (coding: string) => {
+			responses = [respondIn(coding), respond('b')];
+			expect(await send('a')).to.equal('lost');
+			expect(await send('b')).to.equal('answer');
+		};
+
+		for (const coding of codings) {
+			// Guards against coded bytes, or the framing of chunks, that pass for the body.
+			it(`is lost (${coding.replace('\r\n', ', ')})`, async () =>
+				expectLost(coding));
+		}
+
+		it('reads chunks, however their coding is spelled', async () => {
+			responses = [respondIn('TRANSFER-encoding: Chunked '), respond('b')];
+			expect(await send('a')).to.equal('answer');
+			expect(await send('b')).to.equal('answer');
+		});
+	});
+
 	it('accepts a response that names no request', async () => {
 		responses = ['HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'];
 		expect(await send('a')).to.equal('answer');
--- a/packages/node/src/http-target-client.ts
+++ b/packages/node/src/http-target-client.ts
@@ -137,6 +137,11 @@
 					return;
 				}
 
+				if (hasOtherCoding(incoming['transfer-encoding'])) {
+					abort('the response has a transfer coding that was not offered');
+					return;
+				}
+
 				status = statusCode;
 				headers = readHeaders(incoming);
 				endsWithConnection =
@@ -176,6 +181,17 @@
 	return id !== undefined && id !== sent[headerNames.request];
 }
 
+/**
+ * Whether a transfer coding other than a single `chunked` is applied. The header
+ * that names it is not forwarded, so the coded bytes would pass for the body.
+ */
+function hasOtherCoding(coding: string | string[] | undefined): boolean {
+	return (
+		coding !== undefined &&
+		(Array.isArray(coding) || coding.trim().toLowerCase() !== 'chunked')
+	);
+}
+
 function readResult(
 	status: number,
 	headers: Record<string, string>,
