fix(node): a 304 that states the length of the body it leaves out is whole

What callers saw: each 204 or 304 of a target with a Content-Length above 0 was answered as unknown (AnswerCut, 502) though it had arrived whole; RFC 9110, section 15.4.5, lets a 304 state the length that the body of a 200 would have.

Cause: undici compares the length with the bytes of the body, except for HEAD.

Change: its error for this is taken as the end of a response with these statuses. The connection is closed, as undici has closed it.

--- a/packages/node/__tests__/http-target-cuts.spec.ts
+++ b/packages/node/__tests__/http-target-cuts.spec.ts
@@ -98,6 +98,18 @@
 	},
 	'with 204': {text: head([], '204 No Content'), body: ''},
 	'with 304': {text: head(['ETag: "a"'], '304 Not Modified'), body: ''},
+	'with 204 and a length': {
+		text: head(['Content-Length: 5'], '204 No Content'),
+		body: '',
+	},
+	'with 304 and a length': {
+		text: head(['Content-Length: 5'], '304 Not Modified'),
+		body: '',
+	},
+	'with 304 and a length, on a connection that closes': {
+		text: head(['Content-Length: 5', 'Connection: close'], '304 Not Modified'),
+		body: '',
+	},
 	'with many headers': {
 		text: `${head([...Array.from({length: 70}, (_, index) => `X-${index}: x`), 'Content-Length: 2'])}ok`,
 		body: 'ok',
--- a/packages/node/src/http-target-client.ts
+++ b/packages/node/src/http-target-client.ts
@@ -1,6 +1,6 @@
 /** The HTTP client of the local target, based on undici. */
 import {Buffer} from 'node:buffer';
-import {Agent, type Dispatcher} from 'undici';
+import {Agent, errors, type Dispatcher} from 'undici';
 import {headerNames, type CallRequest} from '@egretspoke/protocol';
 import {probeListening} from '@egretspoke/shared';
 import type {TargetClient, TargetResult} from './target-client.js';
@@ -163,7 +163,11 @@
 				finish(readResult(status, headers, Buffer.concat(chunks)));
 			},
 			onResponseError(_controller, error) {
-				finish(readFailure(isConnected, status, error));
+				finish(
+					isWholeDespite(error, status)
+						? readResult(status, headers, Buffer.concat(chunks))
+						: readFailure(isConnected, status, error),
+				);
 			},
 		});
 	});
@@ -207,6 +211,18 @@
 		: {kind: 'shed'};
 }
 
+/**
+ * Whether undici reports a response as short of its length that has no body by
+ * its status; a 304 states the length of the body that a 200 would have had (RFC
+ * 9110, section 15.4.5).
+ */
+function isWholeDespite(error: Error, status: number): boolean {
+	return (
+		bodilessStatuses.has(status) &&
+		error instanceof errors.ResponseContentLengthMismatchError
+	);
+}
+
 /**
  * Without an established connection nothing was sent, so nothing ran. Later
  * errors may have occurred after the request reached the target.
