fix(mesh): a large answer that is cut resets the connection of a caller of HTTP/1.0

What callers saw: a target cut an answer above 512 KiB without a stated length. A caller of HTTP/1.0 gets such an answer without a length, too, and its connection was closed in order, so the part passed for a whole 200 (MIXED). Callers of HTTP/1.1 get it in chunks and were not affected.

Cause: the connection of an answer that is cut, or not read for long, was destroyed, which sends an orderly end when nothing is unread.

Change: where the end of the connection would end the body, it is reset.

--- a/packages/mesh/src/entry/response-writer.ts
+++ b/packages/mesh/src/entry/response-writer.ts
@@ -95,6 +95,9 @@
 	{clock, stallTimeout}: ResponseWriterOptions,
 ): void {
 	const {response} = exchange;
+	/** Whether the end of the connection would end the body, as for a caller of HTTP/1.0. */
+	const endsWithConnection =
+		stream.size === undefined && !response.chunkedEncoding;
 	let hasProgress = true;
 	let timer: Timer | undefined;
 
@@ -103,6 +106,15 @@
 		if (hasProgress || response.socket === null) {
 			hasProgress = false;
 			timer = clock.setTimer(stallTimeout(), checkProgress);
+		} else {
+			breakOff();
+		}
+	};
+
+	/** Ends the connection so that the body does not look complete. */
+	const breakOff = () => {
+		if (endsWithConnection) {
+			response.socket?.resetAndDestroy();
 		} else {
 			response.destroy();
 		}
@@ -114,7 +126,7 @@
 			// Closing the connection now would take the answers to earlier requests with it.
 			response.once('socket', cut);
 		} else {
-			response.destroy();
+			breakOff();
 		}
 	};
 
