fix(mesh): an answer to HEAD, a 204 or a 304 states no length of 0

What callers saw: each answer of a target to HEAD, and each 204 and 304, came with "Content-Length: 0". For HEAD and 304 that states the size of the body that is left out: a caller or cache takes the object for empty (RFC 9110, section 8.6, RFC 9111, section 4.3.5); a 204 may state none.

Cause: the length of the body as held was always stated.

Change: these answers state no length.

--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -71,6 +71,37 @@
 		expect(request.headers).to.include.members(['Workspace-Key', 'a']);
 	});
 
+	describe('when an answer has no body by its method or status', () => {
+		// Guards against a stated length of 0, which a cache takes for the size of the body that is left out.
+		const cases: Array<[string, number]> = [
+			['HEAD', 200],
+			['HEAD', 404],
+			['GET', 204],
+			['GET', 304],
+		];
+		const expectNoLength = async (method: string, status: number) => {
+			const {answer} = await fixture.send(`${method} /`);
+			answer({
+				kind: 'target',
+				status,
+				headers: ['X-Name', 'x'],
+				body: new Uint8Array(),
+			});
+			const next = await fixture.send('GET /next');
+			next.answer(succeed(Buffer.from('next')));
+			await waitUntil(() => fixture.text.endsWith('\r\n\r\nnext'));
+			const [first, second] = fixture.text.split('\r\n\r\n');
+			expect(first).to.match(new RegExp(`^HTTP/1.1 ${status} `));
+			expect(first).not.to.match(/content-length|transfer-encoding|close/i);
+			expect(second).to.include('Content-Length: 4');
+		};
+
+		for (const [method, status] of cases) {
+			it(`states no length (${method}, ${status})`, async () =>
+				expectNoLength(method, status));
+		}
+	});
+
 	// A conversion of bytes to text must keep each of the 256 values.
 	const allBytes = Buffer.from(Array.from({length: 256}, (_, value) => value));
 	const returnBody = async (size: number) => {
--- a/packages/mesh/src/entry/response-writer.ts
+++ b/packages/mesh/src/entry/response-writer.ts
@@ -45,11 +45,10 @@
 			}
 
 			count(response, body.byteLength, options.budget);
-			response.writeHead(status, [
-				...headers,
-				'Content-Length',
-				String(body.byteLength),
-			]);
+			const length = isBodiless(response.req.method, status)
+				? []
+				: ['Content-Length', String(body.byteLength)];
+			response.writeHead(status, [...headers, ...length]);
 			response.end(body);
 		},
 		own({response}, {status, reason, retryAfter}) {
@@ -74,6 +73,14 @@
 	};
 }
 
+/**
+ * Whether an answer has no body by its method or status. A length of 0 would state
+ * the size of the body that is left out (RFC 9110, section 8.6).
+ */
+function isBodiless(method: string | undefined, status: number): boolean {
+	return method === 'HEAD' || status === 204 || status === 304;
+}
+
 /** Counts the bytes of a response until it is sent or its connection is closed. */
 function count(
 	response: ServerResponse,
