fix(node): an answer to HEAD, a 204 or a 304 states no length of 0

What callers saw: as at the mesh's entry: "Content-Length: 0" in answers to HEAD and in each 204 and 304, though it would state the size of the body that is left out (RFC 9110, section 8.6).

Cause: the length of the body as held was always stated.

Change: these answers state no length. The fixture of the caller listener can answer with another status than 200.

--- a/packages/node/__tests__/caller-listener-fixture.ts
+++ b/packages/node/__tests__/caller-listener-fixture.ts
@@ -17,7 +17,7 @@
 export type PassedRequest = {
 	path: string;
 	signal: AbortSignal;
-	answer(body?: string | Uint8Array): void;
+	answer(body?: string | Uint8Array, status?: number): void;
 };
 
 /** An answer in the bytes of a connection. */
@@ -58,12 +58,12 @@
 					const passed: PassedRequest = {
 						path,
 						signal,
-						answer(body = path) {
+						answer(body = path, status = 200) {
 							resolve({
 								request: path,
 								outcome: {
 									kind: 'answered',
-									answer: {status: 200, headers: {}, body: Buffer.from(body)},
+									answer: {status, headers: {}, body: Buffer.from(body)},
 								},
 							});
 						},
--- a/packages/node/__tests__/caller-listener.spec.ts
+++ b/packages/node/__tests__/caller-listener.spec.ts
@@ -59,6 +59,39 @@
 		});
 	});
 
+	describe('when an answer has no body by its method or status', () => {
+		beforeEach(async () => start());
+
+		// Guards against a stated length of 0, which a cache takes for the size of the body that is left out.
+		const cases: Array<[string, number]> = [
+			['HEAD', 200],
+			['GET', 204],
+			['GET', 304],
+		];
+		const expectNoLength = async (method: string, status: number) => {
+			const socket = await fixture.connect();
+			const answers = readAnswers(socket);
+			socket.write(writeRequest('/a').replace('GET', method));
+			const first = await fixture.waitFor('/a');
+			first.answer('', status);
+			socket.write(writeRequest('/next', 'connection: close'));
+			const next = await fixture.waitFor('/next');
+			next.answer();
+			const [empty, other] = await answers;
+			expect(empty).to.include({status, body: ''});
+			expect(empty!.headers).not.to.have.any.keys(
+				'content-length',
+				'transfer-encoding',
+			);
+			expect(other).to.include({status: 200, body: '/next'});
+		};
+
+		for (const [method, status] of cases) {
+			it(`states no length (${method}, ${status})`, async () =>
+				expectNoLength(method, status));
+		}
+	});
+
 	describe('draining', () => {
 		beforeEach(async () => start());
 
--- a/packages/node/src/caller-answer.ts
+++ b/packages/node/src/caller-answer.ts
@@ -62,11 +62,21 @@
 	response.writeHead(status, {
 		...headers,
 		[headerNames.outcome]: outcome,
-		'content-length': body.length,
+		...(!isBodiless(response.req.method, status) && {
+			'content-length': body.length,
+		}),
 	});
 	response.end(body);
 }
 
+/**
+ * Whether an answer has no body by its method or status. A length of 0 would state
+ * the size of the body that is left out (RFC 9110, section 8.6).
+ */
+function isBodiless(method: string | undefined, status: number): boolean {
+	return method === 'HEAD' || status === 204 || status === 304;
+}
+
 /** The body of a refusal. Programs read its codes; `message` and `advice` are for people. */
 type RefusalBody = {
 	outcome: string;
