--- a/packages/mesh/src/entry/response-writer.ts
+++ b/packages/mesh/src/entry/response-writer.ts
@@ -45,11 +45,10 @@
 			}
 
 			count(response, body.byteLength, options.budget);
-			response.writeHead(status, [
-				...headers,
-				'Content-Length',
-				String(body.byteLength),
-			]);
+			const length = isBodiless(response.req.method, status)
+				? []
+				: ['Content-Length', String(body.byteLength)];
+			response.writeHead(status, [...headers, ...length]);
 			response.end(body);
 		},
 		own({response}, {status, reason, retryAfter}) {
@@ -74,6 +73,14 @@
 	};
 }
 
+/**
+ * Whether an answer has no body by its method or status. A length of 0 would state
+ * the size of the body that is left out (RFC 9110, section 8.6).
+ */
+function isBodiless(method: string | undefined, status: number): boolean {
+	return method === 'HEAD' || status === 204 || status === 304;
+}
+
 /** Counts the bytes of a response until it is sent or its connection is closed. */
 function count(
 	response: ServerResponse,
@@ -95,6 +102,9 @@
 	{clock, stallTimeout}: ResponseWriterOptions,
 ): void {
 	const {response} = exchange;
+	/** Whether the end of the connection would end the body, as for a caller of HTTP/1.0. */
+	const endsWithConnection =
+		stream.size === undefined && !response.chunkedEncoding;
 	let hasProgress = true;
 	let timer: Timer | undefined;
 
@@ -103,6 +113,15 @@
 		if (hasProgress || response.socket === null) {
 			hasProgress = false;
 			timer = clock.setTimer(stallTimeout(), checkProgress);
+		} else {
+			breakOff();
+		}
+	};
+
+	/** Ends the connection so that the body does not look complete. */
+	const breakOff = () => {
+		if (endsWithConnection) {
+			response.socket?.resetAndDestroy();
 		} else {
 			response.destroy();
 		}
@@ -114,7 +133,7 @@
 			// Closing the connection now would take the answers to earlier requests with it.
 			response.once('socket', cut);
 		} else {
-			response.destroy();
+			breakOff();
 		}
 	};
 
--- a/packages/mesh/src/target/response-parser.ts
+++ b/packages/mesh/src/target/response-parser.ts
@@ -3,9 +3,10 @@
  *
  * Node's HTTP client around it creates streams, listeners and header objects for
  * each request. Nodes of a mesh are cold, so that code costs more than the
- * parser does. The module that exports the parser is not documented; the version
- * of Node that deployments run is fixed, and the specs of the target client fail
- * if its interface changes.
+ * parser does. The module that exports the parser is not documented; the specs of
+ * the target client fail if its interface changes. llhttp before 9.3 (Node 20.19)
+ * reads some responses more leniently than RFC 9112; the checks on heads here make
+ * all versions read alike.
  */
 import {maxHeaderSize} from 'node:http';
 import {createRequire} from 'node:module';
@@ -62,9 +63,12 @@
 	'node:_http_common',
 ) as {HTTPParser: NodeParserClass};
 
-/** Results of the callback for headers: parse the body, or expect none. */
+/** Results of the callback for headers: parse the body, expect none, or stop with an error. */
 const bodyFollows = 0;
 const noBodyFollows = 1;
+const malformedHead = -1;
+
+const transferEncoding = 'transfer-encoding';
 
 /** Creates the parser of a connection. */
 export function createResponseParser(handler: ResponseHandler): ResponseParser {
@@ -93,10 +97,18 @@
 		_statusText: string,
 		isUpgrade: boolean,
 		isKeptAlive: boolean,
-	) =>
-		handler.onHead(status, headers ?? earlyHeaders, {isUpgrade, isKeptAlive})
+	) => {
+		const all = headers ?? earlyHeaders;
+		if (hasInvalidName(all) || hasOtherCoding(all)) {
+			return malformedHead;
+		}
+
+		return handler.onHead(status, all, {isUpgrade, isKeptAlive}) ||
+			isBodiless(status)
 			? noBodyFollows
 			: bodyFollows;
+	};
+
 	/* eslint-enable max-params */
 	parser[Parser.kOnBody] = (part: Uint8Array) => {
 		handler.onBody(part);
@@ -114,3 +126,45 @@
 		},
 	};
 }
+
+/**
+ * Whether a response with the status ends with its headers, whatever length they
+ * state (RFC 9112, section 6.3).
+ */
+function isBodiless(status: number): boolean {
+	return status < 200 || status === 204 || status === 304;
+}
+
+/** Whether a header name contains a space; other readers take a part of it for the name. */
+function hasInvalidName(headers: string[]): boolean {
+	for (let index = 0; index < headers.length; index += 2) {
+		if (headers[index]!.includes(' ')) {
+			return true;
+		}
+	}
+
+	return false;
+}
+
+/**
+ * Whether a transfer coding other than a single `chunked` is applied. The header
+ * that names it is not forwarded, so the coded bytes would pass for the body; no
+ * request offers any (RFC 9112, section 7.4).
+ */
+function hasOtherCoding(headers: string[]): boolean {
+	let codings = 0;
+	for (let index = 0; index < headers.length; index += 2) {
+		const name = headers[index]!;
+		if (
+			name.length === transferEncoding.length &&
+			name.toLowerCase() === transferEncoding
+		) {
+			codings++;
+			if (codings > 1 || headers[index + 1]!.toLowerCase() !== 'chunked') {
+				return true;
+			}
+		}
+	}
+
+	return false;
+}
