refactor(mesh): the supervisor tells which loops fail

Change: readiness names the failing loops by the supervisor's own record, an early return of a loop counts as a failure, and reports of periodic work are limited like those of odd entries.

--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -89,7 +89,7 @@
 				return await writeOnce();
 			} catch (error) {
 				// Counts as a failed write: it is tried again, and those behind it go on.
-				reporter.notice('unexpectedError', {detail: String(error)});
+				options.reporter.notice('unexpectedError', {detail: String(error)});
 				return false;
 			}
 		})();
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -32,7 +32,6 @@
 import {createDirectory, followerQuietTime} from './members/directory.js';
 import {createEntry} from './entry/entry.js';
 import {createTargetDispatcher} from './target/target-dispatcher.js';
-import {createFailingParts} from './failing-parts.js';
 import {createGossip} from './members/gossip.js';
 import {listenPersistently} from './listening.js';
 import type {HeaderNames} from './configuration/header-names.js';
@@ -135,7 +134,7 @@
 export type NodeCondition = {
 	/** What is missing before the node is ready; empty once it is. */
 	waitingFor: string[];
-	/** Parts that have failed lately and are run again. */
+	/** Loops that have failed and have not run healthily since. */
 	failing: string[];
 };
 
@@ -160,16 +159,16 @@
 	const budget = createMemoryBudget(settings.memory, options.collect);
 	const lifetime = new AbortController();
 	const wheel = createDeadlineWheel(clock);
-	const failing = createFailingParts(clock);
-	const ticker = createTicker(clock, lifetime.signal, (error) => {
-		if (failing.record('periodic work')) {
+	const ticker = createTicker(
+		clock,
+		lifetime.signal,
+		createLimitedNotices(clock, (error: unknown) => {
 			reporter.notice('periodicWorkFailed', {detail: describe(error)});
-		}
-	});
+		}),
+	);
 	const supervisor = createSupervisor(
 		clock,
 		({path, error, restartIn}) => {
-			failing.record(path);
 			reporter.notice('childFailed', {
 				path,
 				restartIn,
@@ -522,14 +521,14 @@
 
 	return {
 		async start() {
-			supervisor.start('configuration', follower.run);
+			supervisor.startLoop('configuration', follower.run);
 			const [peers, callers] = await Promise.all([
 				open('peers', peerListener, settings.peerAddress),
 				open('callers', callerListener, settings.callerAddress),
 			]);
 			self.address = peers;
-			supervisor.start('members', register.run);
-			supervisor.start('suspects', suspectRegister.run);
+			supervisor.startLoop('members', register.run);
+			supervisor.startLoop('suspects', suspectRegister.run);
 			ticker.schedule(versionInterval, announceVersion);
 			ticker.schedule(tickInterval, announceToQuiet);
 			reportLoad.start();
@@ -552,7 +551,7 @@
 				...[...closedListeners].map((listener) => `the listener ${listener}`),
 				...(isStopping() ? ['the end of its planned stop'] : []),
 			],
-			failing: failing.list(),
+			failing: supervisor.failing().map(({path}) => path),
 		}),
 		announce: async (announcement) => targetTracker.announce(announcement),
 		withdraw: async (withdrawal) => targetTracker.withdraw(withdrawal),
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -304,7 +304,7 @@
 		kind: 'notice',
 		template: 'periodic work failed and goes on with its next run: {detail}',
 		meaning:
-			'One run of periodic work ended early. The same failure is logged once in ten seconds.',
+			'One run of periodic work ended early. At most ten lines in ten seconds.',
 		advice: 'Report it with this line.',
 	},
 	unexpectedError: {
