feat(mesh): a live node that another entry displaces claims its name again

What callers saw: a live node got no more requests after an entry with its name, another address and a later start came by gossip, by a hello or in its own row; the row stayed as the other writer left it. Cause: of two entries the later start counts, and nobody told the node. Change: whoever drops a link because of an entry says so as the last message on it, and answers a hello of the displaced node with the entry. The node then raises its start above that of the entry, passes itself on by gossip and writes its row; at most once in 5 s. A node whose row is not its own, or is gone, writes it again at the next reading. Entries of peers with a start more than an hour ahead are skipped with a line; a live node whose clock is that far ahead counts with the time of the receiver.

--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -86,8 +86,10 @@
 	/**
 	 * Sends no further requests and reconnects no more; each connection closes
 	 * once every request on it has an outcome.
+	 *
+	 * @param farewell - The last message on the current connection.
 	 */
-	retire(): void;
+	retire(farewell?: PeerMessage): void;
 	/** Closes the connections at once; requests without an outcome are lost. */
 	close(): void;
 };
@@ -103,6 +105,8 @@
 const lateAnswer = 100;
 /** Milliseconds to wait for the answer to a probe: the highest latency plus a slow turn of the peer's event loop. */
 const answerTimeout = 1000;
+/** Milliseconds for which a connection stays open after a farewell. */
+const farewellTimeout = 1000;
 /** Maximum milliseconds to open a connection. */
 const connectTimeout = 1000;
 /** Milliseconds between two connection attempts; doubled after each failure, up to the maximum. */
@@ -334,6 +338,14 @@
 		}
 	};
 
+	/** Closes a connection once the peer has had time to read what was sent on it. */
+	const endGently = (channel: PeerChannel) => {
+		channel.end();
+		clock.setTimer(farewellTimeout, () => {
+			closeIfUnused(channel);
+		});
+	};
+
 	/** Sends no further requests on the channel. */
 	const leaveChannel = (channel: PeerChannel) => {
 		if (channel === current) {
@@ -445,11 +457,16 @@
 		sendMessage: (message) => current?.send(message) ?? false,
 		retryNow: connect,
 		probe,
-		retire() {
+		retire(farewell) {
 			isClosed = true;
 			retryTimer?.cancel();
+			const hasFarewell = farewell && current?.send(farewell);
 			for (const channel of channels) {
-				closeIfUnused(channel);
+				if (hasFarewell && channel === current && exchanges.size === 0) {
+					endGently(channel);
+				} else {
+					closeIfUnused(channel);
+				}
 			}
 		},
 		close() {
--- a/packages/mesh/src/links/peer-updates.ts
+++ b/packages/mesh/src/links/peer-updates.ts
@@ -23,8 +23,8 @@
 	follower: Pick<ConfigurationFollower, 'current' | 'offer' | 'refresh'>;
 	versions: Pick<VersionTracker, 'recordReport'>;
 	reporter: Pick<MeshReporter, 'notice'>;
-	/** Called with the member of each hello. */
-	onHello: (member: Member) => void;
+	/** Called with the member of each hello; returns the later start that it is known with at another place, if any. */
+	onHello: (member: Member) => Member | undefined;
 	/** Called when a node reports the workspace requests that it admits. */
 	onQuotaUse: (message: QuotaUseMessage, reply: Reply) => void;
 	/** Called when a node grants shares of quotas. */
@@ -80,7 +80,11 @@
 		) => void;
 	} = {
 		hello({member, configurationVersion}, reply, from) {
-			options.onHello(member);
+			const displacing = options.onHello(member);
+			if (displacing) {
+				reply({kind: 'members', members: [displacing]});
+			}
+
 			compareVersions(configurationVersion, reply, from);
 		},
 		members({members}) {
--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -12,6 +12,7 @@
 	levelOfService,
 	type TargetLevel,
 } from '../decisions/admission/service-level.js';
+import {isInFuture} from '../field-schemas.js';
 import {isRateLimited, type TargetLoad} from '../links/exchange.js';
 import {
 	applyLoad,
@@ -32,7 +33,8 @@
 import {createTargetMemory} from '../target/target-memory.js';
 import type {Ticker} from '../timing/ticker.js';
 import {createMemberGossip} from './member-gossip.js';
-import {createKnownMembers} from './known-members.js';
+import {createKnownMembers, isDisplaced} from './known-members.js';
+import {createOwnEntry} from './own-entry.js';
 import {createDesiredLinks} from './desired-links.js';
 import {createServiceCandidates} from './service-candidates.js';
 
@@ -57,6 +59,8 @@
 	onPeer: (node: string, change: 'up' | 'down') => void;
 	/** Requests ended with their connection to the node. */
 	onLost: (node: string, loss: LinkLoss) => void;
+	/** This node has claimed its name with a later start, because another entry with it had displaced this node. */
+	onDisplaced?: () => void;
 	/** Members that need a link regardless of their service. */
 	pinned: () => Iterable<string>;
 };
@@ -68,8 +72,11 @@
 export type Directory = {
 	/** Adds members; links are opened to those selected by the subsets. */
 	addMembers(members: Member[], source: MemberSource): void;
-	/** Records a member that sent a hello: it is alive, even if it was considered gone. */
-	recordHello(member: Member): void;
+	/**
+	 * Records a member that sent a hello: it is alive, even if it was considered
+	 * gone. Returns the later start at another place that it is known with, if any.
+	 */
+	recordHello(member: Member): Member | undefined;
 	/** Remote targets of the service that are available and not yet tried; the list is valid until the next call. */
 	candidates(service: string, tried: readonly string[]): TargetCandidate[];
 	/** The shed level of each service with linked targets, and of the own one; see `service-level.ts`. */
@@ -144,6 +151,23 @@
 		links: links.usable,
 	});
 
+	const ownEntry = createOwnEntry({
+		clock,
+		self,
+		publish() {
+			memberGossip.add({...self});
+			options.onDisplaced?.();
+		},
+	});
+
+	/** The start of a live node counts even if its clock is ahead of all others. */
+	const withPlausibleStart = (member: Member): Member => {
+		const now = clock.date();
+		return isInFuture(member.startedAt, now)
+			? {...member, startedAt: now.getTime()}
+			: member;
+	};
+
 	/** The address may have been reassigned to another node, which then answers on it. */
 	const checkIdentity = (peer: Peer, found: Member): boolean => {
 		const isExpected = found.node === peer.member.node;
@@ -151,7 +175,7 @@
 			known.remove(peer.member.node);
 			links.drop(peer);
 			candidates.invalidate();
-			addMembers([found], 'peer');
+			addMembers([withPlausibleStart(found)], 'peer');
 		}
 
 		return isExpected;
@@ -213,6 +237,18 @@
 	const addMembers = (members: Member[], source: MemberSource) => {
 		let hasNew = false;
 		for (const member of members) {
+			if (member.node === self.node) {
+				ownEntry.compare(member);
+				continue;
+			}
+
+			if (isInFuture(member.startedAt, clock.date())) {
+				options.onMalformed(
+					`an entry of members: ${member.node} starts in the future`,
+				);
+				continue;
+			}
+
 			const change = known.add(member);
 			if (change === 'known') {
 				continue;
@@ -226,7 +262,8 @@
 
 			hasNew = true;
 			if (peer) {
-				links.drop(peer);
+				// If the node lives at its former place, it claims its name.
+				links.drop(peer, {kind: 'members', members: [member]});
 				candidates.invalidate();
 			}
 
@@ -258,10 +295,16 @@
 	ticker.schedule(probeInterval, links.probe);
 	return {
 		addMembers,
-		recordHello(member) {
+		recordHello(stated) {
+			const member = withPlausibleStart(stated);
 			addMembers([member], 'peer');
 			desiredLinks.recordAlive(member.node);
-			peers.get(member.node)?.link.retryNow();
+			const peer = peers.get(member.node);
+			peer?.link.retryNow();
+			const latest = known.get(member.node);
+			const isDoubtful =
+				latest && isDisplaced(member, latest) && !peer?.link.isUsable();
+			return isDoubtful ? latest : undefined;
 		},
 		candidates(service, tried) {
 			if (desiredLinks.recordRequest(service)) {
@@ -316,6 +359,7 @@
 		linked: links.usable,
 		broadcast: links.broadcast,
 		close() {
+			ownEntry.close();
 			memberGossip.close();
 			links.close();
 		},
--- a/packages/mesh/src/members/known-members.ts
+++ b/packages/mesh/src/members/known-members.ts
@@ -64,6 +64,15 @@
 	};
 }
 
+/** Whether the member is a start of the same node that is not earlier, at another place. */
+export function isDisplaced(node: Member, by: Member): boolean {
+	return (
+		by.node === node.node &&
+		by.startedAt >= node.startedAt &&
+		!isSamePlace(by, node)
+	);
+}
+
 /** Whether address, data centre and service are unchanged; nodes that know the member then need no update about its restart. */
 export function isSamePlace(left: Member, right: Member): boolean {
 	return (
--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -42,6 +42,8 @@
 export type MemberRegister = {
 	/** Writes this node's row and reads the others until the signal aborts. */
 	run(signal: AbortSignal): Promise<void>;
+	/** Writes this node's row again, because another writer has claimed its name. */
+	rewrite(): void;
 	/**
 	 * Persists that the local target is leaving, so that a later start of this node
 	 * has the information. Resolves when it is stored, or after a timeout, after
@@ -75,6 +77,8 @@
 	);
 	let version = 0;
 	let isWritten = false;
+	/** Whether the row must be written even if it names the same place. */
+	let isDisplaced = false;
 	let leaving: TargetRecord | undefined;
 	let writing: Promise<boolean> = Promise.resolve(true);
 	/** Aborts with the node. */
@@ -108,6 +112,7 @@
 			if (result.isOk()) {
 				version = result.value;
 				isWritten = true;
+				isDisplaced = false;
 				return true;
 			}
 
@@ -118,7 +123,12 @@
 			const hasLeaving = leaving !== undefined;
 			const stored = applyOwnRow(result.error.current);
 			// If only the start time has changed, the row already holds what other nodes need.
-			if (!hasLeaving && stored && isSamePlace(stored.member, self)) {
+			const isUpToDate =
+				!hasLeaving &&
+				!isDisplaced &&
+				stored &&
+				isSamePlace(stored.member, self);
+			if (isUpToDate) {
 				isWritten = true;
 				return true;
 			}
@@ -150,6 +160,21 @@
 		return value;
 	};
 
+	const isOwnRow = (row: StoredRow | undefined): boolean =>
+		row !== undefined &&
+		decodeRow(row, clock.date())
+			.map(({member}) => isSamePlace(member, self))
+			.unwrapOr(false);
+
+	/** If the store fails now, the next round of `run` writes the row. */
+	const rewrite = () => {
+		isDisplaced = true;
+		isWritten = false;
+		if (lifetime && !lifetime.aborted) {
+			void write();
+		}
+	};
+
 	const readOthers = async (): Promise<boolean> => {
 		const result = await store.read(table);
 		if (result.isErr()) {
@@ -157,6 +182,12 @@
 		}
 
 		const members: Member[] = [];
+		const ownRow = result.value.rows.find(({key}) => key === self.node);
+		if (!isOwnRow(ownRow)) {
+			version = ownRow?.version ?? 0;
+			rewrite();
+		}
+
 		for (const row of result.value.rows) {
 			decodeRow(row, clock.date()).match(
 				({member}) => {
@@ -169,7 +200,7 @@
 		}
 
 		options.onMembers(members);
-		return true;
+		return isWritten || writing;
 	};
 
 	return {
@@ -185,6 +216,7 @@
 				await sleep(clock, delay * (0.5 + random.fraction()), signal);
 			}
 		},
+		rewrite,
 		async persistLeaving(record) {
 			leaving = record;
 			await Promise.race([writeLeaving(record), sleep(clock, persistTimeout)]);
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -268,9 +268,7 @@
 		follower,
 		versions,
 		reporter,
-		onHello(member) {
-			directory.recordHello(member);
-		},
+		onHello: (member) => directory.recordHello(member),
 		onMembers(members) {
 			directory.addMembers(members, 'peer');
 		},
@@ -311,6 +309,9 @@
 			innerRoutes.addPeerRoutes(service, requested);
 		},
 		pinned: workspaceExchanges.pinned,
+		onDisplaced() {
+			register.rewrite();
+		},
 		onLost(peer, loss) {
 			reporter.notice('meshRequestsLost', {peer, ...loss});
 		},
