fix(mesh): a chain of calls that is too long for the stack has a cost

What callers saw: nothing yet; each request that asks for the cost of such a route throws a RangeError. Cause: the profiles of a peer are followed by recursion, however deep. Change: 64 calls within calls are followed. Measured: call-graph-depth.spec failed before by "Maximum call stack size exceeded"; passes now.

--- a/packages/mesh/src/decisions/admission/call-graph.ts
+++ b/packages/mesh/src/decisions/admission/call-graph.ts
@@ -47,6 +47,8 @@
  * runs them often enough to be certain that they make no calls themselves.
  */
 const rareCalls = 0.05;
+/** Calls within calls that are followed: the profiles of a peer may form a chain that is too long for the stack. */
+const maxDepth = 64;
 
 /** Creates an empty graph. */
 export function createCallGraph(): CallGraph {
@@ -77,20 +79,22 @@
 	 */
 	const createCosts = (costOfRun: CostOfRun): CostAt => {
 		const known = new Map<string, number>();
-		const costAt: CostAt = (route, service) => {
+		const costAt = (route: string, service: string, depth: number): number => {
 			const key = `${service} ${route}`;
 			const cost = known.get(key);
-			if (cost !== undefined) {
-				return cost;
+			if (cost !== undefined || depth > maxDepth) {
+				return cost ?? 0;
 			}
 
 			known.set(key, 0);
-			const calculated = calculate(route, service, costOfRun, costAt);
+			const calculated = calculate(route, service, costOfRun, (called, next) =>
+				costAt(called, next, depth + 1),
+			);
 			known.set(key, calculated);
 			return calculated;
 		};
 
-		return costAt;
+		return (route, service) => costAt(route, service, 0);
 	};
 
 	const calculate = (
@@ -120,12 +124,17 @@
 		route: string,
 		service: string,
 		visited: Set<string>,
+		depth = 0,
 	): boolean => {
 		const profile = routesAt(service).get(route);
 		if (!profile || visited.has(route)) {
 			return profile !== undefined;
 		}
 
+		if (depth > maxDepth) {
+			return false;
+		}
+
 		visited.add(route);
 		if (sum(profile.calls.values()) < minCalls) {
 			return profile.isLeaf;
@@ -134,7 +143,9 @@
 		return [...profile.calls].every(
 			([called, count]) =>
 				count < rareCalls ||
-				servicesOf(called).some((next) => isKnownFrom(called, next, visited)),
+				servicesOf(called).some((next) =>
+					isKnownFrom(called, next, visited, depth + 1),
+				),
 		);
 	};
 
