fix(mesh): an answer that Node refuses to write is a 502

What callers saw: no response until their timeout. Cause: `writeHead` throws for a header that came over a link and is none of HTTP, past the handler of the link. Change: the writer answers 502 `answerInvalid`, or closes the connection if the head was sent. Measured: response-writer.spec failed before by an uncaught ERR_INVALID_HTTP_TOKEN; passes now.

--- a/packages/mesh/src/entry/response-writer.ts
+++ b/packages/mesh/src/entry/response-writer.ts
@@ -3,7 +3,7 @@
 import type {CallerExchange, Clock, Timer} from '@egretspoke/shared';
 import type {BodyStream} from '../bodies/body-stream.js';
 import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
-import type {FinalAnswer} from './caller-request.js';
+import type {FinalAnswer, OwnAnswer} from './caller-request.js';
 
 /** Dependencies of a writer. */
 export type ResponseWriterOptions = {
@@ -22,6 +22,13 @@
 /** Size in bytes up to which a body is not counted: counting takes a listener for each response. */
 const uncountedBytes = 4096;
 
+/** Stands for an answer that can't be written; the request has run. */
+const invalidAnswer: OwnAnswer = {
+	kind: 'own',
+	status: 502,
+	reason: 'answerInvalid',
+};
+
 /** Creates a writer. */
 export function createResponseWriter(
 	options: ResponseWriterOptions,
@@ -70,7 +77,20 @@
 	};
 
 	return (exchange, final) => {
-		writers[final.kind](exchange, final as never);
+		try {
+			writers[final.kind](exchange, final as never);
+		} catch {
+			// Node refuses a header that came over a link; without a response the caller would wait until its timeout.
+			if (final.kind === 'target') {
+				final.stream?.cancel();
+			}
+
+			if (exchange.response.headersSent) {
+				exchange.response.destroy();
+			} else {
+				writers.own(exchange, invalidAnswer);
+			}
+		}
 	};
 }
 
