fix(platform): rows of another writer don't take the memory of those that read the table

What was seen: 3,000 rows of 60 kB in the table of members, written by somebody else, ended a node by V8's limit (SIGABRT) 3 s after its start, and would have again at each start.

Cause: a read of a table kept the values of all rows until the last page.

Members have 8,192 characters, suspects 32,768.

Many small rows, and values of up to the maximum in thousands of rows, are still held.

--- a/packages/mesh/src/configuration/counted-store.ts
+++ b/packages/mesh/src/configuration/counted-store.ts
@@ -24,7 +24,8 @@
 	};
 
 	return {
-		read: async (table) => counted('read', store.read(table)),
+		read: async (table, maxValue) =>
+			counted('read', store.read(table, maxValue)),
 		changes: async (table, after, wait) =>
 			counted('changes', store.changes(table, after, wait)),
 		write: async (row, expectedVersion) =>
--- a/packages/mesh/src/configuration/row-store.ts
+++ b/packages/mesh/src/configuration/row-store.ts
@@ -32,7 +32,14 @@
 
 /** The store. Calls never reject; each resolves within its own timeout. */
 export type RowStore = {
-	read(table: string): Promise<Result<StoreSnapshot, StoreFailure>>;
+	/**
+	 * Reads a table. Values that are longer than `maxValue` characters are left
+	 * empty, so that rows of other writers don't take the memory of the process.
+	 */
+	read(
+		table: string,
+		maxValue?: number,
+	): Promise<Result<StoreSnapshot, StoreFailure>>;
 	/** Resolves with the changes after a version, as soon as there is one or after `wait` milliseconds. */
 	changes(
 		table: string,
--- a/packages/mesh/src/configuration/table-feed.ts
+++ b/packages/mesh/src/configuration/table-feed.ts
@@ -12,6 +12,8 @@
 export type TableFeedOptions = {
 	store: Pick<RowStore, 'read' | 'changes'>;
 	table: string;
+	/** Maximum characters of a value; without it, there is no limit. */
+	maxValue?: number;
 	clock: Clock;
 	random: Random;
 	/** The wait of the calls of a node that is not the first follower. */
@@ -106,7 +108,7 @@
 
 	const callOnce = async (): Promise<Snapshot> => {
 		if (mustRead || position === undefined) {
-			return store.read(table);
+			return store.read(table, options.maxValue);
 		}
 
 		const {min, max} = isFirstFollower() ? firstFollowerWait : options.wait;
@@ -130,7 +132,7 @@
 			});
 		}
 
-		return firstSuccess(feed, store.read(table));
+		return firstSuccess(feed, store.read(table, options.maxValue));
 	};
 
 	for (;;) {
--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -58,6 +58,8 @@
  * Rare re-reads reconnect members after a partition.
  */
 const rereadInterval = 60_000;
+/** Maximum characters of a row; one that names a member and a target has a few hundred. */
+const maxRowLength = 8192;
 /** Milliseconds between two attempts while the store fails; doubled up to the maximum. */
 const initialBackoff = 200;
 const maxBackoff = 1500;
@@ -182,7 +184,7 @@
 	};
 
 	const readOthers = async (): Promise<boolean> => {
-		const result = await store.read(table);
+		const result = await store.read(table, maxRowLength);
 		if (result.isErr()) {
 			return false;
 		}
--- a/packages/mesh/src/suspects/suspect-register.ts
+++ b/packages/mesh/src/suspects/suspect-register.ts
@@ -45,6 +45,8 @@
  * whether this node follows the table.
  */
 const startDelay = 1000;
+/** Maximum characters of a row, which holds a bounded number of suspects. */
+const maxRowLength = 32_768;
 /** Milliseconds between two checks whether this node should follow the table. */
 const followerCheckInterval = 1000;
 
@@ -116,6 +118,7 @@
 				{
 					store,
 					table,
+					maxValue: maxRowLength,
 					clock,
 					random,
 					wait: feedWait,
