fix(node): requests that can't be written to a target no longer take its connections for good

Callers saw: after as many `GET *` requests as the target has connections, every request to that target waited for its deadline and got 502, for good. Cause: undici rejects such a path, method or header, but the client of its pool stays marked as busy, and nothing is ever written on it that would free it. Change: a node refuses such requests of callers with 400, and those of peers, as not run, before they reach the client.

--- a/packages/node/__tests__/bad-input-caller.spec.ts
+++ b/packages/node/__tests__/bad-input-caller.spec.ts
@@ -131,7 +131,7 @@
 		it(`refuses ${name}`, async () => {
 			const answer = await exchange(compose(lines, 'four'));
 			expect(answer).to.match(/^HTTP\/1\.1 400 /u);
-			expect(answer).to.contain('egretspoke-outcome: not-run');
+			expect(answer.toLowerCase()).to.contain('egretspoke-outcome: not-run');
 			expectNothingRun();
 		});
 	}
@@ -180,6 +180,21 @@
 		expect(await fixture.count(malformed('noRoom'))).to.be.at.least(1);
 	});
 
+	it('refuses a request that the target can not be sent', async () => {
+		// A scanner sends `GET *`. The client of the target rejected it and lost
+		// a connection each time, until every request waited for its deadline.
+		for (let count = 0; count < 20; count++) {
+			// eslint-disable-next-line no-await-in-loop -- one after another.
+			const answer = await exchange(
+				'GET * HTTP/1.1\r\nhost: node\r\negretspoke-service: orders\r\nconnection: close\r\n\r\n',
+			);
+			expect(answer).to.match(/^HTTP\/1\.1 400 /u);
+			expect(answer.toLowerCase()).to.contain('egretspoke-outcome: not-run');
+		}
+
+		expectNothingRun();
+	});
+
 	it('refuses an unknown service', async () => {
 		expect(await sendHeaders({'egretspoke-service': 'nowhere'})).to.deep.equal({
 			status: 404,
--- a/packages/node/src/caller-request-reader.ts
+++ b/packages/node/src/caller-request-reader.ts
@@ -3,6 +3,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {headerNames, parseHome} from '@egretspoke/protocol';
 import type {CallerRequest} from './caller-request.js';
+import {findRequestFault} from './request-validity.js';
 
 const numberPattern = /^\d{1,16}$/u;
 const identifierPattern = /^[\u0021-\u007E]{1,200}$/u;
@@ -54,6 +55,13 @@
 		faults.push(`${headerNames.home} must be <node>@<incarnation>`);
 	}
 
+	const method = request.method ?? 'GET';
+	const path = request.url ?? '/';
+	const fault = findRequestFault({method, path, headers});
+	if (fault !== undefined) {
+		faults.push(fault);
+	}
+
 	if (service === undefined) {
 		faults.push(`${headerNames.service} is missing`);
 	}
@@ -64,8 +72,8 @@
 
 	return ok({
 		service: service!,
-		method: request.method ?? 'GET',
-		path: request.url ?? '/',
+		method,
+		path,
 		headers: removeCallerOnlyHeaders(headers),
 		body,
 		caller: callerName ?? request.socket.remoteAddress ?? 'unknown',
--- a/packages/node/src/node-core.ts
+++ b/packages/node/src/node-core.ts
@@ -45,6 +45,7 @@
 import {createPauseWatch} from './pause-watch.js';
 import {createPeers, type Peers} from './peers.js';
 import type {Classification} from './request-chain.js';
+import {findRequestFault} from './request-validity.js';
 import {
 	createRunningRequests,
 	type RunningRequests,
@@ -192,6 +193,12 @@
 			reporter,
 			async call(message, signal) {
 				const {request} = message;
+				const fault = findRequestFault(request);
+				if (fault !== undefined) {
+					const code = ErrorCode.MalformedRequest;
+					return {outcome: refuseAsNotRun(code, undefined, fault)};
+				}
+
 				const timeLeft = request.timeLeft - pauses.maxMessageAge();
 				const aged = {...message, request: {...request, timeLeft}};
 				return handleCall[message.role](aged, signal);
