fix(node): an answer or call of a peer that Node rejects no longer ends the node or hangs its caller

Callers saw: no answer at all, and the node ended under its requests, when a peer's answer had a status out of range or an invalid header; with an interim status the caller waited for ever. Cause: writeHead throws; serving a caller's request, and answering a peer's call, were started with `void`; a throwing client of the target left the slot of its request taken.

--- a/packages/node/src/caller-answer.ts
+++ b/packages/node/src/caller-answer.ts
@@ -1,7 +1,8 @@
 /** Writes an outcome as an HTTP answer. */
 import {Buffer} from 'node:buffer';
-import type {ServerResponse} from 'node:http';
+import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
 import {
+	createRefusal,
 	ErrorCode,
 	errorMessages,
 	formatHome,
@@ -43,8 +44,22 @@
 };
 
 const writers: Writers = {
-	answered(response, {answer, repeated}) {
-		writeAnswer(response, answer, repeated ? 'answered; repeated' : 'answered');
+	answered(response, {answer, repeated}, request) {
+		const before = response.getHeaders();
+		try {
+			writeAnswer(
+				response,
+				answer,
+				repeated ? 'answered; repeated' : 'answered',
+			);
+		} catch {
+			// A peer states the status and the headers, and Node throws on invalid ones.
+			resetHeaders(response, before);
+			const refusal = createRefusal(ErrorCode.AnswerCut, {
+				detail: 'the answer has an invalid status or header',
+			});
+			writeRefusal(response, refusal, 'unknown', request);
+		}
 	},
 	notRun(response, {refusal}, request) {
 		writeRefusal(response, refusal, 'not-run', request);
@@ -54,11 +69,18 @@
 	},
 };
 
+/** An interim answer would leave its caller waiting for the final one. */
+const minFinalStatus = 200;
+
 function writeAnswer(
 	response: ServerResponse,
 	{status, headers, body}: Answer,
 	outcome: string,
 ): void {
+	if (status < minFinalStatus) {
+		throw new RangeError(`${status} is no status of a final answer`);
+	}
+
 	response.writeHead(status, {
 		...headers,
 		[headerNames.outcome]: outcome,
@@ -67,6 +89,19 @@
 	response.end(body);
 }
 
+function resetHeaders(
+	response: ServerResponse,
+	headers: OutgoingHttpHeaders,
+): void {
+	for (const name of response.getHeaderNames()) {
+		response.removeHeader(name);
+	}
+
+	for (const [name, value] of Object.entries(headers)) {
+		response.setHeader(name, value!);
+	}
+}
+
 /** The body of a refusal. Programs read its codes; `message` and `advice` are for people. */
 type RefusalBody = {
 	outcome: string;
--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -13,6 +13,7 @@
 import type {TargetAnnouncement} from '@egretspoke/protocol';
 import {
 	createCallerConnections,
+	runDetached,
 	sleep,
 	type CallerExchange,
 	type Clock,
@@ -26,7 +27,7 @@
 import {writeOutcome} from './caller-answer.js';
 import {createCallerHandler} from './caller-handler.js';
 import type {CallerEntry, CallerOutcome} from './caller-request.js';
-import type {NodeReporter} from './node-reporter.js';
+import {describeError, type NodeReporter} from './node-reporter.js';
 import {writeRawRefusal} from './raw-refusals.js';
 import {readBody, type BodyFault} from './request-body.js';
 import {isAnnouncement, readAnnouncement} from './target-announcement.js';
@@ -154,24 +155,32 @@
 			endedByCaller.add(socket);
 		}
 
-		void (isAnnouncement(request)
+		const serving = isAnnouncement(request)
 			? serveAnnouncement(request, exchange)
-			: serve(request, exchange));
+			: serve(request, exchange);
+		void runDetached(serving, (error) => {
+			// Its caller would wait for an answer until its own timeout.
+			response.destroy();
+			const detail = describeError(error);
+			reporter.recordEvent({name: 'taskFailed', task: 'request', detail});
+		});
 	};
 
 	const serve = async (request: IncomingMessage, exchange: CallerExchange) => {
 		const {signal} = draining;
 		const body = await readBody(request, options.bodyLimit, {budget, signal});
-		if (exchange.accept()) {
-			const entry = accepted.add(request, exchange);
-			const outcome = await answer(request, body, entry);
-			endAfterLast(exchange, body.isErr() || lacksHost(request));
-			entry.answer();
-			countAnswer(exchange.response, outcome);
-			writeOutcome(exchange.response, outcome);
+		try {
+			if (exchange.accept()) {
+				const entry = accepted.add(request, exchange);
+				const outcome = await answer(request, body, entry);
+				endAfterLast(exchange, body.isErr() || lacksHost(request));
+				entry.answer();
+				countAnswer(exchange.response, outcome);
+				writeOutcome(exchange.response, outcome);
+			}
+		} finally {
+			budget.release(body.isOk() ? body.value.length : 0);
 		}
-
-		budget.release(body.isOk() ? body.value.length : 0);
 	};
 
 	/** Counts an answer until its caller has read it or has left. */
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -24,7 +24,7 @@
 import {createIdleCounter} from './idle-counter.js';
 import {createIsolatedTurns} from './isolated-turns.js';
 import type {NodeQuarantine} from './node-quarantine.js';
-import type {NodeReporter} from './node-reporter.js';
+import {describeError, type NodeReporter} from './node-reporter.js';
 import type {RunningRequests} from './running-requests.js';
 import type {TargetClient} from './target-client.js';
 import {createTargetWatch} from './target-watch.js';
@@ -88,6 +88,15 @@
 		waiters.settleDue();
 	};
 
+	/** A throwing client would leave the slot of the request taken for ever. */
+	const sendSafely: TargetClient['send'] = async (...parameters) => {
+		try {
+			return await context.target.send(...parameters);
+		} catch (error) {
+			return {kind: 'lost', detail: describeError(error)};
+		}
+	};
+
 	const dispatch = async (
 		request: CallRequest,
 		facts: CallFacts,
@@ -121,7 +130,7 @@
 		});
 		const timeLeft = facts.deadline - startedAt;
 		const result = await watch.run(request, signal, async () =>
-			context.target.send(request, timeLeft, signal),
+			sendSafely(request, timeLeft, signal),
 		);
 		context.running.remove(request.id);
 		const duration = clock.now() - startedAt;
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -94,3 +94,8 @@
 	recordRequestEnd: () => undefined,
 	waited: () => undefined,
 };
+
+/** The text of an error in a report. */
+export function describeError(error: unknown): string {
+	return error instanceof Error ? error.message : String(error);
+}
--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -18,7 +18,7 @@
 	type ExchangeResult,
 } from './exchange-table.js';
 import type {MessageChannel, PeerIdentity} from './message-channel.js';
-import type {NodeReporter} from './node-reporter.js';
+import {describeError, type NodeReporter} from './node-reporter.js';
 
 /** The services that a node provides to its peers. */
 export type PeerServices = {
@@ -83,6 +83,25 @@
 	let sequence = 1;
 	let received = 0;
 
+	/** The request may have been handed over before an error. */
+	const callSafely = async (
+		message: CallMessage,
+		signal: AbortSignal,
+	): Promise<ExchangeResult> => {
+		try {
+			return await services.call(message, signal);
+		} catch (error) {
+			const detail = describeError(error);
+			services.reporter.recordEvent({
+				name: 'taskFailed',
+				task: `call of ${channel.peer.node}`,
+				detail,
+			});
+			const refusal = createRefusal(ErrorCode.Internal, {detail});
+			return {outcome: createUnknownOutcome(refusal)};
+		}
+	};
+
 	const answerCall = async (message: CallMessage) => {
 		const {exchange} = message;
 		if (served.size >= openCallLimit || served.has(exchange)) {
@@ -95,7 +114,7 @@
 
 		const stop = new AbortController();
 		served.set(exchange, stop);
-		const result = await services.call(message, stop.signal);
+		const result = await callSafely(message, stop.signal);
 		served.delete(exchange);
 		const isSent = channel.send(writeAnswer(exchange, result));
 		if (!isSent && result.outcome.kind === 'answered') {
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -30,7 +30,7 @@
 import {createNodeCore, type CoreControl, type NodeCore} from './node-core.js';
 import {createNodeInstruments} from './node-instruments.js';
 import {readGauges, type GaugeSources} from './node-readings.js';
-import type {NodeReporter} from './node-reporter.js';
+import {describeError, type NodeReporter} from './node-reporter.js';
 import {waitForPorts} from './listener-ports.js';
 import {stopMargin} from './node-process.js';
 import type {NodeSettings} from './settings.js';
@@ -371,7 +371,3 @@
 	const boundPort = await listener.listen(host, port);
 	return formatAddress({host, port: boundPort});
 }
-
-function describeError(error: unknown): string {
-	return error instanceof Error ? error.message : String(error);
-}
