fix(node): a peer's connection whose messages can't be handled is closed

Callers saw: calls between two nodes that waited for their deadlines. Measured: peers.spec failed before (no close, a restart in its place).

--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -13,6 +13,7 @@
 } from '@egretspoke/protocol';
 import {createTicks, type Clock, type Supervisor} from '@egretspoke/shared';
 import {createUnsentResult, type ExchangeResult} from './exchange-table.js';
+import {describeError} from './node-reporter.js';
 import type {MessageChannel, PeerTransport} from './message-channel.js';
 import {
 	createPeerConnection,
@@ -111,6 +112,14 @@
 			signal.addEventListener('abort', close);
 			try {
 				await connection.serve();
+			} catch (error) {
+				// A restart could read nothing more, and the peer would keep calling in vain.
+				services.reporter.recordEvent({
+					name: 'taskFailed',
+					task: `connection of ${node}`,
+					detail: describeError(error),
+				});
+				connection.close('failed');
 			} finally {
 				signal.removeEventListener('abort', close);
 				removeConnection(open, node);
