fix(node): errors of open listeners are reported and no longer end the node

Callers saw: a node that ended with a stack when it ran out of descriptors or when the port of its peers was taken; an operator's call without an answer. Cause: no listener for 'error' after the start; `ws` emits the errors of its server again and throws without one; admin calls and handshakes were started with `void`. Change: line 2092 for such errors at all three listeners; 'error' of ws has a listener; a failed admin call closes its connection with line 2091; a failed handshake counts as refused and gives its place back. Measured: two new cases of web-socket-transport.spec failed before, pass now.

--- a/packages/node/__tests__/web-socket-transport.spec.ts
+++ b/packages/node/__tests__/web-socket-transport.spec.ts
@@ -1,8 +1,9 @@
+import {createServer} from 'node:http';
 import {expect} from 'chai';
 import type {Message} from '@egretspoke/protocol';
 import {createSystemClock} from '@egretspoke/shared';
 import type {MessageChannel} from '../src/message-channel.js';
-import {createWebSocketTransport} from '../src/web-socket-transport.js';
+import {createWebSocketTransport, listen} from '../src/web-socket-transport.js';
 
 const clock = createSystemClock({keepAlive: true});
 const never = new AbortController().signal;
@@ -69,6 +70,36 @@
 		});
 	});
 
+	describe('listening', () => {
+		// Guards against a node that ends with a stack, because `ws` emits the error of its server again.
+		it('rejects when the port is taken', async () => {
+			const [first, second] = [
+				createTransport('vm-1'),
+				createTransport('vm-2'),
+			];
+			const port = await first.listen('127.0.0.1', 0);
+			let code: unknown;
+			try {
+				await second.listen('127.0.0.1', port);
+			} catch (error) {
+				({code} = error as NodeJS.ErrnoException);
+			}
+
+			expect(code).to.equal('EADDRINUSE');
+			await Promise.all([first.close(), second.close()]);
+		});
+
+		// Guards against a node that ends when it can't accept a connection.
+		it('reports an error of a server that listens', async () => {
+			const server = createServer();
+			const errors: string[] = [];
+			await listen(server, '127.0.0.1', 0, ({message}) => errors.push(message));
+			server.emit('error', new Error('accept EMFILE'));
+			expect(errors).to.deep.equal(['accept EMFILE']);
+			server.close();
+		});
+	});
+
 	describe('closing', () => {
 		// Guards against answers to other nodes that are lost at the end of a stop.
 		it('sends the messages that were written before', async () => {
--- a/packages/node/src/admin-listener.ts
+++ b/packages/node/src/admin-listener.ts
@@ -24,8 +24,9 @@
 	type PlanRequest,
 	type TargetRow,
 } from '@egretspoke/protocol';
+import {runDetached} from '@egretspoke/shared';
 import {readBody} from './request-body.js';
-import {listen} from './web-socket-transport.js';
+import {listen, type OnListenerError} from './web-socket-transport.js';
 
 /** The result of a plan request. */
 export type PlanResult =
@@ -53,6 +54,9 @@
 	/** The largest document in bytes. */
 	bodyLimit: number;
 	onMalformed: (fault: string) => void;
+	onListenerError?: OnListenerError;
+	/** Called when a call could not be answered. */
+	onFailure?: (error: unknown) => void;
 };
 
 type AdminAnswer = {status: number; body: unknown};
@@ -133,7 +137,10 @@
 	const server = createServer(
 		{requestTimeout: requestTimeoutMs, headersTimeout: requestTimeoutMs},
 		(request, response) => {
-			void serve(request, response, options);
+			void runDetached(serve(request, response, options), (error) => {
+				response.destroy();
+				options.onFailure?.(error);
+			});
 		},
 	);
 	server.on('clientError', (_error, socket) => {
@@ -141,7 +148,8 @@
 		socket.destroy();
 	});
 	return {
-		listen: async (host: string, port: number) => listen(server, host, port),
+		listen: async (host: string, port: number) =>
+			listen(server, host, port, options.onListenerError),
 		close: async () => closeServer(server),
 	};
 }
--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -31,13 +31,14 @@
 import {writeRawRefusal} from './raw-refusals.js';
 import {readBody, type BodyFault} from './request-body.js';
 import {isAnnouncement, readAnnouncement} from './target-announcement.js';
-import {listen} from './web-socket-transport.js';
+import {listen, type OnListenerError} from './web-socket-transport.js';
 
 /** Bounds of the listener; times in milliseconds, sizes in bytes. */
 export type CallerListenerOptions = {
 	clock: Clock;
 	entry: CallerEntry;
 	reporter: NodeReporter;
+	onListenerError?: OnListenerError;
 	bodyLimit: number;
 	/** Maximum total of the bodies and unread answers held at the same time. */
 	bufferLimit: number;
@@ -248,7 +249,7 @@
 
 	return {
 		async listen(host, port) {
-			return listen(server, host, port);
+			return listen(server, host, port, options.onListenerError);
 		},
 		async drain() {
 			draining.abort();
--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -45,6 +45,7 @@
 			detail: string;
 			retryIn: number;
 	  }
+	| {name: 'listenerFailed'; listener: string; detail: string}
 	| {name: 'taskFailed'; task: string; detail: string}
 	| {name: 'malformedRequest'; fault: string}
 	| {name: 'operatorRefused'; detail: string}
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -37,6 +37,7 @@
 import {createAnnouncementHandler} from './announcement-handler.js';
 import {
 	createWebSocketTransport,
+	type OnListenerError,
 	type WebSocketTransport,
 } from './web-socket-transport.js';
 
@@ -106,7 +107,15 @@
 		reporter.recordEvent({name: 'taskFailed', task, detail});
 	};
 
-	const transport = createTransport(settings, clock, self, reporter);
+	const reportListener = (listener: string) => (error: Error) => {
+		const {message} = error;
+		reporter.recordEvent({name: 'listenerFailed', listener, detail: message});
+	};
+
+	const transport = createTransport(settings, clock, self, {
+		reporter,
+		onListenerError: reportListener('peer'),
+	});
 	const peer = await listenOn(transport, settings.listeners.peer);
 	const policy = options.policy ?? egretspokePolicy;
 
@@ -151,6 +160,7 @@
 		headerLimit: limits.headers,
 		connectionLimit: limits.connections,
 		requestTimeout: limits.slowSender,
+		onListenerError: reportListener('caller'),
 		announce(announcement) {
 			handleAnnouncement(announcement);
 		},
@@ -178,6 +188,10 @@
 		onMalformed(detail) {
 			reporter.recordEvent({name: 'operatorRefused', detail});
 		},
+		onListenerError: reportListener('admin'),
+		onFailure(error) {
+			onFailure('operator call', error);
+		},
 	});
 	const adminAddress = await listenOn(admin, settings.listeners.admin);
 	subscribeToControl(control, core, instruments.reporter);
@@ -260,7 +274,10 @@
 	{dataCentre, limits, secrets}: NodeSettings,
 	clock: Clock,
 	self: Home,
-	reporter: NodeReporter,
+	{
+		reporter,
+		onListenerError,
+	}: {reporter: NodeReporter; onListenerError: OnListenerError},
 ): WebSocketTransport {
 	return createWebSocketTransport({
 		clock,
@@ -268,6 +285,7 @@
 		secret: secrets.peer ?? '',
 		messageLimit: limits.body + envelopeLimit,
 		handshakeLimit,
+		onListenerError,
 		onMalformed(detail) {
 			reporter.recordEvent({name: 'malformedMessage', detail});
 		},
--- a/packages/node/src/web-socket-transport.ts
+++ b/packages/node/src/web-socket-transport.ts
@@ -2,10 +2,15 @@
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
 import {WebSocket, WebSocketServer} from 'ws';
-import {remoteAddressSchema, type Clock} from '@egretspoke/shared';
+import {remoteAddressSchema, runDetached, type Clock} from '@egretspoke/shared';
+import type {Result} from 'neverthrow';
 import type {MessageChannel, PeerTransport} from './message-channel.js';
+import type {HandshakeFailure} from './peer-handshake.js';
 import {openChannel, type ChannelContext} from './web-socket-channel.js';
 
+/** Receives an error of a server that listens, such as EMFILE. */
+export type OnListenerError = (error: Error) => void;
+
 /** Options of the transport. */
 export type WebSocketTransportOptions = ChannelContext & {
 	/** The largest message in bytes: a body and its headers. */
@@ -14,6 +19,8 @@
 	handshakeLimit: number;
 	/** Called with the reason when a peer was refused. */
 	onRefused: (detail: string) => void;
+	/** Called when the listener reports an error after it has started; it goes on. */
+	onListenerError?: OnListenerError;
 };
 
 /** The transport with its listener. */
@@ -39,6 +46,8 @@
 		maxPayload: options.messageLimit,
 		perMessageDeflate: false,
 	});
+	// `ws` emits the errors of its server again, and throws without a listener.
+	socketServer.on('error', () => undefined);
 	const sockets = new Set<WebSocket>();
 	let handler: (channel: MessageChannel) => void = () => undefined;
 	let handshakesInProgress = 0;
@@ -50,8 +59,14 @@
 
 	const performHandshake = async (socket: WebSocket) => {
 		handshakesInProgress++;
-		const channel = await openChannel(socket, 'acceptor', options);
-		handshakesInProgress--;
+		let channel: Result<MessageChannel, HandshakeFailure>;
+		try {
+			channel = await openChannel(socket, 'acceptor', options);
+		} finally {
+			// Otherwise the listener would refuse everyone after as many failures as its limit.
+			handshakesInProgress--;
+		}
+
 		channel.match(
 			(accepted) => {
 				handler(accepted);
@@ -70,12 +85,15 @@
 			return;
 		}
 
-		void performHandshake(socket);
+		void runDetached(performHandshake(socket), (error) => {
+			socket.terminate();
+			options.onRefused(String(error));
+		});
 	});
 
 	return {
 		async listen(host, port) {
-			return listen(server, host, port);
+			return listen(server, host, port, options.onListenerError);
 		},
 		async connect(address, signal) {
 			// Other nodes state the address, and `ws` throws on a port out of range.
@@ -137,14 +155,20 @@
 	timer.cancel();
 }
 
-/** Listens and returns the port; rejects with Node's error, such as EADDRINUSE. */
+/**
+ * Listens and returns the port; rejects with Node's error, such as EADDRINUSE.
+ * An error after that, such as EMFILE when a connection is accepted, would end
+ * the process without a listener for it.
+ */
 export async function listen(
 	server: Server,
 	host: string,
 	port: number,
+	onError: OnListenerError = () => undefined,
 ): Promise<number> {
 	server.listen(port, host);
 	await once(server, 'listening');
+	server.on('error', onError);
 	const address = server.address();
 	return typeof address === 'object' && address ? address.port : port;
 }
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -91,6 +91,15 @@
 			'One round of a task, such as gossip after a change, failed. The loops that repeat it go on.',
 		advice: 'Once: report it with this line. Repeatedly: replace the VM.',
 	},
+	listenerFailed: {
+		code: 2092,
+		level: 'error',
+		kind: 'notice',
+		template: 'listeners.{listener} reported an error and goes on: {detail}',
+		meaning:
+			'The operating system refused something to an open listener, such as a descriptor for a new connection (EMFILE).',
+		advice: 'With EMFILE: raise the limit of open files of the process.',
+	},
 	memberChanged: {
 		code: 2101,
 		level: 'info',
