fix(node): the status names the parts that failed and are being restarted

Callers saw: a node whose status looked healthy while its loop that reads the configuration failed again and again; only the log told.

--- a/packages/command/__tests__/operator-commands.spec.ts
+++ b/packages/command/__tests__/operator-commands.spec.ts
@@ -266,6 +266,19 @@
 			);
 		});
 
+		it('shows the parts that fail', async () => {
+			const path = 'root/configuration';
+			const failing = [{path, failures: 3, detail: 'an odd row'}];
+			const body = {...status, failing};
+			const {output} = await runAgainst(
+				{'GET /v1/status': {status: 200, body}},
+				['status'],
+			);
+			expect(output).to.contain(
+				'failing        root/configuration, 3 times: an odd row',
+			);
+		});
+
 		it('prints it as JSON', async () => {
 			const {output} = await runAgainst(answers, ['status', '--json']);
 			expect(JSON.parse(output)).to.deep.equal(status);
--- a/packages/command/src/status-command.ts
+++ b/packages/command/src/status-command.ts
@@ -46,6 +46,10 @@
 				]
 			: []),
 	];
+	for (const {path, failures, detail} of status.failing ?? []) {
+		lines.push(`failing        ${path}, ${failures} times: ${detail}`);
+	}
+
 	terminal.write(`${lines.join('\n')}\n\n`);
 	terminal.write(renderTable(status.inForce, columns, terminal.colour));
 }
--- a/packages/node/src/admin-services.ts
+++ b/packages/node/src/admin-services.ts
@@ -2,6 +2,7 @@
 import type {Control} from '@egretspoke/control';
 import type {EventFields, EventName} from '@egretspoke/observability';
 import type {ConfirmAnswer} from '@egretspoke/protocol';
+import type {Supervisor} from '@egretspoke/shared';
 import type {AdminServices} from './admin-listener.js';
 import type {NodeCore} from './node-core.js';
 import type {NodeInstruments} from './node-instruments.js';
@@ -12,6 +13,7 @@
 	control: Control;
 	core: NodeCore;
 	instruments: NodeInstruments;
+	supervisor: Pick<Supervisor, 'failing'>;
 };
 
 type ConfirmEvents = {
@@ -41,6 +43,7 @@
 	control,
 	core,
 	instruments,
+	supervisor,
 }: AdminServicesContext): AdminServices {
 	const {log, memory, metrics} = instruments;
 	return {
@@ -70,7 +73,12 @@
 		},
 		status() {
 			const load = core.ingress()?.report();
-			return {...control.status(), ...(load && {load})};
+			const failing = supervisor.failing();
+			return {
+				...control.status(),
+				...(failing.length > 0 && {failing}),
+				...(load && {load}),
+			};
 		},
 		targets: () => control.targets(),
 		explain(request) {
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -182,7 +182,13 @@
 
 	const handleAnnouncement = createAnnouncementHandler(settings, core, control);
 	const admin = createAdminListener({
-		services: createAdminServices({node, control, core, instruments}),
+		services: createAdminServices({
+			node,
+			control,
+			core,
+			instruments,
+			supervisor,
+		}),
 		bodyLimit: limits.body,
 		...(secrets.operator !== undefined && {secret: secrets.operator}),
 		onMalformed(detail) {
--- a/packages/protocol/src/admin.ts
+++ b/packages/protocol/src/admin.ts
@@ -109,6 +109,12 @@
 			heardSecondsAgo: z.number(),
 		}),
 	),
+	/** Parts of the node that failed and are being restarted; absent when all run. */
+	failing: z
+		.array(
+			z.object({path: z.string(), failures: z.number(), detail: z.string()}),
+		)
+		.optional(),
 	load: z
 		.object({
 			inFlight: z.number(),
