fix(shared): documents that are nested too deeply or contain themselves end in a finding

Callers saw: a plan with some thousand nested lists could end the node by SIGABRT, under its requests; one with an alias of itself got an internal error, and the same in the settings ended the start with a stack. Cause: the YAML parser recurses; on an overflow V8 throws or, when it compiles a regular expression at that depth, aborts the process ("RegExpCompiler Allocation failed"). Findings quote the value by JSON.stringify. Change: the nesting is counted with the parser's lexer, which doesn't recurse, before the document is parsed; a value that contains itself is a finding.

--- a/packages/shared/src/settings-reader.ts
+++ b/packages/shared/src/settings-reader.ts
@@ -7,6 +7,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {LineCounter, parseDocument} from 'yaml';
 import type {z} from 'zod';
+import {isNestedTooDeeply} from './document-depth.js';
 import {createPlaceFinder, type DocumentPath} from './document-place.js';
 import {explainIssue, type DocumentIssue} from './document-issue.js';
 import type {Finding, Place} from './finding.js';
@@ -36,6 +37,11 @@
 	source: DocumentSource<Schema>,
 ): Result<z.output<Schema>, Finding[]> {
 	const {text, file, schema, check} = source;
+	if (isNestedTooDeeply(text)) {
+		const place: Place = {file, line: 1, column: 1};
+		return err([{place, path: '', message: 'is nested too deeply'}]);
+	}
+
 	const lines = new LineCounter();
 	const document = parseDocument(text, {lineCounter: lines});
 	const syntax = document.errors.map((error): Finding => {
@@ -53,6 +59,8 @@
 	let value: unknown;
 	try {
 		value = document.toJS();
+		// Findings quote values, which throws when an alias makes one contain itself.
+		JSON.stringify(value);
 	} catch (error) {
 		const place: Place = {file, line: 1, column: 1};
 		return err([{place, path: '', message: firstLine(String(error))}]);
