fix(control): records of members that no node can have announced are ignored

Callers saw: a record with the greatest start time named a live node; its refutation was a number that no other node reads, so all refused its messages; or the live node stayed displaced, as no later start was newer. Cause: any safe integer was taken as incarnation and heartbeat. Change: incarnations from 1e13 ms (the year 2286) and heartbeats from 1e12 on are ignored, and not passed on.

--- a/packages/control/src/member-view.ts
+++ b/packages/control/src/member-view.ts
@@ -112,7 +112,7 @@
 		applyRecords(records, isWhole = false) {
 			const now = clock.now();
 			const found: MemberChange[] = [];
-			for (const record of records) {
+			for (const record of records.filter((each) => isPlausible(each))) {
 				if (record.node === state.self) {
 					const answer = refute(self(), record);
 					if (answer) {
@@ -163,6 +163,19 @@
 	};
 }
 
+/**
+ * Bounds of what a node can have announced: an incarnation in milliseconds since
+ * 1970, until the year 2286, and a count of announcements. A greater one would
+ * displace a live node for good, as none of its own is ever newer, and the
+ * refutation of the greatest integer is one that no other node can read.
+ */
+const incarnationLimit = 1e13;
+const heartbeatLimit = 1e12;
+
+function isPlausible({incarnation, heartbeat}: Member): boolean {
+	return incarnation < incarnationLimit && heartbeat < heartbeatLimit;
+}
+
 /** Such a member receives its record at the first contact, so that it can refute it (Dadgar et al., Lifeguard, 2018). */
 function isSuspectOrGone({state}: Member): boolean {
 	return state === 'suspect' || state === 'gone';
