fix(node): settings with addresses that nothing can connect to are findings

Callers saw: a node that started and never reached its target, platform or peers (port 0), or ended with "invalid url" without the key (an address of the platform with a path); a credential with a line break made every read fail.

--- a/packages/node/__tests__/settings.spec.ts
+++ b/packages/node/__tests__/settings.spec.ts
@@ -1,5 +1,6 @@
 import {formatFinding} from '@egretspoke/shared';
 import {expect} from 'chai';
+import fc from 'fast-check';
 import {parseNodeSettings, readNodeSettings} from '../src/index.js';
 
 const minimalLines = [
@@ -122,4 +123,86 @@
 			'nowhere.yaml:1:1 cannot read the file: ENOENT (expected a YAML file that this user may read)',
 		]);
 	});
+
+	// Guards against a node that starts and can never reach what these name, or ends without naming the key.
+	it('refuse addresses that nothing can connect to', () => {
+		const platform = (text: string) => [
+			...minimalLines.slice(0, 2),
+			`platform: ${text}`,
+		];
+		for (const lines of [
+			platform('{address: "http://127.0.0.1:7500/store"}'),
+			platform('{address: "http://127.0.0.1:7500?x=1"}'),
+			platform('{address: "http://127.0.0.1:0"}'),
+			platform(
+				String.raw`{address: "http://127.0.0.1:7500", credential: "a\nb"}`,
+			),
+			[...minimalLines, 'target: {address: "127.0.0.1:0"}'],
+			[...minimalLines, 'peers: ["127.0.0.1:0"]'],
+			[...minimalLines, 'peers: ["127.0.0.1:99999"]'],
+			[...minimalLines, 'advertise: {peer: "127.0.0.1:0"}'],
+			[...minimalLines, 'advertise: {caller: "127.0.0.1:0"}'],
+		]) {
+			expect(findingsOf(...lines), lines.join(' ')).to.have.length(1);
+		}
+	});
+
+	it('end in findings and never in an error, whatever they contain', () => {
+		const key = fc.constantFrom(
+			'node',
+			'region',
+			'dataCentre',
+			'listeners',
+			'advertise',
+			'platform',
+			'target',
+			'peers',
+			'secrets',
+			'limits',
+			'logs',
+			'timings',
+			'address',
+			'caller',
+			'peer',
+			'drain',
+			'lease',
+			'probe',
+			'__proto__',
+			'constructor',
+		);
+		const scalar = fc.constantFrom(
+			'1e300',
+			'-1',
+			'.nan',
+			'.inf',
+			'99999999999999999999',
+			'"127.0.0.1:99999"',
+			'"127.0.0.1:0"',
+			'"[::1]:7400"',
+			'"http://[::1"',
+			'"%E0%A4%A"',
+			'-4s',
+			'1e300s',
+			'null',
+			'""',
+			'__proto__',
+			'[[[[]]]]',
+			'&a [*a]',
+			'!!binary x',
+		);
+		const entry = fc
+			.tuple(key, fc.oneof(scalar, fc.tuple(key, scalar)))
+			.map(([name, value]) =>
+				Array.isArray(value)
+					? `${name}: {${value[0]}: ${value[1]}}`
+					: `${name}: ${value}`,
+			);
+		fc.assert(
+			fc.property(fc.array(entry, {maxLength: 8}), (entries) => {
+				findingsOf(...minimalLines, ...entries);
+				findingsOf(...entries);
+			}),
+			{seed: 1, numRuns: 1000},
+		);
+	});
 });
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -7,6 +7,7 @@
 	createDurationSchema,
 	readDocument,
 	readTextFile,
+	remoteAddressSchema,
 	sizeSchema,
 	type Finding,
 } from '@egretspoke/shared';
@@ -36,10 +37,14 @@
 const secret = z.string().min(minSecretLength);
 const count = z.int().min(1);
 const duration = createDurationSchema({min: '1ms', max: '24h'});
-const webAddress = z.url({
-	protocol: /^https?$/u,
-	error: 'expected an http or https address, such as http://10.0.0.5:7500',
-});
+const webAddressError =
+	'expected an http or https address without a path, such as http://10.0.0.5:7500';
+const webAddress = z
+	.url({protocol: /^https?$/u, error: webAddressError})
+	.refine((text) => isOrigin(text), {error: webAddressError});
+const headerText = z
+	.string()
+	.regex(/^[\u0021-\u007E]+$/u, 'expected visible ASCII characters');
 
 const listenersSchema = z.strictObject({
 	/** Requests of callers and of the local target. */
@@ -52,9 +57,9 @@
 
 const advertiseSchema = z.strictObject({
 	/** The address advertised to callers, when it isn't the listener's own. */
-	caller: addressSchema.optional(),
+	caller: remoteAddressSchema.optional(),
 	/** The address advertised to other nodes, when it isn't the listener's own. */
-	peer: addressSchema.optional(),
+	peer: remoteAddressSchema.optional(),
 });
 
 const platformSchema = z.strictObject({
@@ -62,7 +67,7 @@
 	/** Timeout of a call to the platform, after which its result is unknown. */
 	timeout: duration.default(2 * second),
 	/** Sent to the platform as bearer token. */
-	credential: z.string().optional(),
+	credential: headerText.optional(),
 });
 
 const announcementSchema = z.strictObject({
@@ -75,7 +80,7 @@
 
 const targetSchema = z.strictObject({
 	/** The address on which the local target listens. */
-	address: addressSchema,
+	address: remoteAddressSchema,
 	/** For a target that can't announce itself; the node announces it then. */
 	announcement: announcementSchema.optional(),
 });
@@ -137,7 +142,7 @@
 	platform: platformSchema,
 	target: targetSchema.optional(),
 	/** Peer listeners to try first; the others are read from the table. */
-	peers: z.array(addressSchema).default([]),
+	peers: z.array(remoteAddressSchema).default([]),
 	secrets: secretsSchema.prefault({}),
 	limits: limitsSchema.prefault({}),
 	logs: logsSchema.prefault({}),
@@ -166,3 +171,13 @@
 		check: (value) => checkNodeSettings(value, defaultListeners),
 	});
 }
+
+/** The client of the platform throws on an address with more than an origin, and no request reaches port 0. */
+function isOrigin(text: string): boolean {
+	if (!URL.canParse(text)) {
+		return false;
+	}
+
+	const {pathname, search, hash, port} = new URL(text);
+	return pathname === '/' && search === '' && hash === '' && port !== '0';
+}
