fix(shared): a wait beyond the range of Node's timers doesn't end at once

Callers saw: a request whose peer stated 1e300 ms woke its waiters at once. Cause: Node fires a timer with more than 2^31 - 1 ms after 1 ms. Change: the delay is bounded; the wait then ends after 24 days.

--- a/packages/shared/src/clock.ts
+++ b/packages/shared/src/clock.ts
@@ -20,17 +20,20 @@
 	now(): number;
 	/** The wall-clock time, for logs and for data that leaves the process. */
 	date(): Date;
-	/** Calls the callback once after the delay in milliseconds. */
+	/** Calls the callback once after the delay in milliseconds; the clock of the system after 24 days at most. */
 	setTimer(delay: number, callback: () => void): Timer;
 };
 
+/** Node fires a timer with a greater delay after 1 ms, and a task that waits would spin. */
+const maxDelay = 2 ** 31 - 1;
+
 /** Creates a clock on the time of the operating system. Its timers keep the process alive only with `keepAlive`. */
 export function createSystemClock(options: {keepAlive?: boolean} = {}): Clock {
 	return {
 		now: () => performance.now(),
 		date: () => new Date(),
 		setTimer(delay, callback) {
-			const handle = setTimeout(callback, delay);
+			const handle = setTimeout(callback, Math.min(delay, maxDelay));
 			if (!options.keepAlive) {
 				handle.unref();
 			}
