--- a/packages/node/src/node-reporter.ts
+++ b/packages/node/src/node-reporter.ts
@@ -45,6 +45,7 @@
 			detail: string;
 			retryIn: number;
 	  }
+	| {name: 'listenerFailed'; listener: string; detail: string}
 	| {name: 'taskFailed'; task: string; detail: string}
 	| {name: 'malformedRequest'; fault: string}
 	| {name: 'operatorRefused'; detail: string}
@@ -94,3 +95,8 @@
 	recordRequestEnd: () => undefined,
 	waited: () => undefined,
 };
+
+/** The text of an error in a report. */
+export function describeError(error: unknown): string {
+	return error instanceof Error ? error.message : String(error);
+}
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -30,13 +30,14 @@
 import {createNodeCore, type CoreControl, type NodeCore} from './node-core.js';
 import {createNodeInstruments} from './node-instruments.js';
 import {readGauges, type GaugeSources} from './node-readings.js';
-import type {NodeReporter} from './node-reporter.js';
+import {describeError, type NodeReporter} from './node-reporter.js';
 import {waitForPorts} from './listener-ports.js';
 import {stopMargin} from './node-process.js';
 import type {NodeSettings} from './settings.js';
 import {createAnnouncementHandler} from './announcement-handler.js';
 import {
 	createWebSocketTransport,
+	type OnListenerError,
 	type WebSocketTransport,
 } from './web-socket-transport.js';
 
@@ -106,7 +107,15 @@
 		reporter.recordEvent({name: 'taskFailed', task, detail});
 	};
 
-	const transport = createTransport(settings, clock, self, reporter);
+	const reportListener = (listener: string) => (error: Error) => {
+		const {message} = error;
+		reporter.recordEvent({name: 'listenerFailed', listener, detail: message});
+	};
+
+	const transport = createTransport(settings, clock, self, {
+		reporter,
+		onListenerError: reportListener('peer'),
+	});
 	const peer = await listenOn(transport, settings.listeners.peer);
 	const policy = options.policy ?? egretspokePolicy;
 
@@ -151,6 +160,7 @@
 		headerLimit: limits.headers,
 		connectionLimit: limits.connections,
 		requestTimeout: limits.slowSender,
+		onListenerError: reportListener('caller'),
 		announce(announcement) {
 			handleAnnouncement(announcement);
 		},
@@ -172,12 +182,22 @@
 
 	const handleAnnouncement = createAnnouncementHandler(settings, core, control);
 	const admin = createAdminListener({
-		services: createAdminServices({node, control, core, instruments}),
+		services: createAdminServices({
+			node,
+			control,
+			core,
+			instruments,
+			supervisor,
+		}),
 		bodyLimit: limits.body,
 		...(secrets.operator !== undefined && {secret: secrets.operator}),
 		onMalformed(detail) {
 			reporter.recordEvent({name: 'operatorRefused', detail});
 		},
+		onListenerError: reportListener('admin'),
+		onFailure(error) {
+			onFailure('operator call', error);
+		},
 	});
 	const adminAddress = await listenOn(admin, settings.listeners.admin);
 	subscribeToControl(control, core, instruments.reporter);
@@ -260,7 +280,10 @@
 	{dataCentre, limits, secrets}: NodeSettings,
 	clock: Clock,
 	self: Home,
-	reporter: NodeReporter,
+	{
+		reporter,
+		onListenerError,
+	}: {reporter: NodeReporter; onListenerError: OnListenerError},
 ): WebSocketTransport {
 	return createWebSocketTransport({
 		clock,
@@ -268,6 +291,7 @@
 		secret: secrets.peer ?? '',
 		messageLimit: limits.body + envelopeLimit,
 		handshakeLimit,
+		onListenerError,
 		onMalformed(detail) {
 			reporter.recordEvent({name: 'malformedMessage', detail});
 		},
@@ -371,7 +395,3 @@
 	const boundPort = await listener.listen(host, port);
 	return formatAddress({host, port: boundPort});
 }
-
-function describeError(error: unknown): string {
-	return error instanceof Error ? error.message : String(error);
-}
