fix(node): an announcement that failed is applied when the target repeats it

Callers saw: a node that sent its target nothing, although the target announced itself again and again. Cause: the announcement counted as applied before it was.

--- a/packages/node/src/announcement-handler.ts
+++ b/packages/node/src/announcement-handler.ts
@@ -2,6 +2,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import type {Control} from '@egretspoke/control';
 import type {TargetAnnouncement} from '@egretspoke/protocol';
+import {runDetached} from '@egretspoke/shared';
 import {createHttpTargetClient} from './http-target-client.js';
 import type {NodeCore} from './node-core.js';
 import type {NodeSettings} from './settings.js';
@@ -14,6 +15,7 @@
 	{target, limits}: NodeSettings,
 	core: NodeCore,
 	control: Control,
+	onCloseFailure: (error: unknown) => void,
 ): AnnouncementHandler {
 	let current: TargetAnnouncement | undefined;
 	let client: ReturnType<typeof createHttpTargetClient> | undefined;
@@ -23,15 +25,18 @@
 			return;
 		}
 
-		// Closing waits for the requests in progress on the previous client.
-		void client?.close();
-		current = announcement;
-		client = createHttpTargetClient({
+		const next = createHttpTargetClient({
 			address: target.address,
 			connections: announcement.connections,
 			bodyLimit: limits.body,
 		});
-		core.announce({announcement, client});
+		core.announce({announcement, client: next});
+		// Closing waits for the requests in progress on the previous client.
+		const closing = client?.close() ?? Promise.resolve();
+		void runDetached(closing, onCloseFailure);
+		client = next;
+		// Set last, so that an announcement that failed is not ignored when it is repeated.
 		control.announceTarget(announcement);
+		current = announcement;
 	};
 }
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -180,7 +180,14 @@
 	gaugeSources.control = control;
 	gaugeSources.core = core;
 
-	const handleAnnouncement = createAnnouncementHandler(settings, core, control);
+	const handleAnnouncement = createAnnouncementHandler(
+		settings,
+		core,
+		control,
+		(error) => {
+			onFailure('close of a client', error);
+		},
+	);
 	const admin = createAdminListener({
 		services: createAdminServices({
 			node,
