fix(mesh): a request whose header name contains a space is rejected on all Node versions

What callers saw: nothing; a target got "Caller-Service : other" beside the header that the node sets.

Cause: llhttp 8.1.2 (Node 20.19) accepts spaces in header names of requests, as in those of responses; later versions answer 400.

Change: such a request is answered 400 and its connection closed, as a later Node does.

--- a/packages/mesh/__tests__/caller-listener.spec.ts
+++ b/packages/mesh/__tests__/caller-listener.spec.ts
@@ -56,6 +56,22 @@
 		});
 	});
 
+	describe('when a header name contains a space', () => {
+		const expectRejected = async (line: string) => {
+			fixture.caller.write(
+				`GET / HTTP/1.1\r\nHost: shop.example\r\n${line}\r\n\r\n`,
+			);
+			await waitUntil(() => fixture.caller.readableEnded);
+			expect(fixture.text).to.match(/^HTTP\/1\.1 400 /);
+			expect(fixture.received).to.deep.equal([]);
+		};
+
+		for (const line of ['From-Service : forged', 'X Y: 1', 'Request-Id : b']) {
+			// Guards against a header that only nodes set and that passes their check by a name that targets read without the space.
+			it(`rejects the request (${line})`, async () => expectRejected(line));
+		}
+	});
+
 	it('accepts a workspace key only once', async () => {
 		// A proxy and a node could otherwise take different keys for the caller's.
 		const {request} = await fixture.send('GET /', [
--- a/packages/mesh/src/entry/caller-headers.ts
+++ b/packages/mesh/src/entry/caller-headers.ts
@@ -17,6 +17,8 @@
 	workspaceKey: string | undefined;
 	/** Whether a body follows (RFC 9112, section 6.3). */
 	hasBody: boolean;
+	/** Whether a name contains a space, which llhttp before 9.3 (Node 20.19) accepts; other readers take a part of it for the name. */
+	hasInvalidName: boolean;
 	/** Headers to forward, names and values alternating. */
 	endToEnd: string[];
 };
@@ -44,12 +46,14 @@
 		let workspaceKey: string | undefined;
 		let keys = 0;
 		let hasBody = false;
+		let hasInvalidName = false;
 		let named: Set<string> | undefined;
 		const endToEnd: string[] = [];
 		for (let index = 0; index < headers.length; index += 2) {
 			const name = headers[index]!.toLowerCase();
 			const value = headers[index + 1]!;
 			size += name.length + value.length + separatorBytes;
+			hasInvalidName ||= name.includes(' ');
 			if (isConnectionHeader(name)) {
 				if (name === 'connection') {
 					named = listNamed(value, named);
@@ -104,6 +108,7 @@
 			timeLeft,
 			workspaceKey,
 			hasBody,
+			hasInvalidName,
 			endToEnd: named ? dropNamed(endToEnd, named) : endToEnd,
 		};
 	};
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -170,7 +170,10 @@
 			return;
 		}
 
-		if (headers.host === undefined && request.httpVersion === '1.1') {
+		if (
+			headers.hasInvalidName ||
+			(headers.host === undefined && request.httpVersion === '1.1')
+		) {
 			request.resume();
 			reject(exchange, 400);
 			return;
