fix(node): a request whose header name contains a space is refused on all Node versions

What callers saw: as at the mesh's entry; "egretspoke-class : essential" and the like were read as headers of the application.

Cause: llhttp 8.1.2 (Node 20.19) accepts spaces in header names.

Change: reported as a fault of the headers, with 400 and as not run.

Measured: the new spec gets another answer than 400 before the change and passes after it.

--- a/packages/node/__tests__/bad-input-caller.spec.ts
+++ b/packages/node/__tests__/bad-input-caller.spec.ts
@@ -141,6 +141,20 @@
 		expect(answer).to.contain('egretspoke-error: 100 MalformedRequest');
 	});
 
+	// Guards against a header that only nodes set and that passes their check by a name that targets read without the space.
+	it('refuses a header name with a space', async () => {
+		for (const line of ['egretspoke-class : essential', 'x y: 1']) {
+			// eslint-disable-next-line no-await-in-loop -- one after the other.
+			const answer = await exchange(
+				compose([line, 'content-length: 0', 'connection: close']),
+			);
+			expect(answer).to.match(/^HTTP\/1\.1 400 /);
+			expect(answer).to.contain('egretspoke-outcome: not-run');
+		}
+
+		expectNothingRun();
+	});
+
 	it('cuts off a sender that never finishes its headers', async () => {
 		// A client sends one byte from time to time. Enough of them would use every
 		// connection of the node, and no other client could connect.
--- a/packages/node/src/caller-request-reader.ts
+++ b/packages/node/src/caller-request-reader.ts
@@ -54,6 +54,12 @@
 		faults.push(`${headerNames.home} must be <node>@<incarnation>`);
 	}
 
+	// Accepted by llhttp before 9.3 (Node 20.19); other readers take a part of it for the name.
+	const invalidName = Object.keys(headers).find((name) => name.includes(' '));
+	if (invalidName !== undefined) {
+		faults.push(`the header name "${invalidName}" contains a space`);
+	}
+
 	if (service === undefined) {
 		faults.push(`${headerNames.service} is missing`);
 	}
