fix(quarantine): a malformed suspect takes no others of its row with it

What callers saw: requests that crash targets ran again after a restart of the fleet if one entry of a row was odd. Cause: the schema refused the whole row. A row without any readable suspect is malformed as before. Measured: the case in local-suspects.spec failed before (undefined for two suspects); passes now.

--- a/packages/mesh/src/suspects/suspect-register.ts
+++ b/packages/mesh/src/suspects/suspect-register.ts
@@ -53,13 +53,12 @@
 	options: SuspectRegisterOptions,
 ): SuspectRegister {
 	const {store, node, clock, random} = options;
-	const reportSkipped = createLimitedNotices(clock, (key: string) => {
-		options.reporter.notice('meshRowMalformed', {
-			table,
-			key,
-			detail: 'not a list of suspects',
-		});
-	});
+	const reportSkipped = createLimitedNotices(
+		clock,
+		(key: string, detail: string) => {
+			options.reporter.notice('meshRowMalformed', {table, key, detail});
+		},
+	);
 	const recorded = createLocalSuspects(clock);
 	let version = 0;
 
@@ -83,9 +82,11 @@
 	};
 
 	const decode = ({key, value}: StoredRow): Suspect[] => {
-		const suspects = parseLocalSuspects(value, clock);
+		const suspects = parseLocalSuspects(value, clock, () => {
+			reportSkipped(key, 'one of its suspects is skipped');
+		});
 		if (!suspects) {
-			reportSkipped(key);
+			reportSkipped(key, 'not a list of suspects');
 		}
 
 		return suspects ?? [];
--- a/packages/quarantine/__tests__/local-suspects.spec.ts
+++ b/packages/quarantine/__tests__/local-suspects.spec.ts
@@ -59,6 +59,29 @@
 		expect(parseLocalSuspects(text, clock)).to.deep.equal([]);
 	});
 
+	// One malformed entry of a node took its quarantined requests with it.
+	it('are read without those that are malformed', () => {
+		const clock = createVirtualClock();
+		let skipped = 0;
+		const at = clock.date().getTime();
+		const tuples = [
+			['a', 0, 3],
+			['b', 0, 1e300],
+			['c', 0, 2_000_000_000],
+			null,
+			['d', 0, 1],
+		];
+		const read = parseLocalSuspects(
+			JSON.stringify({at, suspects: tuples}),
+			clock,
+			() => {
+				skipped++;
+			},
+		);
+		expect(read).to.deep.equal([suspect('a', 3), suspect('d')]);
+		expect(skipped).to.equal(1);
+	});
+
 	for (const text of [
 		'rubbish',
 		'{}',
--- a/packages/quarantine/src/local-suspects.ts
+++ b/packages/quarantine/src/local-suspects.ts
@@ -19,8 +19,8 @@
 
 /** The time of the write, in milliseconds since 1970, and the suspects. */
 const textSchema = z.object({
-	at: z.number(),
-	suspects: z.array(suspectTupleSchema),
+	at: z.number().int(),
+	suspects: z.array(z.unknown()),
 });
 
 /** Creates an empty set. */
@@ -68,10 +68,14 @@
 	};
 }
 
-/** Parses the text of a node; empty when older than `retentionPeriod`, undefined when malformed. */
+/**
+ * Parses the text of a node; empty when older than `retentionPeriod`, undefined
+ * when malformed. Single malformed suspects are skipped.
+ */
 export function parseLocalSuspects(
 	text: string,
 	clock: Clock,
+	onSkipped: () => void = () => undefined,
 ): Suspect[] | undefined {
 	const parsed = textSchema.safeParse(parseJson(text));
 	if (!parsed.success) {
@@ -79,8 +83,19 @@
 	}
 
 	const {at, suspects} = parsed.data;
-	const isOld = clock.date().getTime() - at > retentionPeriod;
-	return isOld ? [] : suspects.map((tuple) => toSuspect(tuple));
+	const read = suspects.flatMap((tuple) => {
+		const {data} = suspectTupleSchema.safeParse(tuple);
+		return data ? [toSuspect(data)] : [];
+	});
+	if (suspects.length > 0 && read.length === 0) {
+		return undefined;
+	}
+
+	if (read.length < suspects.length) {
+		onSkipped();
+	}
+
+	return clock.date().getTime() - at > retentionPeriod ? [] : read;
 }
 
 function parseJson(text: string): unknown {
--- a/packages/quarantine/src/suspect-tuple.ts
+++ b/packages/quarantine/src/suspect-tuple.ts
@@ -4,11 +4,14 @@
 
 const maxIdentityLength = 64;
 
+/** Far above any count; it may be incremented and is still exact. */
+const maxCount = 1_000_000_000;
+
 /** A suspect as a tuple: identity, round, crashes. */
 export const suspectTupleSchema = z.tuple([
 	z.string().min(1).max(maxIdentityLength),
-	z.number().int().nonnegative(),
-	z.number().int().nonnegative(),
+	z.number().int().nonnegative().max(maxCount),
+	z.number().int().nonnegative().max(maxCount),
 ]);
 
 export type SuspectTuple = z.output<typeof suspectTupleSchema>;
