fix(mesh): a message whose handler throws stops the reading of its link

Callers saw nothing of it at once: the link stayed open and usable, and each request on it waited until a probe went unanswered, or until its deadline.

The messages behind the odd one in its frame were lost as well, among them outcomes.

Each message now has its own boundary; the error becomes a line (limited), and the later messages are handled. peer-channel-failure.spec failed before and passes.

--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -141,6 +141,17 @@
 		}
 	};
 
+	/** An error must not reach the receiver of `ws`, which reads nothing more afterwards while its connection stays open. */
+	const receive = (message: PeerMessage, delay: number) => {
+		try {
+			handlers.onMessage(message, delay);
+		} catch (error) {
+			const detail =
+				error instanceof Error ? (error.stack ?? error.message) : String(error);
+			handlers.onMalformed(`${message.kind}: ${detail}`);
+		}
+	};
+
 	socket.on('upgrade', (response) => {
 		connection = response.socket;
 		connection.on('drain', onDrain);
@@ -161,7 +172,7 @@
 
 		const delay = transit.measure(frame.value.sentAt, clock.now());
 		for (const message of frame.value.messages) {
-			handlers.onMessage(message, delay);
+			receive(message, delay);
 		}
 	});
 	socket.on('close', finish);
