--- a/packages/mesh/__tests__/peer-channel-failure.spec.ts
+++ b/packages/mesh/__tests__/peer-channel-failure.spec.ts
@@ -56,9 +56,10 @@
 		client = new WebSocket(`ws://127.0.0.1:${port}`);
 		await once(client, 'open');
 		const send = (...versions: number[]) => {
-			const messages = versions.map(
-				(version): PeerMessage => ({kind: 'version', version}),
-			);
+			const messages = versions.map((version): PeerMessage => ({
+				kind: 'version',
+				version,
+			}));
 			client.send(encodeFrame({sentAt: 0, messages}));
 		};
 
--- a/packages/mesh/src/members/directory.ts
+++ b/packages/mesh/src/members/directory.ts
@@ -12,6 +12,7 @@
 	levelOfService,
 	type TargetLevel,
 } from '../decisions/admission/service-level.js';
+import {isInFuture} from '../field-schemas.js';
 import {isRateLimited, type TargetLoad} from '../links/exchange.js';
 import {
 	applyLoad,
@@ -213,6 +214,13 @@
 	const addMembers = (members: Member[], source: MemberSource) => {
 		let hasNew = false;
 		for (const member of members) {
+			if (isInFuture(member.startedAt, clock.date())) {
+				options.onMalformed(
+					`the start of ${member.node} is in the future: ${member.startedAt}`,
+				);
+				continue;
+			}
+
 			const change = known.add(member);
 			if (change === 'known') {
 				continue;
