fix(mesh): a node whose own row is refused or replaced is found, and finds others

A node read the others only once its own row was stored, so a store that never takes the row (a name above the limit of its keys, a row of its own that can't be decoded) left it ready and without peers. And a row that was stored once was never looked at again: another writer's odd entry in its place, or a store that lost it, hid the node from each later start.

The others are now read once even if the write fails, and a read that doesn't list the node's own place makes the next round write the row.

--- a/packages/mesh/__tests__/own-row.spec.ts
+++ b/packages/mesh/__tests__/own-row.spec.ts
@@ -18,6 +18,8 @@
 };
 const other: Member = {...self, node: 'node-2', address: '10.0.0.2:7620'};
 
+const written = JSON.stringify({member: self});
+
 /** Runs a register for five minutes; `change` is called after the first one. */
 async function run(
 	store: RowStoreStandIn,
@@ -47,12 +49,8 @@
 	return {members, ownRow: store.rows.get(self.node)};
 }
 
-function memberIn(row: {value: string} | undefined): unknown {
-	return (JSON.parse(row?.value ?? '{}') as {member?: unknown}).member;
-}
-
 describe("a node's own row", () => {
-	// Guards against a node that is ready and has no peers, because the store takes its row never.
+	// Guards against a node that is ready and has no peers, because the store never takes its row.
 	it('keeps the node from no other member if the store refuses it', async () => {
 		const store = createRowStoreStandIn();
 		await store.write(
@@ -60,7 +58,8 @@
 			0,
 		);
 		store.write = async () => err({kind: 'unknown', detail: 'answered 400'});
-		expect((await run(store)).members).to.deep.equal([other.node]);
+		const {members} = await run(store);
+		expect(members).to.deep.equal([other.node]);
 	});
 
 	// Guards against a live node that no later one finds, because another writer has replaced its row.
@@ -83,14 +82,16 @@
 					store.rows.get(self.node)!.version,
 				),
 			);
-			expect(memberIn(ownRow), title).to.deep.equal(self);
+			expect(ownRow?.value, title).to.equal(written);
 		}
 	});
 
 	// Guards against the same after the store has lost the row.
 	it('is written again after it was removed', async () => {
 		const store = createRowStoreStandIn();
-		const {ownRow} = await run(store, async () => store.rows.clear());
-		expect(memberIn(ownRow)).to.deep.equal(self);
+		const {ownRow} = await run(store, async () => {
+			store.rows.clear();
+		});
+		expect(ownRow?.value).to.equal(written);
 	});
 });
--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -75,6 +75,7 @@
 	);
 	let version = 0;
 	let isWritten = false;
+	let hasRead = false;
 	let leaving: TargetRecord | undefined;
 	let writing: Promise<boolean> = Promise.resolve(true);
 	/** Aborts with the node. */
@@ -174,6 +175,11 @@
 			);
 		}
 
+		// Another writer may have replaced the row, or the store lost it.
+		isWritten &&= members.some(
+			(member) => member.node === self.node && isSamePlace(member, self),
+		);
+		hasRead = true;
 		options.onMembers(members);
 		return true;
 	};
@@ -184,7 +190,11 @@
 			let pause = initialBackoff;
 			while (!signal.aborted) {
 				// eslint-disable-next-line no-await-in-loop -- this node's row is written before the others are read.
-				const isDone = (isWritten || (await write())) && (await readOthers());
+				const wasWritten = isWritten || (await write());
+				// While the store refuses its row, the links to the others make this node known.
+				// eslint-disable-next-line no-await-in-loop -- as above.
+				const isRead = (wasWritten || !hasRead) && (await readOthers());
+				const isDone = wasWritten && isRead && isWritten;
 				const delay = isDone ? rereadInterval : pause;
 				pause = isDone ? initialBackoff : Math.min(maxBackoff, pause * 2);
 				// eslint-disable-next-line no-await-in-loop -- backoff or interval between two rounds.
