fix(protocol): 50 bytes of a peer can't take the memory of the process

packages/node: the decoder allocated each list by its stated length, so 50 bytes took 1.34 GB, also from a peer that had not proven itself; a process with a limit ends by itself.

--- a/packages/mesh/src/links/peer-message.ts
+++ b/packages/mesh/src/links/peer-message.ts
@@ -4,7 +4,7 @@
  */
 import {type Buffer} from 'node:buffer';
 import {suspectTupleSchema} from '@egretspoke/quarantine';
-import {remoteAddressSchema} from '@egretspoke/shared';
+import {isAllocationBounded, remoteAddressSchema} from '@egretspoke/shared';
 import {Packr, RESERVE_START_SPACE} from 'msgpackr';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
@@ -28,7 +28,6 @@
 	isCompact,
 	type CompactMessage,
 } from './compact-message.js';
-import {isAllocationBounded} from './message-size.js';
 
 /** Identity and address of a node, as other nodes need them to link to it. */
 export const memberSchema = z.object({
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -1,4 +1,5 @@
 /** Encodes and decodes messages with msgpackr; decoded messages are validated by their schema. */
+import {isAllocationBounded} from '@egretspoke/shared';
 import {Packr} from 'msgpackr';
 import {err, ok, type Result} from 'neverthrow';
 import {messageSchema, type Message} from './message.js';
@@ -14,6 +15,10 @@
 export function decodeMessage(data: Uint8Array): Result<Message, string> {
 	let value: unknown;
 	try {
+		if (!isAllocationBounded(data)) {
+			return err('lists that are longer than the message');
+		}
+
 		value = packr.unpack(data);
 	} catch (error) {
 		return err(`not MessagePack: ${String(error)}`);
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -8,6 +8,7 @@
 export * from './finding.js';
 export * from './fingerprint.js';
 export * from './listening-probe.js';
+export * from './message-size.js';
 export * from './nearest-key.js';
 export * from './random.js';
 export * from './sample.js';
