fix(node): a connection that nothing reads any more is closed

After a handler threw, the supervisor started the reading of the connection again, whose queue had ended, and took that for its end; the socket stayed open. Its peer went on sending calls that nothing read, and each waited until its deadline. peer-connection-failure.spec: open after 3 s before, closed now.

--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -236,6 +236,8 @@
 				}
 			} finally {
 				closeAll();
+				// After a failure nothing reads it, and its peer would wait for answers.
+				channel.close('no longer read');
 			}
 		},
 		close(reason) {
