--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -81,6 +81,7 @@
 	let isWritten = false;
 	/** Whether the row must be written even if it names the same place. */
 	let isDisplaced = false;
+	let hasRead = false;
 	let leaving: TargetRecord | undefined;
 	let writing: Promise<boolean> = Promise.resolve(true);
 	/** Aborts with the node. */
@@ -190,10 +191,13 @@
 		}
 
 		const members: Member[] = [];
+		// Another writer may have replaced the row, or the store lost it.
 		const ownRow = result.value.rows.find(({key}) => key === self.node);
 		if (!isOwnRow(ownRow)) {
 			version = ownRow?.version ?? 0;
-			rewrite();
+			if (isWritten) {
+				rewrite();
+			}
 		}
 
 		for (const row of result.value.rows) {
@@ -207,6 +211,7 @@
 			);
 		}
 
+		hasRead = true;
 		options.onMembers(members);
 		return isWritten || writing;
 	};
@@ -217,7 +222,11 @@
 			let pause = initialBackoff;
 			while (!signal.aborted) {
 				// eslint-disable-next-line no-await-in-loop -- this node's row is written before the others are read.
-				const isDone = (isWritten || (await write())) && (await readOthers());
+				const wasWritten = isWritten || (await write());
+				// While the store refuses its row, the links to the others make this node known.
+				// eslint-disable-next-line no-await-in-loop -- as above.
+				const isRead = (wasWritten || !hasRead) && (await readOthers());
+				const isDone = wasWritten && isRead && isWritten;
 				const delay = isDone ? rereadInterval : pause;
 				pause = isDone ? initialBackoff : Math.min(maxBackoff, pause * 2);
 				// eslint-disable-next-line no-await-in-loop -- backoff or interval between two rounds.
