--- a/packages/mesh/src/entry/caller-headers.ts
+++ b/packages/mesh/src/entry/caller-headers.ts
@@ -17,7 +17,7 @@
 	workspaceKey: string | undefined;
 	/** Whether a body follows (RFC 9112, section 6.3). */
 	hasBody: boolean;
-	/** Whether a name contains a space, which llhttp before 9.3 (Node 20.19) accepts; other readers take a part of it for the name. */
+	/** Whether a name contains a space, which llhttp 8.1.2 (Node 20.19) accepts; other readers take a part of it for the name. */
 	hasInvalidName: boolean;
 	/** Headers to forward, names and values alternating. */
 	endToEnd: string[];
--- a/packages/mesh/src/target/response-parser.ts
+++ b/packages/mesh/src/target/response-parser.ts
@@ -4,7 +4,7 @@
  * Node's HTTP client around it creates streams, listeners and header objects for
  * each request. Nodes of a mesh are cold, so that code costs more than the
  * parser does. The module that exports the parser is not documented; the specs of
- * the target client fail if its interface changes. llhttp before 9.3 (Node 20.19)
+ * the target client fail if its interface changes. llhttp 8.1.2 (Node 20.19)
  * reads some responses more leniently than RFC 9112; the checks on heads here make
  * all versions read alike.
  */
--- a/packages/node/src/caller-request-reader.ts
+++ b/packages/node/src/caller-request-reader.ts
@@ -54,7 +54,7 @@
 		faults.push(`${headerNames.home} must be <node>@<incarnation>`);
 	}
 
-	// Accepted by llhttp before 9.3 (Node 20.19); other readers take a part of it for the name.
+	// Accepted by llhttp 8.1.2 (Node 20.19); other readers take a part of it for the name.
 	const invalidName = Object.keys(headers).find((name) => name.includes(' '));
 	if (invalidName !== undefined) {
 		faults.push(`the header name "${invalidName}" contains a space`);
