fix(mesh): a load with an infinite number is malformed

What callers saw: nothing yet; such a target counts as endlessly full. Cause: only the least value of the numbers of a load was checked.

--- a/packages/mesh/__tests__/odd-messages.spec.ts
+++ b/packages/mesh/__tests__/odd-messages.spec.ts
@@ -87,6 +87,12 @@
 				0,
 				0,
 			]),
+			'an outcome with an infinite load': change(answered, 2, [
+				0,
+				Number.POSITIVE_INFINITY,
+				0,
+				0,
+			]),
 			'an outcome of an inherited kind': change(answered, 3, '__proto__'),
 			// `writeHead` throws for it.
 			'a status of 1e300': change(answered, 4, 1e300),
--- a/packages/mesh/src/links/compact-message.ts
+++ b/packages/mesh/src/links/compact-message.ts
@@ -293,9 +293,9 @@
 		return false;
 	}
 
-	for (const item of load) {
-		// The least is `unlimited`; a rate limit may be so high that it is sent as infinite.
-		if (typeof item !== 'number' || !(item >= unlimited)) {
+	for (const item of load as number[]) {
+		// The least is `unlimited`, which stands for an infinite one.
+		if (!Number.isFinite(item) || item < unlimited) {
 			return false;
 		}
 	}
