fix(node): a suspect request that fails by an error gives its turn back

Callers saw: every further suspect request to that target waited until its deadline. Cause: the turn ended on success only. Change: it ends in any case.

--- a/packages/node/__tests__/ingress.spec.ts
+++ b/packages/node/__tests__/ingress.spec.ts
@@ -3,6 +3,7 @@
 import type {CallRequest} from '@egretspoke/protocol';
 import {createRandom, createVirtualClock, sleep} from '@egretspoke/shared';
 import {createIngress} from '../src/ingress.js';
+import type {NodeQuarantine} from '../src/node-quarantine.js';
 import {silentReporter} from '../src/node-reporter.js';
 import {createRunningRequests} from '../src/running-requests.js';
 import {createLocalQuarantine} from './local-quarantine.js';
@@ -26,7 +27,13 @@
 	};
 }
 
-function createIngressWith(slots: number) {
+function createIngressWith(
+	slots: number,
+	overrides: {
+		beforeSend?: (id: string) => void;
+		quarantine?: Partial<NodeQuarantine>;
+	} = {},
+) {
 	const clock = createVirtualClock();
 	const ran: string[] = [];
 	const ingress = createIngress({
@@ -40,6 +47,7 @@
 		target: {
 			isListening: async () => true,
 			async send({id}) {
+				overrides.beforeSend?.(id);
 				ran.push(id);
 				await sleep(clock, serviceTime);
 				return {
@@ -51,7 +59,7 @@
 		announcement: {service: 'orders', slots, connections: 10},
 		running: createRunningRequests(),
 		reporter: silentReporter,
-		quarantine: createLocalQuarantine(clock),
+		quarantine: {...createLocalQuarantine(clock), ...overrides.quarantine},
 		getRefusalCode: () => undefined,
 	});
 	const run = async (id: string, signal = never) => {
@@ -99,6 +107,53 @@
 		});
 	});
 
+	describe('after an internal error', () => {
+		// Guards against a slot of the target that stays taken, because its client threw.
+		it('runs the next request', async () => {
+			const {clock, run} = createIngressWith(1, {
+				beforeSend(id) {
+					if (id === 'odd') {
+						throw new Error('broken');
+					}
+				},
+			});
+			const odd = run('odd');
+			await clock.runTo(1000);
+			expect(await odd).to.equal('unknown');
+			const next = run('next');
+			await clock.runTo(2000);
+			expect(await next).to.equal('answered');
+		});
+
+		// Guards against suspect requests that wait for ever behind one whose turn never ended.
+		it('runs the next request that runs alone', async () => {
+			let checks = 0;
+			const {clock, run} = createIngressWith(1, {
+				quarantine: {
+					lookUp: () => ({identity: 'odd', round: 1, crashes: 2}),
+					blocks() {
+						if (++checks === 2) {
+							throw new Error('broken');
+						}
+
+						return false;
+					},
+				},
+			});
+			let error: unknown;
+			try {
+				await run('first');
+			} catch (error_) {
+				error = error_;
+			}
+
+			expect(String(error)).to.equal('Error: broken');
+			const next = run('next');
+			await clock.runTo(1000);
+			expect(await next).to.equal('answered');
+		});
+	});
+
 	describe('with a caller that gives up', () => {
 		it('runs no request whose caller had gone before it arrived', async () => {
 			// A cancelled call is read from the socket after its cancellation.
--- a/packages/node/src/ingress.ts
+++ b/packages/node/src/ingress.ts
@@ -163,13 +163,15 @@
 			});
 		}
 
-		// The previous turn may have run the same request, and crashed the target
-		// again.
-		const outcome = context.quarantine.blocks(request)
-			? refuseQuarantined()
-			: await runAdmitted(request, signal);
-		turn.leave();
-		return outcome;
+		try {
+			// The previous turn may have run the same request, and crashed the target
+			// again.
+			return context.quarantine.blocks(request)
+				? refuseQuarantined()
+				: await runAdmitted(request, signal);
+		} finally {
+			turn.leave();
+		}
 	};
 
 	const runAdmitted: Ingress['run'] = async (request, signal) => {
