--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -42,6 +42,8 @@
 export type MemberRegister = {
 	/** Writes this node's row and reads the others until the signal aborts. */
 	run(signal: AbortSignal): Promise<void>;
+	/** Writes this node's row again, because another writer has claimed its name. */
+	rewrite(): void;
 	/**
 	 * Persists that the local target is leaving, so that a later start of this node
 	 * has the information. Resolves when it is stored, or after a timeout, after
@@ -56,6 +58,8 @@
  * Rare re-reads reconnect members after a partition.
  */
 const rereadInterval = 60_000;
+/** Maximum characters of a row; one that names a member and a target has a few hundred. */
+const maxRowLength = 8192;
 /** Milliseconds between two attempts while the store fails; doubled up to the maximum. */
 const initialBackoff = 200;
 const maxBackoff = 1500;
@@ -76,6 +80,8 @@
 	let version = 0;
 	let isWritten = false;
 	let hasRead = false;
+	/** Whether the row must be written even if it names the same place. */
+	let isDisplaced = false;
 	let leaving: TargetRecord | undefined;
 	let writing: Promise<boolean> = Promise.resolve(true);
 	/** Aborts with the node. */
@@ -115,6 +121,7 @@
 			if (result.isOk()) {
 				version = result.value;
 				isWritten = true;
+				isDisplaced = false;
 				return true;
 			}
 
@@ -125,7 +132,12 @@
 			const hasLeaving = leaving !== undefined;
 			const stored = applyOwnRow(result.error.current);
 			// If only the start time has changed, the row already holds what other nodes need.
-			if (!hasLeaving && stored && isSamePlace(stored.member, self)) {
+			const isUpToDate =
+				!hasLeaving &&
+				!isDisplaced &&
+				stored &&
+				isSamePlace(stored.member, self);
+			if (isUpToDate) {
 				isWritten = true;
 				return true;
 			}
@@ -157,13 +169,34 @@
 		return value;
 	};
 
+	const isOwnRow = (row: StoredRow | undefined): boolean =>
+		row !== undefined &&
+		decodeRow(row, clock.date())
+			.map(({member}) => isSamePlace(member, self))
+			.unwrapOr(false);
+
+	/** If the store fails now, the next round of `run` writes the row. */
+	const rewrite = () => {
+		isDisplaced = true;
+		isWritten = false;
+		if (lifetime && !lifetime.aborted) {
+			void write();
+		}
+	};
+
 	const readOthers = async (): Promise<boolean> => {
-		const result = await store.read(table);
+		const result = await store.read(table, maxRowLength);
 		if (result.isErr()) {
 			return false;
 		}
 
 		const members: Member[] = [];
+		const ownRow = result.value.rows.find(({key}) => key === self.node);
+		if (!isOwnRow(ownRow)) {
+			version = ownRow?.version ?? 0;
+			rewrite();
+		}
+
 		for (const row of result.value.rows) {
 			decodeRow(row, clock.date()).match(
 				({member}) => {
@@ -175,13 +208,9 @@
 			);
 		}
 
-		// Another writer may have replaced the row, or the store lost it.
-		isWritten &&= members.some(
-			(member) => member.node === self.node && isSamePlace(member, self),
-		);
 		hasRead = true;
 		options.onMembers(members);
-		return true;
+		return isWritten || writing;
 	};
 
 	return {
@@ -194,13 +223,14 @@
 				// While the store refuses its row, the links to the others make this node known.
 				// eslint-disable-next-line no-await-in-loop -- as above.
 				const isRead = (wasWritten || !hasRead) && (await readOthers());
-				const isDone = wasWritten && isRead && isWritten;
+				const isDone = wasWritten && isRead;
 				const delay = isDone ? rereadInterval : pause;
 				pause = isDone ? initialBackoff : Math.min(maxBackoff, pause * 2);
 				// eslint-disable-next-line no-await-in-loop -- backoff or interval between two rounds.
 				await sleep(clock, delay * (0.5 + random.fraction()), signal);
 			}
 		},
+		rewrite,
 		async persistLeaving(record) {
 			leaving = record;
 			await Promise.race([writeLeaving(record), sleep(clock, persistTimeout)]);
