fix(node): an answer of a peer that HTTP can't carry is one that was lost

Callers got no answer until their timeout, and the error of writeHead (a header with a line feed, a name with a space, a status of 20) had no owner, so the program drained and ended.

--- a/packages/node/src/caller-answer.ts
+++ b/packages/node/src/caller-answer.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import {
+	createRefusal,
 	ErrorCode,
 	errorMessages,
 	formatHome,
@@ -43,8 +44,25 @@
 };
 
 const writers: Writers = {
-	answered(response, {answer, repeated}) {
-		writeAnswer(response, answer, repeated ? 'answered; repeated' : 'answered');
+	answered(response, {answer, repeated}, request) {
+		const ownHeaders = new Set(response.getHeaderNames());
+		try {
+			writeAnswer(
+				response,
+				answer,
+				repeated ? 'answered; repeated' : 'answered',
+			);
+		} catch {
+			// Node refuses a header or a status that a peer has sent.
+			for (const name of response.getHeaderNames()) {
+				if (!ownHeaders.has(name)) {
+					response.removeHeader(name);
+				}
+			}
+
+			const refusal = createRefusal(ErrorCode.AnswerLost);
+			writeRefusal(response, refusal, 'unknown', request);
+		}
 	},
 	notRun(response, {refusal}, request) {
 		writeRefusal(response, refusal, 'not-run', request);
