--- a/packages/mesh/src/members/member-register.ts
+++ b/packages/mesh/src/members/member-register.ts
@@ -226,7 +226,7 @@
 				// While the store refuses its row, the links to the others make this node known.
 				// eslint-disable-next-line no-await-in-loop -- as above.
 				const isRead = (wasWritten || !hasRead) && (await readOthers());
-				const isDone = wasWritten && isRead && isWritten;
+				const isDone = wasWritten && isRead;
 				const delay = isDone ? rereadInterval : pause;
 				pause = isDone ? initialBackoff : Math.min(maxBackoff, pause * 2);
 				// eslint-disable-next-line no-await-in-loop -- backoff or interval between two rounds.
--- a/packages/node/src/caller-answer.ts
+++ b/packages/node/src/caller-answer.ts
@@ -55,7 +55,7 @@
 		} catch {
 			// A peer states the status and the headers, and Node throws on invalid ones.
 			resetHeaders(response, before);
-			const refusal = createRefusal(ErrorCode.AnswerCut, {
+			const refusal = createRefusal(ErrorCode.AnswerLost, {
 				detail: 'the answer has an invalid status or header',
 			});
 			writeRefusal(response, refusal, 'unknown', request);
