--- a/packages/node/__tests__/peer-connection-failure.spec.ts
+++ b/packages/node/__tests__/peer-connection-failure.spec.ts
@@ -1,4 +1,5 @@
 import {setTimeout as pause} from 'node:timers/promises';
+import {ErrorCode, type CallRequest} from '@egretspoke/protocol';
 import {createSupervisor, createSystemClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import type {MessageChannel} from '../src/message-channel.js';
@@ -6,6 +7,19 @@
 import {createPeerConnection} from '../src/peer-connection.js';
 import {createWebSocketTransport} from '../src/web-socket-transport.js';
 
+const request: CallRequest = {
+	id: 'r',
+	service: 'orders',
+	method: 'GET',
+	path: '/',
+	headers: {},
+	body: new Uint8Array(0),
+	requestClass: 'normal',
+	caller: 'c',
+	timeLeft: 60_000,
+	attempts: 1,
+	idempotent: true,
+};
 const clock = createSystemClock({keepAlive: true});
 const createTransport = (node: string) =>
 	createWebSocketTransport({
@@ -60,4 +74,44 @@
 		await Promise.all([first.close(), second.close()]);
 		expect(end).to.equal('closed');
 	});
+
+	// Guards against a caller that waits until its deadline, and a node that ends by itself, because one call has failed.
+	it('answers a call that fails', async () => {
+		const [first, second] = [createTransport('vm-1'), createTransport('vm-2')];
+		const supervisor = createSupervisor(clock, () => undefined);
+		const services = {
+			reporter: silentReporter,
+			async call(): Promise<never> {
+				throw new Error('one call');
+			},
+			probe(): never {
+				throw new Error('not called');
+			},
+			configurationBody: () => undefined,
+			receiveSuspects: () => undefined,
+			initialMessage: () => undefined,
+		};
+		const connect = (channel: MessageChannel) => {
+			const connection = createPeerConnection(channel, services);
+			supervisor.start(channel.peer.node, async () => connection.serve());
+			return connection;
+		};
+
+		first.accept(connect);
+		const port = await first.listen('127.0.0.1', 0);
+		const channel = await second.connect(
+			`127.0.0.1:${port}`,
+			supervisor.signal,
+		);
+		const {outcome} = await connect(channel!).call(
+			request,
+			{role: 'run'},
+			AbortSignal.timeout(2000),
+		);
+		await Promise.all([first.close(), second.close()]);
+		await supervisor.stop();
+		expect(outcome.kind === 'unknown' && outcome.refusal.code).to.equal(
+			ErrorCode.Internal,
+		);
+	});
 });
