fix(mesh): a node that stops opens no listener any more

Cause: attempts to open a listener went on during a planned stop, and could have taken the port from the successor for the rest of the stop. Found by the review, by reading; not seen.

--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -178,6 +178,8 @@
 		'node',
 		lifetime.signal,
 	);
+	/** Ends the attempts to open listeners. */
+	const opening = new AbortController();
 	/** Listeners that are not open yet. */
 	const closedListeners = new Set(['callers', 'peers']);
 	let routes: RouteTable | undefined;
@@ -507,7 +509,7 @@
 			address,
 			listen,
 			clock,
-			signal: lifetime.signal,
+			signal: opening.signal,
 			onFailure(failure) {
 				reporter.notice('listenerWaiting', failure);
 			},
@@ -574,6 +576,8 @@
 			self.service = changed.service;
 		},
 		async stop() {
+			// A listener that opened now would take its port from the successor.
+			opening.abort();
 			try {
 				// Nothing can have been accepted while all listeners are closed.
 				if (closedListeners.size < 2) {
@@ -587,6 +591,7 @@
 	};
 
 	function abort(): void {
+		opening.abort();
 		lifetime.abort();
 		newRouteUpdates.close();
 		suspectGossip.close();
