--- a/packages/mesh/src/listening.ts
+++ b/packages/mesh/src/listening.ts
@@ -3,7 +3,7 @@
 import type {Server} from 'node:net';
 import {parseAddress, sleep, type Clock} from '@egretspoke/shared';
 
-/** A listener that is not open, and when it is tried again. */
+/** A listener that is not open yet, and why. */
 export type ListenFailure = {
 	/** Name of the listener, for the log. */
 	listener: string;
