--- a/packages/node/src/peer-connection.ts
+++ b/packages/node/src/peer-connection.ts
@@ -253,10 +253,12 @@
 					const handle = handlers[message.type] as (message: Message) => void;
 					handle(message);
 				}
+			} catch (error) {
+				// Nothing reads it any more, and its peer would wait for answers.
+				channel.close('failed');
+				throw error;
 			} finally {
 				closeAll();
-				// After a failure nothing reads it, and its peer would wait for answers.
-				channel.close('no longer read');
 			}
 		},
 		close(reason) {
--- a/packages/node/src/peers.ts
+++ b/packages/node/src/peers.ts
@@ -113,13 +113,12 @@
 			try {
 				await connection.serve();
 			} catch (error) {
-				// A restart could read nothing more, and the peer would keep calling in vain.
+				// Not an error of the task: a restart could read nothing more.
 				services.reporter.recordEvent({
 					name: 'taskFailed',
 					task: `connection of ${node}`,
 					detail: describeError(error),
 				});
-				connection.close('failed');
 			} finally {
 				signal.removeEventListener('abort', close);
 				removeConnection(open, node);
