test: no verdict of a new spec hangs on a pause; detached work has an owner

Change: the specs wait for the line, the notice or the end that they are about; a late end of an answer follows after turns of the event loop.

--- a/packages/mesh/__tests__/decoders-fuzz.spec.ts
+++ b/packages/mesh/__tests__/decoders-fuzz.spec.ts
@@ -9,6 +9,7 @@
 	createSystemClock,
 	createVirtualClock,
 	parseAddress,
+	sleep,
 } from '@egretspoke/shared';
 import {expect} from 'chai';
 import fc from 'fast-check';
@@ -368,6 +369,7 @@
 	});
 
 	describe('to a node', () => {
+		const clock = createSystemClock();
 		let node: MeshNode;
 		let address: string;
 
@@ -385,14 +387,9 @@
 					grace: 6000,
 					memory: 350_000_000,
 				},
-				clock: createSystemClock(),
+				clock,
 				random: createRandom(1),
-				store: createRowStoreStandIn(
-					async (milliseconds) =>
-						new Promise((resolve) => {
-							setTimeout(resolve, milliseconds).unref();
-						}),
-				),
+				store: createRowStoreStandIn(async (wait) => sleep(clock, wait)),
 				configurationRow: {table: 'any', key: 'any'},
 				decodeConfiguration: () => err({version: undefined, detail: 'none'}),
 				headerNames: {
--- a/packages/mesh/__tests__/forged-members.spec.ts
+++ b/packages/mesh/__tests__/forged-members.spec.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createMeshMetrics} from '@egretspoke/observability';
-import {createRandom, createSystemClock} from '@egretspoke/shared';
+import {createRandom, createSystemClock, sleep} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {Packr} from 'msgpackr';
 import {err} from 'neverthrow';
@@ -12,6 +12,10 @@
 	type RowStoreStandIn,
 } from './row-store-stand-in.js';
 
+const clock = createSystemClock();
+/** Called at each notice of a node. */
+let onNotice = () => undefined as void;
+
 type StartedNode = {
 	node: MeshNode;
 	peers: string;
@@ -49,7 +53,7 @@
 			grace: 6000,
 			memory: 350_000_000,
 		},
-		clock: createSystemClock(),
+		clock,
 		random: createRandom(index + 1),
 		store,
 		configurationRow: {table: 'any', key: 'any'},
@@ -58,6 +62,7 @@
 		reporter: {
 			notice(name, details) {
 				events.push({name, peer: details?.peer});
+				onNotice();
 			},
 			decision: () => undefined,
 		},
@@ -67,22 +72,19 @@
 	return {node, peers, events};
 }
 
-/** Polls a condition until it holds; throws after 5 s. */
+/** Resolves once the condition holds after a notice. */
 async function waitUntil(condition: () => boolean): Promise<void> {
-	for (let attempt = 0; attempt < 500; attempt++) {
-		if (condition()) {
-			return;
-		}
-
-		// eslint-disable-next-line no-await-in-loop -- polling interval.
-		await new Promise((resolve) => {
-			setTimeout(resolve, 10);
-		});
+	while (!condition()) {
+		// eslint-disable-next-line no-await-in-loop -- one notice after the other.
+		await nextNotice();
 	}
-
-	throw new Error('the condition was not met within 5 s');
 }
 
+const nextNotice = async () =>
+	new Promise<void>((resolve) => {
+		onNotice = resolve;
+	});
+
 describe('an entry with the name of a live node', () => {
 	let store: RowStoreStandIn;
 	let nodes: StartedNode[];
@@ -92,12 +94,7 @@
 		nodes.every(({node}) => node.readings().peersConnected === 2);
 
 	beforeEach(async () => {
-		store = createRowStoreStandIn(
-			async (milliseconds) =>
-				new Promise((resolve) => {
-					setTimeout(resolve, milliseconds).unref();
-				}),
-		);
+		store = createRowStoreStandIn(async (wait) => sleep(clock, wait));
 		nodes = [];
 		for (let index = 0; index < 3; index++) {
 			// eslint-disable-next-line no-await-in-loop -- a later node reads the rows of the earlier ones.
--- a/packages/mesh/__tests__/target-cuts.spec.ts
+++ b/packages/mesh/__tests__/target-cuts.spec.ts
@@ -24,6 +24,8 @@
 type End = 'close' | 'reset';
 
 const ends: End[] = ['close', 'reset'];
+/** Turns of the event loop after which a late end follows what was sent. */
+const lateTurns = 3;
 
 /** An answer in the bytes of a connection. */
 type Shape = {
@@ -172,7 +174,7 @@
 			} else {
 				socket.write(text, 'latin1', () => {
 					if (isDelayed) {
-						setTimeout(finish, 3);
+						afterTurns(lateTurns, finish);
 					} else {
 						finish();
 					}
@@ -267,3 +269,14 @@
 		});
 	}
 });
+
+/** Calls back after some turns of the event loop, in which the other side reads what was sent. */
+function afterTurns(turns: number, callback: () => void): void {
+	setImmediate(() => {
+		if (turns <= 1) {
+			callback();
+		} else {
+			afterTurns(turns - 1, callback);
+		}
+	});
+}
--- a/packages/mesh/src/links/peer-updates.ts
+++ b/packages/mesh/src/links/peer-updates.ts
@@ -1,5 +1,5 @@
 /** Handles updates that may arrive on either side of a link, such as members and configuration versions. */
-import type {Clock, VersionTracker} from '@egretspoke/shared';
+import {runDetached, type Clock, type VersionTracker} from '@egretspoke/shared';
 import type {ConfigurationFollower} from '../configuration/configuration-follower.js';
 import {createConfigurationProviders} from '../configuration/configuration-providers.js';
 import type {MeshReporter} from '../mesh-reporter.js';
@@ -58,7 +58,9 @@
 		clock: options.clock,
 		ownVersion,
 		onUnanswered() {
-			void follower.refresh();
+			void runDetached(follower.refresh(), (error) => {
+				options.reporter.notice('unexpectedError', {detail: String(error)});
+			});
 		},
 		reporter: options.reporter,
 	});
--- a/packages/mesh/src/target/target-tracker.ts
+++ b/packages/mesh/src/target/target-tracker.ts
@@ -1,5 +1,5 @@
 /** Tracks the state of the local target and publishes its changes. */
-import type {Clock} from '@egretspoke/shared';
+import {runDetached, type Clock} from '@egretspoke/shared';
 import {isInFuture} from '../field-schemas.js';
 import {createLimitedNotices} from '../limited-notices.js';
 import type {MeshReporter} from '../mesh-reporter.js';
@@ -143,7 +143,10 @@
 			}
 
 			reporter.notice('meshTargetLeaves', {target: target.targetId});
-			void apply({kind: 'changed', record: {...target, isLeaving: true}});
+			const record = {...target, isLeaving: true};
+			void runDetached(apply({kind: 'changed', record}), (error) => {
+				reporter.notice('unexpectedError', {detail: String(error)});
+			});
 		},
 		incarnation: () => target,
 		setReachable(reachable) {
--- a/packages/node/__tests__/http-target-cuts.spec.ts
+++ b/packages/node/__tests__/http-target-cuts.spec.ts
@@ -21,6 +21,8 @@
 type End = 'close' | 'reset';
 
 const ends: End[] = ['close', 'reset'];
+/** Turns of the event loop after which a late end follows what was sent. */
+const lateTurns = 3;
 
 /** An answer in the bytes of a connection. */
 type Shape = {
@@ -210,7 +212,7 @@
 			} else {
 				socket.write(text, 'latin1', () => {
 					if (isDelayed) {
-						setTimeout(finish, 3);
+						afterTurns(lateTurns, finish);
 					} else {
 						finish();
 					}
@@ -302,3 +304,14 @@
 		});
 	}
 });
+
+/** Calls back after some turns of the event loop, in which the other side reads what was sent. */
+function afterTurns(turns: number, callback: () => void): void {
+	setImmediate(() => {
+		if (turns <= 1) {
+			callback();
+		} else {
+			afterTurns(turns - 1, callback);
+		}
+	});
+}
--- a/packages/node/__tests__/peer-connection-failure.spec.ts
+++ b/packages/node/__tests__/peer-connection-failure.spec.ts
@@ -1,4 +1,3 @@
-import {setTimeout as pause} from 'node:timers/promises';
 import {ErrorCode, type CallRequest} from '@egretspoke/protocol';
 import {createSupervisor, createSystemClock} from '@egretspoke/shared';
 import {expect} from 'chai';
@@ -69,7 +68,7 @@
 			return done ? 'closed' : 'answered';
 		};
 
-		const end = await Promise.race([readUntilEnd(), pause(3000, 'open')]);
+		const end = await readUntilEnd();
 		await supervisor.stop();
 		await Promise.all([first.close(), second.close()]);
 		expect(end).to.equal('closed');
