refactor(mesh): the lists of links, a node's listeners and sample messages are files of their own

Change: compact-message.ts encodes, compact-decoder.ts decodes, compact-load.ts spells a load; node-listeners.ts opens a node's listeners; the specs of an answer's framing and the sample messages of the fuzzer moved out of two large specs.

--- a/packages/mesh/__tests__/completion-chance.spec.ts
+++ b/packages/mesh/__tests__/completion-chance.spec.ts
@@ -13,7 +13,7 @@
 	withoutMechanisms,
 } from '../src/decisions/mesh-policy.js';
 import {createDeclinedShare} from '../src/decisions/repeats/declined-share.js';
-import {fromCompact} from '../src/links/compact-message.js';
+import {fromCompact} from '../src/links/compact-decoder.js';
 import {createCompletionPressure} from '../src/entry/completion-pressure.js';
 import {idleLoad} from '../src/links/exchange.js';
 import {
--- a/packages/mesh/__tests__/target-client.spec.ts
+++ b/packages/mesh/__tests__/target-client.spec.ts
@@ -2,7 +2,6 @@
 import {once} from 'node:events';
 import {createServer, type AddressInfo} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {gunzipSync, gzipSync} from 'node:zlib';
 import {createVirtualClock, type VirtualClock} from '@egretspoke/shared';
 import {expect} from 'chai';
 import type {BodyStream} from '../src/bodies/body-stream.js';
@@ -211,54 +210,6 @@
 		await connectionOfNext();
 	});
 
-	describe('when a response without a body states a length', () => {
-		// Guards against waiting for that body until the deadline, and against taking the next bytes for it.
-		const lines = (id: string) => `Request-Id: ${id}\r\nSigned: s\r\n`;
-		for (const status of [204, 304]) {
-			for (const framing of [
-				'Content-Length: 5',
-				'Transfer-Encoding: chunked',
-			]) {
-				it(`ends a ${status} with its headers (${framing})`, async () => {
-					answerWith(
-						({id}) =>
-							`HTTP/1.1 ${status} Empty\r\n${lines(id)}${framing}\r\n\r\n`,
-					);
-					expect(await outcomeOf('a')).to.equal(`${status} `);
-					expect(await connectionOfNext()).to.equal(0);
-				});
-			}
-
-			it(`closes the connection when the body of a ${status} follows`, async () => {
-				answerWith(
-					({id}) =>
-						`HTTP/1.1 ${status} Empty\r\n${lines(id)}Content-Length: 5\r\n\r\nextra`,
-				);
-				expect(await outcomeOf('a')).to.equal(`${status} `);
-				expect(await connectionOfNext()).to.equal(1);
-			});
-		}
-
-		it('reads the response behind an interim one', async () => {
-			answerWith(
-				({id}) =>
-					`HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n${createAnswer(id)}`,
-			);
-			expect(await outcomeOf('a')).to.equal('200 done');
-			expect(await connectionOfNext()).to.equal(0);
-		});
-
-		it('reads the response behind a late copy', async () => {
-			expect(await outcomeOf('a')).to.equal('200 done');
-			answerWith(
-				({id}) =>
-					`HTTP/1.1 304 Empty\r\n${lines('a')}Content-Length: 5\r\n\r\n${createAnswer(id)}`,
-			);
-			expect(await outcomeOf('b')).to.equal('200 done');
-			expect(await connectionOfNext()).to.equal(0);
-		});
-	});
-
 	describe('when a connection delivers bytes that belong to no request', () => {
 		// Taken for the answer of the next request, they would show one caller the
 		// data of another.
@@ -501,48 +452,6 @@
 		});
 	});
 
-	describe('when a transfer coding is applied beside chunks', () => {
-		// Guards against coded bytes, or the framing of chunks, that pass for the body.
-		const head = (id: string) =>
-			`HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\nSigned: s\r\n`;
-		const chunks = '4\r\nfour\r\n0\r\n\r\n';
-		const codings = [
-			'Transfer-Encoding: gzip, chunked',
-			'Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked',
-			'Transfer-Encoding: chunked, chunked',
-			'Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked',
-			'Transfer-Encoding: chunked, gzip',
-			'Transfer-Encoding: gzip',
-			'Transfer-Encoding: xchunked',
-			'Transfer-Encoding: identity',
-			'Transfer-Encoding:',
-		];
-		for (const coding of codings) {
-			it(`closes the connection (${coding.replace('\r\n', ', ')})`, async () => {
-				answerWith(({id}) => `${head(id)}${coding}\r\n\r\n${chunks}`, 'close');
-				expect(await outcomeOf('a')).to.equal('lost connectionLost');
-				expect(await connectionOfNext()).to.equal(1);
-			});
-		}
-
-		it('reads chunks, however their coding is spelled', async () => {
-			answerWith(
-				({id}) => `${head(id)}TRANSFER-encoding: \tChunked \r\n\r\n${chunks}`,
-			);
-			expect(await outcomeOf('a')).to.equal('200 four');
-			expect(await connectionOfNext()).to.equal(0);
-		});
-
-		it('returns a body with a content coding as it is', async () => {
-			// `Content-Encoding` belongs to the body, and is forwarded with it.
-			const body = gzipSync('whole').toString('latin1');
-			answerWith(({id}) => createAnswer(id, body, ['Content-Encoding: gzip']));
-			const outcome = (await run('a')) as Outcome & {kind: 'answered'};
-			expect(gunzipSync(outcome.body).toString()).to.equal('whole');
-			expect(outcome.headers).to.include('Content-Encoding');
-		});
-	});
-
 	it('returns an answer that arrives before a long body is sent', async () => {
 		// The target rejects an upload by its headers and does not read the rest.
 		target.setBehaviour(({socket, id}) => {
--- a/packages/mesh/src/links/peer-message.ts
+++ b/packages/mesh/src/links/peer-message.ts
@@ -22,12 +22,8 @@
 	slotsSchema,
 	versionSchema,
 } from '../field-schemas.js';
-import {
-	fromCompact,
-	toCompact,
-	isCompact,
-	type CompactMessage,
-} from './compact-message.js';
+import {fromCompact} from './compact-decoder.js';
+import {toCompact, isCompact, type CompactMessage} from './compact-message.js';
 
 /** Identity and address of a node, as other nodes need them to link to it. */
 export const memberSchema = z.object({
@@ -233,7 +229,7 @@
 	| {kind: 'ping'}
 	| {kind: 'pong'};
 
-/** The messages that are sent as tables; those that are sent as lists are checked in `compact-message.ts`. */
+/** The messages that are sent as tables; those that are sent as lists are checked in `compact-decoder.ts`. */
 const schemas: ReadonlyMap<string, z.ZodType> = new Map<string, z.ZodType>([
 	['hello', helloSchema],
 	['members', membersSchema],
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -33,7 +33,7 @@
 import {createEntry} from './entry/entry.js';
 import {createTargetDispatcher} from './target/target-dispatcher.js';
 import {createGossip} from './members/gossip.js';
-import {listenPersistently} from './listening.js';
+import {createNodeListeners} from './node-listeners.js';
 import type {HeaderNames} from './configuration/header-names.js';
 import {createUpdateHandler} from './links/peer-updates.js';
 import {createPlannedStop} from './planned-stop.js';
@@ -178,10 +178,6 @@
 		'node',
 		lifetime.signal,
 	);
-	/** Ends the attempts to open listeners. */
-	const opening = new AbortController();
-	/** Listeners that are not open yet. */
-	const closedListeners = new Set(['callers', 'peers']);
 	let routes: RouteTable | undefined;
 	const plannedStop = createPlannedStop({
 		clock,
@@ -499,35 +495,20 @@
 		receivers: () => peerListener.links,
 	});
 
-	const open = async (
-		listener: 'callers' | 'peers',
-		{listen}: {listen: (address: string) => Promise<string>},
-		address: string,
-	): Promise<string> => {
-		const bound = await listenPersistently({
-			listener,
-			address,
-			listen,
-			clock,
-			signal: opening.signal,
-			onFailure(failure) {
-				reporter.notice('listenerWaiting', failure);
-			},
-		});
-		if (bound === undefined) {
-			throw new Error('the node was stopped while it started');
-		}
-
-		closedListeners.delete(listener);
-		return bound;
-	};
+	const listeners = createNodeListeners({
+		clock,
+		listeners: {peers: peerListener, callers: callerListener},
+		onFailure(failure) {
+			reporter.notice('listenerWaiting', failure);
+		},
+	});
 
 	return {
 		async start() {
 			supervisor.startLoop('configuration', follower.run);
 			const [peers, callers] = await Promise.all([
-				open('peers', peerListener, settings.peerAddress),
-				open('callers', callerListener, settings.callerAddress),
+				listeners.open('peers', settings.peerAddress),
+				listeners.open('callers', settings.callerAddress),
 			]);
 			self.address = peers;
 			supervisor.startLoop('members', register.run);
@@ -547,11 +528,11 @@
 			return {callers, peers};
 		},
 		isReady: () =>
-			routes !== undefined && closedListeners.size === 0 && !isStopping(),
+			routes !== undefined && listeners.closed().length === 0 && !isStopping(),
 		condition: () => ({
 			waitingFor: [
 				...(routes === undefined ? ['a configuration'] : []),
-				...[...closedListeners].map((listener) => `the listener ${listener}`),
+				...listeners.closed().map((name) => `the listener ${name}`),
 				...(isStopping() ? ['the end of its planned stop'] : []),
 			],
 			failing: supervisor.failing().map(({path}) => path),
@@ -576,11 +557,9 @@
 			self.service = changed.service;
 		},
 		async stop() {
-			// A listener that opened now would take its port from the successor.
-			opening.abort();
+			listeners.giveUp();
 			try {
-				// Nothing can have been accepted while all listeners are closed.
-				if (closedListeners.size < 2) {
+				if (listeners.hasOpened()) {
 					await plannedStop.run();
 				}
 			} finally {
@@ -591,7 +570,7 @@
 	};
 
 	function abort(): void {
-		opening.abort();
+		listeners.giveUp();
 		lifetime.abort();
 		newRouteUpdates.close();
 		suspectGossip.close();
