--- a/packages/mesh/src/links/peer-link.ts
+++ b/packages/mesh/src/links/peer-link.ts
@@ -87,9 +87,9 @@
 	 * Sends no further requests and reconnects no more; each connection closes
 	 * once every request on it has an outcome.
 	 *
-	 * @param farewell - The last message on the current connection.
+	 * @param lastMessage - Sent on the current connection before it is closed.
 	 */
-	retire(farewell?: PeerMessage): void;
+	retire(lastMessage?: PeerMessage): void;
 	/** Closes the connections at once; requests without an outcome are lost. */
 	close(): void;
 };
@@ -105,8 +105,8 @@
 const lateAnswer = 100;
 /** Milliseconds to wait for the answer to a probe: the highest latency plus a slow turn of the peer's event loop. */
 const answerTimeout = 1000;
-/** Milliseconds for which a connection stays open after a farewell. */
-const farewellTimeout = 1000;
+/** Milliseconds for which a connection stays open after its last message, so that the peer can read it. */
+const lastMessageTimeout = 1000;
 /** Maximum milliseconds to open a connection. */
 const connectTimeout = 1000;
 /** Milliseconds between two connection attempts; doubled after each failure, up to the maximum. */
@@ -339,9 +339,9 @@
 	};
 
 	/** Closes a connection once the peer has had time to read what was sent on it. */
-	const endGently = (channel: PeerChannel) => {
+	const closeAfterRead = (channel: PeerChannel) => {
 		channel.end();
-		clock.setTimer(farewellTimeout, () => {
+		clock.setTimer(lastMessageTimeout, () => {
 			closeIfUnused(channel);
 		});
 	};
@@ -457,13 +457,13 @@
 		sendMessage: (message) => current?.send(message) ?? false,
 		retryNow: connect,
 		probe,
-		retire(farewell) {
+		retire(lastMessage) {
 			isClosed = true;
 			retryTimer?.cancel();
-			const hasFarewell = farewell && current?.send(farewell);
+			const hasLastMessage = lastMessage && current?.send(lastMessage);
 			for (const channel of channels) {
-				if (hasFarewell && channel === current && exchanges.size === 0) {
-					endGently(channel);
+				if (hasLastMessage && channel === current && exchanges.size === 0) {
+					closeAfterRead(channel);
 				} else {
 					closeIfUnused(channel);
 				}
--- a/packages/mesh/src/links/peer-links.ts
+++ b/packages/mesh/src/links/peer-links.ts
@@ -35,7 +35,7 @@
 	usable(): Peer[];
 	open(member: Member): void;
 	/** Ends the link to a node permanently, with a last message to it; requests on it may still complete. */
-	drop(peer: Peer, farewell?: PeerMessage): void;
+	drop(peer: Peer, lastMessage?: PeerMessage): void;
 	/** Closes links to other than the desired nodes, once they have been idle and undesired for a while. */
 	closeUndesired(desired: ReadonlySet<string>): void;
 	/** Probes silent links; called every `probeInterval`. */
@@ -69,10 +69,10 @@
 		}
 	};
 
-	const drop = (peer: Peer, farewell?: PeerMessage) => {
+	const drop = (peer: Peer, lastMessage?: PeerMessage) => {
 		const {member, link} = peer;
 		peers.delete(member.node);
-		link.retire(farewell);
+		link.retire(lastMessage);
 		if (!link.isUnused()) {
 			retired.add(link);
 		}
--- a/packages/node/src/node-process.ts
+++ b/packages/node/src/node-process.ts
@@ -34,7 +34,7 @@
 	drainTime: number;
 };
 
-/** Milliseconds that a stop may take beyond the drain time, to say goodbye and to close listeners and peers. */
+/** Milliseconds that a stop may take beyond the drain time: to notify the platform and the members, and to close listeners and connections. */
 export const stopMargin = 6000;
 
 /** Maximum number of failures that are written; more add nothing while the node stops. */
--- a/packages/quarantine/src/row-writer.ts
+++ b/packages/quarantine/src/row-writer.ts
@@ -22,7 +22,7 @@
 /** Milliseconds before the retry of a failed write, with a jitter of ±50 %. */
 const retryDelay = 500;
 
-/** Milliseconds before the retry of a write that threw, which is a fault of ours and not an outage. */
+/** Milliseconds before the retry of a write that threw, which is a defect and not an outage. */
 const errorDelay = 5000;
 
 /** Creates a writer; nothing is written before `start`. */
