fix(mesh, node): a status above 599 is no answer

Callers of both interfaces got the statuses 600 to 999 of a target as they were. HTTP defines 100 to 599 only (RFC 9110, section 15); the clients of targets checked the lower end alone. Such a response now counts as lost, like one that can't be parsed: 502, or another target for what may be repeated.

odd-answers.spec.ts, before: 600, 799 and 999 were answered at both clients (6 of 18 cases failed); 000, 0, 099, 20, -20 and 1000 were lost already. After: none fails. Early answers without a length under an upload of 24 MB (reset, close, own side closed and then reset) were lost at the mesh's client before and after.

--- a/packages/mesh/src/target/target-connection.ts
+++ b/packages/mesh/src/target/target-connection.ts
@@ -62,6 +62,8 @@
 const connectTimeout = 500;
 /** Milliseconds without traffic until the system checks whether the other side still exists. */
 const probeDelay = 60_000;
+/** The highest status that HTTP defines (RFC 9110, section 15). */
+const maxStatus = 599;
 /** Maximum number of declined requests that a connection remembers; one that has declined more is closed. */
 const maxDeclined = 64;
 /**
@@ -122,8 +124,8 @@
 				return true;
 			}
 
-			// The request asked neither to continue nor for another protocol, so what follows is no answer to it.
-			if (status === 100 || head.isUpgrade) {
+			// The request asked neither to continue nor for another protocol, and other statuses are not defined, so what follows is no answer to it.
+			if (status === 100 || status > maxStatus || head.isUpgrade) {
 				lose();
 				return true;
 			}
--- a/packages/node/src/http-target-client.ts
+++ b/packages/node/src/http-target-client.ts
@@ -33,6 +33,8 @@
 	'expect',
 ]);
 
+/** The highest status that HTTP defines (RFC 9110, section 15). */
+const maxStatus = 599;
 /** Statuses of responses that end with their headers (RFC 9112, section 6.3). */
 const bodilessStatuses = new Set([204, 304]);
 
@@ -142,6 +144,11 @@
 					return;
 				}
 
+				if (statusCode > maxStatus) {
+					abort(`the response has the status ${statusCode}`);
+					return;
+				}
+
 				status = statusCode;
 				headers = readHeaders(incoming);
 				endsWithConnection =
