fix(node): an early answer that is reset under an upload is not complete

Node reports such a reset as an end, and the check for it, a write that fails at once, only waited behind the upload. While the request is still being written, the end of such an answer is now taken for a reset. The mesh's client waits for the result of that write and was right.

--- a/packages/node/__tests__/odd-answers.spec.ts
+++ b/packages/node/__tests__/odd-answers.spec.ts
@@ -1,5 +1,6 @@
 /**
- * Answers with statuses that HTTP does not define. A caller got them as answers.
+ * Answers with statuses that HTTP does not define, and answers that arrive while
+ * a long upload is still being written. A caller got them as complete answers.
  */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
@@ -15,6 +16,24 @@
 
 const statuses = ['000', '0', '099', '20', '-20', '600', '799', '999', '1000'];
 
+/** More than the buffers of the system take. */
+const upload = Buffer.alloc(24_000_000);
+
+/** How a target ends its connection behind the first part of an answer. */
+const ends: Record<string, (socket: Socket) => void> = {
+	'with a reset'(socket) {
+		socket.resetAndDestroy();
+	},
+	'by closing it'(socket) {
+		socket.destroy();
+	},
+	'by closing its side, then with a reset'(socket) {
+		socket.end(() => {
+			socket.resetAndDestroy();
+		});
+	},
+};
+
 const createRequest = (
 	id: string,
 	body: Uint8Array = new Uint8Array(),
@@ -96,4 +115,18 @@
 			});
 		}
 	});
+
+	describe('without a length, while an upload is being written', () => {
+		for (const [name, end] of Object.entries(ends)) {
+			// Guards against a part of a body that passes for the whole.
+			it(`is lost if the target ends the connection ${name}`, async () => {
+				await expectLost((socket) => {
+					socket.pause();
+					socket.write(`${writeHead('200', ['Connection: close'])}part`, () => {
+						end(socket);
+					});
+				}, upload);
+			});
+		}
+	});
 });
--- a/packages/node/src/target-connector.ts
+++ b/packages/node/src/target-connector.ts
@@ -69,9 +69,14 @@
  * Whether a connection that seems to have ended was reset: Node reports an end
  * when the last bytes and the reset are read in the same tick. A write fails at
  * once after a reset, but not if the other side closed. Servers ignore an empty
- * line (RFC 9112, section 2.2).
+ * line (RFC 9112, section 2.2). While the request is still being written, a
+ * further write only waits behind it, so that a reset can't be told.
  */
 function isReset(socket: Socket): boolean {
+	if (socket.writableLength > 0) {
+		return true;
+	}
+
 	socket.write('\r\n');
 	return socket.errored !== null;
 }
