--- a/packages/benchmark/src/memory-slopes.ts
+++ b/packages/benchmark/src/memory-slopes.ts
@@ -8,7 +8,12 @@
 import {createLedger} from '@egretspoke/ledger';
 import {createWebSocketTransport, type MessageChannel} from '@egretspoke/node';
 import {createDecisionHistory} from '@egretspoke/observability';
-import {createRandom, createSystemClock} from '@egretspoke/shared';
+import {
+	createConnectionBudget,
+	createRandom,
+	createSystemClock,
+	noConnectionLimits,
+} from '@egretspoke/shared';
 
 /** Bytes an item, averaged over `count` items. */
 export type MemorySlope = {
@@ -151,6 +156,10 @@
 	const create = (node: string) =>
 		createWebSocketTransport({
 			clock,
+			connectionBudget: createConnectionBudget({
+				clock,
+				limits: noConnectionLimits,
+			}),
 			self: () => ({node, incarnation: 1, dataCentre: 'gh-coast-1'}),
 			secret: 'a secret of the benchmark',
 			messageLimit: 1_000_000,
--- a/packages/mesh/__tests__/caller-listener-fixture.ts
+++ b/packages/mesh/__tests__/caller-listener-fixture.ts
@@ -2,8 +2,13 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {createVirtualClock, type VirtualClock} from '@egretspoke/shared';
 import {
+	createConnectionBudget,
+	createVirtualClock,
+	type VirtualClock,
+} from '@egretspoke/shared';
+import {
+	connectionMemoryShare,
 	createMemoryBudget,
 	type MemoryBudget,
 } from '../src/decisions/memory/memory-budget.js';
@@ -25,6 +30,8 @@
 	listener: CallerListener;
 	clock: VirtualClock;
 	budget: MemoryBudget;
+	/** Address of the listener, `ip:port`. */
+	address: string;
 	caller: Socket;
 	/** The bytes that the caller received, in Latin-1. */
 	text: string;
@@ -39,6 +46,9 @@
 	close(): void;
 };
 
+/** Connections that the listener holds open. */
+export const maxConnections = 50;
+
 export const succeed = (body: Uint8Array): FinalAnswer => ({
 	kind: 'target',
 	status: 200,
@@ -98,6 +108,16 @@
 			decision: () => undefined,
 		},
 		budget,
+		connectionBudget: createConnectionBudget({
+			clock,
+			limits: {
+				bytes: 350_000_000 * connectionMemoryShare,
+				connections: maxConnections,
+			},
+			onCheck() {
+				listener.refuseStalled();
+			},
+		}),
 		metrics: {
 			requestEnded: () => undefined,
 			requestsCut(cause, requests) {
@@ -120,6 +140,7 @@
 		listener,
 		clock,
 		budget,
+		address,
 		caller,
 		text: '',
 		received: [],
--- a/packages/mesh/__tests__/large-bodies.spec.ts
+++ b/packages/mesh/__tests__/large-bodies.spec.ts
@@ -1,6 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {createVirtualClock, type VirtualClock} from '@egretspoke/shared';
+import {
+	createConnectionBudget,
+	createVirtualClock,
+	type VirtualClock,
+} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {
 	createBodyStream,
@@ -69,6 +73,10 @@
 		listener = createPeerListener({
 			clock,
 			budget: targetBudget,
+			connectionBudget: createConnectionBudget({
+				clock,
+				limits: {bytes: 50_000_000, connections: 50},
+			}),
 			dispatcher: {
 				send(request, onOutcome) {
 					dispatched.push({request, onOutcome});
--- a/packages/mesh/__tests__/peer-listener.spec.ts
+++ b/packages/mesh/__tests__/peer-listener.spec.ts
@@ -1,7 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {createVirtualClock, type VirtualClock} from '@egretspoke/shared';
+import {
+	createConnectionBudget,
+	createVirtualClock,
+	type VirtualClock,
+} from '@egretspoke/shared';
 import {expect} from 'chai';
 import {WebSocket} from 'ws';
 import {
@@ -117,6 +121,10 @@
 		listener = createPeerListener({
 			budget,
 			clock,
+			connectionBudget: createConnectionBudget({
+				clock: createVirtualClock(),
+				limits: {bytes: 50_000_000, connections: 50},
+			}),
 			dispatcher: {
 				send(_request, onOutcome) {
 					dispatched.push(onOutcome);
--- a/packages/mesh/__tests__/planned-stop-links.spec.ts
+++ b/packages/mesh/__tests__/planned-stop-links.spec.ts
@@ -109,6 +109,7 @@
 				quotaTolerance: {window: 5000, overage: 0.1, slack: 20},
 				grace: 6000,
 				memory: 350_000_000,
+				descriptors: 4100,
 			},
 			clock,
 			random: createRandom(1),
--- a/packages/mesh/src/decisions/memory/memory-budget.ts
+++ b/packages/mesh/src/decisions/memory/memory-budget.ts
@@ -40,12 +40,21 @@
 	frames: 0.04,
 };
 
+/**
+ * Share of the memory for open connections, from that of the program: heads,
+ * requests in progress, and answers that nobody reads.
+ */
+export const connectionMemoryShare = 0.16;
+
 /**
  * Bytes after which dropped parts and dropped large bodies are collected. V8
  * itself lets up to half of its heap limit accumulate in buffers.
  */
-const collectedParts = 16 * 1024 * 1024;
-const collectedBodies = 32 * 1024 * 1024;
+const maxCollectedParts = 16 * 1024 * 1024;
+const maxCollectedBodies = 32 * 1024 * 1024;
+/** The same as shares of the memory, for small VMs. */
+const collectedPartsShare = 0.06;
+const collectedBodiesShare = 0.1;
 
 /** Runs the garbage collector for what was dropped recently, or for everything. */
 export type Collect = (scope: 'recent' | 'all') => void;
@@ -73,6 +82,8 @@
 	readonly held: Readonly<Record<HeldKind, number>>;
 	/** Whether the share is used up. */
 	isFull(kind: HeldKind): boolean;
+	/** Whether a body waits for memory. */
+	isAwaited(): boolean;
 	/** Counts bytes that are held in any case. */
 	add(kind: HeldKind, bytes: number): void;
 	remove(kind: HeldKind, bytes: number): void;
@@ -86,6 +97,8 @@
 	holdWhenFree(bytes: number, onDecision: HoldHandler): () => void;
 	/** Counts the bytes of a part of a body that is dropped after it was copied or sent. */
 	dropPart(bytes: number): void;
+	/** Counts the bytes of a whole body that is dropped after it was held for some time. */
+	dropBody(bytes: number): void;
 	/** Calls back once when a full share has room again; returns a function that withdraws it. */
 	whenFree(kind: HeldKind, callback: () => void): () => void;
 };
@@ -107,6 +120,14 @@
 	};
 	const limitOf = (kind: HeldKind) => shares[kind] * memory;
 	const maxBody = limitOf('largeBodies');
+	const collectedParts = Math.min(
+		maxCollectedParts,
+		memory * collectedPartsShare,
+	);
+	const collectedBodies = Math.min(
+		maxCollectedBodies,
+		memory * collectedBodiesShare,
+	);
 	/** Bodies that wait, first come first served. */
 	const waiters: Waiter[] = [];
 	const callbacks = new Map<HeldKind, Set<() => void>>();
@@ -205,11 +226,13 @@
 		maxBody,
 		held,
 		isFull: (kind) => held[kind] >= limitOf(kind),
+		isAwaited: () => waiters.length > 0,
 		add(kind, bytes) {
 			held[kind] += bytes;
 		},
 		remove,
 		dropPart,
+		dropBody,
 		hold,
 		holdWhenFree(bytes, onDecision) {
 			const taken = hold(bytes);
--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -16,6 +16,7 @@
 	createCallerConnections,
 	type CallerExchange,
 	type Clock,
+	type ConnectionBudget,
 } from '@egretspoke/shared';
 import type {HeaderNames} from '../configuration/header-names.js';
 import type {
@@ -42,6 +43,8 @@
 	reporter: MeshReporter;
 	metrics: Pick<MeshMetrics, 'requestEnded' | 'requestsCut'>;
 	budget: MemoryBudget;
+	/** Bounds what the connections of all listeners hold. */
+	connectionBudget: ConnectionBudget;
 	/** The service of the local target, sent to targets in a header. */
 	callerService: () => string;
 	/** Whether callers identify their workspaces by keys. */
@@ -60,6 +63,11 @@
 	ending(): number;
 	/** Number of requests that are arriving. */
 	receiving(): number;
+	/**
+	 * Refuses bodies whose senders have paused for long, while other bodies wait
+	 * for the memory that they hold.
+	 */
+	refuseStalled(): void;
 	/** Closes all connections at once. */
 	close(): void;
 };
@@ -71,8 +79,12 @@
 	headerTime: 3000,
 	idleTime: 15_000,
 };
-/** Maximum size of parsed headers, in bytes; the configured limit is checked afterwards. */
-const maxParsedHeaderBytes = 256 * 1024;
+/** Bytes by which the request line and its framing may exceed the limit of the header fields. */
+const requestLineBytes = 16 * 1024;
+/** Minimum bytes of a header field. */
+const minFieldBytes = 4;
+/** Milliseconds after which a body that has stopped arriving is refused if others wait for its memory. */
+const pressedStallTime = 1000;
 
 /** Maximum wait of a body for memory: a share of the time that its caller waits, and the milliseconds if that isn't stated. */
 const maxWaitRatio = 0.5;
@@ -80,6 +92,14 @@
 /** Milliseconds after which a caller may repeat a request that found no memory; large bodies take about as long. */
 const refusedBodyRetryAfter = 1000;
 
+/** Statuses of what is no request, by the code of Node's error. */
+const rawStatuses: Record<string, string> = {
+	/* eslint-disable @typescript-eslint/naming-convention -- Node's error codes. */
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+	/* eslint-enable @typescript-eslint/naming-convention */
+};
+
 /** A request whose body is complete. */
 type ReceivedRequest = {
 	headers: CallerHeaders;
@@ -103,7 +123,7 @@
 	const server: Server = createServer(
 		{
 			keepAliveTimeout: limits.idleTime,
-			maxHeaderSize: maxParsedHeaderBytes,
+			maxHeaderSize: limits.headerBytes + requestLineBytes,
 			// Node's own answer would end the connection under accepted requests behind it.
 			requireHostHeader: false,
 			noDelay: true,
@@ -113,9 +133,28 @@
 		},
 	);
 	server.requestTimeout = 0;
-	server.headersTimeout = limits.headerTime + limits.idleTime;
+	/** Applies to connections that are opened later. */
+	const applyToServer = () => {
+		server.keepAliveTimeout = limits.idleTime;
+		server.headersTimeout = limits.headerTime + limits.idleTime;
+		server.maxHeadersCount = Math.ceil(limits.headerBytes / minFieldBytes) + 1;
+		// Node reads it for each connection, but its types don't have it.
+		Object.assign(server, {
+			maxHeaderSize: limits.headerBytes + requestLineBytes,
+		});
+	};
+
+	applyToServer();
 	const connections = createCallerConnections(server, {
 		clock: options.clock,
+		budget: options.connectionBudget,
+		limits: () => ({
+			headBytes: limits.headerBytes + requestLineBytes,
+			bodyBytes: limits.bodyBytes,
+			headTime: limits.headerTime,
+			idleTime: limits.idleTime,
+		}),
+		onDiscard: budget.dropPart,
 		onCut(cut) {
 			options.metrics.requestsCut(cut.cause, cut.requests);
 			options.reporter.notice('meshRequestsCut', {
@@ -131,10 +170,7 @@
 			return;
 		}
 
-		const status =
-			code === 'HPE_HEADER_OVERFLOW'
-				? '431 Request Header Fields Too Large'
-				: '400 Bad Request';
+		const status = rawStatuses[code] ?? '400 Bad Request';
 		options.reporter.notice('malformedRequest', {fault: detail});
 		socket.write(
 			`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`,
@@ -173,8 +209,11 @@
 		}
 
 		const headers = readHeaders(request.rawHeaders, options.hasWorkspaces());
-		if (headers.size > limits.headerBytes) {
-			request.resume();
+		// Node drops the fields beyond the maximum number.
+		const isTruncated =
+			request.rawHeaders.length >= 2 * server.maxHeadersCount!;
+		if (headers.size > limits.headerBytes || isTruncated) {
+			exchange.discard(request);
 			reject(exchange, 431);
 			return;
 		}
@@ -183,14 +222,14 @@
 			headers.hasInvalidName ||
 			(headers.host === undefined && request.httpVersion === '1.1')
 		) {
-			request.resume();
+			exchange.discard(request);
 			reject(exchange, 400);
 			return;
 		}
 
 		const arrivedAt = options.clock.now();
 		if (budget.isFull('responses')) {
-			request.resume();
+			exchange.discard(request);
 			refuse(exchange, headers, 'noMemory');
 		} else if (headers.hasBody) {
 			receiveBody(request, exchange, headers, arrivedAt);
@@ -268,7 +307,7 @@
 				refuse(exchange, headers, 'stalled');
 			},
 		};
-		readBody(
+		const refuseStalled = readBody(
 			request,
 			{
 				clock: options.clock,
@@ -277,11 +316,25 @@
 				maxWait: timeLeft > 0 ? timeLeft * maxWaitRatio : defaultMaxWait,
 				maxTime: timeLeft > 0 ? timeLeft : Number.POSITIVE_INFINITY,
 				stallTimeout: limits.idleTime,
+				pauseReading() {
+					exchange.pauseReading();
+				},
+				resumeReading() {
+					exchange.resumeReading();
+				},
+				onPart(bytes) {
+					exchange.receivePart(bytes);
+				},
+				discard() {
+					exchange.discard(request);
+				},
 			},
 			(result) => {
+				exchange.whenStalled(undefined);
 				bodyHandlers[result.kind](result as never);
 			},
 		);
+		exchange.whenStalled(refuseStalled);
 	};
 
 	const handle = (
@@ -349,12 +402,14 @@
 			}
 
 			limits = changed;
-			server.keepAliveTimeout = changed.idleTime;
-			server.headersTimeout = changed.headerTime + changed.idleTime;
+			applyToServer();
 		},
 		pending: connections.pending,
 		ending: connections.ending,
 		receiving: connections.receiving,
+		refuseStalled() {
+			connections.refuseStalled(pressedStallTime, budget.isAwaited);
+		},
 		close() {
 			server.close();
 			connections.close();
--- a/packages/mesh/src/entry/request-body.ts
+++ b/packages/mesh/src/entry/request-body.ts
@@ -5,7 +5,7 @@
  */
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
-import type {Clock, Timer} from '@egretspoke/shared';
+import {createJoinedParts, type Clock, type Timer} from '@egretspoke/shared';
 import {
 	largeBody,
 	type BodyHold,
@@ -31,22 +31,38 @@
 	maxTime: number;
 	/** Maximum milliseconds without a part of a large body: it holds memory that others wait for. */
 	stallTimeout: number;
+	/** Stops reading from the connection, and goes on. */
+	pauseReading: () => void;
+	resumeReading: () => void;
+	/** Called with the size of each part. */
+	onPart: (bytes: number) => void;
+	/** Drops the rest of the body. */
+	discard: () => void;
 };
 
-/** Reads a body; the result isn't reported if the sender disconnects before. */
+/** Bytes that a part takes until it is collected, beside its content. */
+const partOverhead = 256;
+
+/**
+ * Reads a body; the result isn't reported if the sender disconnects before.
+ * Returns a function that refuses it as `stalled`, which does nothing afterwards.
+ */
 export function readBody(
 	request: IncomingMessage,
 	options: BodyOptions,
 	onResult: (result: BodyResult) => void,
-): void {
+): () => void {
 	const {budget, clock, limit} = options;
 	const length = readLength(request);
-	let chunks: Uint8Array[] = [];
+	/** The memory of a body of up to `largeBody` bytes. */
+	let joined = createJoinedParts(length);
 	let size = 0;
 	let hold: BodyHold | undefined;
 	/** The memory of a large body. */
 	let buffer: Uint8Array | undefined;
 	let isOver = false;
+	/** Whether memory for a body of more than `largeBody` bytes was asked for. */
+	let isGrowing = false;
 	let withdraw = () => undefined as void;
 	let timer: Timer | undefined;
 
@@ -55,19 +71,20 @@
 		withdraw();
 		timer?.cancel();
 		request.off('data', receive);
+		options.resumeReading();
 	};
 
 	const release = () => {
 		hold?.release();
 		hold = undefined;
-		chunks = [];
+		joined = createJoinedParts(0);
 		buffer = undefined;
 	};
 
 	const discard = () => {
 		end();
 		release();
-		request.resume();
+		options.discard();
 	};
 
 	const refuse = (kind: 'noMemory' | 'stalled') => {
@@ -119,20 +136,16 @@
 			hold = granted;
 			if (bytes > largeBody) {
 				buffer = Buffer.allocUnsafeSlow(bytes);
-				let offset = 0;
-				for (const chunk of chunks) {
-					buffer.set(chunk, offset);
-					offset += chunk.byteLength;
-				}
-
-				chunks = [];
+				buffer.set(joined.take());
+				joined = createJoinedParts(0);
 				watchArrival();
 			}
 
-			request.on('data', receive);
-			request.resume();
+			options.resumeReading();
 		});
 		if (!isDecided) {
+			// What was read before is still received.
+			options.pauseReading();
 			timer = clock.setTimer(options.maxWait, () => {
 				refuse('noMemory');
 			});
@@ -150,18 +163,18 @@
 			return;
 		}
 
+		options.onPart(chunk.byteLength);
+		budget.dropPart(chunk.byteLength + partOverhead);
 		if (buffer) {
 			buffer.set(chunk, size);
-			budget.dropPart(chunk.byteLength);
 		} else {
-			chunks.push(chunk);
+			joined.add(chunk);
 		}
 
 		size += chunk.byteLength;
-		if (!buffer && length === undefined && size > largeBody) {
+		if (!buffer && length === undefined && size > largeBody && !isGrowing) {
+			isGrowing = true;
 			// Its size is unknown, so there must be memory for the largest one.
-			request.off('data', receive);
-			request.pause();
 			readWith(Math.min(limit, budget.maxBody));
 		}
 	};
@@ -174,10 +187,7 @@
 		end();
 		hold!.shrink(size);
 		const body =
-			size === 0
-				? undefined
-				: (buffer?.subarray(0, size) ??
-					(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+			size === 0 ? undefined : (buffer?.subarray(0, size) ?? joined.take());
 		onResult({kind: 'read', body, hold: hold!});
 	});
 	request.once('close', () => {
@@ -186,13 +196,18 @@
 			release();
 		}
 	});
-	if (length === undefined) {
-		readWith(largeBody);
-	} else if (length > limit) {
+	if (length !== undefined && length > limit) {
 		rejectLarge();
 	} else {
-		readWith(length);
+		request.on('data', receive);
+		readWith(length ?? largeBody);
 	}
+
+	return () => {
+		if (!isOver) {
+			refuse('stalled');
+		}
+	};
 }
 
 /** The stated size of a body in bytes; undefined if it is sent in chunks. */
--- a/packages/mesh/src/entry/response-writer.ts
+++ b/packages/mesh/src/entry/response-writer.ts
@@ -1,5 +1,4 @@
 /** Writes final answers to callers, and counts what they have not read yet. */
-import type {ServerResponse} from 'node:http';
 import type {CallerExchange, Clock, Timer} from '@egretspoke/shared';
 import type {BodyStream} from '../bodies/body-stream.js';
 import type {MemoryBudget} from '../decisions/memory/memory-budget.js';
@@ -51,7 +50,7 @@
 				return;
 			}
 
-			count(response, body.byteLength, options.budget);
+			count(exchange, body.byteLength, options.budget);
 			const length = isBodiless(response.req.method, status)
 				? []
 				: ['Content-Length', String(body.byteLength)];
@@ -103,14 +102,17 @@
 
 /** Counts the bytes of a response until it is sent or its connection is closed. */
 function count(
-	response: ServerResponse,
+	exchange: CallerExchange,
 	bytes: number,
 	budget: MemoryBudget,
 ): void {
 	if (bytes > uncountedBytes) {
 		budget.add('responses', bytes);
-		response.once('close', () => {
+		exchange.countUnsent(bytes, () => {
 			budget.remove('responses', bytes);
+			if (!exchange.response.writableFinished) {
+				budget.dropBody(bytes);
+			}
 		});
 	}
 }
--- a/packages/mesh/src/links/peer-channel.ts
+++ b/packages/mesh/src/links/peer-channel.ts
@@ -20,6 +20,8 @@
 	whenWritable(callback: () => void): void;
 	/** Bytes received so far, also of messages that are not complete. */
 	received(): number;
+	/** Bytes received since the last complete message. */
+	incomplete(): number;
 	/** Whether an outcome was sent and the system has not taken all of it yet. */
 	hasUnsentOutcome(): boolean;
 	/** Whether an outcome was sent of which the system may hold a part for long. */
@@ -84,6 +86,8 @@
 	let buffered = 0;
 	let isEnding = false;
 	let isClosed = false;
+	/** Bytes received until the last complete message. */
+	let complete = connection?.bytesRead ?? 0;
 	socket.binaryType = 'nodebuffer';
 
 	const countBuffered = () => {
@@ -161,6 +165,7 @@
 		handlers.onOpen();
 	});
 	socket.on('message', (data: RawData) => {
+		complete = connection?.bytesRead ?? 0;
 		// It was copied from what the socket delivered.
 		budget.dropPart(2 * (data as Uint8Array).byteLength);
 		const frame = decodeFrame(data as Uint8Array, handlers.onMalformed);
@@ -233,6 +238,7 @@
 			return true;
 		},
 		received: () => connection?.bytesRead ?? 0,
+		incomplete: () => (connection?.bytesRead ?? 0) - complete,
 		hasUnsentOutcome: () =>
 			!isClosed &&
 			(hasQueuedOutcome ||
--- a/packages/mesh/src/links/peer-listener.ts
+++ b/packages/mesh/src/links/peer-listener.ts
@@ -1,6 +1,11 @@
 /** Accepts links of other nodes: dispatches their requests to the local target and broadcasts state changes to them. */
 import {createServer} from 'node:http';
-import type {Clock} from '@egretspoke/shared';
+import {
+	guardServer,
+	shortRequestLimits,
+	type Clock,
+	type ConnectionBudget,
+} from '@egretspoke/shared';
 import {WebSocketServer} from 'ws';
 import {listenOn} from '../listening.js';
 import type {LoadReceiver} from '../target/load-report.js';
@@ -34,6 +39,8 @@
 export type PeerListenerOptions = {
 	clock: Clock;
 	budget: MemoryBudget;
+	/** Bounds what the connections of all listeners hold. */
+	connectionBudget: ConnectionBudget;
 	dispatcher: TargetChannel;
 	/** Returns the messages to send in reply to a hello. */
 	initialMessages: () => PeerMessage[];
@@ -96,6 +103,11 @@
 /** Size in bytes up to which an answer is sent at once, however slowly its peer reads. */
 const pacedBytes = 16 * 1024;
 
+/** Maximum number of fragments of a message; nodes send each message as one. */
+const maxFragments = 16;
+/** Maximum number of parts of a frame that the system delivers; a full frame has some 6,000 on a usual network. */
+const maxBufferedChunks = 16_384;
+
 /** Creates a listener that is not listening yet. */
 export function createPeerListener(options: PeerListenerOptions): PeerListener {
 	const server = createServer((_request, response) => {
@@ -104,8 +116,14 @@
 	const socketServer = new WebSocketServer({
 		server,
 		maxPayload: frameLimit,
+		maxFragments,
+		maxBufferedChunks,
 		perMessageDeflate: false,
 	});
+	const guard = guardServer(server, {
+		budget: options.connectionBudget,
+		limits: shortRequestLimits,
+	});
 	const links = new Set<IncomingLink>();
 	let isEnding = false;
 	/** Called after `end` when a link has closed. */
@@ -159,6 +177,10 @@
 			},
 		};
 		links.add(link);
+		guard.becomeLink(request.socket, {
+			held: channel.incomplete,
+			isKnown: () => link.node !== '',
+		});
 	});
 
 	const refuse = (
--- a/packages/mesh/src/mesh-node.ts
+++ b/packages/mesh/src/mesh-node.ts
@@ -1,8 +1,12 @@
 /** One node of the mesh: creates its listeners, links, registers and followers, and connects them. */
+import type {Server} from 'node:http';
 import type {MeshMetrics, MeshReadings} from '@egretspoke/observability';
 import {
+	createConnectionBudget,
 	createSupervisor,
 	createVersionTracker,
+	guardServer,
+	shortRequestLimits,
 	type Clock,
 	type Random,
 } from '@egretspoke/shared';
@@ -15,6 +19,7 @@
 import {egretspokePolicy, type MeshPolicy} from './decisions/mesh-policy.js';
 import {createCallGraph} from './decisions/admission/call-graph.js';
 import {
+	connectionMemoryShare,
 	createMemoryBudget,
 	type Collect,
 } from './decisions/memory/memory-budget.js';
@@ -83,6 +88,8 @@
 	grace: number;
 	/** Memory of the process in bytes, above which the platform ends it; fixed at the start. */
 	memory: number;
+	/** Maximum number of open descriptors of the process; fixed at the start. */
+	descriptors: number;
 };
 
 /** Settings and dependencies of a node. */
@@ -128,6 +135,8 @@
 	stop(): Promise<void>;
 	/** Stops at once and cuts the requests in flight. */
 	abort(): void;
+	/** Bounds the connections of another listener of the process, together with those of the node. */
+	guardListener(server: Server): void;
 };
 
 /** What keeps a node from being ready, and what it has to do without. */
@@ -143,6 +152,11 @@
 /** Milliseconds between two announcements of the configuration version to a random peer. */
 const versionInterval = 2000;
 
+/** Descriptors for files, and the share of the others for accepted connections; the node opens connections itself. */
+const reservedDescriptors = 200;
+const connectionShare = 0.75;
+const minConnections = 64;
+
 /** Creates a node that is not listening yet. */
 export function createMeshNode(options: MeshNodeOptions): MeshNode {
 	const {clock, random, reporter, metrics, headerNames} = options;
@@ -157,6 +171,19 @@
 		startedAt: clock.date().getTime(),
 	};
 	const budget = createMemoryBudget(settings.memory, options.collect);
+	const connectionBudget = createConnectionBudget({
+		clock,
+		limits: {
+			bytes: settings.memory * connectionMemoryShare,
+			connections: Math.max(
+				minConnections,
+				(settings.descriptors - reservedDescriptors) * connectionShare,
+			),
+		},
+		onCheck() {
+			callerListener.refuseStalled();
+		},
+	});
 	const lifetime = new AbortController();
 	const wheel = createDeadlineWheel(clock);
 	const ticker = createTicker(
@@ -360,6 +387,7 @@
 	const peerListener = createPeerListener({
 		clock,
 		budget,
+		connectionBudget,
 		dispatcher,
 		initialMessages: () => [
 			localState.hello(),
@@ -460,6 +488,7 @@
 		reporter,
 		metrics,
 		budget,
+		connectionBudget,
 		callerService: () => settings.service,
 		hasWorkspaces: () => routes?.hasWorkspaces ?? true,
 		isStopping,
@@ -547,7 +576,7 @@
 			isLeaving: isStopping(),
 			openRequests: entry.open(),
 			members: directory.size(),
-			heldBytes: budget.held,
+			heldBytes: {...budget.held, connections: connectionBudget.held()},
 			workspacesAboveShare: pressure.workspacesAboveShare(),
 			peersConnected: directory.connected(),
 			service: settings.service,
@@ -567,6 +596,12 @@
 			}
 		},
 		abort,
+		guardListener(server) {
+			guardServer(server, {
+				budget: connectionBudget,
+				limits: shortRequestLimits,
+			});
+		},
 	};
 
 	function abort(): void {
--- a/packages/node/__tests__/caller-listener-fixture.ts
+++ b/packages/node/__tests__/caller-listener-fixture.ts
@@ -2,7 +2,11 @@
 import {once} from 'node:events';
 import {connect, type Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
-import {createSystemClock} from '@egretspoke/shared';
+import {
+	createConnectionBudget,
+	createSystemClock,
+	noConnectionLimits,
+} from '@egretspoke/shared';
 import {
 	createCallerListener,
 	type CallerListener,
@@ -81,7 +85,10 @@
 		bodyLimit: 64 * 1024,
 		bufferLimit: 1024 * 1024,
 		headerLimit: 4096,
-		connectionLimit: 64,
+		connectionBudget: createConnectionBudget({
+			clock: createSystemClock({keepAlive: true}),
+			limits: noConnectionLimits,
+		}),
 		requestTimeout: 10_000,
 		announce: () => undefined,
 		...options,
--- a/packages/node/__tests__/odd-peer.ts
+++ b/packages/node/__tests__/odd-peer.ts
@@ -5,7 +5,11 @@
 	Member,
 	Message,
 } from '@egretspoke/protocol';
-import {createSystemClock} from '@egretspoke/shared';
+import {
+	createConnectionBudget,
+	createSystemClock,
+	noConnectionLimits,
+} from '@egretspoke/shared';
 import {createWebSocketTransport} from '../src/web-socket-transport.js';
 import {secrets, type ListenerFixture} from './listener-fixture.js';
 
@@ -33,6 +37,10 @@
 ): Promise<OddPeer> {
 	const transport = createWebSocketTransport({
 		clock: createSystemClock({keepAlive: true}),
+		connectionBudget: createConnectionBudget({
+			clock: createSystemClock({keepAlive: true}),
+			limits: noConnectionLimits,
+		}),
 		self: () => ({node: name, incarnation: 1, dataCentre: 'a'}),
 		secret: secrets.peer,
 		messageLimit: 1024 * 1024,
--- a/packages/node/__tests__/peer-connection-failure.spec.ts
+++ b/packages/node/__tests__/peer-connection-failure.spec.ts
@@ -1,5 +1,10 @@
 import {ErrorCode, type CallRequest} from '@egretspoke/protocol';
-import {createSupervisor, createSystemClock} from '@egretspoke/shared';
+import {
+	createConnectionBudget,
+	createSupervisor,
+	createSystemClock,
+	noConnectionLimits,
+} from '@egretspoke/shared';
 import {expect} from 'chai';
 import type {MessageChannel} from '../src/message-channel.js';
 import {silentReporter} from '../src/node-reporter.js';
@@ -23,6 +28,10 @@
 const createTransport = (node: string) =>
 	createWebSocketTransport({
 		clock,
+		connectionBudget: createConnectionBudget({
+			clock,
+			limits: noConnectionLimits,
+		}),
 		self: () => ({node, incarnation: 1, dataCentre: 'a'}),
 		secret: 'peer-secret-0123456789',
 		messageLimit: 16 * 1024 * 1024,
--- a/packages/node/__tests__/peer-connection.spec.ts
+++ b/packages/node/__tests__/peer-connection.spec.ts
@@ -1,5 +1,9 @@
 import {expect} from 'chai';
-import {createSystemClock} from '@egretspoke/shared';
+import {
+	createConnectionBudget,
+	createSystemClock,
+	noConnectionLimits,
+} from '@egretspoke/shared';
 import type {CallRequest} from '@egretspoke/protocol';
 import type {MessageChannel} from '../src/message-channel.js';
 import {silentReporter, type NodeEvent} from '../src/node-reporter.js';
@@ -25,6 +29,10 @@
 const createTransport = (node: string) =>
 	createWebSocketTransport({
 		clock: createSystemClock({keepAlive: true}),
+		connectionBudget: createConnectionBudget({
+			clock: createSystemClock({keepAlive: true}),
+			limits: noConnectionLimits,
+		}),
 		self: () => ({node, incarnation: 1, dataCentre: 'a'}),
 		secret: 'peer-secret-0123456789',
 		messageLimit: 16 * 1024 * 1024,
--- a/packages/node/__tests__/web-socket-transport.spec.ts
+++ b/packages/node/__tests__/web-socket-transport.spec.ts
@@ -1,7 +1,11 @@
 import {createServer} from 'node:http';
 import {expect} from 'chai';
 import type {Message} from '@egretspoke/protocol';
-import {createSystemClock} from '@egretspoke/shared';
+import {
+	createConnectionBudget,
+	createSystemClock,
+	noConnectionLimits,
+} from '@egretspoke/shared';
 import type {MessageChannel} from '../src/message-channel.js';
 import {createWebSocketTransport, listen} from '../src/web-socket-transport.js';
 
@@ -14,6 +18,10 @@
 ) =>
 	createWebSocketTransport({
 		clock,
+		connectionBudget: createConnectionBudget({
+			clock,
+			limits: noConnectionLimits,
+		}),
 		self: () => ({node, incarnation: 1, dataCentre: 'a'}),
 		secret: 'peer-secret-0123456789',
 		messageLimit: 16 * 1024 * 1024,
--- a/packages/node/src/admin-listener.ts
+++ b/packages/node/src/admin-listener.ts
@@ -24,7 +24,12 @@
 	type PlanRequest,
 	type TargetRow,
 } from '@egretspoke/protocol';
-import {runDetached} from '@egretspoke/shared';
+import {
+	guardServer,
+	runDetached,
+	shortRequestLimits,
+	type ConnectionBudget,
+} from '@egretspoke/shared';
 import {readBody} from './request-body.js';
 import {listen, type OnListenerError} from './web-socket-transport.js';
 
@@ -53,6 +58,8 @@
 	secret?: string;
 	/** The largest document in bytes. */
 	bodyLimit: number;
+	/** Bounds what the connections of all listeners hold. */
+	connectionBudget: ConnectionBudget;
 	onMalformed: (fault: string) => void;
 	onListenerError?: OnListenerError;
 	/** Called when a call could not be answered. */
@@ -143,6 +150,10 @@
 			});
 		},
 	);
+	guardServer(server, {
+		budget: options.connectionBudget,
+		limits: {...shortRequestLimits, bodyBytes: options.bodyLimit},
+	});
 	server.on('clientError', (_error, socket) => {
 		options.onMalformed('admin');
 		socket.destroy();
--- a/packages/node/src/body-budget.ts
+++ b/packages/node/src/body-budget.ts
@@ -17,15 +17,19 @@
 	add(bytes: number): void;
 	/** Whether no more fits. */
 	isFull(): boolean;
+	/** Whether bytes didn't fit since the last release. */
+	hasRefused(): boolean;
 	release(bytes: number): void;
 };
 
 /** Creates a budget of `limit` bytes. */
 export function createBodyBudget(limit: number): BodyBudget {
 	let reserved = 0;
+	let hasRefused = false;
 	return {
 		reserve(bytes) {
 			if (reserved + bytes > limit) {
+				hasRefused = true;
 				return false;
 			}
 
@@ -36,8 +40,10 @@
 			reserved += bytes;
 		},
 		isFull: () => reserved >= limit,
+		hasRefused: () => hasRefused,
 		release(bytes) {
 			reserved -= bytes;
+			hasRefused &&= bytes === 0;
 		},
 	};
 }
--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -17,6 +17,7 @@
 	sleep,
 	type CallerExchange,
 	type Clock,
+	type ConnectionBudget,
 } from '@egretspoke/shared';
 import type {Result} from 'neverthrow';
 import {
@@ -43,7 +44,8 @@
 	/** Maximum total of the bodies and unread answers held at the same time. */
 	bufferLimit: number;
 	headerLimit: number;
-	connectionLimit: number;
+	/** Bounds what the connections of all listeners hold. */
+	connectionBudget: ConnectionBudget;
 	/** Maximum time for a whole request to arrive; a slower sender is disconnected. */
 	requestTimeout: number;
 	/** Called with each announcement of the local target. */
@@ -61,6 +63,8 @@
 	 * all accepted ones have been sent.
 	 */
 	drain(): Promise<void>;
+	/** Refuses bodies whose senders have paused for long, if others found no room. */
+	refuseStalled(): void;
 	/**
 	 * Answers what still runs as not run or unknown, and closes. Resolves with
 	 * the number of other requests whose answers were not sent completely.
@@ -74,6 +78,9 @@
  */
 const keepAliveTimeoutMs = 65_000;
 
+/** Milliseconds after which a body that has stopped arriving is refused if others find no room. */
+const pressedStallTime = 1000;
+
 /** Interval in milliseconds between two checks whether all answers have been sent. */
 const sentCheckIntervalMs = 10;
 
@@ -108,11 +115,17 @@
 			receive(request, response);
 		},
 	);
-	server.maxConnections = options.connectionLimit;
 	// `close` calls it, and it also destroys connections whose answers aren't sent yet.
 	server.closeIdleConnections = () => undefined;
 	const connections = createCallerConnections(server, {
 		clock,
+		budget: options.connectionBudget,
+		limits: () => ({
+			headBytes: options.headerLimit,
+			bodyBytes: options.bodyLimit,
+			headTime: options.requestTimeout,
+			idleTime: keepAliveTimeoutMs,
+		}),
 		onCut(cut) {
 			unsentAnswers += cut.requests;
 			reporter.recordEvent({name: 'requestsCut', ...cut});
@@ -169,14 +182,23 @@
 
 	const serve = async (request: IncomingMessage, exchange: CallerExchange) => {
 		const {signal} = draining;
-		const body = await readBody(request, options.bodyLimit, {budget, signal});
+		const body = await readBody(request, options.bodyLimit, {
+			budget,
+			signal,
+			onPart(bytes) {
+				exchange.receivePart(bytes);
+			},
+			onRefusable(refuse) {
+				exchange.whenStalled(refuse);
+			},
+		});
 		try {
 			if (exchange.accept()) {
 				const entry = accepted.add(request, exchange);
 				const outcome = await answer(request, body, entry);
 				endAfterLast(exchange, body.isErr() || lacksHost(request));
 				entry.answer();
-				countAnswer(exchange.response, outcome);
+				countAnswer(exchange, outcome);
 				writeOutcome(exchange.response, outcome);
 			}
 		} finally {
@@ -185,12 +207,12 @@
 	};
 
 	/** Counts an answer until its caller has read it or has left. */
-	const countAnswer = (response: ServerResponse, {outcome}: CallerOutcome) => {
+	const countAnswer = (exchange: CallerExchange, {outcome}: CallerOutcome) => {
 		const bytes =
 			outcome.kind === 'answered' ? outcome.answer.body.byteLength : 0;
 		if (bytes > 0) {
 			budget.add(bytes);
-			response.once('close', () => {
+			exchange.countUnsent(bytes, () => {
 				budget.release(bytes);
 			});
 		}
@@ -230,12 +252,19 @@
 		request: IncomingMessage,
 		exchange: CallerExchange,
 	) => {
-		const body = await readBody(request, options.bodyLimit);
+		const body = await readBody(request, options.bodyLimit, {
+			budget,
+			onPart(bytes) {
+				exchange.receivePart(bytes);
+			},
+		});
 		if (exchange.accept()) {
 			exchange.answer();
 			endAfterLast(exchange, body.isErr());
 			answerAnnouncement(request, exchange.response, body, options);
 		}
+
+		budget.release(body.isOk() ? body.value.length : 0);
 	};
 
 	/** Resolves when the condition holds, or when the time is over. */
@@ -255,6 +284,9 @@
 			draining.abort();
 			await waitUntil(() => accepted.areSent(), Number.POSITIVE_INFINITY);
 		},
+		refuseStalled() {
+			connections.refuseStalled(pressedStallTime, budget.hasRefused);
+		},
 		async close(cause) {
 			draining.abort();
 			const closed = server.listening ? once(server, 'close') : undefined;
--- a/packages/node/src/request-body.ts
+++ b/packages/node/src/request-body.ts
@@ -1,6 +1,6 @@
 /** Reads the whole body of a request within a limit. */
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
+import {createJoinedParts} from '@egretspoke/shared';
 import {err, ok, type Result} from 'neverthrow';
 import type {BodyBudget} from './body-budget.js';
 
@@ -12,6 +12,10 @@
 	budget?: BodyBudget | undefined;
 	/** Aborts when no further request is accepted. */
 	signal?: AbortSignal;
+	/** Called with the size of each part, also of a body that is discarded. */
+	onPart?: (bytes: number) => void;
+	/** Receives a function that refuses the body for lack of room, and undefined when it is read. */
+	onRefusable?: (refuse: (() => void) | undefined) => void;
 };
 
 const empty = new Uint8Array(0);
@@ -23,13 +27,19 @@
 export async function readBody(
 	request: IncomingMessage,
 	limit: number,
-	{budget, signal}: BodyReading = {},
+	{budget, signal, onPart, onRefusable = () => undefined}: BodyReading = {},
 ): Promise<Result<Uint8Array, BodyFault>> {
 	const contentLength = request.headers['content-length'];
 	if (contentLength === undefined && !request.headers['transfer-encoding']) {
 		return ok(empty);
 	}
 
+	if (onPart) {
+		request.on('data', (part: Uint8Array) => {
+			onPart(part.byteLength);
+		});
+	}
+
 	if (Number(contentLength ?? 0) > limit) {
 		request.resume();
 		return err('tooLarge');
@@ -41,13 +51,16 @@
 	}
 
 	return new Promise((resolve) => {
-		const chunks: Uint8Array[] = [];
+		const stated =
+			contentLength === undefined ? undefined : Number(contentLength);
+		let parts = createJoinedParts(stated);
 		let length = 0;
 		const fail = (fault: BodyFault) => {
 			budget?.release(length);
 			length = 0;
-			chunks.length = 0;
+			parts = createJoinedParts(0);
 			signal?.removeEventListener('abort', stop);
+			onRefusable(undefined);
 			// The rest is discarded, since unread bytes would make the close reset the connection.
 			request.off('data', onData).off('end', finish).off('close', cut).resume();
 			resolve(err(fault));
@@ -58,16 +71,17 @@
 				fail('tooLarge');
 			} else if (budget?.reserve(chunk.length) ?? true) {
 				length += chunk.length;
-				chunks.push(chunk);
+				parts.add(chunk);
 			} else {
 				fail('noRoom');
 			}
 		};
 
 		const finish = () => {
+			onRefusable(undefined);
 			signal?.removeEventListener('abort', stop);
 			request.off('close', cut);
-			resolve(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+			resolve(ok(parts.take()));
 		};
 
 		const cut = () => {
@@ -79,6 +93,9 @@
 		};
 
 		signal?.addEventListener('abort', stop);
+		onRefusable(() => {
+			fail('noRoom');
+		});
 		request.on('data', onData).on('end', finish).on('close', cut);
 		// The `close` event that follows an error is handled instead.
 		request.on('error', () => undefined);
--- a/packages/node/src/settings.ts
+++ b/packages/node/src/settings.ts
@@ -102,8 +102,10 @@
 	headers: sizeSchema.default(16 * kilobyte),
 	/** The bodies of callers' requests that the node holds at the same time. */
 	bufferedBodies: sizeSchema.default(128 * megabyte),
-	/** Connections that the caller listener holds open. */
+	/** Connections that all listeners hold open together. */
 	connections: count.default(4096),
+	/** What open connections take beside bodies: heads, requests and unread answers. */
+	connectionMemory: sizeSchema.default(64 * megabyte),
 	/** A caller that takes longer to send its request is cut off. */
 	slowSender: duration.default(10 * second),
 	/** Idempotency keys that the node stores at the same time. */
--- a/packages/node/src/start-node.ts
+++ b/packages/node/src/start-node.ts
@@ -17,11 +17,13 @@
 import {
 	createRandom,
 	createSupervisor,
+	createConnectionBudget,
 	createSystemClock,
 	formatAddress,
 	parseAddress,
 	sleep,
 	type Clock,
+	type ConnectionBudget,
 } from '@egretspoke/shared';
 import {createAdminListener} from './admin-listener.js';
 import {createAdminServices} from './admin-services.js';
@@ -112,7 +114,18 @@
 		reporter.recordEvent({name: 'listenerFailed', listener, detail: message});
 	};
 
+	const connectionBudget = createConnectionBudget({
+		clock,
+		limits: {
+			bytes: limits.connectionMemory,
+			connections: limits.connections,
+		},
+		onCheck() {
+			caller.refuseStalled();
+		},
+	});
 	const transport = createTransport(settings, clock, self, {
+		connectionBudget,
 		reporter,
 		onListenerError: reportListener('peer'),
 	});
@@ -158,7 +171,7 @@
 		bodyLimit: limits.body,
 		bufferLimit: limits.bufferedBodies,
 		headerLimit: limits.headers,
-		connectionLimit: limits.connections,
+		connectionBudget,
 		requestTimeout: limits.slowSender,
 		onListenerError: reportListener('caller'),
 		announce(announcement) {
@@ -197,6 +210,7 @@
 			supervisor,
 		}),
 		bodyLimit: limits.body,
+		connectionBudget,
 		...(secrets.operator !== undefined && {secret: secrets.operator}),
 		onMalformed(detail) {
 			reporter.recordEvent({name: 'operatorRefused', detail});
@@ -288,12 +302,18 @@
 	clock: Clock,
 	self: Home,
 	{
+		connectionBudget,
 		reporter,
 		onListenerError,
-	}: {reporter: NodeReporter; onListenerError: OnListenerError},
+	}: {
+		connectionBudget: ConnectionBudget;
+		reporter: NodeReporter;
+		onListenerError: OnListenerError;
+	},
 ): WebSocketTransport {
 	return createWebSocketTransport({
 		clock,
+		connectionBudget,
 		self: () => ({...self, dataCentre}),
 		secret: secrets.peer ?? '',
 		messageLimit: limits.body + envelopeLimit,
--- a/packages/node/src/web-socket-transport.ts
+++ b/packages/node/src/web-socket-transport.ts
@@ -1,8 +1,16 @@
 /** Peer channels over `ws`. */
 import {once} from 'node:events';
 import {createServer, type Server} from 'node:http';
+import type {Socket} from 'node:net';
 import {WebSocket, WebSocketServer} from 'ws';
-import {remoteAddressSchema, runDetached, type Clock} from '@egretspoke/shared';
+import {
+	guardServer,
+	remoteAddressSchema,
+	runDetached,
+	shortRequestLimits,
+	type Clock,
+	type ConnectionBudget,
+} from '@egretspoke/shared';
 import type {Result} from 'neverthrow';
 import type {MessageChannel, PeerTransport} from './message-channel.js';
 import type {HandshakeFailure} from './peer-handshake.js';
@@ -15,6 +23,8 @@
 export type WebSocketTransportOptions = ChannelContext & {
 	/** The largest message in bytes: a body and its headers. */
 	messageLimit: number;
+	/** Bounds what the connections of all listeners hold. */
+	connectionBudget: ConnectionBudget;
 	/** Maximum concurrent handshakes of incoming connections; more are refused. */
 	handshakeLimit: number;
 	/** Called with the reason when a peer was refused. */
@@ -34,6 +44,11 @@
 /** Maximum time in milliseconds for peers to receive what was sent before the close. */
 const closeTimeoutMs = 1000;
 
+/** Maximum number of fragments of a message; nodes send each message as one. */
+const maxFragments = 16;
+/** Maximum number of parts of a message that the system delivers. */
+const maxBufferedChunks = 16_384;
+
 /** Creates the transport; nothing listens until `listen`. */
 export function createWebSocketTransport(
 	options: WebSocketTransportOptions,
@@ -44,8 +59,14 @@
 	const socketServer = new WebSocketServer({
 		server,
 		maxPayload: options.messageLimit,
+		maxFragments,
+		maxBufferedChunks,
 		perMessageDeflate: false,
 	});
+	const guard = guardServer(server, {
+		budget: options.connectionBudget,
+		limits: shortRequestLimits,
+	});
 	// `ws` emits the errors of its server again, and throws without a listener.
 	socketServer.on('error', () => undefined);
 	const sockets = new Set<WebSocket>();
@@ -57,7 +78,23 @@
 		socket.on('close', () => sockets.delete(socket));
 	};
 
-	const performHandshake = async (socket: WebSocket) => {
+	/** Counts what arrives on an accepted connection and is no whole message. */
+	const guardLink = (socket: WebSocket, connection: Socket) => {
+		const link = {complete: connection.bytesRead, isKnown: false};
+		socket.on('message', () => {
+			link.complete = connection.bytesRead;
+		});
+		guard.becomeLink(connection, {
+			held: () => connection.bytesRead - link.complete,
+			isKnown: () => link.isKnown,
+		});
+		return link;
+	};
+
+	const performHandshake = async (
+		socket: WebSocket,
+		link: {isKnown: boolean},
+	) => {
 		handshakesInProgress++;
 		let channel: Result<MessageChannel, HandshakeFailure>;
 		try {
@@ -69,6 +106,7 @@
 
 		channel.match(
 			(accepted) => {
+				link.isKnown = true;
 				handler(accepted);
 			},
 			(failure) => {
@@ -77,15 +115,16 @@
 		);
 	};
 
-	socketServer.on('connection', (socket) => {
+	socketServer.on('connection', (socket, request) => {
 		track(socket);
+		const link = guardLink(socket, request.socket);
 		if (handshakesInProgress >= options.handshakeLimit) {
 			socket.close(1013, 'too many handshakes');
 			options.onRefused('too many handshakes');
 			return;
 		}
 
-		void runDetached(performHandshake(socket), (error) => {
+		void runDetached(performHandshake(socket, link), (error) => {
 			socket.terminate();
 			options.onRefused(String(error));
 		});
--- a/packages/observability/src/mesh-events.ts
+++ b/packages/observability/src/mesh-events.ts
@@ -266,7 +266,7 @@
 		template:
 			'connection of a caller ended, {cause}: {requests} requests without a complete answer, {answered} of them answered but not sent',
 		meaning:
-			'This node ended a connection whose caller still waited: `closingAnswer` after an answer that announced it, `malformedRequest` because of bytes that are no request, `stop` at the end of a planned stop, `server` for another reason. The requests may have run.',
+			'This node ended a connection whose caller still waited: `closingAnswer` after an answer that announced it, `malformedRequest` because of bytes that are no request, `limit` because it exceeded a limit, or held most when all connections together did, `stop` at the end of a planned stop, `server` for another reason. The requests may have run.',
 		advice:
 			'With `stop`: some requests took longer than the grace period. Others should not occur; report them.',
 	},
--- a/packages/observability/src/mesh-metric-catalogue.ts
+++ b/packages/observability/src/mesh-metric-catalogue.ts
@@ -123,9 +123,9 @@
 		name: 'egretspoke_mesh_held_bytes',
 		type: 'gauge',
 		labels: ['kind'],
-		help: 'Bytes of bodies and messages that this node holds, by kind: `smallBodies` and `largeBodies` of requests, whole `responses` that callers and `answers` that other nodes have not read, `streams` of large ones, and `frames` for other nodes.',
+		help: 'Bytes of bodies and messages that this node holds, by kind: `smallBodies` and `largeBodies` of requests, whole `responses` that callers and `answers` that other nodes have not read, `streams` of large ones, `frames` for other nodes, and what open `connections` take beside bodies (estimated).',
 		reading:
-			'Each kind has a share of the memory. `largeBodies` near its share for long: callers send more than the VM can hold, and uploads wait. `responses`: callers read slowly. `answers`, `frames`: a peer does.',
+			'Each kind has a share of the memory. `largeBodies` near its share for long: callers send more than the VM can hold, and uploads wait. `responses`: callers read slowly. `answers`, `frames`: a peer does. `connections` near 16 % of the memory: clients exceed the limits of docs/design/connection-limits.md, and those that hold most are closed (`limit` in event 2540).',
 	},
 	meshMembers: {
 		name: 'egretspoke_mesh_members',
--- a/packages/observability/src/notice-events.ts
+++ b/packages/observability/src/notice-events.ts
@@ -56,7 +56,7 @@
 		template:
 			'connection of a caller ended, {cause}: {requests} accepted requests without a whole answer, {answered} of them answered',
 		meaning:
-			'This node ended a connection whose caller still waited: `closingAnswer` after an answer that announced it, `malformedRequest` because of bytes that are no request, `stop` at the end of a stop, `server` for another reason. The requests may have run.',
+			'This node ended a connection whose caller still waited: `closingAnswer` after an answer that announced it, `malformedRequest` because of bytes that are no request, `limit` because it exceeded a limit, or held most when all connections together did, `stop` at the end of a stop, `server` for another reason. The requests may have run.',
 		advice:
 			'With `stop`: a caller read its answer too slowly. Others should not occur; report them.',
 	},
--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -10,14 +10,26 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Clock, Timer} from './clock.js';
+import type {
+	BudgetedConnection,
+	ConnectionBudget,
+} from './connection-budget.js';
+import {
+	ConnectionIntake,
+	type ConnectionReading,
+	type IntakeFault,
+	type IntakeLimits,
+} from './connection-intake.js';
+import {createReadPacer, type ReadPacer} from './read-pacer.js';
 
 /**
  * Why a connection ended: the caller closed it or the network did, an answer
- * announced its end, what arrived on it was no request, the server ended, or
- * the server closed it for another reason.
+ * announced its end, what arrived on it was no request, it exceeded a limit or
+ * held most when all together did, the server ended, or the server closed it
+ * for another reason.
  */
 export type CloseCause =
-	'caller' | 'closingAnswer' | 'malformedRequest' | 'stop' | 'server';
+	'caller' | 'closingAnswer' | 'malformedRequest' | 'limit' | 'stop' | 'server';
 
 /** Accepted requests that ended with their connection. */
 export type CutRequests = {
@@ -31,6 +43,12 @@
 /** Dependencies of the connections. */
 export type CallerConnectionsOptions = {
 	clock: Clock;
+	/** Bounds what the connections of all listeners hold together. */
+	budget: ConnectionBudget;
+	/** What each connection may send. */
+	limits: () => IntakeLimits;
+	/** Called with the size of each part of a body that is discarded. */
+	onDiscard?: (bytes: number) => void;
 	/** Called when a connection ends with accepted requests, unless the caller closed it. */
 	onCut: (cut: CutRequests) => void;
 };
@@ -61,6 +79,11 @@
 	ending(): number;
 	/** Number of requests that are arriving. */
 	receiving(): number;
+	/**
+	 * Refuses bodies whose senders have paused for so many milliseconds, while the
+	 * condition holds.
+	 */
+	refuseStalled(pause: number, condition: () => boolean): void;
 	/** Closes all connections at once. */
 	close(): void;
 };
@@ -75,6 +98,26 @@
 /** A position before that of every request. */
 const none = -1;
 
+/** Estimated bytes of an open connection, and of a request until its answer is sent, beside its body. */
+const connectionBytes = 10 * 1024;
+const requestBytes = 6 * 1024;
+
+/** Maximum number of requests of a connection that are not answered; those behind them are dropped, and the connection closes. */
+const maxRequestsAhead = 256;
+
+/** Answers to what exceeds a limit, by the codes of Node's parser for the same faults. */
+const answeredFaults: Partial<Record<IntakeFault, string>> = {
+	headTooLong: 'HPE_HEADER_OVERFLOW',
+	headTooSlow: 'ERR_HTTP_REQUEST_TIMEOUT',
+};
+
+/** Bytes below which a part of a body is small, and their number on a connection before others are read. */
+const smallPart = 64;
+const maxSmallParts = 4096;
+
+/** Why nothing is read from a connection: a body waits for memory, others have their turn, or it sends too much. */
+type ReadPause = 'memory' | 'pace' | 'excess';
+
 const nothing = () => undefined;
 
 /** Tracks the connections of a server that doesn't listen yet. */
@@ -83,10 +126,18 @@
 	options: CallerConnectionsOptions,
 ): CallerConnections {
 	const connections = new Map<Socket, CallerConnection>();
+	const pacer = createReadPacer(options.clock);
 
 	server.on('connection', (socket) => {
-		const connection = new CallerConnection(socket, options);
+		const connection = new CallerConnection(socket, options, pacer, (code) => {
+			server.emit(
+				'clientError',
+				Object.assign(new Error('limit exceeded'), {code}),
+				socket,
+			);
+		});
 		connections.set(socket, connection);
+		const removeFromBudget = options.budget.add(connection);
 		// Node ends the connection by this method after an answer that closes it.
 		socket.destroySoon = () => {
 			connection.end();
@@ -94,6 +145,8 @@
 
 		socket.once('close', () => {
 			connections.delete(socket);
+			removeFromBudget();
+			pacer.remove(connection);
 			connection.leave();
 		});
 	});
@@ -111,11 +164,12 @@
 		receive(request, response) {
 			const connection = connections.get(request.socket);
 			if (!connection || connection.isClosing) {
+				connection?.drop();
 				request.resume();
 				return undefined;
 			}
 
-			return connection.receive(response);
+			return connection.receive(request, response);
 		},
 		closeAfterAccepted: (socket, cause) =>
 			connections.get(socket)?.closeAfterAccepted(cause) ?? false,
@@ -124,7 +178,7 @@
 		},
 		renewIdleTime(idleTime) {
 			for (const [socket, connection] of connections) {
-				if (connection.isIdle()) {
+				if (connection.isBetweenRequests()) {
 					socket.setTimeout(Math.max(idleTime, socket.timeout ?? 0));
 				}
 			}
@@ -132,6 +186,15 @@
 		pending: () => sum(({unsent}) => unsent.size),
 		ending: () => sum(({isEnding}) => (isEnding ? 1 : 0)),
 		receiving: () => sum(({arriving}) => arriving),
+		refuseStalled(pause, condition) {
+			for (const connection of connections.values()) {
+				if (!condition()) {
+					return;
+				}
+
+				connection.refuseStalled(pause);
+			}
+		},
 		close() {
 			for (const [socket, connection] of connections) {
 				connection.stop();
@@ -142,7 +205,7 @@
 }
 
 /** One connection. */
-class CallerConnection {
+class CallerConnection implements BudgetedConnection {
 	/** The accepted requests whose answers are not sent. */
 	readonly unsent = new Set<CallerExchange>();
 	/** Requests of which the body is still arriving. */
@@ -156,10 +219,25 @@
 	private lastOrder = Number.POSITIVE_INFINITY;
 	private cause: CloseCause | undefined = undefined;
 	private lingerTimer: Timer | undefined = undefined;
+	private readonly intake = new ConnectionIntake();
+	/** The request that arrived last. */
+	private lastRequest: IncomingMessage | undefined = undefined;
+	private lastExchange: CallerExchange | undefined = undefined;
+	/** Number of requests that were dropped behind the last accepted one; Node keeps each until the connection ends. */
+	private dropped = 0;
+	/** Bytes of answers that are not sent. */
+	private unsentBytes = 0;
+	/** Why nothing is read at present. */
+	private readonly pauses = new Set<ReadPause>();
+	/** Small parts of bodies since reading was last paced. */
+	private smallParts = 0;
 
 	constructor(
 		private readonly socket: Socket,
 		private readonly options: CallerConnectionsOptions,
+		private readonly pacer: ReadPacer,
+		/** Answers a fault that Node's parser has a code for. */
+		private readonly reject: (code: string) => void,
 	) {
 		const onCaller = () => {
 			this.cause = 'caller';
@@ -167,23 +245,127 @@
 
 		socket.once('end', onCaller);
 		socket.once('error', onCaller);
+		// Node resumes reading whenever a part of a body or an answer is done.
+		const resume = socket.resume.bind(socket);
+		socket.resume = () => (this.pauses.size > 0 ? socket : resume());
+	}
+
+	isIdle(): boolean {
+		return this.arriving + this.unsent.size === 0;
 	}
 
 	/**
 	 * Whether it waits for a further request. Before the first one, Node would
 	 * not end the timeout when a request arrives.
 	 */
-	isIdle(): boolean {
+	isBetweenRequests(): boolean {
+		return this.received > 0 && this.isIdle() && !this.isClosing;
+	}
+
+	receive(
+		request: IncomingMessage,
+		response: ServerResponse,
+	): CallerExchange | undefined {
+		this.intake.receive();
+		this.lastRequest = request;
+		if (this.arriving + this.unsent.size >= maxRequestsAhead) {
+			this.drop();
+			request.resume();
+			this.closeAfterAccepted('limit');
+			return undefined;
+		}
+
+		this.options.budget.grow(requestBytes);
+		this.arriving++;
+		this.lastExchange = new CallerExchange(this, response, this.received++);
+		return this.lastExchange;
+	}
+
+	/** Counts a request that is dropped, and reads no further ones: their number has no end. */
+	drop(): void {
+		this.dropped++;
+		this.options.budget.grow(requestBytes);
+		if (this.dropped > maxRequestsAhead) {
+			this.pauseReading('excess');
+		}
+	}
+
+	pauseReading(reason: ReadPause): void {
+		this.pauses.add(reason);
+		this.socket.pause();
+	}
+
+	resumeReading(reason: ReadPause): void {
+		if (this.pauses.delete(reason)) {
+			this.socket.resume();
+		}
+	}
+
+	/** Counts a part of a body, each of which takes processor time however small it is. */
+	receivePart(bytes: number): void {
+		if (bytes >= smallPart) {
+			return;
+		}
+
+		this.smallParts++;
+		if (this.smallParts === maxSmallParts) {
+			this.pauseReading('pace');
+			this.pacer.add(this);
+		}
+	}
+
+	discardPart(bytes: number): void {
+		this.options.onDiscard?.(bytes);
+		this.receivePart(bytes);
+	}
+
+	resume(): void {
+		this.smallParts = 0;
+		this.resumeReading('pace');
+	}
+
+	/** Counts bytes of an answer until they are sent; negative if they are. */
+	addUnsent(bytes: number): void {
+		this.unsentBytes += bytes;
+		if (bytes > 0) {
+			this.options.budget.grow(bytes);
+		}
+	}
+
+	held(): number {
 		return (
-			this.received > 0 &&
-			this.arriving + this.unsent.size === 0 &&
-			!this.isClosing
+			connectionBytes +
+			(this.arriving + this.unsent.size + this.dropped) * requestBytes +
+			this.unsentBytes +
+			this.intake.headHeld(this.read())
 		);
 	}
 
-	receive(response: ServerResponse): CallerExchange {
-		this.arriving++;
-		return new CallerExchange(this, response, this.received++);
+	check(elapsed: number): void {
+		const fault = this.intake.check(
+			this.read(),
+			elapsed,
+			this.options.limits(),
+		);
+		if (fault !== undefined && !this.isEnding) {
+			this.endFaulty(fault);
+		}
+	}
+
+	/** Refuses the body that is arriving if its sender has paused for so many milliseconds; returns whether it did. */
+	refuseStalled(pause: number): boolean {
+		const {isInBody, isHeldBack} = this.read();
+		return (
+			isInBody &&
+			!isHeldBack &&
+			this.intake.stalled() >= pause &&
+			(this.lastExchange?.stall() ?? false)
+		);
+	}
+
+	close(): void {
+		this.setCause('limit');
+		this.socket.destroy();
 	}
 
 	/** Counts a request until its answer is sent. */
@@ -235,7 +417,10 @@
 		this.lastOrder = Math.min(this.lastOrder, order);
 	}
 
-	/** Ends what is sent, and reads on until the caller has closed the connection too. */
+	/**
+	 * Ends what is sent, and reads on until the caller has closed the connection
+	 * too, unless it sends without end.
+	 */
 	end(): void {
 		if (this.isEnding) {
 			return;
@@ -246,6 +431,7 @@
 		const {socket} = this;
 		socket.end();
 		socket.resume();
+
 		this.lingerTimer = this.options.clock.setTimer(lingerTime, () => {
 			socket.destroy();
 		});
@@ -283,6 +469,32 @@
 		}
 	}
 
+	private read(): ConnectionReading {
+		const {socket, lastRequest} = this;
+		return {
+			bytesRead: socket.bytesRead,
+			bytesWritten: socket.bytesWritten,
+			bytesWaiting: socket.writableLength,
+			isInBody: lastRequest !== undefined && !lastRequest.complete,
+			isHeldBack: socket.isPaused(),
+		};
+	}
+
+	private endFaulty(fault: IntakeFault): void {
+		if (fault === 'bodyStalled' && this.lastExchange?.stall()) {
+			return;
+		}
+
+		this.setCause('limit');
+		const code = answeredFaults[fault];
+		if (code === undefined) {
+			this.socket.destroy();
+		} else {
+			this.pauseReading('excess');
+			this.reject(code);
+		}
+	}
+
 	private endIfAnswered(): void {
 		if (this.isClosing && this.unsent.size === 0) {
 			this.end();
@@ -294,6 +506,8 @@
 export class CallerExchange {
 	isAnswered = false;
 	private onLeave: () => void = nothing;
+	private onStall: (() => void) | undefined = undefined;
+	private onUnsentEnd: () => void = nothing;
 
 	constructor(
 		private readonly connection: CallerConnection,
@@ -315,6 +529,58 @@
 		this.onLeave = onLeave;
 	}
 
+	/** Reads nothing more of the connection until `resumeReading`, because a body waits for memory. */
+	pauseReading(): void {
+		this.connection.pauseReading('memory');
+	}
+
+	resumeReading(): void {
+		this.connection.resumeReading('memory');
+	}
+
+	/** Counts a part of the body. */
+	receivePart(bytes: number): void {
+		this.connection.receivePart(bytes);
+	}
+
+	/** Drops the rest of the body. */
+	discard(request: IncomingMessage): void {
+		request.on('data', (part: Uint8Array) => {
+			this.connection.discardPart(part.byteLength);
+		});
+	}
+
+	/** Sets what refuses the request when its body stops arriving; undefined once it has arrived. */
+	whenStalled(onStall: (() => void) | undefined): void {
+		this.onStall = onStall;
+	}
+
+	/** Refuses the request because its body has stopped arriving; returns false if it can't be refused any more. */
+	stall(): boolean {
+		const {onStall} = this;
+		this.onStall = undefined;
+		onStall?.();
+		return onStall !== undefined;
+	}
+
+	/**
+	 * Counts the bytes of the answer until they are sent or the connection is
+	 * closed, and then calls back. Node reports no close of an answer that waits
+	 * behind others.
+	 */
+	countUnsent(bytes: number, onEnd: () => void): void {
+		this.onUnsentEnd = () => {
+			this.onUnsentEnd = nothing;
+			this.connection.addUnsent(-bytes);
+			onEnd();
+		};
+
+		this.response.once('close', () => {
+			this.onUnsentEnd();
+		});
+		this.connection.addUnsent(bytes);
+	}
+
 	/** The answer is being written. */
 	answer(): void {
 		this.isAnswered = true;
@@ -343,5 +609,6 @@
 
 	leave(): void {
 		this.onLeave();
+		this.onUnsentEnd();
 	}
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,12 +1,16 @@
 export * from './address.js';
 export * from './caller-connections.js';
 export * from './clock.js';
+export * from './connection-budget.js';
+export type {IntakeLimits} from './connection-intake.js';
 export * from './detached.js';
 export type {DocumentIssue} from './document-issue.js';
 export type {DocumentPath} from './document-place.js';
 export * from './duration.js';
 export * from './finding.js';
 export * from './fingerprint.js';
+export * from './guarded-server.js';
+export * from './joined-parts.js';
 export * from './listening-probe.js';
 export * from './message-size.js';
 export * from './nearest-key.js';
