fix(mesh, node): a body whose sender is slow gives way to others

A sender of one byte now and then kept the memory of its body and its place for up to two minutes, and counted as busy, so that new connections were closed in its place. While other bodies wait for memory, or there are too many connections, a body whose sender has paused for 1 s or has sent less than 4 KB a second in over 3 s is refused as not run, or its connection closed.

connection-intake.spec.ts, two cases, of a decision that did not exist before.

--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -64,8 +64,8 @@
 	/** Number of requests that are arriving. */
 	receiving(): number;
 	/**
-	 * Refuses bodies whose senders have paused for long, while other bodies wait
-	 * for the memory that they hold.
+	 * Refuses bodies whose senders have paused or are slow, while other bodies
+	 * wait for the memory that they hold.
 	 */
 	refuseStalled(): void;
 	/** Closes all connections at once. */
@@ -83,8 +83,6 @@
 const requestLineBytes = 16 * 1024;
 /** Minimum bytes of a header field. */
 const minFieldBytes = 4;
-/** Milliseconds after which a body that has stopped arriving is refused if others wait for its memory. */
-const pressedStallTime = 1000;
 
 /** Maximum wait of a body for memory: a share of the time that its caller waits, and the milliseconds if that isn't stated. */
 const maxWaitRatio = 0.5;
@@ -408,7 +406,7 @@
 		ending: connections.ending,
 		receiving: connections.receiving,
 		refuseStalled() {
-			connections.refuseStalled(pressedStallTime, budget.isAwaited);
+			connections.refuseStalled(budget.isAwaited);
 		},
 		close() {
 			server.close();
--- a/packages/node/src/caller-listener.ts
+++ b/packages/node/src/caller-listener.ts
@@ -63,7 +63,7 @@
 	 * all accepted ones have been sent.
 	 */
 	drain(): Promise<void>;
-	/** Refuses bodies whose senders have paused for long, if others found no room. */
+	/** Refuses bodies whose senders have paused or are slow, if others found no room. */
 	refuseStalled(): void;
 	/**
 	 * Answers what still runs as not run or unknown, and closes. Resolves with
@@ -78,9 +78,6 @@
  */
 const keepAliveTimeoutMs = 65_000;
 
-/** Milliseconds after which a body that has stopped arriving is refused if others find no room. */
-const pressedStallTime = 1000;
-
 /** Interval in milliseconds between two checks whether all answers have been sent. */
 const sentCheckIntervalMs = 10;
 
@@ -285,7 +282,7 @@
 			await waitUntil(() => accepted.areSent(), Number.POSITIVE_INFINITY);
 		},
 		refuseStalled() {
-			connections.refuseStalled(pressedStallTime, budget.hasRefused);
+			connections.refuseStalled(budget.hasRefused);
 		},
 		async close(cause) {
 			draining.abort();
--- a/packages/shared/__tests__/connection-intake.spec.ts
+++ b/packages/shared/__tests__/connection-intake.spec.ts
@@ -114,6 +114,25 @@
 			expect(checkFor(30_000)).to.equal(undefined);
 		});
 
+		it('lets one give way to others when its sender pauses', () => {
+			checkFor(800);
+			expect(intake.givesWay(reading)).to.equal(false);
+			checkFor(200);
+			expect(intake.givesWay(reading)).to.equal(true);
+			reading.isHeldBack = true;
+			expect(intake.givesWay(reading)).to.equal(false);
+		});
+
+		// Guards against senders that keep memory with a byte now and then.
+		it('lets one give way to others when its sender is slow', () => {
+			checkFor(4000, () => {
+				receive(1);
+			});
+			expect(intake.givesWay(reading)).to.equal(true);
+			receive(100_000);
+			expect(intake.givesWay(reading)).to.equal(false);
+		});
+
 		// Guards against bodies without end behind a refusal.
 		it('ends one that is too long', () => {
 			receive(9_000_000);
--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -79,11 +79,8 @@
 	ending(): number;
 	/** Number of requests that are arriving. */
 	receiving(): number;
-	/**
-	 * Refuses bodies whose senders have paused for so many milliseconds, while the
-	 * condition holds.
-	 */
-	refuseStalled(pause: number, condition: () => boolean): void;
+	/** Refuses bodies whose senders have paused or are slow, while the condition holds. */
+	refuseStalled(condition: () => boolean): void;
 	/** Closes all connections at once. */
 	close(): void;
 };
@@ -186,13 +183,13 @@
 		pending: () => sum(({unsent}) => unsent.size),
 		ending: () => sum(({isEnding}) => (isEnding ? 1 : 0)),
 		receiving: () => sum(({arriving}) => arriving),
-		refuseStalled(pause, condition) {
+		refuseStalled(condition) {
 			for (const connection of connections.values()) {
 				if (!condition()) {
 					return;
 				}
 
-				connection.refuseStalled(pause);
+				connection.refuseStalled();
 			}
 		},
 		close() {
@@ -251,7 +248,10 @@
 	}
 
 	isIdle(): boolean {
-		return this.arriving + this.unsent.size === 0;
+		return (
+			this.unsent.size === 0 &&
+			(this.arriving === 0 || this.intake.givesWay(this.read()))
+		);
 	}
 
 	/**
@@ -259,7 +259,11 @@
 	 * not end the timeout when a request arrives.
 	 */
 	isBetweenRequests(): boolean {
-		return this.received > 0 && this.isIdle() && !this.isClosing;
+		return (
+			this.received > 0 &&
+			this.arriving + this.unsent.size === 0 &&
+			!this.isClosing
+		);
 	}
 
 	receive(
@@ -352,15 +356,11 @@
 		}
 	}
 
-	/** Refuses the body that is arriving if its sender has paused for so many milliseconds; returns whether it did. */
-	refuseStalled(pause: number): boolean {
-		const {isInBody, isHeldBack} = this.read();
-		return (
-			isInBody &&
-			!isHeldBack &&
-			this.intake.stalled() >= pause &&
-			(this.lastExchange?.stall() ?? false)
-		);
+	/** Refuses the body that is arriving if its sender has paused or is slow. */
+	refuseStalled(): void {
+		if (this.intake.givesWay(this.read())) {
+			this.lastExchange?.stall();
+		}
 	}
 
 	close(): void {
--- a/packages/shared/src/connection-intake.ts
+++ b/packages/shared/src/connection-intake.ts
@@ -46,6 +46,11 @@
 const maxBodyTime = 120_000;
 /** Bytes of an answer that its reader takes in a millisecond at least. */
 const minReadRate = 64;
+/** Milliseconds of a pause after which a body gives way to others. */
+const pressedStallTime = 1000;
+/** Bytes a millisecond below which a body is slow, and the time before it is judged. */
+const slowBodyRate = 4;
+const slowBodyTime = 3000;
 /**
  * Bytes that a head takes for each byte that has arrived: V8 stores the name and
  * the value of each field as a string and in a list.
@@ -85,9 +90,19 @@
 		return isInBody ? bytesRead - this.readBefore : 0;
 	}
 
-	/** Milliseconds without a byte of what is arriving. */
-	stalled(): number {
-		return this.readStall;
+	/**
+	 * Whether the body that is arriving should give way to others: its sender has
+	 * paused, or has sent little in all its time.
+	 */
+	givesWay(reading: ConnectionReading): boolean {
+		if (!reading.isInBody || reading.isHeldBack) {
+			return false;
+		}
+
+		const isSlow =
+			this.arrivalTime > slowBodyTime &&
+			this.bodyHeld(reading) < this.arrivalTime * slowBodyRate;
+		return isSlow || this.readStall >= pressedStallTime;
 	}
 
 	/** Returns how the connection exceeds its limits, if it does. */
--- a/packages/shared/src/guarded-server.ts
+++ b/packages/shared/src/guarded-server.ts
@@ -120,7 +120,9 @@
 	}
 
 	isIdle(): boolean {
-		return this.link ? !this.link.isKnown() : this.unanswered === 0;
+		return this.link
+			? !this.link.isKnown()
+			: this.unanswered === 0 || this.intake.givesWay(this.read());
 	}
 
 	check(elapsed: number): void {
