test(node): crowds of clients at each listener of our own interface

Limits lowered by the settings of the test: 800 connections, 32 MB each for connections and bodies; bounds: 250 MB, 1,000 descriptors. 35 crowds at three listeners: 33 passed on, silent connections at the listeners for peers and operators did not, beside other work: the system drops the opening packet of connections beyond a backlog of 511 and repeats it after seconds, so some opened late. The listeners now have the backlog of the mesh node (4096), and a crowd counts established connections only; the three crowds of silent connections pass since.

--- a/packages/node/__tests__/process-cluster.ts
+++ b/packages/node/__tests__/process-cluster.ts
@@ -22,6 +22,7 @@
 	process: Child;
 	target: Child;
 	caller: string;
+	peer: string;
 	admin: string;
 };
 
@@ -43,6 +44,10 @@
 	slots: number;
 	/** Milliseconds. */
 	serviceTime: number;
+	/** The limits in the settings of its node. */
+	limits?: Record<string, number | string>;
+	/** Options for Node. */
+	nodeOptions?: string[];
 };
 
 /** The processes of one test. */
@@ -68,19 +73,26 @@
 	const directory = await mkdtemp(path.join(tmpdir(), 'egretspoke-test-'));
 	const agent = new Agent({connections: 64});
 	const children: Child[] = [];
-	const start = (script: string, ...parameters: string[]) => {
-		const child = startChild({script, parameters});
+	const startWith = (
+		nodeOptions: string[],
+		script: string,
+		...parameters: string[]
+	) => {
+		const child = startChild({nodeOptions, script, parameters});
 		children.push(child);
 		return child;
 	};
 
+	const start = (script: string, ...parameters: string[]) =>
+		startWith([], script, ...parameters);
+
 	const platform = start(resolveScript(standIns, 'platform-main.js'));
 	const platformAddress = await platform.waitFor((line) =>
 		readText(line, 'address'),
 	);
 
 	return {
-		async startMachine(name, options) {
+		async startMachine(name, {limits = {}, nodeOptions = [], ...options}) {
 			const target = start(
 				resolveScript(standIns, 'target-main.js'),
 				JSON.stringify({...options, connections: 64}),
@@ -96,14 +108,15 @@
 					listeners: {caller: free, peer: free, admin: free},
 					platform: {address: `http://${platformAddress}`},
 					target: {address},
+					limits,
 					logs: {format: 'json'},
 					timings: {lease: '1s', probe: '300ms'},
 				}),
 			);
-			const child = start(nodeProgram, '--settings', file);
-			const {caller, admin} = await child.waitFor(readStartedNode);
+			const child = startWith(nodeOptions, nodeProgram, '--settings', file);
+			const {caller, peer, admin} = await child.waitFor(readStartedNode);
 			await target.sendCommand(`announce ${caller}`);
-			return {name, process: child, target, caller, admin};
+			return {name, process: child, target, caller, peer, admin};
 		},
 		async waitForMembers({admin}, names) {
 			for (;;) {
--- a/packages/node/src/web-socket-transport.ts
+++ b/packages/node/src/web-socket-transport.ts
@@ -41,6 +41,9 @@
 /** Timeout in milliseconds for opening a connection; a slower peer counts as unreachable. */
 const connectTimeoutMs = 2000;
 
+/** Maximum connections waiting to be accepted; the system tries again after seconds when one is dropped. */
+const backlog = 4096;
+
 /** Maximum time in milliseconds for peers to receive what was sent before the close. */
 const closeTimeoutMs = 1000;
 
@@ -205,7 +208,7 @@
 	port: number,
 	onError: OnListenerError = () => undefined,
 ): Promise<number> {
-	server.listen(port, host);
+	server.listen(port, host, backlog);
 	await once(server, 'listening');
 	server.on('error', onError);
 	const address = server.address();
--- a/packages/stand-ins/src/client-crowd.ts
+++ b/packages/stand-ins/src/client-crowd.ts
@@ -185,7 +185,8 @@
 		open: () =>
 			script.reads === false
 				? 0
-				: members.filter(({socket}) => !socket.closed).length,
+				: members.filter(({socket}) => !socket.connecting && !socket.closed)
+						.length,
 		close() {
 			for (const {socket} of members) {
 				socket.destroy();
