fix(mesh): few requests of a connection run before their answers are sent

Of a connection, four requests run now until their answers are sent; the others wait, in order, with their time running.

--- a/packages/mesh/src/entry/caller-listener.ts
+++ b/packages/mesh/src/entry/caller-listener.ts
@@ -345,6 +345,18 @@
 			return;
 		}
 
+		// For a caller that leaves before the start.
+		exchange.whenLeft(() => bodyHold?.release());
+		exchange.start(() => {
+			forward(request, exchange, {headers, body, bodyHold, arrivedAt});
+		});
+	};
+
+	const forward = (
+		request: IncomingMessage,
+		exchange: CallerExchange,
+		{headers, body, bodyHold, arrivedAt}: ReceivedRequest,
+	) => {
 		const timeLeft = Number(headers.timeLeft);
 		headers.endToEnd.push(headerNames.callerService, options.callerService());
 		const leave = options.entry.handle(
--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -102,6 +102,12 @@
 /** Maximum number of requests of a connection that are not answered; those behind them are dropped, and the connection closes. */
 const maxRequestsAhead = 256;
 
+/**
+ * Maximum number of requests of a connection that run before their answers are
+ * sent: a caller that reads slowly would make the node hold all of them.
+ */
+const maxStarted = 4;
+
 /** Answers to what exceeds a limit, by the codes of Node's parser for the same faults. */
 const answeredFaults: Partial<Record<IntakeFault, string>> = {
 	headTooLong: 'HPE_HEADER_OVERFLOW',
@@ -224,6 +230,10 @@
 	private dropped = 0;
 	/** Bytes of answers that are not sent. */
 	private unsentBytes = 0;
+	/** Number of requests that were started and whose answers are not sent. */
+	private started = 0;
+	/** Accepted requests that wait until answers before them are sent. */
+	private waiting: CallerExchange[] = [];
 	/** Why nothing is read at present. */
 	private readonly pauses = new Set<ReadPause>();
 	/** Small parts of bodies since reading was last paced. */
@@ -382,11 +392,22 @@
 			if (!this.socket.destroyed) {
 				this.unsent.delete(exchange);
 				this.endIfAnswered();
+				this.startNext(exchange);
 			}
 		});
 		return true;
 	}
 
+	/** Starts an accepted request, or lets it wait for those before it. */
+	start(exchange: CallerExchange): void {
+		if (this.started < maxStarted) {
+			this.started++;
+			exchange.run();
+		} else {
+			this.waiting.push(exchange);
+		}
+	}
+
 	/** Whether an accepted request arrived behind this one. */
 	hasAcceptedBehind({order}: CallerExchange): boolean {
 		for (const other of this.unsent) {
@@ -458,6 +479,7 @@
 		const cause = this.cause ?? 'server';
 		const exchanges = [...this.unsent];
 		this.unsent.clear();
+		this.waiting = [];
 		const requests = exchanges.length;
 		const answered = exchanges.filter(({isAnswered}) => isAnswered).length;
 		for (const exchange of exchanges) {
@@ -495,6 +517,19 @@
 		}
 	}
 
+	/** Starts the next request when the answer to another one is sent. */
+	private startNext(sent: CallerExchange): void {
+		if (!sent.isStarted) {
+			return;
+		}
+
+		this.started--;
+		const next = this.waiting.shift();
+		if (next) {
+			this.start(next);
+		}
+	}
+
 	private endIfAnswered(): void {
 		if (this.isClosing && this.unsent.size === 0) {
 			this.end();
@@ -505,6 +540,9 @@
 /** A request and its answer. */
 export class CallerExchange {
 	isAnswered = false;
+	/** Whether the request was started, and not answered without that. */
+	isStarted = false;
+	private onStart: () => void = nothing;
 	private onLeave: () => void = nothing;
 	private onStall: (() => void) | undefined = undefined;
 	private onUnsentEnd: () => void = nothing;
@@ -524,6 +562,17 @@
 		return this.connection.accept(this);
 	}
 
+	/** Starts the accepted request now, or when enough answers before it are sent; not after the caller has left. */
+	start(onStart: () => void): void {
+		this.onStart = onStart;
+		this.connection.start(this);
+	}
+
+	run(): void {
+		this.isStarted = true;
+		this.onStart();
+	}
+
 	/** Sets what is called when the caller disconnects before the answer. */
 	whenLeft(onLeave: () => void): void {
 		this.onLeave = onLeave;
