--- a/packages/shared/src/caller-connections.ts
+++ b/packages/shared/src/caller-connections.ts
@@ -16,6 +16,9 @@
 } from './connection-budget.js';
 import {
 	ConnectionIntake,
+	connectionBytes,
+	readConnection,
+	requestBytes,
 	type ConnectionReading,
 	type IntakeFault,
 	type IntakeLimits,
@@ -95,10 +98,6 @@
 /** A position before that of every request. */
 const none = -1;
 
-/** Estimated bytes of an open connection, and of a request until its answer is sent, beside its body. */
-const connectionBytes = 10 * 1024;
-const requestBytes = 6 * 1024;
-
 /** Maximum number of requests of a connection that are not answered; those behind them are dropped, and the connection closes. */
 const maxRequestsAhead = 256;
 
@@ -492,14 +491,7 @@
 	}
 
 	private read(): ConnectionReading {
-		const {socket, lastRequest} = this;
-		return {
-			bytesRead: socket.bytesRead,
-			bytesWritten: socket.bytesWritten,
-			bytesWaiting: socket.writableLength,
-			isInBody: lastRequest !== undefined && !lastRequest.complete,
-			isHeldBack: socket.isPaused(),
-		};
+		return readConnection(this.socket, this.lastRequest);
 	}
 
 	private endFaulty(fault: IntakeFault): void {
--- a/packages/shared/src/connection-intake.ts
+++ b/packages/shared/src/connection-intake.ts
@@ -3,6 +3,8 @@
  * how long it may take. It reads the counters of the socket, so that the bytes
  * of ordinary requests cost nothing.
  */
+import type {IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 
 /** What a connection may send, in bytes and milliseconds. */
 export type IntakeLimits = {
@@ -38,6 +40,10 @@
 	isHeldBack: boolean;
 };
 
+/** Estimated bytes of an open connection, and of a request until its answer is sent, beside its body. */
+export const connectionBytes = 10 * 1024;
+export const requestBytes = 6 * 1024;
+
 /** Bytes of one read, which can hold the beginning of the next head. */
 const readBytes = 64 * 1024;
 /** Bytes on the wire for each byte of a body in chunks of one byte, with room for extensions. */
@@ -57,6 +63,20 @@
  */
 const headMemory = 8;
 
+/** Reads the state of a connection from its socket and the request that arrived last. */
+export function readConnection(
+	socket: Socket,
+	lastRequest: IncomingMessage | undefined,
+): ConnectionReading {
+	return {
+		bytesRead: socket.bytesRead,
+		bytesWritten: socket.bytesWritten,
+		bytesWaiting: socket.writableLength,
+		isInBody: lastRequest !== undefined && !lastRequest.complete,
+		isHeldBack: socket.isPaused(),
+	};
+}
+
 /** Watches the arriving bytes of one connection. */
 export class ConnectionIntake {
 	/** Bytes read at the check after the last head or body was complete. */
--- a/packages/shared/src/guarded-server.ts
+++ b/packages/shared/src/guarded-server.ts
@@ -11,6 +11,9 @@
 } from './connection-budget.js';
 import {
 	ConnectionIntake,
+	connectionBytes,
+	readConnection,
+	requestBytes,
 	type ConnectionReading,
 	type IntakeLimits,
 } from './connection-intake.js';
@@ -43,9 +46,6 @@
 	idleTime: 10_000,
 };
 
-/** Estimated bytes of an open connection, and of a request that is not answered. */
-const connectionBytes = 10 * 1024;
-const requestBytes = 6 * 1024;
 /** Maximum number of requests of a connection that are not answered. */
 const maxRequestsAhead = 16;
 /** Maximum milliseconds in which the peer of a link identifies itself. */
@@ -145,13 +145,6 @@
 	}
 
 	private read(): ConnectionReading {
-		const {socket, lastRequest} = this;
-		return {
-			bytesRead: socket.bytesRead,
-			bytesWritten: socket.bytesWritten,
-			bytesWaiting: socket.writableLength,
-			isInBody: lastRequest !== undefined && !lastRequest.complete,
-			isHeldBack: socket.isPaused(),
-		};
+		return readConnection(this.socket, this.lastRequest);
 	}
 }
