--- a/packages/shared/__tests__/read-pacer.spec.ts
+++ b/packages/shared/__tests__/read-pacer.spec.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {createReadPacer} from '../src/read-pacer.js';
-import {createVirtualClock} from '@egretspoke/shared';
+import {createVirtualClock} from '../src/virtual-clock.js';
 
 describe('the pacer of reads', () => {
 	const create = () => {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,11 @@
 export * from './address.js';
+export type {
+	CallerConnectionsOptions,
+	CloseCause,
+	CutRequests,
+} from './caller-connection.js';
 export * from './caller-connections.js';
+export type {CallerExchange} from './caller-exchange.js';
 export * from './clock.js';
 export * from './connection-budget.js';
 export type {IntakeLimits} from './connection-intake.js';
